--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,1 @@
+"""Placeholder of the demo until the daemons run."""
--- /dev/null
+++ b/scripts/run_tests.py
@@ -0,0 +1,83 @@
+"""Run the test suite, then each known failure by itself.
+
+``KNOWN-RED.txt`` names tests that fail for a real fault which is not mended yet.
+They are left out of the suite, run one by one, and printed, so that only these
+may fail. One that passes again is reported as an error: its entry must go.
+"""
+
+import argparse
+import os
+import pathlib
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+
+def read_known_red() -> dict[str, str]:
+    """Return the known failures: test id to the whole entry."""
+    entries = {}
+    for line in KNOWN_RED.read_text().splitlines():
+        if line.strip() and not line.startswith("#"):
+            test_id = line.split("|")[0].strip()
+            entries[test_id] = line
+    return entries
+
+
+def iter_tests(suite: unittest.TestSuite):
+    """Yield every single test of a suite."""
+    for item in suite:
+        if isinstance(item, unittest.TestSuite):
+            yield from iter_tests(item)
+        else:
+            yield item
+
+
+def run_known_red(tests: list[unittest.TestCase], entries: dict[str, str]) -> bool:
+    """Run the listed tests and print each verdict; return False when one passes."""
+    ok = True
+    for test in tests:
+        result = unittest.TestResult()
+        test.run(result)
+        if result.wasSuccessful():
+            print(f"KNOWN RED now passes, remove its entry: {entries[test.id()]}")
+            ok = False
+        else:
+            print(f"KNOWN RED still fails: {entries[test.id()]}")
+    return ok
+
+
+def main() -> int:
+    """Run the tests and return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--fuzz", action="store_true", help="run the long fuzzing")
+    parser.add_argument("--seed", default="1", help="seed of the long fuzzing")
+    parser.add_argument("pattern", nargs="?", default="test_*.py")
+    args = parser.parse_args()
+    if args.fuzz:
+        os.environ["REDWINGSLIP_FUZZ_SEED"] = args.seed
+        print(f"reproduce with: make fuzz SEED={args.seed}")
+    entries = read_known_red()
+    found = unittest.TestLoader().discover(
+        str(ROOT / "tests"), pattern=args.pattern, top_level_dir=str(ROOT)
+    )
+    tests = list(iter_tests(found))
+    red = [test for test in tests if test.id() in entries]
+    missing = set(entries) - {test.id() for test in tests}
+    green = unittest.TestSuite(test for test in tests if test.id() not in entries)
+    result = unittest.TextTestRunner(verbosity=1).run(green)
+    n_failed = len(result.failures) + len(result.errors)
+    n_failed += len(result.unexpectedSuccesses)
+    n_skipped = len(result.skipped)
+    n_passed = result.testsRun - n_failed - n_skipped
+    ok = result.wasSuccessful() and run_known_red(red, entries)
+    if missing and args.pattern == "test_*.py":
+        print(f"KNOWN-RED.txt names tests that do not exist: {sorted(missing)}")
+        ok = False
+    print(f"{n_passed} passed, {n_failed} failed, {n_skipped} skipped")
+    return 0 if ok else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/redwingslip/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Consensus: a replicated log as a state machine without sockets, and its driver."""
--- /dev/null
+++ b/src/redwingslip/fleet/_validation.py
@@ -0,0 +1,110 @@
+"""Checks of a resource against the other resources."""
+
+from functools import singledispatch
+
+from ._outcomes import Invalid
+from ._resources import (
+    KeySpec,
+    Kind,
+    PoolSpec,
+    QueueSpec,
+    SiteSpec,
+    Spec,
+    TeamSpec,
+    VmSpec,
+    WaveSpec,
+)
+from ._view import FleetView
+
+__all__ = ["deletion_problem", "spec_problem"]
+
+
+def _missing(field: str, kind: Kind, name: str) -> Invalid:
+    return Invalid(field=field, reason=f"there is no {name!r} in {kind}")
+
+
+@singledispatch
+def spec_problem(spec: Spec, name: str, view: FleetView) -> Invalid | None:
+    """Return what is wrong with a specification in this view, or None."""
+    raise TypeError(f"not a specification: {type(spec).__name__}")
+
+
+@spec_problem.register
+def _(spec: PoolSpec | TeamSpec, name: str, view: FleetView) -> Invalid | None:
+    return None
+
+
+@spec_problem.register
+def _(spec: SiteSpec, name: str, view: FleetView) -> Invalid | None:
+    if name != "default":
+        return Invalid(field="name", reason="the only site is 'default'")
+    return None
+
+
+@spec_problem.register
+def _(spec: VmSpec, name: str, view: FleetView) -> Invalid | None:
+    if view.pool(spec.pool) is None:
+        return _missing("spec.pool", Kind.POOL, spec.pool)
+    return None
+
+
+@spec_problem.register
+def _(spec: KeySpec, name: str, view: FleetView) -> Invalid | None:
+    if view.spec(Kind.TEAM, spec.team) is None:
+        return _missing("spec.team", Kind.TEAM, spec.team)
+    return None
+
+
+@spec_problem.register
+def _(spec: QueueSpec, name: str, view: FleetView) -> Invalid | None:
+    if view.pool(spec.pool) is None:
+        return _missing("spec.pool", Kind.POOL, spec.pool)
+    if not spec.path.startswith("/"):
+        return Invalid(field="spec.path", reason="must start with '/'")
+    if spec.max_run.total_seconds() <= 0:
+        return Invalid(field="spec.max_run", reason="must be longer than zero")
+    if spec.max_wait.total_seconds() <= 0:
+        return Invalid(field="spec.max_wait", reason="must be longer than zero")
+    return None
+
+
+@spec_problem.register
+def _(spec: WaveSpec, name: str, view: FleetView) -> Invalid | None:
+    for pool in spec.pools:
+        if view.pool(pool) is None:
+            return _missing("spec.pools", Kind.POOL, pool)
+    record = view.waves.get(name)
+    current = view.spec(Kind.WAVE, name)
+    if record is not None and current is not None and current.pools != spec.pools:
+        return Invalid(field="spec.pools", reason="can't change once a wave exists")
+    return None
+
+
+def deletion_problem(kind: Kind, name: str, view: FleetView) -> Invalid | None:
+    """Return what still needs a resource that is to be deleted, or None."""
+    users: list[str] = []
+    if kind is Kind.POOL:
+        users += [f"vms/{vm.name}" for vm in view.vms.values() if name in _pools(vm)]
+        users += [
+            f"vms/{n}"
+            for n, r in view.resources[Kind.VM].items()
+            if r.spec.pool == name
+        ]
+        users += [
+            f"queues/{n}"
+            for n, r in view.resources[Kind.QUEUE].items()
+            if r.spec.pool == name
+        ]
+    if kind is Kind.TEAM:
+        users += [
+            f"keys/{n}"
+            for n, r in view.resources[Kind.KEY].items()
+            if r.spec.team == name
+        ]
+    if not users:
+        return None
+    return Invalid(field="name", reason=f"still used by {', '.join(sorted(users)[:5])}")
+
+
+def _pools(vm) -> tuple[str, str]:
+    return (vm.pool, vm.move_to)
