Fix the typed interfaces between the parts

Cause: callers, endpoints, operators and events need agreed types before they are built apart. No behaviour yet.

--- /dev/null
+++ b/src/redwingslip/observe/_events.py
@@ -0,0 +1,83 @@
+"""The events of the time line."""
+
+import enum
+from typing import Protocol
+
+import msgspec
+
+__all__ = ["Event", "EventName", "EventSink", "NullSink"]
+
+
+class EventName(enum.StrEnum):
+    """What can happen."""
+
+    PROCESS_STARTED = "process.started"
+    PROCESS_STOPPED = "process.stopped"
+    LEADER_ELECTED = "leader.elected"
+    LEADER_STEPPED_DOWN = "leader.stepped_down"
+    MEMBER_CHANGED = "member.changed"
+    COMMAND_APPLIED = "command.applied"
+    LEASE_ACQUIRED = "lease.acquired"
+    LEASE_LOST = "lease.lost"
+    ENTRY_EXPIRED = "entry.expired"
+    DISPATCH_STARTED = "dispatch.started"
+    DISPATCH_STOPPED = "dispatch.stopped"
+    ENDPOINT_UP = "endpoint.up"
+    ENDPOINT_DOWN = "endpoint.down"
+    ENDPOINT_EJECTED = "endpoint.ejected"
+    REQUEST_RECEIVED = "request.received"
+    PERMIT_GRANTED = "permit.granted"
+    CALL_SENT = "call.sent"
+    CALL_ENDED = "call.ended"
+    REQUEST_ANSWERED = "request.answered"
+    REQUEST_REFUSED = "request.refused"
+    VM_DRAINED = "vm.drained"
+    VM_REBOOTED = "vm.rebooted"
+    WAVE_CHANGED = "wave.changed"
+    LINK_UP = "link.up"
+    LINK_DOWN = "link.down"
+    WARNING = "warning"
+
+
+class Event(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One event; empty fields do not apply.
+
+    Attributes
+    ----------
+    index : int
+        Log index that the event belongs to, 0 for none.
+    detail : str
+        Further words for people. No key and no body ever.
+    """
+
+    name: EventName
+    request_id: str = ""
+    team: str = ""
+    queue: str = ""
+    pool: str = ""
+    vm: str = ""
+    wave: str = ""
+    endpoint_id: str = ""
+    permit_id: str = ""
+    peer: str = ""
+    index: int = 0
+    epoch: int = 0
+    term: int = 0
+    status: int = 0
+    detail: str = ""
+
+
+class EventSink(Protocol):
+    """Takes events; see `EventLog` for the one that writes them."""
+
+    def emit(self, event: Event) -> None:
+        """Take an event."""
+
+
+class NullSink:
+    """Drops every event."""
+
+    __slots__ = ()
+
+    def emit(self, event: Event) -> None:
+        """Drop an event."""
--- /dev/null
+++ b/src/redwingslip/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Package platform."""
--- /dev/null
+++ b/src/redwingslip/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Allotments of the teams' upper limits to the pools."""
