Add the links between processes and the entries' leases

Cause: entries need messages to each other and a right to work that ends by itself. Change: one grpclib stream for each pair, with batches, heartbeats and replacement of silent streams; a lease that counts from the send at the holder and from the receipt at the granter; "in force" from acknowledged views and ended leases. Seen failing first with a mechanism taken out: in force without the views of open leases, the holder's lease doubled, a new leader that takes inherited leases for current ones. Conclusion: the stateful test finds each of these.

--- a/src/redwingslip/leases/__init__.py
+++ b/src/redwingslip/leases/__init__.py
@@ -1,1 +1,8 @@
-"""Package leases."""
+"""Leases of the entries: the right to take keyed work under a current view."""
+
+from ._change_log import ChangeLog
+from ._granter import LeaseGranter
+from ._holder import LeaseHolder
+from ._settings import LeaseSettings
+
+__all__ = ["ChangeLog", "LeaseGranter", "LeaseHolder", "LeaseSettings"]
--- a/src/redwingslip/peers/__init__.py
+++ b/src/redwingslip/peers/__init__.py
@@ -1,4 +1,15 @@
 """The links between the system's own processes and the messages on them."""
 
+from . import _messages
+from ._hub import PeerHub
 from ._messages import *  # noqa: F403
-from ._messages import __all__  # noqa: F401
+from ._settings import PeerSettings
+from .exceptions import LinkError, PeerRefusedError
+
+__all__ = [
+    *_messages.__all__,
+    "LinkError",
+    "PeerHub",
+    "PeerRefusedError",
+    "PeerSettings",
+]
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,199 @@
+"""Tests of the entries' leases."""
+
+import unittest
+from datetime import timedelta
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from redwingslip.fleet import FleetState, FleetView, PoolSpec, PutResource
+from redwingslip.leases import ChangeLog, LeaseGranter, LeaseHolder, LeaseSettings
+from redwingslip.peers import LeaseGrant, LeaseRenewal
+
+CFG = LeaseSettings()
+ENTRY_IDS = ("entry-1", "entry-2")
+
+
+class Holder:
+    """A lease holder that may be replaced by a new incarnation."""
+
+    def __init__(self, entry_id, number):
+        self.lease = LeaseHolder(
+            cfg=CFG,
+            entry_id=entry_id,
+            incarnation=f"{entry_id}.{number}",
+            address="127.0.0.1:1",
+            data_centre="a",
+            view=FleetView(),
+        )
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Leaders come and go, messages are late or lost, entries freeze and restart.
+
+    Oracle: no entry holds a lease over a view older than what was ever reported to
+    be in force, and no two valid holders think they dispatch the same pool.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = timedelta(0)
+        self.state = FleetState()
+        self.changes = ChangeLog(max_changes=6)
+        self.index = 0
+        self.term = 0
+        self.in_force = 0
+        self.wire = []
+        self.number = 0
+        self.holders = {}
+        self.frozen = []
+
+    @initialize()
+    def start(self):
+        for entry_id in ENTRY_IDS:
+            self.restart(entry_id)
+        self.elect()
+        self.write()
+
+    def wire_of(self, kind):
+        """Return the places of the messages of a kind."""
+        return [i for i, (_, m) in enumerate(self.wire) if isinstance(m, kind)]
+
+    def commit(self, commands):
+        """Apply what the leader proposes."""
+        for command in commands:
+            self.index += 1
+            _, changes = self.state.apply(self.index, command)
+            self.changes.add(changes)
+
+    @rule()
+    def elect(self):
+        """A new leader holds the log; the one before can't grant any more."""
+        self.term += 1
+        self.granter = LeaseGranter(
+            cfg=CFG,
+            view=self.state.view,
+            changes=self.changes,
+            term=self.term,
+            now=self.now,
+            has_quorum=lambda now: True,
+        )
+
+    @rule()
+    def write(self):
+        self.commit([PutResource(name=f"p{self.index % 3}", spec=PoolSpec())])
+
+    @rule(entry_id=st.sampled_from(ENTRY_IDS))
+    def restart(self, entry_id):
+        """The old process may be frozen and not gone."""
+        self.number += 1
+        if entry_id in self.holders:
+            self.frozen.append(self.holders[entry_id])
+        self.holders[entry_id] = Holder(entry_id, self.number)
+
+    @rule(
+        entry_id=st.sampled_from(ENTRY_IDS),
+        leaving=st.sampled_from([False] * 9 + [True]),
+    )
+    def renew(self, entry_id, leaving):
+        holder = self.holders[entry_id]
+        self.wire.append((holder, holder.lease.renewal(self.now, leaving=leaving)))
+        if leaving:
+            self.restart(entry_id)
+
+    @precondition(lambda self: self.wire_of(LeaseRenewal))
+    @rule(data=st.data(), copies=st.integers(0, 2))
+    def deliver(self, data, copies):
+        """A renewal reaches the leader, not at all or twice."""
+        i = data.draw(st.sampled_from(self.wire_of(LeaseRenewal)))
+        holder, msg = self.wire.pop(i)
+        for _ in range(copies):
+            grant, commands = self.granter.renewal(msg, self.now)
+            self.commit(commands)
+            self.wire.append((holder, grant))
+
+    @precondition(lambda self: self.wire_of(LeaseGrant))
+    @rule(data=st.data())
+    def receive(self, data):
+        """A grant reaches its entry, in any order."""
+        i = data.draw(st.sampled_from(self.wire_of(LeaseGrant)))
+        holder, msg = self.wire.pop(i)
+        holder.lease.grant(msg)
+
+    @rule()
+    def exchange(self):
+        """Every live entry renews without loss, and pushed changes arrive."""
+        for holder in self.holders.values():
+            grant, commands = self.granter.renewal(
+                holder.lease.renewal(self.now), self.now
+            )
+            self.commit(commands)
+            holder.lease.grant(grant)
+        for entry_id, push in self.granter.pushes(self.now):
+            self.holders[entry_id].lease.grant(push)
+
+    @rule(ms=st.sampled_from([10, 100, 300, 800, 1_600, 2_000]))
+    def wait(self, ms):
+        self.now += timedelta(milliseconds=ms)
+
+    @rule()
+    def tick(self):
+        self.commit(self.granter.tick(self.now))
+        self.in_force = max(self.in_force, self.granter.in_force_index)
+
+    def valid(self):
+        all_holders = [*self.holders.values(), *self.frozen]
+        return [h.lease for h in all_holders if h.lease.is_valid(self.now)]
+
+    @invariant()
+    def no_lease_over_an_older_view(self):
+        for lease in self.valid():
+            assert lease.view.index >= self.in_force, (lease.view.index, self.in_force)
+
+    @invariant()
+    def one_dispatcher_for_each_pool(self):
+        owners = [
+            (record.pool, record.incarnation)
+            for lease in self.valid()
+            for record in lease.view.dispatchers.values()
+            if record.incarnation == lease._incarnation
+        ]
+        pools = [pool for pool, _ in owners]
+        assert len(pools) == len(set(pools)), owners
+
+
+class TestLeases(LeaseMachine.TestCase):
+    """Leases under lost, late and doubled messages, restarts and new leaders."""
+
+
+class TestLeaseHolder(unittest.TestCase):
+    """The entry's side."""
+
+    def test_lease_counts_from_the_send(self):
+        """A grant that took longer than the lease gives none."""
+        granter_state = FleetState()
+        granter = LeaseGranter(
+            cfg=CFG,
+            view=granter_state.view,
+            changes=ChangeLog(),
+            term=1,
+            now=timedelta(0),
+            has_quorum=lambda now: True,
+        )
+        holder = Holder("entry-1", 1).lease
+        _, commands = granter.renewal(holder.renewal(timedelta(0)), timedelta(0))
+        granter_state.apply(1, commands[0])
+        grant, _ = granter.renewal(holder.renewal(timedelta(0)), timedelta(0))
+        holder.grant(grant)
+        self.assertTrue(holder.is_valid(timedelta(seconds=1)))
+        self.assertFalse(holder.is_valid(CFG.duration))
+
+
+if __name__ == "__main__":
+    unittest.main()
