Check that an entry's view is always a prefix of the log

Cause: the lease test did not notice a grant applied over a gap, nor an older view restored over a newer one, when those checks were taken out. Change: an oracle of the log's prefixes, pushes that are lost, two focused tests.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -3,6 +3,7 @@
 import unittest
 from datetime import timedelta
 
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -12,7 +13,13 @@
     rule,
 )
 
-from redwingslip.fleet import FleetState, FleetView, PoolSpec, PutResource
+from redwingslip.fleet import (
+    FleetState,
+    FleetView,
+    PoolSpec,
+    PutResource,
+    ViewSnapshot,
+)
 from redwingslip.leases import ChangeLog, LeaseGranter, LeaseHolder, LeaseSettings
 from redwingslip.peers import LeaseGrant, LeaseRenewal
 
@@ -24,6 +31,7 @@
     """A lease holder that may be replaced by a new incarnation."""
 
     def __init__(self, entry_id, number):
+        self.newest_index = 0
         self.lease = LeaseHolder(
             cfg=CFG,
             entry_id=entry_id,
@@ -34,6 +42,11 @@
         )
 
 
+def rows_of(view):
+    """Return a view's rows, in no order."""
+    return set(view.snapshot().rows)
+
+
 class LeaseMachine(RuleBasedStateMachine):
     """Leaders come and go, messages are late or lost, entries freeze and restart.
 
@@ -49,6 +62,7 @@
         self.index = 0
         self.term = 0
         self.in_force = 0
+        self.history = {0: set()}
         self.wire = []
         self.number = 0
         self.holders = {}
@@ -71,6 +85,7 @@
             self.index += 1
             _, changes = self.state.apply(self.index, command)
             self.changes.add(changes)
+            self.history[self.index] = rows_of(self.state.view)
 
     @rule()
     def elect(self):
@@ -138,6 +153,12 @@
         for entry_id, push in self.granter.pushes(self.now):
             self.holders[entry_id].lease.grant(push)
 
+    @rule()
+    def push(self):
+        """Changes are pushed, and may arrive late or never."""
+        for entry_id, push in self.granter.pushes(self.now):
+            self.wire.append((self.holders[entry_id], push))
+
     @rule(ms=st.sampled_from([10, 100, 300, 800, 1_600, 2_000]))
     def wait(self, ms):
         self.now += timedelta(milliseconds=ms)
@@ -156,6 +177,14 @@
         for lease in self.valid():
             assert lease.view.index >= self.in_force, (lease.view.index, self.in_force)
 
+    @invariant()
+    def views_are_prefixes_of_the_log(self):
+        for holder in self.holders.values():
+            view = holder.lease.view
+            assert rows_of(view) == self.history[view.index]
+            assert view.index >= holder.newest_index
+            holder.newest_index = view.index
+
     @invariant()
     def one_dispatcher_for_each_pool(self):
         owners = [
@@ -171,6 +200,21 @@
 class TestLeases(LeaseMachine.TestCase):
     """Leases under lost, late and doubled messages, restarts and new leaders."""
 
+    settings = settings(max_examples=5 * settings().max_examples)
+
+
+def grant_of(*, index, from_index=0, snapshot=None):
+    """Return a grant without a lease."""
+    return LeaseGrant(
+        number=0,
+        incarnation="entry-1.1",
+        term=1,
+        duration=timedelta(0),
+        from_index=from_index,
+        index=index,
+        snapshot=snapshot,
+    )
+
 
 class TestLeaseHolder(unittest.TestCase):
     """The entry's side."""
@@ -194,6 +238,19 @@
         self.assertTrue(holder.is_valid(timedelta(seconds=1)))
         self.assertFalse(holder.is_valid(CFG.duration))
 
+    def test_grant_that_leaves_a_gap_changes_nothing(self):
+        """Changes that do not continue the view are not applied."""
+        holder = Holder("entry-1", 1).lease
+        holder.grant(grant_of(from_index=3, index=4))
+        self.assertEqual(holder.view.index, 0)
+
+    def test_older_snapshot_is_not_restored(self):
+        """A whole view that arrives late does not replace a newer one."""
+        holder = Holder("entry-1", 1).lease
+        holder.grant(grant_of(snapshot=ViewSnapshot(index=7, rows=()), index=7))
+        holder.grant(grant_of(snapshot=ViewSnapshot(index=5, rows=()), index=5))
+        self.assertEqual(holder.view.index, 7)
+
 
 if __name__ == "__main__":
     unittest.main()
