Read settings from one typed INI file a process

Cause: the daemons need their addresses, leases and limits from a file, and an operator should see everything that is wrong with it at once.

Ruled out: configparser's own errors, which stop at the first repeated name and would hide the rest; a validation library with a memory cost of its own.

Change: each section is a frozen struct, so that a package keeps its settings object and the roles compose them. Durations and sizes are written with units. All problems come in one InvalidSettingsError; unknown names get the nearest known one. `describe` prints a commented example from the structs.

Two tests were seen failing first: a repeated name hid later repetitions, and a line before the first section hid the whole file (12 problems reported in place of 3). The reader now sets such a line aside and reads the rest again.

--- a/src/redwingslip/settings/__init__.py
+++ b/src/redwingslip/settings/__init__.py
@@ -1,1 +1,56 @@
-"""Package settings."""
+"""Settings of the daemons: one INI file for each process."""
+
+from ._checks import find_problems, find_warnings
+from ._describe import describe
+from ._loader import load_settings, parse_settings
+from ._sections import (
+    ClusterSettings,
+    EndpointsSettings,
+    EntryRoleSettings,
+    EntrySettings,
+    ExporterKind,
+    HttpSettings,
+    LeaseSettings,
+    LogSettings,
+    MetricsSettings,
+    OperatorsSettings,
+    PeersSettings,
+    ProcessSettings,
+    ReplicaRoleSettings,
+    ReplicaSettings,
+    RequestLogging,
+    RequestsSettings,
+    TlsSettings,
+)
+from ._types import Address, Name, Sha256
+from .exceptions import InvalidSettingsError, SettingsError
+
+__all__ = [
+    "Address",
+    "ClusterSettings",
+    "EndpointsSettings",
+    "EntryRoleSettings",
+    "EntrySettings",
+    "ExporterKind",
+    "HttpSettings",
+    "InvalidSettingsError",
+    "LeaseSettings",
+    "LogSettings",
+    "MetricsSettings",
+    "Name",
+    "OperatorsSettings",
+    "PeersSettings",
+    "ProcessSettings",
+    "ReplicaRoleSettings",
+    "ReplicaSettings",
+    "RequestLogging",
+    "RequestsSettings",
+    "SettingsError",
+    "Sha256",
+    "TlsSettings",
+    "describe",
+    "find_problems",
+    "find_warnings",
+    "load_settings",
+    "parse_settings",
+]
--- /dev/null
+++ b/src/redwingslip/settings/_checks.py
@@ -0,0 +1,129 @@
+"""Checks that take more than one option."""
+
+from collections.abc import Iterator
+from functools import singledispatch
+from typing import Any
+
+import msgspec
+
+from ._sections import (
+    EntrySettings,
+    ExporterKind,
+    LeaseSettings,
+    MetricsSettings,
+    ReplicaSettings,
+    TlsSettings,
+)
+from ._units import format_duration
+from .exceptions import SettingsError
+
+__all__ = ["find_problems", "find_warnings"]
+
+
+@singledispatch
+def find_problems(cfg: Any, section: str) -> Iterator[SettingsError]:
+    """Yield what is wrong with a settings object as a whole.
+
+    A package with settings of its own registers a function for their type.
+
+    Parameters
+    ----------
+    cfg : msgspec.Struct
+        One section, or the settings of a whole process.
+    section : str
+        Name of the section; empty for a whole process.
+    """
+    yield from ()
+
+
+@find_problems.register
+def _(cfg: LeaseSettings, section: str) -> Iterator[SettingsError]:
+    if cfg.margin >= cfg.duration:
+        yield SettingsError(
+            section=section,
+            option="margin",
+            value=format_duration(cfg.margin),
+            allowed=f"less than the duration of {format_duration(cfg.duration)}",
+        )
+    if cfg.renewal * 2 > cfg.duration:
+        yield SettingsError(
+            section=section,
+            option="renewal",
+            value=format_duration(cfg.renewal),
+            allowed="at most half of the duration, so that one may be lost",
+        )
+
+
+@find_problems.register
+def _(cfg: TlsSettings, section: str) -> Iterator[SettingsError]:
+    if not cfg.enabled:
+        return
+    for option in ("certificate", "key", "authority"):
+        if getattr(cfg, option) is None:
+            yield SettingsError(
+                section=section,
+                option=option,
+                value=None,
+                allowed="is needed unless 'enabled = no'",
+            )
+
+
+@find_problems.register
+def _(cfg: MetricsSettings, section: str) -> Iterator[SettingsError]:
+    if cfg.exporter is ExporterKind.JSON_FILE and cfg.path is None:
+        yield SettingsError(
+            section=section,
+            option="path",
+            value=None,
+            allowed="is needed with 'exporter = json-file'",
+        )
+
+
+@find_problems.register
+def _(cfg: ReplicaSettings, section: str) -> Iterator[SettingsError]:
+    yield from _address_problems(cfg)
+    if cfg.process.id not in cfg.replicas:
+        yield SettingsError(
+            section="process",
+            option="id",
+            value=cfg.process.id,
+            allowed="a replica's id is listed in [replicas]",
+        )
+
+
+@find_problems.register
+def _(cfg: EntrySettings, section: str) -> Iterator[SettingsError]:
+    yield from _address_problems(cfg)
+    if cfg.process.id in cfg.replicas:
+        yield SettingsError(
+            section="process",
+            option="id",
+            value=cfg.process.id,
+            allowed="an id that no replica has",
+        )
+
+
+def _address_problems(cfg: msgspec.Struct) -> Iterator[SettingsError]:
+    """Yield the replicas that share an address with another one."""
+    seen: dict[str, str] = {}
+    for replica_id, address in cfg.replicas.items():
+        first = seen.setdefault(address, replica_id)
+        if first != replica_id:
+            yield SettingsError(
+                section="replicas",
+                option=replica_id,
+                value=address,
+                allowed=f"an address of its own; {first} has this one",
+            )
+
+
+def find_warnings(cfg: EntrySettings | ReplicaSettings) -> tuple[str, ...]:
+    """Return what is allowed but not safe, in words for the log."""
+    warnings = []
+    if not cfg.tls.enabled:
+        warnings.append("[tls] enabled = no: connections are not encrypted")
+    if len(cfg.replicas) < 3:
+        warnings.append(
+            f"[replicas] lists {len(cfg.replicas)}: fewer than 3 survive no loss"
+        )
+    return tuple(warnings)
--- /dev/null
+++ b/src/redwingslip/settings/_sections.py
@@ -0,0 +1,289 @@
+"""The sections of the settings files."""
+
+import enum
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from ._types import Address, Name, Sha256
+
+__all__ = [
+    "ClusterSettings",
+    "EndpointsSettings",
+    "EntryRoleSettings",
+    "EntrySettings",
+    "ExporterKind",
+    "HttpSettings",
+    "LeaseSettings",
+    "LogSettings",
+    "MetricsSettings",
+    "OperatorsSettings",
+    "PeersSettings",
+    "ProcessSettings",
+    "ReplicaRoleSettings",
+    "ReplicaSettings",
+    "RequestLogging",
+    "RequestsSettings",
+    "TlsSettings",
+]
+
+ProcessId = Annotated[Name, msgspec.Meta(examples=["entry-1"])]
+Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+
+class RequestLogging(enum.StrEnum):
+    """Which events of single requests are logged."""
+
+    ALL = "all"
+    PROBLEMS = "problems"
+    OFF = "off"
+
+
+class ExporterKind(enum.StrEnum):
+    """Where the metrics go."""
+
+    NONE = "none"
+    CONSOLE = "console"
+    JSON_FILE = "json-file"
+
+
+class ProcessSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Who this process is.
+
+    Attributes
+    ----------
+    id : str
+        Name of the process, unique in the system.
+    data_centre : str
+        Data centre that its VM stands in.
+    region : str
+        Region of the data centre.
+    """
+
+    id: ProcessId
+    data_centre: Annotated[Name, msgspec.Meta(examples=["dc-1"])]
+    region: Name = "default"
+
+
+class PeersSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Where this process listens for the system's other processes.
+
+    Attributes
+    ----------
+    listen : str
+        IP number and port to listen on.
+    advertise : str or None
+        IP number and port that the others connect to; none for the same.
+    """
+
+    listen: Annotated[Address, msgspec.Meta(examples=["127.0.0.1:7101"])]
+    advertise: Address | None = None
+
+
+class HttpSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Where callers, endpoints and operators reach this entry.
+
+    Attributes
+    ----------
+    listen : str
+        IP number and port to listen on.
+    """
+
+    listen: Annotated[Address, msgspec.Meta(examples=["127.0.0.1:8101"])]
+
+
+class EntryRoleSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What only an entry needs.
+
+    Attributes
+    ----------
+    drain_grace : timedelta
+        How long a planned stop waits for the requests that it has taken.
+    """
+
+    drain_grace: timedelta = timedelta(seconds=60)
+
+
+class ReplicaRoleSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What only a replica needs.
+
+    Attributes
+    ----------
+    data_folder : Path
+        The one folder that holds the log and its snapshots.
+    """
+
+    data_folder: Annotated[Path, msgspec.Meta(examples=["data/replica-1"])]
+
+
+class LeaseSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Leases of the entries; the same in all processes.
+
+    Attributes
+    ----------
+    duration : timedelta
+        How long a lease lasts at its holder, from the asking on.
+    renewal : timedelta
+        How often the holder asks for a new one.
+    margin : timedelta
+        What the granter waits beyond the duration, for clocks of unlike rate.
+    """
+
+    duration: timedelta = timedelta(milliseconds=1500)
+    renewal: timedelta = timedelta(milliseconds=300)
+    margin: timedelta = timedelta(milliseconds=200)
+
+
+class OperatorsSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Who may use the operators' interface.
+
+    Attributes
+    ----------
+    token_sha256 : tuple of str
+        SHA-256 of each operator's token.
+    """
+
+    token_sha256: Annotated[
+        tuple[Sha256, ...], msgspec.Meta(min_length=1, examples=[["0" * 64]])
+    ]
+
+
+class EndpointsSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Who may announce an endpoint.
+
+    Attributes
+    ----------
+    token_sha256 : tuple of str
+        SHA-256 of each token that endpoints present.
+    """
+
+    token_sha256: Annotated[
+        tuple[Sha256, ...], msgspec.Meta(min_length=1, examples=[["1" * 64]])
+    ]
+
+
+class ClusterSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How the system's processes prove themselves to each other.
+
+    Attributes
+    ----------
+    secret_file : Path
+        File with the secret that all of them share.
+    """
+
+    secret_file: Annotated[Path, msgspec.Meta(examples=["secrets/cluster"])]
+
+
+class TlsSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Transport encryption.
+
+    Attributes
+    ----------
+    enabled : bool
+        Whether connections are encrypted; the process warns when they are not.
+    certificate : Path or None
+        This process's certificate chain, PEM.
+    key : Path or None
+        The certificate's private key, PEM.
+    authority : Path or None
+        Certificates that the other side's must come from, PEM.
+    """
+
+    enabled: bool = True
+    certificate: Path | None = None
+    key: Path | None = None
+    authority: Path | None = None
+
+
+class RequestsSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How callers' requests are run; the same in all entries.
+
+    Attributes
+    ----------
+    claim_window : timedelta
+        How long the outcome of a non-idempotent request is kept for its resends.
+    retry_budget : float
+        Retries as a part of all calls; beyond it a failed call is not retried.
+    max_recorded_answer_bytes : int
+        Longest answer that is kept for resends; a longer one is kept as done only.
+    """
+
+    claim_window: timedelta = timedelta(hours=1)
+    retry_budget: Fraction = 0.1
+    max_recorded_answer_bytes: Annotated[int, msgspec.Meta(ge=0)] = 64 << 10
+
+
+class LogSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The event log of the time line, JSON lines.
+
+    Attributes
+    ----------
+    path : Path or None
+        The file; none for no log.
+    requests : RequestLogging
+        Which events of single requests are logged: all, problems or off.
+    max_file_bytes : int
+        Size at which the file is renamed to end in .1 and begun anew.
+    """
+
+    path: Path | None = None
+    requests: RequestLogging = RequestLogging.ALL
+    max_file_bytes: Annotated[int, msgspec.Meta(ge=4096)] = 64 << 20
+
+
+class MetricsSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Metrics by OpenTelemetry.
+
+    Attributes
+    ----------
+    exporter : ExporterKind
+        Where they go: none, console or json-file.
+    path : Path or None
+        The file of the exporter json-file, JSON lines.
+    interval : timedelta
+        How often they are exported.
+    """
+
+    exporter: ExporterKind = ExporterKind.NONE
+    path: Path | None = None
+    interval: timedelta = timedelta(seconds=15)
+
+
+class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of an entry daemon."""
+
+    process: ProcessSettings
+    peers: PeersSettings
+    replicas: Annotated[
+        dict[Name, Address],
+        msgspec.Meta(min_length=1, examples=[{"replica-1": "127.0.0.1:7001"}]),
+    ]
+    http: HttpSettings
+    operators: OperatorsSettings
+    endpoints: EndpointsSettings
+    cluster: ClusterSettings
+    tls: TlsSettings = TlsSettings()
+    entry: EntryRoleSettings = EntryRoleSettings()
+    leases: LeaseSettings = LeaseSettings()
+    requests: RequestsSettings = RequestsSettings()
+    logs: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
+
+
+class ReplicaSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of a replica daemon."""
+
+    process: ProcessSettings
+    peers: PeersSettings
+    replicas: Annotated[
+        dict[Name, Address],
+        msgspec.Meta(min_length=1, examples=[{"replica-1": "127.0.0.1:7001"}]),
+    ]
+    replica: ReplicaRoleSettings
+    cluster: ClusterSettings
+    tls: TlsSettings = TlsSettings()
+    leases: LeaseSettings = LeaseSettings()
+    logs: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
--- /dev/null
+++ b/tests/test_settings_loader.py
@@ -0,0 +1,224 @@
+"""Tests of reading settings files."""
+
+import pathlib
+import tempfile
+import unittest
+from datetime import timedelta
+from typing import Annotated
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from redwingslip.settings import (
+    EntrySettings,
+    InvalidSettingsError,
+    ReplicaSettings,
+    RequestLogging,
+    SettingsError,
+    describe,
+    load_settings,
+    parse_settings,
+)
+
+BASE = describe(EntrySettings).replace("#enabled = yes", "enabled = no")
+
+# Independent faults: what to replace, by what, and the place that is reported.
+FAULTS = {
+    ("process", "id"): ("id = entry-1", "id = entry 1"),
+    ("process", "data_center"): ("#region = default", "data_center = x"),
+    ("peers", "listen"): ("listen = 127.0.0.1:7101", "listen = localhost:7101"),
+    ("replicas", "replica-1"): ("127.0.0.1:7001", "127.0.0.1:70010"),
+    ("http", "listen"): ("listen = 127.0.0.1:8101\n", ""),
+    ("operators", "token_sha256"): ("0" * 64, "secret"),
+    ("endpoints", "token_sha256"): ("1" * 64, "1" * 63),
+    ("cluster", "secret_file"): ("secret_file = secrets/cluster", "secret_file ="),
+    ("tls", "enabled"): ("enabled = no", "enabled = 0"),
+    ("entry", "drain_grace"): ("#drain_grace = 1 min", "drain_grace = 60"),
+    ("leases", "margin"): ("#margin = 200 ms", "margin = 0 s"),
+    ("requests", "retry_budget"): ("#retry_budget = 0.1", "retry_budget = 1.5"),
+    ("requests", "max_recorded_answer_bytes"): (
+        "#max_recorded_answer_bytes = 64 KiB",
+        "max_recorded_answer_bytes = 64",
+    ),
+    ("logs", "requests"): ("#requests = all", "requests = some"),
+    ("metrik", ""): ("[metrics]", "[metrik]"),
+}
+
+
+def problems_of(text: str, type_=EntrySettings) -> list[SettingsError]:
+    """Return the problems that are reported for a text."""
+    try:
+        parse_settings(text, type_)
+    except InvalidSettingsError as exc:
+        return list(exc.exceptions)
+    return []
+
+
+class TestParseSettings(unittest.TestCase):
+    """Typed sections of a text."""
+
+    def test_values_have_their_types(self):
+        """Durations, sizes, enums and lists are read with their units and words."""
+        text = BASE.replace("#margin = 200 ms", "margin = 0.25 s")
+        text = text.replace("#requests = all", "requests = problems")
+        text = text.replace("#max_file_bytes = 64 MiB", "max_file_bytes = 64 KiB")
+        text = text.replace("0" * 64, "0" * 64 + ",\n  " + "a" * 64)
+        cfg = parse_settings(text, EntrySettings)
+        self.assertEqual(cfg.leases.margin, timedelta(milliseconds=250))
+        self.assertIs(cfg.logs.requests, RequestLogging.PROBLEMS)
+        self.assertEqual(cfg.logs.max_file_bytes, 65_536)
+        self.assertEqual(cfg.operators.token_sha256, ("0" * 64, "a" * 64))
+        self.assertEqual(cfg.replicas, {"replica-1": "127.0.0.1:7001"})
+
+    def test_example_of_each_role_loads(self):
+        """What `describe` prints is a valid file once encryption is decided."""
+        for type_ in (EntrySettings, ReplicaSettings):
+            text = describe(type_).replace("#enabled = yes", "enabled = no")
+            text = text.replace("id = entry-1", "id = replica-1")
+            text = text.replace("replica-1 = 127.0.0.1:7001", "r = 127.0.0.1:7001")
+            if type_ is ReplicaSettings:
+                text = text.replace("r = 127", "replica-1 = 127")
+            self.assertEqual(problems_of(text, type_), [])
+
+    def test_unknown_names_get_the_nearest_known_one(self):
+        """A mistyped section or option names the one that was meant."""
+        text = BASE.replace("[leases]", "[lease]").replace("id =", "idd =", 1)
+        messages = [str(problem) for problem in problems_of(text)]
+        self.assertTrue(any("did you mean 'leases'?" in m for m in messages), messages)
+        self.assertTrue(any("did you mean 'id'?" in m for m in messages), messages)
+
+    def test_defaults_of_the_parser_are_a_section_like_any_other(self):
+        """Options in [DEFAULT] do not leak into other sections."""
+        (problem,) = problems_of(BASE + "\n[DEFAULT]\nregion = x\n")
+        self.assertEqual(problem.section, "DEFAULT")
+
+    def test_repeated_names_are_reported_with_the_rest(self):
+        """A repeated option does not hide a later problem."""
+        text = BASE.replace("id = entry-1", "id = entry-1\nid = entry-2")
+        text = text.replace("#interval = 15 s", "interval = soon")
+        places = {(p.section, p.option) for p in problems_of(text)}
+        self.assertEqual(places, {("process", "id"), ("metrics", "interval")})
+
+    def test_several_repeated_names_are_reported_together(self):
+        """Each repetition is a problem of its own."""
+        text = BASE.replace("id = entry-1", "id = entry-1\nid = entry-2")
+        text = text.replace("enabled = no", "enabled = no\nenabled = yes")
+        text += "\n[process]\nregion = x\n"
+        places = {(p.section, p.option) for p in problems_of(text)}
+        self.assertLessEqual(
+            {("process", "id"), ("tls", "enabled"), ("process", "")}, places
+        )
+
+    def test_lines_that_are_no_options_are_reported_with_the_rest(self):
+        """A line without '=' and text before the first section hide nothing."""
+        text = "stray\n" + BASE.replace("[peers]", "[peers]\nnonsense")
+        text = text.replace("#interval = 15 s", "interval = soon")
+        messages = [str(problem) for problem in problems_of(text)]
+        self.assertEqual(len(messages), 3, messages)
+
+    def test_checks_over_several_options(self):
+        """Lease times, encryption and replicas must fit together."""
+        cases = {
+            ("leases", "margin"): ("#margin = 200 ms", "margin = 2 s"),
+            ("leases", "renewal"): ("#renewal = 300 ms", "renewal = 1 s"),
+            ("tls", "key"): ("enabled = no", "enabled = yes"),
+            ("metrics", "path"): ("#exporter = none", "exporter = json-file"),
+            ("process", "id"): ("id = entry-1", "id = replica-1"),
+            ("replicas", "b"): ("replica-1 =", "b = 127.0.0.1:7001\nreplica-1 ="),
+        }
+        for place, (old, new) in cases.items():
+            with self.subTest(place):
+                places = {
+                    (p.section, p.option) for p in problems_of(BASE.replace(old, new))
+                }
+                if place[0] == "replicas":
+                    place = ("replicas", "replica-1")
+                self.assertIn(place, places)
+
+    @given(st.sets(st.sampled_from(sorted(FAULTS)), min_size=1))
+    def test_all_problems_are_reported_together(self, places):
+        """However many options are wrong, each is reported."""
+        text = BASE
+        for place in places:
+            old, new = FAULTS[place]
+            self.assertIn(old, text)
+            text = text.replace(old, new, 1)
+        reported = [(p.section, p.option) for p in problems_of(text)]
+        self.assertCountEqual(reported, places)
+
+    @given(st.text())
+    def test_any_text_is_settings_or_a_group_of_problems(self, text):
+        """No text raises anything but the group."""
+        for problem in problems_of(text):
+            self.assertIsInstance(problem, SettingsError)
+
+    @given(st.data())
+    def test_any_ini_is_settings_or_a_group_of_problems(self, data):
+        """No mixture of known names and odd values raises anything else."""
+        names = st.sampled_from([*EntrySettings.__struct_fields__, "proces", "DEFAULT"])
+        options = st.sampled_from(
+            [
+                "id",
+                "listen",
+                "duration",
+                "margin",
+                "path",
+                "enabled",
+                "a:b",
+                "key",
+                "token_sha256",
+                "retry_budget",
+                "max_file_bytes",
+                "claim_window",
+            ]
+        )
+        values = st.one_of(
+            st.text(max_size=12),
+            st.sampled_from(["none", "1e400 s", "9" * 5000, "nan", "-1 s", "1 ms"]),
+            st.sampled_from(["[::1]:80", "127.0.0.1:", "1.1.1.1:٣", "999999999 d"]),
+            st.sampled_from(["\0", "1" * 5000 + " d", "%(id)s", "²", "yes", "0.5 B"]),
+        )
+        lines = []
+        for section in data.draw(st.lists(names, max_size=6)):
+            lines.append(f"[{section}]")
+            for option in data.draw(st.lists(options, max_size=4)):
+                lines.append(f"{option} = {data.draw(values)}")
+        for problem in problems_of("\n".join(lines)):
+            self.assertIsInstance(problem, SettingsError)
+
+
+class TestLoadSettings(unittest.TestCase):
+    """Files."""
+
+    def test_unreadable_files_are_problems_of_settings(self):
+        """A missing file, a folder and bytes that are no text are all reported."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "latin.ini")
+            path.write_bytes(b"[process]\nid = \xff\n")
+            for bad in (path, folder, pathlib.Path(folder, "absent.ini")):
+                with self.subTest(bad), self.assertRaises(InvalidSettingsError):
+                    load_settings(bad, EntrySettings)
+
+    def test_package_can_add_a_section_of_its_own(self):
+        """A struct of any package is a section."""
+
+        class Extra(msgspec.Struct, frozen=True, kw_only=True):
+            """More."""
+
+            wait: timedelta = timedelta(0)
+            share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+
+        class Settings(msgspec.Struct, frozen=True, kw_only=True):
+            """All."""
+
+            extra: Extra = Extra()
+
+        cfg = parse_settings("[extra]\nwait = 0 s\n", Settings)
+        self.assertEqual(cfg.extra.wait, timedelta(0))
+        (problem,) = problems_of("[extra]\nshare = 0\n", Settings)
+        self.assertEqual(problem.option, "share")
+
+
+if __name__ == "__main__":
+    unittest.main()
