Log events by eliot and merge them into one time line

Cause: to see what the system does, the events of all processes are needed in one order, and the clocks of the machines disagree.

Ruled out: order by time alone, which shows effects before causes; eliot's global destinations, which several processes' parts in one interpreter would share.

Change: EventLog writes JSON lines through a logger of its own, survives a full or torn file and counts what it dropped. merge_timeline orders by what must have come before (one process, one request's steps, leader before follower, epoch after its command) and by time otherwise. Metrics by OpenTelemetry; the SDK is imported only with an exporter.

Seen failing first: an event whose text holds a lone surrogate raised UnicodeEncodeError out of emit and would have stopped the process.

--- a/src/redwingslip/observe/__init__.py
+++ b/src/redwingslip/observe/__init__.py
@@ -1,1 +1,24 @@
-"""Package observe."""
+"""What the system does: event logs, their time line, and metrics."""
+
+from ._events import Event, EventName, EventSink, NullSink
+from ._log import EventLog
+from ._metrics import Metrics, new_metrics
+from ._render import render_picture, render_text
+from ._timeline import TimelineEvent, TimelineFilter, merge_timeline
+from .exceptions import TimelineError
+
+__all__ = [
+    "Event",
+    "EventLog",
+    "EventName",
+    "EventSink",
+    "Metrics",
+    "NullSink",
+    "TimelineError",
+    "TimelineEvent",
+    "TimelineFilter",
+    "merge_timeline",
+    "new_metrics",
+    "render_picture",
+    "render_text",
+]
--- /dev/null
+++ b/src/redwingslip/observe/_log.py
@@ -0,0 +1,198 @@
+"""The event log of one process: JSON lines by eliot.
+
+One eliot task stands for one run of the process, so that ``task_uuid`` tells its runs
+apart and ``task_level`` counts its events.
+"""
+
+import contextlib
+import os
+from pathlib import Path
+
+import eliot
+import msgspec
+from zope.interface import implementer
+
+from ..clock import Clock
+from ..settings import LogSettings, RequestLogging
+from ._events import Event, EventName
+
+__all__ = ["EventLog"]
+
+MAX_DETAIL_CHARACTERS = 500
+FIRST_ERROR_STATUS = 400
+ACTION_TYPE = "redwingslip.process"
+
+_REQUEST_EVENTS = frozenset(
+    {
+        EventName.REQUEST_RECEIVED,
+        EventName.PERMIT_GRANTED,
+        EventName.CALL_SENT,
+        EventName.CALL_ENDED,
+        EventName.REQUEST_ANSWERED,
+        EventName.REQUEST_REFUSED,
+    }
+)
+
+
+class _LineFile:
+    """A file of lines that outlives errors of its disk.
+
+    A line that can't be written is dropped and counted. The file is renamed and begun
+    anew when it would grow beyond its limit.
+    """
+
+    __slots__ = ("_fd", "_is_torn", "_max_bytes", "_n_bytes", "_path", "n_dropped")
+
+    def __init__(self, path: Path, max_bytes: int) -> None:
+        self._path = path
+        self._max_bytes = max_bytes
+        self._fd = -1
+        self._n_bytes = 0
+        self._is_torn = False
+        self.n_dropped = 0
+
+    def write(self, line: bytes) -> bool:
+        """Write one line; return whether it is in the file."""
+        try:
+            self._open(len(line))
+            if self._is_torn:
+                line = b"\n" + line
+            n_written = os.write(self._fd, line)
+        except OSError:
+            self.n_dropped += 1
+            return False
+        self._n_bytes += n_written
+        self._is_torn = n_written < len(line)
+        if self._is_torn:
+            self.n_dropped += 1
+        return not self._is_torn
+
+    def _open(self, n_more: int) -> None:
+        if self._fd >= 0 and self._n_bytes + n_more > self._max_bytes:
+            self.close()
+            os.replace(self._path, f"{self._path}.1")
+        if self._fd >= 0:
+            return
+        self._path.parent.mkdir(parents=True, exist_ok=True)
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
+        self._fd = os.open(self._path, flags, 0o640)
+        self._n_bytes = os.fstat(self._fd).st_size
+        # The last line of an earlier run may be torn.
+        self._is_torn = self._n_bytes > 0
+
+    def sync(self) -> None:
+        """Have the disk take everything, if it can."""
+        if self._fd >= 0:
+            with contextlib.suppress(OSError):
+                os.fsync(self._fd)
+
+    def close(self) -> None:
+        """Close the file; the next line opens it again."""
+        if self._fd >= 0:
+            fd, self._fd = self._fd, -1
+            with contextlib.suppress(OSError):
+                os.close(fd)
+
+
+@implementer(eliot.ILogger)
+class _FileLogger:
+    """Writes eliot's messages to a file of one process."""
+
+    __slots__ = ("_clock", "_encoder", "_file", "_process")
+
+    def __init__(self, file: _LineFile, process: str, clock: Clock) -> None:
+        self._file = file
+        self._process = process
+        self._clock = clock
+        self._encoder = msgspec.json.Encoder()
+
+    def write(self, dictionary: dict, serializer=None) -> None:
+        """Write one message."""
+        dictionary["timestamp"] = self._clock.utcnow().timestamp()
+        dictionary["process"] = self._process
+        try:
+            line = self._encoder.encode(dictionary)
+        except UnicodeEncodeError:
+            line = self._encoder.encode(_escape_surrogates(dictionary))
+        self._file.write(line + b"\n")
+
+
+def _escape_surrogates(fields: dict) -> dict:
+    return {
+        key: value.encode("utf-8", "backslashreplace").decode()
+        if isinstance(value, str)
+        else value
+        for key, value in fields.items()
+    }
+
+
+class EventLog:
+    """Writes the events of a process to its log.
+
+    Parameters
+    ----------
+    cfg : LogSettings
+        Where to write and what; without a path nothing is written.
+    process_id : str
+        Name of the process.
+    clock : Clock
+        Labels the events.
+    """
+
+    __slots__ = ("_action", "_file", "_n_reported", "_requests")
+
+    def __init__(self, cfg: LogSettings, *, process_id: str, clock: Clock) -> None:
+        self._requests = cfg.requests
+        self._n_reported = 0
+        self._file: _LineFile | None = None
+        self._action: eliot.Action | None = None
+        if cfg.path is not None:
+            self._file = _LineFile(cfg.path, cfg.max_file_bytes)
+            logger = _FileLogger(self._file, process_id, clock)
+            self._action = eliot.start_task(logger, action_type=ACTION_TYPE)
+
+    @property
+    def n_dropped(self) -> int:
+        """Return how many lines could not be written."""
+        return 0 if self._file is None else self._file.n_dropped
+
+    def emit(self, event: Event) -> None:
+        """Write an event; never raises for a disk that fails."""
+        if self._action is None or not self._is_wanted(event):
+            return
+        fields = msgspec.to_builtins(event)
+        name = fields.pop("name")
+        if len(event.detail) > MAX_DETAIL_CHARACTERS:
+            fields["detail"] = event.detail[:MAX_DETAIL_CHARACTERS] + "..."
+        n_dropped = self._file.n_dropped
+        self._action.log(name, **fields)
+        is_written = self._file.n_dropped == n_dropped
+        if is_written and n_dropped > self._n_reported:
+            self._report_dropped()
+
+    def _is_wanted(self, event: Event) -> bool:
+        if event.name not in _REQUEST_EVENTS or self._requests is RequestLogging.ALL:
+            return True
+        if self._requests is RequestLogging.OFF:
+            return False
+        is_refusal = event.name is EventName.REQUEST_REFUSED
+        return is_refusal or event.status >= FIRST_ERROR_STATUS
+
+    def _report_dropped(self) -> None:
+        n_new = self._file.n_dropped - self._n_reported
+        self._n_reported = self._file.n_dropped
+        self._action.log(EventName.WARNING.value, detail=f"{n_new} events dropped")
+
+    def flush(self) -> None:
+        """Have the disk take what is written."""
+        if self._file is not None:
+            self._file.sync()
+
+    def close(self) -> None:
+        """End the process's task and close the file."""
+        if self._action is None:
+            return
+        self._action.finish()
+        self._action = None
+        self._file.sync()
+        self._file.close()
--- /dev/null
+++ b/src/redwingslip/observe/_metrics.py
@@ -0,0 +1,209 @@
+"""Metrics by OpenTelemetry, with names and units after its semantic conventions.
+
+Attributes are names that operators declared and outcomes from short lists; a request's
+id is never one. The SDK is imported only when an exporter is set, to save memory.
+"""
+
+from datetime import timedelta
+from typing import Any
+
+from ..settings import ExporterKind, MetricsSettings
+
+__all__ = ["Metrics", "new_metrics"]
+
+MAX_ATTRIBUTE_VALUES = 500
+OTHER = "other"
+
+MILLISECONDS_PER_SECOND = 1_000
+
+
+class _NullInstrument:
+    """Takes the place of an instrument when there is no exporter."""
+
+    __slots__ = ()
+
+    def add(self, amount: float, attributes: dict | None = None) -> None:
+        """Drop a count."""
+
+    def set(self, amount: float, attributes: dict | None = None) -> None:
+        """Drop a value."""
+
+    def record(self, amount: float, attributes: dict | None = None) -> None:
+        """Drop a measurement."""
+
+
+class _NullMeter:
+    """Makes instruments that drop everything."""
+
+    __slots__ = ()
+
+    def create_counter(self, name: str, **options: str) -> _NullInstrument:
+        """Return an instrument that drops everything."""
+        return _NullInstrument()
+
+    create_gauge = create_counter
+    create_histogram = create_counter
+
+
+class Metrics:
+    """The metrics of a process.
+
+    Parameters
+    ----------
+    meter : opentelemetry.metrics.Meter
+        Makes the instruments.
+    provider : opentelemetry.sdk.metrics.MeterProvider or None
+        What `close` shuts down.
+    """
+
+    __slots__ = (
+        "_calls",
+        "_commits",
+        "_dropped_events",
+        "_in_force",
+        "_known",
+        "_moves",
+        "_provider",
+        "_requests",
+        "_slot_limit",
+        "_slot_usage",
+        "_waits",
+    )
+
+    def __init__(self, meter: Any, provider: Any = None) -> None:
+        self._provider = provider
+        self._known: dict[str, set[str]] = {}
+        self._requests = meter.create_histogram(
+            "redwingslip.request.duration",
+            unit="s",
+            description="From the receipt of a caller's request to its answer.",
+        )
+        self._calls = meter.create_histogram(
+            "redwingslip.call.duration",
+            unit="s",
+            description="From the start of an endpoint's call to its end.",
+        )
+        self._waits = meter.create_histogram(
+            "redwingslip.permit.wait.duration",
+            unit="s",
+            description="From the request for a permit to its grant.",
+        )
+        self._slot_usage = meter.create_gauge(
+            "redwingslip.slot.usage", unit="{slot}", description="Slots in use."
+        )
+        self._slot_limit = meter.create_gauge(
+            "redwingslip.slot.limit", unit="{slot}", description="Slots that serve."
+        )
+        self._moves = meter.create_counter(
+            "redwingslip.vm.moves", unit="{vm}", description="VMs that changed pools."
+        )
+        self._commits = meter.create_histogram(
+            "redwingslip.log.commit.duration",
+            unit="s",
+            description="From the proposal of a command to its commit.",
+        )
+        self._in_force = meter.create_histogram(
+            "redwingslip.config.in_force.duration",
+            unit="s",
+            description="From the acceptance of a change until it is in force.",
+        )
+        self._dropped_events = meter.create_counter(
+            "redwingslip.event.dropped",
+            unit="{event}",
+            description="Events that the log could not take.",
+        )
+
+    def record_request(self, *, queue: str, outcome: str, duration: timedelta) -> None:
+        """Record a caller's request that has ended."""
+        attributes = {"redwingslip.queue": queue, "redwingslip.outcome": outcome}
+        self._record(self._requests, duration, attributes)
+
+    def record_call(self, *, pool: str, outcome: str, duration: timedelta) -> None:
+        """Record an endpoint's call that has ended."""
+        attributes = {"redwingslip.pool": pool, "redwingslip.outcome": outcome}
+        self._record(self._calls, duration, attributes)
+
+    def record_wait(self, *, pool: str, urgent: bool, duration: timedelta) -> None:
+        """Record how long a permit took."""
+        attributes = {"redwingslip.pool": pool, "redwingslip.urgent": urgent}
+        self._record(self._waits, duration, attributes)
+
+    def record_commit(self, *, duration: timedelta) -> None:
+        """Record how long a command took to be committed."""
+        self._record(self._commits, duration, {})
+
+    def record_in_force(self, *, duration: timedelta) -> None:
+        """Record how long a change took to be in force everywhere."""
+        self._record(self._in_force, duration, {})
+
+    def set_slots(self, *, pool: str, n_used: int, n_serving: int) -> None:
+        """Record the slots of a pool."""
+        attributes = self._bounded({"redwingslip.pool": pool})
+        self._slot_usage.set(n_used, attributes)
+        self._slot_limit.set(n_serving, attributes)
+
+    def add_move(self, *, pool: str) -> None:
+        """Count a VM that came into a pool."""
+        self._moves.add(1, self._bounded({"redwingslip.pool": pool}))
+
+    def add_dropped_events(self, count: int) -> None:
+        """Count events that the log could not take."""
+        self._dropped_events.add(count)
+
+    def close(self) -> None:
+        """Export what is left and stop exporting."""
+        if self._provider is not None:
+            self._provider.shutdown()
+
+    def _record(self, instrument: Any, duration: timedelta, attributes: dict) -> None:
+        instrument.record(duration.total_seconds(), self._bounded(attributes))
+
+    def _bounded(self, attributes: dict[str, Any]) -> dict[str, Any]:
+        """Keep each attribute to a bounded number of values."""
+        bounded = {}
+        for key, value in attributes.items():
+            known = self._known.setdefault(key, set())
+            if value not in known and len(known) >= MAX_ATTRIBUTE_VALUES:
+                value = OTHER
+            known.add(value)
+            bounded[key] = value
+        return bounded
+
+
+def new_metrics(cfg: MetricsSettings, *, process_id: str) -> Metrics:
+    """Return the metrics of a process, exported as its settings say.
+
+    Parameters
+    ----------
+    cfg : MetricsSettings
+        The exporter; ``none`` imports and exports nothing.
+    process_id : str
+        Name of the process, its ``service.instance.id``.
+    """
+    if cfg.exporter is ExporterKind.NONE:
+        return Metrics(_NullMeter())
+    from opentelemetry.sdk.metrics import MeterProvider
+    from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
+    from opentelemetry.sdk.resources import Resource
+
+    interval = cfg.interval.total_seconds() * MILLISECONDS_PER_SECOND
+    reader = PeriodicExportingMetricReader(
+        _new_exporter(cfg), export_interval_millis=interval
+    )
+    resource = Resource(
+        {"service.name": "redwingslip", "service.instance.id": process_id}
+    )
+    provider = MeterProvider([reader], resource=resource, shutdown_on_exit=False)
+    return Metrics(provider.get_meter("redwingslip"), provider)
+
+
+def _new_exporter(cfg: MetricsSettings) -> Any:
+    from opentelemetry.sdk.metrics.export import ConsoleMetricExporter
+
+    if cfg.exporter is ExporterKind.CONSOLE:
+        return ConsoleMetricExporter()
+    cfg.path.parent.mkdir(parents=True, exist_ok=True)
+    return ConsoleMetricExporter(
+        out=cfg.path.open("a", encoding="utf-8"),
+        formatter=lambda data: data.to_json(indent=None) + "\n",
+    )
--- /dev/null
+++ b/src/redwingslip/observe/_render.py
@@ -0,0 +1,88 @@
+"""Showing a time line to people, as text or as a picture."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+
+from ._events import EventName
+from ._timeline import TimelineEvent
+from .exceptions import TimelineError
+
+__all__ = ["render_picture", "render_text"]
+
+PICTURE_WIDTH_INCHES = 12
+ROW_HEIGHT_INCHES = 0.5
+MAX_LABELS = 60
+
+
+def render_text(events: Sequence[TimelineEvent]) -> str:
+    """Return a line for each event: time, process, event and its fields."""
+    width = max((len(event.process) for event in events), default=0)
+    return "".join(f"{_text_line(event, width)}\n" for event in events)
+
+
+def _text_line(event: TimelineEvent, width: int) -> str:
+    time = event.time.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+    fields = msgspec.to_builtins(event.event)
+    name = fields.pop("name")
+    words = " ".join(f"{key}={value}" for key, value in fields.items())
+    return f"{time}  {event.process:{width}}  {name:20}  {words}".rstrip()
+
+
+def render_picture(events: Sequence[TimelineEvent], path: Path | str) -> None:
+    """Draw a row for each process and a mark for each event.
+
+    Marks stand in the order of the time line, so that an effect is never left of its
+    cause. The path's ending tells the format, such as PNG or SVG.
+
+    Raises
+    ------
+    TimelineError
+        The drawing library is not installed, or the file can't be written.
+    """
+    try:
+        from matplotlib.backends.backend_agg import FigureCanvasAgg
+        from matplotlib.figure import Figure
+    except ImportError as exc:
+        message = "pictures need matplotlib: install redwingslip[report]"
+        raise TimelineError(message) from exc
+    processes = sorted({event.process for event in events})
+    rows = {process: row for row, process in enumerate(processes)}
+    height = 2 + ROW_HEIGHT_INCHES * len(processes)
+    figure = Figure(figsize=(PICTURE_WIDTH_INCHES, height), layout="constrained")
+    FigureCanvasAgg(figure)
+    axes = figure.subplots()
+    _draw_marks(axes, events, rows)
+    axes.set_yticks(range(len(processes)), processes)
+    axes.set_xlabel("events in order")
+    axes.grid(axis="y", alpha=0.3)
+    try:
+        figure.savefig(path)
+    except (OSError, ValueError) as exc:
+        raise TimelineError(f"{path} can't be written: {exc}") from exc
+
+
+def _draw_marks(axes, events: Sequence[TimelineEvent], rows: dict[str, int]) -> None:
+    names = list(EventName)
+    for name in names:
+        marks = [
+            (position, rows[event.process])
+            for position, event in enumerate(events)
+            if event.event.name is name
+        ]
+        if marks:
+            xs, ys = zip(*marks, strict=True)
+            axes.scatter(xs, ys, s=20, color=f"C{names.index(name) % 10}", label=name)
+    if len(events) <= MAX_LABELS:
+        for position, event in enumerate(events):
+            axes.annotate(
+                event.event.name,
+                (position, rows[event.process]),
+                xytext=(0, 4),
+                textcoords="offset points",
+                rotation=45,
+                fontsize=6,
+            )
+    if events:
+        axes.legend(fontsize=6, ncols=6, loc="upper center", bbox_to_anchor=(0.5, -0.2))
--- /dev/null
+++ b/src/redwingslip/observe/_timeline.py
@@ -0,0 +1,263 @@
+"""The time line: the event logs of all processes in one order.
+
+Clocks of different machines disagree, so the order follows what must have come before
+what, as far as the events tell; only events that nothing orders go by their time:
+
+- events of one process keep the order in which it wrote them;
+- of one request, it is received, then permitted, called, ended and answered, and a
+  permit orders its own call;
+- a command is applied by its leader before any other process applies it, and before
+  an epoch begins that carries its log index.
+"""
+
+import heapq
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Sequence
+from datetime import UTC, datetime
+from pathlib import Path
+
+import msgspec
+
+from ._events import Event, EventName
+from .exceptions import TimelineError
+
+__all__ = ["TimelineEvent", "TimelineFilter", "merge_timeline"]
+
+# Steps of one request in the order in which they happen.
+_REQUEST_STEPS = {
+    EventName.REQUEST_RECEIVED: 0,
+    EventName.PERMIT_GRANTED: 1,
+    EventName.CALL_SENT: 2,
+    EventName.CALL_ENDED: 3,
+    EventName.REQUEST_ANSWERED: 4,
+    EventName.REQUEST_REFUSED: 4,
+}
+_FIRST_STEP = 0
+_LAST_STEP = 4
+
+
+class TimelineEvent(msgspec.Struct, frozen=True, kw_only=True):
+    """An event with the process that wrote it.
+
+    Attributes
+    ----------
+    process : str
+        Name of the process.
+    run : str
+        Tells the runs of one process apart.
+    sequence : int
+        Counts the events of a run.
+    time : datetime
+        Wall-clock time at the process.
+    """
+
+    process: str
+    run: str
+    sequence: int
+    time: datetime
+    event: Event
+
+
+class TimelineFilter(msgspec.Struct, frozen=True, kw_only=True):
+    """Which events are wanted; an empty field wants all."""
+
+    request: str = ""
+    vm: str = ""
+    team: str = ""
+    wave: str = ""
+
+    def accepts(self, event: Event) -> bool:
+        """Return whether an event is wanted."""
+        wanted = (
+            (self.request, event.request_id),
+            (self.vm, event.vm),
+            (self.team, event.team),
+            (self.wave, event.wave),
+        )
+        return all(not want or want == value for want, value in wanted)
+
+
+class _Line(msgspec.Struct):
+    """What is read of a line of the log."""
+
+    process: str
+    task_uuid: str
+    task_level: list[int]
+    timestamp: float
+    message_type: str = ""
+
+
+_LINE_DECODER = msgspec.json.Decoder(_Line)
+
+
+def merge_timeline(
+    paths: Iterable[Path | str], wanted: TimelineFilter | None = None
+) -> list[TimelineEvent]:
+    """Merge the logs of processes into one order.
+
+    Parameters
+    ----------
+    paths : iterable of Path or str
+        The log files, in any order.
+    wanted : TimelineFilter or None
+        Which events to return; all of them count for the order.
+
+    Raises
+    ------
+    TimelineError
+        A file can't be read. Torn lines are passed over.
+    """
+    events = _by_process(event for path in paths for event in _read_log(Path(path)))
+    order = _sort(events, list(_known_order(events)))
+    if wanted is None:
+        return order
+    return [event for event in order if wanted.accepts(event.event)]
+
+
+def _read_log(path: Path) -> Iterator[TimelineEvent]:
+    try:
+        with path.open("rb") as file:
+            for line in file:
+                event = _read_line(line)
+                if event is not None:
+                    yield event
+    except OSError as exc:
+        raise TimelineError(f"{path} can't be read: {exc.strerror}") from exc
+
+
+def _read_line(line: bytes) -> TimelineEvent | None:
+    """Return the event of a line; None for any other line."""
+    try:
+        head = _LINE_DECODER.decode(line)
+        if not head.message_type:
+            return None
+        fields = msgspec.json.decode(line)
+        event = msgspec.convert({**fields, "name": head.message_type}, Event)
+        time = datetime.fromtimestamp(head.timestamp, UTC)
+    except (msgspec.DecodeError, UnicodeDecodeError, OverflowError, ValueError):
+        return None
+    return TimelineEvent(
+        process=head.process,
+        run=head.task_uuid,
+        sequence=head.task_level[0] if head.task_level else 0,
+        time=time,
+        event=event,
+    )
+
+
+def _by_process(events: Iterable[TimelineEvent]) -> list[TimelineEvent]:
+    """Sort events by process, run and sequence, each once."""
+    unique = {(event.process, event.run, event.sequence): event for event in events}
+    started: dict[str, datetime] = {}
+    for event in unique.values():
+        started[event.run] = min(event.time, started.get(event.run, event.time))
+    return sorted(
+        unique.values(),
+        key=lambda event: (
+            event.process,
+            started[event.run],
+            event.run,
+            event.sequence,
+        ),
+    )
+
+
+def _known_order(events: Sequence[TimelineEvent]) -> Iterator[tuple[int, int]]:
+    """Yield pairs of positions of which the first must have come before."""
+    yield from _process_order(events)
+    yield from _request_order(events)
+    yield from _index_order(events)
+
+
+def _process_order(events: Sequence[TimelineEvent]) -> Iterator[tuple[int, int]]:
+    last: dict[str, int] = {}
+    for position, event in enumerate(events):
+        if event.process in last:
+            yield last[event.process], position
+        last[event.process] = position
+
+
+def _request_order(events: Sequence[TimelineEvent]) -> Iterator[tuple[int, int]]:
+    requests: dict[str, list[int]] = defaultdict(list)
+    for position, event in enumerate(events):
+        if event.event.request_id and event.event.name in _REQUEST_STEPS:
+            requests[event.event.request_id].append(position)
+    for positions in requests.values():
+        for before in positions:
+            for after in positions:
+                if _precedes(events[before].event, events[after].event):
+                    yield before, after
+
+
+def _precedes(first: Event, second: Event) -> bool:
+    """Return whether a step of a request must come before another step of it."""
+    first_step, second_step = _REQUEST_STEPS[first.name], _REQUEST_STEPS[second.name]
+    if first_step >= second_step:
+        return False
+    if first_step == _FIRST_STEP or second_step == _LAST_STEP:
+        return True
+    return first.permit_id == second.permit_id
+
+
+def _index_order(events: Sequence[TimelineEvent]) -> Iterator[tuple[int, int]]:
+    by_leader = _applied_by_leader(events)
+    for position, event in enumerate(events):
+        is_applied = event.event.name is EventName.COMMAND_APPLIED
+        index = event.event.index if is_applied else event.event.epoch
+        first = by_leader.get(index)
+        if first is not None and events[first].process != event.process:
+            yield first, position
+
+
+def _applied_by_leader(events: Sequence[TimelineEvent]) -> dict[int, int]:
+    """Return where the leader of its time applied each log index."""
+    leaders: set[tuple[str, str]] = set()
+    applied: dict[int, int] = {}
+    for position, event in enumerate(events):
+        run = (event.process, event.run)
+        if event.event.name is EventName.LEADER_ELECTED:
+            leaders.add(run)
+        elif event.event.name is EventName.LEADER_STEPPED_DOWN:
+            leaders.discard(run)
+        elif event.event.name is EventName.COMMAND_APPLIED and run in leaders:
+            applied.setdefault(event.event.index, position)
+    applied.pop(0, None)
+    return applied
+
+
+def _sort(
+    events: Sequence[TimelineEvent], order: Sequence[tuple[int, int]]
+) -> list[TimelineEvent]:
+    """Sort by the known order, and by time where it leaves a choice."""
+    followers: dict[int, list[int]] = defaultdict(list)
+    n_before = [0] * len(events)
+    for before, after in order:
+        followers[before].append(after)
+        n_before[after] += 1
+    times = [event.time for event in events]
+    ready = [(times[i], i) for i in range(len(events)) if not n_before[i]]
+    heapq.heapify(ready)
+    is_done = [False] * len(events)
+    result: list[TimelineEvent] = []
+    while len(result) < len(events):
+        if not ready:
+            heapq.heappush(ready, _earliest_left(times, is_done))
+        time, position = heapq.heappop(ready)
+        if is_done[position]:
+            continue
+        is_done[position] = True
+        result.append(events[position])
+        for after in followers[position]:
+            n_before[after] -= 1
+            # What follows is no earlier, whatever its clock says.
+            times[after] = max(times[after], time)
+            if not n_before[after]:
+                heapq.heappush(ready, (times[after], after))
+    return result
+
+
+def _earliest_left(
+    times: Sequence[datetime], is_done: Sequence[bool]
+) -> tuple[datetime, int]:
+    """Break a circle, which only damaged logs can hold, at its earliest event."""
+    return min((times[i], i) for i in range(len(times)) if not is_done[i])
--- /dev/null
+++ b/tests/test_observe_log.py
@@ -0,0 +1,138 @@
+"""Tests of the event log."""
+
+import errno
+import json
+import os
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from redwingslip.clock import ManualClock
+from redwingslip.observe import Event, EventLog, EventName, merge_timeline
+from redwingslip.settings import LogSettings, RequestLogging
+
+UP = Event(name=EventName.LINK_UP, peer="b")
+
+
+class TestEventLog(unittest.TestCase):
+    """Writing events."""
+
+    def setUp(self):
+        """Make a folder for the log."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name, "logs", "a.log")
+
+    def open_log(self, **options) -> EventLog:
+        """Return a log in the test's folder."""
+        cfg = LogSettings(path=self.path, **options)
+        log = EventLog(cfg, process_id="a", clock=ManualClock())
+        self.addCleanup(log.close)
+        return log
+
+    def read(self) -> list[Event]:
+        """Return the events in the file."""
+        return [event.event for event in merge_timeline([self.path])]
+
+    def test_event_is_a_json_line_with_process_run_and_number(self):
+        """Empty fields are left out."""
+        log = self.open_log()
+        log.emit(UP)
+        log.emit(UP)
+        lines = [json.loads(line) for line in self.path.read_text().splitlines()]
+        first, second = lines[1:]
+        self.assertEqual(first["process"], "a")
+        self.assertEqual(first["message_type"], "link.up")
+        self.assertEqual(first["task_uuid"], second["task_uuid"])
+        self.assertLess(first["task_level"], second["task_level"])
+        self.assertNotIn("team", first)
+
+    def test_requests_can_be_left_out_or_kept_to_problems(self):
+        """The setting rules request events only."""
+        answered = Event(name=EventName.REQUEST_ANSWERED, request_id="r", status=200)
+        failed = Event(name=EventName.REQUEST_ANSWERED, request_id="r", status=504)
+        cases = {
+            RequestLogging.ALL: [answered, failed, UP],
+            RequestLogging.PROBLEMS: [failed, UP],
+            RequestLogging.OFF: [UP],
+        }
+        for requests, expected in cases.items():
+            with self.subTest(requests):
+                self.path.unlink(missing_ok=True)
+                log = self.open_log(requests=requests)
+                for event in (answered, failed, UP):
+                    log.emit(event)
+                self.assertEqual(self.read(), expected)
+
+    def test_full_disk_drops_events_and_says_so_later(self):
+        """The process goes on, and the log tells how many events are missing."""
+        log = self.open_log()
+        full = OSError(errno.ENOSPC, "no space left")
+        with mock.patch("redwingslip.observe._log.os.write", side_effect=full):
+            log.emit(UP)
+            log.emit(UP)
+        self.assertEqual(log.n_dropped, 2)
+        log.emit(UP)
+        self.assertEqual(
+            [event.name for event in self.read()], [UP.name, EventName.WARNING]
+        )
+        self.assertIn("2 events dropped", self.read()[-1].detail)
+
+    def test_line_after_a_torn_one_is_whole(self):
+        """A short write costs its own line only."""
+        log = self.open_log()
+        real = os.write
+        with mock.patch(
+            "redwingslip.observe._log.os.write", lambda fd, data: real(fd, data[:20])
+        ):
+            log.emit(UP)
+        log.emit(UP)
+        self.assertEqual(self.read()[0], UP)
+
+    def test_restart_after_a_torn_line_starts_a_new_one(self):
+        """An earlier run's torn last line does not swallow the next event."""
+        self.path.parent.mkdir()
+        self.path.write_bytes(b'{"process": "a", "task')
+        self.open_log().emit(UP)
+        self.assertEqual(self.read(), [UP])
+
+    def test_file_is_begun_anew_at_its_limit(self):
+        """Two files of bounded size are kept."""
+        log = self.open_log(max_file_bytes=4096)
+        for _ in range(100):
+            log.emit(UP)
+        older = pathlib.Path(f"{self.path}.1")
+        self.assertLessEqual(self.path.stat().st_size, 4096)
+        self.assertLessEqual(older.stat().st_size, 4096)
+        self.assertGreater(len(merge_timeline([self.path, older])), 20)
+
+    @example("\ud800")
+    @given(st.text(st.characters(codec=None), max_size=20))
+    def test_any_text_in_an_event_is_survived(self, text):
+        """A detail that is no valid Unicode does not stop the process."""
+        log = self.open_log()
+        log.emit(Event(name=EventName.WARNING, detail=text))
+        log.emit(UP)
+        log.close()
+        self.assertEqual(self.read()[-1].name, UP.name)
+
+    def test_long_details_are_cut(self):
+        """The cost of an event is bounded."""
+        self.open_log().emit(Event(name=EventName.WARNING, detail="x" * 100_000))
+        self.assertLess(self.path.stat().st_size, 2_000)
+
+    def test_log_without_a_path_takes_events(self):
+        """No path means no log."""
+        log = EventLog(LogSettings(), process_id="a", clock=ManualClock())
+        log.emit(UP)
+        log.flush()
+        log.close()
+        self.assertEqual(log.n_dropped, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
