--- a/src/redwingslip/leases/__init__.py
+++ b/src/redwingslip/leases/__init__.py
@@ -3,6 +3,6 @@
 from ._change_log import ChangeLog
 from ._granter import LeaseGranter
 from ._holder import LeaseHolder
-from ._settings import LeaseSettings
+from ..settings import LeaseSettings
 
 __all__ = ["ChangeLog", "LeaseGranter", "LeaseHolder", "LeaseSettings"]
--- a/src/redwingslip/leases/_granter.py
+++ b/src/redwingslip/leases/_granter.py
@@ -16,7 +16,7 @@
 )
 from ..peers import LeaseGrant, LeaseRenewal
 from ._change_log import ChangeLog
-from ._settings import LeaseSettings
+from ..settings import LeaseSettings
 
 __all__ = ["LeaseGranter"]
 
--- a/src/redwingslip/leases/_holder.py
+++ b/src/redwingslip/leases/_holder.py
@@ -5,7 +5,7 @@
 
 from ..fleet import Change, FleetView
 from ..peers import LeaseGrant, LeaseRenewal
-from ._settings import LeaseSettings
+from ..settings import LeaseSettings
 
 __all__ = ["LeaseHolder"]
 
--- a/src/redwingslip/peers/_messages.py
+++ b/src/redwingslip/peers/_messages.py
@@ -170,11 +170,18 @@
 
 
 class VmDrained(_Message):
-    """A dispatcher holds no permit on a VM that is to leave or to be rebooted."""
+    """A dispatcher holds no permit on a VM that is to leave or to be rebooted.
+
+    Attributes
+    ----------
+    drain_index : int
+        The drain of the VM's record that this is about.
+    """
 
     vm: str
     pool: str
     epoch: int
+    drain_index: int = 0
 
 
 # Entries and dispatchers.
