Plan maintenance waves and moves beside the leader

Cause: nothing proposes BeginMaintenance, BeginMove and what follows them. Ruled out: planners with state of their own; a new leader would lose it. Operation ids from assigned_at: it does not change when a reboot is refused and the VM is taken again later; the index at which the drain began does. Change: WavePlanner and MovePlanner, pure and on a time that is passed in. The state learns the drain that a command is about (drain_index), CancelMove, CancelMaintenance after a refused reboot, loans of spare VMs, removal of a VM that is lost or down, and drops removed VMs from waves. A pool without a dispatcher begins no drain. Seen failing first: a redrawn VM was starved by the wave that shared its budget; the waves now leave the budget of wanted moves alone. Needed elsewhere: VmDrained must carry drain_index. A late word on an earlier drain in the same epoch can be taken for the present one until it does.

--- a/src/redwingslip/fleet/__init__.py
+++ b/src/redwingslip/fleet/__init__.py
@@ -1,9 +1,12 @@
 """The replicated state of the fleet: resources, commands and how they apply."""
 
+from ._budget import PoolBudget
 from ._commands import (
     AssignDispatcher,
     BeginMaintenance,
     BeginMove,
+    CancelMaintenance,
+    CancelMove,
     Claim,
     ClaimKey,
     ClaimOutcome,
@@ -67,6 +70,8 @@
     "AssignDispatcher",
     "BeginMaintenance",
     "BeginMove",
+    "CancelMaintenance",
+    "CancelMove",
     "Change",
     "Claim",
     "ClaimKey",
@@ -91,6 +96,7 @@
     "MarkTakeover",
     "NotAdmitted",
     "Outcome",
+    "PoolBudget",
     "PoolSpec",
     "PutResource",
     "QueueSpec",
--- a/src/redwingslip/fleet/_budget.py
+++ b/src/redwingslip/fleet/_budget.py
@@ -1,71 +1,89 @@
 """Availability budgets: whether one more VM may be taken out on purpose."""
 
-from collections.abc import Callable
-
-import msgspec
+from collections import Counter
 
 from ._resources import PoolSpec
 from ._view import FleetView, VmRecord
 
-__all__ = ["PoolCount", "budget_violation", "count_pool"]
+__all__ = ["PoolBudget", "budget_violation"]
+
 
+class PoolBudget:
+    """What the budgets of one pool still admit.
 
-class PoolCount(msgspec.Struct, frozen=True, kw_only=True):
-    """The VMs of a pool, or of one failure domain of it.
+    VMs that failed, or whose state is unknown, count as out. A VM that never served
+    in its pool is no loss to it.
 
-    Attributes
+    Parameters
     ----------
-    n_available : int
-        VMs that can take new work.
-    n_unavailable : int
-        VMs that have served and can't now, on purpose or not.
+    view : FleetView
+        Where the VMs are.
+    pool : str
+        Name of the pool.
     """
 
-    n_available: int
-    n_unavailable: int
+    __slots__ = ("_n_available", "_n_out", "_n_out_within", "_pool", "_spec")
 
+    def __init__(self, view: FleetView, pool: str) -> None:
+        self._pool = pool
+        self._spec = view.pool(pool) or PoolSpec()
+        self._n_available = 0
+        self._n_out = 0
+        self._n_out_within: Counter[tuple[str, ...]] = Counter()
+        for vm in view.vms_of(pool):
+            if vm.is_available:
+                self._n_available += 1
+            elif vm.joined:
+                self._count_out(vm)
 
-def count_pool(
-    view: FleetView, pool: str, within: Callable[[VmRecord], bool] = lambda vm: True
-) -> PoolCount:
-    """Count the VMs of a pool for which `within` holds."""
-    n_available = 0
-    n_unavailable = 0
-    for vm in view.vms_of(pool):
-        if not within(vm):
-            continue
+    @property
+    def n_out(self) -> int:
+        """Return how many VMs are out, on purpose or not."""
+        return self._n_out
+
+    def violation(self, vm: VmRecord) -> str | None:
+        """Return which budget would break if `vm` were taken out, or None."""
+        if not vm.joined:
+            return None
+        spec = self._spec
+        n_taken = 1 if vm.is_available else 0
+        if n_taken and self._n_available - n_taken < spec.min_serving:
+            return f"pool {self._pool}: {spec.min_serving} VMs must be able to serve"
+        rack, data_centre = _domains(vm)
+        limits = (
+            ("pool", self._n_out, spec.max_unavailable),
+            ("rack", self._n_out_within[rack], spec.max_unavailable_per_rack),
+            (
+                "data centre",
+                self._n_out_within[data_centre],
+                spec.max_unavailable_per_data_centre,
+            ),
+        )
+        for scope, n_out, limit in limits:
+            if n_out + n_taken > limit:
+                return f"pool {self._pool}: at most {limit} VMs of a {scope} may be out"
+        return None
+
+    def take(self, vm: VmRecord) -> bool:
+        """Count `vm` as taken out if the budgets admit it; return whether they do."""
+        if self.violation(vm) is not None:
+            return False
         if vm.is_available:
-            n_available += 1
-        elif vm.joined:
-            n_unavailable += 1
-    return PoolCount(n_available=n_available, n_unavailable=n_unavailable)
+            self._n_available -= 1
+            self._count_out(vm)
+        return True
 
+    def _count_out(self, vm: VmRecord) -> None:
+        self._n_out += 1
+        for domain in _domains(vm):
+            self._n_out_within[domain] += 1
 
-def budget_violation(view: FleetView, vm: VmRecord) -> str | None:
-    """Return which budget would break if `vm` were taken out, or None.
 
-    Failed VMs and those whose state is unknown count as out. A VM that never served
-    in its pool is no loss to it.
-    """
-    spec = view.pool(vm.pool) or PoolSpec()
-    taken = 1 if vm.is_available else 0
-    whole = count_pool(view, vm.pool)
-    if taken and whole.n_available - taken < spec.min_serving:
-        return f"pool {vm.pool}: {spec.min_serving} VMs must be able to serve"
-    rack = count_pool(
-        view,
-        vm.pool,
-        lambda other: (other.data_centre, other.rack) == (vm.data_centre, vm.rack),
-    )
-    data_centre = count_pool(
-        view, vm.pool, lambda other: other.data_centre == vm.data_centre
-    )
-    limits = (
-        ("pool", whole, spec.max_unavailable),
-        ("rack", rack, spec.max_unavailable_per_rack),
-        ("data centre", data_centre, spec.max_unavailable_per_data_centre),
-    )
-    for scope, count, limit in limits:
-        if count.n_unavailable + taken > limit and vm.joined:
-            return f"pool {vm.pool}: at most {limit} VMs of a {scope} may be out"
-    return None
+def _domains(vm: VmRecord) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return the failure domains of a VM: its rack and its data centre."""
+    return (vm.data_centre, vm.rack), (vm.data_centre,)
+
+
+def budget_violation(view: FleetView, vm: VmRecord) -> str | None:
+    """Return which budget of its pool would break if `vm` were taken out, or None."""
+    return PoolBudget(view, vm.pool).violation(vm)
--- a/src/redwingslip/fleet/_commands.py
+++ b/src/redwingslip/fleet/_commands.py
@@ -14,6 +14,8 @@
     "AssignDispatcher",
     "BeginMaintenance",
     "BeginMove",
+    "CancelMaintenance",
+    "CancelMove",
     "Claim",
     "ClaimKey",
     "ClaimOutcome",
@@ -216,17 +218,47 @@
 
 
 class BeginMove(_Command):
-    """Begin to move a VM towards another pool, if the budgets admit it."""
+    """Begin to move a VM towards another pool, if the budgets admit it.
+
+    Attributes
+    ----------
+    loan : bool
+        Whether the planner lends a VM of a spare pool; otherwise `to_pool` must be
+        the pool that the operator wishes.
+    """
 
     vm: str
     to_pool: str
+    loan: bool = False
+
+
+class CancelMove(_Command):
+    """Keep a VM in its pool that is leaving for a pool no longer wanted.
+
+    Attributes
+    ----------
+    drain_index : int
+        The drain that this is about; a newer one voids the command.
+    """
+
+    vm: str
+    drain_index: int
 
 
 class CompleteMove(_Command):
-    """The VM holds no permit of its old pool: put it in the new one."""
+    """The VM holds no permit of its old pool: put it in the new one.
+
+    Attributes
+    ----------
+    epoch : int
+        The epoch of the dispatcher that found it drained.
+    drain_index : int
+        The drain that this is about; a newer one voids the command.
+    """
 
     vm: str
     epoch: int
+    drain_index: int
 
 
 class BeginMaintenance(_Command):
@@ -241,10 +273,30 @@
 
     The VM counts as newly assigned, so only endpoints that have seen the new fencing
     token, which no process from before the reboot can have, make it healthy again.
+
+    Attributes
+    ----------
+    drain_index : int
+        The drain that the reboot belongs to; a newer one voids the command.
+    """
+
+    vm: str
+    wave: str
+    drain_index: int
+
+
+class CancelMaintenance(_Command):
+    """The platform refused the reboot: the VM serves on and the wave goes without it.
+
+    Attributes
+    ----------
+    drain_index : int
+        The drain that the refused reboot belongs to.
     """
 
     vm: str
     wave: str
+    drain_index: int
 
 
 class CompleteMaintenance(_Command):
@@ -269,8 +321,10 @@
     | ForgetClaims
     | ReportVm
     | BeginMove
+    | CancelMove
     | CompleteMove
     | BeginMaintenance
     | MarkRebooted
+    | CancelMaintenance
     | CompleteMaintenance
 )
--- a/src/redwingslip/fleet/_state.py
+++ b/src/redwingslip/fleet/_state.py
@@ -15,6 +15,8 @@
     AssignDispatcher,
     BeginMaintenance,
     BeginMove,
+    CancelMaintenance,
+    CancelMove,
     Claim,
     ClaimKey,
     ClaimOutcome,
@@ -221,10 +223,10 @@
             return problem
         if kind is Kind.VM and self._is_removing(cmd.name):
             return NotAdmitted(reason=f"VM {cmd.name} is still being removed")
-        resource = Resource(name=cmd.name, spec=cmd.spec, version=self._index)
-        self._put(resource)
+        old = self.view.spec(kind, cmd.name)
+        self._put(Resource(name=cmd.name, spec=cmd.spec, version=self._index))
         if isinstance(cmd.spec, VmSpec):
-            self._put_vm(cmd.name, cmd.spec)
+            self._put_vm(cmd.name, cmd.spec, old)
         if isinstance(cmd.spec, WaveSpec):
             self._put_wave(cmd.name, cmd.spec)
         return self._accepted()
@@ -233,10 +235,12 @@
         record = self.view.vms.get(vm)
         return record is not None and record.removing
 
-    def _put_vm(self, name: str, spec: VmSpec) -> None:
+    def _put_vm(self, name: str, spec: VmSpec, old: VmSpec | None) -> None:
         record = self.view.vms.get(name)
         if record is None:
             record = VmRecord(name=name, pool=spec.pool, assigned_at=self._index)
+        if old is not None and old.pool != spec.pool:
+            record = msgspec.structs.replace(record, lent=False)
         record = msgspec.structs.replace(
             record, data_centre=spec.data_centre, rack=spec.rack, slots=spec.slots
         )
@@ -275,16 +279,45 @@
         return self._accepted()
 
     def _remove_vm(self, name: str) -> str | None:
-        """Begin to remove a VM; return why that is not admitted, or None."""
+        """Begin to remove a VM; return why that is not admitted, or None.
+
+        A VM that is down already is no further loss, whatever the budgets say.
+        """
         record = self.view.vms[name]
-        if record.phase is not VmPhase.SERVING:
+        is_stuck = record.phase is VmPhase.MAINTENANCE and record.rebooted
+        if record.phase is not VmPhase.SERVING and not is_stuck:
             return f"VM {name} is {record.phase}"
-        reason = budget_violation(self.view, record)
-        if reason is not None:
-            return reason
-        self._put(msgspec.structs.replace(record, phase=VmPhase.LEAVING, removing=True))
+        if not is_stuck and record.health is not VmHealth.DOWN:
+            reason = budget_violation(self.view, record)
+            if reason is not None:
+                return reason
+        for wave in list(self.view.waves.values()):
+            self._skip_in_wave(wave, name)
+        self._put(
+            msgspec.structs.replace(
+                record,
+                phase=VmPhase.LEAVING,
+                removing=True,
+                wave="",
+                rebooted=False,
+                drain_index=self._index,
+            )
+        )
         return None
 
+    def _skip_in_wave(self, wave: WaveRecord, vm: str) -> None:
+        """Let a wave go on without a VM."""
+        if vm not in wave.pending and vm not in wave.active:
+            return
+        self._put(
+            msgspec.structs.replace(
+                wave,
+                pending=_without(wave.pending, vm),
+                active=_without(wave.active, vm),
+                n_skipped=wave.n_skipped + 1,
+            )
+        )
+
     def _forget_pool(self, pool: str) -> None:
         self._remove(Table.DISPATCHERS, pool)
         for team, other in list(self.view.allotments):
@@ -456,23 +489,63 @@
     @_do.register
     def _(self, cmd: BeginMove) -> Outcome:
         record = self.view.vms.get(cmd.vm)
-        if record is None or record.phase is not VmPhase.SERVING:
-            return NotAdmitted(reason="the VM is absent or not serving")
-        if self.view.pool(cmd.to_pool) is None or cmd.to_pool == record.pool:
-            return NotAdmitted(reason="no such pool to go to")
-        reason = budget_violation(self.view, record)
+        reason = self._drain_problem(record) or self._target_problem(cmd, record)
         if reason is not None:
             return NotAdmitted(reason=reason)
         self._put(
-            msgspec.structs.replace(record, phase=VmPhase.LEAVING, move_to=cmd.to_pool)
+            msgspec.structs.replace(
+                record,
+                phase=VmPhase.LEAVING,
+                move_to=cmd.to_pool,
+                drain_index=self._index,
+                lent=cmd.loan,
+            )
+        )
+        return self._accepted()
+
+    def _drain_problem(self, record: VmRecord | None) -> str | None:
+        """Return why a VM can't be drained now, or None."""
+        if record is None or record.phase is not VmPhase.SERVING:
+            return "the VM is absent or not serving"
+        if record.pool not in self.view.dispatchers:
+            return "the pool has no dispatcher, so its VMs are unknown"
+        return budget_violation(self.view, record)
+
+    def _target_problem(self, cmd: BeginMove, record: VmRecord) -> str | None:
+        """Return why a VM can't go to a pool, or None."""
+        target = self.view.pool(cmd.to_pool)
+        if target is None or cmd.to_pool == record.pool:
+            return "no such pool to go to"
+        wanted = self.view.vm_spec(cmd.vm).pool
+        if not cmd.loan:
+            return None if cmd.to_pool == wanted else "the operator wants another pool"
+        home = self.view.pool(wanted)
+        if not self.view.site.moves or home is None or not home.spare or target.spare:
+            return "VMs are lent from spare pools only, where the site allows moves"
+        return None
+
+    @_do.register
+    def _(self, cmd: CancelMove) -> Outcome:
+        record = self.view.vms.get(cmd.vm)
+        if not _is_leaving(record, cmd.drain_index) or record.removing:
+            return NotAdmitted(reason="the VM is not in this drain")
+        spec = self.view.vm_spec(cmd.vm)
+        self._put(
+            msgspec.structs.replace(
+                record,
+                phase=VmPhase.SERVING,
+                move_to="",
+                drain_index=0,
+                lent=record.lent and spec.pool != record.pool,
+            )
         )
         return self._accepted()
 
     @_do.register
     def _(self, cmd: CompleteMove) -> Outcome:
         record = self.view.vms.get(cmd.vm)
-        if record is None or record.phase is not VmPhase.LEAVING:
-            return NotAdmitted(reason="the VM is not leaving")
+        if not _is_leaving(record, cmd.drain_index):
+            return NotAdmitted(reason="the VM is not in this drain")
         if not self._is_current(record.pool, cmd.epoch):
             return NotAdmitted(reason="not the current epoch")
         if record.removing:
@@ -487,6 +560,7 @@
                 move_to="",
                 assigned_at=self._index,
                 joined=False,
+                drain_index=0,
             )
         )
         return self._accepted()
@@ -496,22 +570,26 @@
         record = self.view.vms.get(cmd.vm)
         wave = self.view.waves.get(cmd.wave)
         spec = self.view.spec(Kind.WAVE, cmd.wave)
-        if record is None or record.phase is not VmPhase.SERVING:
-            return NotAdmitted(reason="the VM is absent or not serving")
         if wave is None or cmd.vm not in wave.pending:
             return NotAdmitted(reason="the wave does not wait for this VM")
         if spec.paused or len(wave.active) >= spec.max_parallel:
             return NotAdmitted(reason="the wave is paused or has its VMs")
-        reason = budget_violation(self.view, record)
+        reason = self._drain_problem(record)
         if reason is not None:
             return NotAdmitted(reason=reason)
         self._put(
-            msgspec.structs.replace(record, phase=VmPhase.MAINTENANCE, wave=cmd.wave)
+            msgspec.structs.replace(
+                record,
+                phase=VmPhase.MAINTENANCE,
+                wave=cmd.wave,
+                drain_index=self._index,
+            )
         )
-        pending = tuple(name for name in wave.pending if name != cmd.vm)
         self._put(
             msgspec.structs.replace(
-                wave, pending=pending, active=(*wave.active, cmd.vm)
+                wave,
+                pending=_without(wave.pending, cmd.vm),
+                active=(*wave.active, cmd.vm),
             )
         )
         return self._accepted()
@@ -519,10 +597,8 @@
     @_do.register
     def _(self, cmd: MarkRebooted) -> Outcome:
         record = self.view.vms.get(cmd.vm)
-        if record is None or record.phase is not VmPhase.MAINTENANCE:
-            return NotAdmitted(reason="the VM is not in maintenance")
-        if record.wave != cmd.wave or record.rebooted:
-            return NotAdmitted(reason="another wave's VM, or rebooted already")
+        if not _is_before_reboot(record, cmd.wave, cmd.drain_index):
+            return NotAdmitted(reason="the VM does not wait for this reboot")
         self._put(
             msgspec.structs.replace(
                 record,
@@ -533,6 +609,19 @@
         )
         return self._accepted()
 
+    @_do.register
+    def _(self, cmd: CancelMaintenance) -> Outcome:
+        record = self.view.vms.get(cmd.vm)
+        if not _is_before_reboot(record, cmd.wave, cmd.drain_index):
+            return NotAdmitted(reason="the VM does not wait for this reboot")
+        self._skip_in_wave(self.view.waves[cmd.wave], cmd.vm)
+        self._put(
+            msgspec.structs.replace(
+                record, phase=VmPhase.SERVING, wave="", drain_index=0
+            )
+        )
+        return self._accepted()
+
     @_do.register
     def _(self, cmd: CompleteMaintenance) -> Outcome:
         record = self.view.vms.get(cmd.vm)
@@ -543,14 +632,39 @@
             return NotAdmitted(reason="its endpoints have not announced again")
         self._put(
             msgspec.structs.replace(
-                record, phase=VmPhase.SERVING, wave="", rebooted=False
+                record,
+                phase=VmPhase.SERVING,
+                wave="",
+                rebooted=False,
+                drain_index=0,
             )
         )
-        active = tuple(name for name in wave.active if name != cmd.vm)
+        active = _without(wave.active, cmd.vm)
         self._put(msgspec.structs.replace(wave, active=active, n_done=wave.n_done + 1))
         return self._accepted()
 
 
+def _without(names: tuple[str, ...], name: str) -> tuple[str, ...]:
+    return tuple(other for other in names if other != name)
+
+
+def _is_leaving(record: VmRecord | None, drain_index: int) -> bool:
+    return (
+        record is not None
+        and record.phase is VmPhase.LEAVING
+        and record.drain_index == drain_index
+    )
+
+
+def _is_before_reboot(record: VmRecord | None, wave: str, drain_index: int) -> bool:
+    return (
+        record is not None
+        and record.phase is VmPhase.MAINTENANCE
+        and (record.wave, record.drain_index) == (wave, drain_index)
+        and not record.rebooted
+    )
+
+
 def _describe(record: _ClaimRecord) -> ClaimTaken:
     outcome = record.outcome
     if outcome is None:
--- a/src/redwingslip/fleet/_view.py
+++ b/src/redwingslip/fleet/_view.py
@@ -15,6 +15,7 @@
     PoolSpec,
     QueueSpec,
     Resource,
+    SiteSpec,
     Spec,
     TeamSpec,
     VmHealth,
@@ -38,6 +39,7 @@
 ]
 
 UNLIMITED_TEAM = TeamSpec()
+DEFAULT_SITE = SiteSpec()
 
 
 class Table(enum.StrEnum):
@@ -73,6 +75,11 @@
         Whether it leaves the fleet.
     rebooted : bool
         Whether its maintenance has come past the reboot.
+    drain_index : int
+        Log index at which its present drain began, 0 while it serves.
+    lent : bool
+        Whether it is in, or leaves for, another pool than the operator's by an
+        automatic move.
     """
 
     name: str
@@ -88,6 +95,8 @@
     slots: int = 8
     removing: bool = False
     rebooted: bool = False
+    drain_index: int = 0
+    lent: bool = False
 
     @property
     def is_available(self) -> bool:
@@ -106,12 +115,15 @@
         VMs in maintenance.
     n_done : int
         VMs that serve again.
+    n_skipped : int
+        VMs that were removed meanwhile or whose reboot the platform refused.
     """
 
     name: str
     pending: tuple[str, ...] = ()
     active: tuple[str, ...] = ()
     n_done: int = 0
+    n_skipped: int = 0
 
 
 class EntryRecord(msgspec.Struct, frozen=True, tag=True, kw_only=True):
@@ -233,6 +245,11 @@
         """Return a VM's specification."""
         return self.spec(Kind.VM, name)
 
+    @property
+    def site(self) -> SiteSpec:
+        """Return what the site weighs."""
+        return self.spec(Kind.SITE, "default") or DEFAULT_SITE
+
     def vms_of(self, pool: str) -> list[VmRecord]:
         """Return the VMs of a pool."""
         return [vm for vm in self.vms.values() if vm.pool == pool]
--- /dev/null
+++ b/src/redwingslip/maintenance/_failures.py
@@ -0,0 +1,63 @@
+"""Clusters of failures, which hold maintenance waves back."""
+
+from collections.abc import Set
+from datetime import timedelta
+
+from ._settings import WaveSettings
+
+__all__ = ["FailureMonitor"]
+
+
+class FailureMonitor:
+    """Tells when failures cluster and when the fleet is calm again.
+
+    Parameters
+    ----------
+    settings : WaveSettings
+        Sizes and times of a cluster.
+    """
+
+    __slots__ = ("_failed_at", "_is_clustered", "_settings")
+
+    def __init__(self, settings: WaveSettings) -> None:
+        self._settings = settings
+        self._failed_at: dict[str, timedelta] = {}
+        self._is_clustered = False
+
+    @property
+    def is_clustered(self) -> bool:
+        """Whether waves take no further VM."""
+        return self._is_clustered
+
+    def observe(self, failed: Set[str], now: timedelta) -> None:
+        """Take in the names of the VMs that are failed now.
+
+        A VM that came back within the window still counts: a fleet whose VMs fail
+        and recover in turn is not calm.
+        """
+        for vm in failed:
+            self._failed_at.setdefault(vm, now)
+        window = self._settings.failure_window
+        self._failed_at = {
+            vm: at
+            for vm, at in self._failed_at.items()
+            if vm in failed or now - at < window
+        }
+        if self._is_clustered:
+            self._is_clustered = not self._is_calm(failed, now)
+        else:
+            self._is_clustered = self._largest_cluster(now) >= (
+                self._settings.n_failures_to_hold
+            )
+
+    def _largest_cluster(self, now: timedelta) -> int:
+        window = self._settings.failure_window
+        return sum(now - at < window for at in self._failed_at.values())
+
+    def _is_calm(self, failed: Set[str], now: timedelta) -> bool:
+        latest = max(self._failed_at.values(), default=None)
+        quiet = timedelta.max if latest is None else now - latest
+        if quiet >= self._settings.give_up_after:
+            return True
+        is_healthy = len(failed) <= self._settings.n_failures_to_go_on
+        return is_healthy and quiet >= self._settings.calm
--- /dev/null
+++ b/src/redwingslip/maintenance/_order.py
@@ -0,0 +1,76 @@
+"""The order in which a wave takes its VMs."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from ..fleet import FleetView, PoolSpec, VmRecord
+
+__all__ = ["n_rounds", "ordered"]
+
+_Scope = tuple[str, ...]
+
+
+def ordered(
+    view: FleetView, vms: Iterable[VmRecord], max_parallel: int
+) -> list[VmRecord]:
+    """Return VMs in the order in which a wave tries to take them.
+
+    Spare pools go first, then one failure domain after the other. A VM goes before
+    all that when its pool, data centre or rack alone needs every round that is left:
+    leaving it for later would make the wave longer.
+    """
+    vms = list(vms)
+    rounds = _rounds_by_scope(view, vms)
+    n_left = _n_rounds(rounds, len(vms), max_parallel)
+
+    def key(vm: VmRecord) -> tuple:
+        longest = max(rounds[scope] for scope in _scopes(vm))
+        spec = view.pool(vm.pool) or PoolSpec()
+        return (longest < n_left, not spec.spare, vm.data_centre, vm.rack, vm.name)
+
+    return sorted(vms, key=key)
+
+
+def n_rounds(view: FleetView, vms: Iterable[VmRecord], max_parallel: int) -> int:
+    """Return the fewest rounds in which the budgets let these VMs be rebooted."""
+    vms = list(vms)
+    return _n_rounds(_rounds_by_scope(view, vms), len(vms), max_parallel)
+
+
+def _n_rounds(rounds: dict[_Scope, int], n_vms: int, max_parallel: int) -> int:
+    return max([*rounds.values(), _divide_up(n_vms, max_parallel)], default=0)
+
+
+def _rounds_by_scope(view: FleetView, vms: list[VmRecord]) -> dict[_Scope, int]:
+    """Return how many rounds each pool, and each failure domain in it, needs."""
+    counts = Counter(scope for vm in vms for scope in _scopes(vm))
+    limits = {pool: _limits(view, pool) for pool in {vm.pool for vm in vms}}
+    return {
+        scope: _divide_up(count, limits[scope[0]][len(scope) - 1])
+        for scope, count in counts.items()
+    }
+
+
+def _scopes(vm: VmRecord) -> tuple[_Scope, _Scope, _Scope]:
+    """Return what a VM's budgets are counted over, the widest first."""
+    return (
+        (vm.pool,),
+        (vm.pool, vm.data_centre),
+        (vm.pool, vm.data_centre, vm.rack),
+    )
+
+
+def _limits(view: FleetView, pool: str) -> tuple[int, int, int]:
+    """Return how many VMs of a pool, data centre and rack may be out at once."""
+    spec = view.pool(pool) or PoolSpec()
+    n_joined = sum(vm.joined for vm in view.vms_of(pool))
+    return (
+        min(spec.max_unavailable, n_joined - spec.min_serving),
+        spec.max_unavailable_per_data_centre,
+        spec.max_unavailable_per_rack,
+    )
+
+
+def _divide_up(count: int, limit: int) -> int:
+    """Return the rounds that `count` VMs need; a budget of none counts as one."""
+    return -(-count // max(1, limit))
--- /dev/null
+++ b/src/redwingslip/maintenance/_resend.py
@@ -0,0 +1,38 @@
+"""Outputs that are repeated until they show an effect."""
+
+from collections.abc import Hashable, Iterable
+from datetime import timedelta
+from typing import TypeVar
+
+__all__ = ["Resender"]
+
+_Output = TypeVar("_Output", bound=Hashable)
+
+
+class Resender:
+    """Lets an output pass at first and again after an interval.
+
+    Parameters
+    ----------
+    interval : timedelta
+        Time between two sendings of an equal output.
+    """
+
+    __slots__ = ("_interval", "_sent_at")
+
+    def __init__(self, interval: timedelta) -> None:
+        self._interval = interval
+        self._sent_at: dict[Hashable, timedelta] = {}
+
+    def due(self, outputs: Iterable[_Output], now: timedelta) -> list[_Output]:
+        """Return the outputs to send now; those not named any more are forgotten."""
+        sent_at = {}
+        due = []
+        for output in outputs:
+            last = self._sent_at.get(output)
+            if last is None or now - last >= self._interval:
+                due.append(output)
+                last = now
+            sent_at[output] = last
+        self._sent_at = sent_at
+        return due
--- /dev/null
+++ b/tests/test_maintenance_waves.py
@@ -0,0 +1,167 @@
+"""Tests of the planner of maintenance waves."""
+
+import unittest
+from datetime import timedelta
+
+from redwingslip.fleet import (
+    Accepted,
+    DeleteResource,
+    Kind,
+    VmHealth,
+    VmPhase,
+    VmSpec,
+    WaveSpec,
+)
+from redwingslip.maintenance import WavePhase
+from redwingslip.peers._messages import RebootOrder
+
+from . import SECOND
+from .fleet_driver import FleetDriver
+
+
+def small_fleet(**budget) -> FleetDriver:
+    """Return a fleet of two pools with four VMs each in two racks, and a wave."""
+    fleet = FleetDriver()
+    for pool in ("a", "b"):
+        fleet.add_pool(pool, **budget)
+        for i in range(4):
+            fleet.add_vm(f"{pool}{i}", pool, rack=f"r{i % 2}")
+    fleet.put("w", WaveSpec())
+    return fleet
+
+
+class TestWave(unittest.TestCase):
+    """Waves from their acceptance to their end."""
+
+    def test_each_vm_is_rebooted_once(self):
+        """A wave reboots every VM once and none is refused by the state."""
+        fleet = small_fleet(max_unavailable=2)
+        fleet.run_wave("w")
+        self.assertEqual(len(fleet.reboots), 8)
+        self.assertEqual(fleet.view.waves["w"].n_done, 8)
+        self.assertEqual(fleet.n_refused, 0)
+
+    def test_new_leader_goes_on_from_the_view(self):
+        """A leader that is replaced every few steps reboots no VM twice."""
+        fleet = small_fleet()
+        for i in range(200):
+            fleet.step()
+            if i % 3 == 0:
+                fleet.replace_leader()
+        self.assertEqual(fleet.view.waves["w"].n_done, 8)
+        self.assertEqual(len(fleet.reboots), 8)
+
+    def test_order_is_repeated_with_the_same_operation(self):
+        """A reboot order that nobody answers is sent again as the same operation."""
+        fleet = small_fleet(max_unavailable=1)
+        fleet.plan()
+        sent = []
+        for _ in range(12):
+            fleet.clock.advance(SECOND)
+            for record in fleet.view.vms.values():
+                if record.phase is VmPhase.MAINTENANCE:
+                    fleet.drained(record)
+            outputs = fleet.waves.plan(fleet.view, fleet.now)
+            sent += [out for out in outputs if isinstance(out, RebootOrder)]
+        self.assertEqual(len(sent), 6)
+        self.assertEqual(len({order.operation_id for order in sent}), 2)
+
+    def test_paused_wave_takes_no_vm(self):
+        """A wave that the operator paused finishes its VMs and takes no other."""
+        fleet = small_fleet()
+        fleet.plan()
+        fleet.put("w", WaveSpec(paused=True))
+        for _ in range(60):
+            fleet.step()
+        self.assertEqual(fleet.view.waves["w"].n_done, 2)
+        status = fleet.waves.status(fleet.view, "w", fleet.now)
+        self.assertIs(status.phase, WavePhase.PAUSED)
+        fleet.put("w", WaveSpec())
+        fleet.run_wave("w")
+
+    def test_vm_that_does_not_come_back_keeps_its_budget(self):
+        """A VM that is lost in its reboot is reported and holds its pool's wave."""
+        fleet = small_fleet()
+        fleet.dead = {"a0"}
+        for _ in range(600):
+            fleet.step()
+        wave = fleet.view.waves["w"]
+        self.assertEqual(wave.active, ("a0",))
+        self.assertEqual(wave.pending, ("a1", "a2", "a3"))
+        status = fleet.waves.status(fleet.view, "w", fleet.now)
+        self.assertEqual(status.overdue, ("a0",))
+
+    def test_vm_that_is_lost_in_its_reboot_can_be_removed(self):
+        """The operator's removal of a lost VM gives its budget back."""
+        fleet = small_fleet()
+        fleet.dead = {"a0"}
+        for _ in range(60):
+            fleet.step()
+        outcome = fleet.do(DeleteResource(kind=Kind.VM, name="a0"))
+        self.assertIsInstance(outcome, Accepted)
+        fleet.run_wave("w")
+        self.assertEqual(fleet.view.waves["w"].n_done, 7)
+        self.assertEqual(fleet.view.waves["w"].n_skipped, 1)
+
+    def test_refused_reboot_lets_the_vm_serve_on(self):
+        """A VM whose reboot the platform refuses serves again and is reported."""
+        fleet = small_fleet()
+        fleet.refused_vms = {"a1"}
+        fleet.run_wave("w")
+        status = fleet.waves.status(fleet.view, "w", fleet.now)
+        self.assertEqual(status.refused, ("a1",))
+        self.assertEqual(status.n_skipped, 1)
+        self.assertIs(fleet.view.vms["a1"].phase, VmPhase.SERVING)
+
+    def test_removed_vm_is_no_longer_waited_for(self):
+        """A wave ends although a pending VM was removed from the fleet."""
+        fleet = small_fleet()
+        fleet.do(DeleteResource(kind=Kind.VM, name="a3"))
+        fleet.run_wave("w")
+        self.assertEqual(fleet.view.waves["w"].n_done, 7)
+
+    def test_pending_vm_that_moves_is_rebooted_in_its_new_pool(self):
+        """A VM that is redrawn while it waits is rebooted under the new budget."""
+        fleet = small_fleet()
+        fleet.put("a3", VmSpec(pool="b", data_centre="d0"))
+        fleet.run_wave("w")
+        self.assertEqual(len(fleet.reboots), 8)
+        self.assertEqual(fleet.view.vms["a3"].pool, "b")
+
+
+class TestFailures(unittest.TestCase):
+    """Waves while VMs fail."""
+
+    def test_cluster_of_failures_holds_the_waves(self):
+        """Three failures within a minute hold a wave until the fleet is calm."""
+        fleet = small_fleet(max_unavailable=4)
+        fleet.put("w", WaveSpec(paused=True))
+        fleet.dead = {"a0", "a1", "b0"}
+        for vm in sorted(fleet.dead):
+            fleet.report(vm, VmHealth.DOWN)
+        fleet.step()
+        fleet.put("w", WaveSpec())
+        fleet.step()
+        self.assertEqual(fleet.view.waves["w"].active, ())
+        status = fleet.waves.status(fleet.view, "w", fleet.now)
+        self.assertIs(status.phase, WavePhase.HELD)
+        fleet.dead = set()
+        fleet.step()
+        self.assertEqual(fleet.view.waves["w"].active, ())
+        fleet.run_wave("w", timedelta(minutes=3))
+
+    def test_single_failures_far_apart_hold_nothing(self):
+        """Failures that are minutes apart do not hold a wave."""
+        fleet = small_fleet(max_unavailable=4)
+        for vm in ("a0", "a1", "b0"):
+            fleet.dead.add(vm)
+            fleet.report(vm, VmHealth.DOWN)
+            for _ in range(70):
+                fleet.step()
+            fleet.dead.discard(vm)
+        status = fleet.waves.status(fleet.view, "w", fleet.now)
+        self.assertIsNot(status.phase, WavePhase.HELD)
+
+
+if __name__ == "__main__":
+    unittest.main()
