Add the entry and replica daemons

Cause: the parts need processes that carry their inputs and outputs. Change: application objects with life-cycle hooks; permits, claims, dispatch, reboots and the leader's duties each in a module of its own.

--- a/src/redwingslip/daemons/_claims.py
+++ b/src/redwingslip/daemons/_claims.py
@@ -174,7 +174,9 @@
 
 def _recorded(taken: ClaimTaken) -> Answer:
     if not taken.status:
-        raise OutcomeUnknownError("the request was run before; its outcome is not known")
+        raise OutcomeUnknownError(
+            "the request was run before; its outcome is not known"
+        )
     return Answer(
         status=taken.status,
         content_type=taken.content_type,
--- /dev/null
+++ b/src/redwingslip/daemons/_entry.py
@@ -0,0 +1,410 @@
+"""The entry daemon: between callers, endpoints, operators and the leader."""
+
+import asyncio
+import contextlib
+import random
+import secrets
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from ..callers import caller_routes
+from ..clock import Clock, SystemClock
+from ..dispatch import DispatchSettings
+from ..endpoints import (
+    AnnouncementError,
+    AnnouncementReply,
+    EndpointClient,
+    announcement_routes,
+)
+from ..fleet import Change, Command, FleetView, Outcome, ReleaseDispatcher
+from ..http import ClientLimits, HttpLimits, HttpServer, build_app
+from ..leases import ChangeLog, LeaseHolder
+from ..observe import Event, EventLog, EventName, EventSink
+from ..operators import NoLeaderError, ProcessStatus, operator_routes
+from ..peers import (
+    AllotmentRecall,
+    EndpointReport,
+    LeaseGrant,
+    Message,
+    PeerHub,
+    PeerSettings,
+    Permit,
+    PermitCancel,
+    PermitDone,
+    PermitRefusal,
+    PermitRequest,
+    ProposalReply,
+    RebootOrder,
+    RedirectToLeader,
+)
+from ..platform import PlatformClient, PlatformSettings
+from ..settings import EntrySettings
+from ._claims import ClaimDesk
+from ._dispatch_host import DispatchHost
+from ._leader import LeaderLink
+from ._permits import PermitDesk
+from ._reboots import RebootDesk
+from ._runner import EntryRunner
+
+__all__ = ["EntryApp"]
+
+TICK = timedelta(milliseconds=50)
+ANNOUNCE_INTERVAL = timedelta(seconds=1)
+PROPOSE_TIMEOUT = timedelta(seconds=2)
+RELEASE_TIMEOUT = timedelta(seconds=3)
+READYZ_OFF_BEFORE_STOP = timedelta(milliseconds=500)
+N_INCARNATION_BYTES = 6
+
+
+class EntryApp:
+    """An entry, from its settings to its end.
+
+    Parameters
+    ----------
+    cfg : EntrySettings
+        Its settings.
+    clock : Clock or None
+        The machine's by default.
+    events : EventSink or None
+        By default the log of the settings.
+    """
+
+    def __init__(
+        self,
+        cfg: EntrySettings,
+        *,
+        clock: Clock | None = None,
+        events: EventSink | None = None,
+    ) -> None:
+        self.cfg = cfg
+        self._clock = clock or SystemClock()
+        self._entry_id = cfg.process.id
+        self._incarnation = secrets.token_hex(N_INCARNATION_BYTES)
+        self._events = events or EventLog(
+            cfg.logs, process_id=self._entry_id, clock=self._clock
+        )
+        self._view = FleetView()
+        self._changes = ChangeLog()
+        self._changed = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+        self._proposals: set[asyncio.Task] = set()
+        self._had_lease = False
+        self._build()
+
+    def _build(self) -> None:
+        cfg = self.cfg
+        secret = cfg.cluster.secret_file.read_text().strip()
+        self._hub = PeerHub(
+            process_id=self._entry_id,
+            address=cfg.peers.listen,
+            secret=secret,
+            cfg=PeerSettings(),
+            clock=self._clock,
+            on_message=self._on_message,
+            events=self._events,
+        )
+        self._leader = LeaderLink(
+            replicas=tuple(cfg.replicas),
+            send=self._hub.send,
+            reset=self._hub.reset,
+            clock=self._clock,
+        )
+        self._permits = PermitDesk(
+            view=self._view, send=self._hub.send, clock=self._clock
+        )
+        self._claims = ClaimDesk(
+            cfg=cfg.requests,
+            leader=self._leader,
+            clock=self._clock,
+            entry_id=self._entry_id,
+            incarnation=self._incarnation,
+        )
+        self._client = EndpointClient(ClientLimits())
+        self._platform = self._platform_client()
+        self._reboots = RebootDesk(self._platform, self._leader.send)
+        self._host = DispatchHost(
+            cfg=DispatchSettings(),
+            entry_id=self._entry_id,
+            incarnation=self._incarnation,
+            view=self._view,
+            send=self._hub.send,
+            send_to_leader=self._leader.send,
+            propose=self._propose_in_background,
+            clock=self._clock,
+            rng=random.Random(self._incarnation),
+            events=self._events,
+        )
+        self.runner = EntryRunner(
+            cfg=cfg.requests,
+            entry_id=self._entry_id,
+            view=self._view,
+            has_lease=self.has_lease,
+            permits=self._permits,
+            claims=self._claims,
+            client=self._client,
+            clock=self._clock,
+            events=self._events,
+        )
+
+    def _platform_client(self) -> PlatformClient | None:
+        address = self.cfg.platform.address
+        if address is None:
+            return None
+        return PlatformClient(PlatformSettings(address=address))
+
+    # Life cycle.
+
+    @property
+    def http_address(self) -> str:
+        """Return where HTTP is served, with the port that was taken."""
+        return self._server.address
+
+    async def start(self) -> None:
+        """Listen and begin to ask for the lease."""
+        await self._hub.start()
+        self._holder = LeaseHolder(
+            cfg=self.cfg.leases,
+            entry_id=self._entry_id,
+            incarnation=self._incarnation,
+            address=self._hub.address,
+            data_centre=self.cfg.process.data_centre,
+            view=self._view,
+        )
+        for replica_id, address in self.cfg.replicas.items():
+            self._hub.set_address(replica_id, address)
+        limits = HttpLimits()
+        host, _, port = self.cfg.http.listen.rpartition(":")
+        routes = [
+            *caller_routes(
+                self.runner,
+                limits,
+                clock=self._clock,
+                own_url=f"http://{self.cfg.http.listen}",
+            ),
+            *announcement_routes(
+                self, limits, token_hashes=self.cfg.endpoints.token_sha256
+            ),
+            *operator_routes(self, limits, self.cfg.operators.token_sha256),
+        ]
+        self._server = HttpServer(build_app(routes), limits, host=host, port=int(port))
+        await self._server.start()
+        self._tasks = [
+            asyncio.create_task(self._renew_forever(), name="renew the lease"),
+            asyncio.create_task(self._tick_forever(), name="tick"),
+        ]
+        self._emit(EventName.PROCESS_STARTED, detail=self._incarnation)
+
+    async def stop(self) -> None:
+        """Stop in good order: nothing that was taken is cut off."""
+        self.runner.is_stopping = True
+        await asyncio.sleep(READYZ_OFF_BEFORE_STOP.total_seconds())
+        self._host.stop_granting()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RELEASE_TIMEOUT.total_seconds()):
+                await self._release_pools()
+        await self._server.stop(self.cfg.entry.drain_grace)
+        await self._claims.drain()
+        await self._leave()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._reboots.stop()
+        await self._client.close()
+        if self._platform is not None:
+            await self._platform.close()
+        await self._hub.stop()
+        self._emit(EventName.PROCESS_STOPPED)
+
+    async def _release_pools(self) -> None:
+        """Hand the pools over once no start of a permit is open."""
+        while self._host.pools:
+            for pool, epoch in self._host.releasable():
+                with contextlib.suppress(NoLeaderError):
+                    command = ReleaseDispatcher(pool=pool, epoch=epoch)
+                    await self._leader.propose(command, PROPOSE_TIMEOUT)
+            await asyncio.sleep(TICK.total_seconds())
+
+    async def _leave(self) -> None:
+        """Give the lease up, so that nobody has to wait it out."""
+        self._tasks[0].cancel()
+        self._leader.send(self._holder.renewal(self._now(), leaving=True))
+        await asyncio.sleep(TICK.total_seconds())
+
+    # Lease and view.
+
+    def _now(self) -> timedelta:
+        return self._clock.monotonic()
+
+    def has_lease(self) -> bool:
+        """Return whether the entry's lease holds now."""
+        return self._holder.is_valid(self._now())
+
+    async def _renew_forever(self) -> None:
+        cfg = self.cfg.leases
+        while True:
+            self._leader.send(self._holder.renewal(self._now()))
+            await asyncio.sleep(cfg.renewal.total_seconds())
+            self._leader.check(2 * cfg.renewal)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK.total_seconds())
+            self._permits.check()
+            self._host.tick()
+            self._note_lease()
+
+    def _note_lease(self) -> None:
+        has_lease = self.has_lease()
+        if has_lease != self._had_lease:
+            self._had_lease = has_lease
+            name = EventName.LEASE_ACQUIRED if has_lease else EventName.LEASE_LOST
+            self._emit(name, index=self._view.index)
+
+    def _take_grant(self, msg: LeaseGrant) -> None:
+        index = self._view.index
+        changes = self._holder.grant(msg)
+        self._host.lease_until(self._holder.ends_at)
+        if self._view.index == index:
+            return
+        if changes is None:
+            self._changes.restart(self._view.index)
+        else:
+            self._changes.add(changes)
+        self._follow_entries()
+        if changes is None or changes:
+            self._host.view_changed(changes, self._holder.ends_at)
+            self._permits.check()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _follow_entries(self) -> None:
+        for entry in self._view.entries.values():
+            self._hub.set_address(entry.entry_id, entry.address)
+
+    # Messages.
+
+    def _on_message(self, sender_id: str, msg: Message) -> None:
+        self._receive(msg, sender_id)
+
+    @singledispatchmethod
+    def _receive(self, msg: Message, sender_id: str) -> None:
+        self._emit(
+            EventName.WARNING,
+            peer=sender_id,
+            detail=f"unexpected {type(msg).__name__}",
+        )
+
+    @_receive.register
+    def _(self, msg: LeaseGrant, sender_id: str) -> None:
+        self._leader.heard(sender_id)
+        self._take_grant(msg)
+
+    @_receive.register
+    def _(self, msg: RedirectToLeader, sender_id: str) -> None:
+        self._leader.redirect(sender_id, msg)
+
+    @_receive.register
+    def _(self, msg: ProposalReply, sender_id: str) -> None:
+        self._leader.reply(msg)
+
+    @_receive.register
+    def _(self, msg: RebootOrder, sender_id: str) -> None:
+        self._reboots.order(msg)
+
+    @_receive.register
+    def _(self, msg: Permit, sender_id: str) -> None:
+        self._permits.permit(msg)
+
+    @_receive.register
+    def _(self, msg: PermitRefusal, sender_id: str) -> None:
+        self._permits.refusal(msg)
+
+    @_receive.register(PermitRequest)
+    @_receive.register(PermitCancel)
+    @_receive.register(PermitDone)
+    @_receive.register(AllotmentRecall)
+    @_receive.register(EndpointReport)
+    def _(self, msg: Message, sender_id: str) -> None:
+        self._host.receive(msg)
+
+    # What endpoints ask (`Announcements`).
+
+    def announce(self, report: EndpointReport) -> AnnouncementReply:
+        """Pass an endpoint's announcement on to its pool's dispatcher."""
+        if not self.has_lease():
+            raise AnnouncementError("this entry has no lease now; ask another one")
+        record = self._view.vms.get(report.vm)
+        if record is None:
+            raise AnnouncementError(f"VM {report.vm!r} is not declared")
+        lease = self._view.dispatchers.get(record.pool)
+        if lease is not None:
+            self._hub.send(lease.entry_id, report)
+        token = self._view.fencing_token(report.vm)
+        is_current = report.fencing_token == token
+        return AnnouncementReply(
+            fencing_token=token,
+            announce_within=ANNOUNCE_INTERVAL if is_current else timedelta(0),
+        )
+
+    # What operators ask (`FleetService`).
+
+    @property
+    def view(self) -> FleetView:
+        """Return the entry's view."""
+        return self._view
+
+    def status(self) -> ProcessStatus:
+        """Return what the entry knows of itself."""
+        return ProcessStatus(
+            entry_id=self._entry_id,
+            has_lease=self.has_lease(),
+            leader_id=self._leader.leader_id,
+            applied_index=self._view.index,
+            in_force_index=self._holder.in_force_index,
+            dispatched_pools=self._host.pools,
+        )
+
+    async def propose(self, command: Command, timeout: timedelta) -> Outcome:
+        """Have a command committed, and wait until this entry's view has it."""
+        until = self._now() + timeout
+        outcome = await self._leader.propose(command, timeout)
+        version = getattr(outcome, "version", 0)
+        while self._view.index < version and self._now() < until:
+            await self._wait_for_change(until - self._now())
+        return outcome
+
+    async def changes_after(
+        self, index: int, timeout: timedelta
+    ) -> tuple[Change, ...] | None:
+        """Wait for the changes after a log index."""
+        until = self._now() + timeout
+        while True:
+            changes = self._changes.after(index)
+            if changes is None or changes or self._now() >= until:
+                return changes
+            await self._wait_for_change(until - self._now())
+
+    async def _wait_for_change(self, timeout: timedelta) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, timeout.total_seconds())):
+                await self._changed.wait()
+
+    def _propose_in_background(self, command: Command) -> None:
+        """Propose what its dispatcher proposes again when it has no effect."""
+        task = asyncio.create_task(self._propose_quietly(command))
+        self._proposals.add(task)
+        task.add_done_callback(self._proposals.discard)
+
+    async def _propose_quietly(self, command: Command) -> None:
+        with contextlib.suppress(NoLeaderError):
+            await self._leader.propose(command, PROPOSE_TIMEOUT)
+
+    def _emit(
+        self,
+        name: EventName,
+        *,
+        peer: str = "",
+        index: int = 0,
+        detail: str = "",
+    ) -> None:
+        self._events.emit(Event(name=name, peer=peer, index=index, detail=detail))
--- /dev/null
+++ b/src/redwingslip/daemons/_leadership.py
@@ -0,0 +1,230 @@
+"""What the leader of the replicated log does besides replicating it."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from ..clock import Clock
+from ..consensus import ConsensusError, Replica
+from ..fleet import Command, ForgetClaims, Outcome
+from ..leases import LeaseGranter
+from ..maintenance import MovePlanner, WavePlanner
+from ..observe import Event, EventName, EventSink
+from ..peers import (
+    AllotmentRecall,
+    LeaseRenewal,
+    Message,
+    PoolDemand,
+    Proposal,
+    ProposalReply,
+    RebootDone,
+    RebootOrder,
+    VmDrained,
+)
+from ..quota import AllotmentPlanner
+from ..settings import ReplicaSettings
+from ._machine import FleetMachine, encode_command
+
+__all__ = ["Leadership"]
+
+PLAN_INTERVAL = timedelta(milliseconds=250)
+FORGET_INTERVAL = timedelta(minutes=1)
+
+
+class Leadership:
+    """Grants leases, answers proposals and plans, for as long as one term lasts.
+
+    Parameters
+    ----------
+    cfg : ReplicaSettings
+        Settings of the replica.
+    replica : Replica
+        The replicated log.
+    machine : FleetMachine
+        The replicated state.
+    send : callable
+        Takes a process's id and a message, and may lose it.
+    set_address : callable
+        Takes a process's id and the address it is reached at.
+    clock : Clock
+        The process's clock.
+    events : EventSink
+        Takes the events.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_forgot_at",
+        "_granter",
+        "_in_flight",
+        "_machine",
+        "_moves",
+        "_planned_at",
+        "_quota",
+        "_replica",
+        "_rng",
+        "_send",
+        "_set_address",
+        "_tasks",
+        "_waves",
+    )
+
+    def __init__(
+        self,
+        *,
+        cfg: ReplicaSettings,
+        replica: Replica,
+        machine: FleetMachine,
+        send: Callable[[str, Message], None],
+        set_address: Callable[[str, str], None],
+        clock: Clock,
+        events: EventSink,
+    ) -> None:
+        now = clock.monotonic()
+        self._replica = replica
+        self._machine = machine
+        self._send = send
+        self._set_address = set_address
+        self._clock = clock
+        self._events = events
+        self._rng = random.Random(f"{cfg.process.id}/{replica.term}")
+        self._granter = LeaseGranter(
+            cfg=cfg.leases,
+            view=machine.state.view,
+            changes=machine.changes,
+            term=replica.term,
+            now=now,
+            has_quorum=lambda now: replica.has_quorum_lease(),
+        )
+        self._quota = AllotmentPlanner()
+        self._waves = WavePlanner(sink=events)
+        self._moves = MovePlanner()
+        self._planned_at = now
+        self._forgot_at = now
+        self._in_flight: set[Command] = set()
+        self._tasks: set[asyncio.Task] = set()
+        for entry in machine.state.view.entries.values():
+            set_address(entry.entry_id, entry.address)
+
+    def close(self) -> None:
+        """Give up what is under way."""
+        for task in self._tasks:
+            task.cancel()
+
+    def tick(self) -> None:
+        """Do what is due."""
+        now = self._clock.monotonic()
+        view = self._machine.state.view
+        for command in self._granter.tick(now):
+            self._propose(command)
+        self.push_changes()
+        if now - self._planned_at < PLAN_INTERVAL:
+            return
+        self._planned_at = now
+        if not self._replica.has_quorum_lease():
+            return
+        for command in self._moves.plan(view, now):
+            self._propose(command)
+        for output in self._waves.plan(view, now):
+            self._carry_out(output)
+        self._plan_quota(now)
+        if now - self._forgot_at >= FORGET_INTERVAL:
+            self._forgot_at = now
+            self._propose(ForgetClaims(before=self._clock.utcnow()))
+
+    def push_changes(self) -> None:
+        """Send the entries what was committed since the last push."""
+        for entry_id, grant in self._granter.pushes(self._clock.monotonic()):
+            self._send(entry_id, grant)
+
+    def _plan_quota(self, now: timedelta) -> None:
+        for output in self._quota.plan(self._machine.state.view, now):
+            self._carry_out(output)
+
+    def _carry_out(self, output: Command | RebootOrder | AllotmentRecall) -> None:
+        """Send what is for an entry, propose what is for the log."""
+        view = self._machine.state.view
+        match output:
+            case AllotmentRecall(pool=pool):
+                lease = view.dispatchers.get(pool)
+                if lease is not None:
+                    self._send(lease.entry_id, output)
+            case RebootOrder():
+                if view.entries:
+                    self._send(self._rng.choice(sorted(view.entries)), output)
+            case _:
+                self._propose(output)
+
+    # Messages.
+
+    @singledispatchmethod
+    def receive(self, msg: Message, sender_id: str) -> None:
+        """Take a message that is for the leader."""
+        detail = f"unexpected {type(msg).__name__} from {sender_id}"
+        self._events.emit(Event(name=EventName.WARNING, peer=sender_id, detail=detail))
+
+    @receive.register
+    def _(self, msg: LeaseRenewal, sender_id: str) -> None:
+        self._set_address(msg.entry_id, msg.address)
+        grant, commands = self._granter.renewal(msg, self._clock.monotonic())
+        if grant is not None:
+            self._send(sender_id, grant)
+        for command in commands:
+            self._propose(command)
+
+    @receive.register
+    def _(self, msg: Proposal, sender_id: str) -> None:
+        self._start(self._answer(msg, sender_id))
+
+    @receive.register
+    def _(self, msg: PoolDemand, sender_id: str) -> None:
+        now = self._clock.monotonic()
+        self._moves.demand(msg, now)
+        self._quota.demand(msg, now)
+        self._plan_quota(now)
+
+    @receive.register
+    def _(self, msg: VmDrained, sender_id: str) -> None:
+        now = self._clock.monotonic()
+        self._moves.vm_drained(msg, now)
+        self._waves.vm_drained(msg, now)
+
+    @receive.register
+    def _(self, msg: RebootDone, sender_id: str) -> None:
+        self._waves.reboot_done(msg, self._clock.monotonic())
+
+    # Proposals.
+
+    async def _answer(self, msg: Proposal, sender_id: str) -> None:
+        outcome = await self._commit(msg.command)
+        # The changes go first, so that the proposer's view has them with the answer.
+        self.push_changes()
+        self._send(sender_id, ProposalReply(number=msg.number, outcome=outcome))
+
+    def _propose(self, command: Command) -> None:
+        """Propose a command of the leader's own, unless it is under way already."""
+        if command in self._in_flight:
+            return
+        self._in_flight.add(command)
+        self._start(self._commit_own(command))
+
+    async def _commit_own(self, command: Command) -> None:
+        try:
+            await self._commit(command)
+        finally:
+            self._in_flight.discard(command)
+        self.push_changes()
+
+    async def _commit(self, command: Command) -> Outcome | None:
+        try:
+            return await self._replica.propose(encode_command(command))
+        except ConsensusError:
+            return None
+
+    def _start(self, coro) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/redwingslip/daemons/_machine.py
@@ -0,0 +1,54 @@
+"""The fleet's state as the state machine of the replicated log."""
+
+import msgspec
+
+from ..fleet import Command, FleetState, Outcome
+from ..leases import ChangeLog
+
+__all__ = ["FleetMachine", "encode_command"]
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Command)
+
+
+def encode_command(command: Command) -> bytes:
+    """Return a command as the log holds it."""
+    return _ENCODER.encode(command)
+
+
+class FleetMachine:
+    """Applies the log's commands and keeps the latest changes.
+
+    Attributes
+    ----------
+    state : FleetState
+        The replicated state.
+    changes : ChangeLog
+        The latest changes of its view.
+    """
+
+    __slots__ = ("changes", "state")
+
+    def __init__(self) -> None:
+        self.state = FleetState()
+        self.changes = ChangeLog()
+
+    def apply(self, index: int, data: bytes) -> Outcome:
+        """Apply an encoded command."""
+        outcome, changes = self.state.apply(index, _DECODER.decode(data))
+        self.changes.add(changes)
+        return outcome
+
+    def skip(self, index: int) -> None:
+        """Note an entry that holds no command."""
+        self.state.view.index = index
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return self.state.snapshot()
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Take over a snapshot."""
+        self.state.restore(data)
+        self.state.view.index = index
+        self.changes.restart(index)
--- a/src/redwingslip/leases/_granter.py
+++ b/src/redwingslip/leases/_granter.py
@@ -15,8 +15,8 @@
     RegisterEntry,
 )
 from ..peers import LeaseGrant, LeaseRenewal
-from ._change_log import ChangeLog
 from ..settings import LeaseSettings
+from ._change_log import ChangeLog
 
 __all__ = ["LeaseGranter"]
 
--- a/src/redwingslip/maintenance/_drains.py
+++ b/src/redwingslip/maintenance/_drains.py
@@ -30,7 +30,8 @@
         lease = view.dispatchers.get(record.pool)
         if word is None or lease is None:
             return False
-        return (word.pool, word.epoch) == (record.pool, lease.epoch)
+        said = (word.pool, word.epoch, word.drain_index)
+        return said == (record.pool, lease.epoch, record.drain_index)
 
     def keep(self, is_draining: Callable[[str], bool]) -> None:
         """Forget the words on VMs that are not in a drain any more."""
