Add the replicated log: state machine, data folder and asyncio driver

Cause: the leader, the leases and the operators' writes need a durable, ordered log. The founding members agree on their incarnations before the log begins.

--- a/src/redwingslip/consensus/__init__.py
+++ b/src/redwingslip/consensus/__init__.py
@@ -1,1 +1,44 @@
 """Consensus: a replicated log as a state machine without sockets, and its driver."""
+
+from ._core import Envelope
+from ._folder import DataFolder, found_data_folder
+from ._founding import FoundingRound
+from ._messages import *  # noqa: F403
+from ._messages import __all__ as _messages_all
+from ._node import RaftNode, Ready
+from ._records import HardState, Identity, LogStart, Save, Snapshot, StoredState
+from ._replica import Replica, StateMachine
+from ._settings import ConsensusSettings
+from .exceptions import (
+    ConsensusError,
+    DataFolderError,
+    FoundingRefusedError,
+    NotLeaderError,
+    ProposalLostError,
+    ReplicaFailedError,
+)
+
+__all__ = [
+    "ConsensusError",
+    "ConsensusSettings",
+    "DataFolder",
+    "DataFolderError",
+    "Envelope",
+    "FoundingRefusedError",
+    "FoundingRound",
+    "HardState",
+    "Identity",
+    "LogStart",
+    "NotLeaderError",
+    "ProposalLostError",
+    "RaftNode",
+    "Ready",
+    "Replica",
+    "ReplicaFailedError",
+    "Save",
+    "Snapshot",
+    "StateMachine",
+    "StoredState",
+    "found_data_folder",
+    *_messages_all,
+]
--- /dev/null
+++ b/src/redwingslip/consensus/_core.py
@@ -0,0 +1,192 @@
+"""What a replica is in every role: its term, vote, log, members and outputs."""
+
+import random
+from datetime import timedelta
+from typing import NamedTuple
+
+from ._log import Log
+from ._membership import Membership
+from ._messages import ConsensusMessage, LogEntry
+from ._records import HardState, StoredState
+from ._settings import ConsensusSettings
+from .exceptions import ConsensusError
+
+__all__ = ["Core", "Envelope"]
+
+
+class Envelope(NamedTuple):
+    """A message and the replica that it is for."""
+
+    receiver_id: str
+    message: ConsensusMessage
+
+
+class _Deferred(NamedTuple):
+    """A message that waits until the log is on disk up to an index."""
+
+    index: int
+    envelope: Envelope
+
+
+class Core:
+    """State that the roles share, and the rule of what waits for the disk.
+
+    Parameters
+    ----------
+    cfg : ConsensusSettings
+        The settings.
+    stored : StoredState
+        What the data folder held.
+    address : str
+        Own ``host:port``.
+    peers : frozenset of str
+        Replica ids of the others in the settings.
+    rng : random.Random
+        Source of the election timeouts.
+    """
+
+    __slots__ = (
+        "_deferred",
+        "_hard_state_saved",
+        "_is_saving_hard_state",
+        "_outbox",
+        "address",
+        "cfg",
+        "commit_index",
+        "incarnation",
+        "leader_id",
+        "log",
+        "members",
+        "peers",
+        "replica_id",
+        "rng",
+        "snapshot",
+        "term",
+        "voted_for",
+    )
+
+    def __init__(
+        self,
+        *,
+        cfg: ConsensusSettings,
+        stored: StoredState,
+        address: str,
+        peers: frozenset[str],
+        rng: random.Random,
+    ) -> None:
+        self.cfg = cfg
+        self.replica_id = stored.identity.replica_id
+        self.incarnation = stored.identity.incarnation
+        self.address = address
+        self.peers = peers
+        self.rng = rng
+        self.term = stored.hard_state.term
+        self.voted_for = stored.hard_state.voted_for
+        self.leader_id = ""
+        self.snapshot = stored.snapshot
+        self.log = Log(stored.log_start, stored.entries)
+        self.members = _stored_members(stored)
+        self.commit_index = stored.snapshot.index if stored.snapshot else 0
+        self._outbox: list[Envelope] = []
+        self._deferred: list[_Deferred] = []
+        self._hard_state_saved = stored.hard_state
+        self._is_saving_hard_state = False
+
+    @property
+    def hard_state(self) -> HardState:
+        """Return the term and vote as they should be on disk."""
+        return HardState(term=self.term, voted_for=self.voted_for)
+
+    @property
+    def is_hard_state_dirty(self) -> bool:
+        """Return whether the disk has an older term or vote."""
+        return self.hard_state != self._hard_state_saved
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this incarnation votes, by its own log."""
+        return self.members.is_voter(self.replica_id, self.incarnation)
+
+    def enter_term(self, term: int) -> None:
+        """Go to a newer term. What waits for the disk in the old one is void."""
+        self.term = term
+        self.voted_for = None
+        self.leader_id = ""
+        self._deferred.clear()
+
+    def append(self, entry: LogEntry) -> None:
+        """Add an entry to the log."""
+        self.log.append(entry)
+        self.members.note(entry)
+
+    def truncate(self, index: int) -> None:
+        """Drop the entries from `index` on, none of which may be committed."""
+        if index <= self.commit_index:
+            raise ConsensusError(f"entry {index} is committed and can't be dropped")
+        self.log.truncate(index)
+        self.members.truncate(index)
+
+    def is_log_current(self, last_index: int, last_term: int) -> bool:
+        """Return whether a log that ends like this holds at least as much as ours."""
+        theirs = (last_term, last_index)
+        return theirs >= (self.log.last_term, self.log.last_index)
+
+    def send(self, receiver_id: str, message: ConsensusMessage) -> None:
+        """Send a message that promises nothing about the disk."""
+        self._outbox.append(Envelope(receiver_id, message))
+
+    def send_synced(
+        self, receiver_id: str, message: ConsensusMessage, index: int = 0
+    ) -> None:
+        """Send once the hard state, and the log up to `index`, are on disk."""
+        self._deferred.append(_Deferred(index, Envelope(receiver_id, message)))
+        self.release()
+
+    def release(self) -> None:
+        """Send what no longer waits for the disk."""
+        if self._is_saving_hard_state or self.is_hard_state_dirty:
+            return
+        waiting = []
+        for item in self._deferred:
+            if item.index <= self.log.stable_index:
+                self._outbox.append(item.envelope)
+            else:
+                waiting.append(item)
+        self._deferred = waiting
+
+    def take_messages(self) -> tuple[Envelope, ...]:
+        """Return what is to be sent now."""
+        messages = tuple(self._outbox)
+        self._outbox.clear()
+        return messages
+
+    def take_hard_state(self, *, always: bool) -> HardState | None:
+        """Return the hard state if the disk is to get it with the next step."""
+        if not (always or self.is_hard_state_dirty):
+            return None
+        self._is_saving_hard_state = self.is_hard_state_dirty
+        self._hard_state_saved = self.hard_state
+        return self._hard_state_saved
+
+    def mark_saved(self) -> None:
+        """Note that the step that was taken last is on disk."""
+        self._is_saving_hard_state = False
+        self.log.mark_saved()
+        self.release()
+
+    def random_timeout(self) -> timedelta:
+        """Draw an election timeout."""
+        low = self.cfg.election_timeout_min
+        return low + (self.cfg.election_timeout_max - low) * self.rng.random()
+
+
+def _stored_members(stored: StoredState) -> Membership:
+    snapshot = stored.snapshot
+    if snapshot is None:
+        members = Membership(0, stored.identity.members)
+    else:
+        members = Membership(snapshot.index, snapshot.members)
+    for entry in stored.entries:
+        if entry.index > members.index:
+            members.note(entry)
+    return members
--- /dev/null
+++ b/src/redwingslip/consensus/_folder.py
@@ -0,0 +1,189 @@
+"""The data folder of a replica."""
+
+import secrets
+from pathlib import Path
+
+import msgspec
+
+from ..storage import FileSystem, OsFileSystem, RecordLog, read_sealed, write_sealed
+from ..storage.exceptions import CorruptLogError
+from ._messages import LogEntry, Member
+from ._records import HardState, Identity, LogStart, Save, Snapshot, StoredState
+from .exceptions import DataFolderError
+
+__all__ = ["DataFolder", "found_data_folder"]
+
+IDENTITY_NAME = "identity"
+LOG_NAME = "log"
+SNAPSHOT_NAME = "snapshot"
+N_INCARNATION_BYTES = 12
+
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def found_data_folder(
+    path: Path, replica_id: str, *, files: FileSystem | None = None
+) -> str:
+    """Make an empty folder that of a founding member and return its incarnation.
+
+    Raises
+    ------
+    DataFolderError
+        If the folder holds a replica already.
+    """
+    files = files or OsFileSystem()
+    if files.exists(path / IDENTITY_NAME):
+        raise DataFolderError(f"{path} holds a replica already")
+    identity = _new_identity(replica_id, founder=True)
+    _write_new(path, identity, files)
+    return identity.incarnation
+
+
+class DataFolder:
+    """The files of a replica: identity, log and newest snapshot.
+
+    Parameters
+    ----------
+    path : Path
+        The folder; it need not exist.
+    files : FileSystem or None
+        Where it lives, the operating system's files by default.
+    """
+
+    __slots__ = ("_files", "_log", "_path")
+
+    def __init__(self, path: Path, files: FileSystem | None = None) -> None:
+        self._path = path
+        self._files = files or OsFileSystem()
+        self._log = RecordLog(path / LOG_NAME, self._files)
+
+    def load(self, replica_id: str) -> StoredState:
+        """Return what the folder holds, as a new incarnation if it is empty.
+
+        Raises
+        ------
+        CorruptLogError
+            If something that was synced can't be read.
+        DataFolderError
+            If the folder is another replica's.
+        """
+        identity = self._load_identity(replica_id)
+        snapshot = self._load_snapshot()
+        log_path = self._path / LOG_NAME
+        if not self._files.exists(log_path):
+            raise CorruptLogError(log_path, 0, "the file is missing")
+        replay = _Replay(log_path)
+        for payload in self._log.open():
+            replay.add(payload)
+        start, entries = replay.above(snapshot)
+        if start != replay.start:
+            self.save(Save(hard_state=replay.hard_state, log_start=start))
+        return StoredState(
+            identity=identity,
+            hard_state=replay.hard_state,
+            snapshot=snapshot,
+            log_start=start,
+            entries=tuple(entries),
+        )
+
+    def save(self, save: Save, snapshot: Snapshot | None = None) -> None:
+        """Return once a step, and the snapshot that it starts from, are durable."""
+        if snapshot is not None:
+            payload = _ENCODER.encode(snapshot)
+            write_sealed(self._path / SNAPSHOT_NAME, payload, self._files)
+        payload = _ENCODER.encode(save)
+        if save.log_start is None:
+            self._log.append(payload)
+        else:
+            self._log.rewrite([payload])
+
+    def save_members(self, identity: Identity, members: tuple[Member, ...]) -> Identity:
+        """Record the founding members and return the new identity."""
+        agreed = msgspec.structs.replace(identity, members=members)
+        payload = _ENCODER.encode(agreed)
+        write_sealed(self._path / IDENTITY_NAME, payload, self._files)
+        return agreed
+
+    def close(self) -> None:
+        """Close the files."""
+        self._log.close()
+
+    def _load_identity(self, replica_id: str) -> Identity:
+        path = self._path / IDENTITY_NAME
+        if not self._files.exists(path):
+            _write_new(self._path, _new_identity(replica_id), self._files)
+        payload = read_sealed(path, self._files)
+        identity = msgspec.msgpack.decode(payload, type=Identity)
+        if identity.replica_id != replica_id:
+            raise DataFolderError(f"{self._path} is that of {identity.replica_id}")
+        return identity
+
+    def _load_snapshot(self) -> Snapshot | None:
+        path = self._path / SNAPSHOT_NAME
+        if not self._files.exists(path):
+            return None
+        return msgspec.msgpack.decode(read_sealed(path, self._files), type=Snapshot)
+
+
+class _Replay:
+    """Rebuilds the log from its saved steps."""
+
+    __slots__ = ("_entries", "_path", "hard_state", "start")
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self.start = LogStart()
+        self._entries: list[LogEntry] = []
+        self.hard_state = HardState()
+
+    def add(self, payload: bytes) -> None:
+        """Take the next step."""
+        save = msgspec.msgpack.decode(payload, type=Save)
+        if save.hard_state is not None:
+            self.hard_state = save.hard_state
+        if save.log_start is not None:
+            self.start = save.log_start
+            self._entries.clear()
+        if save.truncate_from:
+            del self._entries[max(0, save.truncate_from - self.start.index - 1) :]
+        for entry in save.entries:
+            if entry.index != self.start.index + len(self._entries) + 1:
+                raise CorruptLogError(self._path, 0, f"gap before entry {entry.index}")
+            self._entries.append(entry)
+
+    def above(self, snapshot: Snapshot | None) -> tuple[LogStart, list[LogEntry]]:
+        """Return the log that goes with a snapshot.
+
+        A crash between the two files leaves a log that ends below the snapshot or
+        differs from it; the snapshot was committed, so the log gives way.
+        """
+        if snapshot is None:
+            if self.start.index:
+                raise CorruptLogError(self._path, 0, "the snapshot is missing")
+            return self.start, self._entries
+        if self._term_at(snapshot.index) == snapshot.term:
+            return self.start, self._entries
+        if self.start.index > snapshot.index:
+            raise CorruptLogError(self._path, 0, "the snapshot is too old")
+        return LogStart(index=snapshot.index, term=snapshot.term), []
+
+    def _term_at(self, index: int) -> int | None:
+        if index == self.start.index:
+            return self.start.term
+        position = index - self.start.index - 1
+        if 0 <= position < len(self._entries):
+            return self._entries[position].term
+        return None
+
+
+def _new_identity(replica_id: str, *, founder: bool = False) -> Identity:
+    incarnation = secrets.token_hex(N_INCARNATION_BYTES)
+    return Identity(replica_id=replica_id, incarnation=incarnation, founder=founder)
+
+
+def _write_new(path: Path, identity: Identity, files: FileSystem) -> None:
+    """Make a folder. The identity comes last, so that it vouches for the log."""
+    files.make_folder(path)
+    files.sync_folder(path.parent)
+    RecordLog(path / LOG_NAME, files).rewrite([])
+    write_sealed(path / IDENTITY_NAME, _ENCODER.encode(identity), files)
--- /dev/null
+++ b/src/redwingslip/consensus/_leadership.py
@@ -0,0 +1,392 @@
+"""What a leader does in its term: replicate, commit, change members, hand over."""
+
+from datetime import timedelta
+
+import msgspec
+
+from ._core import Core
+from ._membership import encode_members
+from ._messages import (
+    Append,
+    AppendReply,
+    EntryKind,
+    InstallSnapshot,
+    JoinReply,
+    JoinRequest,
+    LogEntry,
+    Member,
+    SnapshotReply,
+    TimeoutNow,
+)
+from ._progress import Progress, Rounds
+
+__all__ = ["Leadership"]
+
+N_CHALLENGE_BITS = 53
+
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class Leadership:
+    """The state of a leader, made when it is elected and dropped when it steps down.
+
+    Parameters
+    ----------
+    core : Core
+        The replica.
+    now : timedelta
+        When it was elected.
+
+    Attributes
+    ----------
+    first_index : int
+        The first entry of its term.
+    """
+
+    __slots__ = (
+        "_challenges",
+        "_core",
+        "_elected_at",
+        "_joiners",
+        "_next_round_at",
+        "_progress",
+        "_rounds",
+        "_snapshot_bytes",
+        "_snapshot_index",
+        "_transfer_by",
+        "_transfer_to",
+        "first_index",
+    )
+
+    def __init__(self, core: Core, now: timedelta) -> None:
+        self._core = core
+        self._elected_at = now
+        self._next_round_at = now
+        self._rounds = Rounds(core.cfg.election_timeout_max)
+        self._progress: dict[str, Progress] = {}
+        self._challenges: dict[tuple[str, str], int] = {}
+        self._joiners: dict[str, Member] = {}
+        self._transfer_to = ""
+        self._transfer_by: timedelta | None = None
+        self._snapshot_index = 0
+        self._snapshot_bytes = b""
+        self.first_index = core.log.last_index + 1
+        self._follow_members()
+        self.append(EntryKind.EMPTY, b"")
+
+    @property
+    def is_transferring(self) -> bool:
+        """Return whether it is handing over, and takes no proposals."""
+        return self._transfer_by is not None
+
+    def append(self, kind: EntryKind, data: bytes) -> int:
+        """Add an entry of the current term and return its index."""
+        core = self._core
+        index = core.log.last_index + 1
+        core.append(LogEntry(index, core.term, kind, data))
+        if kind is EntryKind.MEMBERSHIP:
+            self._follow_members()
+        return index
+
+    def tick(self, now: timedelta) -> bool:
+        """Do what is due; return False when leadership is over."""
+        if not self._has_contact(now):
+            return False
+        if self.is_transferring and now >= self._transfer_by:
+            return False
+        if now >= self._next_round_at:
+            self._next_round_at = now + self._core.cfg.heartbeat_interval
+            self._rounds.begin(now)
+            for replica_id, progress in self._progress.items():
+                self._send_heartbeat(replica_id, progress)
+        self._change_members()
+        return True
+
+    def has_quorum_lease(self, now: timedelta) -> bool:
+        """Return whether no other leader can exist."""
+        if self.is_transferring:
+            return False
+        contact = self._quorum_contact(now)
+        if contact is None:
+            return False
+        return now < contact + self._core.cfg.lease_duration
+
+    def replicate(self) -> None:
+        """Send every member what it has not been sent yet."""
+        for replica_id, progress in self._progress.items():
+            self._send_entries(replica_id, progress)
+
+    def receive_append_reply(self, sender_id: str, msg: AppendReply) -> None:
+        """Take an answer to an `Append`."""
+        progress = self._find_progress(sender_id, msg.incarnation)
+        if progress is None:
+            return
+        progress.note_contact(self._rounds.sent_at(msg.round))
+        if msg.success:
+            progress.note_match(msg.match_index)
+            self.advance_commit()
+        elif not progress.snapshot_index:
+            progress.note_mismatch(msg.match_index)
+        self._send_entries(sender_id, progress)
+        self._pass_on(sender_id, progress)
+
+    def receive_snapshot_reply(self, sender_id: str, msg: SnapshotReply) -> None:
+        """Take an answer to an `InstallSnapshot`."""
+        progress = self._find_progress(sender_id, msg.incarnation)
+        if progress is None:
+            return
+        progress.note_contact(self._rounds.sent_at(msg.round))
+        if msg.index != progress.snapshot_index:
+            return
+        if msg.done:
+            progress.end_snapshot()
+            self._send_entries(sender_id, progress)
+        elif msg.next_offset != progress.snapshot_offset:
+            progress.snapshot_offset = msg.next_offset
+            self._send_chunk(sender_id, progress)
+
+    def receive_join(self, sender_id: str, msg: JoinRequest) -> None:
+        """Take up a new incarnation once it has shown that it is alive."""
+        core = self._core
+        key = (sender_id, msg.incarnation)
+        if sender_id not in core.peers or core.members.find(*key):
+            return
+        challenge = self._challenges.get(key)
+        if challenge is not None and msg.challenge == challenge:
+            del self._challenges[key]
+            self._joiners[sender_id] = Member(
+                replica_id=sender_id,
+                incarnation=msg.incarnation,
+                address=msg.address,
+                voting=False,
+            )
+            self._change_members()
+            return
+        if challenge is None:
+            challenge = 1 + core.rng.getrandbits(N_CHALLENGE_BITS)
+            self._challenges[key] = challenge
+        reply = JoinReply(
+            term=core.term, incarnation=core.incarnation, challenge=challenge
+        )
+        core.send(sender_id, reply)
+
+    def transfer(self, now: timedelta, target_id: str = "") -> bool:
+        """Begin to hand over to the most advanced voter, or to a given one.
+
+        Return False when there is nobody to hand over to. The lease ends here for
+        good, since the target's request for votes may arrive at any later time.
+        """
+        target_id = target_id or self._best_successor(now)
+        if target_id not in self._progress or not self._is_voter(target_id):
+            return False
+        self._transfer_to = target_id
+        self._transfer_by = now + self._core.cfg.election_timeout_max
+        progress = self._progress[target_id]
+        self._send_entries(target_id, progress)
+        self._pass_on(target_id, progress)
+        return True
+
+    def advance_commit(self) -> None:
+        """Commit what a quorum has on disk, if its last entry is of this term."""
+        core = self._core
+        matches = []
+        for member in core.members.voters:
+            if member.replica_id == core.replica_id:
+                matches.append(core.log.stable_index)
+            else:
+                matches.append(self._progress[member.replica_id].match_index)
+        matches.sort(reverse=True)
+        index = matches[core.members.quorum - 1]
+        if index > core.commit_index and core.log.term_at(index) == core.term:
+            core.commit_index = index
+            self._change_members()
+
+    def is_repaired(self, replica_id: str) -> bool:
+        """Return whether a replica votes and holds all that was committed before."""
+        core = self._core
+        is_open = core.members.index > core.commit_index
+        if is_open or core.commit_index < self.first_index:
+            return False
+        if replica_id in self._joiners or not self._is_voter(replica_id):
+            return False
+        if replica_id == core.replica_id:
+            return True
+        return self._progress[replica_id].match_index >= core.members.index
+
+    def _follow_members(self) -> None:
+        """Keep a `Progress` for each other member."""
+        core = self._core
+        old = self._progress
+        self._progress = {}
+        for member in core.members.members:
+            if member.replica_id == core.replica_id:
+                continue
+            progress = old.get(member.replica_id)
+            if progress is None or progress.incarnation != member.incarnation:
+                progress = Progress(member.incarnation, core.log.last_index + 1)
+            self._progress[member.replica_id] = progress
+
+    def _find_progress(self, sender_id: str, incarnation: str) -> Progress | None:
+        """Return what is known of a member; None voids another incarnation's word."""
+        progress = self._progress.get(sender_id)
+        if progress is None or progress.incarnation != incarnation:
+            return None
+        return progress
+
+    def _is_voter(self, replica_id: str) -> bool:
+        member = self._core.members.get(replica_id)
+        return member is not None and member.voting
+
+    def _quorum_contact(self, now: timedelta) -> timedelta | None:
+        """Return since when a quorum has surely had contact, None for never."""
+        core = self._core
+        contacts = []
+        for member in core.members.voters:
+            if member.replica_id == core.replica_id:
+                contacts.append(now)
+            elif (contact := self._progress[member.replica_id].contact) is not None:
+                contacts.append(contact)
+        if len(contacts) < core.members.quorum:
+            return None
+        contacts.sort(reverse=True)
+        return contacts[core.members.quorum - 1]
+
+    def _has_contact(self, now: timedelta) -> bool:
+        contact = self._quorum_contact(now)
+        if contact is None:
+            contact = self._elected_at
+        latest = max(contact, self._elected_at)
+        return now < latest + self._core.cfg.election_timeout_max
+
+    def _best_successor(self, now: timedelta) -> str:
+        """Return the reachable voter with the longest log, or nothing."""
+        horizon = now - self._core.cfg.election_timeout_min
+        best = ""
+        for replica_id, progress in self._progress.items():
+            if not self._is_voter(replica_id) or progress.contact is None:
+                continue
+            if progress.contact < horizon:
+                continue
+            if not best or progress.match_index > self._progress[best].match_index:
+                best = replica_id
+        return best
+
+    def _pass_on(self, replica_id: str, progress: Progress) -> None:
+        """Let the successor stand for election once it holds the whole log."""
+        core = self._core
+        if replica_id != self._transfer_to:
+            return
+        if progress.match_index == core.log.last_index:
+            message = TimeoutNow(term=core.term, incarnation=core.incarnation)
+            core.send(replica_id, message)
+
+    def _change_members(self) -> None:
+        """Begin the next change of members, if none is open."""
+        core = self._core
+        is_open = core.members.index > core.commit_index
+        if is_open or core.commit_index < self.first_index or self.is_transferring:
+            return
+        members = self._with_joiner() or self._with_promotion()
+        if members is not None:
+            self.append(EntryKind.MEMBERSHIP, encode_members(members))
+            self.replicate()
+
+    def _with_joiner(self) -> tuple[Member, ...] | None:
+        """Return the members with a newcomer as learner in its old self's place."""
+        if not self._joiners:
+            return None
+        replica_id, joiner = self._joiners.popitem()
+        kept = [
+            member
+            for member in self._core.members.members
+            if member.replica_id != replica_id
+        ]
+        return tuple(sorted([*kept, joiner]))
+
+    def _with_promotion(self) -> tuple[Member, ...] | None:
+        """Return the members with a learner made a voter that has caught up."""
+        members = self._core.members.members
+        for position, member in enumerate(members):
+            if member.voting:
+                continue
+            progress = self._progress[member.replica_id]
+            if progress.match_index >= self._core.commit_index:
+                promoted = msgspec.structs.replace(member, voting=True)
+                return (*members[:position], promoted, *members[position + 1 :])
+        return None
+
+    def _send_heartbeat(self, replica_id: str, progress: Progress) -> None:
+        if progress.snapshot_index:
+            self._send_chunk(replica_id, progress)
+        elif progress.next_index <= self._core.log.start.index:
+            self._start_snapshot(replica_id, progress)
+        else:
+            self._send_append(replica_id, progress, ())
+
+    def _send_entries(self, replica_id: str, progress: Progress) -> None:
+        cfg = self._core.cfg
+        log = self._core.log
+        if progress.snapshot_index:
+            return
+        if progress.next_index <= log.start.index:
+            self._start_snapshot(replica_id, progress)
+            return
+        window_end = progress.window_start + cfg.max_inflight_entries
+        last = min(log.last_index, window_end)
+        while progress.next_index <= last:
+            entries = self._batch(progress.next_index, last)
+            self._send_append(replica_id, progress, entries)
+            progress.next_index += len(entries)
+
+    def _batch(self, first: int, last: int) -> tuple[LogEntry, ...]:
+        cfg = self._core.cfg
+        max_entries = cfg.max_batch_entries if cfg.batching else 1
+        entries = self._core.log.between(first, min(last, first + max_entries - 1))
+        n_bytes = 0
+        for position, entry in enumerate(entries):
+            n_bytes += len(entry.data)
+            if n_bytes > cfg.max_batch_bytes and position:
+                return tuple(entries[:position])
+        return tuple(entries)
+
+    def _send_append(
+        self, replica_id: str, progress: Progress, entries: tuple[LogEntry, ...]
+    ) -> None:
+        core = self._core
+        prev_index = progress.next_index - 1
+        message = Append(
+            term=core.term,
+            incarnation=core.incarnation,
+            prev_index=prev_index,
+            prev_term=core.log.term_at(prev_index),
+            entries=entries,
+            commit_index=core.commit_index,
+            round=self._rounds.number,
+        )
+        core.send(replica_id, message)
+
+    def _start_snapshot(self, replica_id: str, progress: Progress) -> None:
+        progress.start_snapshot(self._core.snapshot.index)
+        self._send_chunk(replica_id, progress)
+
+    def _send_chunk(self, replica_id: str, progress: Progress) -> None:
+        core = self._core
+        snapshot = core.snapshot
+        if progress.snapshot_index != snapshot.index:
+            progress.start_snapshot(snapshot.index)
+        if self._snapshot_index != snapshot.index:
+            self._snapshot_index = snapshot.index
+            self._snapshot_bytes = _ENCODER.encode(snapshot)
+        begin = progress.snapshot_offset
+        end = begin + core.cfg.snapshot_chunk_bytes
+        message = InstallSnapshot(
+            term=core.term,
+            incarnation=core.incarnation,
+            index=snapshot.index,
+            snapshot_term=snapshot.term,
+            offset=begin,
+            data=self._snapshot_bytes[begin:end],
+            is_last=end >= len(self._snapshot_bytes),
+            round=self._rounds.number,
+        )
+        core.send(replica_id, message)
--- a/src/redwingslip/consensus/_messages.py
+++ b/src/redwingslip/consensus/_messages.py
@@ -10,6 +10,8 @@
     "ConsensusMessage",
     "EntryKind",
     "InstallSnapshot",
+    "JoinReply",
+    "JoinRequest",
     "LogEntry",
     "Member",
     "SnapshotReply",
@@ -58,7 +60,7 @@
 
 
 class _Message(msgspec.Struct, frozen=True, tag=True, kw_only=True):
-    """Base: `term`, the sender's incarnation and the receiver's as it knows it."""
+    """Base: the sender's term and incarnation."""
 
     term: int
     incarnation: str
@@ -126,6 +128,43 @@
     """The leader hands over: stand for election at once."""
 
 
+class JoinRequest(_Message):
+    """A replica that no leader talks to announces itself to its peers.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port`` of its process.
+    challenge : int
+        The number from the leader's `JoinReply`, 0 at first. It proves that the
+        request is new, so that a late one can't bring back a replaced incarnation.
+    founder : bool
+        The replica was told to found the log and asks whether it exists.
+    """
+
+    address: str
+    challenge: int = 0
+    founder: bool = False
+
+
+class JoinReply(_Message):
+    """Answer to `JoinRequest`.
+
+    Attributes
+    ----------
+    challenge : int
+        To be repeated in a second request; 0 when there is nothing to repeat.
+    members : tuple of Member
+        The members as the sender knows them, empty before the founding.
+    founder : bool
+        The sender was told to found the log too, and has not begun.
+    """
+
+    challenge: int = 0
+    members: tuple[Member, ...] = ()
+    founder: bool = False
+
+
 ConsensusMessage = (
     VoteRequest
     | VoteReply
@@ -134,4 +173,6 @@
     | InstallSnapshot
     | SnapshotReply
     | TimeoutNow
+    | JoinRequest
+    | JoinReply
 )
--- /dev/null
+++ b/src/redwingslip/consensus/_replica.py
@@ -0,0 +1,475 @@
+"""The task that runs a `RaftNode`: its clock, its disk and its state machine."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+from pathlib import Path
+from typing import Protocol
+
+import msgspec
+
+from ..clock import Clock
+from ..observe._events import Event, EventName, EventSink
+from ..storage import FileSystem, StorageError
+from ._folder import DataFolder
+from ._founding import FoundingRound
+from ._messages import ConsensusMessage, EntryKind, LogEntry, Member
+from ._node import RaftNode, Ready
+from ._records import StoredState
+from ._settings import ConsensusSettings
+from .exceptions import (
+    ConsensusError,
+    NotLeaderError,
+    ProposalLostError,
+    ReplicaFailedError,
+)
+
+__all__ = ["Replica", "StateMachine"]
+
+N_TICKS_PER_HEARTBEAT = 3
+
+
+class StateMachine(Protocol):
+    """What is replicated. It is called from the event loop only."""
+
+    def apply(self, index: int, data: bytes) -> object:
+        """Apply a command and return its outcome, the same on every replica."""
+
+    def skip(self, index: int) -> None:
+        """Note an entry that holds no command."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Take over a state that `snapshot` returned after the entry `index`."""
+
+
+class _Proposal(msgspec.Struct, frozen=True):
+    """A proposal of this leader whose outcome is open."""
+
+    term: int
+    fut: asyncio.Future
+
+
+class Replica:
+    """A member of the replicated log, from its data folder to its state machine.
+
+    Parameters
+    ----------
+    cfg : ConsensusSettings
+        The settings.
+    data_folder : Path
+        Holds its log; empty at first, or made by `found_data_folder`.
+    replica_id : str
+        Its name.
+    address : str
+        Own ``host:port``.
+    peers : dict of str to str
+        Replica ids of the others and their addresses.
+    machine : StateMachine
+        What is replicated.
+    send : callable
+        Takes a replica id and a message, and may lose it.
+    clock : Clock
+        The time.
+    rng : random.Random
+        Source of the election timeouts.
+    events : EventSink
+        Takes the events.
+    files : FileSystem or None
+        Where the data folder lives, the operating system's files by default.
+
+    Attributes
+    ----------
+    applied_index : int
+        The last entry that the state machine has.
+    on_leadership : callable or None
+        Called with True once this replica leads and its state is current, and with
+        False once it no longer leads.
+    """
+
+    __slots__ = (
+        "_address",
+        "_cfg",
+        "_clock",
+        "_disk",
+        "_events",
+        "_failure",
+        "_folder",
+        "_founding",
+        "_is_announced",
+        "_is_stopping",
+        "_machine",
+        "_node",
+        "_peers",
+        "_proposals",
+        "_replica_id",
+        "_rng",
+        "_save",
+        "_saving",
+        "_send",
+        "_snapshot_at",
+        "_stored",
+        "_task",
+        "_term_led",
+        "_wake",
+        "applied_index",
+        "on_leadership",
+    )
+
+    def __init__(
+        self,
+        *,
+        cfg: ConsensusSettings,
+        data_folder: Path,
+        replica_id: str,
+        address: str,
+        peers: dict[str, str],
+        machine: StateMachine,
+        send: Callable[[str, ConsensusMessage], None],
+        clock: Clock,
+        rng: random.Random,
+        events: EventSink,
+        files: FileSystem | None = None,
+    ) -> None:
+        self._cfg = cfg
+        self._folder = DataFolder(data_folder, files)
+        self._replica_id = replica_id
+        self._address = address
+        self._peers = {name: at for name, at in peers.items() if name != replica_id}
+        self._machine = machine
+        self._send = send
+        self._clock = clock
+        self._rng = rng
+        self._events = events
+        self._disk = ThreadPoolExecutor(1, thread_name_prefix="disk")
+        self._founding: FoundingRound | None = None
+        self._node: RaftNode | None = None
+        self._stored: StoredState | None = None
+        self._save: Ready | None = None
+        self._saving: asyncio.Future | None = None
+        self._proposals: dict[int, _Proposal] = {}
+        self._snapshot_at = 0
+        self._is_announced = False
+        self._term_led = 0
+        self._is_stopping = False
+        self._failure: Exception | None = None
+        self._task: asyncio.Task | None = None
+        self._wake = asyncio.Event()
+        self.applied_index = 0
+        self.on_leadership: Callable[[bool], None] | None = None
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica leads, as far as it knows."""
+        return self._node is not None and self._node.is_leader
+
+    @property
+    def leader_id(self) -> str:
+        """Return the leader, empty when unknown."""
+        return self._node.leader_id if self._node else ""
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self._node.term if self._node else 0
+
+    @property
+    def commit_index(self) -> int:
+        """Return the last index that is known to be committed."""
+        return self._node.commit_index if self._node else 0
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Return the members in effect."""
+        return self._node.members if self._node else ()
+
+    @property
+    def incarnation(self) -> str:
+        """Return the incarnation of the data folder, empty before the start."""
+        return self._stored.identity.incarnation if self._stored else ""
+
+    def has_quorum_lease(self) -> bool:
+        """Return whether this replica leads and no other leader can exist."""
+        if self._node is None:
+            return False
+        return self._node.has_quorum_lease(self._clock.monotonic())
+
+    def is_repaired(self, replica_id: str) -> bool:
+        """Return, on the leader, whether a replica is a whole member (again)."""
+        return self._node is not None and self._node.is_repaired(replica_id)
+
+    async def start(self) -> None:
+        """Read the data folder and take part.
+
+        Raises
+        ------
+        ReplicaFailedError
+            If the data folder can't be read.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            self._stored = await loop.run_in_executor(
+                self._disk, self._folder.load, self._replica_id
+            )
+        except (StorageError, ConsensusError, OSError) as exc:
+            self._disk.shutdown(wait=False)
+            raise ReplicaFailedError(f"can't start: {exc}") from exc
+        identity = self._stored.identity
+        if identity.founder and not identity.members:
+            self._founding = FoundingRound(
+                cfg=self._cfg,
+                identity=identity,
+                address=self._address,
+                peers=self._peers,
+                now=self._clock.monotonic(),
+            )
+        else:
+            self._make_node()
+        self._task = asyncio.create_task(
+            self._run(), name=f"replica {self._replica_id}"
+        )
+
+    async def stop(self) -> None:
+        """Hand leadership over and stop."""
+        if self._node is not None and self._failure is None:
+            self._node.transfer_leadership(self._clock.monotonic())
+            self._wake.set()
+            await self._lose_leadership()
+        self._is_stopping = True
+        self._wake.set()
+        if self._task is not None:
+            await asyncio.wait([self._task])
+        self._disk.shutdown(wait=True)
+
+    async def wait_closed(self) -> None:
+        """Return once stopped.
+
+        Raises
+        ------
+        ReplicaFailedError
+            If it stopped by itself, since its storage or state machine failed.
+        """
+        await asyncio.wait([self._task])
+        if self._failure is not None:
+            raise ReplicaFailedError(str(self._failure)) from self._failure
+
+    def receive(self, sender_id: str, message: ConsensusMessage) -> None:
+        """Take a message."""
+        if self._failure is not None or self._is_stopping:
+            return
+        try:
+            if self._founding is not None:
+                self._founding.receive(sender_id, message)
+            elif self._node is not None:
+                self._node.receive(sender_id, message, self._clock.monotonic())
+        except ConsensusError as exc:
+            self._fail(exc)
+        self._wake.set()
+
+    async def propose(self, data: bytes) -> object:
+        """Have a command committed; return what applying it returned here.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica does not lead; the command was not taken.
+        ProposalLostError
+            If leadership was lost first; the command may be committed or not.
+        """
+        if self._node is None or self._failure is not None or self._is_stopping:
+            raise NotLeaderError("")
+        entry = self._node.propose(data)
+        fut = asyncio.get_running_loop().create_future()
+        self._proposals[entry.index] = _Proposal(entry.term, fut)
+        self._wake.set()
+        return await fut
+
+    def _make_node(self) -> None:
+        stored = self._stored
+        self._node = RaftNode(
+            cfg=self._cfg,
+            stored=stored,
+            address=self._address,
+            peers=frozenset(self._peers),
+            rng=self._rng,
+            now=self._clock.monotonic(),
+        )
+        if stored.snapshot is not None:
+            self._restore(stored.snapshot.index, stored.snapshot.data)
+
+    async def _run(self) -> None:
+        """Do what is due until stopped."""
+        try:
+            while not self._is_stopping and self._failure is None:
+                self._wake.clear()
+                await self._step()
+                await self._pause()
+        except Exception as exc:
+            self._fail(exc)
+        finally:
+            await self._close()
+
+    async def _step(self) -> None:
+        """Pass inputs and outputs between the node and the world."""
+        now = self._clock.monotonic()
+        if self._founding is not None:
+            await self._found(now)
+            return
+        self._node.tick(now)
+        if self._saving is not None and self._saving.done():
+            self._finish_save()
+        ready = self._node.take_ready()
+        self._send_all(ready.messages)
+        for entry in ready.committed:
+            self._apply(entry)
+        self._follow_leadership()
+        if ready.save is not None:
+            self._start_save(ready)
+        elif self.applied_index >= self._snapshot_at + self._cfg.snapshot_every:
+            self._take_snapshot()
+
+    async def _pause(self) -> None:
+        """Wait for the next input, or for the time of the next tick."""
+        loop = asyncio.get_running_loop()
+        tick = self._cfg.heartbeat_interval / N_TICKS_PER_HEARTBEAT
+        handle = loop.call_later(tick.total_seconds(), self._wake.set)
+        try:
+            await self._wake.wait()
+        finally:
+            handle.cancel()
+
+    async def _found(self, now: timedelta) -> None:
+        """Take part in the founding, and begin once the members are agreed."""
+        self._founding.tick(now)
+        self._send_all(self._founding.take_messages())
+        members = self._founding.members
+        if not members:
+            return
+        identity = await asyncio.get_running_loop().run_in_executor(
+            self._disk, self._folder.save_members, self._stored.identity, members
+        )
+        self._stored = msgspec.structs.replace(self._stored, identity=identity)
+        self._make_node()
+        self._founding = None
+        self._wake.set()
+
+    def _send_all(self, envelopes: tuple) -> None:
+        for receiver_id, message in envelopes:
+            self._send(receiver_id, message)
+
+    def _start_save(self, ready: Ready) -> None:
+        loop = asyncio.get_running_loop()
+        self._save = ready
+        self._saving = loop.run_in_executor(
+            self._disk, self._folder.save, ready.save, ready.snapshot
+        )
+        self._saving.add_done_callback(lambda _: self._wake.set())
+
+    def _finish_save(self) -> None:
+        """Take the disk's report; a failed one raises here and ends the replica."""
+        self._saving.result()
+        self._saving = None
+        ready = self._save
+        self._save = None
+        self._node.mark_saved(self._clock.monotonic())
+        if ready.is_installed:
+            self._restore(ready.snapshot.index, ready.snapshot.data)
+        self._wake.set()
+
+    def _take_snapshot(self) -> None:
+        self._snapshot_at = self.applied_index
+        self._node.compact(self.applied_index, self._machine.snapshot())
+        self._wake.set()
+
+    def _restore(self, index: int, data: bytes) -> None:
+        self._machine.restore(index, data)
+        self.applied_index = index
+        self._snapshot_at = index
+
+    def _apply(self, entry: LogEntry) -> None:
+        if entry.kind is EntryKind.COMMAND:
+            outcome = self._machine.apply(entry.index, entry.data)
+        else:
+            self._machine.skip(entry.index)
+            outcome = None
+            if entry.kind is EntryKind.MEMBERSHIP:
+                self._emit(EventName.MEMBER_CHANGED, index=entry.index)
+        self.applied_index = entry.index
+        proposal = self._proposals.pop(entry.index, None)
+        if proposal is None or proposal.fut.done():
+            return
+        if proposal.term == entry.term:
+            proposal.fut.set_result(outcome)
+        else:
+            proposal.fut.set_exception(_lost())
+
+    def _follow_leadership(self) -> None:
+        """Report the beginning and the end of this replica's leadership."""
+        if not self.is_leader or self._term_led not in (0, self.term):
+            self._end_leadership()
+        if not self.is_leader:
+            return
+        if not self._term_led:
+            self._term_led = self.term
+            self._emit(EventName.LEADER_ELECTED)
+        if self._is_announced:
+            return
+        if self.applied_index >= self._node.first_index_of_term:
+            self._is_announced = True
+            self._call_on_leadership(True)
+
+    def _end_leadership(self) -> None:
+        for proposal in self._proposals.values():
+            if not proposal.fut.done():
+                proposal.fut.set_exception(_lost())
+        self._proposals.clear()
+        if self._term_led:
+            self._term_led = 0
+            self._emit(EventName.LEADER_STEPPED_DOWN)
+        if self._is_announced:
+            self._is_announced = False
+            self._call_on_leadership(False)
+
+    def _call_on_leadership(self, is_leader: bool) -> None:
+        if self.on_leadership is not None:
+            self.on_leadership(is_leader)
+
+    def _emit(self, name: EventName, *, index: int = 0, detail: str = "") -> None:
+        event = Event(
+            name=name,
+            peer=self._replica_id,
+            index=index,
+            term=self.term,
+            detail=detail,
+        )
+        self._events.emit(event)
+
+    def _fail(self, exc: Exception) -> None:
+        """Stop for good. Nothing is sent or acknowledged from here on."""
+        if self._failure is None:
+            self._failure = exc
+            self._emit(EventName.WARNING, detail=f"replica failed: {exc}")
+        self._wake.set()
+
+    async def _lose_leadership(self) -> None:
+        """Wait until another replica leads, or until nobody can take over."""
+        tick = self._cfg.heartbeat_interval / N_TICKS_PER_HEARTBEAT
+        while self.is_leader and self._node.is_transferring:
+            if self._failure is not None:
+                return
+            await asyncio.sleep(tick.total_seconds())
+
+    async def _close(self) -> None:
+        if self._saving is not None:
+            await asyncio.wait([self._saving])
+        self._node = None
+        self._end_leadership()
+        self._folder.close()
+
+
+def _lost() -> ProposalLostError:
+    return ProposalLostError("leadership was lost before the outcome was known")
--- /dev/null
+++ b/src/redwingslip/storage/exceptions.py
@@ -0,0 +1,34 @@
+"""Errors of the storage layer."""
+
+from pathlib import Path
+
+from ..exceptions import RedwingslipError
+
+__all__ = ["CorruptLogError", "StorageError", "StorageFailedError"]
+
+
+class StorageError(RedwingslipError):
+    """Base of the storage errors."""
+
+
+class CorruptLogError(StorageError):
+    """A record that was synced can't be read back.
+
+    Parameters
+    ----------
+    path : Path
+        The file.
+    offset : int
+        Where the bad record starts, in bytes.
+    detail : str
+        What is wrong with it.
+    """
+
+    def __init__(self, path: Path, offset: int, detail: str) -> None:
+        super().__init__(f"{path}: corrupt record at offset {offset}: {detail}")
+        self.path = path
+        self.offset = offset
+
+
+class StorageFailedError(StorageError):
+    """A write or a sync failed; what was being written may or may not be on disk."""
