--- a/src/redwingslip/callers/__init__.py
+++ b/src/redwingslip/callers/__init__.py
@@ -1,1 +1,48 @@
-"""Package callers."""
+"""Callers: their keys, requests and answers."""
+
+from ._keys import (
+    authenticate,
+    bearer_token,
+    hash_matches,
+    hash_secret,
+    make_secret,
+    matches,
+    parse_key,
+)
+from ._requests import Answer, RequestRunner, Submission, WaitingAnswer
+from ._results import ResultLimits, ResultStore
+from ._routes import CallerInterface, caller_routes
+from .exceptions import (
+    BadRequestError,
+    ForbiddenError,
+    NotRunError,
+    OutcomeUnknownError,
+    RequestError,
+    UnauthorizedError,
+    UnknownQueueError,
+)
+
+__all__ = [
+    "Answer",
+    "BadRequestError",
+    "CallerInterface",
+    "ForbiddenError",
+    "NotRunError",
+    "OutcomeUnknownError",
+    "RequestError",
+    "RequestRunner",
+    "ResultLimits",
+    "ResultStore",
+    "Submission",
+    "UnauthorizedError",
+    "UnknownQueueError",
+    "WaitingAnswer",
+    "authenticate",
+    "bearer_token",
+    "caller_routes",
+    "hash_matches",
+    "hash_secret",
+    "make_secret",
+    "matches",
+    "parse_key",
+]
--- a/src/redwingslip/endpoints/__init__.py
+++ b/src/redwingslip/endpoints/__init__.py
@@ -1,1 +1,31 @@
-"""Package endpoints."""
+"""Endpoints: their announcements, and calls of them."""
+
+from ._calls import AnnouncementReply, Announcements, EndpointAnswer, EndpointCall
+from ._client import EndpointClient
+from ._headers import PERMIT, CallHeaders, format_call_headers, parse_call_headers
+from ._routes import announcement_routes
+from .exceptions import (
+    AnnouncementError,
+    EndpointError,
+    EndpointLostError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+)
+
+__all__ = [
+    "AnnouncementError",
+    "AnnouncementReply",
+    "Announcements",
+    "CallHeaders",
+    "EndpointAnswer",
+    "EndpointCall",
+    "EndpointClient",
+    "EndpointError",
+    "EndpointLostError",
+    "EndpointRefusedError",
+    "EndpointUnreachableError",
+    "PERMIT",
+    "announcement_routes",
+    "format_call_headers",
+    "parse_call_headers",
+]
--- /dev/null
+++ b/src/redwingslip/endpoints/_client.py
@@ -0,0 +1,98 @@
+"""Calls of endpoints."""
+
+import msgspec
+
+from ..http import (
+    NOT_RUN,
+    PROBLEM_TYPE,
+    AnswerLostError,
+    ClientAnswer,
+    ClientLimits,
+    ClientPool,
+    ClientRequest,
+    NotConnectedError,
+    Problem,
+)
+from ._calls import EndpointAnswer, EndpointCall
+from ._headers import PERMIT, format_call_headers
+from .exceptions import (
+    EndpointLostError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+)
+
+__all__ = ["EndpointClient"]
+
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+
+REFUSAL_STATUSES = frozenset({409, 412, 503})
+
+
+class EndpointClient:
+    """Calls endpoints, each call sent at most once.
+
+    Parameters
+    ----------
+    cfg : ClientLimits
+        Waits, idle connections and the longest answer.
+    """
+
+    __slots__ = ("_pool",)
+
+    def __init__(self, cfg: ClientLimits) -> None:
+        self._pool = ClientPool(cfg)
+
+    async def call(self, call: EndpointCall) -> EndpointAnswer:
+        """Send a call and return its whole answer.
+
+        Raises
+        ------
+        EndpointUnreachableError
+            Nothing was sent: the work did not run.
+        EndpointRefusedError
+            The endpoint refused before running: the work did not run.
+        EndpointLostError
+            The call was sent and no whole answer arrived: the work may have run.
+        """
+        req = ClientRequest(
+            address=call.permit.address,
+            method="POST",
+            path=call.path,
+            headers=format_call_headers(call),
+            body=call.body,
+            timeout=call.timeout,
+        )
+        try:
+            answer = await self._pool.exchange(req)
+        except NotConnectedError as exc:
+            raise EndpointUnreachableError(str(exc)) from exc
+        except AnswerLostError as exc:
+            raise EndpointLostError(str(exc)) from exc
+        _check_answer(call, answer)
+        return EndpointAnswer(
+            status=answer.status,
+            content_type=answer.headers.get("content-type", DEFAULT_CONTENT_TYPE),
+            body=answer.body,
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._pool.close()
+
+
+def _check_answer(call: EndpointCall, answer: ClientAnswer) -> None:
+    """Raise when the answer is another call's, or a refusal."""
+    permit_id = answer.headers.get(PERMIT.lower(), call.permit.permit_id)
+    if permit_id != call.permit.permit_id:
+        raise EndpointLostError("the endpoint answered another call")
+    if answer.status not in REFUSAL_STATUSES:
+        return
+    media_type = answer.headers.get("content-type", "").partition(";")[0].strip()
+    if media_type != PROBLEM_TYPE:
+        return
+    try:
+        problem = msgspec.json.decode(answer.body, type=Problem)
+    except msgspec.DecodeError:
+        return
+    if problem.outcome == NOT_RUN:
+        raise EndpointRefusedError(problem.detail or problem.title)
--- /dev/null
+++ b/src/redwingslip/endpoints/_routes.py
@@ -0,0 +1,137 @@
+"""The announcements of endpoints."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import Annotated, Literal
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from ..callers import hash_matches
+from ..http import (
+    HttpLimits,
+    Problem,
+    decode_json,
+    problem_response,
+    read_body,
+    strict_convert,
+)
+from ..peers import EndpointReport, RunningTask
+from ._calls import Announcements
+from .exceptions import AnnouncementError
+
+__all__ = ["Announcement", "RunningRecord", "announcement_routes"]
+
+RETRY_AFTER = timedelta(seconds=1)
+
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
+
+
+class RunningRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A task that runs on the endpoint."""
+
+    permit_id: Text
+    team: Annotated[str, msgspec.Meta(max_length=255)] = ""
+
+
+class Announcement(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What an endpoint says of itself.
+
+    Attributes
+    ----------
+    address : str
+        IP number and port.
+    clock_s : float
+        The endpoint's own monotonic time in seconds.
+    """
+
+    incarnation: Text
+    service: Text
+    address: Annotated[str, msgspec.Meta(pattern=r"^(\[[0-9a-f:]+\]|[0-9.]+):\d+$")]
+    vm: Text
+    slots: Annotated[int, msgspec.Meta(ge=0, le=100_000)]
+    state: Literal["serving", "leaving"]
+    clock_s: Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+    fencing_token: Annotated[int, msgspec.Meta(ge=0)] = 0
+    running: tuple[RunningRecord, ...] = ()
+
+
+class _Reply(msgspec.Struct, frozen=True, kw_only=True):
+    fencing_token: int
+    announce_within_s: float
+
+
+def announcement_routes(
+    announcements: Announcements,
+    cfg: HttpLimits,
+    *,
+    token_hashes: Iterable[str] = (),
+) -> list[Route]:
+    """Return the routes that endpoints use.
+
+    Parameters
+    ----------
+    announcements : Announcements
+        Takes what is announced.
+    cfg : HttpLimits
+        Limits of bodies.
+    token_hashes : iterable of str
+        SHA-256 of the tokens that endpoints may present, in hexadecimal.
+    """
+    hashes = tuple(token_hashes)
+
+    async def put(req: Request) -> Response:
+        if not hash_matches(req.headers.get("authorization"), hashes):
+            return _unauthorized()
+        body = decode_json(await read_body(req, cfg))
+        announcement = strict_convert(body, Announcement)
+        report = _report(req.path_params["endpoint_id"], announcement)
+        try:
+            reply = announcements.announce(report)
+        except AnnouncementError as exc:
+            return _not_taken(exc)
+        out = _Reply(
+            fencing_token=reply.fencing_token,
+            announce_within_s=reply.announce_within.total_seconds(),
+        )
+        return Response(msgspec.json.encode(out), media_type="application/json")
+
+    return [Route("/v1/endpoints/{endpoint_id}", put, methods=["PUT"])]
+
+
+def _report(endpoint_id: str, announcement: Announcement) -> EndpointReport:
+    running = tuple(
+        RunningTask(permit_id=task.permit_id, team=task.team)
+        for task in announcement.running
+    )
+    return EndpointReport(
+        endpoint_id=endpoint_id,
+        incarnation=announcement.incarnation,
+        service=announcement.service,
+        address=announcement.address,
+        vm=announcement.vm,
+        slots=announcement.slots,
+        leaving=announcement.state == "leaving",
+        clock=timedelta(seconds=announcement.clock_s),
+        fencing_token=announcement.fencing_token,
+        running=running,
+    )
+
+
+def _unauthorized() -> Response:
+    problem = Problem(
+        status=401,
+        title="token not accepted",
+        detail="send the endpoints' token as 'Authorization: Bearer TOKEN'",
+        field="Authorization",
+    )
+    return problem_response(problem, headers={"WWW-Authenticate": "Bearer"})
+
+
+def _not_taken(exc: AnnouncementError) -> Response:
+    problem = Problem(status=503, title="announcement not taken", detail=str(exc))
+    return problem_response(problem, retry_after=RETRY_AFTER)
--- /dev/null
+++ b/src/redwingslip/http/__init__.py
@@ -0,0 +1,38 @@
+"""HTTP servers and clients: limits, problem documents, whole answers."""
+
+from ._app import build_app
+from ._bodies import FieldError, decode_json, read_body, strict_convert
+from ._client import ClientAnswer, ClientPool, ClientRequest
+from ._limits import ClientLimits, HttpLimits, TlsFiles
+from ._problems import NOT_RUN, PROBLEM_TYPE, UNKNOWN, Problem, problem_response
+from ._server import HttpServer
+from .exceptions import (
+    AnswerLostError,
+    BodyTooLargeError,
+    HttpError,
+    NotConnectedError,
+)
+
+__all__ = [
+    "AnswerLostError",
+    "BodyTooLargeError",
+    "ClientAnswer",
+    "ClientLimits",
+    "ClientPool",
+    "ClientRequest",
+    "FieldError",
+    "HttpError",
+    "HttpLimits",
+    "HttpServer",
+    "NOT_RUN",
+    "NotConnectedError",
+    "PROBLEM_TYPE",
+    "Problem",
+    "TlsFiles",
+    "UNKNOWN",
+    "build_app",
+    "decode_json",
+    "problem_response",
+    "read_body",
+    "strict_convert",
+]
--- /dev/null
+++ b/src/redwingslip/http/_client.py
@@ -0,0 +1,306 @@
+"""Connections to other servers, each used by one request at a time.
+
+A connection is kept only after a whole answer. After anything else its socket is
+closed at once, so that a late answer can reach no later request.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Mapping
+from datetime import timedelta
+from functools import partial
+
+import aiosonic
+import msgspec
+from aiosonic.connection import Connection
+from aiosonic.exceptions import ConnectionDisconnected
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+
+from ._limits import ClientLimits
+from .exceptions import AnswerLostError, HttpError, NotConnectedError
+
+__all__ = ["ClientAnswer", "ClientPool", "ClientRequest"]
+
+
+class ClientRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request to an address (host and port)."""
+
+    address: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes = b""
+    timeout: timedelta
+
+
+class ClientAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class _NumericResolver:
+    """Takes hosts for IP numbers, which need no look-up."""
+
+    __slots__ = ()
+
+    async def resolve(self, host: str, port: int, family: int = 0) -> list[dict]:
+        """Return the one address."""
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        return [
+            {
+                "hostname": host,
+                "host": host,
+                "port": port,
+                "family": family,
+                "proto": 0,
+                "flags": socket.AI_NUMERICHOST,
+            }
+        ]
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+class _WatchedConnection(Connection):
+    """A connection that knows whether it sent, and reads no cut line as whole."""
+
+    def __init__(self, pool) -> None:
+        super().__init__(pool)
+        self.has_sent = False
+        self.first_byte: asyncio.Task | None = None
+
+    def write(self, data: bytes) -> None:
+        """Write data, and remember it."""
+        self.has_sent = True
+        super().write(data)
+
+    async def readline(self) -> bytes:
+        """Read a whole line."""
+        line = await super().readline()
+        if not line.endswith(b"\n"):
+            self.close()
+            raise ConnectionDisconnected("cut in the middle of a line")
+        return line
+
+    async def readuntil(self, separator: bytes = b"\n") -> bytes:
+        """Read the status line, of which the idle watch may hold the first byte."""
+        if self.first_byte is None:
+            return await super().readuntil(separator)
+        first = await self.first_byte
+        self.first_byte = None
+        if not first:
+            self.close()
+            raise ConnectionDisconnected("closed without an answer")
+        return first + await super().readuntil(separator)
+
+    async def watch(self) -> bool:
+        """Begin to read the next answer; return False if anything is there already."""
+        self.has_sent = False
+        if self.reader is None:
+            return False
+        self.first_byte = asyncio.create_task(self.reader.read(1))
+        await asyncio.sleep(0)
+        return self.is_clean()
+
+    def is_clean(self) -> bool:
+        """Return whether the idle connection is open and silent."""
+        return self.is_connected and not self.first_byte.done()
+
+    def close(self) -> None:
+        """Close the socket at once."""
+        if self.first_byte is not None:
+            self.first_byte.cancel()
+            self.first_byte = None
+        super().close()
+
+
+class _Client:
+    """One aiosonic client with its only connection."""
+
+    __slots__ = ("conn", "http", "timer")
+
+    def __init__(self, cfg: ClientLimits) -> None:
+        self.conn: _WatchedConnection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        timeouts = Timeouts(
+            sock_connect=cfg.connect_timeout.total_seconds(),
+            sock_read=None,
+            request_timeout=None,
+        )
+        connector = aiosonic.TCPConnector(
+            pool_configs={
+                ":default": PoolConfig(
+                    size=1, max_conn_requests=None, max_conn_idle_ms=None
+                )
+            },
+            timeouts=timeouts,
+            connection_cls=self._connect,
+            resolver=_NumericResolver(),
+            use_dns_cache=False,
+        )
+        self.http = aiosonic.HTTPClient(
+            connector=connector, max_decompressed_size=cfg.max_answer_bytes
+        )
+
+    def _connect(self, pool) -> _WatchedConnection:
+        self.conn = _WatchedConnection(pool)
+        return self.conn
+
+    def close(self) -> None:
+        """Close the socket at once."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self.conn.close()
+
+
+class ClientPool:
+    """Exchanges requests for answers.
+
+    Parameters
+    ----------
+    cfg : ClientLimits
+        What the other side is granted.
+    """
+
+    __slots__ = ("_busy", "_cfg", "_idle")
+
+    def __init__(self, cfg: ClientLimits) -> None:
+        self._cfg = cfg
+        self._idle: dict[str, deque[_Client]] = {}
+        self._busy: set[_Client] = set()
+
+    @property
+    def n_idle(self) -> int:
+        """Return how many idle connections are kept."""
+        return sum(len(clients) for clients in self._idle.values())
+
+    async def exchange(self, req: ClientRequest) -> ClientAnswer:
+        """Send a request once and return its whole answer.
+
+        Raises
+        ------
+        NotConnectedError
+            Nothing was sent.
+        AnswerLostError
+            Something was sent, and no whole answer arrived.
+        """
+        client = self._take(req.address)
+        self._busy.add(client)
+        whole = False
+        try:
+            async with asyncio.timeout(req.timeout.total_seconds()):
+                answer, reusable = await self._ask(client, req)
+            whole = True
+        except HttpError:
+            raise
+        except Exception as exc:
+            raise _translated(client, req, exc) from exc
+        finally:
+            self._busy.discard(client)
+            if not whole:
+                client.close()
+        if reusable:
+            await self._keep(req.address, client)
+        else:
+            client.close()
+        return answer
+
+    async def close(self) -> None:
+        """Close every connection; requests under way lose their answers."""
+        for clients in self._idle.values():
+            for client in clients:
+                client.close()
+        self._idle.clear()
+        for client in self._busy:
+            client.close()
+
+    def _take(self, address: str) -> _Client:
+        clients = self._idle.get(address, ())
+        while clients:
+            client = clients.pop()
+            client.timer.cancel()
+            if client.conn.is_clean():
+                return client
+            client.close()
+        self._idle.pop(address, None)
+        return _Client(self._cfg)
+
+    async def _ask(
+        self, client: _Client, req: ClientRequest
+    ) -> tuple[ClientAnswer, bool]:
+        headers = dict(req.headers)
+        if not req.body:
+            headers["Content-Length"] = "0"
+        res = await client.http.request(
+            f"http://{req.address}{req.path}",
+            method=req.method,
+            headers=headers,
+            data=req.body,
+            stream=True,
+        )
+        if not _is_framed(res):
+            raise AnswerLostError("the answer does not tell its length")
+        parts = []
+        n_bytes = 0
+        async for part in res.iter_bytes():
+            n_bytes += len(part)
+            if n_bytes > self._cfg.max_answer_bytes:
+                raise AnswerLostError("the answer is longer than accepted")
+            parts.append(part)
+        answer = ClientAnswer(
+            status=res.status_code,
+            headers={key.lower(): value for key, value in res.raw_headers},
+            body=b"".join(parts),
+        )
+        return answer, client.conn.keep
+
+    async def _keep(self, address: str, client: _Client) -> None:
+        """Keep a connection for reuse if nothing more came on it."""
+        clients = self._idle.setdefault(address, deque())
+        full = len(clients) >= self._cfg.max_idle_per_peer
+        if full or not await client.conn.watch():
+            client.close()
+            return
+        clients = self._idle.setdefault(address, deque())
+        clients.append(client)
+        client.timer = asyncio.get_running_loop().call_later(
+            self._cfg.idle_timeout.total_seconds(),
+            partial(self._expire, address, client),
+        )
+
+    def _expire(self, address: str, client: _Client) -> None:
+        clients = self._idle.get(address, deque())
+        if client in clients:
+            clients.remove(client)
+        if not clients:
+            self._idle.pop(address, None)
+        client.close()
+
+
+def _is_framed(res: aiosonic.HttpResponse) -> bool:
+    """Return whether the answer is final and says where its body ends."""
+    if res.status_code < 200:
+        return False
+    if res.status_code in (204, 304):
+        return True
+    lengths = {val for key, val in res.raw_headers if key.lower() == "content-length"}
+    codings = [
+        val for key, val in res.raw_headers if key.lower() == "transfer-encoding"
+    ]
+    if codings:
+        return not lengths and res.chunked
+    return len(lengths) == 1 and next(iter(lengths)).isdecimal()
+
+
+def _translated(client: _Client, req: ClientRequest, exc: Exception) -> Exception:
+    reason = str(exc) or type(exc).__name__
+    text = f"{req.method} {req.address}{req.path}: {reason}"
+    if client.conn is None or not client.conn.has_sent:
+        return NotConnectedError(text)
+    return AnswerLostError(text)
--- /dev/null
+++ b/src/redwingslip/http/_problems.py
@@ -0,0 +1,57 @@
+"""Problem documents, RFC 9457."""
+
+import math
+from collections.abc import Mapping
+from datetime import timedelta
+
+import msgspec
+from starlette.responses import Response
+
+__all__ = ["NOT_RUN", "PROBLEM_TYPE", "UNKNOWN", "Problem", "problem_response"]
+
+PROBLEM_TYPE = "application/problem+json"
+
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+
+
+class Problem(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """What went wrong and what to do.
+
+    Attributes
+    ----------
+    field : str
+        The part of the request that is at fault.
+    outcome : str
+        ``not-run`` when the work surely did not run, else ``unknown``; empty where
+        no work was asked for.
+    version : int or None
+        The current version or revision, where that is the point.
+    """
+
+    status: int
+    title: str
+    detail: str = ""
+    field: str = ""
+    outcome: str = ""
+    version: int | None = None
+    request_id: str = ""
+
+
+def problem_response(
+    problem: Problem,
+    *,
+    retry_after: timedelta | None = None,
+    headers: Mapping[str, str] | None = None,
+) -> Response:
+    """Return the response that carries a problem document."""
+    all_headers = dict(headers or {})
+    if retry_after is not None:
+        seconds = max(1, math.ceil(retry_after.total_seconds()))
+        all_headers["Retry-After"] = str(seconds)
+    return Response(
+        msgspec.json.encode(problem),
+        status_code=problem.status,
+        headers=all_headers,
+        media_type=PROBLEM_TYPE,
+    )
--- /dev/null
+++ b/src/redwingslip/http/_server.py
@@ -0,0 +1,242 @@
+"""A server within a running event loop."""
+
+import asyncio
+import contextlib
+import socket
+import ssl
+from collections import Counter
+from datetime import timedelta
+
+import h11
+import msgspec
+import uvicorn
+from starlette.applications import Starlette
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from ._limits import HttpLimits, TlsFiles
+from ._problems import NOT_RUN, PROBLEM_TYPE, Problem
+
+__all__ = ["HttpServer"]
+
+BACKLOG = 1_024
+
+_BAD_REQUEST_BODY = msgspec.json.encode(
+    Problem(
+        status=400,
+        title="bad request",
+        detail="not an HTTP/1.1 request, or its head is too long",
+        field="head",
+        outcome=NOT_RUN,
+    )
+)
+
+_BAD_REQUEST = (
+    b"HTTP/1.1 400 Bad Request\r\n"
+    b"Content-Type: %b\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b"
+    % (PROBLEM_TYPE.encode(), len(_BAD_REQUEST_BODY), _BAD_REQUEST_BODY)
+)
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves signals alone and tells when it accepts."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.accepting = asyncio.Event()
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Install no signal handlers."""
+        yield
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start to accept."""
+        await super().startup(sockets)
+        self.accepting.set()
+
+
+def _limited_protocol(cfg: HttpLimits) -> type[H11Protocol]:
+    """Return the protocol class of one server, which counts its connections."""
+    n_of_peer: Counter[str] = Counter()
+
+    class LimitedProtocol(H11Protocol):
+        """Closes connections that are too many or too slow with their request."""
+
+        def connection_made(self, transport) -> None:
+            peer = transport.get_extra_info("peername")
+            self.peer = peer[0] if peer else ""
+            n_of_peer[self.peer] += 1
+            super().connection_made(transport)
+            self.timer = self.loop.call_later(
+                cfg.header_timeout.total_seconds(), transport.abort
+            )
+            too_many = n_of_peer[self.peer] > cfg.max_connections_per_peer
+            if too_many or n_of_peer.total() > cfg.max_connections:
+                transport.abort()
+
+        def data_received(self, data: bytes) -> None:
+            super().data_received(data)
+            if self.cycle is not None:
+                self.timer.cancel()
+            if self.is_answered_early():
+                self.timer = self.loop.call_later(
+                    cfg.body_timeout.total_seconds(), self.transport.abort
+                )
+
+        def is_answered_early(self) -> bool:
+            """Return whether the rest of an answered request's body still comes.
+
+            It is read and dropped for a while: closing now would reset the
+            connection, and the answer could be lost with it.
+            """
+            is_answered = self.cycle is not None and self.cycle.response_complete
+            return is_answered and self.conn.their_state is h11.SEND_BODY
+
+        def send_400_response(self, msg: str) -> None:
+            """Refuse what is no HTTP request, then close."""
+            self.transport.write(_BAD_REQUEST)
+            self.transport.close()
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            self.timer.cancel()
+            n_of_peer[self.peer] -= 1
+            if not n_of_peer[self.peer]:
+                del n_of_peer[self.peer]
+            super().connection_lost(exc)
+
+    return LimitedProtocol
+
+
+class HttpServer:
+    """Serves an application until it is stopped.
+
+    Parameters
+    ----------
+    app : Starlette
+        The application, from `build_app`.
+    cfg : HttpLimits
+        What is accepted.
+    host : str
+        IP number to listen on.
+    port : int
+        Port to listen on, 0 for any free one.
+    tls : TlsFiles or None
+        Serve TLS with these files.
+    """
+
+    __slots__ = ("_app", "_cfg", "_server", "_sock", "_task", "_tls", "host", "port")
+
+    def __init__(
+        self,
+        app: Starlette,
+        cfg: HttpLimits,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        tls: TlsFiles | None = None,
+    ) -> None:
+        self._app = app
+        self._cfg = cfg
+        self._tls = tls
+        self._server: _Server | None = None
+        self._sock: socket.socket | None = None
+        self._task: asyncio.Task | None = None
+        self.host = host
+        self.port = port
+
+    @property
+    def address(self) -> str:
+        """Return host and port as they stand in a URL."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+    async def start(self) -> None:
+        """Listen; `port` is the bound one afterwards."""
+        self._app.state.is_stopping = False
+        sock = _listening_socket(self.host, self.port)
+        self._sock = sock
+        self.port = sock.getsockname()[1]
+        self._server = _Server(self._config())
+        self._task = asyncio.create_task(self._server.serve(sockets=[sock]))
+        accepting = asyncio.create_task(self._server.accepting.wait())
+        await asyncio.wait({accepting, self._task}, return_when=asyncio.FIRST_COMPLETED)
+        accepting.cancel()
+        if self._task.done():
+            await self._task
+
+    async def stop(self, grace: timedelta) -> None:
+        """Stop accepting, let running requests finish for `grace`, then end them."""
+        if self._server is None:
+            return
+        self._app.state.is_stopping = True
+        server, self._server = self._server, None
+        server.config.timeout_graceful_shutdown = grace.total_seconds()
+        server.should_exit = True
+        await self._task
+        self._sock.close()
+        _abort_connections(server)
+        if server.server_state.tasks:
+            await asyncio.wait(set(server.server_state.tasks))
+
+    async def abort(self) -> None:
+        """Stop at once, cutting off every connection."""
+        if self._server is None:
+            return
+        for listener in self._server.servers:
+            listener.close()
+        _abort_connections(self._server)
+        await self.stop(timedelta(0))
+
+    def reload_tls(self) -> None:
+        """Read the TLS files again; new connections use them."""
+        _load_tls(self._server.config.ssl, self._tls)
+
+    def _config(self) -> uvicorn.Config:
+        config = uvicorn.Config(
+            self._app,
+            loop="asyncio",
+            http=_limited_protocol(self._cfg),
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            proxy_headers=False,
+            backlog=BACKLOG,
+            h11_max_incomplete_event_size=self._cfg.max_header_bytes,
+            timeout_keep_alive=self._cfg.idle_timeout.total_seconds(),
+        )
+        config.load()
+        if self._tls is not None:
+            config.ssl = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+            _load_tls(config.ssl, self._tls)
+        return config
+
+
+def _listening_socket(host: str, port: int) -> socket.socket:
+    """Return a bound socket.
+
+    It names its protocol, since asyncio turns Nagle's algorithm off only then.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def _abort_connections(server: _Server) -> None:
+    for conn in list(server.server_state.connections):
+        conn.transport.abort()
+
+
+def _load_tls(context: ssl.SSLContext, files: TlsFiles) -> None:
+    context.load_cert_chain(files.certificate, files.key)
+    if files.ca:
+        context.load_verify_locations(files.ca)
+        context.verify_mode = ssl.CERT_REQUIRED
--- a/src/redwingslip/standins/__init__.py
+++ b/src/redwingslip/standins/__init__.py
@@ -1,1 +1,24 @@
-"""Package standins."""
+"""Stand-ins of the systems outside: endpoints, the platform, a bad network."""
+
+from ._announcer import AnnouncerSettings
+from ._endpoint import EndpointSettings, EndpointStandin
+from ._main import endpoint_main, relay_main
+from ._platform import PlatformStandin
+from ._record import RunRecord, RunRecorder
+from ._relay import RelayMode, TcpRelay
+from ._work import Mode, Work
+
+__all__ = [
+    "AnnouncerSettings",
+    "EndpointSettings",
+    "EndpointStandin",
+    "Mode",
+    "PlatformStandin",
+    "RelayMode",
+    "RunRecord",
+    "RunRecorder",
+    "TcpRelay",
+    "Work",
+    "endpoint_main",
+    "relay_main",
+]
--- /dev/null
+++ b/src/redwingslip/standins/_announcer.py
@@ -0,0 +1,134 @@
+"""Announcements of a stand-in endpoint, to one entry at a time."""
+
+import asyncio
+import contextlib
+from datetime import timedelta
+
+import msgspec
+
+from ..clock import Clock
+from ..http import ClientLimits, ClientPool, ClientRequest, HttpError
+
+__all__ = ["Announcer", "AnnouncerSettings"]
+
+SHORTEST_WAIT = timedelta(milliseconds=20)
+
+
+class AnnouncerSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Whom to announce to, and how often.
+
+    Attributes
+    ----------
+    entries : tuple of str
+        Host and port of each entry; empty to announce to none.
+    token : str
+        The endpoints' token.
+    """
+
+    entries: tuple[str, ...] = ()
+    token: str = ""
+    period: timedelta = timedelta(seconds=1)
+    timeout: timedelta = timedelta(seconds=1)
+
+
+class _Reply(msgspec.Struct, frozen=True):
+    fencing_token: int
+    announce_within_s: float
+
+
+class Announcer:
+    """Announces an endpoint until it is stopped.
+
+    Parameters
+    ----------
+    endpoint : EndpointStandin
+        Whom to announce.
+    cfg : AnnouncerSettings
+        Whom to announce to.
+    clock : Clock
+        The endpoint's own clock.
+    """
+
+    __slots__ = ("_cfg", "_clock", "_endpoint", "_n_failures", "_pool", "_task")
+
+    def __init__(self, endpoint, cfg: AnnouncerSettings, clock: Clock) -> None:
+        self._endpoint = endpoint
+        self._cfg = cfg
+        self._clock = clock
+        self._n_failures = 0
+        self._pool = ClientPool(ClientLimits(connect_timeout=cfg.timeout))
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to announce."""
+        if self._cfg.entries:
+            self._task = asyncio.create_task(self._announce_forever())
+
+    async def stop(self) -> None:
+        """Stop announcing."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+            self._task = None
+        await self._pool.close()
+
+    async def announce_once(self) -> bool:
+        """Announce to each entry in turn until one takes it."""
+        for _ in self._cfg.entries:
+            if await self._announce() is not None:
+                return True
+        return False
+
+    async def _announce_forever(self) -> None:
+        while True:
+            reply = await self._announce()
+            wait = self._cfg.period
+            if reply is not None:
+                asked = timedelta(seconds=reply.announce_within_s)
+                wait = min(wait, max(asked, SHORTEST_WAIT))
+            await asyncio.sleep(wait.total_seconds())
+
+    async def _announce(self) -> _Reply | None:
+        """Announce to the present entry; go on to the next when it fails."""
+        index = self._n_failures % len(self._cfg.entries)
+        try:
+            answer = await self._pool.exchange(self._request(self._cfg.entries[index]))
+            if answer.status != 200:
+                raise HttpError(f"the entry answered {answer.status}")
+            reply = msgspec.json.decode(answer.body, type=_Reply)
+        except (HttpError, msgspec.DecodeError):
+            self._n_failures += 1
+            return None
+        endpoint = self._endpoint
+        endpoint.fencing_token = max(endpoint.fencing_token, reply.fencing_token)
+        return reply
+
+    def _request(self, entry: str) -> ClientRequest:
+        endpoint = self._endpoint
+        running = [
+            {"permit_id": call.permit_id, "team": call.team}
+            for call in endpoint.running.values()
+        ]
+        announcement = {
+            "incarnation": endpoint.incarnation,
+            "service": endpoint.cfg.service,
+            "address": endpoint.address,
+            "vm": endpoint.cfg.vm,
+            "slots": endpoint.cfg.slots,
+            "state": "leaving" if endpoint.is_leaving else "serving",
+            "clock_s": self._clock.monotonic().total_seconds(),
+            "fencing_token": endpoint.fencing_token,
+            "running": running,
+        }
+        return ClientRequest(
+            address=entry,
+            method="PUT",
+            path=f"/v1/endpoints/{endpoint.cfg.endpoint_id}",
+            headers={
+                "Authorization": f"Bearer {self._cfg.token}",
+                "Content-Type": "application/json",
+            },
+            body=msgspec.json.encode(announcement),
+            timeout=self._cfg.timeout,
+        )
--- /dev/null
+++ b/src/redwingslip/standins/_record.py
@@ -0,0 +1,61 @@
+"""The record of runs: one JSON line at the start and at the end of each."""
+
+import os
+from datetime import datetime
+
+import msgspec
+
+__all__ = ["RunRecord", "RunRecorder"]
+
+
+class RunRecord(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The start or the end of a run.
+
+    Attributes
+    ----------
+    event : str
+        ``start``, or how the run ended: ``end``, ``failed``, ``lease-expired`` or
+        ``killed``.
+    """
+
+    time: datetime
+    event: str
+    permit_id: str
+    request_id: str
+    team: str
+    endpoint_id: str
+    vm: str
+    incarnation: str
+
+
+class RunRecorder:
+    """Appends records to a file and keeps them in memory too.
+
+    Parameters
+    ----------
+    path : str
+        The file; empty for none.
+    keep : bool
+        Whether to keep the records in `records`.
+    """
+
+    __slots__ = ("_fd", "_keep", "records")
+
+    def __init__(self, path: str = "", *, keep: bool = False) -> None:
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        self._fd: int | None = os.open(path, flags, 0o644) if path else None
+        self._keep = keep
+        self.records: list[RunRecord] = []
+
+    def append(self, record: RunRecord) -> None:
+        """Write a record; it is with the system when this returns."""
+        if self._keep:
+            self.records.append(record)
+        if self._fd is not None:
+            os.write(self._fd, msgspec.json.encode(record) + b"\n")
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._fd is not None:
+            os.close(self._fd)
+            self._fd = None
--- /dev/null
+++ b/src/redwingslip/standins/_relay.py
@@ -0,0 +1,144 @@
+"""A TCP relay that cuts, freezes and swallows what passes through it."""
+
+import asyncio
+import contextlib
+import enum
+
+__all__ = ["RelayMode", "TcpRelay"]
+
+CHUNK_BYTES = 65_536
+
+
+class RelayMode(enum.StrEnum):
+    """What becomes of the bytes of a connection."""
+
+    FORWARD = "forward"
+    FREEZE = "freeze"
+    SWALLOW_REQUESTS = "swallow-requests"
+    SWALLOW_ANSWERS = "swallow-answers"
+
+
+class _Relayed:
+    """One connection through the relay, with one task for each direction."""
+
+    __slots__ = ("_client", "_server", "mode")
+
+    def __init__(self, client, server, mode: RelayMode) -> None:
+        self._client = client
+        self._server = server
+        self.mode = mode
+
+    async def run(self) -> None:
+        """Pass bytes both ways until either side closes."""
+        to_server = self._pump(self._client, self._server, RelayMode.SWALLOW_REQUESTS)
+        to_client = self._pump(self._server, self._client, RelayMode.SWALLOW_ANSWERS)
+        tasks = [asyncio.create_task(to_server), asyncio.create_task(to_client)]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            self.abort()
+
+    def abort(self) -> None:
+        """Close both sides at once."""
+        self._client[1].transport.abort()
+        self._server[1].transport.abort()
+
+    async def _pump(self, source, sink, swallow: RelayMode) -> None:
+        reader, writer = source[0], sink[1]
+        with contextlib.suppress(ConnectionError):
+            while True:
+                data = await reader.read(CHUNK_BYTES)
+                if self.mode is RelayMode.FREEZE:
+                    await asyncio.Event().wait()
+                if not data:
+                    return
+                if self.mode is not swallow:
+                    writer.write(data)
+                    await writer.drain()
+
+
+class TcpRelay:
+    """Relays connections to a target.
+
+    Parameters
+    ----------
+    target : str
+        Host and port.
+    host : str
+        IP number to listen on.
+    port : int
+        0 for any free one.
+
+    Attributes
+    ----------
+    mode : RelayMode
+        What becomes of new connections.
+    n_accepted : int
+        Connections so far.
+    """
+
+    __slots__ = ("_host", "_open", "_port", "_server", "_target", "mode", "n_accepted")
+
+    def __init__(self, target: str, *, host: str = "127.0.0.1", port: int = 0) -> None:
+        target_host, _, target_port = target.rpartition(":")
+        self._target = (target_host.strip("[]"), int(target_port))
+        self._host = host
+        self._port = port
+        self._server: asyncio.Server | None = None
+        self._open: dict[asyncio.Task, _Relayed] = {}
+        self.mode = RelayMode.FORWARD
+        self.n_accepted = 0
+
+    @property
+    def address(self) -> str:
+        """Return the host and port that it listens on."""
+        return f"{self._host}:{self._port}"
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, self._host, self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Refuse new connections and close those that are open."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        await self.cut()
+
+    async def cut(self) -> None:
+        """Close every open connection at once."""
+        tasks = list(self._open)
+        for task in tasks:
+            self._open[task].abort()
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+
+    def set_open(self, mode: RelayMode) -> None:
+        """Change what becomes of the open connections, not of new ones."""
+        for relayed in self._open.values():
+            relayed.mode = mode
+
+    def set_all(self, mode: RelayMode) -> None:
+        """Change what becomes of all connections, new ones too."""
+        self.mode = mode
+        self.set_open(mode)
+
+    async def _serve(self, reader, writer) -> None:
+        self.n_accepted += 1
+        try:
+            server = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        relayed = _Relayed((reader, writer), server, self.mode)
+        task = asyncio.current_task()
+        self._open[task] = relayed
+        try:
+            with contextlib.suppress(asyncio.CancelledError):
+                await relayed.run()
+        finally:
+            del self._open[task]
--- /dev/null
+++ b/src/redwingslip/standins/relay.py
@@ -0,0 +1,8 @@
+"""Run with ``python -m redwingslip.standins.relay``."""
+
+import sys
+
+from . import relay_main
+
+if __name__ == "__main__":
+    sys.exit(relay_main())
--- /dev/null
+++ b/tests/support_http.py
@@ -0,0 +1,134 @@
+"""What the tests of the HTTP sides share: servers on free ports, raw peers."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+import msgspec
+
+from redwingslip.http import (
+    ClientAnswer,
+    ClientLimits,
+    ClientPool,
+    ClientRequest,
+    HttpLimits,
+    HttpServer,
+    build_app,
+)
+
+LONG = timedelta(seconds=20)
+
+
+class RawServer:
+    """A TCP server whose behaviour a test scripts.
+
+    Each connection is handed to `script(server, reader, writer)`; every request head
+    and body read by `read_request` is kept in `requests`.
+    """
+
+    def __init__(self, script):
+        self._script = script
+        self._tasks = set()
+        self.requests = []
+        self.n_connections = 0
+        self.n_closed = 0
+        self.changed = asyncio.Condition()
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(set(self._tasks))
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        self.n_connections += 1
+        try:
+            await self._script(self, reader, writer)
+        except (asyncio.CancelledError, ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._tasks.discard(asyncio.current_task())
+            writer.transport.abort()
+
+    async def read_request(self, reader):
+        """Return the next request's body."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = 0
+        for line in head.split(b"\r\n"):
+            name, _, value = line.partition(b":")
+            if name.lower() == b"content-length":
+                length = int(value)
+        body = await reader.readexactly(length)
+        await self.note(self.requests.append, (head, body))
+        return body
+
+    async def note_closed(self, reader):
+        """Wait until the other side has closed, and count it."""
+        while await reader.read(4096):
+            pass
+        self.n_closed += 1
+        await self.note(lambda: None)
+
+    async def note(self, change, *args):
+        """Change something and wake those that wait for it."""
+        async with self.changed:
+            change(*args)
+            self.changed.notify_all()
+
+    async def wait_for(self, predicate):
+        """Return once `predicate` holds."""
+        async with asyncio.timeout(LONG.total_seconds()), self.changed:
+            await self.changed.wait_for(predicate)
+
+
+def http_answer(body, *, status=200, headers=()):
+    """Return a whole HTTP answer."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class HttpTestCase(unittest.IsolatedAsyncioTestCase):
+    """A test case that serves routes and sends requests to them."""
+
+    async def serve(self, routes, cfg=None, **options):
+        """Start a server that stops with the test."""
+        cfg = cfg or HttpLimits()
+        server = HttpServer(build_app(routes), cfg, **options)
+        await server.start()
+        self.addAsyncCleanup(server.abort)
+        self.address = server.address
+        return server
+
+    async def asyncSetUp(self):
+        """Make a client."""
+        self.pool = ClientPool(ClientLimits())
+        self.addAsyncCleanup(self.pool.close)
+
+    async def send(
+        self, method, path, *, headers=None, body=b"", address=None, timeout=LONG
+    ) -> ClientAnswer:
+        """Return the whole answer to a request."""
+        if not isinstance(body, bytes):
+            body = msgspec.json.encode(body)
+        req = ClientRequest(
+            address=address or self.address,
+            method=method,
+            path=path,
+            headers=headers or {},
+            body=body,
+            timeout=timeout,
+        )
+        return await self.pool.exchange(req)
+
+
+def json_of(answer):
+    """Return an answer's body decoded."""
+    return msgspec.json.decode(answer.body)
--- /dev/null
+++ b/tests/test_operators_routes.py
@@ -0,0 +1,302 @@
+"""Tests of the operators' resource interface, over real sockets."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+import msgspec
+
+from redwingslip.callers import authenticate, hash_secret, make_secret
+from redwingslip.callers.exceptions import UnauthorizedError
+from redwingslip.fleet import FleetState, PoolSpec, PutResource, TeamSpec
+from redwingslip.http import HttpLimits
+from redwingslip.operators import NoLeaderError, ProcessStatus, operator_routes
+from tests.support_http import LONG, HttpTestCase, json_of
+
+TOKEN = "operator-token"
+
+
+class LocalFleet:
+    """A fleet service without replicas: a state machine and its changes."""
+
+    def __init__(self):
+        self.state = FleetState()
+        self.index = 0
+        self.changes = []
+        self.oldest = 0
+        self.in_force_index = 0
+        self.has_leader = True
+        self.changed = asyncio.Event()
+
+    @property
+    def view(self):
+        """Return the view."""
+        return self.state.view
+
+    def status(self):
+        """Return a leader's status."""
+        return ProcessStatus(
+            entry_id="e1",
+            has_lease=True,
+            leader_id="r1",
+            applied_index=self.index,
+            in_force_index=self.in_force_index,
+        )
+
+    async def propose(self, command, timeout):
+        """Apply a command at once."""
+        if not self.has_leader:
+            raise NoLeaderError("no leader is known")
+        self.index += 1
+        outcome, changes = self.state.apply(self.index, command)
+        self.changes += changes
+        self.changed.set()
+        return outcome
+
+    async def changes_after(self, index, timeout):
+        """Wait for a change when there is none."""
+        if index < self.oldest:
+            return None
+        if not self._after(index) and timeout:
+            self.changed.clear()
+            await self.changed.wait()
+        return self._after(index)
+
+    def _after(self, index):
+        return tuple(change for change in self.changes if change.index > index)
+
+
+class OperatorTestCase(HttpTestCase):
+    """A fleet with a pool and a team, and its operators' interface."""
+
+    async def asyncSetUp(self):
+        """Declare a pool and a team."""
+        await super().asyncSetUp()
+        self.fleet = LocalFleet()
+        for name, spec in (("a", PoolSpec()), ("smiths", TeamSpec(limit=5))):
+            put = PutResource(name=name, spec=spec)
+            await self.fleet.propose(put, timedelta(0))
+        await self.serve(
+            operator_routes(self.fleet, HttpLimits(), [hash_secret(TOKEN)])
+        )
+
+    async def ask(self, method, path, body=b"", **headers):
+        """Send an operator's request; header names with '_' for '-'."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        named.setdefault("Authorization", f"Bearer {TOKEN}")
+        return await self.send(method, path, headers=named, body=body)
+
+
+class TestWrite(OperatorTestCase):
+    """PUT and DELETE."""
+
+    async def test_written_resource_is_read_back_with_its_version(self):
+        """A write answers with the resource and its ETag, as a later read does."""
+        body = {"spec": {"pool": "a", "data_centre": "dc1"}}
+        put = await self.ask("PUT", "/v1/vms/vm1", body)
+        got = await self.ask("GET", "/v1/vms/vm1")
+        self.assertEqual((put.status, got.status), (200, 200))
+        self.assertEqual(put.body, got.body)
+        self.assertEqual(got.headers["etag"], '"3"')
+        record = json_of(got)
+        self.assertEqual(record["kind"], "vms")
+        self.assertEqual(record["spec"]["slots"], 8)
+        self.assertEqual(record["status"]["phase"], "serving")
+        self.assertFalse(record["in_force"])
+        self.fleet.in_force_index = 3
+        self.assertTrue(json_of(await self.ask("GET", "/v1/vms/vm1"))["in_force"])
+
+    async def test_what_was_read_may_be_written_back(self):
+        """A read resource, changed and sent back, is held to the version it had."""
+        record = json_of(await self.ask("GET", "/v1/teams/smiths"))
+        record["spec"]["limit"] = 7
+        first = await self.ask("PUT", "/v1/teams/smiths", record)
+        second = await self.ask("PUT", "/v1/teams/smiths", record)
+        self.assertEqual((first.status, second.status), (200, 412))
+        self.assertEqual(json_of(second)["version"], json_of(first)["version"])
+
+    async def test_second_writer_is_told_the_current_version(self):
+        """Of two writes with one If-Match, one wins and one gets 412."""
+        body = {"spec": {"spare": True}}
+        first = await self.ask("PUT", "/v1/pools/a", body, If_Match='"1"')
+        second = await self.ask("PUT", "/v1/pools/a", body, If_Match='"1"')
+        self.assertEqual((first.status, second.status), (200, 412))
+        self.assertEqual(second.headers["etag"], first.headers["etag"])
+        self.assertIn("3", json_of(second)["detail"])
+
+    async def test_creation_only(self):
+        """If-None-Match: * refuses to write over a resource."""
+        body = {"spec": {}}
+        taken = await self.ask("PUT", "/v1/pools/a", body, If_None_Match="*")
+        fresh = await self.ask("PUT", "/v1/pools/b", body, If_None_Match="*")
+        absent = await self.ask("PUT", "/v1/pools/c", body, If_Match="*")
+        statuses = (taken.status, fresh.status, absent.status)
+        self.assertEqual(statuses, (412, 200, 412))
+
+    async def test_resend_gets_the_first_outcome(self):
+        """A resend with the same Idempotency-Key changes nothing."""
+        options = {"If_Match": '"1"', "Idempotency_Key": "op-1"}
+        first = await self.ask("PUT", "/v1/pools/a", {"spec": {}}, **options)
+        again = await self.ask("PUT", "/v1/pools/a", {"spec": {}}, **options)
+        self.assertEqual((first.status, again.status), (200, 200))
+        self.assertEqual(first.headers["etag"], again.headers["etag"])
+
+    async def test_unknown_field_is_refused_with_the_nearest_name(self):
+        """A misspelt field is named, and the one that was meant."""
+        body = {"spec": {"min_servin": 1}}
+        answer = await self.ask("PUT", "/v1/pools/a", body)
+        self.assertEqual(answer.status, 422)
+        self.assertEqual(json_of(answer)["field"], "spec.min_servin")
+        self.assertIn("'min_serving'", json_of(answer)["detail"])
+
+    async def test_bad_values_name_their_field(self):
+        """Each refusal of a value names the field that is at fault."""
+        cases = (
+            ("pools/a", {"spec": {"min_serving": -1}}, "spec.min_serving"),
+            ("vms/v", {"spec": {"pool": "x", "data_centre": "d"}}, "spec.pool"),
+            ("pools/a", {"spec": {}, "kind": "vms"}, "kind"),
+            ("pools/a", {"spec": {}, "name": "b"}, "name"),
+            ("pools/a", {"sepc": {}}, "sepc"),
+            ("pools/a", {}, "body"),
+            ("pools/a", [], "body"),
+            ("pools/A", {"spec": {}}, "name"),
+            ("sites/x", {"spec": {}}, "name"),
+        )
+        for path, body, field in cases:
+            with self.subTest(path=path, body=body):
+                answer = await self.ask("PUT", f"/v1/{path}", body)
+                self.assertEqual(answer.status, 422, answer.body)
+                self.assertEqual(json_of(answer)["field"], field, answer.body)
+
+    async def test_without_a_leader_a_resend_is_asked_for(self):
+        """With no leader the answer says that the change may yet be done."""
+        self.fleet.has_leader = False
+        answer = await self.ask("PUT", "/v1/pools/a", {"spec": {}})
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.assertIn("same Idempotency-Key", json_of(answer)["detail"])
+        self.assertEqual(json_of(answer)["outcome"], "unknown")
+
+    async def test_deletion(self):
+        """A used resource stays, an unused one goes, an absent one is 404."""
+        await self.ask("PUT", "/v1/vms/v", {"spec": {"pool": "a", "data_centre": "d"}})
+        used = await self.ask("DELETE", "/v1/pools/a")
+        gone = await self.ask("DELETE", "/v1/teams/smiths", If_Match='"2"')
+        absent = await self.ask("DELETE", "/v1/teams/smiths")
+        statuses = (used.status, gone.status, absent.status)
+        self.assertEqual(statuses, (422, 200, 404))
+        self.assertIn("vms/v", json_of(used)["detail"])
+
+
+class TestAccess(OperatorTestCase):
+    """Operators' tokens."""
+
+    async def test_only_operators_are_answered(self):
+        """Every route refuses a missing or wrong token and tells nothing."""
+        routes = (
+            ("GET", "/v1/pools"),
+            ("GET", "/v1/pools/a"),
+            ("PUT", "/v1/pools/a"),
+            ("DELETE", "/v1/pools/a"),
+            ("POST", "/v1/teams/smiths/keys"),
+            ("GET", "/v1/status"),
+            ("GET", "/v1/pools?watch=0"),
+        )
+        for method, path in routes:
+            for authorization in ("Bearer wrong", f"Basic {TOKEN}", "Bearer "):
+                with self.subTest(path=path, authorization=authorization):
+                    answer = await self.ask(method, path, Authorization=authorization)
+                    self.assertEqual(answer.status, 401)
+        self.assertEqual(self.fleet.index, 2)
+
+
+class TestKeys(OperatorTestCase):
+    """Granting and withdrawing keys."""
+
+    async def test_secret_is_shown_once_and_kept_as_its_hash(self):
+        """The granted secret works, and no later answer holds it or its hash."""
+        granted = json_of(await self.ask("POST", "/v1/teams/smiths/keys"))
+        secret, name = granted["secret"], granted["name"]
+        self.assertEqual(authenticate(self.fleet.view, secret), "smiths")
+        for path in (f"/v1/keys/{name}", "/v1/keys"):
+            body = (await self.ask("GET", path)).body.decode()
+            self.assertIn(name, body)
+            self.assertNotIn(secret.rpartition(".")[2], body)
+            self.assertNotIn(hash_secret(secret), body)
+        self.assertNotIn(secret, str(self.fleet.changes))
+
+    async def test_withdrawn_key_is_refused(self):
+        """After its deletion a key opens nothing."""
+        granted = json_of(await self.ask("POST", "/v1/teams/smiths/keys"))
+        await self.ask("DELETE", f"/v1/keys/{granted['name']}")
+        with self.assertRaises(UnauthorizedError):
+            authenticate(self.fleet.view, granted["secret"])
+
+    async def test_resend_never_shows_a_secret_that_does_not_work(self):
+        """A resent grant makes no second key and hands out no useless secret."""
+        path = "/v1/teams/smiths/keys"
+        first = await self.ask("POST", path, Idempotency_Key="grant-1")
+        again = await self.ask("POST", path, Idempotency_Key="grant-1")
+        self.assertEqual((first.status, again.status), (201, 409))
+        self.assertNotIn("secret", json_of(again))
+        keys = json_of(await self.ask("GET", "/v1/keys"))["items"]
+        self.assertEqual(len(keys), 1)
+
+    async def test_key_of_an_unknown_team(self):
+        """A key is granted to a declared team only."""
+        answer = await self.ask("POST", "/v1/teams/none/keys")
+        self.assertEqual(answer.status, 422)
+
+    def test_only_the_whole_secret_opens(self):
+        """A secret for another name, cut or of another form is refused."""
+        state = FleetState()
+        state.apply(1, PutResource(name="t", spec=TeamSpec()))
+        secret = make_secret("k.1")
+        for wrong in (None, "", "rw", secret[:-1], secret + "x", make_secret("k.1")):
+            with self.subTest(wrong=wrong), self.assertRaises(UnauthorizedError):
+                authenticate(state.view, wrong)
+
+
+class TestWatch(OperatorTestCase):
+    """?watch=REV."""
+
+    async def lines(self, path):
+        """Open a watch and return a function that gives its next line."""
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(lambda: writer.transport.abort())
+        head = f"GET {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n"
+        writer.write(head.encode() + b"\r\n")
+        async with asyncio.timeout(LONG.total_seconds()):
+            await reader.readuntil(b"\r\n\r\n")
+
+        async def next_line():
+            async with asyncio.timeout(LONG.total_seconds()):
+                n_bytes = int(await reader.readline(), 16)
+                chunk = await reader.readexactly(n_bytes + 2)
+            return msgspec.json.decode(chunk)
+
+        return next_line
+
+    async def test_watch_continues_from_a_revision(self):
+        """Each change after the revision is one line, then a bookmark follows."""
+        next_line = await self.lines("/v1/pools?watch=0")
+        self.assertEqual((await next_line())["resource"]["name"], "a")
+        self.assertEqual((await next_line())["bookmark"], 2)
+        await self.ask("PUT", "/v1/pools/a", {"spec": {"spare": True}})
+        self.assertTrue((await next_line())["resource"]["spec"]["spare"])
+        self.assertEqual((await next_line())["bookmark"], 3)
+        await self.ask("DELETE", "/v1/pools/a")
+        deleted = {"kind": "pools", "name": "a"}
+        self.assertEqual((await next_line())["deleted"], deleted)
+
+    async def test_revision_that_is_too_old(self):
+        """A revision that can't be continued gets 410 and the current one."""
+        self.fleet.oldest = 2
+        answer = await self.ask("GET", "/v1/pools?watch=1")
+        self.assertEqual(answer.status, 410)
+        self.assertEqual(json_of(answer)["version"], 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
