--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts beside the library: the demo, measurements and the test runner."""
--- /dev/null
+++ b/scripts/fleet_processes.py
@@ -0,0 +1,252 @@
+"""A whole system as separate processes on loopback, for the demo and failure tests."""
+
+import hashlib
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+__all__ = ["FleetProcesses", "free_ports"]
+
+ROOT = Path(__file__).resolve().parent.parent
+POLL_S = 0.05
+
+REPLICA_SETTINGS = """\
+[process]
+id = {id}
+data_centre = {data_centre}
+[peers]
+listen = {address}
+[replicas]
+{replicas}
+[replica]
+data_folder = {folder}/{id}.data
+[cluster]
+secret_file = {folder}/cluster.secret
+[tls]
+enabled = no
+[logs]
+path = {folder}/{id}.jsonl
+"""
+
+ENTRY_SETTINGS = """\
+[process]
+id = {id}
+data_centre = {data_centre}
+[peers]
+listen = {address}
+[http]
+listen = {http}
+[replicas]
+{replicas}
+[operators]
+token_sha256 = {operator_hash}
+[endpoints]
+token_sha256 = {endpoint_hash}
+[platform]
+address = {platform}
+[cluster]
+secret_file = {folder}/cluster.secret
+[tls]
+enabled = no
+[logs]
+path = {folder}/{id}.jsonl
+"""
+
+
+def free_ports(n_ports: int) -> list[int]:
+    """Return ports that are free now."""
+    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(n_ports)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class FleetProcesses:
+    """Starts, stops, kills and freezes the processes of one system.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings, data folders, logs and records go.
+    n_replicas, n_entries : int
+        Processes of each role.
+    data_centres : tuple of str
+        The processes are spread over these.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        n_replicas: int = 3,
+        n_entries: int = 4,
+        data_centres: tuple[str, ...] = ("dc-1", "dc-2", "dc-3", "dc-4"),
+    ) -> None:
+        self.folder = folder
+        self.operator_token = secrets.token_hex(16)
+        self.endpoint_token = secrets.token_hex(16)
+        self.processes: dict[str, subprocess.Popen] = {}
+        self._commands: dict[str, list[str]] = {}
+        self.replica_ids = [f"replica-{i + 1}" for i in range(n_replicas)]
+        self.entry_ids = [f"entry-{i + 1}" for i in range(n_entries)]
+        ports = free_ports(n_replicas + 2 * n_entries + 1)
+        self.platform = f"127.0.0.1:{ports.pop()}"
+        self.http: dict[str, str] = {}
+        self._write_settings(ports, data_centres)
+
+    def _write_settings(self, ports: list[int], data_centres: tuple[str, ...]) -> None:
+        folder = self.folder
+        folder.mkdir(parents=True, exist_ok=True)
+        (folder / "cluster.secret").write_text(secrets.token_hex(16))
+        (folder / "operator.token").write_text(self.operator_token)
+        addresses = {name: f"127.0.0.1:{ports.pop()}" for name in self.replica_ids}
+        replicas = "\n".join(f"{name} = {at}" for name, at in addresses.items())
+        common = {
+            "folder": folder,
+            "replicas": replicas,
+            "platform": self.platform,
+            "operator_hash": hashlib.sha256(self.operator_token.encode()).hexdigest(),
+            "endpoint_hash": hashlib.sha256(self.endpoint_token.encode()).hexdigest(),
+        }
+        for i, name in enumerate(self.replica_ids):
+            self._write(
+                name,
+                REPLICA_SETTINGS,
+                id=name,
+                address=addresses[name],
+                data_centre=data_centres[i % len(data_centres)],
+                **common,
+            )
+        for i, name in enumerate(self.entry_ids):
+            host = f"127.0.1.{i + 1}"
+            self.http[name] = f"{host}:{ports.pop()}"
+            self._write(
+                name,
+                ENTRY_SETTINGS,
+                id=name,
+                address=f"{host}:{ports.pop()}",
+                http=self.http[name],
+                data_centre=data_centres[i % len(data_centres)],
+                **common,
+            )
+
+    def _write(self, name: str, template: str, **values: object) -> None:
+        path = self.folder / f"{name}.ini"
+        path.write_text(template.format(**values))
+        role = "replica" if name in self.replica_ids else "entry"
+        self._commands[name] = ["-m", "redwingslip", role, str(path)]
+
+    # Processes.
+
+    def found(self) -> None:
+        """Found the data folders of the replicas."""
+        for name in self.replica_ids:
+            path = str(self.folder / f"{name}.ini")
+            command = [sys.executable, "-m", "redwingslip", "replica-init", path]
+            subprocess.run(command, check=True, capture_output=True, env=self._env())
+
+    def start(self, *names: str) -> None:
+        """Start processes, all of them by default."""
+        for name in names or (*self.replica_ids, *self.entry_ids):
+            out = open(self.folder / f"{name}.out", "ab")  # noqa: SIM115
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *self._commands[name]],
+                stdout=out,
+                stderr=subprocess.STDOUT,
+                env=self._env(),
+            )
+            out.close()
+
+    def add_endpoints(self, name: str, endpoints: list[str], *options: str) -> None:
+        """Start a process of stand-in endpoints.
+
+        Parameters
+        ----------
+        name : str
+            The process; its runs are recorded in ``NAME.runs``.
+        endpoints : list of str
+            ``ID,SERVICE,VM,SLOTS`` of each.
+        options : str
+            Further options of the stand-in.
+        """
+        command = ["-m", "redwingslip.standins.endpoint"]
+        for address in self.http.values():
+            command += ["--entry", address]
+        command += ["--token", self.endpoint_token]
+        command += ["--record", str(self.folder / f"{name}.runs")]
+        for endpoint in endpoints:
+            command += ["--endpoint", endpoint]
+        self._commands[name] = [*command, *options]
+        self.start(name)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def terminate(self, name: str) -> subprocess.Popen:
+        """Ask a process to stop in good order, and go on."""
+        process = self.processes.pop(name)
+        process.terminate()
+        return process
+
+    def freeze(self, name: str) -> None:
+        """Stop a process where it is."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def close(self) -> None:
+        """Kill everything that still runs."""
+        for name in list(self.processes):
+            self.kill(name)
+
+    # Operators.
+
+    def cli(self, *args: str, check: bool = True) -> subprocess.CompletedProcess:
+        """Run an operator's command and return what it printed."""
+        live = [
+            f"http://{at}" for name, at in self.http.items() if name in self.processes
+        ]
+        command = [sys.executable, "-m", "redwingslip", "--server", ",".join(live)]
+        command += ["--token-file", str(self.folder / "operator.token")]
+        command += ["--output", "json", *args]
+        result = subprocess.run(
+            command, capture_output=True, text=True, env=self._env(), timeout=90
+        )
+        if check and result.returncode:
+            raise RuntimeError(f"{args} exited {result.returncode}: {result.stderr}")
+        return result
+
+    def wait_ready(self, *, timeout_s: float = 30.0) -> None:
+        """Wait until each running entry takes work."""
+        deadline = time.monotonic() + timeout_s
+        for name in self.entry_ids:
+            while name in self.processes and not is_ready(self.http[name]):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"{name} is not ready")
+                time.sleep(POLL_S)
+
+    def _env(self) -> dict[str, str]:
+        return {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+
+
+def is_ready(address: str) -> bool:
+    """Return whether an entry takes work, as the balancer asks it."""
+    host, _, port = address.rpartition(":")
+    request = f"GET /readyz HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n"
+    try:
+        with socket.create_connection((host, int(port)), timeout=1) as sock:
+            sock.sendall(request.encode())
+            return sock.recv(64).startswith(b"HTTP/1.1 200")
+    except OSError:
+        return False
--- /dev/null
+++ b/src/redwingslip/__main__.py
@@ -0,0 +1,6 @@
+"""The command line as ``python -m redwingslip``."""
+
+from .cli import main
+
+if __name__ == "__main__":
+    main()
