Add the command line: daemons' start and operators' commands

Cause: operators write the desired state and watch it change; a lost answer must not make them do a thing twice or not at all.

Ruled out: starting the daemons through typer, whose import alone costs a replica more memory than its state; a shared HTTP client, which after a timeout hands a late answer to the next request; having the server make a key's secret, which a lost answer would lose.

Change: `redwingslip` starts the roles by a small parser of its own and everything else by typer. A write goes to the next server under the same operation id when its answer is lost, and the exit code tells "nothing was done" from "may be done". A key's secret is made here and only its hash is sent. `apply` writes on the version that it read, so that it overwrites no change in between.

--- /dev/null
+++ b/src/redwingslip/cli/_resource_commands.py
@@ -0,0 +1,221 @@
+"""Commands over resources: apply, diff, get, watch, delete and status."""
+
+import asyncio
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from ..fleet import Kind
+from ._apply import ApplyResult, apply_documents, compare_documents
+from ._client import Document, WatchLine
+from ._context import CommandContext, run
+from ._documents import read_documents
+from ._output import new_progress, print_documents, print_json, print_rows
+from .exceptions import ExitCode, NotReachedError
+
+__all__ = ["register"]
+
+STATUS_TIMEOUT = timedelta(seconds=5)
+
+Files = Annotated[
+    list[Path], typer.Argument(help="Files of JSON resources; '-' for standard input.")
+]
+OperationId = Annotated[
+    str, typer.Option(help="Id of an earlier try, to do it once.", metavar="ID")
+]
+KindArgument = Annotated[Kind, typer.Argument(help="Kind of resource.")]
+NameArgument = Annotated[str, typer.Argument(help="Name of the resource.")]
+
+
+def register(app: typer.Typer) -> None:
+    """Add the commands."""
+    for command in (apply, diff, get, watch, delete, status):
+        app.command()(command)
+
+
+def apply(
+    ctx: typer.Context,
+    files: Files,
+    wait: Annotated[
+        bool, typer.Option(help="Wait until every entry acts by the changes.")
+    ] = False,
+) -> None:
+    """Write resources from files; those that are as wished stay untouched."""
+    cfg: CommandContext = ctx.obj
+    results = run(ctx, _apply(cfg, files))
+    _print_results(cfg, results)
+    if wait:
+        run(ctx, _wait_in_force(cfg, results))
+    raise typer.Exit(max_exit_code(results))
+
+
+async def _apply(cfg: CommandContext, files: list[Path]) -> list[ApplyResult]:
+    documents = read_documents(files)
+    client = cfg.client()
+    with new_progress() as progress:
+        bar = progress.add_task("applying", total=len(documents))
+        results = await apply_documents(
+            client, documents, on_done=lambda n_done: progress.advance(bar, n_done)
+        )
+    return results
+
+
+async def _wait_in_force(cfg: CommandContext, results: list[ApplyResult]) -> None:
+    version = max((result.version for result in results), default=0)
+    await cfg.client().wait_in_force(version, cfg.timeout)
+
+
+def _print_results(cfg: CommandContext, results: list[ApplyResult]) -> None:
+    if cfg.is_json:
+        print_json(results)
+        return
+    rows = [
+        (f"{result.kind}/{result.name}", result.action, result.version, result.error)
+        for result in results
+    ]
+    print_rows(("resource", "done", "version", "error"), rows)
+
+
+def max_exit_code(results: list[ApplyResult]) -> int:
+    """Return the exit code of the gravest failure."""
+    return max((result.exit_code for result in results), default=ExitCode.OK)
+
+
+def diff(ctx: typer.Context, files: Files) -> None:
+    """Show what apply would change; exit code 10 if anything."""
+    cfg: CommandContext = ctx.obj
+    differences = run(ctx, _diff(cfg, files))
+    if cfg.is_json:
+        print_json(differences)
+    elif differences:
+        rows = [
+            (f"{item.kind}/{item.name}", item.field, item.current, item.wanted)
+            for item in differences
+        ]
+        print_rows(("resource", "field", "current", "wanted"), rows)
+    raise typer.Exit(ExitCode.DIFFERENT if differences else ExitCode.OK)
+
+
+async def _diff(cfg: CommandContext, files: list[Path]):
+    documents = read_documents(files)
+    return await compare_documents(cfg.client(), documents)
+
+
+def get(
+    ctx: typer.Context,
+    kind: KindArgument,
+    name: Annotated[str, typer.Argument(help="Name; all when left out.")] = "",
+) -> None:
+    """Show resources: what is wished, what is done, and whether it is in force."""
+    cfg: CommandContext = ctx.obj
+    documents = run(ctx, _get(cfg, kind, name))
+    if not cfg.is_json:
+        print_documents(documents)
+        return
+    for document in documents:
+        print_json(document)
+
+
+async def _get(cfg: CommandContext, kind: Kind, name: str) -> list[Document]:
+    client = cfg.client()
+    if name:
+        return [await client.get(kind, name)]
+    return list((await client.list(kind)).items)
+
+
+def watch(
+    ctx: typer.Context,
+    kind: KindArgument,
+    since: Annotated[
+        int, typer.Option(min=-1, help="Revision to begin after; -1 for now.")
+    ] = -1,
+    until_in_force: Annotated[
+        int, typer.Option(min=0, help="Stop once this version is in force.")
+    ] = 0,
+) -> None:
+    """Show resources as they change, until interrupted."""
+    cfg: CommandContext = ctx.obj
+    run(ctx, _watch(cfg, kind, since, until_in_force))
+
+
+async def _watch(cfg: CommandContext, kind: Kind, since: int, until: int) -> None:
+    client = cfg.client()
+    if since < 0:
+        since = (await client.list(kind)).revision
+    async for line in client.watch(kind, since):
+        _print_watch_line(cfg, line)
+        if until and line.in_force >= until:
+            return
+
+
+def _print_watch_line(cfg: CommandContext, line: WatchLine) -> None:
+    if cfg.is_json:
+        fields = msgspec.structs.asdict(line)
+        print_json({key: value for key, value in fields.items() if value is not None})
+    elif line.resource is not None:
+        doc = line.resource
+        fields = {**doc.spec, **{f"status.{k}": v for k, v in doc.status.items()}}
+        words = " ".join(f"{key}={value}" for key, value in fields.items())
+        typer.echo(f"{doc.kind}/{doc.name} version={doc.version} {words}")
+    elif line.deleted is not None:
+        typer.echo(f"{line.deleted.kind}/{line.deleted.name} deleted")
+
+
+def delete(
+    ctx: typer.Context,
+    kind: KindArgument,
+    name: NameArgument,
+    if_version: Annotated[
+        int | None, typer.Option(min=1, help="The version that must be current.")
+    ] = None,
+    operation_id: OperationId = "",
+) -> None:
+    """Delete a resource; a VM leaves its pool in good order first."""
+    cfg: CommandContext = ctx.obj
+
+    async def work() -> Document:
+        return await cfg.client().delete(
+            kind, name, if_version=if_version, operation_id=operation_id
+        )
+
+    deleted = run(ctx, work())
+    if cfg.is_json:
+        print_json(deleted)
+    else:
+        typer.echo(f"{kind}/{name} deleted by change {deleted.version}")
+
+
+def status(ctx: typer.Context) -> None:
+    """Show what each server knows of itself and of the leader."""
+    cfg: CommandContext = ctx.obj
+    found = run(ctx, _status(cfg))
+    if cfg.is_json:
+        print_json(found)
+    else:
+        _print_status(found)
+    if any("error" in item for item in found):
+        raise typer.Exit(ExitCode.NOT_REACHED)
+
+
+def _print_status(found: list[dict]) -> None:
+    titles = list(dict.fromkeys(key for item in found for key in item))
+    print_rows(titles, [[item.get(title) for title in titles] for item in found])
+
+
+async def _status(cfg: CommandContext) -> list[dict]:
+    """Ask every server, so that one that is cut off shows."""
+    cfg = msgspec.structs.replace(cfg, timeout=min(cfg.timeout, STATUS_TIMEOUT))
+    cfg.client()
+    servers = [item.strip() for item in cfg.servers.split(",") if item.strip()]
+    return await asyncio.gather(*(_status_of(cfg, server) for server in servers))
+
+
+async def _status_of(cfg: CommandContext, server: str) -> dict:
+    client = msgspec.structs.replace(cfg, servers=server).client()
+    try:
+        return {"server": server, **await client.status()}
+    except NotReachedError as exc:
+        return {"server": server, "error": str(exc)}
--- /dev/null
+++ b/src/redwingslip/cli/_roles.py
@@ -0,0 +1,73 @@
+"""Starting the daemons, without what only operators' commands need.
+
+A replica has little memory: this module parses its own arguments, so that neither the
+command line's library nor the other role is imported.
+"""
+
+import argparse
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from ..settings import InvalidSettingsError
+
+__all__ = ["ROLES", "main"]
+
+EXIT_INVALID = 3
+
+ROLES = {
+    "entry": "run an entry daemon",
+    "replica": "run a replica daemon",
+    "replica-init": "found the data folder of a replica, once",
+}
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run a role and return the exit code."""
+    args = _new_parser().parse_args(argv)
+    try:
+        _RUNNERS[args.role](args.settings)
+    except InvalidSettingsError as exc:
+        print(f"error: {exc.message}", file=sys.stderr)
+        for problem in exc.exceptions:
+            print(f"  {problem}", file=sys.stderr)
+        return EXIT_INVALID
+    return 0
+
+
+def _new_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="redwingslip")
+    roles = parser.add_subparsers(dest="role", required=True)
+    for role, words in ROLES.items():
+        role_parser = roles.add_parser(role, help=words, description=words)
+        role_parser.add_argument("settings", type=Path, help="the settings file")
+    return parser
+
+
+def _run_entry(path: Path) -> None:
+    from ..daemons import run_entry
+
+    run_entry(path)
+
+
+def _run_replica(path: Path) -> None:
+    from ..daemons import run_replica
+
+    run_replica(path)
+
+
+def _found_replica(path: Path) -> None:
+    from ..settings import ReplicaSettings, load_settings
+
+    cfg = load_settings(path, ReplicaSettings)
+    from ..consensus import found_data_folder
+
+    found_data_folder(cfg.replica.data_folder, cfg.process.id)
+    print(f"founded {cfg.replica.data_folder} for {cfg.process.id}")
+
+
+_RUNNERS = {
+    "entry": _run_entry,
+    "replica": _run_replica,
+    "replica-init": _found_replica,
+}
--- /dev/null
+++ b/src/redwingslip/cli/_tool_commands.py
@@ -0,0 +1,133 @@
+"""Commands that need no server: settings, time line, tokens."""
+
+import enum
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from ..observe import (
+    TimelineError,
+    TimelineFilter,
+    merge_timeline,
+    render_picture,
+    render_text,
+)
+from ..settings import (
+    EntrySettings,
+    InvalidSettingsError,
+    ReplicaSettings,
+    describe,
+    find_warnings,
+    load_settings,
+)
+from ._context import CommandContext, fail, read_token_file
+from ._output import print_json
+from ._secrets import hash_secret
+from .exceptions import InvalidInputError
+
+__all__ = ["register"]
+
+
+class Role(enum.StrEnum):
+    """The roles that have settings."""
+
+    ENTRY = "entry"
+    REPLICA = "replica"
+
+
+_SETTINGS = {Role.ENTRY: EntrySettings, Role.REPLICA: ReplicaSettings}
+
+RoleArgument = Annotated[Role, typer.Argument(help="Role of the process.")]
+
+
+def register(app: typer.Typer) -> None:
+    """Add the commands."""
+    app.command()(check_settings)
+    app.command()(example_settings)
+    app.command()(hash_token)
+    app.command()(timeline)
+
+
+def check_settings(
+    ctx: typer.Context,
+    role: RoleArgument,
+    files: Annotated[list[Path], typer.Argument(help="Settings files.")],
+) -> None:
+    """Report everything that is wrong with settings files."""
+    cfg: CommandContext = ctx.obj
+    problems: list[Exception] = []
+    warnings = {}
+    for path in files:
+        try:
+            settings = load_settings(path, _SETTINGS[role])
+        except InvalidSettingsError as exc:
+            problems += exc.exceptions if len(files) == 1 else [exc]
+        else:
+            warnings[str(path)] = find_warnings(settings)
+    if problems:
+        fail(ctx, InvalidSettingsError("invalid settings", _flat(problems)))
+    if cfg.is_json:
+        print_json(warnings)
+        return
+    for name, words in warnings.items():
+        typer.echo(f"{name}: valid")
+        for word in words:
+            typer.echo(f"  warning: {word}")
+
+
+def _flat(problems: list[Exception]) -> list[Exception]:
+    """Return single problems, each with its file where there are several."""
+    flat = []
+    for problem in problems:
+        if isinstance(problem, InvalidSettingsError):
+            flat += [
+                InvalidInputError(f"{problem.message}: {exc}")
+                for exc in problem.exceptions
+            ]
+        else:
+            flat.append(problem)
+    return flat
+
+
+def example_settings(role: RoleArgument) -> None:
+    """Print a commented settings file with every option."""
+    typer.echo(describe(_SETTINGS[role]), nl=False)
+
+
+def hash_token(
+    ctx: typer.Context,
+    token_file: Annotated[Path, typer.Argument(help="File with the token.")],
+) -> None:
+    """Print the SHA-256 of a token, as settings want it."""
+    try:
+        typer.echo(hash_secret(read_token_file(token_file)))
+    except InvalidInputError as exc:
+        fail(ctx, exc)
+
+
+def timeline(
+    ctx: typer.Context,
+    files: Annotated[list[Path], typer.Argument(help="Event logs of processes.")],
+    request: Annotated[str, typer.Option(help="Only this request.")] = "",
+    vm: Annotated[str, typer.Option(help="Only this VM.")] = "",
+    team: Annotated[str, typer.Option(help="Only this team.")] = "",
+    wave: Annotated[str, typer.Option(help="Only this wave.")] = "",
+    picture: Annotated[
+        Path | None, typer.Option(help="Draw it to this file, such as PNG or SVG.")
+    ] = None,
+) -> None:
+    """Show the events of all processes in one order."""
+    cfg: CommandContext = ctx.obj
+    wanted = TimelineFilter(request=request, vm=vm, team=team, wave=wave)
+    try:
+        events = merge_timeline(files, wanted)
+        if picture is not None:
+            render_picture(events, picture)
+    except TimelineError as exc:
+        fail(ctx, InvalidInputError(str(exc)))
+    if cfg.is_json:
+        for event in events:
+            print_json(event)
+    elif picture is None:
+        typer.echo(render_text(events), nl=False)
