Let other packages' settings structs be sections

Cause: consensus, dispatch and HTTP keep settings structs of their own that check themselves, hold nested structs or may be left out; the loader raised their errors bare, or did not know their types.

Change: a ValueError of a struct is a problem like others, nested structs are not options, a section whose default is None may be left out, and `describe` prints all of these so that they can be read back. Reading INI text has a module of its own. The platform's address is an option of entries.

--- a/src/redwingslip/settings/_describe.py
+++ b/src/redwingslip/settings/_describe.py
@@ -5,15 +5,17 @@
 import textwrap
 import typing
 from collections.abc import Iterator
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 
+from ._fields import option_fields, section_fields, section_type
 from ._types import format_value
 
 __all__ = ["describe"]
 
 LINE_LENGTH = 79
+PLACEHOLDER = "..."
 _ATTRIBUTE = re.compile(r"^(\w+(?:, \w+)*) : .+$")
 
 
@@ -24,12 +26,14 @@
     defaults.
     """
     lines = [*_comment(_summary(type_)), ""]
-    for field in msgspec.structs.fields(type_):
-        section_type = _strip(field.type)
-        if typing.get_origin(section_type) is dict:
+    for name, field in section_fields(type_).items():
+        own_type = section_type(field.type)
+        if typing.get_origin(own_type) is dict:
             lines += _describe_mapping(field)
+        elif field.default is None:
+            lines += _describe_section(name, own_type, is_left_out=True)
         else:
-            lines += _describe_section(field.name, section_type)
+            lines += _describe_section(name, own_type)
         lines.append("")
     return "\n".join(lines)
 
@@ -37,41 +41,39 @@
 def _describe_mapping(field: msgspec.structs.FieldInfo) -> Iterator[str]:
     yield f"[{field.name}]"
     yield "# One line for each: its id, and where the others reach it."
-    for key, value in _example(field.type).items():
+    for key, value in _example(field.type, {}).items():
         yield f"{key} = {value}"
 
 
-def _describe_section(name: str, type_: type[msgspec.Struct]) -> Iterator[str]:
+def _describe_section(
+    name: str, type_: type[msgspec.Struct], *, is_left_out: bool = False
+) -> Iterator[str]:
+    """Yield a section's lines, all of them comments where it may be left out."""
+    mark = "#" if is_left_out else ""
     yield from _comment(_summary(type_))
-    yield f"[{name}]"
+    yield f"{mark}[{name}]"
     texts = _attribute_texts(type_)
-    for field in msgspec.structs.fields(type_):
-        yield from _comment(texts.get(field.name, ""))
+    for option, field in option_fields(type_).items():
+        yield from _comment(texts.get(option, ""))
         if field.required:
-            yield f"{field.name} = {_format_example(field)}"
+            example = _example(field.type, PLACEHOLDER)
+            yield f"{mark}{option} = {format_value(example, option=option)}"
         else:
-            value = format_value(field.default, option=field.name)
-            yield f"#{field.name} = {value}"
+            value = format_value(_default(field), option=option)
+            yield f"#{option} = {value}"
 
 
-def _format_example(field: msgspec.structs.FieldInfo) -> str:
-    example = _example(field.type)
-    if isinstance(example, list):
-        example = tuple(example)
-    return format_value(example, option=field.name)
+def _default(field: msgspec.structs.FieldInfo) -> Any:
+    if field.default is msgspec.NODEFAULT:
+        return field.default_factory()
+    return field.default
 
 
-def _example(type_: Any) -> Any:
+def _example(type_: Any, otherwise: Any) -> Any:
     for rule in getattr(type_, "__metadata__", ()):
         if isinstance(rule, msgspec.Meta) and rule.examples:
             return rule.examples[0]
-    raise TypeError(f"no example given for {type_}")
-
-
-def _strip(type_: Any) -> Any:
-    if typing.get_origin(type_) is Annotated:
-        return typing.get_args(type_)[0]
-    return type_
+    return otherwise
 
 
 def _comment(text: str) -> list[str]:
--- a/src/redwingslip/settings/_loader.py
+++ b/src/redwingslip/settings/_loader.py
@@ -2,16 +2,17 @@
 
 import configparser
 import difflib
-import io
 import typing
 from collections.abc import Iterable, Iterator
 from datetime import timedelta
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
 from ._checks import find_problems
+from ._fields import option_fields, section_fields, section_type
+from ._ini import is_repetition, read_ini
 from ._types import parse_value
 from .exceptions import InvalidSettingsError, SettingsError
 
@@ -19,12 +20,6 @@
 
 SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
 
-# No section can have this name, so that [DEFAULT] is a section like any other.
-_NO_DEFAULT_SECTION = "\0"
-
-# Begins the names under which repeated sections are set aside.
-_REPEATED = "\0repeated "
-
 
 def load_settings(path: Path | str, type_: type[SettingsT]) -> SettingsT:
     """Read a settings file.
@@ -57,7 +52,7 @@
 ) -> SettingsT:
     """Read settings from a text; see `load_settings`."""
     problems: list[SettingsError] = []
-    parser = _read_ini(text, problems)
+    parser = read_ini(text, problems)
     values = _read_sections(parser, type_, problems)
     for name, value in values.items():
         problems += find_problems(value, name)
@@ -69,70 +64,14 @@
     return cfg
 
 
-def _read_ini(text: str, problems: list[SettingsError]) -> configparser.RawConfigParser:
-    """Parse a text and note what can't be; what is repeated counts once.
-
-    The parser stops at the first such line, so that line is taken out and the rest
-    is read again.
-    """
-    lines = list(io.StringIO(text))
-    while True:
-        parser = configparser.RawConfigParser(
-            delimiters=("=",), default_section=_NO_DEFAULT_SECTION
-        )
-        parser.optionxform = str
-        try:
-            parser.read_file(lines)
-        except configparser.MissingSectionHeaderError as exc:
-            problems.append(_line_problem(exc.lineno, "stands before any [section]"))
-            lines[exc.lineno - 1] = "\n"
-        except configparser.DuplicateSectionError as exc:
-            problems.append(_duplicate_problem(exc))
-            lines[exc.lineno - 1] = f"[{_REPEATED}{exc.lineno}]\n"
-        except configparser.DuplicateOptionError as exc:
-            problems.append(_duplicate_problem(exc))
-            _remove_option(lines, exc.lineno - 1)
-        except configparser.ParsingError as exc:
-            for line_number, _ in exc.errors:
-                allowed = "is not of the form 'option = value'"
-                problems.append(_line_problem(line_number, allowed))
-            return parser
-        else:
-            return parser
-
-
-def _remove_option(lines: list[str], start: int) -> None:
-    """Blank an option's line and the indented lines that continue it."""
-    lines[start] = "\n"
-    for position in range(start + 1, len(lines)):
-        if not lines[position][:1].isspace() or not lines[position].strip():
-            return
-        lines[position] = "\n"
-
-
-def _line_problem(line_number: int, allowed: str) -> SettingsError:
-    return SettingsError(value=None, allowed=f"line {line_number} {allowed}")
-
-
-def _duplicate_problem(
-    exc: configparser.DuplicateSectionError | configparser.DuplicateOptionError,
-) -> SettingsError:
-    return SettingsError(
-        section=exc.section,
-        option=getattr(exc, "option", ""),
-        value=None,
-        allowed=f"is given again in line {exc.lineno}",
-    )
-
-
 def _read_sections(
     parser: configparser.RawConfigParser,
     type_: type[msgspec.Struct],
     problems: list[SettingsError],
 ) -> dict[str, Any]:
-    fields = {field.name: field for field in msgspec.structs.fields(type_)}
+    fields = section_fields(type_)
     for section in parser.sections():
-        if section not in fields and not section.startswith(_REPEATED):
+        if section not in fields and not is_repetition(section):
             problems.append(
                 SettingsError(
                     section=section,
@@ -158,31 +97,22 @@
     if given is None and not field.required:
         values[name] = field.default
         return
-    type_, rules = _unwrap(field.type)
-    if given is None and typing.get_origin(type_) is dict:
+    type_ = section_type(field.type)
+    if typing.get_origin(type_) is not dict:
+        yield from _read_struct(name, type_, given or {}, values)
+    elif given is None:
         yield SettingsError(section=name, value=None, allowed="is missing")
-        return
-    if typing.get_origin(type_) is dict:
-        yield from _read_mapping(name, field.type, type_, rules, given, values)
-        return
-    yield from _read_struct(name, type_, given or {}, values)
-
-
-def _unwrap(type_: Any) -> tuple[Any, tuple]:
-    if typing.get_origin(type_) is Annotated:
-        return typing.get_args(type_)[0], type_.__metadata__
-    return type_, ()
+    else:
+        yield from _read_mapping(name, field.type, given, values)
 
 
 def _read_mapping(
     name: str,
-    whole_type: Any,
     type_: Any,
-    rules: tuple,
     given: dict[str, str],
     values: dict[str, Any],
 ) -> Iterator[SettingsError]:
-    key_type, value_type = typing.get_args(type_)
+    key_type, value_type = typing.get_args(section_type(type_))
     mapping = {}
     n_problems = 0
     for option, text in given.items():
@@ -197,7 +127,7 @@
     if n_problems:
         return
     try:
-        values[name] = msgspec.convert(mapping, whole_type)
+        values[name] = msgspec.convert(mapping, type_)
     except msgspec.ValidationError:
         yield SettingsError(section=name, value=None, allowed="lists too few")
 
@@ -208,7 +138,7 @@
     given: dict[str, str],
     values: dict[str, Any],
 ) -> Iterator[SettingsError]:
-    fields = {field.name: field for field in msgspec.structs.fields(type_)}
+    fields = option_fields(type_)
     options = {}
     n_problems = 0
     for option in given:
@@ -235,8 +165,12 @@
             yield SettingsError(
                 section=name, option=option, value=given[option], allowed=str(exc)
             )
-    if not n_problems:
+    if n_problems:
+        return
+    try:
         values[name] = type_(**options)
+    except ValueError as exc:
+        yield SettingsError(section=name, value=None, allowed=str(exc))
 
 
 def _read_option(field: msgspec.structs.FieldInfo, text: str) -> Any:
--- a/src/redwingslip/settings/_sections.py
+++ b/src/redwingslip/settings/_sections.py
@@ -21,6 +21,7 @@
     "MetricsSettings",
     "OperatorsSettings",
     "PeersSettings",
+    "PlatformSettings",
     "ProcessSettings",
     "ReplicaRoleSettings",
     "ReplicaSettings",
@@ -136,6 +137,18 @@
     margin: timedelta = timedelta(milliseconds=200)
 
 
+class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The platform that reboots VMs.
+
+    Attributes
+    ----------
+    address : str or None
+        IP number and port of the platform's interface; none refuses every reboot.
+    """
+
+    address: Address | None = None
+
+
 class OperatorsSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Who may use the operators' interface.
 
@@ -266,6 +279,7 @@
     cluster: ClusterSettings
     tls: TlsSettings = TlsSettings()
     entry: EntryRoleSettings = EntryRoleSettings()
+    platform: PlatformSettings = PlatformSettings()
     leases: LeaseSettings = LeaseSettings()
     requests: RequestsSettings = RequestsSettings()
     logs: LogSettings = LogSettings()
--- a/src/redwingslip/settings/_types.py
+++ b/src/redwingslip/settings/_types.py
@@ -178,6 +178,6 @@
         return format_duration(value)
     if isinstance(value, int) and option.endswith("_bytes"):
         return format_size(value)
-    if isinstance(value, tuple):
+    if isinstance(value, tuple | list):
         return ", ".join(format_value(item, option=option) for item in value)
     return str(value)
--- a/tests/test_settings_loader.py
+++ b/tests/test_settings_loader.py
@@ -220,5 +220,73 @@
         self.assertEqual(problem.option, "share")
 
 
+class Inner(msgspec.Struct, frozen=True, kw_only=True):
+    """Not an option."""
+
+
+class OwnSection(msgspec.Struct, frozen=True, kw_only=True):
+    """A section that checks itself.
+
+    Attributes
+    ----------
+    low, high : int
+        The bounds.
+    names : tuple of str
+        Some names.
+    """
+
+    low: int = 1
+    high: int = 2
+    names: tuple[str, ...] = msgspec.field(default_factory=tuple)
+    inner: Inner = Inner()
+
+    def __post_init__(self) -> None:
+        """Check the bounds against each other."""
+        if self.low > self.high:
+            raise ValueError("low must not exceed high")
+
+
+class RequiredSection(msgspec.Struct, frozen=True, kw_only=True):
+    """A section with an option that has no example."""
+
+    word: str
+
+
+class ComposedSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings composed by another package."""
+
+    own: OwnSection = OwnSection()
+    other: RequiredSection | None = None
+
+
+class TestSectionsOfOtherPackages(unittest.TestCase):
+    """Sections that other packages define."""
+
+    def test_check_within_a_section_is_a_problem_like_others(self):
+        """A ValueError of the struct itself is reported, not raised."""
+        text = "[own]\nlow = 3\n[other]\n"
+        places = [(p.section, p.option) for p in problems_of(text, ComposedSettings)]
+        self.assertEqual(places, [("own", ""), ("other", "word")])
+
+    def test_section_may_be_left_out(self):
+        """An optional section is None without its header."""
+        self.assertIsNone(parse_settings("", ComposedSettings).other)
+        cfg = parse_settings("[other]\nword = x\n", ComposedSettings)
+        self.assertEqual(cfg.other.word, "x")
+
+    def test_struct_inside_a_section_is_no_option(self):
+        """What can't be written in one line can't be set."""
+        (problem,) = problems_of("[own]\ninner = 1\n", ComposedSettings)
+        self.assertEqual((problem.section, problem.option), ("own", "inner"))
+
+    def test_description_can_be_read_back(self):
+        """An optional section and an option without an example stand as comments."""
+        text = describe(ComposedSettings)
+        self.assertEqual(parse_settings(text, ComposedSettings), ComposedSettings())
+        self.assertIn("#low = 1", text)
+        self.assertIn("#[other]", text)
+        self.assertNotIn("inner", text)
+
+
 if __name__ == "__main__":
     unittest.main()
