Add the demo: a whole system on loopback, failures, and a judge

Cause: the whole path needs a run that shows it, with failures on the way. Change: a script that starts every process, and compares what callers saw with what the endpoints recorded.

--- a/Makefile
+++ b/Makefile
@@ -12,10 +12,10 @@
 	touch $@
 
 demo: $(VENV)/.ready
-	$(BIN)/python scripts/demo.py
+	$(BIN)/python -m scripts.demo
 
 test: $(VENV)/.ready
-	$(BIN)/python scripts/run_tests.py
+	$(BIN)/python -m scripts.run_tests
 
 lint: $(VENV)/.ready
 	$(BIN)/ruff format --check src tests scripts
@@ -26,7 +26,7 @@
 	$(BIN)/ruff check --fix src tests scripts
 
 fuzz: $(VENV)/.ready
-	$(BIN)/python scripts/run_tests.py --fuzz --seed $(SEED)
+	$(BIN)/python -m scripts.run_tests --fuzz --seed $(SEED)
 
 clean:
 	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/scripts/demo_callers.py
@@ -0,0 +1,240 @@
+"""Callers of the demo and the judge of what they saw."""
+
+import asyncio
+import collections
+import hashlib
+import os
+import time
+import uuid
+import zlib
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+
+from redwingslip.http import (
+    ClientAnswer,
+    ClientLimits,
+    ClientPool,
+    ClientRequest,
+    HttpError,
+    NotConnectedError,
+)
+from redwingslip.standins import RunRecord
+from scripts.fleet_processes import is_ready
+
+__all__ = ["Ask", "Balancer", "Caller", "Verdict", "judge", "new_request_key"]
+
+PROBE_INTERVAL_S = 0.25
+ATTEMPT_TIMEOUT = timedelta(seconds=10)
+PAUSE_S = 0.2
+
+
+def new_request_key() -> str:
+    """Return a version 7 UUID, which carries its time."""
+    milliseconds = time.time_ns() // 1_000_000
+    random = int.from_bytes(os.urandom(10))
+    value = (milliseconds << 80) | random
+    value = (value & ~(0xF << 76)) | (0x7 << 76)
+    value = (value & ~(0x3 << 62)) | (0x2 << 62)
+    return str(uuid.UUID(int=value))
+
+
+def new_photo(n_pixels: int = 24) -> bytes:
+    """Return a small grey PNG of random pixels."""
+    rows = b"".join(b"\0" + os.urandom(n_pixels) for _ in range(n_pixels))
+    header = n_pixels.to_bytes(4) * 2 + bytes([8, 0, 0, 0, 0])
+    chunks = [(b"IHDR", header), (b"IDAT", zlib.compress(rows)), (b"IEND", b"")]
+    png = b"\x89PNG\r\n\x1a\n"
+    for kind, data in chunks:
+        png += len(data).to_bytes(4) + kind + data
+        png += zlib.crc32(kind + data).to_bytes(4)
+    return png
+
+
+class Ask:
+    """One thing that a caller wants done, over all its attempts.
+
+    Attributes
+    ----------
+    outcome : str
+        ``answered``, ``not-run``, ``unknown``, ``refused-key`` or empty while open.
+    not_run_ids : list of str
+        Request ids of the attempts that were refused as not run.
+    """
+
+    def __init__(self, *, queue: str, body: bytes, key: str, idempotent: bool) -> None:
+        self.queue = queue
+        self.body = body
+        self.key = key
+        self.idempotent = idempotent
+        self.request_key = "" if idempotent else new_request_key()
+        self.outcome = ""
+        self.detail = ""
+        self.took_s = 0.0
+        self.is_crossed = False
+        self.not_run_ids: list[str] = []
+
+    @property
+    def body_sha256(self) -> str:
+        """Return what the endpoints record of the body."""
+        return hashlib.sha256(self.body).hexdigest()
+
+
+class Balancer:
+    """Gives the entries in turn that say they are ready."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._addresses = addresses
+        self._ready = list(addresses)
+        self._turn = 0
+
+    async def watch(self) -> None:
+        """Ask the entries again and again."""
+        while True:
+            states = await asyncio.gather(
+                *(asyncio.to_thread(is_ready, at) for at in self._addresses)
+            )
+            pairs = zip(self._addresses, states, strict=True)
+            self._ready = [address for address, ready in pairs if ready]
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    def next(self) -> str:
+        """Return the next entry's address, empty when none is ready."""
+        if not self._ready:
+            return ""
+        self._turn += 1
+        return self._ready[self._turn % len(self._ready)]
+
+
+class Caller:
+    """Asks until there is an outcome or the time is over."""
+
+    def __init__(self, balancer: Balancer) -> None:
+        self._balancer = balancer
+        self._pool = ClientPool(ClientLimits())
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.close()
+
+    async def ask(self, ask: Ask, *, wait_s: float = 8.0) -> Ask:
+        """Ask, and again where that is safe, until `wait_s` is over."""
+        started = time.monotonic()
+        is_uncertain = False
+        ask.outcome = "not-run"
+        while time.monotonic() - started < wait_s:
+            left = wait_s - (time.monotonic() - started)
+            answer = await self._attempt(ask, left)
+            if answer is None:
+                await asyncio.sleep(PAUSE_S)
+                continue
+            if isinstance(answer, Exception):
+                is_uncertain = True
+                ask.detail = str(answer)
+                continue
+            if self._take(ask, answer):
+                break
+            await asyncio.sleep(PAUSE_S)
+        if ask.outcome == "not-run" and is_uncertain:
+            ask.outcome = "unknown"
+        ask.took_s = time.monotonic() - started
+        return ask
+
+    async def _attempt(
+        self, ask: Ask, left_s: float
+    ) -> ClientAnswer | Exception | None:
+        """Send once; None when nothing was sent, an error when no answer came."""
+        address = self._balancer.next()
+        if not address:
+            return None
+        headers = {
+            "Authorization": f"Bearer {ask.key}",
+            "Content-Type": "application/octet-stream",
+            "Redwingslip-Idempotent": "true" if ask.idempotent else "false",
+            "Prefer": f"wait={max(left_s, 0.1):.3f}",
+        }
+        if ask.request_key:
+            headers["Idempotency-Key"] = ask.request_key
+        req = ClientRequest(
+            address=address,
+            method="POST",
+            path=f"/v1/queues/{ask.queue}/requests",
+            headers=headers,
+            body=ask.body,
+            timeout=timedelta(seconds=left_s) + ATTEMPT_TIMEOUT,
+        )
+        try:
+            return await self._pool.exchange(req)
+        except NotConnectedError:
+            return None
+        except HttpError as exc:
+            return exc
+
+    def _take(self, ask: Ask, answer: ClientAnswer) -> bool:
+        """Take an answer; return whether it is the last word."""
+        if answer.status == 200:
+            ask.outcome = "answered"
+            run = msgspec.json.decode(answer.body)
+            ask.is_crossed = run["echo"] != ask.body.decode(errors="replace")
+            return True
+        problem = msgspec.json.decode(answer.body)
+        ask.detail = f"{answer.status} {problem.get('detail', '')}"
+        if problem.get("outcome") == "not-run":
+            ask.not_run_ids.append(problem.get("request_id", ""))
+            if answer.status in (400, 401, 403, 404, 413):
+                ask.outcome = "refused-key" if answer.status == 401 else "not-run"
+                return True
+            return False
+        ask.outcome = "unknown"
+        return True
+
+
+class Verdict(msgspec.Struct):
+    """Counts over all asks."""
+
+    n_asked: int = 0
+    n_answered: int = 0
+    n_not_run: int = 0
+    n_refused_key: int = 0
+    n_unknown: int = 0
+    n_lost: int = 0
+    n_doubled: int = 0
+    n_false_refusals: int = 0
+    n_crossed: int = 0
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether every promise was kept."""
+        return not (
+            self.n_lost or self.n_doubled or self.n_false_refusals or self.n_crossed
+        )
+
+
+def judge(asks: list[Ask], records: list[Path]) -> Verdict:
+    """Compare what callers saw with what the endpoints recorded."""
+    n_starts: collections.Counter[str] = collections.Counter()
+    n_ends: collections.Counter[str] = collections.Counter()
+    started_ids = set()
+    for path in records:
+        for line in path.read_bytes().splitlines():
+            record = msgspec.json.decode(line, type=RunRecord)
+            if record.event == "start":
+                n_starts[record.body_sha256] += 1
+                started_ids.add(record.request_id.partition(".")[0])
+            elif record.event == "end":
+                n_ends[record.body_sha256] += 1
+    verdict = Verdict(n_asked=len(asks))
+    for ask in asks:
+        digest = ask.body_sha256
+        verdict.n_answered += ask.outcome == "answered"
+        verdict.n_not_run += ask.outcome == "not-run"
+        verdict.n_refused_key += ask.outcome == "refused-key"
+        verdict.n_unknown += ask.outcome == "unknown"
+        has_no_run = ask.outcome == "answered" and not n_ends[digest]
+        verdict.n_lost += not ask.outcome or has_no_run
+        verdict.n_doubled += not ask.idempotent and n_starts[digest] > 1
+        verdict.n_crossed += ask.is_crossed
+        false_ids = [i for i in ask.not_run_ids if i in started_ids]
+        verdict.n_false_refusals += bool(false_ids)
+    return verdict
--- a/src/redwingslip/standins/_endpoint.py
+++ b/src/redwingslip/standins/_endpoint.py
@@ -1,6 +1,7 @@
 """A stand-in endpoint: announces itself, obeys permits, runs and records."""
 
 import asyncio
+import hashlib
 import uuid
 from datetime import timedelta
 
@@ -181,9 +182,10 @@
 
     async def _run(self, call: CallHeaders, work: Work, body: bytes) -> Response:
         mode = work.mode or self.mode
+        body_sha256 = hashlib.sha256(body).hexdigest()
         self.running[call.permit_id] = call
         self._idle.clear()
-        self._record("start", call)
+        self._record("start", call, body_sha256)
         event = "killed"
         try:
             async with asyncio.timeout(call.lease.total_seconds()):
@@ -192,7 +194,7 @@
         except TimeoutError:
             event = "lease-expired"
         finally:
-            self._record(event, call)
+            self._record(event, call, body_sha256)
             del self.running[call.permit_id]
             if not self.running:
                 self._idle.set()
@@ -223,7 +225,7 @@
             content, status_code=status, headers=headers, media_type="application/json"
         )
 
-    def _record(self, event: str, call: CallHeaders) -> None:
+    def _record(self, event: str, call: CallHeaders, body_sha256: str) -> None:
         record = RunRecord(
             time=self._clock.utcnow(),
             event=event,
@@ -233,6 +235,7 @@
             endpoint_id=self.cfg.endpoint_id,
             vm=self.cfg.vm,
             incarnation=self.incarnation,
+            body_sha256=body_sha256,
         )
         self._recorder.append(record)
 
--- a/src/redwingslip/standins/_record.py
+++ b/src/redwingslip/standins/_record.py
@@ -16,6 +16,8 @@
     event : str
         ``start``, or how the run ended: ``end``, ``failed``, ``lease-expired`` or
         ``killed``.
+    body_sha256 : str
+        Tells which caller's request it was.
     """
 
     time: datetime
@@ -26,6 +28,7 @@
     endpoint_id: str
     vm: str
     incarnation: str
+    body_sha256: str = ""
 
 
 class RunRecorder:
