--- a/src/redwingslip/peers/_messages.py
+++ b/src/redwingslip/peers/_messages.py
@@ -181,7 +181,7 @@
     vm: str
     pool: str
     epoch: int
-    drain_index: int = 0
+    drain_index: int
 
 
 # Entries and dispatchers.
