Split the fleet state by kind of command and mend nine faults in it

Every WaveRecord also carried the names of all its VMs. Ruled out: refusing each claim older than the newest forgotten by position; the time that an id carries is what the entries check already. Change: commands apply through one singledispatch function over Tables; claims and operations are tables of their own; waves are marked on the VMs; VMs per pool and allotments per team are indexed; defaults are left out of the rows.

--- a/src/redwingslip/fleet/__init__.py
+++ b/src/redwingslip/fleet/__init__.py
@@ -34,6 +34,7 @@
     NotAdmitted,
     Outcome,
 )
+from ._placement import is_loan_allowed, is_misplaced, is_move_wanted, wished_pool
 from ._resources import (
     KeySpec,
     Kind,
@@ -119,5 +120,9 @@
     "VmSpec",
     "WaveRecord",
     "WaveSpec",
+    "is_loan_allowed",
+    "is_misplaced",
+    "is_move_wanted",
     "kind_of",
+    "wished_pool",
 ]
--- a/src/redwingslip/fleet/_budget.py
+++ b/src/redwingslip/fleet/_budget.py
@@ -2,10 +2,10 @@
 
 from collections import Counter
 
-from ._resources import PoolSpec
+from ._resources import PoolSpec, VmPhase
 from ._view import FleetView, VmRecord
 
-__all__ = ["PoolBudget", "budget_violation"]
+__all__ = ["PoolBudget", "budget_violation", "drain_problem"]
 
 
 class PoolBudget:
@@ -87,3 +87,12 @@
 def budget_violation(view: FleetView, vm: VmRecord) -> str | None:
     """Return which budget of its pool would break if `vm` were taken out, or None."""
     return PoolBudget(view, vm.pool).violation(vm)
+
+
+def drain_problem(view: FleetView, record: VmRecord | None) -> str | None:
+    """Return why a VM can't be drained now, or None."""
+    if record is None or record.phase is not VmPhase.SERVING:
+        return "the VM is absent or not serving"
+    if record.pool not in view.dispatchers:
+        return "the pool has no dispatcher, so its VMs are unknown"
+    return budget_violation(view, record)
--- a/src/redwingslip/maintenance/_placement.py
+++ b/src/redwingslip/fleet/_placement.py
@@ -1,8 +1,9 @@
 """Where VMs are wanted."""
 
-from ..fleet import FleetView, VmPhase, VmRecord
+from ._resources import VmPhase
+from ._view import FleetView, VmRecord
 
-__all__ = ["is_loan_allowed", "is_misplaced", "wished_pool"]
+__all__ = ["is_loan_allowed", "is_misplaced", "is_move_wanted", "wished_pool"]
 
 
 def wished_pool(view: FleetView, vm: VmRecord) -> str:
@@ -22,3 +23,10 @@
     if vm.phase is not VmPhase.SERVING or wished_pool(view, vm) == vm.pool:
         return False
     return not (vm.lent and is_loan_allowed(view, vm))
+
+
+def is_move_wanted(view: FleetView, vm: VmRecord) -> bool:
+    """Return whether a move that has begun is still wanted."""
+    if vm.lent:
+        return is_loan_allowed(view, vm)
+    return wished_pool(view, vm) == vm.move_to
--- a/src/redwingslip/fleet/_validation.py
+++ b/src/redwingslip/fleet/_validation.py
@@ -52,6 +52,9 @@
 def _(spec: KeySpec, name: str, view: FleetView) -> Invalid | None:
     if view.spec(Kind.TEAM, spec.team) is None:
         return _missing("spec.team", Kind.TEAM, spec.team)
+    for other in view.resources[Kind.KEY].values():
+        if other.spec.sha256 == spec.sha256 and other.name != name:
+            return Invalid(field="spec.sha256", reason="another key has this secret")
     return None
 
 
@@ -70,13 +73,14 @@
 
 @spec_problem.register
 def _(spec: WaveSpec, name: str, view: FleetView) -> Invalid | None:
+    current = view.spec(Kind.WAVE, name)
+    if current is not None and current.pools == spec.pools:
+        return None
+    if current is not None:
+        return Invalid(field="spec.pools", reason="can't change once a wave exists")
     for pool in spec.pools:
         if view.pool(pool) is None:
             return _missing("spec.pools", Kind.POOL, pool)
-    record = view.waves.get(name)
-    current = view.spec(Kind.WAVE, name)
-    if record is not None and current is not None and current.pools != spec.pools:
-        return Invalid(field="spec.pools", reason="can't change once a wave exists")
     return None
 
 
--- a/src/redwingslip/fleet/_view.py
+++ b/src/redwingslip/fleet/_view.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections import Counter
 from functools import singledispatchmethod
 
 import msgspec
@@ -53,7 +54,11 @@
     ALLOTMENTS = "allotments"
 
 
-class VmRecord(msgspec.Struct, frozen=True, tag=True, kw_only=True):
+class _Row(msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True):
+    """Base of the rows of a view."""
+
+
+class VmRecord(_Row, frozen=True, tag=True):
     """Where a VM is.
 
     Attributes
@@ -64,6 +69,8 @@
         The pool it is leaving for; empty while it stays, or when it is removed.
     wave : str
         The wave that holds it in maintenance.
+    waits_for : tuple of str
+        The waves that have still to take it.
     assigned_at : int
         Log index at which it came into its pool, or its last reboot was done.
     joined : bool
@@ -88,6 +95,7 @@
     health: VmHealth = VmHealth.UNKNOWN
     move_to: str = ""
     wave: str = ""
+    waits_for: tuple[str, ...] = ()
     assigned_at: int = 0
     joined: bool = False
     data_centre: str = ""
@@ -104,14 +112,14 @@
         return self.phase is VmPhase.SERVING and self.health is VmHealth.UP
 
 
-class WaveRecord(msgspec.Struct, frozen=True, tag=True, kw_only=True):
-    """How far a maintenance wave is.
+class WaveRecord(_Row, frozen=True, tag=True):
+    """How far a maintenance wave is; its VMs are marked in their own records.
 
     Attributes
     ----------
-    pending : tuple of str
+    n_pending : int
         VMs not taken yet.
-    active : tuple of str
+    n_active : int
         VMs in maintenance.
     n_done : int
         VMs that serve again.
@@ -120,13 +128,30 @@
     """
 
     name: str
-    pending: tuple[str, ...] = ()
-    active: tuple[str, ...] = ()
+    n_pending: int = 0
+    n_active: int = 0
     n_done: int = 0
     n_skipped: int = 0
 
+    @property
+    def is_done(self) -> bool:
+        """Whether the wave has no more to do."""
+        return not self.n_pending and not self.n_active
+
+    def after(
+        self, *, pending: int = 0, active: int = 0, done: int = 0, skipped: int = 0
+    ) -> "WaveRecord":
+        """Return the record with these numbers added."""
+        return WaveRecord(
+            name=self.name,
+            n_pending=self.n_pending + pending,
+            n_active=self.n_active + active,
+            n_done=self.n_done + done,
+            n_skipped=self.n_skipped + skipped,
+        )
 
-class EntryRecord(msgspec.Struct, frozen=True, tag=True, kw_only=True):
+
+class EntryRecord(_Row, frozen=True, tag=True):
     """A registered entry daemon."""
 
     entry_id: str
@@ -135,7 +160,7 @@
     data_centre: str = ""
 
 
-class DispatcherLease(msgspec.Struct, frozen=True, tag=True, kw_only=True):
+class DispatcherLease(_Row, frozen=True, tag=True):
     """Which entry dispatches a pool; `epoch` is the log index of the assignment."""
 
     pool: str
@@ -144,7 +169,7 @@
     epoch: int
 
 
-class Allotment(msgspec.Struct, frozen=True, tag=True, kw_only=True):
+class Allotment(_Row, frozen=True, tag=True):
     """The part of a team's upper limit that a pool's dispatcher may use."""
 
     team: str
@@ -198,6 +223,8 @@
     """
 
     __slots__ = (
+        "_n_allotted",
+        "_vms_by_pool",
         "allotments",
         "dispatchers",
         "entries",
@@ -219,6 +246,8 @@
         self.entries: dict[str, EntryRecord] = {}
         self.dispatchers: dict[str, DispatcherLease] = {}
         self.allotments: dict[tuple[str, str], Allotment] = {}
+        self._vms_by_pool: dict[str, dict[str, VmRecord]] = {}
+        self._n_allotted: Counter[str] = Counter()
 
     def spec(self, kind: Kind, name: str) -> Spec | None:
         """Return a resource's specification, or None when there is none."""
@@ -252,11 +281,19 @@
 
     def vms_of(self, pool: str) -> list[VmRecord]:
         """Return the VMs of a pool."""
-        return [vm for vm in self.vms.values() if vm.pool == pool]
+        return list(self._vms_by_pool.get(pool, {}).values())
+
+    def pending_vms(self, wave: str) -> list[VmRecord]:
+        """Return the VMs that a wave has still to take."""
+        return [vm for vm in self.vms.values() if wave in vm.waits_for]
+
+    def active_vms(self, wave: str) -> list[VmRecord]:
+        """Return the VMs that a wave holds in maintenance."""
+        return [vm for vm in self.vms.values() if vm.wave == wave]
 
     def allotted(self, team: str) -> int:
         """Return how much of a team's limit is allotted over all pools."""
-        return sum(a.count for a in self.allotments.values() if a.team == team)
+        return self._n_allotted[team]
 
     def allotment(self, team: str, pool: str) -> Allotment:
         """Return a pool's allotment of a team, empty when there is none."""
@@ -304,7 +341,9 @@
 
     @_put.register
     def _(self, row: VmRecord) -> None:
+        self._remove_vm(row.name)
         self.vms[row.name] = row
+        self._vms_by_pool.setdefault(row.pool, {})[row.name] = row
 
     @_put.register
     def _(self, row: WaveRecord) -> None:
@@ -320,6 +359,8 @@
 
     @_put.register
     def _(self, row: Allotment) -> None:
+        self._n_allotted[row.team] += row.count
+        self._n_allotted[row.team] -= self.allotment(row.team, row.pool).count
         self.allotments[row.team, row.pool] = row
 
     @_put.register
@@ -328,7 +369,7 @@
             case Table.RESOURCES:
                 self.resources[Kind(row.key[0])].pop(row.key[1], None)
             case Table.VMS:
-                self.vms.pop(row.key[0], None)
+                self._remove_vm(row.key[0])
             case Table.WAVES:
                 self.waves.pop(row.key[0], None)
             case Table.ENTRIES:
@@ -336,4 +377,17 @@
             case Table.DISPATCHERS:
                 self.dispatchers.pop(row.key[0], None)
             case Table.ALLOTMENTS:
-                self.allotments.pop((row.key[0], row.key[1]), None)
+                self._remove_allotment(row.key[0], row.key[1])
+
+    def _remove_vm(self, name: str) -> None:
+        record = self.vms.pop(name, None)
+        if record is None:
+            return
+        of_pool = self._vms_by_pool[record.pool]
+        del of_pool[name]
+        if not of_pool:
+            del self._vms_by_pool[record.pool]
+
+    def _remove_allotment(self, team: str, pool: str) -> None:
+        self._n_allotted[team] -= self.allotment(team, pool).count
+        self.allotments.pop((team, pool), None)
--- a/src/redwingslip/maintenance/_loans.py
+++ b/src/redwingslip/maintenance/_loans.py
@@ -4,9 +4,15 @@
 from collections.abc import Callable, Iterator
 from datetime import timedelta
 
-from ..fleet import BeginMove, FleetView, PoolBudget, VmRecord
+from ..fleet import (
+    BeginMove,
+    FleetView,
+    PoolBudget,
+    VmRecord,
+    is_loan_allowed,
+    wished_pool,
+)
 from ..peers._messages import PoolDemand
-from ._placement import is_loan_allowed, wished_pool
 from ._settings import MoveSettings
 
 __all__ = ["LoanPlanner", "PoolTrend"]
--- a/src/redwingslip/maintenance/_moves.py
+++ b/src/redwingslip/maintenance/_moves.py
@@ -14,11 +14,13 @@
     PoolBudget,
     VmPhase,
     VmRecord,
+    is_misplaced,
+    is_move_wanted,
+    wished_pool,
 )
 from ..peers._messages import PoolDemand, VmDrained
 from ._drains import Drains
 from ._loans import LoanPlanner
-from ._placement import is_loan_allowed, is_misplaced, wished_pool
 from ._resend import Resender
 from ._settings import MoveSettings
 
@@ -90,7 +92,7 @@
 
     def _finish(self, view: FleetView, vm: VmRecord) -> Iterator[Command]:
         """End a move: cancel it when nobody wants it, complete it when drained."""
-        if not vm.removing and not _is_wanted(view, vm):
+        if not vm.removing and not is_move_wanted(view, vm):
             yield CancelMove(vm=vm.name, drain_index=vm.drain_index)
         elif self._drains.is_drained(view, vm):
             epoch = view.dispatchers[vm.pool].epoch
@@ -117,10 +119,3 @@
     """Return the VMs that stay where the operator doesn't want them, by name."""
     misplaced = [vm for vm in view.vms.values() if is_misplaced(view, vm)]
     return sorted(misplaced, key=lambda vm: vm.name)
-
-
-def _is_wanted(view: FleetView, vm: VmRecord) -> bool:
-    """Return whether a move that has begun is still wanted."""
-    if vm.lent:
-        return is_loan_allowed(view, vm)
-    return wished_pool(view, vm) == vm.move_to
--- a/src/redwingslip/maintenance/_waves.py
+++ b/src/redwingslip/maintenance/_waves.py
@@ -17,13 +17,13 @@
     VmRecord,
     WaveRecord,
     WaveSpec,
+    is_misplaced,
 )
 from ..observe._events import Event, EventName, EventSink, NullSink
 from ..peers._messages import RebootDone, RebootOrder, VmDrained
 from ._drains import Drains
 from ._failures import FailureMonitor
 from ._order import n_rounds, ordered
-from ._placement import is_misplaced
 from ._resend import Resender
 from ._settings import WaveSettings
 from ._status import WaveLife, WavePhase, WaveStatus
@@ -105,11 +105,12 @@
         """Return how far a wave is."""
         record = view.waves[wave]
         spec = view.spec(Kind.WAVE, wave)
-        overdue = [vm for vm in record.active if self._is_overdue(vm, now)]
+        overdue = [vm.name for vm in view.active_vms(wave)]
+        overdue = [vm for vm in overdue if self._is_overdue(vm, now)]
         return WaveStatus(
             phase=self._phase(record, spec),
-            n_pending=len(record.pending),
-            n_active=len(record.active),
+            n_pending=record.n_pending,
+            n_active=record.n_active,
             n_done=record.n_done,
             n_skipped=record.n_skipped,
             overdue=tuple(overdue),
@@ -163,7 +164,7 @@
     # Phases.
 
     def _phase(self, record: WaveRecord, spec: WaveSpec) -> WavePhase:
-        if not record.pending and not record.active:
+        if record.is_done:
             return WavePhase.DONE
         if spec.paused:
             return WavePhase.PAUSED
@@ -190,8 +191,8 @@
             if self._lives[wave].state is not WavePhase.RUNNING:
                 continue
             spec = view.spec(Kind.WAVE, wave)
-            n_free = spec.max_parallel - len(view.waves[wave].active)
-            candidates = [vm for vm in _pending(view, wave) if vm.name not in taken]
+            n_free = spec.max_parallel - view.waves[wave].n_active
+            candidates = [vm for vm in view.pending_vms(wave) if vm.name not in taken]
             for vm in ordered(view, candidates, spec.max_parallel):
                 if n_free <= 0:
                     break
@@ -226,11 +227,11 @@
     def _remaining(
         self, view: FleetView, record: WaveRecord, spec: WaveSpec
     ) -> timedelta | None:
-        if not record.pending and not record.active:
+        if record.is_done:
             return timedelta(0)
         if self._duration is None:
             return None
-        vms = [view.vms[vm] for vm in (*record.active, *record.pending)]
+        vms = view.active_vms(record.name) + view.pending_vms(record.name)
         return self._duration * n_rounds(view, vms, spec.max_parallel)
 
     def _warn(self, wave: str, vm: str, detail: str) -> None:
@@ -261,10 +262,6 @@
     return 0 if resource is None else resource.version
 
 
-def _pending(view: FleetView, wave: str) -> list[VmRecord]:
-    return [view.vms[name] for name in view.waves[wave].pending]
-
-
 def _can_begin(view: FleetView, vm: VmRecord) -> bool:
     is_serving = vm.phase is VmPhase.SERVING and vm.pool in view.dispatchers
     return is_serving and not is_misplaced(view, vm)
--- a/tests/fleet_driver.py
+++ b/tests/fleet_driver.py
@@ -54,7 +54,7 @@
         self.reboots: dict[str, timedelta] = {}
         self.refused_vms: set[str] = set()
         self.dead: set[str] = set()
-        self._index = 0
+        self.index = 0
         self._drain_time = drain_time
         self._boot_time = boot_time
         self._drain_ends: dict[tuple[str, int], timedelta] = {}
@@ -72,8 +72,8 @@
 
     def do(self, command: Command) -> Outcome:
         """Apply a command at the next index."""
-        self._index += 1
-        outcome, _ = self.state.apply(self._index, command)
+        self.index += 1
+        outcome, _ = self.state.apply(self.index, command)
         return outcome
 
     def put(self, name: str, spec, **options) -> Outcome:
@@ -132,7 +132,7 @@
     def run_wave(self, name: str, limit: timedelta = timedelta(hours=9)) -> timedelta:
         """Step until a wave has ended; return how long it took."""
         wave = self.view.waves
-        return self.run(lambda: not (wave[name].pending or wave[name].active), limit)
+        return self.run(lambda: wave[name].is_done, limit)
 
     def plan(self) -> None:
         """Apply what the planners propose now."""
--- /dev/null
+++ b/tests/test_fleet_claims.py
@@ -0,0 +1,117 @@
+"""Tests of claims: a non-idempotent request runs at most once."""
+
+import unittest
+from datetime import UTC, datetime, timedelta
+
+from redwingslip.fleet import (
+    Accepted,
+    Claim,
+    ClaimKey,
+    ClaimOutcome,
+    ClaimTaken,
+    ExpireEntry,
+    ForgetClaims,
+    NotAdmitted,
+    RegisterEntry,
+    SettleClaim,
+)
+
+from .fleet_driver import FleetDriver
+
+KEY = ClaimKey(team="t", request_id="r")
+NOON = datetime(2026, 1, 1, 12, tzinfo=UTC)
+NOT_RUN = ClaimOutcome(run=False)
+ANSWER = ClaimOutcome(run=True, status=200, body=b"ok")
+
+
+def claim(attempt: str, forget_after: datetime = NOON) -> Claim:
+    """Return a claim of the one request, by the one entry."""
+    return Claim(
+        key=KEY,
+        entry_id="e",
+        incarnation="1",
+        attempt=attempt,
+        forget_after=forget_after,
+    )
+
+
+def settle(attempt: str, outcome: ClaimOutcome) -> SettleClaim:
+    """Return the settlement of an attempt."""
+    return SettleClaim(key=KEY, attempt=attempt, outcome=outcome)
+
+
+class TestClaim(unittest.TestCase):
+    """Claims of one request id."""
+
+    def setUp(self):
+        """Start with one registered entry."""
+        self.fleet = FleetDriver()
+
+    def test_second_attempt_gets_the_first_outcome(self):
+        """Only the first attempt may run; later ones get its outcome."""
+        do = self.fleet.do
+        self.assertIsInstance(do(claim("a")), Accepted)
+        self.assertEqual(do(claim("b")), ClaimTaken(settled=False))
+        do(settle("a", ANSWER))
+        taken = do(claim("b"))
+        self.assertEqual((taken.status, taken.body), (200, b"ok"))
+
+    def test_expired_entry_leaves_an_unknown_outcome(self):
+        """A claim whose entry has expired is settled as unknown and never free."""
+        do = self.fleet.do
+        do(claim("a"))
+        do(ExpireEntry(entry_id="e", incarnation="1"))
+        do(RegisterEntry(entry_id="e", incarnation="2", address="here"))
+        self.assertEqual(self.fleet.state.claim(KEY), ClaimTaken(settled=True))
+
+    def test_forgotten_id_can_not_be_claimed_again(self):
+        """A claim that comes after its id was forgotten is refused."""
+        do = self.fleet.do
+        do(claim("a"))
+        do(settle("a", ANSWER))
+        do(ForgetClaims(before=NOON))
+        self.fleet.replace_leader()
+        self.assertIsInstance(do(claim("b")), NotAdmitted)
+        later = claim("b", NOON + timedelta(seconds=1))
+        self.assertIsInstance(do(later), Accepted)
+
+    def test_recorded_answer_is_final(self):
+        """A second word on a settled run neither frees nor changes it."""
+        do = self.fleet.do
+        do(claim("a"))
+        do(settle("a", ANSWER))
+        do(settle("a", NOT_RUN))
+        do(settle("a", ClaimOutcome(run=True, status=500)))
+        self.assertEqual(self.fleet.state.claim(KEY).status, 200)
+
+    def test_unknown_outcome_is_never_freed(self):
+        """A late "not run" does not free a run that was settled as unknown."""
+        do = self.fleet.do
+        do(claim("a"))
+        do(ExpireEntry(entry_id="e", incarnation="1"))
+        do(settle("a", NOT_RUN))
+        self.assertEqual(self.fleet.state.claim(KEY), ClaimTaken(settled=True))
+
+    def test_late_answer_replaces_unknown(self):
+        """The whole answer of a run that was settled as unknown is still recorded."""
+        do = self.fleet.do
+        do(claim("a"))
+        do(ExpireEntry(entry_id="e", incarnation="1"))
+        do(settle("a", ANSWER))
+        self.assertEqual(self.fleet.state.claim(KEY).status, 200)
+
+    def test_late_copy_of_an_ended_attempt_claims_nothing(self):
+        """A claim that arrives again after "not run" does not block the next."""
+        do = self.fleet.do
+        do(claim("a"))
+        do(settle("a", NOT_RUN))
+        self.assertIsNone(self.fleet.state.claim(KEY))
+        self.assertEqual(do(claim("a")), ClaimTaken(settled=True, run=False))
+        self.fleet.replace_leader()
+        self.assertIsInstance(do(claim("b")), Accepted)
+        self.assertEqual(do(claim("a")), ClaimTaken(settled=True, run=False))
+        self.assertEqual(do(claim("b")), Accepted(version=self.fleet.index))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_maintenance_waves.py
+++ b/tests/test_maintenance_waves.py
@@ -85,9 +85,10 @@
         fleet.dead = {"a0"}
         for _ in range(600):
             fleet.step()
-        wave = fleet.view.waves["w"]
-        self.assertEqual(wave.active, ("a0",))
-        self.assertEqual(wave.pending, ("a1", "a2", "a3"))
+        active = [vm.name for vm in fleet.view.active_vms("w")]
+        pending = [vm.name for vm in fleet.view.pending_vms("w")]
+        self.assertEqual(active, ["a0"])
+        self.assertEqual(pending, ["a1", "a2", "a3"])
         status = fleet.waves.status(fleet.view, "w", fleet.now)
         self.assertEqual(status.overdue, ("a0",))
 
@@ -142,12 +143,12 @@
         fleet.step()
         fleet.put("w", WaveSpec())
         fleet.step()
-        self.assertEqual(fleet.view.waves["w"].active, ())
+        self.assertEqual(fleet.view.waves["w"].n_active, 0)
         status = fleet.waves.status(fleet.view, "w", fleet.now)
         self.assertIs(status.phase, WavePhase.HELD)
         fleet.dead = set()
         fleet.step()
-        self.assertEqual(fleet.view.waves["w"].active, ())
+        self.assertEqual(fleet.view.waves["w"].n_active, 0)
         fleet.run_wave("w", timedelta(minutes=3))
 
     def test_single_failures_far_apart_hold_nothing(self):
