--- a/src/redwingslip/maintenance/_drains.py
+++ b/src/redwingslip/maintenance/_drains.py
@@ -30,6 +30,8 @@
         lease = view.dispatchers.get(record.pool)
         if word is None or lease is None:
             return False
+        if word.drain_index != record.drain_index:
+            return False
         return (word.pool, word.epoch) == (record.pool, lease.epoch)
 
     def keep(self, is_draining: Callable[[str], bool]) -> None:
--- a/tests/fleet_driver.py
+++ b/tests/fleet_driver.py
@@ -160,7 +160,12 @@
     def drained(self, record: VmRecord) -> None:
         """Tell the planners that a VM is drained."""
         epoch = self.view.dispatchers[record.pool].epoch
-        word = VmDrained(vm=record.name, pool=record.pool, epoch=epoch)
+        word = VmDrained(
+            vm=record.name,
+            pool=record.pool,
+            epoch=epoch,
+            drain_index=record.drain_index,
+        )
         self.waves.vm_drained(word, self.now)
         self.moves.vm_drained(word, self.now)
 
--- a/tests/test_maintenance_waves.py
+++ b/tests/test_maintenance_waves.py
@@ -66,6 +66,19 @@
         self.assertEqual(len(sent), 6)
         self.assertEqual(len({order.operation_id for order in sent}), 2)
 
+    def test_word_on_an_earlier_drain_orders_no_reboot(self):
+        """A dispatcher's late word does not reboot a VM that drains again."""
+        fleet = small_fleet()
+        fleet.plan()
+        first = fleet.view.vms["a0"]
+        fleet.run_wave("w")
+        fleet.put("x", WaveSpec())
+        fleet.plan()
+        self.assertIs(fleet.view.vms["a0"].phase, VmPhase.MAINTENANCE)
+        fleet.drained(first)
+        outputs = fleet.waves.plan(fleet.view, fleet.now)
+        self.assertNotIn(RebootOrder, [type(output) for output in outputs])
+
     def test_paused_wave_takes_no_vm(self):
         """A wave that the operator paused finishes its VMs and takes no other."""
         fleet = small_fleet()
