Report waves as the state counts them

Cause: the operators' interface read fields of WaveRecord that the state no longer has; every write of a wave ended in an internal error. Change: names come from the VMs' records.

--- a/src/redwingslip/operators/_resources.py
+++ b/src/redwingslip/operators/_resources.py
@@ -16,6 +16,7 @@
     Spec,
     TeamSpec,
     VmSpec,
+    WaveRecord,
     WaveSpec,
     kind_of,
 )
@@ -143,14 +144,15 @@
     if wave is None:
         return {}
     return {
-        "pending": list(wave.pending),
-        "active": list(wave.active),
+        "pending": [vm.name for vm in view.pending_vms(name)],
+        "active": [vm.name for vm in view.active_vms(name)],
         "n_done": wave.n_done,
-        "state": _wave_state(spec, bool(wave.pending), bool(wave.active)),
+        "n_skipped": wave.n_skipped,
+        "state": _wave_state(spec, wave),
     }
 
 
-def _wave_state(spec: WaveSpec, has_pending: bool, has_active: bool) -> str:
-    if not has_pending and not has_active:
+def _wave_state(spec: WaveSpec, wave: WaveRecord) -> str:
+    if wave.is_done:
         return "done"
     return "paused" if spec.paused else "running"
