Make clients safe against late, cut and surplus answers

Cause: with a shared aiosonic client, a request that follows a timeout or cancellation got the earlier request's late answer. Ruled out: one client with short timeouts (the connection still goes back to its pool); h11 over streams, which is not needed. Change: one aiosonic client for each connection, whose socket is closed unless the answer came whole; an idle connection is read from, so anything that comes unasked closes it; lines cut by the end of the stream, answers without a length, interim answers and resends are refused.

--- a/src/redwingslip/http/_client.py
+++ b/src/redwingslip/http/_client.py
@@ -7,7 +7,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from functools import partial
 
@@ -67,12 +67,27 @@
 
 
 class _WatchedConnection(Connection):
-    """A connection that knows whether it sent, and reads no cut line as whole."""
+    """A connection that knows whether it sent, and reads no cut line as whole.
+
+    While it is idle a task reads the first byte of the next answer, so that a
+    connection on which anything comes unasked, its end included, is never used again.
+    """
 
     def __init__(self, pool) -> None:
         super().__init__(pool)
         self.has_sent = False
-        self.first_byte: asyncio.Task | None = None
+        self._first_byte: asyncio.Task | None = None
+        self._is_watching = False
+        self._on_input: Callable[[], None] | None = None
+
+    @property
+    def reused(self) -> bool:
+        """Return False: aiosonic resends on connections that it takes for reused."""
+        return False
+
+    @reused.setter
+    def reused(self, value: bool) -> None:
+        pass
 
     def write(self, data: bytes) -> None:
         """Write data, and remember it."""
@@ -89,33 +104,44 @@
 
     async def readuntil(self, separator: bytes = b"\n") -> bytes:
         """Read the status line, of which the idle watch may hold the first byte."""
-        if self.first_byte is None:
+        if self._first_byte is None:
             return await super().readuntil(separator)
-        first = await self.first_byte
-        self.first_byte = None
+        first = await self._first_byte
+        self._first_byte = None
         if not first:
             self.close()
             raise ConnectionDisconnected("closed without an answer")
         return first + await super().readuntil(separator)
 
-    async def watch(self) -> bool:
-        """Begin to read the next answer; return False if anything is there already."""
+    def watch(self, on_input: Callable[[], None]) -> None:
+        """Begin to read the next answer; call `on_input` if it comes unasked."""
         self.has_sent = False
-        if self.reader is None:
-            return False
-        self.first_byte = asyncio.create_task(self.reader.read(1))
-        await asyncio.sleep(0)
-        return self.is_clean()
+        self._is_watching = False
+        self._on_input = on_input
+        self._first_byte = asyncio.create_task(self._read_first_byte())
 
-    def is_clean(self) -> bool:
-        """Return whether the idle connection is open and silent."""
-        return self.is_connected and not self.first_byte.done()
+    async def _read_first_byte(self) -> bytes:
+        self._is_watching = True
+        try:
+            first = await self.reader.read(1)
+        except OSError:
+            first = b""
+        if self._on_input is not None:
+            self._on_input()
+        return first
+
+    async def is_clean(self) -> bool:
+        """End the idle time; return whether nothing came in it, nor the end."""
+        if not self._is_watching:
+            await asyncio.sleep(0)
+        self._on_input = None
+        return self.is_connected
 
     def close(self) -> None:
         """Close the socket at once."""
-        if self.first_byte is not None:
-            self.first_byte.cancel()
-            self.first_byte = None
+        if self._first_byte is not None:
+            self._first_byte.cancel()
+            self._first_byte = None
         super().close()
 
 
@@ -168,12 +194,13 @@
         What the other side is granted.
     """
 
-    __slots__ = ("_busy", "_cfg", "_idle")
+    __slots__ = ("_busy", "_cfg", "_idle", "_is_closed")
 
     def __init__(self, cfg: ClientLimits) -> None:
         self._cfg = cfg
         self._idle: dict[str, deque[_Client]] = {}
         self._busy: set[_Client] = set()
+        self._is_closed = False
 
     @property
     def n_idle(self) -> int:
@@ -190,7 +217,7 @@
         AnswerLostError
             Something was sent, and no whole answer arrived.
         """
-        client = self._take(req.address)
+        client = await self._take(req.address)
         self._busy.add(client)
         whole = False
         try:
@@ -206,13 +233,14 @@
             if not whole:
                 client.close()
         if reusable:
-            await self._keep(req.address, client)
+            self._keep(req.address, client)
         else:
             client.close()
         return answer
 
     async def close(self) -> None:
         """Close every connection; requests under way lose their answers."""
+        self._is_closed = True
         for clients in self._idle.values():
             for client in clients:
                 client.close()
@@ -220,15 +248,22 @@
         for client in self._busy:
             client.close()
 
-    def _take(self, address: str) -> _Client:
-        clients = self._idle.get(address, ())
+    async def _take(self, address: str) -> _Client:
+        """Return a client whose connection is idle and clean, or a new one."""
+        clients = self._idle.get(address)
         while clients:
             client = clients.pop()
-            client.timer.cancel()
-            if client.conn.is_clean():
+            try:
+                is_clean = await client.conn.is_clean()
+            except asyncio.CancelledError:
+                client.close()
+                raise
+            if is_clean:
+                client.timer.cancel()
                 return client
             client.close()
-        self._idle.pop(address, None)
+        if clients is not None and self._idle.get(address) is clients:
+            del self._idle[address]
         return _Client(self._cfg)
 
     async def _ask(
@@ -260,18 +295,17 @@
         )
         return answer, client.conn.keep
 
-    async def _keep(self, address: str, client: _Client) -> None:
-        """Keep a connection for reuse if nothing more came on it."""
+    def _keep(self, address: str, client: _Client) -> None:
+        """Keep a connection for reuse."""
         clients = self._idle.setdefault(address, deque())
-        full = len(clients) >= self._cfg.max_idle_per_peer
-        if full or not await client.conn.watch():
+        if self._is_closed or len(clients) >= self._cfg.max_idle_per_peer:
             client.close()
             return
-        clients = self._idle.setdefault(address, deque())
+        expire = partial(self._expire, address, client)
+        client.conn.watch(expire)
         clients.append(client)
         client.timer = asyncio.get_running_loop().call_later(
-            self._cfg.idle_timeout.total_seconds(),
-            partial(self._expire, address, client),
+            self._cfg.idle_timeout.total_seconds(), expire
         )
 
     def _expire(self, address: str, client: _Client) -> None:
--- a/tests/support_http.py
+++ b/tests/support_http.py
@@ -16,7 +16,7 @@
     build_app,
 )
 
-LONG = timedelta(seconds=20)
+LONG = timedelta(seconds=10)
 
 
 class RawServer:
@@ -31,6 +31,7 @@
         self._tasks = set()
         self.requests = []
         self.n_connections = 0
+        self.n_open = 0
         self.n_closed = 0
         self.changed = asyncio.Condition()
 
@@ -50,6 +51,7 @@
     async def _serve(self, reader, writer):
         self._tasks.add(asyncio.current_task())
         self.n_connections += 1
+        self.n_open += 1
         try:
             await self._script(self, reader, writer)
         except (asyncio.CancelledError, ConnectionError, asyncio.IncompleteReadError):
@@ -57,6 +59,8 @@
         finally:
             self._tasks.discard(asyncio.current_task())
             writer.transport.abort()
+            self.n_open -= 1
+            await self.note(lambda: None)
 
     async def read_request(self, reader):
         """Return the next request's body."""
