Test the callers' interface; keep results from withdrawn keys

Cause: an asynchronous result was given to whoever held the same key, withdrawn or not, and to no other key of its team. Change: results belong to whom `identify` says the key belongs to, which refuses a withdrawn one; drain and close of the asynchronous requests.

--- a/src/redwingslip/callers/_results.py
+++ b/src/redwingslip/callers/_results.py
@@ -111,13 +111,17 @@
         self._drop(request_id)
         return last or waiting
 
-    async def close(self) -> None:
-        """Cancel everything that is under way."""
+    async def drain(self) -> None:
+        """Wait until nothing is under way."""
         tasks = {result.task for result in self._results.values()}
-        for task in tasks:
-            task.cancel()
         if tasks:
             await asyncio.wait(tasks)
+
+    async def close(self) -> None:
+        """Cancel everything that is under way, and drop all results."""
+        for result in self._results.values():
+            result.task.cancel()
+        await self.drain()
         self._results.clear()
 
     def _finish(self, result: _Result) -> None:
--- a/src/redwingslip/callers/_routes.py
+++ b/src/redwingslip/callers/_routes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import uuid
+from collections.abc import Callable
 from datetime import timedelta
 
 from starlette.requests import Request
@@ -38,6 +39,7 @@
     results: ResultLimits | None = None,
     clock: Clock | None = None,
     own_url: str = "",
+    identify: Callable[[str], str] = hash_secret,
 ) -> list[Route]:
     """Return the routes that callers and the balancer use.
 
@@ -54,9 +56,12 @@
     own_url : str
         Scheme and address of this entry. An asynchronous request is known only to
         the entry that took it, so its ``Location`` has to lead past the balancer.
+    identify : callable
+        See `CallerInterface`.
     """
     store = ResultStore(results or ResultLimits(), clock or SystemClock())
-    return CallerInterface(runner, cfg, store, own_url=own_url).routes()
+    interface = CallerInterface(runner, cfg, store, own_url=own_url, identify=identify)
+    return interface.routes()
 
 
 class CallerInterface:
@@ -72,9 +77,12 @@
         Keeps the asynchronous requests.
     own_url : str
         Scheme and address that a ``Location`` begins with.
+    identify : callable
+        Returns whom a key belongs to; only the same one gets at a result. Raises
+        `UnauthorizedError` for a key that is not, or no longer, valid.
     """
 
-    __slots__ = ("_cfg", "_own_url", "_runner", "_store")
+    __slots__ = ("_cfg", "_identify", "_own_url", "_runner", "_store")
 
     def __init__(
         self,
@@ -83,8 +91,10 @@
         store: ResultStore,
         *,
         own_url: str = "",
+        identify: Callable[[str], str] = hash_secret,
     ) -> None:
         self._own_url = own_url
+        self._identify = identify
         self._runner = runner
         self._cfg = cfg
         self._store = store
@@ -99,22 +109,34 @@
             Route("/readyz", self.readyz, methods=["GET"]),
         ]
 
+    async def drain(self) -> None:
+        """Wait until no asynchronous request is under way."""
+        await self._store.drain()
+
+    async def close(self) -> None:
+        """Cancel the asynchronous requests and drop their results."""
+        await self._store.close()
+
     async def post(self, req: Request) -> Response:
         """Run a request."""
         body = await read_body(req, self._cfg)
         request_id = uuid.uuid4().hex
         try:
             submission, is_async = parse_submission(req, request_id, body)
+            if is_async:
+                return self._start(submission)
+            return await self._run_while_connected(req, submission)
         except RequestError as exc:
             return _error_response(exc, request_id)
-        if is_async:
-            return self._start(req, submission)
-        return await self._run_while_connected(req, submission)
 
     async def get(self, req: Request) -> Response:
         """Return the answer of an asynchronous request, or 202 while it runs."""
         request_id = req.path_params["request_id"]
-        waiting = self._store.get(request_id, _owner(req))
+        try:
+            owner = self._owner(_key(req))
+        except RequestError as exc:
+            return _error_response(exc, request_id)
+        waiting = self._store.get(request_id, owner)
         if waiting is None:
             return _unknown_request(request_id)
         return _waiting_response(waiting, self._own_url)
@@ -122,7 +144,11 @@
     async def delete(self, req: Request) -> Response:
         """Cancel an asynchronous request."""
         request_id = req.path_params["request_id"]
-        waiting = await self._store.cancel(request_id, _owner(req))
+        try:
+            owner = self._owner(_key(req))
+        except RequestError as exc:
+            return _error_response(exc, request_id)
+        waiting = await self._store.cancel(request_id, owner)
         if waiting is None:
             return _unknown_request(request_id)
         return Response(status_code=204)
@@ -140,16 +166,18 @@
         )
         return problem_response(problem, retry_after=RETRY_AFTER)
 
-    def _start(self, req: Request, submission: Submission) -> Response:
+    def _owner(self, key: str | None) -> str:
+        """Return who may ask for a result; requests without a key share one."""
+        return "" if key is None else self._identify(key)
+
+    def _start(self, submission: Submission) -> Response:
         request_id = submission.request_id
+        owner = self._owner(submission.key)
         try:
-            self._store.start(request_id, _owner(req), self._runner.run(submission))
-        except TooManyResultsError:
-            exc = NotRunError(
-                "too many asynchronous requests; send it again later",
-                retry_after=RETRY_AFTER,
-            )
-            return _error_response(exc, request_id)
+            self._store.start(request_id, owner, self._runner.run(submission))
+        except TooManyResultsError as exc:
+            text = "too many asynchronous requests; send it again later"
+            raise NotRunError(text, retry_after=RETRY_AFTER) from exc
         return _accepted_response(request_id, self._own_url)
 
     async def _run_while_connected(
@@ -164,8 +192,6 @@
                 await _cancelled(run)
                 return Response(status_code=CLIENT_CLOSED_REQUEST)
             return _answer_response(await run, submission.request_id)
-        except RequestError as exc:
-            return _error_response(exc, submission.request_id)
         finally:
             gone.cancel()
             run.cancel()
@@ -186,9 +212,8 @@
         await run
 
 
-def _owner(req: Request) -> str:
-    """Return who may ask for a result: the holder of the same key."""
-    return hash_secret(bearer_token(req.headers.get("authorization")) or "")
+def _key(req: Request) -> str | None:
+    return bearer_token(req.headers.get("authorization"))
 
 
 def _answer_response(answer: Answer, request_id: str) -> Response:
--- /dev/null
+++ b/tests/test_callers_routes.py
@@ -0,0 +1,364 @@
+"""Tests of the callers' interface, over real sockets."""
+
+import asyncio
+import logging
+import unittest
+from datetime import timedelta
+
+from redwingslip.callers import (
+    Answer,
+    BadRequestError,
+    CallerInterface,
+    ForbiddenError,
+    NotRunError,
+    OutcomeUnknownError,
+    ResultLimits,
+    ResultStore,
+    UnauthorizedError,
+    UnknownQueueError,
+    make_secret,
+)
+from redwingslip.clock import ManualClock
+from redwingslip.http import HttpLimits
+from tests.support_http import HttpTestCase, json_of
+
+PATH = "/v1/queues/listings/requests"
+SECOND = timedelta(seconds=1)
+
+
+class FakeRunner:
+    """Echoes requests; a body "hold" waits until it is released."""
+
+    def __init__(self):
+        self.submissions = []
+        self.cancelled = []
+        self.error = None
+        self.is_accepting = True
+        self.release = asyncio.Event()
+        self.started = asyncio.Event()
+        self.stopped = asyncio.Event()
+
+    def is_ready(self):
+        """Return whether the test lets it accept."""
+        return self.is_accepting
+
+    async def run(self, submission):
+        """Echo a request."""
+        self.submissions.append(submission)
+        self.started.set()
+        if self.error is not None:
+            raise self.error
+        try:
+            if submission.body == b"hold":
+                await self.release.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(submission.request_id)
+            self.stopped.set()
+            raise
+        return Answer(status=200, content_type="text/x", body=submission.body)
+
+
+class CallerTestCase(HttpTestCase):
+    """A callers' interface in front of a fake runner."""
+
+    limits = ResultLimits(max_count=3, max_bytes=1_000, max_age=10 * SECOND)
+
+    async def asyncSetUp(self):
+        """Serve the routes."""
+        await super().asyncSetUp()
+        self.runner = FakeRunner()
+        self.clock = ManualClock()
+        self.withdrawn = set()
+        interface = CallerInterface(
+            self.runner,
+            HttpLimits(max_body_bytes=1_000),
+            ResultStore(self.limits, self.clock),
+            own_url="http://10.0.0.1:80",
+            identify=self.identify,
+        )
+        self.addAsyncCleanup(interface.close)
+        await self.serve(interface.routes())
+
+    def identify(self, secret):
+        """Return a key's team, unless it was withdrawn."""
+        if secret in self.withdrawn:
+            raise UnauthorizedError("withdrawn")
+        return secret.partition("-")[0]
+
+    async def ask(self, body=b"x", method="POST", path=PATH, **headers):
+        """Send a request; header names with '_' for '-'."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        named.setdefault("Authorization", "Bearer smiths-1")
+        return await self.send(method, path, headers=named, body=body)
+
+    async def raw(self, data):
+        """Send bytes on a connection of their own."""
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(lambda: writer.transport.abort())
+        writer.write(data)
+        return reader, writer
+
+
+class TestRequest(CallerTestCase):
+    """POST, and the answer while the caller waits."""
+
+    async def test_each_caller_gets_its_own_whole_answer(self):
+        """Of many requests at once each is answered with its own bytes."""
+        bodies = [b"%d" % number * 20 for number in range(30)]
+        answers = await asyncio.gather(*(self.ask(body) for body in bodies))
+        self.assertEqual([answer.body for answer in answers], bodies)
+        lengths = [int(answer.headers["content-length"]) for answer in answers]
+        self.assertEqual(lengths, [len(body) for body in bodies])
+        self.assertEqual(answers[0].headers["content-type"], "text/x")
+
+    async def test_headers_reach_the_runner(self):
+        """Everything that a caller declares is handed to the runner."""
+        await self.ask(
+            b"x",
+            Content_Type="image/png",
+            Idempotency_Key='"id-1"',
+            Redwingslip_Idempotent="false",
+            Redwingslip_Expected_Run="2.5",
+            Redwingslip_Slots="2",
+            Redwingslip_Accelerators="1",
+            Redwingslip_Memory_MB="512",
+            Prefer="foo, wait=4",
+        )
+        (got,) = self.runner.submissions
+        self.assertEqual((got.queue, got.key), ("listings", "smiths-1"))
+        self.assertEqual((got.content_type, got.body), ("image/png", b"x"))
+        self.assertEqual((got.idempotency_key, got.idempotent), ("id-1", False))
+        self.assertEqual(got.timeout, 4 * SECOND)
+        self.assertEqual(got.expected_run, 2.5 * SECOND)
+        self.assertEqual((got.slots, got.accelerators, got.memory_mb), (2, 1, 512))
+
+    async def test_malformed_header_is_named(self):
+        """A bad header is named, and the work does not run."""
+        cases = (
+            ("Idempotency_Key", ""),
+            ("Idempotency_Key", "a b"),
+            ("Idempotency_Key", "x" * 256),
+            ("Redwingslip_Idempotent", "maybe"),
+            ("Redwingslip_Expected_Run", "-1"),
+            ("Redwingslip_Expected_Run", "nan"),
+            ("Redwingslip_Slots", "0"),
+            ("Redwingslip_Slots", "1.5"),
+            ("Redwingslip_Accelerators", "-1"),
+            ("Redwingslip_Memory_MB", "1e9"),
+            ("Prefer", "wait=soon"),
+            ("Prefer", "wait=0"),
+        )
+        for name, value in cases:
+            with self.subTest(name=name, value=value):
+                answer = await self.ask(**{name: value})
+                self.assertEqual(answer.status, 400)
+                problem = json_of(answer)
+                self.assertEqual(problem["field"], name.replace("_", "-"))
+                self.assertEqual(problem["outcome"], "not-run")
+        self.assertEqual(self.runner.submissions, [])
+
+    async def test_errors_say_whether_the_work_ran(self):
+        """Each error of the runner becomes a problem with its true outcome."""
+        cases = (
+            (BadRequestError("x"), 400, "not-run"),
+            (UnauthorizedError("x"), 401, "not-run"),
+            (ForbiddenError("x"), 403, "not-run"),
+            (UnknownQueueError("x"), 404, "not-run"),
+            (NotRunError("x", retry_after=1.2 * SECOND), 503, "not-run"),
+            (OutcomeUnknownError("x"), 504, "unknown"),
+        )
+        for error, status, outcome in cases:
+            with self.subTest(error=type(error).__name__):
+                self.runner.error = error
+                answer = await self.ask()
+                self.assertEqual(answer.status, status)
+                media_type = answer.headers["content-type"]
+                self.assertEqual(media_type, "application/problem+json")
+                self.assertEqual(json_of(answer)["outcome"], outcome)
+                retry_after = "2" if error.retry_after else None
+                self.assertEqual(answer.headers.get("retry-after"), retry_after)
+
+    async def test_failure_of_the_entry_is_no_refusal(self):
+        """An unforeseen error leaves the outcome unknown."""
+        self.runner.error = KeyError("boom")
+        with self.assertLogs("uvicorn.error"):
+            answer = await self.ask()
+        self.assertEqual(answer.status, 500)
+        self.assertEqual(json_of(answer)["outcome"], "unknown")
+
+    async def test_too_large_a_body_does_not_run(self):
+        """A body above the limit gets 413, with or without a declared length."""
+        answer = await self.ask(b"x" * 1_001)
+        self.assertEqual(answer.status, 413)
+        self.assertEqual(json_of(answer)["outcome"], "not-run")
+        chunk = b"1f4\r\n" + b"x" * 500 + b"\r\n"
+        head = f"POST {PATH} HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        reader, _ = await self.raw(head.encode() + chunk * 3 + b"0\r\n\r\n")
+        self.assertIn(b" 413 ", await reader.readline())
+        self.assertEqual(self.runner.submissions, [])
+
+    async def test_other_paths_and_methods(self):
+        """What can't be routed gets a problem document too."""
+        missing = await self.ask(path="/v1/nothing")
+        method = await self.ask(method="PUT")
+        self.assertEqual((missing.status, method.status), (404, 405))
+        self.assertEqual(json_of(missing)["outcome"], "not-run")
+        self.assertEqual(method.headers["allow"], "POST")
+
+
+class TestDisconnect(CallerTestCase):
+    """Callers that go away."""
+
+    async def test_run_is_cancelled_when_its_caller_is_gone(self):
+        """A disconnect cancels that caller's run and no other."""
+        head = f"POST {PATH} HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nhold"
+        _, writer = await self.raw(head.encode())
+        await self.runner.started.wait()
+        self.runner.started.clear()
+        other = asyncio.create_task(self.ask(b"hold"))
+        await self.runner.started.wait()
+        writer.transport.abort()
+        await self.runner.stopped.wait()
+        gone = self.runner.submissions[0].request_id
+        self.assertEqual(self.runner.cancelled, [gone])
+        self.runner.release.set()
+        self.assertEqual((await other).body, b"hold")
+
+    async def test_half_a_body_does_not_run(self):
+        """A caller that goes away within its body has sent no request."""
+        head = f"POST {PATH} HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf"
+        _, writer = await self.raw(head.encode())
+        await self.ask()
+        writer.transport.abort()
+        await self.ask()
+        self.assertEqual(len(self.runner.submissions), 2)
+
+
+class TestAsynchronous(CallerTestCase):
+    """Prefer: respond-async."""
+
+    async def start(self, body=b"hold", **headers):
+        """Start a request and return its path."""
+        answer = await self.ask(body, Prefer="respond-async", **headers)
+        self.assertEqual(answer.status, 202)
+        location = answer.headers["location"]
+        self.assertTrue(location.startswith("http://10.0.0.1:80/v1/requests/"))
+        return location.removeprefix("http://10.0.0.1:80")
+
+    async def get(self, path, **headers):
+        """Ask for a result."""
+        return await self.ask(b"", "GET", path, **headers)
+
+    async def test_answer_is_fetched_later(self):
+        """A request is 202 until its answer is there, and that can be read again."""
+        path = await self.start()
+        self.assertEqual((await self.get(path)).status, 202)
+        self.runner.release.set()
+        while (answer := await self.get(path)).status == 202:
+            pass
+        self.assertEqual((answer.status, answer.body), (200, b"hold"))
+        self.assertEqual((await self.get(path)).body, b"hold")
+
+    async def test_problem_is_fetched_later(self):
+        """A refusal reaches the caller with its outcome."""
+        self.runner.error = NotRunError("full")
+        path = await self.start()
+        while (answer := await self.get(path)).status == 202:
+            pass
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(json_of(answer)["outcome"], "not-run")
+
+    async def test_only_its_own_team_gets_a_result(self):
+        """Another team, no key and a withdrawn key get nothing."""
+        path = await self.start(b"x")
+        await self.ask()
+        same_team = await self.get(path, Authorization="Bearer smiths-2")
+        other_team = await self.get(path, Authorization="Bearer tilers-1")
+        no_key = await self.get(path, Authorization="")
+        statuses = (same_team.status, other_team.status, no_key.status)
+        self.assertEqual(statuses, (200, 404, 404))
+        self.withdrawn.add("smiths-1")
+        for method in ("GET", "DELETE"):
+            withdrawn = await self.ask(b"", method, path)
+            self.assertEqual(withdrawn.status, 401)
+
+    async def test_withdrawn_key_starts_nothing(self):
+        """An asynchronous request with a withdrawn key is refused at once."""
+        self.withdrawn.add("smiths-1")
+        answer = await self.ask(Prefer="respond-async")
+        self.assertEqual(answer.status, 401)
+        self.assertEqual(self.runner.submissions, [])
+
+    async def test_delete_cancels(self):
+        """A DELETE cancels the run and forgets it."""
+        path = await self.start()
+        await self.runner.started.wait()
+        deleted = await self.ask(b"", "DELETE", path)
+        self.assertEqual(deleted.status, 204)
+        self.assertEqual(len(self.runner.cancelled), 1)
+        self.assertEqual((await self.get(path)).status, 404)
+
+    async def test_count_is_bounded(self):
+        """When all that is kept still runs, one more is refused as not run."""
+        for _ in range(3):
+            await self.start()
+        answer = await self.ask(b"hold", Prefer="respond-async")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(json_of(answer)["outcome"], "not-run")
+        self.assertEqual(len(self.runner.submissions), 3)
+
+    async def test_age_and_bytes_are_bounded(self):
+        """Old results go with time, and the oldest when bytes run short."""
+        first = await self.start(b"a" * 600)
+        second = await self.start(b"b" * 600)
+        await self.ask()
+        self.assertEqual((await self.get(first)).status, 404)
+        self.assertEqual((await self.get(second)).status, 200)
+        self.clock.advance(11 * SECOND)
+        self.assertEqual((await self.get(second)).status, 404)
+
+    async def test_whole_results_are_kept_when_only_running_ones_are_older(self):
+        """A full store makes room by dropping a finished result."""
+        running = await self.start()
+        for _ in range(3):
+            await self.start(b"x")
+            await self.ask()
+        self.assertEqual((await self.get(running)).status, 202)
+
+
+class TestHealth(CallerTestCase):
+    """The balancer's questions."""
+
+    async def test_ready_follows_the_runner(self):
+        """An entry that takes no work is alive and not ready."""
+        ready = await self.ask(b"", "GET", "/readyz")
+        self.runner.is_accepting = False
+        not_ready = await self.ask(b"", "GET", "/readyz")
+        alive = await self.ask(b"", "GET", "/healthz")
+        statuses = (ready.status, not_ready.status, alive.status)
+        self.assertEqual(statuses, (200, 503, 200))
+
+
+class TestSecrecy(CallerTestCase):
+    """Keys stay out of logs and answers."""
+
+    async def test_key_is_neither_logged_nor_echoed(self):
+        """Whatever fails, no log record and no answer holds the key."""
+        key = make_secret("k")
+        errors = (None, UnauthorizedError("no"), RuntimeError("boom"))
+        with self.assertLogs(level=logging.DEBUG) as logs:
+            logging.getLogger().debug("start")
+            for error in errors:
+                self.runner.error = error
+                for headers in ({}, {"Prefer": "wait=x"}, {"Prefer": "respond-async"}):
+                    answer = await self.ask(
+                        b"x", Authorization=f"Bearer {key}", **headers
+                    )
+                    self.assertNotIn(key.encode(), answer.body)
+                    self.assertNotIn(key, str(answer.headers))
+        self.assertNotIn(key, "\n".join(logs.output))
+
+
+if __name__ == "__main__":
+    unittest.main()
