--- a/src/redwingslip/maintenance/_failures.py
+++ b/src/redwingslip/maintenance/_failures.py
@@ -17,10 +17,11 @@
         Sizes and times of a cluster.
     """
 
-    __slots__ = ("_failed_at", "_is_clustered", "_settings")
+    __slots__ = ("_failed", "_failed_at", "_is_clustered", "_settings")
 
     def __init__(self, settings: WaveSettings) -> None:
         self._settings = settings
+        self._failed: frozenset[str] = frozenset()
         self._failed_at: dict[str, timedelta] = {}
         self._is_clustered = False
 
@@ -35,8 +36,9 @@
         A VM that came back within the window still counts: a fleet whose VMs fail
         and recover in turn is not calm.
         """
-        for vm in failed:
-            self._failed_at.setdefault(vm, now)
+        for vm in failed - self._failed:
+            self._failed_at[vm] = now
+        self._failed = frozenset(failed)
         window = self._settings.failure_window
         self._failed_at = {
             vm: at
--- a/tests/fleet_driver.py
+++ b/tests/fleet_driver.py
@@ -13,6 +13,7 @@
     Accepted,
     AssignDispatcher,
     Command,
+    CompleteMove,
     FleetState,
     Outcome,
     PoolSpec,
@@ -51,6 +52,7 @@
         self.waves = WavePlanner()
         self.moves = MovePlanner()
         self.n_refused = 0
+        self.n_moves = 0
         self.reboots: dict[str, timedelta] = {}
         self.refused_vms: set[str] = set()
         self.dead: set[str] = set()
@@ -143,6 +145,8 @@
                 self.order(output)
             elif not isinstance(self.do(output), Accepted):
                 self.n_refused += 1
+            elif isinstance(output, CompleteMove):
+                self.n_moves += 1
 
     def order(self, order: RebootOrder) -> None:
         """Take a reboot order as the platform does: once for each operation."""
--- a/tests/test_fleet_vms.py
+++ b/tests/test_fleet_vms.py
@@ -7,10 +7,13 @@
     AssignDispatcher,
     BeginMaintenance,
     BeginMove,
+    CompleteMaintenance,
     CompleteMove,
     ExpireEntry,
+    MarkRebooted,
     NotAdmitted,
     RegisterEntry,
+    ReportVm,
     SiteSpec,
     VmHealth,
     VmPhase,
@@ -100,6 +103,66 @@
         self.assertIsInstance(fleet.do(late), NotAdmitted)
         self.assertEqual(fleet.view.vms["a0"].pool, "a")
 
+    def test_move_that_nobody_wants_any_more_is_not_completed(self):
+        """A late completion does not undo the operator's latest wish."""
+        fleet = two_pools()
+        fleet.put("a0", VmSpec(pool="b", data_centre="d0"))
+        fleet.plan()
+        complete = CompleteMove(
+            vm="a0",
+            epoch=fleet.view.dispatchers["a"].epoch,
+            drain_index=fleet.view.vms["a0"].drain_index,
+        )
+        fleet.put("a0", VmSpec(pool="a", data_centre="d0"))
+        self.assertIsInstance(fleet.do(complete), NotAdmitted)
+
+
+class TestMaintenance(unittest.TestCase):
+    """Maintenance of one VM."""
+
+    def setUp(self):
+        """Bring one VM to its reboot."""
+        self.fleet = two_pools()
+        self.fleet.put("w", WaveSpec())
+        self.fleet.do(BeginMaintenance(vm="a0", wave="w"))
+        self.before = self.fleet.view.vms["a0"]
+        self.reboot = MarkRebooted(
+            vm="a0", wave="w", drain_index=self.before.drain_index
+        )
+        self.complete = CompleteMaintenance(vm="a0", wave="w")
+
+    def report(self, assigned_at: int):
+        """Report that endpoints of an assignment are up."""
+        epoch = self.fleet.view.dispatchers["a"].epoch
+        return self.fleet.do(
+            ReportVm(
+                vm="a0",
+                pool="a",
+                epoch=epoch,
+                assigned_at=assigned_at,
+                health=VmHealth.UP,
+            )
+        )
+
+    def test_only_endpoints_from_after_the_reboot_end_it(self):
+        """A report from before the reboot does not give the budget back."""
+        self.fleet.do(self.reboot)
+        self.assertIsInstance(self.fleet.do(self.complete), NotAdmitted)
+        late = self.report(self.before.assigned_at)
+        self.assertIsInstance(late, NotAdmitted)
+        self.assertIsInstance(self.fleet.do(self.complete), NotAdmitted)
+        self.report(self.fleet.view.vms["a0"].assigned_at)
+        self.assertIsInstance(self.fleet.do(self.complete), Accepted)
+
+    def test_unrebooted_vm_is_not_completed(self):
+        """A VM that is up in its drain has not been maintained."""
+        self.assertIsInstance(self.fleet.do(self.complete), NotAdmitted)
+
+    def test_reboot_is_marked_once(self):
+        """A doubled word on the reboot does not void the endpoints' reports."""
+        self.assertIsInstance(self.fleet.do(self.reboot), Accepted)
+        self.assertIsInstance(self.fleet.do(self.reboot), NotAdmitted)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_maintenance_machine.py
+++ b/tests/test_maintenance_machine.py
@@ -222,12 +222,12 @@
 
     # Work, endpoints and dispatchers.
 
-    @rule(vm=vms)
-    def grant(self, vm):
-        """Give a VM work, as its dispatcher does while it serves."""
-        record = self.record(vm)
-        if record is not None and record.is_available:
-            self.permits[vm] += 1
+    @rule()
+    def grant(self):
+        """Give all VMs work, as their dispatchers do while they serve."""
+        for record in self.view.vms.values():
+            if record.is_available:
+                self.permits[record.name] += 1
 
     @rule(vm=vms)
     def finish(self, vm):
