Build TLS contexts for the links from the settings

Cause: [tls] named files that nothing read. Change: load_tls returns a server's and a client's context, TLS 1.3 with both sides proved by the authority, and names every file that can't be used.

--- a/src/redwingslip/settings/__init__.py
+++ b/src/redwingslip/settings/__init__.py
@@ -23,6 +23,7 @@
     RequestsSettings,
     TlsSettings,
 )
+from ._tls import TlsContexts, load_tls
 from ._types import Address, Name, Sha256
 from .exceptions import InvalidSettingsError, SettingsError
 
@@ -49,10 +50,12 @@
     "RequestsSettings",
     "SettingsError",
     "Sha256",
+    "TlsContexts",
     "TlsSettings",
     "describe",
     "find_problems",
     "find_warnings",
     "load_settings",
+    "load_tls",
     "parse_settings",
 ]
--- /dev/null
+++ b/src/redwingslip/settings/_tls.py
@@ -0,0 +1,89 @@
+"""TLS contexts of the links between processes."""
+
+import ssl
+from collections.abc import Callable
+
+import msgspec
+
+from ._sections import TlsSettings
+from .exceptions import InvalidSettingsError, SettingsError
+
+__all__ = ["TlsContexts", "load_tls"]
+
+ALPN = ["h2"]
+SECTION = "tls"
+
+
+class TlsContexts(msgspec.Struct, frozen=True, kw_only=True):
+    """Both sides of a link; each proves itself to the other.
+
+    Attributes
+    ----------
+    server : ssl.SSLContext
+        For those who connect to this process.
+    client : ssl.SSLContext
+        For those that this process connects to; their certificates name the IP
+        number that is called.
+    """
+
+    server: ssl.SSLContext
+    client: ssl.SSLContext
+
+
+def load_tls(cfg: TlsSettings) -> TlsContexts | None:
+    """Return the contexts of the links, or None when encryption is off.
+
+    Raises
+    ------
+    InvalidSettingsError
+        Names each file that can't be used.
+    """
+    if not cfg.enabled:
+        return None
+    problems: list[SettingsError] = []
+    server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    for context in (server, client):
+        context.minimum_version = ssl.TLSVersion.TLSv1_3
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.set_alpn_protocols(ALPN)
+
+    def load_certificate(context: ssl.SSLContext) -> None:
+        context.load_cert_chain(cfg.certificate, cfg.key)
+
+    def load_authority(context: ssl.SSLContext) -> None:
+        context.load_verify_locations(cafile=cfg.authority)
+
+    _try(
+        "certificate",
+        f"{cfg.certificate}, {cfg.key}",
+        load_certificate,
+        server,
+        problems,
+    )
+    _try("authority", str(cfg.authority), load_authority, server, problems)
+    if problems:
+        raise InvalidSettingsError("encryption can't be set up", problems)
+    load_certificate(client)
+    load_authority(client)
+    return TlsContexts(server=server, client=client)
+
+
+def _try(
+    option: str,
+    value: str,
+    load: Callable[[ssl.SSLContext], None],
+    context: ssl.SSLContext,
+    problems: list[SettingsError],
+) -> None:
+    try:
+        load(context)
+    except (OSError, TypeError) as exc:
+        problems.append(
+            SettingsError(
+                section=SECTION,
+                option=option,
+                value=value,
+                allowed=f"must be readable PEM files that fit: {exc}",
+            )
+        )
