Order the attempts of one request in the time line

Cause: a dispatcher's events carry the request's id with the number of the attempt, and its refusal of one attempt is not the end of the request; the merge matched neither, so that clocks alone decided.

Attempts are matched to their request and ordered among themselves, and a refusal with an epoch ends an attempt only. The filter by request takes all attempts.

Conclusion: the test of a retried request under skew of 90 s both ways was seen failing (three events of the request missing, the others out of order) and passes.

--- a/src/redwingslip/cli/_wave_commands.py
+++ b/src/redwingslip/cli/_wave_commands.py
@@ -156,9 +156,13 @@
 
 
 def _count(status: dict[str, Any]) -> tuple[int, int]:
-    n_left = len(status.get("pending", ())) + len(status.get("active", ()))
+    """Return how many VMs of a wave are done, and how many it has."""
     n_done = status.get("n_done", 0)
-    return n_done, n_done + n_left
+    return n_done, n_done + _amount(status, "pending") + _amount(status, "active")
+
+
+def _amount(status: dict[str, Any], part: str) -> int:
+    return status.get(f"n_{part}", len(status.get(part, ())))
 
 
 def _print(cfg: CommandContext, wave: Document) -> None:
--- a/src/redwingslip/observe/__init__.py
+++ b/src/redwingslip/observe/__init__.py
@@ -4,7 +4,8 @@
 from ._log import EventLog
 from ._metrics import Metrics, new_metrics
 from ._render import render_picture, render_text
-from ._timeline import TimelineEvent, TimelineFilter, merge_timeline
+from ._timeline import TimelineFilter, merge_timeline
+from ._timeline_event import TimelineEvent
 from .exceptions import TimelineError
 
 __all__ = [
--- a/src/redwingslip/observe/_render.py
+++ b/src/redwingslip/observe/_render.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ._events import EventName
-from ._timeline import TimelineEvent
+from ._timeline_event import TimelineEvent
 from .exceptions import TimelineError
 
 __all__ = ["render_picture", "render_text"]
--- a/src/redwingslip/observe/_timeline.py
+++ b/src/redwingslip/observe/_timeline.py
@@ -4,8 +4,8 @@
 what, as far as the events tell; only events that nothing orders go by their time:
 
 - events of one process keep the order in which it wrote them;
-- of one request, it is received, then permitted, called, ended and answered, and a
-  permit orders its own call;
+- of one request, it is received, then permitted, called, ended and answered; a permit
+  orders its own call, and an attempt the next one;
 - a command is applied by its leader before any other process applies it, and before
   an epoch begins that carries its log index.
 """
@@ -18,44 +18,12 @@
 
 import msgspec
 
-from ._events import Event, EventName
+from ._causality import known_order, request_of
+from ._events import Event
+from ._timeline_event import TimelineEvent
 from .exceptions import TimelineError
 
-__all__ = ["TimelineEvent", "TimelineFilter", "merge_timeline"]
-
-# Steps of one request in the order in which they happen.
-_REQUEST_STEPS = {
-    EventName.REQUEST_RECEIVED: 0,
-    EventName.PERMIT_GRANTED: 1,
-    EventName.CALL_SENT: 2,
-    EventName.CALL_ENDED: 3,
-    EventName.REQUEST_ANSWERED: 4,
-    EventName.REQUEST_REFUSED: 4,
-}
-_FIRST_STEP = 0
-_LAST_STEP = 4
-
-
-class TimelineEvent(msgspec.Struct, frozen=True, kw_only=True):
-    """An event with the process that wrote it.
-
-    Attributes
-    ----------
-    process : str
-        Name of the process.
-    run : str
-        Tells the runs of one process apart.
-    sequence : int
-        Counts the events of a run.
-    time : datetime
-        Wall-clock time at the process.
-    """
-
-    process: str
-    run: str
-    sequence: int
-    time: datetime
-    event: Event
+__all__ = ["TimelineFilter", "merge_timeline"]
 
 
 class TimelineFilter(msgspec.Struct, frozen=True, kw_only=True):
@@ -69,7 +37,7 @@
     def accepts(self, event: Event) -> bool:
         """Return whether an event is wanted."""
         wanted = (
-            (self.request, event.request_id),
+            (self.request, request_of(event)),
             (self.vm, event.vm),
             (self.team, event.team),
             (self.wave, event.wave),
@@ -108,7 +76,7 @@
         A file can't be read. Torn lines are passed over.
     """
     events = _by_process(event for path in paths for event in _read_log(Path(path)))
-    order = _sort(events, list(_known_order(events)))
+    order = _sort(events, list(known_order(events)))
     if wanted is None:
         return order
     return [event for event in order if wanted.accepts(event.event)]
@@ -162,69 +130,6 @@
     )
 
 
-def _known_order(events: Sequence[TimelineEvent]) -> Iterator[tuple[int, int]]:
-    """Yield pairs of positions of which the first must have come before."""
-    yield from _process_order(events)
-    yield from _request_order(events)
-    yield from _index_order(events)
-
-
-def _process_order(events: Sequence[TimelineEvent]) -> Iterator[tuple[int, int]]:
-    last: dict[str, int] = {}
-    for position, event in enumerate(events):
-        if event.process in last:
-            yield last[event.process], position
-        last[event.process] = position
-
-
-def _request_order(events: Sequence[TimelineEvent]) -> Iterator[tuple[int, int]]:
-    requests: dict[str, list[int]] = defaultdict(list)
-    for position, event in enumerate(events):
-        if event.event.request_id and event.event.name in _REQUEST_STEPS:
-            requests[event.event.request_id].append(position)
-    for positions in requests.values():
-        for before in positions:
-            for after in positions:
-                if _precedes(events[before].event, events[after].event):
-                    yield before, after
-
-
-def _precedes(first: Event, second: Event) -> bool:
-    """Return whether a step of a request must come before another step of it."""
-    first_step, second_step = _REQUEST_STEPS[first.name], _REQUEST_STEPS[second.name]
-    if first_step >= second_step:
-        return False
-    if first_step == _FIRST_STEP or second_step == _LAST_STEP:
-        return True
-    return first.permit_id == second.permit_id
-
-
-def _index_order(events: Sequence[TimelineEvent]) -> Iterator[tuple[int, int]]:
-    by_leader = _applied_by_leader(events)
-    for position, event in enumerate(events):
-        is_applied = event.event.name is EventName.COMMAND_APPLIED
-        index = event.event.index if is_applied else event.event.epoch
-        first = by_leader.get(index)
-        if first is not None and events[first].process != event.process:
-            yield first, position
-
-
-def _applied_by_leader(events: Sequence[TimelineEvent]) -> dict[int, int]:
-    """Return where the leader of its time applied each log index."""
-    leaders: set[tuple[str, str]] = set()
-    applied: dict[int, int] = {}
-    for position, event in enumerate(events):
-        run = (event.process, event.run)
-        if event.event.name is EventName.LEADER_ELECTED:
-            leaders.add(run)
-        elif event.event.name is EventName.LEADER_STEPPED_DOWN:
-            leaders.discard(run)
-        elif event.event.name is EventName.COMMAND_APPLIED and run in leaders:
-            applied.setdefault(event.event.index, position)
-    applied.pop(0, None)
-    return applied
-
-
 def _sort(
     events: Sequence[TimelineEvent], order: Sequence[tuple[int, int]]
 ) -> list[TimelineEvent]:
--- a/tests/test_observe_timeline.py
+++ b/tests/test_observe_timeline.py
@@ -106,6 +106,40 @@
         ]
         self.assertEqual(permits, ["p1", "p1", "p2", "p2"])
 
+    def test_attempts_of_a_request_stay_in_order_under_skew(self):
+        """A dispatcher numbers the attempts; its refusal of one is not the last word.
+
+        The clocks alone would show the first grant after the answer, and the refusal
+        of the second attempt before the first was granted.
+        """
+        recorder = self.record(entry=0, first=90_000, second=-90_000)
+        recorder.emit("entry", EventName.REQUEST_RECEIVED, request_id="r")
+        grant = {"request_id": "r.0", "permit_id": "p0", "epoch": 3}
+        recorder.emit("first", EventName.PERMIT_GRANTED, **grant)
+        call = {"request_id": "r", "permit_id": "p0"}
+        recorder.emit("entry", EventName.CALL_SENT, **call)
+        recorder.emit("entry", EventName.CALL_ENDED, **call)
+        recorder.emit("second", EventName.REQUEST_REFUSED, request_id="r.1", epoch=7)
+        grant = {"request_id": "r.2", "permit_id": "p2", "epoch": 8}
+        recorder.emit("first", EventName.PERMIT_GRANTED, **grant)
+        call = {"request_id": "r", "permit_id": "p2"}
+        recorder.emit("entry", EventName.CALL_SENT, **call)
+        recorder.emit("entry", EventName.CALL_ENDED, **call)
+        recorder.emit("entry", EventName.REQUEST_ANSWERED, request_id="r")
+        expected = [
+            EventName.REQUEST_RECEIVED,
+            EventName.PERMIT_GRANTED,
+            EventName.CALL_SENT,
+            EventName.CALL_ENDED,
+            EventName.REQUEST_REFUSED,
+            EventName.PERMIT_GRANTED,
+            EventName.CALL_SENT,
+            EventName.CALL_ENDED,
+            EventName.REQUEST_ANSWERED,
+        ]
+        merged = recorder.merge(TimelineFilter(request="r"))
+        self.assertEqual([event.event.name for event in merged], expected)
+
     def test_leader_applies_before_followers_under_skew(self):
         """Its own election tells the leader, not the clock."""
         recorder = self.record(leader=5_000, follower=0, entry=-5_000)
