Write the pages for operators and newcomers, and run their examples

Cause: the system is to be run by others than its authors.

Change: README with a first quarter of an hour, the operators' page, architecture, glossary, and design notes on settings, observability, the house style and the article on a fault tolerant Nimbus. Complete example settings are what the program prints; a small set for one machine goes with the README.

The README's steps against running daemons are not run by this change.

--- a/src/redwingslip/settings/_describe.py
+++ b/src/redwingslip/settings/_describe.py
@@ -4,7 +4,7 @@
 import re
 import textwrap
 import typing
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 import msgspec
@@ -22,18 +22,18 @@
 def describe(type_: type[msgspec.Struct]) -> str:
     """Return a commented example file for a settings type.
 
-    Required options carry an example value; the others stand as comments with their
-    defaults.
+    Options with an example carry it; the others stand as comments with their
+    defaults. A settings type may name other examples in ``EXAMPLES``.
     """
+    given = getattr(type_, "EXAMPLES", {})
     lines = [*_comment(_summary(type_)), ""]
     for name, field in section_fields(type_).items():
         own_type = section_type(field.type)
         if typing.get_origin(own_type) is dict:
             lines += _describe_mapping(field)
-        elif field.default is None:
-            lines += _describe_section(name, own_type, is_left_out=True)
         else:
-            lines += _describe_section(name, own_type)
+            mark = "#" if field.default is None else ""
+            lines += _describe_section(name, own_type, given, mark)
         lines.append("")
     return "\n".join(lines)
 
@@ -41,26 +41,29 @@
 def _describe_mapping(field: msgspec.structs.FieldInfo) -> Iterator[str]:
     yield f"[{field.name}]"
     yield "# One line for each: its id, and where the others reach it."
-    for key, value in _example(field.type, {}).items():
+    for key, value in _example(field.type).items():
         yield f"{key} = {value}"
 
 
 def _describe_section(
-    name: str, type_: type[msgspec.Struct], *, is_left_out: bool = False
+    name: str,
+    type_: type[msgspec.Struct],
+    given: Mapping[tuple[str, str], str],
+    mark: str,
 ) -> Iterator[str]:
-    """Yield a section's lines, all of them comments where it may be left out."""
-    mark = "#" if is_left_out else ""
+    """Yield a section's lines; `mark` begins those of a section that is left out."""
     yield from _comment(_summary(type_))
     yield f"{mark}[{name}]"
     texts = _attribute_texts(type_)
     for option, field in option_fields(type_).items():
         yield from _comment(texts.get(option, ""))
-        if field.required:
-            example = _example(field.type, PLACEHOLDER)
-            yield f"{mark}{option} = {format_value(example, option=option)}"
+        example = given.get((name, option)) or _example(field.type)
+        if example is None and field.required:
+            example = PLACEHOLDER
+        if example is None:
+            yield f"#{option} = {format_value(_default(field), option=option)}"
         else:
-            value = format_value(_default(field), option=option)
-            yield f"#{option} = {value}"
+            yield f"{mark}{option} = {format_value(example, option=option)}"
 
 
 def _default(field: msgspec.structs.FieldInfo) -> Any:
@@ -69,11 +72,11 @@
     return field.default
 
 
-def _example(type_: Any, otherwise: Any) -> Any:
+def _example(type_: Any) -> Any:
     for rule in getattr(type_, "__metadata__", ()):
         if isinstance(rule, msgspec.Meta) and rule.examples:
             return rule.examples[0]
-    return otherwise
+    return None
 
 
 def _comment(text: str) -> list[str]:
--- a/src/redwingslip/settings/_sections.py
+++ b/src/redwingslip/settings/_sections.py
@@ -3,7 +3,7 @@
 import enum
 from datetime import timedelta
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, ClassVar
 
 import msgspec
 
@@ -205,9 +205,13 @@
     """
 
     enabled: bool = True
-    certificate: Path | None = None
-    key: Path | None = None
-    authority: Path | None = None
+    certificate: Annotated[Path | None, msgspec.Meta(examples=["tls/process.pem"])] = (
+        None
+    )
+    key: Annotated[Path | None, msgspec.Meta(examples=["tls/process.key"])] = None
+    authority: Annotated[Path | None, msgspec.Meta(examples=["tls/authority.pem"])] = (
+        None
+    )
 
 
 class RequestsSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -264,15 +268,21 @@
     interval: timedelta = timedelta(seconds=15)
 
 
+Replicas = Annotated[
+    dict[Name, Address],
+    msgspec.Meta(
+        min_length=1,
+        examples=[{f"replica-{n}": f"127.0.0.1:{7000 + n}" for n in (1, 2, 3)}],
+    ),
+]
+
+
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of an entry daemon."""
 
     process: ProcessSettings
     peers: PeersSettings
-    replicas: Annotated[
-        dict[Name, Address],
-        msgspec.Meta(min_length=1, examples=[{"replica-1": "127.0.0.1:7001"}]),
-    ]
+    replicas: Replicas
     http: HttpSettings
     operators: OperatorsSettings
     endpoints: EndpointsSettings
@@ -289,12 +299,14 @@
 class ReplicaSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of a replica daemon."""
 
+    EXAMPLES: ClassVar[dict[tuple[str, str], str]] = {
+        ("process", "id"): "replica-1",
+        ("peers", "listen"): "127.0.0.1:7001",
+    }
+
     process: ProcessSettings
     peers: PeersSettings
-    replicas: Annotated[
-        dict[Name, Address],
-        msgspec.Meta(min_length=1, examples=[{"replica-1": "127.0.0.1:7001"}]),
-    ]
+    replicas: Replicas
     replica: ReplicaRoleSettings
     cluster: ClusterSettings
     tls: TlsSettings = TlsSettings()
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -232,7 +232,10 @@
     def test_check_settings_reports_every_problem(self):
         """Valid files get their warnings."""
         text = describe(EntrySettings)
-        bad = self.write("bad.ini", text.replace("id =", "idd ="))
+        bad = self.write(
+            "bad.ini",
+            text.replace("id =", "idd =").replace("key = tls/process.key", ""),
+        )
         result = self.run_command("check-settings", "entry", bad, exit_code=3)
         self.assertIn("did you mean 'id'?", result.stderr)
         self.assertIn("[tls] key is needed", result.stderr)
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,152 @@
+"""Tests that the documentation says what is there."""
+
+import pathlib
+import re
+import shlex
+import tempfile
+import unittest
+
+from typer.testing import CliRunner
+
+from redwingslip.cli._app import app
+from redwingslip.cli._documents import read_documents
+from redwingslip.cli.exceptions import ExitCode
+from redwingslip.observe import EventName
+from redwingslip.settings import (
+    EntrySettings,
+    ReplicaSettings,
+    describe,
+    load_settings,
+)
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DOCS = [ROOT / "README.md", ROOT / "CHANGELOG.md", *ROOT.glob("docs/**/*.md")]
+EXAMPLES = {"entry": EntrySettings, "replica": ReplicaSettings}
+
+_FENCE = re.compile(r"^( *)```(\w+)\n(.*?)^\1```$", re.MULTILINE | re.DOTALL)
+_LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
+_OPTION = re.compile(r"(--[a-z][a-z-]*)")
+
+
+def fenced(language: str):
+    """Yield file and text of each fenced example of a language."""
+    for path in DOCS:
+        for match in _FENCE.finditer(path.read_text("utf-8")):
+            if match[2] == language:
+                yield path, match[3]
+
+
+def commands():
+    """Yield file and words of each redwingslip command in the examples."""
+    for path, text in fenced("console"):
+        for line in text.replace("\\\n", " ").splitlines():
+            line = line.strip().removeprefix("$ ")
+            found = re.search(r"(?:^|\$\()redwingslip ([^)>]*)", line)
+            if found:
+                yield path, shlex.split(found[1])
+
+
+def help_of(*words: str) -> str:
+    """Return the help of a command."""
+    result = CliRunner().invoke(app, [*words, "--help"])
+    if result.exit_code:
+        raise AssertionError(f"{words}: {result.output}")
+    return result.output
+
+
+class TestExamples(unittest.TestCase):
+    """Examples in the pages and in the folder of examples."""
+
+    def test_commands_and_their_options_exist(self):
+        """Each command of the pages has help, which names the options used."""
+        n_commands = 0
+        for path, words in commands():
+            with self.subTest(f"{path.name}: {' '.join(words)}"):
+                while words and words[0].startswith("--"):
+                    self.assertIn(words[0], help_of())
+                    words = words[2:]
+                n_words = 2 if words[:1] in (["wave"], ["key"]) else 1
+                text = help_of(*words[:n_words])
+                for option in _OPTION.findall(" ".join(words[n_words:])):
+                    self.assertIn(option, text)
+                n_commands += 1
+        self.assertGreater(n_commands, 20)
+
+    def test_python_examples_run(self):
+        """Each snippet runs by itself."""
+        for path, text in fenced("python"):
+            with self.subTest(path.name):
+                exec(compile(text, str(path), "exec"), {})
+
+    def test_json_examples_are_resources(self):
+        """Each JSON example is valid input of apply, and so is the example file."""
+        for path, text in fenced("json"):
+            with self.subTest(path.name):
+                file = pathlib.Path(
+                    self.enterContext(tempfile.TemporaryDirectory()), "example.json"
+                )
+                file.write_text(text)
+                self.assertTrue(read_documents([file]))
+        self.assertTrue(read_documents([ROOT / "examples/local/fleet.json"]))
+
+    def test_example_settings_are_valid(self):
+        """The examples load, and the full ones are what the program prints."""
+        for role, type_ in EXAMPLES.items():
+            path = ROOT / "examples" / f"{role}.ini"
+            self.assertEqual(path.read_text("utf-8"), describe(type_))
+            load_settings(path, type_)
+            load_settings(ROOT / "examples" / "local" / f"{role}.ini", type_)
+
+    def test_local_token_fits_the_local_entry(self):
+        """The token file has the hash that the entry's settings name."""
+        token = str(ROOT / "examples/local/operator.token")
+        result = CliRunner().invoke(app, ["hash-token", token])
+        cfg = load_settings(ROOT / "examples/local/entry.ini", EntrySettings)
+        self.assertIn(result.stdout.strip(), cfg.operators.token_sha256)
+
+
+class TestPages(unittest.TestCase):
+    """What the pages must name."""
+
+    def test_links_lead_to_files(self):
+        """No link of a page is dead."""
+        for path in DOCS:
+            for target in _LINK.findall(path.read_text("utf-8")):
+                with self.subTest(f"{path.name}: {target}"):
+                    self.assertTrue((path.parent / target).exists())
+
+    def test_every_command_is_on_the_operators_page(self):
+        """A new command needs its words."""
+        page = (ROOT / "docs/operators.md").read_text("utf-8")
+        for info in app.registered_commands:
+            name = info.name or info.callback.__name__.replace("_", "-")
+            with self.subTest(name):
+                self.assertIn(f"redwingslip {name}", page)
+
+    def test_every_exit_code_is_on_the_operators_page(self):
+        """Scripts rely on them."""
+        page = (ROOT / "docs/operators.md").read_text("utf-8")
+        for code in ExitCode:
+            with self.subTest(code.name):
+                self.assertIn(f"\n| {code.value} |", page)
+
+    def test_events_named_in_the_pages_exist(self):
+        """A renamed event is renamed in the pages too."""
+        known = {name.value for name in EventName}
+        kinds = "|".join(sorted({name.partition(".")[0] for name in known}))
+        pattern = re.compile(rf"`((?:{kinds})\.[a-z_]+)`")
+        for path in DOCS:
+            for name in pattern.findall(path.read_text("utf-8")):
+                with self.subTest(f"{path.name}: {name}"):
+                    self.assertIn(name, known)
+
+    def test_design_notes_are_in_the_index(self):
+        """No note is hidden."""
+        index = (ROOT / "docs/design/README.md").read_text("utf-8")
+        for path in ROOT.glob("docs/design/*.md"):
+            with self.subTest(path.name):
+                self.assertIn(f"]({path.name})", f"{index}](README.md)")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_settings_loader.py
+++ b/tests/test_settings_loader.py
@@ -21,6 +21,8 @@
     parse_settings,
 )
 
+KEY_LINE = "key = tls/process.key\n"
+
 BASE = describe(EntrySettings).replace("#enabled = yes", "enabled = no")
 
 # Independent faults: what to replace, by what, and the place that is reported.
@@ -69,17 +71,14 @@
         self.assertIs(cfg.logs.requests, RequestLogging.PROBLEMS)
         self.assertEqual(cfg.logs.max_file_bytes, 65_536)
         self.assertEqual(cfg.operators.token_sha256, ("0" * 64, "a" * 64))
-        self.assertEqual(cfg.replicas, {"replica-1": "127.0.0.1:7001"})
+        addresses = {f"replica-{n}": f"127.0.0.1:{7000 + n}" for n in (1, 2, 3)}
+        self.assertEqual(cfg.replicas, addresses)
 
     def test_example_of_each_role_loads(self):
-        """What `describe` prints is a valid file once encryption is decided."""
+        """What `describe` prints is a valid file."""
         for type_ in (EntrySettings, ReplicaSettings):
-            text = describe(type_).replace("#enabled = yes", "enabled = no")
-            text = text.replace("id = entry-1", "id = replica-1")
-            text = text.replace("replica-1 = 127.0.0.1:7001", "r = 127.0.0.1:7001")
-            if type_ is ReplicaSettings:
-                text = text.replace("r = 127", "replica-1 = 127")
-            self.assertEqual(problems_of(text, type_), [])
+            with self.subTest(type_.__name__):
+                self.assertEqual(problems_of(describe(type_), type_), [])
 
     def test_unknown_names_get_the_nearest_known_one(self):
         """A mistyped section or option names the one that was meant."""
@@ -122,7 +121,6 @@
         cases = {
             ("leases", "margin"): ("#margin = 200 ms", "margin = 2 s"),
             ("leases", "renewal"): ("#renewal = 300 ms", "renewal = 1 s"),
-            ("tls", "key"): ("enabled = no", "enabled = yes"),
             ("metrics", "path"): ("#exporter = none", "exporter = json-file"),
             ("process", "id"): ("id = entry-1", "id = replica-1"),
             ("replicas", "b"): ("replica-1 =", "b = 127.0.0.1:7001\nreplica-1 ="),
@@ -136,6 +134,14 @@
                     place = ("replicas", "replica-1")
                 self.assertIn(place, places)
 
+    def test_encryption_needs_its_files(self):
+        """Without a key, only saying that there is no encryption is valid."""
+        text = describe(EntrySettings).replace(KEY_LINE, "")
+        (problem,) = problems_of(text)
+        self.assertEqual((problem.section, problem.option), ("tls", "key"))
+        text = text.replace("#enabled = yes", "enabled = no")
+        self.assertEqual(problems_of(text), [])
+
     @given(st.sets(st.sampled_from(sorted(FAULTS)), min_size=1))
     def test_all_problems_are_reported_together(self, places):
         """However many options are wrong, each is reported."""
