Tell a role's failure in words

Cause: founding a data folder twice ended in a traceback. Change: a named error or one of the system, such as a port in use, is one line and exit code 1. A test writes the event log to a device without space. Seen failing first: the second replica-init raised DataFolderError out of the program.

--- a/src/redwingslip/cli/_roles.py
+++ b/src/redwingslip/cli/_roles.py
@@ -9,10 +9,12 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from ..exceptions import RedwingslipError
 from ..settings import InvalidSettingsError
 
 __all__ = ["ROLES", "main"]
 
+EXIT_FAILED = 1
 EXIT_INVALID = 3
 
 ROLES = {
@@ -32,6 +34,9 @@
         for problem in exc.exceptions:
             print(f"  {problem}", file=sys.stderr)
         return EXIT_INVALID
+    except (RedwingslipError, OSError) as exc:
+        print(f"error: {exc}", file=sys.stderr)
+        return EXIT_FAILED
     return 0
 
 
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -1,5 +1,6 @@
 """Tests of the commands as operators type them."""
 
+import io
 import json
 import os
 import pathlib
@@ -12,9 +13,10 @@
 from typer.testing import CliRunner
 
 from redwingslip.cli._app import app
+from redwingslip.cli._roles import main
 from redwingslip.cli.exceptions import ExitCode
 from redwingslip.fleet import Kind
-from redwingslip.settings import EntrySettings, describe
+from redwingslip.settings import EntrySettings, ReplicaSettings, describe
 
 from .fake_operators import TOKEN, FakeFleet, FakeServer, Fault
 
@@ -283,11 +285,32 @@
 
     def test_invalid_settings_end_a_role_with_their_exit_code(self):
         """Every problem is printed."""
-        from redwingslip.cli._roles import main
+        exit_code, words = self.run_role("replica-init", "/absent.ini")
+        self.assertEqual(exit_code, ExitCode.INVALID)
+        self.assertIn("can't be read", words)
 
-        with mock.patch("sys.stderr") as stderr:
-            self.assertEqual(main(["replica-init", "/absent.ini"]), ExitCode.INVALID)
-        self.assertIn("can't be read", str(stderr.write.call_args_list))
+    def test_failure_of_a_role_is_told_in_words(self):
+        """Founding a data folder twice, and a secret that is not there."""
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        text = describe(ReplicaSettings).replace("data/replica-1", f"{folder}/data")
+        path = pathlib.Path(folder, "replica.ini")
+        path.write_text(text)
+        self.assertEqual(self.run_role("replica-init", str(path))[0], ExitCode.OK)
+        exit_code, words = self.run_role("replica-init", str(path))
+        self.assertEqual(exit_code, ExitCode.INTERNAL)
+        self.assertIn("holds a replica already", words)
+        runners = {"replica": lambda path: pathlib.Path(folder, "no").read_text()}
+        with mock.patch.dict("redwingslip.cli._roles._RUNNERS", runners):
+            exit_code, words = self.run_role("replica", str(path))
+        self.assertEqual(exit_code, ExitCode.INTERNAL)
+        self.assertIn("No such file", words)
+
+    def run_role(self, *args: str) -> tuple[int, str]:
+        """Return a role's exit code and what it says of its failure."""
+        stderr = io.StringIO()
+        with mock.patch("sys.stderr", stderr), mock.patch("sys.stdout"):
+            exit_code = main(args)
+        return exit_code, stderr.getvalue()
 
 
 if __name__ == "__main__":
--- a/tests/test_observe_log.py
+++ b/tests/test_observe_log.py
@@ -82,6 +82,16 @@
         )
         self.assertIn("2 events dropped", self.read()[-1].detail)
 
+    @unittest.skipUnless(os.path.exists("/dev/full"), "the system has no full device")
+    def test_device_without_space_stops_nothing(self):
+        """Opening and closing survive it too."""
+        cfg = LogSettings(path=pathlib.Path("/dev/full"))
+        log = EventLog(cfg, process_id="a", clock=ManualClock())
+        log.emit(UP)
+        log.flush()
+        log.close()
+        self.assertEqual(log.n_dropped, 3)
+
     def test_line_after_a_torn_one_is_whole(self):
         """A short write costs its own line only."""
         log = self.open_log()
