--- a/src/redwingslip/cli/_documents.py
+++ b/src/redwingslip/cli/_documents.py
@@ -84,7 +84,7 @@
         line = text.count("\n", 0, position) + 1
         try:
             value, position = decoder.raw_decode(text, position)
-        except (json.JSONDecodeError, RecursionError) as exc:
+        except (ValueError, RecursionError) as exc:
             line = getattr(exc, "lineno", line)
             problems.append(f"{path}, line {line}: is not JSON")
             return
