Add the dispatcher of a pool

Cause: entries need one place that orders a pool's queues and owns its slots. Ruled out: slots divided among the entries in advance, since 8 slots over 7 entries leave most of them unusable at any one entry. Change: the dispatcher as a plain state machine: permits, confirmed endpoints, slots, allotments, weighted fair order, drains, ejection.

--- /dev/null
+++ b/src/redwingslip/dispatch/_dispatcher.py
@@ -0,0 +1,736 @@
+"""The dispatcher of one pool, as a plain state machine."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from functools import singledispatchmethod
+from random import Random
+
+from ..fleet import (
+    Allotment,
+    Change,
+    DispatcherLease,
+    FleetView,
+    Kind,
+    QueueSpec,
+    ReportVm,
+    Resource,
+    Table,
+    TeamSpec,
+    VmRecord,
+    VmSpec,
+)
+from ..fleet import Removed as RemovedRow
+from ..observe._events import Event, EventName
+from ..peers import (
+    AllotmentRecall,
+    EndpointReport,
+    Permit,
+    PermitCancel,
+    PermitDone,
+    PermitRefusal,
+    PermitRequest,
+    PoolDemand,
+    RefusalReason,
+    RunResult,
+    TeamDemand,
+    VmDrained,
+)
+from ._admission import Admission
+from ._capacity import PoolCapacity
+from ._demand import DemandReporter
+from ._endpoints import Endpoint, VmState
+from ._judgement import FailureJudge
+from ._limits import AllotmentKeeper
+from ._outputs import Emitted, Granted, Output, Proposed, Refused, ToLeader
+from ._queue import Shape, Waiting
+from ._requests import CANCELLED, KnownRequest, RequestTable
+from ._scheduler import Scheduler
+from ._settings import DispatchSettings
+from ._tasks import PermitId, Task
+
+__all__ = ["Dispatcher"]
+
+ZERO = timedelta(0)
+
+
+class Dispatcher:
+    """Orders a pool's queues, owns its slots and grants permits.
+
+    Every input takes the monotonic time of this process. What is to be done about it
+    is collected and fetched with `take_outputs`. Nothing is granted before
+    `lease_until` was called.
+
+    Parameters
+    ----------
+    pool : str
+        The pool.
+    epoch : int
+        The epoch of the pool's `DispatcherLease`.
+    cfg : DispatchSettings
+        Settings.
+    view : FleetView
+        Shared with its owner, who calls `view_changed` after each change.
+    rng : Random
+        Spreads the times at which refused callers return.
+    """
+
+    __slots__ = (
+        "_admission",
+        "_allotments",
+        "_capacity",
+        "_cfg",
+        "_demand",
+        "_is_replaced",
+        "_is_started",
+        "_is_stopped",
+        "_judge",
+        "_lease_until",
+        "_n_permits",
+        "_n_requests",
+        "_now",
+        "_outputs",
+        "_requests",
+        "_scheduler",
+        "_shrinkable",
+        "_view",
+        "epoch",
+        "pool",
+    )
+
+    def __init__(
+        self,
+        *,
+        pool: str,
+        epoch: int,
+        cfg: DispatchSettings,
+        view: FleetView,
+        rng: Random,
+    ) -> None:
+        self.pool = pool
+        self.epoch = epoch
+        self._cfg = cfg
+        self._view = view
+        self._now = ZERO
+        self._lease_until = ZERO
+        self._is_started = False
+        self._is_stopped = False
+        self._is_replaced = False
+        self._n_requests = 0
+        self._n_permits = 0
+        self._outputs: list[Output] = []
+        self._shrinkable: set[str] = set()
+        self._requests = RequestTable(remember=cfg.remember)
+        self._scheduler = Scheduler(cfg)
+        self._judge = FailureJudge(cfg)
+        self._demand = DemandReporter(cfg)
+        self._allotments = AllotmentKeeper(pool=pool, epoch=epoch, cfg=cfg, view=view)
+        self._capacity = PoolCapacity(
+            pool=pool, epoch=epoch, cfg=cfg, view=view, on_task=self._count
+        )
+        self._admission = Admission(
+            cfg=cfg,
+            view=view,
+            capacity=self._capacity,
+            scheduler=self._scheduler,
+            judge=self._judge,
+            rng=rng,
+        )
+
+    # What can be read.
+
+    @property
+    def n_waiting(self) -> int:
+        """Requests that wait."""
+        return self._scheduler.n_waiting
+
+    @property
+    def n_running(self) -> int:
+        """Open permits and tasks of older epochs."""
+        return len(self._capacity.tasks)
+
+    @property
+    def n_slots(self) -> int:
+        """Slots of the endpoints that may take work."""
+        return self._capacity.n_slots
+
+    @property
+    def n_idle(self) -> int:
+        """Those of them that are free."""
+        return self._capacity.slots.n_free
+
+    def may_hand_over(self, now: timedelta) -> bool:
+        """Return whether no permit's start is still open."""
+        if not self._is_stopped and not self._is_replaced:
+            return False
+        return all(task.starts_until <= now for task in self._capacity.tasks)
+
+    def take_outputs(self) -> list[Output]:
+        """Return what is to be done since the last call, in order."""
+        outputs, self._outputs = self._outputs, []
+        return outputs
+
+    # Inputs.
+
+    def request(self, msg: PermitRequest, now: timedelta) -> None:
+        """Take a request for a permit, or its resend."""
+        self._begin(now)
+        known = self._requests.get(msg.request_id)
+        if known is not None and msg.n_attempts <= known.n_attempts:
+            self._answer_again(msg, known)
+            return
+        if known is not None:
+            self._supersede(msg, known, now)
+        if self._is_replaced or msg.pool != self.pool:
+            self._refuse(msg, RefusalReason.NOT_DISPATCHER, ZERO)
+            return
+        self._n_requests += 1
+        self._know_team(msg.team)
+        self._capacity.raise_longest_run(self._task_lease(msg))
+        item = self._scheduler.make_waiting(msg, number=self._n_requests, now=now)
+        reason = self._admission.refusal(item)
+        if reason is not None:
+            self._refuse(msg, reason, self._admission.retry_after(item, reason))
+            return
+        known = self._requests.add(msg.request_id, msg.n_attempts, now, msg.deadline)
+        known.waiting = item
+        self._scheduler.add(item)
+        self._finish(now)
+
+    def cancel(self, msg: PermitCancel, now: timedelta) -> None:
+        """Drop a request whose caller is gone."""
+        self._begin(now)
+        known = self._requests.get(msg.request_id)
+        if known is None:
+            # The request may still be under way.
+            self._requests.add(msg.request_id, CANCELLED, now, ZERO)
+            return
+        known.n_attempts = CANCELLED
+        item = known.waiting
+        if item is None:
+            return
+        known.waiting = None
+        self._scheduler.remove(item)
+        self._say_refused(item.req, RefusalReason.CANCELLED, ZERO)
+        self._finish(now)
+
+    def done(self, msg: PermitDone, now: timedelta) -> None:
+        """Take the end of a permit as its entry saw it."""
+        self._begin(now)
+        task = self._capacity.tasks.get(msg.permit_id)
+        if task is None:
+            return
+        is_first = task.result is None
+        task.result = msg.result
+        if is_first and task.req is not None:
+            self._learn(task, msg, now)
+        if msg.result is RunResult.UNKNOWN:
+            return
+        self._capacity.end(task, now)
+        self._finish(now)
+
+    def report(self, msg: EndpointReport, now: timedelta) -> None:
+        """Take an endpoint's announcement."""
+        self._begin(now)
+        known = self._capacity.endpoints.get(msg.endpoint_id)
+        was_serving = known is not None and known.takes_work
+        endpoint = self._capacity.hear(msg, now)
+        if endpoint is None:
+            return
+        if endpoint.takes_work and not was_serving:
+            self._emit_endpoint(EventName.ENDPOINT_UP, endpoint)
+        self._report_vm(endpoint.vm, now)
+        self._finish(now)
+
+    def view_changed(
+        self, now: timedelta, changes: Iterable[Change] | None = None
+    ) -> None:
+        """Take over that the shared view has changed.
+
+        With the changes given, only what they touch is looked at.
+        """
+        self._begin(now)
+        if changes is None:
+            self._read_view(now)
+        else:
+            for change in changes:
+                self._take_row(change.row, now)
+        self._finish(now)
+
+    def recall(self, msg: AllotmentRecall, now: timedelta) -> None:
+        """Give back what can be spared of an allotment."""
+        self._begin(now)
+        self._allotments.recall(msg, now)
+        self._shrinkable.add(msg.team)
+        self._finish(now)
+
+    def tick(self, now: timedelta) -> None:
+        """Do what is due; to be called a few times a second."""
+        self._begin(now)
+        for endpoint in self._capacity.take_silent(now):
+            self._emit_endpoint(EventName.ENDPOINT_DOWN, endpoint)
+        for task in self._capacity.tasks.take_ended(now):
+            self._capacity.end(task, now)
+        self._refuse_expired(now)
+        if self._capacity.n_slots_unknown and self._capacity.is_surely_over(now):
+            self._capacity.refresh_all(now)
+        for vm in self._capacity.vms.values():
+            self._report_vm(vm, now)
+            self._report_drained(vm, now)
+        for command in self._allotments.take_due(now):
+            self._outputs.append(Proposed(command=command))
+        self._requests.forget_old(now)
+        self._finish(now)
+
+    def stop_granting(self, now: timedelta) -> None:
+        """Grant nothing more, before a handover.
+
+        What waits is asked for again at the next dispatcher.
+        """
+        self._begin(now)
+        self._is_stopped = True
+
+    def lease_until(self, deadline: timedelta) -> None:
+        """Allow grants whose calls start before this monotonic time."""
+        self._lease_until = deadline
+
+    # The view.
+
+    def _begin(self, now: timedelta) -> None:
+        self._now = max(self._now, now)
+        if not self._is_started:
+            self._is_started = True
+            self._capacity.start(now)
+            self._read_view(now)
+
+    def _read_view(self, now: timedelta) -> None:
+        self._read_lease(now)
+        for name in [name for name in self._capacity.vms if name not in self._view.vms]:
+            self._capacity.drop_vm(name)
+        for record in self._view.vms_of(self.pool):
+            self._capacity.put_vm(record, now)
+        for name in list(self._capacity.vms):
+            self._capacity.put_vm(self._view.vms[name], now)
+        for queue in self._view.resources[Kind.QUEUE].values():
+            self._take_spec(queue.spec, queue.name, now)
+        self._scheduler.total_share = sum(
+            team.spec.share for team in self._view.resources[Kind.TEAM].values()
+        )
+        for name in list(self._scheduler.teams):
+            self._refresh_team(name)
+
+    def _read_lease(self, now: timedelta) -> None:
+        is_current = self._capacity.is_current
+        if not is_current and self._view.index >= self.epoch:
+            self._is_replaced = True
+            self._refuse_all(RefusalReason.NOT_DISPATCHER)
+        self._capacity.refresh_all(now)
+
+    def _know_team(self, name: str) -> None:
+        if name not in self._scheduler.teams:
+            self._refresh_team(name)
+
+    def _refresh_team(self, name: str) -> None:
+        """Take over a team's share, limit and allotment."""
+        team = self._scheduler.team(name)
+        spec = self._view.team(name)
+        self._scheduler.set_share(team, spec.share)
+        team.max_waiting = spec.max_waiting
+        team.limit = self._allotments.allowed(name)
+        self._shrinkable.add(name)
+        self._scheduler.unpark(team)
+
+    @singledispatchmethod
+    def _take_row(self, row: object, now: timedelta) -> None:
+        """Take over one changed row of the view."""
+
+    @_take_row.register
+    def _(self, row: VmRecord, now: timedelta) -> None:
+        if row.pool == self.pool or row.name in self._capacity.vms:
+            self._capacity.put_vm(row, now)
+
+    @_take_row.register
+    def _(self, row: DispatcherLease, now: timedelta) -> None:
+        if row.pool == self.pool:
+            self._read_lease(now)
+
+    @_take_row.register
+    def _(self, row: Allotment, now: timedelta) -> None:
+        if row.pool == self.pool:
+            self._refresh_team(row.team)
+
+    @_take_row.register
+    def _(self, row: Resource, now: timedelta) -> None:
+        self._take_spec(row.spec, row.name, now)
+
+    @_take_row.register
+    def _(self, row: RemovedRow, now: timedelta) -> None:
+        if row.table is Table.VMS:
+            self._capacity.drop_vm(row.key[0])
+        elif row.table in (Table.RESOURCES, Table.DISPATCHERS, Table.ALLOTMENTS):
+            self._read_view(now)
+
+    @singledispatchmethod
+    def _take_spec(self, spec: object, name: str, now: timedelta) -> None:
+        """Take over one changed resource."""
+
+    @_take_spec.register
+    def _(self, spec: QueueSpec, name: str, now: timedelta) -> None:
+        if spec.pool == self.pool:
+            self._capacity.raise_longest_run(spec.max_run)
+
+    @_take_spec.register
+    def _(self, spec: VmSpec, name: str, now: timedelta) -> None:
+        if name in self._capacity.vms:
+            self._capacity.put_vm(self._view.vms[name], now)
+
+    @_take_spec.register
+    def _(self, spec: TeamSpec, name: str, now: timedelta) -> None:
+        self._scheduler.total_share = sum(
+            team.spec.share for team in self._view.resources[Kind.TEAM].values()
+        )
+        if name in self._scheduler.teams:
+            self._refresh_team(name)
+
+    # Refusals and resends.
+
+    def _answer_again(self, msg: PermitRequest, known: KnownRequest) -> None:
+        """Answer a resend by the same permit, unless its entry has finished with it.
+
+        When the start window is over, the entry reports "not run" and asks anew.
+        """
+        task = known.task
+        if task is None or task.result is not None:
+            return
+        if msg.n_attempts < known.n_attempts:
+            return
+        left = max(task.starts_until - self._cfg.clock_margin - self._now, ZERO)
+        self._outputs.append(
+            Granted(entry_id=msg.entry_id, permit=_with_window(task.permit, left))
+        )
+
+    def _supersede(
+        self, msg: PermitRequest, known: KnownRequest, now: timedelta
+    ) -> None:
+        """Drop an earlier try of a request.
+
+        A call that did not reach its endpoint speaks against the endpoint only when
+        the entry now avoids it: it may have been the caller who went away.
+        """
+        if known.waiting is not None:
+            self._scheduler.remove(known.waiting)
+        task = known.task
+        if task is None or task.result is not RunResult.NOT_RUN:
+            return
+        endpoint = self._capacity.endpoints.get(task.endpoint_id)
+        if endpoint is not None and task.endpoint_id in msg.excluded:
+            self._judge.note(endpoint, msg, RunResult.FAILED, now)
+            self._judge_endpoint(endpoint, RunResult.FAILED, now)
+
+    def _refuse_waiting(self, item: Waiting, reason: RefusalReason) -> None:
+        """Refuse a request that waits."""
+        retry_after = self._admission.retry_after(item, reason)
+        self._scheduler.remove(item)
+        self._requests.drop(item.req.request_id)
+        self._say_refused(item.req, reason, retry_after)
+
+    def _refuse_expired(self, now: timedelta) -> None:
+        item = self._scheduler.first_expired(now)
+        while item is not None:
+            self._refuse_waiting(item, RefusalReason.TOO_LATE)
+            item = self._scheduler.first_expired(now)
+
+    def _refuse_all(self, reason: RefusalReason) -> None:
+        item = self._scheduler.first_to_expire()
+        while item is not None:
+            self._refuse_waiting(item, reason)
+            item = self._scheduler.first_to_expire()
+
+    def _refuse(
+        self, req: PermitRequest, reason: RefusalReason, retry_after: timedelta
+    ) -> None:
+        self._requests.drop(req.request_id)
+        self._say_refused(req, reason, retry_after)
+
+    def _say_refused(
+        self, req: PermitRequest, reason: RefusalReason, retry_after: timedelta
+    ) -> None:
+        refusal = PermitRefusal(
+            request_id=req.request_id,
+            pool=self.pool,
+            reason=reason,
+            retry_after=retry_after,
+        )
+        self._outputs.append(Refused(entry_id=req.entry_id, refusal=refusal))
+        self._emit(
+            EventName.REQUEST_REFUSED,
+            request_id=req.request_id,
+            team=req.team,
+            queue=req.queue,
+            detail=reason.value,
+        )
+
+    # Grants.
+
+    def _may_grant(self, now: timedelta) -> bool:
+        if self._is_stopped or self._is_replaced or not self._capacity.is_current:
+            return False
+        return self._lease_until - now >= self._cfg.min_start_window
+
+    def _fill(self, now: timedelta) -> None:
+        """Grant slots while there are any and someone may use them."""
+        if not self._may_grant(now):
+            return
+        self._scheduler.readmit()
+        while True:
+            item = self._scheduler.next(self._has_room)
+            if item is None:
+                return
+            if self._scheduler.is_too_late(item, now):
+                self._refuse_waiting(item, RefusalReason.TOO_LATE)
+                continue
+            endpoint = self._pick(item)
+            if endpoint is None:
+                self._scheduler.defer(item)
+                continue
+            self._grant(item, endpoint, now)
+
+    def _has_room(self, shape: Shape) -> bool:
+        return self._capacity.slots.pick(shape) is not None
+
+    def _pick(self, item: Waiting) -> Endpoint | None:
+        """Return an endpoint for a request; an excluded one only for want of others."""
+        excluded = item.req.excluded
+        endpoint = self._capacity.slots.pick(item.shape, excluded)
+        if endpoint is not None or not excluded:
+            return endpoint
+        others = (
+            e
+            for e in self._capacity.endpoints.values()
+            if e.takes_work and e.last.service == item.req.service
+        )
+        if any(e.endpoint_id not in excluded for e in others):
+            return None
+        return self._capacity.slots.pick(item.shape)
+
+    def _task_lease(self, req: PermitRequest) -> timedelta:
+        queue = self._view.queue(req.queue)
+        return req.max_run if queue is None else min(req.max_run, queue.max_run)
+
+    def _grant(self, item: Waiting, endpoint: Endpoint, now: timedelta) -> None:
+        req = item.req
+        self._scheduler.take(item)
+        window = min(self._cfg.start_window, self._lease_until - now)
+        lease = self._task_lease(req)
+        size = PermitId(
+            epoch=self.epoch,
+            slots=item.shape[1],
+            accelerators=req.accelerators,
+            memory_mb=req.memory_mb,
+        )
+        self._n_permits += 1
+        permit = Permit(
+            permit_id=size.encode(self.pool, self._n_permits),
+            request_id=req.request_id,
+            pool=self.pool,
+            epoch=self.epoch,
+            endpoint_id=endpoint.endpoint_id,
+            incarnation=endpoint.last.incarnation,
+            address=endpoint.last.address,
+            fencing_token=endpoint.last.fencing_token,
+            start_by=endpoint.clock_at(now) + window,
+            start_within=window,
+            lease=lease,
+        )
+        starts_until = now + window + self._cfg.clock_margin
+        task = Task(
+            permit_id=permit.permit_id,
+            team=req.team,
+            endpoint_id=endpoint.endpoint_id,
+            vm=endpoint.vm.record.name,
+            size=size,
+            now=now,
+            ends_by=starts_until + lease + self._cfg.clock_margin,
+        )
+        task.permit = permit
+        task.req = req
+        task.starts_until = starts_until
+        task.charged = item.work
+        known = self._requests.get(req.request_id)
+        known.waiting = None
+        known.task = task
+        self._capacity.begin(endpoint, task, now)
+        self._outputs.append(Granted(entry_id=req.entry_id, permit=permit))
+        self._emit(
+            EventName.PERMIT_GRANTED,
+            request_id=req.request_id,
+            team=req.team,
+            queue=req.queue,
+            endpoint_id=endpoint.endpoint_id,
+            permit_id=permit.permit_id,
+        )
+
+    # Tasks that end.
+
+    def _count(self, task: Task, sign: int) -> None:
+        """Count a task for its team, and charge what it used."""
+        self._know_team(task.team)
+        team = self._scheduler.team(task.team)
+        self._scheduler.count(task, sign)
+        self._demand.is_changed = True
+        if sign > 0:
+            self._scheduler.charge(team, task.charged, self._now)
+            return
+        self._shrinkable.add(task.team)
+        if task.is_foreign:
+            return
+        used = task.used_seconds
+        if used is None:
+            used = (self._now - task.granted_at).total_seconds()
+        self._scheduler.charge(team, used * task.slots - task.charged, self._now)
+
+    def _learn(self, task: Task, msg: PermitDone, now: timedelta) -> None:
+        """Learn from the end of a permit: run time, and who is at fault."""
+        if msg.result is RunResult.NOT_RUN:
+            task.used_seconds = 0.0
+            return
+        if msg.result is not RunResult.UNKNOWN:
+            task.used_seconds = msg.run_time.total_seconds()
+        if msg.result is RunResult.COMPLETED:
+            self._scheduler.run_times.add(task.team, task.req.queue, msg.run_time)
+        endpoint = self._capacity.endpoints.get(task.endpoint_id)
+        if endpoint is not None:
+            self._judge.note(endpoint, task.req, msg.result, now)
+            self._judge_endpoint(endpoint, msg.result, now)
+
+    def _judge_endpoint(
+        self, endpoint: Endpoint, result: RunResult, now: timedelta
+    ) -> None:
+        """Eject an endpoint that fails everything, or take it back after a probe."""
+        health = endpoint.health
+        if health.state == "probing" and result is RunResult.COMPLETED:
+            endpoint.backoff = ZERO
+            self._capacity.change_health(endpoint, health.recover)
+            return
+        if health.state not in ("serving", "probing"):
+            return
+        peers = [
+            e
+            for e in self._capacity.endpoints.values()
+            if e.last.service == endpoint.last.service
+        ]
+        if not self._judge.is_bad(endpoint, peers) or not self._may_eject(endpoint):
+            return
+        backoff = max(endpoint.backoff * 2, self._cfg.eject_backoff)
+        endpoint.backoff = min(backoff, self._cfg.max_eject_backoff)
+        endpoint.ejected_until = now + endpoint.backoff
+        endpoint.n_failures = 0
+        self._capacity.change_health(endpoint, health.eject)
+        self._emit_endpoint(EventName.ENDPOINT_EJECTED, endpoint)
+
+    def _may_eject(self, endpoint: Endpoint) -> bool:
+        """Return whether the pool's budget holds without an endpoint's VM."""
+        spec = self._view.pool(self.pool)
+        if spec is None or endpoint.health.state == "probing":
+            return True
+        serving = {
+            e.vm.record.name
+            for e in self._capacity.endpoints.values()
+            if e is not endpoint and e.takes_work
+        }
+        return len(serving) >= spec.min_serving
+
+    # What the leader is told.
+
+    def _report_vm(self, vm: VmState, now: timedelta) -> None:
+        """Propose a VM's health if the view shows another."""
+        health = self._capacity.seen_health(vm, now)
+        if health is None or health is vm.record.health or self._is_replaced:
+            return
+        is_said = vm.reported_at is not None and vm.said_health is health
+        if is_said and now - vm.reported_at < self._cfg.repeat:
+            return
+        vm.reported_at = now
+        vm.said_health = health
+        command = ReportVm(
+            vm=vm.record.name,
+            pool=self.pool,
+            epoch=self.epoch,
+            assigned_at=vm.record.assigned_at,
+            health=health,
+        )
+        self._outputs.append(Proposed(command=command))
+
+    def _report_drained(self, vm: VmState, now: timedelta) -> None:
+        """Say that a VM is drained, until the view shows that it is done."""
+        if not vm.must_drain or self._is_replaced:
+            return
+        if not self._capacity.is_drained(vm):
+            return
+        if vm.drained_at is not None and now - vm.drained_at < self._cfg.repeat:
+            return
+        if vm.drained_at is None:
+            self._emit(EventName.VM_DRAINED, vm=vm.record.name)
+        vm.drained_at = now
+        message = VmDrained(vm=vm.record.name, pool=self.pool, epoch=self.epoch)
+        self._outputs.append(ToLeader(message=message))
+
+    def _finish(self, now: timedelta) -> None:
+        """Do what may follow from any input."""
+        self._scheduler.set_slots(
+            n_slots=self._capacity.n_slots,
+            n_slots_unknown=self._capacity.n_slots_unknown,
+        )
+        self._fill(now)
+        self._shrink(now)
+        if self._demand.is_due(now) and not self._is_replaced:
+            demand = self._demand.take(self._describe_demand(), now)
+            if demand is not None:
+                self._outputs.append(ToLeader(message=demand))
+
+    def _shrink(self, now: timedelta) -> None:
+        """Give back what was recalled and is not used any more."""
+        names, self._shrinkable = self._shrinkable, set()
+        for name in names:
+            team = self._scheduler.team(name)
+            n_running = team.n_running + self._capacity.n_slots_unknown
+            command = self._allotments.shrink(name, n_running, now)
+            if command is not None and not self._is_replaced:
+                team.limit = self._allotments.allowed(name)
+                self._outputs.append(Proposed(command=command))
+
+    def _describe_demand(self) -> PoolDemand:
+        teams = tuple(
+            TeamDemand(
+                team=team.name, n_running=team.n_running, n_waiting=team.n_waiting
+            )
+            for team in self._scheduler.teams.values()
+            if not team.is_idle
+        )
+        return PoolDemand(
+            pool=self.pool,
+            epoch=self.epoch,
+            teams=teams,
+            n_slots=self.n_slots,
+            n_idle=self.n_idle,
+        )
+
+    # Events.
+
+    def _emit_endpoint(self, name: EventName, endpoint: Endpoint) -> None:
+        self._emit(name, endpoint_id=endpoint.endpoint_id, vm=endpoint.vm.record.name)
+
+    def _emit(self, name: EventName, **fields: str) -> None:
+        event = Event(name=name, pool=self.pool, epoch=self.epoch, **fields)
+        self._outputs.append(Emitted(event=event))
+
+
+def _with_window(permit: Permit, left: timedelta) -> Permit:
+    """Return a permit with what is left of its start window."""
+    return Permit(
+        **{
+            name: getattr(permit, name)
+            for name in permit.__struct_fields__
+            if name != "start_within"
+        },
+        start_within=left,
+    )
--- /dev/null
+++ b/src/redwingslip/dispatch/_lanes.py
@@ -0,0 +1,83 @@
+"""Lanes: the teams that wait for the same shape of slot, in the policy's order."""
+
+import heapq
+from collections.abc import Callable
+
+from ._policy import Policy
+from ._queue import Shape, TeamQueue
+from ._teams import TeamState
+
+__all__ = ["Lane"]
+
+
+class Lane:
+    """The teams that wait for one shape.
+
+    The heap is lazy: a team's key may have grown since it was pushed, which shows
+    when it comes up; when a key has shrunk, `offer` pushes it once more.
+    """
+
+    __slots__ = ("_heap", "_keys", "_policy", "n_waiting", "shape")
+
+    def __init__(self, shape: Shape, policy: Policy) -> None:
+        self.shape = shape
+        self.n_waiting = 0
+        self._policy = policy
+        self._heap: list[tuple[float, str, TeamState]] = []
+        self._keys: dict[str, float] = {}
+
+    def offer(self, team: TeamState) -> None:
+        """Put a team that waits here in its place."""
+        queue = team.queues.get(self.shape)
+        if queue is None or not queue.n_waiting or team.is_parked:
+            return
+        key = self._policy.key(team, queue)
+        known = self._keys.get(team.name)
+        if known is not None and known <= key:
+            return
+        self._keys[team.name] = key
+        heapq.heappush(self._heap, (key, team.name, team))
+
+    def rebuild(self, teams: list[TeamState]) -> None:
+        """Put all teams in place anew, after all keys have changed."""
+        self._heap = []
+        self._keys = {}
+        for team in teams:
+            self.offer(team)
+
+    def next_team(
+        self, is_blocked: Callable[[TeamState], bool]
+    ) -> tuple[float, TeamState] | None:
+        """Return the key and the team that goes next, or None.
+
+        A team that is blocked is parked and leaves the lane until it is offered again.
+        """
+        heap = self._heap
+        while heap:
+            key, name, team = heap[0]
+            if self._keys.get(name) != key:
+                heapq.heappop(heap)
+                continue
+            queue = team.queues.get(self.shape)
+            if queue is None or queue.head() is None:
+                self._drop_first(name)
+                continue
+            if is_blocked(team):
+                team.is_parked = True
+                self._drop_first(name)
+                continue
+            current = self._policy.key(team, queue)
+            if current > key:
+                self._keys[name] = current
+                heapq.heapreplace(heap, (current, name, team))
+                continue
+            return key, team
+        return None
+
+    def _drop_first(self, name: str) -> None:
+        heapq.heappop(self._heap)
+        self._keys.pop(name, None)
+
+    def queue(self, team: TeamState) -> TeamQueue:
+        """Return the queue of a team in this lane."""
+        return team.queues[self.shape]
