Join the dispatcher to the daemons; follow the state's new records

Cause: two tests failed after the parts were merged: the state keeps a wave's VMs in their own records, and answers a resend with other contents as invalid. After: both pass.

--- a/src/redwingslip/dispatch/_dispatcher.py
+++ b/src/redwingslip/dispatch/_dispatcher.py
@@ -671,7 +671,12 @@
         if vm.drained_at is None:
             self._emit(EventName.VM_DRAINED, vm=vm.record.name)
         vm.drained_at = now
-        message = VmDrained(vm=vm.record.name, pool=self.pool, epoch=self.epoch)
+        message = VmDrained(
+            vm=vm.record.name,
+            pool=self.pool,
+            epoch=self.epoch,
+            drain_index=vm.record.drain_index,
+        )
         self._outputs.append(ToLeader(message=message))
 
     def _finish(self, now: timedelta) -> None:
--- a/src/redwingslip/operators/_outcomes.py
+++ b/src/redwingslip/operators/_outcomes.py
@@ -40,9 +40,8 @@
 
 @outcome_problem.register
 def _(outcome: Invalid) -> Response | None:
-    problem = Problem(
-        status=422, title="invalid", detail=outcome.reason, field=outcome.field
-    )
+    field = "Idempotency-Key" if outcome.field == "operation_id" else outcome.field
+    problem = Problem(status=422, title="invalid", detail=outcome.reason, field=field)
     return problem_response(problem)
 
 
--- a/src/redwingslip/operators/_routes.py
+++ b/src/redwingslip/operators/_routes.py
@@ -12,7 +12,15 @@
 from starlette.routing import Route
 
 from ..callers import hash_matches, hash_secret, make_secret
-from ..fleet import Command, DeleteResource, KeySpec, Kind, Outcome, PutResource
+from ..fleet import (
+    Command,
+    DeleteResource,
+    Invalid,
+    KeySpec,
+    Kind,
+    Outcome,
+    PutResource,
+)
 from ..http import (
     FieldError,
     HttpLimits,
@@ -207,11 +215,12 @@
             name=name, spec=spec, if_version=0, operation_id=_operation_id(req)
         )
         outcome = await self._propose(command)
+        if isinstance(outcome, Invalid) and outcome.field == "operation_id":
+            # A resend has another secret, so the operation is not the same.
+            return _granted_before(name)
         refusal = outcome_problem(outcome)
         if refusal is not None:
             return refusal
-        if self._service.view.key(name) != spec:
-            return _granted_before(name)
         granted = {
             "kind": Kind.KEY,
             "name": name,
