Fuzz the replicated log and prove each promise by its own test

Found: a newcomer that heard the leader talk to the incarnation before it never announced itself ('not repaired: r0', fuzzing, first case). It now announces itself until its own log names it. A learner was promoted only at the next tick; now with the acknowledgement that makes it whole.

--- a/src/redwingslip/consensus/_leadership.py
+++ b/src/redwingslip/consensus/_leadership.py
@@ -117,22 +117,23 @@
             self._send_entries(replica_id, progress)
 
     def receive_append_reply(self, sender_id: str, msg: AppendReply) -> None:
-        """Take an answer to an `Append`."""
-        progress = self._find_progress(sender_id, msg.incarnation)
+        """Take a member's answer to an `Append`."""
+        progress = self._progress.get(sender_id)
         if progress is None:
             return
         progress.note_contact(self._rounds.sent_at(msg.round))
         if msg.success:
             progress.note_match(msg.match_index)
             self.advance_commit()
+            self._change_members()
         elif not progress.snapshot_index:
             progress.note_mismatch(msg.match_index)
         self._send_entries(sender_id, progress)
         self._pass_on(sender_id, progress)
 
     def receive_snapshot_reply(self, sender_id: str, msg: SnapshotReply) -> None:
-        """Take an answer to an `InstallSnapshot`."""
-        progress = self._find_progress(sender_id, msg.incarnation)
+        """Take a member's answer to an `InstallSnapshot`."""
+        progress = self._progress.get(sender_id)
         if progress is None:
             return
         progress.note_contact(self._rounds.sent_at(msg.round))
@@ -201,13 +202,13 @@
             core.commit_index = index
             self._change_members()
 
-    def is_repaired(self, replica_id: str) -> bool:
-        """Return whether a replica votes and holds all that was committed before."""
+    def is_repaired(self, replica_id: str, incarnation: str) -> bool:
+        """Return whether it votes and holds all that was committed before that."""
         core = self._core
         is_open = core.members.index > core.commit_index
         if is_open or core.commit_index < self.first_index:
             return False
-        if replica_id in self._joiners or not self._is_voter(replica_id):
+        if not core.members.is_voter(replica_id, incarnation):
             return False
         if replica_id == core.replica_id:
             return True
@@ -226,13 +227,6 @@
                 progress = Progress(member.incarnation, core.log.last_index + 1)
             self._progress[member.replica_id] = progress
 
-    def _find_progress(self, sender_id: str, incarnation: str) -> Progress | None:
-        """Return what is known of a member; None voids another incarnation's word."""
-        progress = self._progress.get(sender_id)
-        if progress is None or progress.incarnation != incarnation:
-            return None
-        return progress
-
     def _is_voter(self, replica_id: str) -> bool:
         member = self._core.members.get(replica_id)
         return member is not None and member.voting
--- a/src/redwingslip/consensus/_node.py
+++ b/src/redwingslip/consensus/_node.py
@@ -186,14 +186,17 @@
         """Return whether it leads and no other leader can exist."""
         return self._leadership is not None and self._leadership.has_quorum_lease(now)
 
-    def is_repaired(self, replica_id: str) -> bool:
+    def is_repaired(self, replica_id: str, incarnation: str) -> bool:
         """Return, on the leader, whether a replica is a whole member (again).
 
-        That is: its present incarnation votes, and holds on its disk everything that
+        That is: this incarnation votes, and holds on its disk everything that
         was committed until it became a voter, so that losing another member's disk
         right after loses nothing.
         """
-        return self._leadership is not None and self._leadership.is_repaired(replica_id)
+        leadership = self._leadership
+        return leadership is not None and leadership.is_repaired(
+            replica_id, incarnation
+        )
 
     def tick(self, now: timedelta) -> None:
         """Do what is due. To be called several times in a heartbeat interval."""
@@ -424,7 +427,10 @@
             self._follow(now)
         core.leader_id = leader_id
         self._sticky_until = now + core.cfg.election_timeout_min
-        self._join_at = now + core.cfg.election_timeout_max
+        # A leader that talks to the incarnation before this one is no reason not to
+        # announce this one.
+        if core.members.find(core.replica_id, core.incarnation) is not None:
+            self._join_at = now + core.cfg.election_timeout_max
         self._reset_election(now)
 
     def _enter_term(self, term: int, now: timedelta) -> None:
--- a/src/redwingslip/consensus/_replica.py
+++ b/src/redwingslip/consensus/_replica.py
@@ -198,9 +198,16 @@
             return False
         return self._node.has_quorum_lease(self._clock.monotonic())
 
-    def is_repaired(self, replica_id: str) -> bool:
-        """Return, on the leader, whether a replica is a whole member (again)."""
-        return self._node is not None and self._node.is_repaired(replica_id)
+    def is_repaired(self, replica_id: str, incarnation: str) -> bool:
+        """Return, on a leader with a lease, whether a replica is whole (again).
+
+        That is: this incarnation of it votes, and holds on its disk everything that
+        was committed until it became a voter, so that losing another member's disk
+        right after loses nothing.
+        """
+        if not self.has_quorum_lease():
+            return False
+        return self._node.is_repaired(replica_id, incarnation)
 
     async def start(self) -> None:
         """Read the data folder and take part.
--- /dev/null
+++ b/tests/_consensus_cluster.py
@@ -0,0 +1,337 @@
+"""Replicas over a lossy link in simulated time, watched by simple oracles."""
+
+import random
+from contextlib import suppress
+from datetime import timedelta
+from pathlib import Path
+
+from redwingslip.consensus import (
+    ConsensusSettings,
+    DataFolder,
+    EntryKind,
+    Identity,
+    Member,
+    NotLeaderError,
+    RaftNode,
+)
+from tests._memory_files import CrashError, MemoryFiles
+
+CFG = ConsensusSettings(
+    snapshot_every=6,
+    n_trailing_entries=2,
+    max_batch_entries=3,
+    max_inflight_entries=8,
+    snapshot_chunk_bytes=150,
+)
+FOLDER = Path("/data")
+STEP = timedelta(milliseconds=50)
+MAX_CLOCK_RATE_ERROR = 0.02
+
+
+def check(condition, message):
+    """Raise unless an oracle holds."""
+    if not condition:
+        raise AssertionError(message)
+
+
+class Process:
+    """A replica's disk, and its process while that runs."""
+
+    def __init__(self, replica_id, rate):
+        self.replica_id = replica_id
+        self.rate = rate
+        self.files = MemoryFiles()
+        self.folder = None
+        self.node = None
+        self.incarnation = ""
+        self.unsaved = None
+        self.applied = []
+        self.snapshot_at = 0
+        self.is_frozen = False
+        self.is_disk_stalled = False
+
+    @property
+    def is_running(self):
+        """Return whether it reacts."""
+        return self.node is not None and not self.is_frozen
+
+
+class Cluster:
+    """Three or more processes; one object holds all messages under way.
+
+    The oracles: one leader in a term; all replicas apply the same entries at the
+    same index; a lease holder has no other leader beside it that is newer.
+    """
+
+    def __init__(self, seed=0, n_replicas=3, cfg=CFG):
+        self.cfg = cfg
+        self.rng = random.Random(seed)
+        self.now = timedelta(seconds=1)
+        ids = [f"r{i}" for i in range(n_replicas)]
+        self.processes = {
+            replica_id: Process(
+                replica_id,
+                1 + self.rng.uniform(-MAX_CLOCK_RATE_ERROR, MAX_CLOCK_RATE_ERROR),
+            )
+            for replica_id in ids
+        }
+        self.messages = []
+        self.cuts = set()
+        self.loss = 0.0
+        self.log = {}
+        self.proposed = {}
+        self.acknowledged = []
+        self.leaders = {}
+        self.lost = set()
+        self._found(ids)
+
+    def _found(self, ids):
+        """Give every process a folder whose founding is agreed."""
+        members = tuple(
+            Member(replica_id=i, incarnation=f"{i}.0", address=f"{i}:1") for i in ids
+        )
+        for process in self.processes.values():
+            folder = DataFolder(FOLDER, process.files)
+            folder.load(process.replica_id)
+            identity = Identity(
+                replica_id=process.replica_id,
+                incarnation=f"{process.replica_id}.0",
+                founder=True,
+            )
+            folder.save_members(identity, members)
+            self.start(process)
+
+    def pick(self, who):
+        """Return the newest leader, or one of the others by its number."""
+        processes = list(self.processes.values())
+        leading = [p for p in processes if p.node is not None and p.node.is_leader]
+        leader = max(leading, key=lambda p: p.node.term, default=processes[0])
+        if who == "leader":
+            return leader
+        return [p for p in processes if p is not leader][who]
+
+    def clock(self, process):
+        """Return the process's monotonic time."""
+        return self.now * process.rate
+
+    def start(self, process):
+        """Start a process on what its disk holds."""
+        process.folder = DataFolder(FOLDER, process.files)
+        stored = process.folder.load(process.replica_id)
+        process.incarnation = stored.identity.incarnation
+        process.unsaved = None
+        process.is_frozen = False
+        process.applied = []
+        if stored.snapshot is not None:
+            self._restore(process, stored.snapshot)
+        process.snapshot_at = len(process.applied)
+        process.node = RaftNode(
+            cfg=self.cfg,
+            stored=stored,
+            address=f"{process.replica_id}:1",
+            peers=frozenset(self.processes) - {process.replica_id},
+            rng=random.Random(self.rng.random()),
+            now=self.clock(process),
+        )
+
+    def kill(self, process, n_steps=0):
+        """End a process, after some operations of the save that it was at."""
+        if process.node is None:
+            return
+        if process.unsaved is not None:
+            process.files.steps_left = n_steps
+            with suppress(CrashError):
+                process.folder.save(process.unsaved.save, process.unsaved.snapshot)
+        process.files.crash(self.rng)
+        process.node = None
+        process.unsaved = None
+
+    def may_lose_disk(self, process):
+        """Return whether the promise covers losing this disk now."""
+        return not (self.lost - {process.replica_id})
+
+    def lose_disk(self, process):
+        """End a process and empty its disk."""
+        self.kill(process)
+        process.files = MemoryFiles()
+        self.lost.add(process.replica_id)
+
+    def propose(self, process):
+        """Propose a new command if the process believes that it leads."""
+        if not process.is_running:
+            return
+        data = b"%d" % len(self.proposed)
+        try:
+            entry = process.node.propose(data)
+        except NotLeaderError:
+            return
+        self.proposed[data] = (entry.index, entry.term)
+        self.pump(process)
+
+    def pump(self, process):
+        """Do what a node asks for, but for the save."""
+        ready = process.node.take_ready()
+        for receiver_id, message in ready.messages:
+            if (process.replica_id, receiver_id) in self.cuts:
+                continue
+            if self.rng.random() >= self.loss:
+                self.messages.append((process.replica_id, receiver_id, message))
+        for entry in ready.committed:
+            self._apply(process, entry)
+        if ready.save is not None:
+            process.unsaved = ready
+        elif process.unsaved is None:
+            self._take_snapshot(process)
+        self._watch(process)
+
+    def finish_save(self, process):
+        """Let the disk finish, and tell the node."""
+        ready = process.unsaved
+        if ready is None or not process.is_running:
+            return
+        process.folder.save(ready.save, ready.snapshot)
+        process.unsaved = None
+        process.node.mark_saved(self.clock(process))
+        if ready.is_installed:
+            self._restore(process, ready.snapshot)
+        self.pump(process)
+
+    def deliver(self, position):
+        """Deliver one message, unless its receiver does not run."""
+        sender_id, receiver_id, message = self.messages.pop(position)
+        process = self.processes[receiver_id]
+        if process.is_frozen:
+            self.messages.append((sender_id, receiver_id, message))
+        elif process.is_running:
+            process.node.receive(sender_id, message, self.clock(process))
+            self.pump(process)
+
+    def advance(self, duration):
+        """Let time pass without delivering anything."""
+        self.now += duration
+        for process in self.processes.values():
+            if process.is_running:
+                process.node.tick(self.clock(process))
+                self.pump(process)
+        self.check_leases()
+
+    def run(self, duration, until=None):
+        """Let time pass, messages arrive in random order and disks work."""
+        end = self.now + duration
+        while self.now < end and not (until is not None and until()):
+            self.advance(STEP)
+            for _ in range(3):
+                for process in self.processes.values():
+                    if not process.is_disk_stalled and self.rng.random() < 0.6:
+                        self.finish_save(process)
+                batch = len(self.messages)
+                for _ in range(batch):
+                    self.deliver(self.rng.randrange(len(self.messages)))
+            self.check_leases()
+            self._note_repaired()
+
+    def check_leases(self):
+        """Check that a lease holder has no newer leader beside it."""
+        leaders = [
+            process
+            for process in self.processes.values()
+            if process.node is not None and process.node.is_leader
+        ]
+        holders = [
+            process
+            for process in leaders
+            if process.node.has_quorum_lease(self.clock(process))
+        ]
+        check(len(holders) <= 1, "two replicas hold the quorum lease")
+        for holder in holders:
+            newest = max(process.node.term for process in leaders)
+            check(holder.node.term == newest, "a newer leader beside the lease holder")
+
+    def heal(self):
+        """Mend everything but the disks' content."""
+        self.cuts.clear()
+        self.loss = 0.0
+        for process in self.processes.values():
+            process.is_frozen = False
+            process.is_disk_stalled = False
+            if process.node is None:
+                self.start(process)
+
+    def check_recovery(self):
+        """Check that a healed cluster is whole, holds all it acknowledged and works."""
+        self.heal()
+        n_before = len(self.acknowledged)
+        whole = timedelta(seconds=30)
+        self.run(whole, until=lambda: not self.lost and self._has_lease())
+        check(self._has_lease(), "no leader after everything healed")
+        check(not self.lost, f"not repaired: {self.lost}")
+        while len(self.acknowledged) == n_before and self.now < whole * 4:
+            for process in self.processes.values():
+                self.propose(process)
+            self.run(timedelta(seconds=1))
+        check(len(self.acknowledged) > n_before, "nothing can be committed")
+        self.run(timedelta(seconds=3))
+        expected = [self.log[index] for index in sorted(self.log)]
+        check(sorted(self.log) == list(range(1, len(self.log) + 1)), "a gap in the log")
+        for process in self.processes.values():
+            check(process.applied == expected, f"{process.replica_id} lacks entries")
+        for index, data in self.acknowledged:
+            check(self.log[index].data == data, f"acknowledged {data} was lost")
+
+    def _has_lease(self):
+        return any(
+            process.node is not None
+            and process.node.has_quorum_lease(self.clock(process))
+            for process in self.processes.values()
+        )
+
+    def _note_repaired(self):
+        for process in self.processes.values():
+            if not process.is_running or not process.node.is_leader:
+                continue
+            self.lost = {
+                replica_id
+                for replica_id in self.lost
+                if not process.node.is_repaired(
+                    replica_id, self.processes[replica_id].incarnation
+                )
+            }
+
+    def _watch(self, process):
+        node = process.node
+        if not node.is_leader:
+            return
+        if node.term not in self.leaders:
+            self.leaders[node.term] = process.replica_id
+            self.check_leases()
+        leader = self.leaders[node.term]
+        check(leader == process.replica_id, f"two leaders in term {node.term}")
+
+    def _apply(self, process, entry):
+        check(entry.index == len(process.applied) + 1, "an entry was skipped")
+        agreed = self.log.setdefault(entry.index, entry)
+        check(agreed == entry, f"{process.replica_id} applies another {entry.index}")
+        process.applied.append(entry)
+        if entry.kind is not EntryKind.COMMAND or not process.node.is_leader:
+            return
+        if self.proposed[entry.data] == (entry.index, entry.term):
+            self.acknowledged.append((entry.index, entry.data))
+
+    def _take_snapshot(self, process):
+        n_applied = len(process.applied)
+        if n_applied < process.snapshot_at + self.cfg.snapshot_every:
+            return
+        process.snapshot_at = n_applied
+        # The state is the log itself; a snapshot names its length and last entry.
+        process.node.compact(n_applied, _digest(process.applied))
+        self.pump(process)
+
+    def _restore(self, process, snapshot):
+        process.applied = [self.log[i] for i in range(1, snapshot.index + 1)]
+        check(snapshot.data == _digest(process.applied), "a snapshot differs")
+        process.snapshot_at = snapshot.index
+
+
+def _digest(entries):
+    """Return what stands for a state: something of every entry."""
+    return b" ".join(entry.data[:8] + b"/%d" % entry.term for entry in entries)
--- /dev/null
+++ b/tests/_memory_files.py
@@ -0,0 +1,129 @@
+"""Files in memory that a crash takes back to what was synced."""
+
+import random
+
+
+class CrashError(BaseException):
+    """The process ended in the middle of a file operation."""
+
+
+class _Node:
+    """A file's content, as written and as synced."""
+
+    __slots__ = ("data", "synced")
+
+    def __init__(self, data=b""):
+        self.data = bytearray(data)
+        self.synced = bytes(data)
+
+
+class _MemoryFile:
+    """An open file."""
+
+    def __init__(self, files, node):
+        self._files = files
+        self._node = node
+
+    def write(self, data):
+        """Add data, half of it when the process ends here."""
+        try:
+            self._files.step()
+        except (CrashError, OSError):
+            self._node.data += data[: len(data) // 2]
+            raise
+        self._node.data += data
+
+    def sync(self):
+        """Make the content durable."""
+        self._files.step()
+        self._node.synced = bytes(self._node.data)
+
+    def close(self):
+        """Do nothing."""
+
+
+class MemoryFiles:
+    """A file system in memory.
+
+    Attributes
+    ----------
+    steps_left : int or None
+        The number of operations that succeed before `error` is raised.
+    error : BaseException
+        What is raised then.
+    """
+
+    def __init__(self):
+        self._names = {}
+        self._durable_names = {}
+        self.steps_left = None
+        self.error = CrashError()
+
+    def step(self):
+        """Count an operation."""
+        if self.steps_left is None:
+            return
+        if self.steps_left == 0:
+            raise self.error
+        self.steps_left -= 1
+
+    def crash(self, rng=None):
+        """Lose what was not synced, but for a random part if `rng` is given."""
+        self.steps_left = None
+        if rng is None or rng.random() < 0.5:
+            self._names = dict(self._durable_names)
+        self._durable_names = dict(self._names)
+        for node in self._names.values():
+            kept = bytearray(node.synced)
+            if rng is not None:
+                unsynced = node.data[len(kept) :]
+                kept += unsynced[: rng.randint(0, len(unsynced))]
+            node.data = kept
+            node.synced = bytes(kept)
+
+    def make_folder(self, path):
+        """Do nothing."""
+
+    def exists(self, path):
+        """Return whether there is a file."""
+        return path in self._names
+
+    def read(self, path):
+        """Return a file's content."""
+        return bytes(self._names[path].data)
+
+    def overwrite(self, path, data):
+        """Change a file's durable content, as a failing disk would."""
+        self._names[path] = self._durable_names[path] = _Node(data)
+
+    def create(self, path):
+        """Open an empty file."""
+        self.step()
+        self._names[path] = _Node()
+        return _MemoryFile(self, self._names[path])
+
+    def open(self, path):
+        """Open a file for adding."""
+        return _MemoryFile(self, self._names[path])
+
+    def truncate(self, path, size):
+        """Cut a file durably."""
+        self.step()
+        node = self._names[path]
+        del node.data[size:]
+        node.synced = bytes(node.data)
+
+    def replace(self, source, target):
+        """Rename a file."""
+        self.step()
+        self._names[target] = self._names.pop(source)
+
+    def sync_folder(self, path):
+        """Make the names durable."""
+        self.step()
+        self._durable_names = dict(self._names)
+
+
+def new_rng(seed):
+    """Return a seeded random source."""
+    return random.Random(seed)
--- /dev/null
+++ b/tests/test_consensus_safety.py
@@ -0,0 +1,151 @@
+"""Tests of the promises by stateful fuzzing against the oracles of the cluster."""
+
+import itertools
+import unittest
+from datetime import timedelta
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from tests._consensus_cluster import Cluster
+
+WHO = st.sampled_from(["leader", 0, 1])
+PAIRS = list(itertools.permutations(["leader", 0, 1], 2))
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class ClusterMachine(RuleBasedStateMachine):
+    """Faults in any order; after them everything acknowledged must still be there."""
+
+    cluster = None
+
+    @initialize(seed=st.integers(0, 2**16))
+    def set_up(self, seed):
+        """Start a cluster, mostly with a leader."""
+        self.cluster = Cluster(seed)
+        if seed % 8:
+            self.cluster.run(timedelta(seconds=3), until=self.cluster._has_lease)
+
+    @rule(
+        ms=st.sampled_from([50, 300, 700, 1500, 3000]),
+        loss=st.sampled_from([0, 0, 0.2]),
+        n_proposals=st.integers(0, 12),
+    )
+    def work(self, ms, loss, n_proposals):
+        """Let the cluster work for a while, with proposals all along."""
+        self.cluster.loss = loss
+        for _ in range(n_proposals):
+            self.propose(1)
+            self.cluster.run(ms * MILLISECOND / n_proposals)
+        self.cluster.run(ms * MILLISECOND / 2)
+
+    @rule(ms=st.sampled_from([10, 200, 650, 1300]))
+    def delay(self, ms):
+        """Hold all messages up."""
+        self.cluster.advance(ms * MILLISECOND)
+
+    @rule(count=st.integers(1, 8))
+    def propose(self, count):
+        """Propose commands to whoever believes that it leads."""
+        for _ in range(count):
+            for process in self.cluster.processes.values():
+                self.cluster.propose(process)
+
+    @precondition(lambda self: self.cluster.messages)
+    @rule(data=st.data(), how=st.sampled_from(["deliver", "drop", "duplicate"]))
+    def disturb(self, data, how):
+        """Deliver, drop or duplicate one message."""
+        messages = self.cluster.messages
+        position = data.draw(st.integers(0, len(messages) - 1))
+        if how == "drop":
+            messages.pop(position)
+        elif how == "duplicate":
+            messages.append(messages[position])
+        else:
+            self.cluster.deliver(position)
+
+    @rule(pair=st.sampled_from(PAIRS))
+    def cut(self, pair):
+        """Cut one direction of a link."""
+        sender, receiver = (self.cluster.pick(who).replica_id for who in pair)
+        self.cluster.cuts.add((sender, receiver))
+
+    @rule(who=WHO)
+    def isolate(self, who):
+        """Cut a replica off from all others."""
+        replica_id = self.cluster.pick(who).replica_id
+        for other in self.cluster.processes:
+            self.cluster.cuts.add((replica_id, other))
+            self.cluster.cuts.add((other, replica_id))
+
+    @rule()
+    def heal_links(self):
+        """Mend all links."""
+        self.cluster.cuts.clear()
+
+    @rule(ms=st.sampled_from([700, 2500]))
+    def heal(self, ms):
+        """Mend everything for a while."""
+        self.cluster.heal()
+        self.cluster.run(ms * MILLISECOND)
+
+    @rule(who=WHO, n_steps=st.integers(0, 9), stay_down=st.booleans())
+    def kill(self, who, n_steps, stay_down):
+        """End a process at any point of its save."""
+        process = self.cluster.pick(who)
+        self.cluster.kill(process, n_steps)
+        if not stay_down:
+            self.cluster.start(process)
+
+    @rule(n_steps=st.integers(0, 9))
+    def power_cut(self, n_steps):
+        """End and restart all processes at once."""
+        for process in self.cluster.processes.values():
+            self.cluster.kill(process, n_steps)
+        for process in self.cluster.processes.values():
+            self.cluster.start(process)
+
+    @rule(who=WHO)
+    def lose_disk(self, who):
+        """Lose a disk, unless another one is not repaired yet."""
+        process = self.cluster.pick(who)
+        if self.cluster.may_lose_disk(process):
+            self.cluster.lose_disk(process)
+            self.cluster.start(process)
+
+    @rule(who=WHO)
+    def freeze(self, who):
+        """Stop a process's work, or let it go on."""
+        process = self.cluster.pick(who)
+        if process.node is not None:
+            process.is_frozen = not process.is_frozen
+
+    @rule(who=WHO)
+    def stall_disk(self, who):
+        """Let a disk hang, or go on."""
+        process = self.cluster.pick(who)
+        process.is_disk_stalled = not process.is_disk_stalled
+
+    @rule(who=WHO)
+    def transfer(self, who):
+        """Have a leader hand over."""
+        process = self.cluster.pick(who)
+        if process.is_running:
+            process.node.transfer_leadership(self.cluster.clock(process))
+            self.cluster.pump(process)
+
+    def teardown(self):
+        """Check that nothing was lost and work goes on."""
+        if self.cluster is not None:
+            self.cluster.check_recovery()
+
+
+class TestClusterMachine(ClusterMachine.TestCase):
+    """The stateful fuzzing of three replicas."""
+
+    settings = settings(max_examples=3 * settings().max_examples)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_storage_records.py
@@ -0,0 +1,132 @@
+"""Tests of the record log."""
+
+import errno
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from redwingslip.storage import (
+    CorruptLogError,
+    RecordLog,
+    StorageFailedError,
+    read_sealed,
+    write_sealed,
+)
+from tests._memory_files import CrashError, MemoryFiles, new_rng
+
+PATH = Path("/data/log")
+PAYLOADS = st.lists(st.binary(max_size=40), min_size=1, max_size=6)
+
+
+def new_log(files, payloads=()):
+    """Return a log with records."""
+    log = RecordLog(PATH, files)
+    log.rewrite([])
+    for payload in payloads:
+        log.append(payload)
+    return log
+
+
+class TestRecordLog(unittest.TestCase):
+    """Reading back what was synced."""
+
+    @given(payloads=PAYLOADS, n_steps=st.integers(0, 2), seed=st.integers(0, 99))
+    def test_crash_loses_only_what_was_not_synced(self, payloads, n_steps, seed):
+        """After a crash every synced record is there, and at most one more."""
+        files = MemoryFiles()
+        log = new_log(files, payloads)
+        files.steps_left = n_steps
+        try:
+            log.append(b"last")
+            synced = [*payloads, b"last"]
+        except CrashError:
+            synced = payloads
+        files.crash(new_rng(seed))
+        found = RecordLog(PATH, files).open()
+        self.assertIn(found, [synced, [*payloads, b"last"]])
+        again = RecordLog(PATH, files)
+        again.open()
+        again.append(b"more")
+        self.assertEqual(RecordLog(PATH, files).open(), [*found, b"more"])
+
+    @given(payloads=PAYLOADS, cut=st.integers(1, 8), data=st.data())
+    def test_corrupt_record_in_the_middle_is_an_error(self, payloads, cut, data):
+        """A changed byte before the last record is reported with its offset."""
+        files = MemoryFiles()
+        log = new_log(files, payloads)
+        size = log.n_bytes
+        log.append(b"last")
+        position = data.draw(st.integers(0, size - 1))
+        content = bytearray(files.read(PATH))
+        content[position] ^= cut
+        files.overwrite(PATH, bytes(content))
+        with self.assertRaises(CorruptLogError) as caught:
+            RecordLog(PATH, files).open()
+        self.assertEqual(caught.exception.path, PATH)
+        self.assertLessEqual(caught.exception.offset, position)
+        self.assertEqual(files.read(PATH), bytes(content))
+
+    def test_zeros_at_the_end_are_cut_off(self):
+        """A tail that the file system had only reserved is no record."""
+        files = MemoryFiles()
+        new_log(files, [b"a"])
+        files.overwrite(PATH, files.read(PATH) + bytes(64))
+        self.assertEqual(RecordLog(PATH, files).open(), [b"a"])
+
+    def test_failed_sync_is_not_tried_again(self):
+        """After a failed sync the log takes nothing more."""
+        files = MemoryFiles()
+        log = new_log(files, [b"a"])
+        files.error = OSError(errno.EIO, "input/output error")
+        files.steps_left = 1
+        with self.assertRaises(StorageFailedError):
+            log.append(b"b")
+        files.steps_left = None
+        with self.assertRaises(StorageFailedError):
+            log.append(b"c")
+
+    @given(n_steps=st.integers(0, 5), seed=st.integers(0, 99))
+    def test_rewrite_is_all_or_nothing(self, n_steps, seed):
+        """A crash while rewriting leaves the old records or the new ones."""
+        files = MemoryFiles()
+        log = new_log(files, [b"a", b"b"])
+        files.steps_left = n_steps
+        try:
+            log.rewrite([b"c"])
+            expected = [[b"c"]]
+        except CrashError:
+            expected = [[b"a", b"b"], [b"c"]]
+        files.crash(new_rng(seed))
+        self.assertIn(RecordLog(PATH, files).open(), expected)
+
+
+class TestSealed(unittest.TestCase):
+    """Files that are replaced whole."""
+
+    @given(n_steps=st.integers(0, 5), seed=st.integers(0, 99))
+    def test_replaced_whole(self, n_steps, seed):
+        """A crash while replacing leaves the old content or the new."""
+        files = MemoryFiles()
+        write_sealed(PATH, b"old", files)
+        files.steps_left = n_steps
+        try:
+            write_sealed(PATH, b"new", files)
+            expected = [b"new"]
+        except CrashError:
+            expected = [b"old", b"new"]
+        files.crash(new_rng(seed))
+        self.assertIn(read_sealed(PATH, files), expected)
+
+    def test_changed_content_is_an_error(self):
+        """A changed byte is found."""
+        files = MemoryFiles()
+        write_sealed(PATH, b"content", files)
+        files.overwrite(PATH, files.read(PATH)[:-1] + b"?")
+        with self.assertRaises(CorruptLogError):
+            read_sealed(PATH, files)
+
+
+if __name__ == "__main__":
+    unittest.main()
