--- a/tests/test_consensus_replica.py
+++ b/tests/test_consensus_replica.py
@@ -1,7 +1,10 @@
 """Tests of the asyncio driver, with real files and a link in memory."""
 
 import asyncio
+import errno
+import functools
 import random
+import shutil
 import tempfile
 import unittest
 from datetime import timedelta
@@ -10,12 +13,15 @@
 from redwingslip.clock import SystemClock
 from redwingslip.consensus import (
     ConsensusSettings,
+    FoundingRefusedError,
     NotLeaderError,
     ProposalLostError,
     Replica,
+    ReplicaFailedError,
     found_data_folder,
 )
 from redwingslip.observe._events import NullSink
+from redwingslip.storage import CorruptLogError, OsFileSystem
 
 REPLICA_IDS = ("r1", "r2", "r3")
 FAST = ConsensusSettings(
@@ -57,6 +63,7 @@
         self.folder = Path(folder)
         self.replicas = {}
         self.machines = {}
+        self.new_machine = Journal
 
     def _send(self, sender_id):
         def send(receiver_id, message):
@@ -71,7 +78,7 @@
 
     async def start(self, replica_id, files=None):
         """Start a replica on its folder."""
-        self.machines[replica_id] = Journal()
+        self.machines[replica_id] = self.new_machine()
         replica = Replica(
             cfg=FAST,
             data_folder=self.folder / replica_id,
@@ -137,11 +144,46 @@
         self.cluster = Cluster(folder.name)
         await self.cluster.found()
 
+    def name(self, replica):
+        """Return the replica's id."""
+        replicas = self.cluster.replicas
+        return next(name for name in replicas if replicas[name] is replica)
+
+    def machine(self, replica):
+        """Return the replica's state machine."""
+        return self.cluster.machines[self.name(replica)]
+
     async def asyncTearDown(self):
         """Stop the cluster."""
         await self.cluster.stop_all()
 
 
+class FailingFiles(OsFileSystem):
+    """Files that can no longer be written once `is_full` is set."""
+
+    is_full = False
+
+    def open(self, path):
+        """Open a file that can fail."""
+        return FailingFile(self, super().open(path))
+
+
+class FailingFile:
+    """A file whose sync fails when the disk is full."""
+
+    def __init__(self, files, file):
+        self._files = files
+        self.write = file.write
+        self.close = file.close
+        self._file = file
+
+    def sync(self):
+        """Sync, or fail."""
+        if self._files.is_full:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        self._file.sync()
+
+
 class TestReplica(ReplicaTestCase):
     """Replication by the driver."""
 
@@ -152,6 +194,41 @@
         machines = self.cluster.machines.values()
         await self.cluster.until(lambda: all(m.commands == [b"a"] for m in machines))
 
+    async def test_concurrent_proposals_are_each_answered_once(self):
+        """Each of many concurrent proposals gets its own outcome."""
+        leader = await self.cluster.leader()
+        commands = [b"%d" % i for i in range(200)]
+        outcomes = await asyncio.gather(*map(leader.propose, commands))
+        self.assertEqual(outcomes, list(range(1, 201)))
+        self.assertEqual(self.machine(leader).commands, commands)
+
+    async def test_leadership_is_reported_with_a_current_state(self):
+        """A new leader reports itself when it has applied all that was acknowledged."""
+        await self.cluster.propose(b"a")
+        old_name = self.name(await self.cluster.leader())
+        reports = []
+        for name, replica in self.cluster.replicas.items():
+            replica.on_leadership = functools.partial(self.note, reports, name)
+        await self.cluster.stop(old_name)
+        new = await self.cluster.leader()
+        expected = (self.name(new), True, [b"a"])
+        await self.cluster.until(lambda: expected in reports)
+        self.assertIn((old_name, False, [b"a"]), reports)
+
+    def note(self, reports, name, is_leader):
+        """Keep a report and the commands applied by then."""
+        reports.append((name, is_leader, list(self.cluster.machines[name].commands)))
+
+    async def test_a_stop_hands_leadership_over(self):
+        """A stopping leader has a successor at once, without an election timeout."""
+        leader = await self.cluster.leader()
+        term = leader.term
+        others = [r for r in self.cluster.replicas.values() if r is not leader]
+        await self.cluster.stop(self.name(leader))
+        self.assertTrue(any(r.term == term + 1 for r in others))
+        with self.assertRaises(NotLeaderError):
+            await leader.propose(b"x")
+
     async def test_state_survives_a_restart_of_all_members(self):
         """What was acknowledged is there after every process was restarted."""
         expected = [b"%d" % i for i in range(50)]
@@ -167,5 +244,74 @@
         )
 
 
+class TestDisk(ReplicaTestCase):
+    """Disks that fail, and disks that are lost."""
+
+    async def test_full_disk_ends_the_replica_without_an_acknowledgement(self):
+        """A leader that can't sync reports it, and its proposal is open."""
+        for replica_id in REPLICA_IDS:
+            await self.cluster.stop(replica_id)
+        files = {replica_id: FailingFiles() for replica_id in REPLICA_IDS}
+        for replica_id in REPLICA_IDS:
+            await self.cluster.start(replica_id, files[replica_id])
+        leader = await self.cluster.leader()
+        name = self.name(leader)
+        files[name].is_full = True
+        with self.assertRaises(ProposalLostError):
+            await leader.propose(b"x")
+        with self.assertRaises(ReplicaFailedError):
+            await leader.wait_closed()
+        self.assertFalse(leader.is_leader)
+        del self.cluster.replicas[name]
+        await leader.stop()
+        await self.cluster.propose(b"y")
+        self.assertEqual(self.cluster.machines[name].commands, [])
+
+    async def test_lost_disk_is_repaired_and_a_second_one_then_loses_nothing(self):
+        """After 'repaired' another disk may go, and all acknowledged is still there."""
+        expected = [b"%d" % i for i in range(40)]
+        for command in expected:
+            await self.cluster.propose(command)
+        for lost in ("r1", "r2"):
+            await self.cluster.stop(lost)
+            shutil.rmtree(self.cluster.folder / lost)
+            new = await self.cluster.start(lost)
+            replicas = self.cluster.replicas.values()
+            await self.cluster.until(
+                lambda new=new, lost=lost, replicas=replicas: any(
+                    r.is_repaired(lost, new.incarnation) for r in replicas
+                )
+            )
+        await self.cluster.propose(b"last")
+        machines = self.cluster.machines.values()
+        await self.cluster.until(
+            lambda: all(m.commands == [*expected, b"last"] for m in machines)
+        )
+
+    async def test_replica_founded_again_by_mistake_refuses(self):
+        """A lost disk that is founded again takes no part and reports why."""
+        await self.cluster.propose(b"a")
+        await self.cluster.stop("r1")
+        shutil.rmtree(self.cluster.folder / "r1")
+        found_data_folder(self.cluster.folder / "r1", "r1")
+        replica = await self.cluster.start("r1")
+        with self.assertRaises(ReplicaFailedError) as caught:
+            await replica.wait_closed()
+        self.assertIsInstance(caught.exception.__cause__, FoundingRefusedError)
+
+    async def test_corrupt_log_is_reported_at_the_start(self):
+        """A replica whose log is corrupt does not start."""
+        for i in range(5):
+            await self.cluster.propose(b"%d" % i)
+        await self.cluster.stop("r1")
+        path = self.cluster.folder / "r1" / "log"
+        content = bytearray(path.read_bytes())
+        content[10] ^= 1
+        path.write_bytes(content)
+        with self.assertRaises(ReplicaFailedError) as caught:
+            await self.cluster.start("r1")
+        self.assertIsInstance(caught.exception.__cause__, CorruptLogError)
+
+
 if __name__ == "__main__":
     unittest.main()
