Measure commits a second with group commit on and off

Cause: the cost of one sync for each proposal was not known. Change: scripts/measure_commits.py, three replicas in one process with real files.

--- /dev/null
+++ b/scripts/measure_commits.py
@@ -0,0 +1,160 @@
+"""Measure commits a second of three replicas in one process, with real files.
+
+The link is in memory and direct, so the figures are those of the consensus, its disk
+work and the event loop. Each case runs for a fixed time after a warm-up.
+"""
+
+import argparse
+import asyncio
+import random
+import tempfile
+import time
+from pathlib import Path
+
+import msgspec
+
+from redwingslip.clock import SystemClock
+from redwingslip.consensus import ConsensusSettings, Replica, found_data_folder
+from redwingslip.observe._events import NullSink
+
+REPLICA_IDS = ("r1", "r2", "r3")
+N_PROPOSERS = (1, 16, 128)
+COMMAND = bytes(200)
+WARM_UP = 0.5
+MS_PER_SECOND = 1_000
+
+
+class Counter:
+    """A state machine that counts."""
+
+    def __init__(self) -> None:
+        self.n_commands = 0
+
+    def apply(self, index: int, data: bytes) -> object:
+        """Count a command."""
+        self.n_commands += 1
+        return self.n_commands
+
+    def skip(self, index: int) -> None:
+        """Do nothing."""
+
+    def snapshot(self) -> bytes:
+        """Return the count."""
+        return b"%d" % self.n_commands
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Take the count over."""
+        self.n_commands = int(data)
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """What one case gave."""
+
+    n_commits: int
+    elapsed: float
+    latencies: list[float]
+
+    def percentile(self, share: float) -> float:
+        """Return a percentile of the latencies in ms."""
+        ordered = sorted(self.latencies)
+        return ordered[int(share * (len(ordered) - 1))] * MS_PER_SECOND
+
+
+class Cluster:
+    """Three replicas on a direct link."""
+
+    def __init__(self, folder: Path, *, batching: bool) -> None:
+        self._folder = folder
+        self._cfg = ConsensusSettings(batching=batching)
+        self.replicas: dict[str, Replica] = {}
+
+    async def start(self) -> None:
+        """Found the folders and start."""
+        for replica_id in REPLICA_IDS:
+            found_data_folder(self._folder / replica_id, replica_id)
+            self.replicas[replica_id] = self._make(replica_id)
+        for replica in self.replicas.values():
+            await replica.start()
+
+    async def stop(self) -> None:
+        """Stop all, the leader last."""
+        for replica in sorted(self.replicas.values(), key=lambda r: r.is_leader):
+            await replica.stop()
+
+    async def leader(self) -> Replica:
+        """Wait for a leader with a lease."""
+        while True:
+            for replica in self.replicas.values():
+                if replica.has_quorum_lease():
+                    return replica
+            await asyncio.sleep(0.01)
+
+    def _make(self, replica_id: str) -> Replica:
+        def send(receiver_id: str, message: object) -> None:
+            loop = asyncio.get_running_loop()
+            receiver = self.replicas[receiver_id]
+            loop.call_soon(receiver.receive, replica_id, message)
+
+        return Replica(
+            cfg=self._cfg,
+            data_folder=self._folder / replica_id,
+            replica_id=replica_id,
+            address=f"{replica_id}:1",
+            peers={peer: f"{peer}:1" for peer in REPLICA_IDS},
+            machine=Counter(),
+            send=send,
+            clock=SystemClock(),
+            rng=random.Random(replica_id),
+            events=NullSink(),
+        )
+
+
+async def propose_until(replica: Replica, end: float, latencies: list[float]) -> None:
+    """Propose one command after another."""
+    while (begin := time.perf_counter()) < end:
+        await replica.propose(COMMAND)
+        latencies.append(time.perf_counter() - begin)
+
+
+async def run_load(replica: Replica, n_proposers: int, duration: float) -> Figures:
+    """Propose from many tasks for a while."""
+    latencies: list[float] = []
+    begin = time.perf_counter()
+    end = begin + duration
+    tasks = [propose_until(replica, end, latencies) for _ in range(n_proposers)]
+    await asyncio.gather(*tasks)
+    return Figures(len(latencies), time.perf_counter() - begin, latencies)
+
+
+async def measure(folder: Path, n_proposers: int, batching: bool, duration: float):
+    """Return the figures of one case."""
+    cluster = Cluster(folder, batching=batching)
+    await cluster.start()
+    leader = await cluster.leader()
+    await run_load(leader, n_proposers, WARM_UP)
+    figures = await run_load(leader, n_proposers, duration)
+    await cluster.stop()
+    return figures
+
+
+def main() -> None:
+    """Run every case and print a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--duration", type=float, default=5, help="seconds per case")
+    parser.add_argument("--folder", help="where the data folders are made")
+    args = parser.parse_args()
+    print("| group commit | proposers | commits/s | p50 ms | p99 ms |")
+    print("|---|---|---|---|---|")
+    for batching in (True, False):
+        for n_proposers in N_PROPOSERS:
+            with tempfile.TemporaryDirectory(dir=args.folder) as folder:
+                case = measure(Path(folder), n_proposers, batching, args.duration)
+                figures = asyncio.run(case)
+            rate = figures.n_commits / figures.elapsed
+            state = "on" if batching else "off"
+            p50, p99 = figures.percentile(0.5), figures.percentile(0.99)
+            print(f"| {state} | {n_proposers} | {rate:,.0f} | {p50:.2f} | {p99:.2f} |")
+
+
+if __name__ == "__main__":
+    main()
