Add the load generator and its judge

Cause: entries need a repeatable load with peaks in turn, wrong declarations, waves of cancellations and deadlines, and a verdict on what came of it. Ruled out: a client of its own; redwingslip.http keeps a connection only after a whole answer. Resending; a load that resends hides refusals. Change: redwingslip.load with run_load(cfg), an INI experiment, a report as JSON, text and plot, share nearness and buffer cost from the endpoints' records, and judge(). Not yet run against real entries.

--- a/scripts/measure_waves.py
+++ b/scripts/measure_waves.py
@@ -4,6 +4,8 @@
 are no nodes and no network.
 """
 
+import argparse
+import itertools
 import pathlib
 import random
 import sys
@@ -67,18 +69,36 @@
 
 
 def least_time(fleet: FleetDriver, durations: Durations) -> float:
-    """Return the least seconds that the budgets allow: the longest of the chains."""
+    """Return seconds that no wave can beat, even one that knows every duration.
+
+    A pool needs at least the best division of its VMs over as many lanes as may be
+    out, and each failure domain in it the sum over its own limit.
+    """
     sums = defaultdict(float)
-    longest = 0.0
+    times_of = defaultdict(list)
     for vm in fleet.view.vms.values():
         spec = fleet.view.pool(vm.pool)
         whole = durations.whole(vm.name)
-        longest = max(longest, whole)
-        sums[vm.pool] += whole / spec.max_unavailable
+        times_of[vm.pool].append(whole)
         place = (vm.pool, vm.data_centre)
         sums[place] += whole / spec.max_unavailable_per_data_centre
         sums[(*place, vm.rack)] += whole / spec.max_unavailable_per_rack
-    return max(longest, *sums.values())
+    pools = [
+        best_makespan(times, fleet.view.pool(pool).max_unavailable)
+        for pool, times in times_of.items()
+    ]
+    return max(*pools, *sums.values())
+
+
+def best_makespan(times: list[float], n_lanes: int) -> float:
+    """Return the least time in which some lanes do all of this, by trying all ways."""
+    best = sum(times)
+    for lanes in itertools.product(range(n_lanes), repeat=len(times) - 1):
+        sums = [0.0] * n_lanes
+        for lane, taken in zip((0, *lanes), times, strict=True):
+            sums[lane] += taken
+        best = min(best, max(sums))
+    return best
 
 
 def n_violations(fleet: FleetDriver) -> int:
@@ -272,9 +292,15 @@
 
 def main() -> None:
     """Print the figures."""
-    measure_moves()
-    measure_failures()
-    measure_waves()
+    parser = argparse.ArgumentParser(description=__doc__)
+    parts = {
+        "moves": measure_moves,
+        "failures": measure_failures,
+        "waves": measure_waves,
+    }
+    parser.add_argument("part", nargs="*", default=list(parts), choices=list(parts))
+    for part in parser.parse_args().part:
+        parts[part]()
 
 
 if __name__ == "__main__":
--- a/src/redwingslip/load/__init__.py
+++ b/src/redwingslip/load/__init__.py
@@ -1,1 +1,30 @@
-"""Package load."""
+"""A load generator for running entries, and the judge of what came of the load."""
+
+from ._judge import Verdict, judge
+from ._outcomes import CallOutcome, OutcomeKind
+from ._plot import plot_report
+from ._report import LoadReport, QueueReport, format_report
+from ._runner import run_load
+from ._schedule import Arrival, Cancellation, schedule
+from ._settings import CustomerSettings, LoadSection, LoadSettings, load_experiment
+from .exceptions import LoadError
+
+__all__ = [
+    "Arrival",
+    "CallOutcome",
+    "Cancellation",
+    "CustomerSettings",
+    "LoadError",
+    "LoadReport",
+    "LoadSection",
+    "LoadSettings",
+    "OutcomeKind",
+    "QueueReport",
+    "Verdict",
+    "format_report",
+    "judge",
+    "load_experiment",
+    "plot_report",
+    "run_load",
+    "schedule",
+]
--- /dev/null
+++ b/src/redwingslip/load/_caller.py
@@ -0,0 +1,176 @@
+"""A caller of the entries."""
+
+import hashlib
+import json
+import os
+import time
+import uuid
+from datetime import timedelta
+
+import msgspec
+
+from ..clock import Clock
+from ..http import (
+    NOT_RUN,
+    ClientAnswer,
+    ClientLimits,
+    ClientPool,
+    ClientRequest,
+    HttpError,
+    NotConnectedError,
+    Problem,
+)
+from ._outcomes import CallOutcome, OutcomeKind
+from ._schedule import Arrival
+
+__all__ = ["Caller", "new_request_key"]
+
+ANSWER_GRACE = timedelta(seconds=5)
+REQUEST_ID = "redwingslip-request"
+
+
+class _Echo(msgspec.Struct):
+    """What an answer repeats of its request."""
+
+    echo: str | None = None
+
+
+class Caller:
+    """Sends each request once, to the entries in turn.
+
+    A connection serves one request at a time and is closed after any timeout,
+    cancellation or error, so no answer reaches another request.
+
+    Parameters
+    ----------
+    addresses : list of str
+        The entries.
+    deadline : timedelta
+        How long each request waits for its answer.
+    clock : Clock
+        Measures the answers.
+    """
+
+    __slots__ = ("_addresses", "_clock", "_deadline", "_n_calls", "_pool")
+
+    def __init__(self, addresses: list[str], deadline: timedelta, clock: Clock) -> None:
+        self._addresses = addresses
+        self._deadline = deadline
+        self._clock = clock
+        self._n_calls = 0
+        self._pool = ClientPool(ClientLimits())
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.close()
+
+    async def call(self, arrival: Arrival, key: str, seed: int) -> CallOutcome:
+        """Hand a request in and return how it ended."""
+        body = request_body(arrival, seed)
+        began_at = self._clock.monotonic()
+        address = self._addresses[self._n_calls % len(self._addresses)]
+        self._n_calls += 1
+        req = ClientRequest(
+            address=address,
+            method="POST",
+            path=f"/v1/queues/{arrival.queue}/requests",
+            headers=self._headers(arrival, key),
+            body=body,
+            timeout=self._deadline + ANSWER_GRACE,
+        )
+        try:
+            answer = await self._pool.exchange(req)
+        except NotConnectedError:
+            outcome = blank_outcome(arrival, seed, OutcomeKind.NOT_RUN)
+            outcome = msgspec.structs.replace(outcome, title="not connected")
+        except HttpError:
+            outcome = blank_outcome(arrival, seed, OutcomeKind.UNKNOWN)
+            outcome = msgspec.structs.replace(outcome, title="answer lost")
+        else:
+            outcome = _read_answer(blank_outcome(arrival, seed), answer, body)
+        took = self._clock.monotonic() - began_at
+        is_answered = outcome.kind is OutcomeKind.ANSWERED
+        is_timely = is_answered and took <= self._deadline
+        return msgspec.structs.replace(outcome, took=took, is_timely=is_timely)
+
+    def _headers(self, arrival: Arrival, key: str) -> dict[str, str]:
+        headers = {
+            "Authorization": f"Bearer {key}",
+            "Content-Type": "application/json",
+            "Prefer": f"wait={self._deadline.total_seconds():.3f}",
+            "Redwingslip-Idempotent": "true" if arrival.idempotent else "false",
+            "Redwingslip-Expected-Run": f"{arrival.expected_run.total_seconds():.3f}",
+        }
+        if not arrival.idempotent:
+            headers["Idempotency-Key"] = new_request_key()
+        return headers
+
+
+def blank_outcome(
+    arrival: Arrival, seed: int, kind: OutcomeKind = OutcomeKind.LOST
+) -> CallOutcome:
+    """Return the outcome of a request of which nothing more is known."""
+    return CallOutcome(
+        number=arrival.number,
+        queue=arrival.queue,
+        team=arrival.team,
+        idempotent=arrival.idempotent,
+        body_sha256=hashlib.sha256(request_body(arrival, seed)).hexdigest(),
+        kind=kind,
+        began_at=arrival.at,
+    )
+
+
+def request_body(arrival: Arrival, seed: int) -> bytes:
+    """Return the body, which no other request has; it tells a stand-in its run time."""
+    run_s = round(arrival.run_time.total_seconds(), 4)
+    work = {"load": seed, "number": arrival.number, "sleep_s": run_s}
+    return json.dumps(work).encode()
+
+
+def new_request_key() -> str:
+    """Return a version 7 UUID, which carries its time."""
+    milliseconds = time.time_ns() // 1_000_000
+    value = (milliseconds << 80) | int.from_bytes(os.urandom(10))
+    value = (value & ~(0xF << 76)) | (0x7 << 76)
+    value = (value & ~(0x3 << 62)) | (0x2 << 62)
+    return str(uuid.UUID(int=value))
+
+
+def _read_answer(
+    outcome: CallOutcome, answer: ClientAnswer, body: bytes
+) -> CallOutcome:
+    request_id = answer.headers.get(REQUEST_ID, "")
+    if answer.status < 400:
+        return msgspec.structs.replace(
+            outcome,
+            kind=OutcomeKind.ANSWERED,
+            status=answer.status,
+            request_id=request_id,
+            is_crossed=_is_crossed(answer.body, body),
+        )
+    problem = _read_problem(answer)
+    is_not_run = problem.outcome == NOT_RUN
+    return msgspec.structs.replace(
+        outcome,
+        kind=OutcomeKind.NOT_RUN if is_not_run else OutcomeKind.UNKNOWN,
+        status=answer.status,
+        request_id=request_id or problem.request_id,
+        title=problem.title,
+    )
+
+
+def _is_crossed(answer: bytes, body: bytes) -> bool:
+    """Return whether an answer repeats another request's body."""
+    try:
+        echo = msgspec.json.decode(answer, type=_Echo).echo
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+    return echo is not None and echo != body.decode()
+
+
+def _read_problem(answer: ClientAnswer) -> Problem:
+    try:
+        return msgspec.json.decode(answer.body, type=Problem)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return Problem(status=answer.status, title="no problem document")
--- /dev/null
+++ b/src/redwingslip/load/_runner.py
@@ -0,0 +1,152 @@
+"""Runs a load against entries."""
+
+import asyncio
+import glob
+import random
+from datetime import timedelta
+from functools import partial
+from pathlib import Path
+
+import msgspec
+
+from ..clock import Clock, SystemClock
+from ._caller import Caller, blank_outcome
+from ._judge import judge, read_runs
+from ._outcomes import CallOutcome, OutcomeKind
+from ._report import LoadReport, make_report
+from ._schedule import Arrival, Cancellation, schedule
+from ._settings import LoadSettings
+from ._shares import share_report
+
+__all__ = ["run_load"]
+
+SETTLE_TIME = timedelta(seconds=1)
+
+
+async def run_load(cfg: LoadSettings, *, clock: Clock | None = None) -> LoadReport:
+    """Load the entries as the experiment says and report what came of it.
+
+    Arrivals do not wait for answers. The number of requests, of those open at once
+    and the time are bounded by the settings.
+    """
+    run = _LoadRun(cfg, clock or SystemClock())
+    try:
+        await run.drive()
+    finally:
+        await run.close()
+    if cfg.load.records:
+        await asyncio.sleep(SETTLE_TIME.total_seconds())
+    return run.report()
+
+
+class _LoadRun:
+    """One load and its open requests."""
+
+    __slots__ = (
+        "_arrivals",
+        "_began_at",
+        "_caller",
+        "_cancellations",
+        "_cfg",
+        "_clock",
+        "_customers",
+        "_errors",
+        "_keys",
+        "_open",
+        "_outcomes",
+        "_start",
+    )
+
+    def __init__(self, cfg: LoadSettings, clock: Clock) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._customers = cfg.read_customers()
+        self._keys = {customer.team: customer.key for customer in self._customers}
+        self._arrivals, self._cancellations = schedule(
+            cfg.load, cfg.queues, self._customers
+        )
+        self._caller = Caller(list(cfg.entries.values()), cfg.load.deadline, clock)
+        self._open: dict[int, asyncio.Task] = {}
+        self._outcomes: dict[int, CallOutcome] = {}
+        self._errors: list[Exception] = []
+        self._start = clock.monotonic()
+        self._began_at = clock.utcnow()
+
+    async def drive(self) -> None:
+        """Hand everything in at its time and wait for the outcomes."""
+        self._start = self._clock.monotonic()
+        self._began_at = self._clock.utcnow()
+        steps = [*self._arrivals, *self._cancellations]
+        for step in sorted(steps, key=lambda step: step.at):
+            await self._sleep_until(step.at)
+            if isinstance(step, Cancellation):
+                self._cancel(step)
+            else:
+                self._hand_in(step)
+        while self._open:
+            await asyncio.wait(list(self._open.values()))
+        if self._errors:
+            raise ExceptionGroup("requests failed unexpectedly", self._errors)
+
+    async def close(self) -> None:
+        """Cancel what is open and close the connections."""
+        for task in self._open.values():
+            task.cancel()
+        await asyncio.gather(*self._open.values(), return_exceptions=True)
+        await self._caller.close()
+
+    def report(self) -> LoadReport:
+        """Return what came of the load."""
+        cfg = self._cfg.load
+        outcomes = [
+            self._outcomes.get(arrival.number, blank_outcome(arrival, cfg.seed))
+            for arrival in self._arrivals
+        ]
+        runs = read_runs(Path(path) for path in sorted(glob.glob(cfg.records)))
+        asked = [
+            (call.team, begin, begin + call.took.total_seconds())
+            for call in outcomes
+            for begin in (call.began_at.total_seconds(),)
+        ]
+        shares = share_report(
+            runs, asked, self._customers, self._began_at, cfg.duration, cfg.n_slots
+        )
+        verdict = judge(outcomes, runs) if cfg.records else None
+        return make_report(
+            cfg.seed, self._began_at, cfg.duration, outcomes, shares, verdict
+        )
+
+    async def _sleep_until(self, at: timedelta) -> None:
+        left = self._start + at - self._clock.monotonic()
+        await asyncio.sleep(max(0.0, left.total_seconds()))
+
+    def _hand_in(self, arrival: Arrival) -> None:
+        seed = self._cfg.load.seed
+        if len(self._open) >= self._cfg.load.max_open:
+            outcome = blank_outcome(arrival, seed, OutcomeKind.NOT_ASKED)
+            self._outcomes[arrival.number] = outcome
+            return
+        key = self._keys[arrival.team]
+        task = asyncio.create_task(self._caller.call(arrival, key, seed))
+        self._open[arrival.number] = task
+        task.add_done_callback(partial(self._end, arrival))
+
+    def _end(self, arrival: Arrival, task: asyncio.Task) -> None:
+        """Keep the outcome of a request that has ended."""
+        del self._open[arrival.number]
+        if task.cancelled():
+            seed = self._cfg.load.seed
+            outcome = blank_outcome(arrival, seed, OutcomeKind.CANCELLED)
+            took = self._clock.monotonic() - self._start - arrival.at
+            self._outcomes[arrival.number] = msgspec.structs.replace(outcome, took=took)
+        elif task.exception() is not None:
+            self._errors.append(task.exception())
+        else:
+            self._outcomes[arrival.number] = task.result()
+
+    def _cancel(self, wave: Cancellation) -> None:
+        """Cancel a part of the open requests."""
+        numbers = sorted(self._open)
+        n_cancelled = int(len(numbers) * self._cfg.load.cancelled)
+        for number in random.Random(wave.seed).sample(numbers, n_cancelled):
+            self._open[number].cancel()
--- /dev/null
+++ b/src/redwingslip/load/_settings.py
@@ -0,0 +1,186 @@
+"""The INI file of a load experiment."""
+
+import ipaddress
+from collections.abc import Iterator
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from ..settings import Address, Name, SettingsError, find_problems, load_settings
+from .exceptions import LoadError
+
+__all__ = ["CustomerSettings", "LoadSection", "LoadSettings", "load_experiment"]
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class LoadSection(msgspec.Struct, frozen=True, kw_only=True):
+    """What is asked, how often and for how long.
+
+    Attributes
+    ----------
+    seed : int
+        Decides every arrival, run time, declaration and cancellation.
+    duration : timedelta
+        How long requests arrive.
+    max_requests : int
+        Arrivals after this many are left out.
+    max_open : int
+        Requests under way at once; an arrival beyond them is counted as not asked.
+    peak_factor, trough_factor : float
+        Rate of a queue in and between its peaks, in parts of its mean.
+    peak_time : timedelta
+        Length of a peak; the queues peak in turn.
+    deadline : timedelta
+        How long a caller waits for its answer.
+    run_time : timedelta
+        Mean time that a request runs.
+    non_idempotent : float
+        Part of the requests that may run only once.
+    wrong_declarations : float
+        Part of the requests whose declared run time is ten times off.
+    cancel_every : timedelta
+        Time between two waves of cancellations; zero for none.
+    cancelled : float
+        Part of the open requests that one wave cancels.
+    n_slots : int
+        Slots of all endpoints together, for buffer cost and share nearness; 0 for
+        unknown.
+    allow_remote : bool
+        Whether entries off this machine may be loaded.
+    records : str
+        Glob pattern of the endpoints' record files; empty for no verdict.
+    """
+
+    seed: int = 1
+    duration: timedelta = timedelta(seconds=30)
+    max_requests: Count = 100_000
+    max_open: Count = 2_000
+    peak_factor: Positive = 5.0
+    trough_factor: Share = 0.05
+    peak_time: timedelta = timedelta(seconds=5)
+    deadline: timedelta = timedelta(seconds=5)
+    run_time: timedelta = timedelta(milliseconds=50)
+    non_idempotent: Share = 0.3
+    wrong_declarations: Share = 0.3
+    cancel_every: timedelta = timedelta(seconds=10)
+    cancelled: Share = 0.1
+    n_slots: Annotated[int, msgspec.Meta(ge=0)] = 0
+    allow_remote: bool = False
+    records: str = ""
+
+
+class CustomerSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """A team that hands work in.
+
+    Attributes
+    ----------
+    weight : float
+        Its part of the requests, against the others.
+    key : str
+        Secret of its key.
+    share : float
+        Its declared share.
+    limit : int or None
+        Its declared upper limit.
+    """
+
+    team: str
+    weight: float
+    key: str
+    share: float = 1.0
+    limit: int | None = None
+
+
+class LoadSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole experiment.
+
+    Attributes
+    ----------
+    load : LoadSection
+        What is asked.
+    entries : dict
+        Name of each entry to its address.
+    queues : dict
+        Name of each queue to its mean rate in requests a second.
+    customers : dict
+        Name of each team to its part of the requests.
+    keys : dict
+        Name of each team to the file that holds its secret.
+    shares : dict
+        Declared share of each team; 1 where none is given.
+    limits : dict
+        Upper limit of each team; none where none is given.
+    """
+
+    entries: Annotated[dict[Name, Address], msgspec.Meta(min_length=1)]
+    queues: Annotated[dict[Name, Positive], msgspec.Meta(min_length=1)]
+    customers: Annotated[dict[Name, Positive], msgspec.Meta(min_length=1)]
+    keys: dict[Name, Path]
+    shares: dict[Name, Positive] = msgspec.field(default_factory=dict)
+    limits: dict[Name, int] = msgspec.field(default_factory=dict)
+    load: LoadSection = LoadSection()
+
+    def read_customers(self) -> list[CustomerSettings]:
+        """Return the customers with their secrets, read from the key files."""
+        return [
+            CustomerSettings(
+                team=team,
+                weight=weight,
+                key=_read_secret(self.keys[team]),
+                share=self.shares.get(team, 1.0),
+                limit=self.limits.get(team),
+            )
+            for team, weight in sorted(self.customers.items())
+        ]
+
+
+def load_experiment(path: Path | str) -> LoadSettings:
+    """Read an experiment file; see `redwingslip.settings.load_settings`."""
+    return load_settings(path, LoadSettings)
+
+
+def _read_secret(path: Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8").strip()
+    except OSError as exc:
+        raise LoadError(f"key file {path} can't be read: {exc.strerror}") from exc
+
+
+@find_problems.register
+def _(cfg: LoadSettings, section: str) -> Iterator[SettingsError]:
+    for team in cfg.customers.keys() - cfg.keys.keys():
+        yield SettingsError(
+            section="keys", option=team, value=None, allowed="is missing"
+        )
+    if cfg.load.allow_remote:
+        return
+    for name, address in cfg.entries.items():
+        host = address.rpartition(":")[0].strip("[]")
+        if not ipaddress.ip_address(host).is_loopback:
+            yield SettingsError(
+                section="entries",
+                option=name,
+                value=address,
+                allowed="a loopback address, unless allow_remote is set",
+            )
+
+
+@find_problems.register
+def _(cfg: LoadSection, section: str) -> Iterator[SettingsError]:
+    for option in ("duration", "peak_time", "deadline", "run_time"):
+        if getattr(cfg, option) <= timedelta(0):
+            yield SettingsError(
+                section=section, option=option, value=None, allowed="above zero"
+            )
+    if not cfg.trough_factor < 1 < cfg.peak_factor:
+        yield SettingsError(
+            section=section,
+            option="peak_factor",
+            value=str(cfg.peak_factor),
+            allowed="above 1, with a trough_factor below 1",
+        )
--- /dev/null
+++ b/src/redwingslip/load/_shares.py
@@ -0,0 +1,141 @@
+"""How close each team comes to its share, and what capacity was idle."""
+
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from datetime import datetime, timedelta
+
+import msgspec
+
+from ._judge import START, Run
+from ._settings import CustomerSettings
+
+__all__ = ["ShareReport", "busy_seconds", "share_report", "water_fill"]
+
+FULL = 0.95
+
+
+class ShareReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Share nearness over the windows in which every slot was busy.
+
+    Attributes
+    ----------
+    nearness : float or None
+        1 for every team at its entitlement; None when nothing was ever full.
+    n_windows : int
+        Windows that were full.
+    buffer_cost : float or None
+        Idle slot-seconds over all slot-seconds.
+    got, entitled : dict
+        Slot-seconds of each team in the full windows.
+    """
+
+    nearness: float | None = None
+    n_windows: int = 0
+    buffer_cost: float | None = None
+    got: dict[str, float] = {}
+    entitled: dict[str, float] = {}
+
+
+def water_fill(
+    capacity: float, wanted: Mapping[str, float], shares: Mapping[str, float]
+) -> dict[str, float]:
+    """Divide a capacity by shares; no one gets more than is wanted."""
+    got = dict.fromkeys(wanted, 0.0)
+    open_teams = {team for team, amount in wanted.items() if amount > 0}
+    left = capacity
+    while open_teams and left > 1e-9:
+        unit = left / sum(shares[team] for team in open_teams)
+        full = {t for t in open_teams if wanted[t] - got[t] <= unit * shares[t]}
+        for team in full or open_teams:
+            part = wanted[team] - got[team] if full else unit * shares[team]
+            got[team] += part
+            left -= part
+        open_teams = open_teams - full if full else set()
+    return got
+
+
+def busy_seconds(
+    intervals: Sequence[tuple[str, float, float]], n_windows: int
+) -> list[dict[str, float]]:
+    """Return each team's seconds in each window of one second."""
+    windows: list[dict[str, float]] = [defaultdict(float) for _ in range(n_windows)]
+    for team, begin, end in intervals:
+        for i in range(max(int(begin), 0), min(int(end) + 1, n_windows)):
+            windows[i][team] += max(0.0, min(end, i + 1) - max(begin, i))
+    return windows
+
+
+def share_report(
+    runs: Sequence[Run],
+    asked: Sequence[tuple[str, float, float]],
+    customers: Sequence[CustomerSettings],
+    began_at: datetime,
+    duration: timedelta,
+    n_slots: int,
+) -> ShareReport:
+    """Compare what teams got with what they were entitled to.
+
+    Parameters
+    ----------
+    runs : sequence of Run
+        The endpoints' records.
+    asked : sequence of tuple
+        Team, begin and end, in seconds, of each request as its caller saw it.
+    customers : sequence of CustomerSettings
+        Shares and limits.
+    began_at : datetime
+        When the load began.
+    n_slots : int
+        Slots of all endpoints together; 0 for unknown.
+    """
+    if not n_slots or not runs:
+        return ShareReport()
+    n_windows = int(duration.total_seconds())
+    got = busy_seconds(_run_intervals(runs, began_at, n_windows), n_windows)
+    wanted = busy_seconds(asked, n_windows)
+    shares = {customer.team: customer.share for customer in customers}
+    limits = {customer.team: customer.limit for customer in customers}
+    total_got: dict[str, float] = dict.fromkeys(shares, 0.0)
+    total_entitled: dict[str, float] = dict.fromkeys(shares, 0.0)
+    n_full = 0
+    for got_now, wanted_now in zip(got, wanted, strict=True):
+        if sum(got_now.values()) < FULL * n_slots:
+            continue
+        n_full += 1
+        most = {team: _limited(wanted_now[team], limits[team]) for team in shares}
+        entitled = water_fill(sum(got_now.values()), most, shares)
+        for team in shares:
+            total_got[team] += got_now[team]
+            total_entitled[team] += entitled[team]
+    busy = sum(sum(window.values()) for window in got)
+    off = sum(abs(total_got[team] - total_entitled[team]) for team in shares)
+    return ShareReport(
+        nearness=1 - off / 2 / sum(total_got.values()) if n_full else None,
+        n_windows=n_full,
+        buffer_cost=max(0.0, 1 - busy / (n_slots * n_windows)),
+        got=total_got,
+        entitled=total_entitled,
+    )
+
+
+def _limited(wanted: float, limit: int | None) -> float:
+    return wanted if limit is None else min(wanted, limit)
+
+
+def _run_intervals(
+    runs: Sequence[Run], began_at: datetime, n_windows: int
+) -> list[tuple[str, float, float]]:
+    """Return team, begin and end of each run; one without an end lasts on."""
+    started: dict[str, Run] = {}
+    intervals = []
+    for run in sorted(runs, key=lambda run: run.time):
+        seconds = (run.time - began_at).total_seconds()
+        if run.event == START:
+            started[run.permit_id] = run
+        elif run.permit_id in started:
+            begin = (started.pop(run.permit_id).time - began_at).total_seconds()
+            intervals.append((run.team, begin, seconds))
+    for run in started.values():
+        begin = (run.time - began_at).total_seconds()
+        intervals.append((run.team, begin, float(n_windows)))
+    return intervals
--- /dev/null
+++ b/tests/test_load_judge.py
@@ -0,0 +1,134 @@
+"""Tests of the judge and of share nearness."""
+
+import tempfile
+import unittest
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
+import msgspec
+
+from redwingslip.load import (
+    CallOutcome,
+    CustomerSettings,
+    OutcomeKind,
+    Verdict,
+    judge,
+)
+from redwingslip.load._judge import Run, read_runs
+from redwingslip.load._shares import share_report, water_fill
+
+from . import SECOND
+
+NOON = datetime(2026, 1, 1, 12, tzinfo=UTC)
+
+
+def call(kind: OutcomeKind, body: str, **options) -> CallOutcome:
+    """Return what a caller saw."""
+    return CallOutcome(
+        number=0,
+        queue="q",
+        team="t",
+        idempotent=options.pop("idempotent", False),
+        body_sha256=body,
+        kind=kind,
+        **options,
+    )
+
+
+def run(event: str, body: str, at: float = 0.0, **options) -> Run:
+    """Return a line of an endpoint's record."""
+    return Run(
+        time=NOON + timedelta(seconds=at),
+        event=event,
+        permit_id=options.pop("permit_id", body),
+        request_id=options.pop("request_id", body + ".1"),
+        team=options.pop("team", "t"),
+        body_sha256=body,
+    )
+
+
+class TestJudge(unittest.TestCase):
+    """What the judge finds."""
+
+    def test_kept_promises_are_clean(self):
+        """Answers with one whole run, and refusals without any, are in order."""
+        calls = [
+            call(OutcomeKind.ANSWERED, "a"),
+            call(OutcomeKind.NOT_RUN, "b", request_id="b"),
+            call(OutcomeKind.UNKNOWN, "c"),
+            call(OutcomeKind.CANCELLED, "d"),
+            call(OutcomeKind.NOT_ASKED, "e"),
+        ]
+        runs = [run("start", "a"), run("end", "a"), run("start", "c")]
+        verdict = judge(calls, runs)
+        expected = Verdict(
+            n_asked=4, n_answered=1, n_not_run=1, n_unknown=1, n_cancelled=1
+        )
+        self.assertEqual(verdict, expected)
+        self.assertTrue(verdict.is_clean)
+
+    def test_second_run_of_a_non_idempotent_request_is_found(self):
+        """Two starts are a doubled run, unless the request is idempotent."""
+        runs = [run("start", "a"), run("start", "a"), run("end", "a")]
+        self.assertEqual(judge([call(OutcomeKind.ANSWERED, "a")], runs).n_doubled, 1)
+        idempotent = call(OutcomeKind.ANSWERED, "a", idempotent=True)
+        self.assertTrue(judge([idempotent], runs).is_clean)
+
+    def test_false_refusal_is_found_by_body_and_by_id(self):
+        """A request that ran was not refused truly."""
+        by_body = call(OutcomeKind.NOT_RUN, "a")
+        by_id = call(OutcomeKind.NOT_RUN, "other", request_id="a")
+        for outcome in (by_body, by_id):
+            verdict = judge([outcome], [run("start", "a")])
+            self.assertEqual(verdict.n_false_refusals, 1)
+
+    def test_answer_without_a_run_is_lost(self):
+        """An answer of which no run ended, and no outcome at all, are losses."""
+        calls = [call(OutcomeKind.ANSWERED, "a"), call(OutcomeKind.LOST, "b")]
+        self.assertEqual(judge(calls, [run("start", "a")]).n_lost, 2)
+
+    def test_crossed_answer_is_found(self):
+        """Another request's answer is never clean."""
+        outcome = call(OutcomeKind.ANSWERED, "a", is_crossed=True)
+        verdict = judge([outcome], [run("start", "a"), run("end", "a")])
+        self.assertFalse(verdict.is_clean)
+
+    def test_cut_line_of_a_record_is_left_out(self):
+        """A record whose last line was cut off by a kill is still read."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "e.runs"
+            line = msgspec.json.encode(run("start", "a"))
+            path.write_bytes(line + b"\n" + line[:20])
+            self.assertEqual(read_runs([path]), [run("start", "a")])
+
+
+class TestShares(unittest.TestCase):
+    """Entitlement and nearness."""
+
+    def test_water_filling(self):
+        """No team gets more than it wants; the rest goes by share."""
+        shares = {"a": 1.0, "b": 1.0, "c": 2.0}
+        got = water_fill(8.0, {"a": 1.0, "b": 9.0, "c": 9.0}, shares)
+        self.assertAlmostEqual(got["a"], 1.0)
+        self.assertAlmostEqual(got["b"], 7.0 / 3)
+        self.assertAlmostEqual(got["c"], 14.0 / 3)
+
+    def test_nearness_counts_full_seconds_only(self):
+        """Two equal teams that want all and get 3 to 1 are at three quarters."""
+        customers = [
+            CustomerSettings(team=team, weight=1.0, key="") for team in ("s", "t")
+        ]
+        runs = []
+        for slot, team in enumerate(("s", "s", "s", "t")):
+            permit = f"{slot}"
+            runs.append(run("start", "x", 0.0, permit_id=permit, team=team))
+            runs.append(run("end", "x", 1.0, permit_id=permit, team=team))
+        asked = [("s", 0.0, 1.0)] * 4 + [("t", 0.0, 1.0)] * 4
+        report = share_report(runs, asked, customers, NOON, 2 * SECOND, 4)
+        self.assertEqual(report.n_windows, 1)
+        self.assertAlmostEqual(report.nearness, 0.75)
+        self.assertAlmostEqual(report.buffer_cost, 0.5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_load_run.py
@@ -0,0 +1,142 @@
+"""Tests of a whole load against a small server on loopback."""
+
+import asyncio
+import json
+import tempfile
+import unittest
+from datetime import timedelta
+from pathlib import Path
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from redwingslip.http import (
+    NOT_RUN,
+    HttpLimits,
+    HttpServer,
+    Problem,
+    build_app,
+    problem_response,
+)
+from redwingslip.load import (
+    LoadReport,
+    LoadSection,
+    LoadSettings,
+    format_report,
+    plot_report,
+    run_load,
+)
+
+from . import SECOND
+
+
+class Entry:
+    """Answers with what it was asked; refuses and fails where it is told to."""
+
+    def __init__(self) -> None:
+        self.n_asked = 0
+        self.bodies = set()
+        self.keys = set()
+        self.late_s = 0.0
+
+    async def post(self, req: Request) -> Response:
+        """Answer, refuse every fifth and fail every seventh request."""
+        body = (await req.body()).decode()
+        self.n_asked += 1
+        n_asked = self.n_asked
+        self.bodies.add(body)
+        if "idempotency-key" in req.headers:
+            self.keys.add(req.headers["idempotency-key"])
+        await asyncio.sleep(self.late_s)
+        headers = {"Redwingslip-Request": f"r{n_asked}"}
+        if n_asked % 5 == 0:
+            problem = Problem(status=503, title="queue full", outcome=NOT_RUN)
+            return problem_response(problem, headers=headers)
+        if n_asked % 7 == 0:
+            return Response(status_code=500)
+        return JSONResponse({"echo": body}, headers=headers)
+
+
+class TestRunLoad(unittest.IsolatedAsyncioTestCase):
+    """A load from its experiment to its report."""
+
+    async def asyncSetUp(self):
+        """Serve on a free port."""
+        self.entry = Entry()
+        route = Route("/v1/queues/{queue}/requests", self.entry.post, methods=["POST"])
+        self.server = HttpServer(build_app([route]), HttpLimits())
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop, SECOND)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        (self.folder / "key").write_text("secret\n")
+
+    async def run_load(self, rate: float = 60.0, **options) -> LoadReport:
+        """Load the server for a second."""
+        cfg = LoadSettings(
+            entries={"e": f"127.0.0.1:{self.server.port}"},
+            queues={"a": rate, "b": rate},
+            customers={"s": 1.0, "t": 3.0},
+            keys={"s": self.folder / "key", "t": self.folder / "key"},
+            load=LoadSection(duration=SECOND, **options),
+        )
+        return await run_load(cfg)
+
+    async def test_every_arrival_has_one_outcome(self):
+        """What was asked, answered, refused and unknown adds up."""
+        report = await self.run_load(cancel_every=timedelta(0))
+        total = report.total
+        self.assertEqual(len(self.entry.bodies), total.n_arrivals)
+        self.assertEqual(total.n_not_run, self.entry.n_asked // 5)
+        self.assertEqual(total.refusals, {"queue full": total.n_not_run})
+        n_failed = self.entry.n_asked // 7 - self.entry.n_asked // 35
+        self.assertEqual(total.n_unknown, n_failed)
+        n_ended = total.n_answered + total.n_not_run + total.n_unknown
+        self.assertEqual(n_ended, total.n_arrivals)
+        self.assertGreater(len(self.entry.keys), 0)
+        self.assertEqual(json.loads(report.to_json())["seed"], 1)
+        self.assertIn("queue full", format_report(report))
+
+    async def test_arrivals_do_not_wait_for_answers(self):
+        """A slow server is asked as often, and late answers are not timely."""
+        self.entry.late_s = 0.3
+        report = await self.run_load(
+            deadline=timedelta(milliseconds=100), cancel_every=timedelta(0)
+        )
+        self.assertEqual(self.entry.n_asked, report.total.n_arrivals)
+        self.assertEqual(report.total.n_timely, 0)
+        self.assertGreater(report.total.n_answered, 0)
+
+    async def test_cancelled_requests_cross_no_answers(self):
+        """After waves of cancellations every answer is that of its own request."""
+        self.entry.late_s = 0.05
+        report = await self.run_load(
+            cancel_every=timedelta(milliseconds=100),
+            cancelled=0.5,
+            records=str(self.folder / "*.runs"),
+        )
+        self.assertGreater(report.total.n_cancelled, 0)
+        self.assertGreater(report.total.n_answered, 0)
+        self.assertEqual(report.verdict.n_crossed, 0)
+        self.assertEqual(report.total.n_lost, 0)
+
+    async def test_open_requests_are_bounded(self):
+        """Arrivals beyond the open ones allowed are counted, not sent."""
+        self.entry.late_s = 0.3
+        report = await self.run_load(max_open=2, cancel_every=timedelta(0))
+        self.assertGreater(report.total.n_not_asked, 0)
+        n_sent = report.total.n_arrivals - report.total.n_not_asked
+        self.assertEqual(self.entry.n_asked, n_sent)
+
+    async def test_report_is_plotted(self):
+        """A report can be written as a picture."""
+        report = await self.run_load(rate=5.0)
+        path = self.folder / "load.svg"
+        plot_report(report, path)
+        self.assertIn("<svg", path.read_text())
+
+
+if __name__ == "__main__":
+    unittest.main()
