Give no VM back on one entry's refusal to reboot it

Cause: an order is repeated to entries at random. An entry without access to the platform refuses at once, while another entry's order may have been taken. The first refusal ended the maintenance, the VM got work again, and the reboot cut it off. Ruled out: trusting the reason of a refusal; it does not tell who refused. Never giving the VM back; a VM that the platform does not know would hold its pool's budget for ever. Change: refusals must repeat (three), then no order is sent, and the VM is given back only when the last order has surely been given up (20 minutes; entries hold one for at most 15). A "done" that arrives meanwhile counts. Seen failing first: test_refusal_does_not_outrun_a_reboot_that_was_taken.

--- a/scripts/measure_waves.py
+++ b/scripts/measure_waves.py
@@ -298,8 +298,8 @@
         "failures": measure_failures,
         "waves": measure_waves,
     }
-    parser.add_argument("part", nargs="*", default=list(parts), choices=list(parts))
-    for part in parser.parse_args().part:
+    parser.add_argument("part", nargs="*", help=", ".join(parts))
+    for part in parser.parse_args().part or parts:
         parts[part]()
 
 
--- a/src/redwingslip/maintenance/_settings.py
+++ b/src/redwingslip/maintenance/_settings.py
@@ -27,6 +27,11 @@
     give_up_after : timedelta
         Time without a new failure after which the waves go on although VMs of the
         cluster are still down.
+    n_refusals : int
+        Refusals of one reboot after which it is ordered no more.
+    refusal_wait : timedelta
+        Time from the last order of a refused reboot until the VM is given back. It
+        must exceed the longest time that an entry or the platform holds an order.
     overdue_after : timedelta
         Time from the reboot after which a VM that does not serve is overdue.
     """
@@ -38,6 +43,8 @@
     n_failures_to_go_on: int = 1
     calm: timedelta = timedelta(seconds=60)
     give_up_after: timedelta = timedelta(minutes=10)
+    n_refusals: int = 3
+    refusal_wait: timedelta = timedelta(minutes=20)
     overdue_after: timedelta = timedelta(minutes=5)
 
 
--- a/src/redwingslip/maintenance/_waves.py
+++ b/src/redwingslip/maintenance/_waves.py
@@ -24,6 +24,7 @@
 from ._drains import Drains
 from ._failures import FailureMonitor
 from ._order import n_rounds, ordered
+from ._reboots import Reboots
 from ._resend import Resender
 from ._settings import WaveSettings
 from ._status import WaveLife, WavePhase, WaveStatus
@@ -70,7 +71,7 @@
         self._monitor = FailureMonitor(self._settings)
         self._proposals = Resender(self._settings.propose_again)
         self._orders = Resender(self._settings.order_again)
-        self._reboots: dict[str, RebootDone] = {}
+        self._reboots = Reboots(self._settings)
         self._refused: dict[str, set[str]] = {}
         self._lives: dict[str, WaveLife] = {}
         self._taken_at: dict[str, _Watch] = {}
@@ -82,7 +83,7 @@
 
     def reboot_done(self, msg: RebootDone, now: timedelta) -> None:
         """Take an entry's word on a reboot."""
-        self._reboots[msg.operation_id] = msg
+        self._reboots.note_answer(msg, now)
         if not msg.accepted:
             self._refused.setdefault(msg.wave, set()).add(msg.vm)
             self._warn(msg.wave, msg.vm, f"reboot refused: {msg.reason}")
@@ -93,13 +94,13 @@
         self._watch(held, now)
         self._monitor.observe(self._failed(view, now), now)
         self._update_lives(view)
-        commands = [cmd for vm in held for cmd in self._steps_after_reboot(vm)]
+        commands = [cmd for vm in held for cmd in self._steps_after_order(vm, now)]
         commands += self._begin(view)
         orders = [order for vm in held for order in self._reboot_orders(view, vm)]
-        due: list[Command | RebootOrder] = []
-        due += self._proposals.due(commands, now)
-        due += self._orders.due(orders, now)
-        return due
+        due_orders = self._orders.due(orders, now)
+        for order in due_orders:
+            self._reboots.note_order(order, now)
+        return [*self._proposals.due(commands, now), *due_orders]
 
     def status(self, view: FleetView, wave: str, now: timedelta) -> WaveStatus:
         """Return how far a wave is."""
@@ -136,10 +137,7 @@
                 self._learn(now - watch.began_at)
         self._taken_at = watches
         self._drains.keep(watches.__contains__)
-        operations = {_operation_id(vm) for vm in held}
-        self._reboots = {
-            key: msg for key, msg in self._reboots.items() if key in operations
-        }
+        self._reboots.keep({_operation_id(vm) for vm in held})
 
     def _learn(self, duration: timedelta) -> None:
         if self._duration is None:
@@ -207,20 +205,24 @@
 
     def _reboot_orders(self, view: FleetView, vm: VmRecord) -> Iterator[RebootOrder]:
         operation_id = _operation_id(vm)
-        if vm.rebooted or operation_id in self._reboots:
+        if vm.rebooted or self._reboots.is_done(operation_id):
+            return
+        if self._reboots.is_refused(operation_id):
             return
         if self._drains.is_drained(view, vm):
             yield RebootOrder(vm=vm.name, wave=vm.wave, operation_id=operation_id)
 
-    def _steps_after_reboot(self, vm: VmRecord) -> Iterator[Command]:
+    def _steps_after_order(self, vm: VmRecord, now: timedelta) -> Iterator[Command]:
+        operation_id = _operation_id(vm)
         if vm.rebooted:
             if vm.health is VmHealth.UP:
                 yield CompleteMaintenance(vm=vm.name, wave=vm.wave)
-            return
-        word = self._reboots.get(_operation_id(vm))
-        if word is not None:
-            kind = MarkRebooted if word.accepted else CancelMaintenance
-            yield kind(vm=vm.name, wave=vm.wave, drain_index=vm.drain_index)
+        elif self._reboots.is_done(operation_id):
+            yield MarkRebooted(vm=vm.name, wave=vm.wave, drain_index=vm.drain_index)
+        elif self._reboots.is_given_up(operation_id, now):
+            yield CancelMaintenance(
+                vm=vm.name, wave=vm.wave, drain_index=vm.drain_index
+            )
 
     # Reports.
 
--- a/tests/test_maintenance_machine.py
+++ b/tests/test_maintenance_machine.py
@@ -50,6 +50,8 @@
 N_CASES = 2_000 if IS_LONG else 150
 N_STEPS = 120 if IS_LONG else 80
 
+HELD_FOR = timedelta(minutes=15)
+
 POOLS = ("a", "b", "s")
 VMS = tuple(f"v{i}" for i in range(9))
 pools = st.sampled_from(POOLS)
@@ -80,6 +82,7 @@
         self.permits = Counter()
         self.rebooted = set()
         self.proposals, self.words, self.orders, self.answers = [], [], [], []
+        self.ordered_at = {}
         self.n_waves = 0
         self.incarnation = 1
         for pool in POOLS:
@@ -305,6 +308,7 @@
         for output in leader.waves.plan(leader.view, now):
             kind = self.orders if isinstance(output, RebootOrder) else self.proposals
             kind.append(output)
+            self.ordered_at[getattr(output, "operation_id", "")] = now
         self.proposals += leader.moves.plan(leader.view, now)
 
     @rule(pick=picks, is_last=st.booleans())
@@ -360,6 +364,19 @@
         )
         self.answers.append(answer)
 
+    @rule(pick=picks, i=leaders)
+    @precondition(lambda self: self.orders)
+    def refuse(self, pick, i):
+        """Have an entry that can't reach the platform refuse an order."""
+        order = self.orders[pick % len(self.orders)]
+        answer = RebootDone(
+            vm=order.vm,
+            wave=order.wave,
+            operation_id=order.operation_id,
+            accepted=False,
+        )
+        self.leaders[i].waves.reboot_done(answer, self.fleet.now)
+
     @rule(i=leaders)
     def work(self, i):
         """Let a leader see the view and plan, and apply what it proposes."""
--- a/tests/test_maintenance_waves.py
+++ b/tests/test_maintenance_waves.py
@@ -13,7 +13,7 @@
     WaveSpec,
 )
 from redwingslip.maintenance import WavePhase
-from redwingslip.peers._messages import RebootOrder
+from redwingslip.peers._messages import RebootDone, RebootOrder
 
 from . import SECOND
 from .fleet_driver import FleetDriver
@@ -127,6 +127,25 @@
         self.assertEqual(status.n_skipped, 1)
         self.assertIs(fleet.view.vms["a1"].phase, VmPhase.SERVING)
 
+    def test_refusal_does_not_outrun_a_reboot_that_was_taken(self):
+        """One entry's refusal gives no VM back that another entry has rebooted."""
+        fleet = small_fleet()
+        fleet.plan()
+        record = fleet.view.vms["a0"]
+        fleet.drained(record)
+        (order,) = fleet.waves.plan(fleet.view, fleet.now)
+        for accepted in (False, True):
+            answer = RebootDone(
+                vm="a0",
+                wave="w",
+                operation_id=order.operation_id,
+                accepted=accepted,
+            )
+            fleet.waves.reboot_done(answer, fleet.now)
+            fleet.plan()
+            self.assertIs(fleet.view.vms["a0"].phase, VmPhase.MAINTENANCE)
+        self.assertTrue(fleet.view.vms["a0"].rebooted)
+
     def test_removed_vm_is_no_longer_waited_for(self):
         """A wave ends although a pending VM was removed from the fleet."""
         fleet = small_fleet()
