Tell the events of a drawn time line apart

Cause: ten colours stood for 28 events, and the legend lay over the axis. Change: colour and marker together; the legend has a row of its own.

--- a/src/redwingslip/observe/_render.py
+++ b/src/redwingslip/observe/_render.py
@@ -15,6 +15,10 @@
 ROW_HEIGHT_INCHES = 0.5
 MAX_LABELS = 60
 
+# Colour and marker together tell the events apart.
+N_COLOURS = 10
+MARKERS = ("o", "s", "^", "D", "v")
+
 
 def render_text(events: Sequence[TimelineEvent]) -> str:
     """Return a line for each event: time, process, event and its fields."""
@@ -55,7 +59,10 @@
     axes = figure.subplots()
     _draw_marks(axes, events, rows)
     axes.set_yticks(range(len(processes)), processes)
+    axes.set_ylim(-0.5, len(processes) + 0.5)
     axes.set_xlabel("events in order")
+    if events:
+        figure.legend(fontsize=6, ncols=7, loc="outside lower center")
     axes.grid(axis="y", alpha=0.3)
     try:
         figure.savefig(path)
@@ -73,7 +80,10 @@
         ]
         if marks:
             xs, ys = zip(*marks, strict=True)
-            axes.scatter(xs, ys, s=20, color=f"C{names.index(name) % 10}", label=name)
+            row, column = divmod(names.index(name), N_COLOURS)
+            axes.scatter(
+                xs, ys, s=20, color=f"C{column}", marker=MARKERS[row], label=name
+            )
     if len(events) <= MAX_LABELS:
         for position, event in enumerate(events):
             axes.annotate(
@@ -84,5 +94,3 @@
                 rotation=45,
                 fontsize=6,
             )
-    if events:
-        axes.legend(fontsize=6, ncols=6, loc="upper center", bbox_to_anchor=(0.5, -0.2))
