Spare a replica the argument parser and difflib

Cause: a replica's process stands close to its 32 MB. Change: `redwingslip ROLE FILE` is read without argparse, which is imported for help and mistakes only; difflib is imported when a name is unknown.

--- a/src/redwingslip/cli/_roles.py
+++ b/src/redwingslip/cli/_roles.py
@@ -4,7 +4,6 @@
 command line's library nor the other role is imported.
 """
 
-import argparse
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -26,9 +25,9 @@
 
 def main(argv: Sequence[str]) -> int:
     """Run a role and return the exit code."""
-    args = _new_parser().parse_args(argv)
+    role, path = _parse(argv)
     try:
-        _RUNNERS[args.role](args.settings)
+        _RUNNERS[role](path)
     except InvalidSettingsError as exc:
         print(f"error: {exc.message}", file=sys.stderr)
         for problem in exc.exceptions:
@@ -40,13 +39,20 @@
     return 0
 
 
-def _new_parser() -> argparse.ArgumentParser:
+def _parse(argv: Sequence[str]) -> tuple[str, Path]:
+    """Return the role and its settings file."""
+    if len(argv) == 2 and argv[0] in ROLES and not argv[1].startswith("-"):
+        return argv[0], Path(argv[1])
+    # Only help and mistakes need the parser and its memory.
+    import argparse
+
     parser = argparse.ArgumentParser(prog="redwingslip")
     roles = parser.add_subparsers(dest="role", required=True)
     for role, words in ROLES.items():
         role_parser = roles.add_parser(role, help=words, description=words)
         role_parser.add_argument("settings", type=Path, help="the settings file")
-    return parser
+    args = parser.parse_args(argv)
+    return args.role, args.settings
 
 
 def _run_entry(path: Path) -> None:
--- a/src/redwingslip/settings/_loader.py
+++ b/src/redwingslip/settings/_loader.py
@@ -1,7 +1,6 @@
 """Reading a settings file into typed sections."""
 
 import configparser
-import difflib
 import typing
 from collections.abc import Iterable, Iterator
 from datetime import timedelta
@@ -183,6 +182,9 @@
 
 def _nearest(name: str, known: Iterable[str]) -> str:
     """Return a hint at the known name that is most like `name`."""
+    # Valid settings need it never, and a process has little memory.
+    import difflib
+
     names = sorted(known)
     matches = difflib.get_close_matches(name, names, n=1, cutoff=0.5)
     if matches:
--- a/src/redwingslip/settings/_types.py
+++ b/src/redwingslip/settings/_types.py
@@ -1,8 +1,8 @@
 """How the text of an option becomes a value of its type, and back."""
 
 import enum
-import ipaddress
 import math
+import socket
 import types
 import typing
 from collections.abc import Callable
@@ -33,13 +33,15 @@
     def check(self, text: str) -> None:
         """Raise a ValueError that says what is allowed."""
         host, _, port = text.rpartition(":")
+        family = socket.AF_INET
         if host.startswith("[") and host.endswith("]"):
+            family = socket.AF_INET6
             host = host[1:-1]
         elif ":" in host:
             raise ValueError("an IPv6 number stands in brackets: [::1]:7000")
         try:
-            ipaddress.ip_address(host)
-        except ValueError:
+            socket.inet_pton(family, host)
+        except (OSError, ValueError):
             raise ValueError("an IP number and a port, as in 10.0.0.1:7000") from None
         if not (port.isascii() and port.isdigit()) or int(port[:6]) > MAX_PORT:
             raise ValueError(f"a port from 0 to {MAX_PORT}")
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -282,6 +282,7 @@
         ).stdout.split()
         self.assertEqual(output[0], "r.ini")
         heavy = {"typer", "rich", "click", "aiosonic", "starlette", "uvicorn", "eliot"}
+        heavy |= {"argparse", "difflib"}
         self.assertEqual(heavy & set(output), set())
 
     def test_invalid_settings_end_a_role_with_their_exit_code(self):
@@ -306,6 +307,15 @@
         self.assertEqual(exit_code, ExitCode.INTERNAL)
         self.assertIn("No such file", words)
 
+    def test_mistaken_arguments_of_a_role_show_its_usage(self):
+        """Help and mistakes are told as of any program."""
+        cases = {("entry",): 2, ("entry", "--help"): 0, ("replica", "a", "b"): 2}
+        for args, expected in cases.items():
+            with self.subTest(args), mock.patch("sys.stdout"), mock.patch("sys.stderr"):
+                with self.assertRaises(SystemExit) as caught:
+                    main(args)
+                self.assertEqual(caught.exception.code, expected)
+
     def run_role(self, *args: str) -> tuple[int, str]:
         """Return a role's exit code and what it says of its failure."""
         stderr = io.StringIO()
