--- a/src/redwingslip/dispatch/_capacity.py
+++ b/src/redwingslip/dispatch/_capacity.py
@@ -255,17 +255,17 @@
         change()
         self._recount(endpoint)
 
-    def take_silent(self, now: timedelta) -> list[Endpoint]:
-        """Mark the endpoints that were not heard for too long, and return them."""
-        silent = []
-        for endpoint in self.endpoints.values():
-            if now - endpoint.heard_at < self._cfg.silence:
-                continue
-            if endpoint.health.state == "silent":
-                continue
-            self.change_health(endpoint, endpoint.health.lose)
-            silent.append(endpoint)
-        return silent
+    def is_silent(self, endpoint: Endpoint, now: timedelta) -> bool:
+        """Return whether an endpoint was not heard for too long."""
+        return now - endpoint.heard_at >= self._cfg.silence
+
+    def find_silent(self, now: timedelta) -> list[Endpoint]:
+        """Return the endpoints that have become silent."""
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.health.state != "silent" and self.is_silent(endpoint, now)
+        ]
 
     # Tasks.
 
--- a/src/redwingslip/dispatch/_dispatcher.py
+++ b/src/redwingslip/dispatch/_dispatcher.py
@@ -266,8 +266,8 @@
     def tick(self, now: timedelta) -> None:
         """Do what is due; to be called a few times a second."""
         self._begin(now)
-        for endpoint in self._capacity.take_silent(now):
-            self._emit_endpoint(EventName.ENDPOINT_DOWN, endpoint)
+        for endpoint in self._capacity.find_silent(now):
+            self._lose(endpoint)
         for task in self._capacity.tasks.take_ended(now):
             self._capacity.end(task, now)
         self._refuse_expired(now)
@@ -492,6 +492,9 @@
             if endpoint is None:
                 self._scheduler.defer(item)
                 continue
+            if self._capacity.is_silent(endpoint, now):
+                self._lose(endpoint)
+                continue
             self._grant(item, endpoint, now)
 
     def _has_room(self, shape: Shape) -> bool:
@@ -680,8 +683,9 @@
             n_slots=self._capacity.n_slots,
             n_slots_unknown=self._capacity.n_slots_unknown,
         )
-        self._fill(now)
+        # A recalled slot that falls free must not be taken again first.
         self._shrink(now)
+        self._fill(now)
         if self._demand.is_due(now) and not self._is_replaced:
             demand = self._demand.take(self._describe_demand(), now)
             if demand is not None:
@@ -716,6 +720,10 @@
 
     # Events.
 
+    def _lose(self, endpoint: Endpoint) -> None:
+        self._capacity.change_health(endpoint, endpoint.health.lose)
+        self._emit_endpoint(EventName.ENDPOINT_DOWN, endpoint)
+
     def _emit_endpoint(self, name: EventName, endpoint: Endpoint) -> None:
         self._emit(name, endpoint_id=endpoint.endpoint_id, vm=endpoint.vm.record.name)
 
--- a/src/redwingslip/quota/__init__.py
+++ b/src/redwingslip/quota/__init__.py
@@ -1,1 +1,15 @@
-"""Allotments of the teams' upper limits to the pools."""
+"""Quota: how the teams' upper limits are divided among the pools."""
+
+from ._outputs import Proposed, QuotaOutput, Recalled
+from ._planner import AllotmentPlanner
+from ._settings import QuotaSettings
+from ._waterfill import water_fill
+
+__all__ = [
+    "AllotmentPlanner",
+    "Proposed",
+    "QuotaOutput",
+    "QuotaSettings",
+    "Recalled",
+    "water_fill",
+]
--- /dev/null
+++ b/src/redwingslip/quota/_settings.py
@@ -0,0 +1,26 @@
+"""Settings of the planner of allotments."""
+
+from datetime import timedelta
+
+import msgspec
+
+__all__ = ["QuotaSettings"]
+
+
+class QuotaSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How allotments follow demand.
+
+    Attributes
+    ----------
+    repeat : timedelta
+        After how long a proposal or a recall without effect is made again.
+    stale_after : timedelta
+        A pool's demand that was not heard for this long counts as zero.
+    longest_run : timedelta
+        How long a pool that is not heard is awaited after a team without a limit was
+        given one; work that began before has ended by then.
+    """
+
+    repeat: timedelta = timedelta(milliseconds=500)
+    stale_after: timedelta = timedelta(seconds=3)
+    longest_run: timedelta = timedelta(seconds=60)
