Wire the planner of allotments; end claims that were never confirmed

Cause: a claim that was committed after its entry had given up stayed open, and a resend would have waited for a run that never came. Ruled out: settling at once, since the end could be applied before the claim. Change: the claim is proposed once more and then ended; the state keeps ended attempts.

--- a/src/redwingslip/daemons/_claims.py
+++ b/src/redwingslip/daemons/_claims.py
@@ -1,6 +1,7 @@
 """Claims of non-idempotent requests: at most one run for each id."""
 
 import asyncio
+import contextlib
 import uuid
 from collections.abc import Coroutine
 from datetime import UTC, datetime, timedelta
@@ -97,7 +98,7 @@
             forget_after=made_at + self._cfg.claim_window + 2 * CLOCK_SLACK,
         )
         while True:
-            taken = await self._propose(command, held)
+            taken = await self._propose(command)
             if taken is None:
                 return held
             if taken.settled:
@@ -116,13 +117,14 @@
                 "ran is not known any more, so it is not run"
             )
 
-    async def _propose(self, command: Claim, held: HeldClaim) -> ClaimTaken | None:
+    async def _propose(self, command: Claim) -> ClaimTaken | None:
         try:
             outcome = await self._leader.propose(command, CLAIM_TIMEOUT)
-        except (NoLeaderError, asyncio.CancelledError) as exc:
-            self.settle(held, NOT_RUN)
-            if isinstance(exc, NoLeaderError):
-                raise NotRunError(f"the claim was not confirmed: {exc}") from exc
+        except NoLeaderError as exc:
+            self._start(self._give_up(command))
+            raise NotRunError(f"the claim was not confirmed: {exc}") from exc
+        except asyncio.CancelledError:
+            self._start(self._give_up(command))
             raise
         match outcome:
             case Accepted():
@@ -141,10 +143,20 @@
     async def _settle(self, command: SettleClaim) -> None:
         # Without a leader the claim stays open; it is settled as unknown once this
         # entry's lease has ended.
-        try:
+        with contextlib.suppress(NoLeaderError):
+            await self._leader.propose(command, SETTLE_TIMEOUT)
+
+    async def _give_up(self, command: Claim) -> None:
+        """End a claim that may have been committed without this entry's knowledge.
+
+        It is proposed once more, so that the end can't come before it.
+        """
+        with contextlib.suppress(NoLeaderError):
             await self._leader.propose(command, SETTLE_TIMEOUT)
-        except NoLeaderError:
-            return
+            settle = SettleClaim(
+                key=command.key, attempt=command.attempt, outcome=NOT_RUN
+            )
+            await self._leader.propose(settle, SETTLE_TIMEOUT)
 
     def _start(self, coro: Coroutine) -> None:
         task = asyncio.create_task(coro)
@@ -173,6 +185,8 @@
 
 
 def _recorded(taken: ClaimTaken) -> Answer:
+    if not taken.run:
+        raise NotRunError("this attempt was given up before it ran")
     if not taken.status:
         raise OutcomeUnknownError(
             "the request was run before; its outcome is not known"
--- a/src/redwingslip/daemons/_leadership.py
+++ b/src/redwingslip/daemons/_leadership.py
@@ -8,12 +8,11 @@
 
 from ..clock import Clock
 from ..consensus import ConsensusError, Replica
-from ..fleet import Command, ForgetClaims, Outcome
+from ..fleet import Change, Command, ForgetClaims, Outcome
 from ..leases import LeaseGranter
 from ..maintenance import MovePlanner, WavePlanner
 from ..observe import Event, EventName, EventSink
 from ..peers import (
-    AllotmentRecall,
     LeaseRenewal,
     Message,
     PoolDemand,
@@ -23,7 +22,7 @@
     RebootOrder,
     VmDrained,
 )
-from ..quota import AllotmentPlanner
+from ..quota import AllotmentPlanner, Proposed, QuotaSettings, Recalled
 from ..settings import ReplicaSettings
 from ._machine import FleetMachine, encode_command
 
@@ -99,7 +98,7 @@
             now=now,
             has_quorum=lambda now: replica.has_quorum_lease(),
         )
-        self._quota = AllotmentPlanner()
+        self._quota = AllotmentPlanner(cfg=QuotaSettings(), view=machine.state.view)
         self._waves = WavePlanner(sink=events)
         self._moves = MovePlanner()
         self._planned_at = now
@@ -124,39 +123,47 @@
         if now - self._planned_at < PLAN_INTERVAL:
             return
         self._planned_at = now
+        self._quota.in_force(self._granter.in_force_index, now)
+        self._quota.tick(now)
+        self._flush_quota()
         if not self._replica.has_quorum_lease():
             return
         for command in self._moves.plan(view, now):
             self._propose(command)
         for output in self._waves.plan(view, now):
-            self._carry_out(output)
-        self._plan_quota(now)
+            if isinstance(output, RebootOrder):
+                self._order_reboot(output)
+            else:
+                self._propose(output)
         if now - self._forgot_at >= FORGET_INTERVAL:
             self._forgot_at = now
             self._propose(ForgetClaims(before=self._clock.utcnow()))
 
+    def applied(self, changes: tuple[Change, ...]) -> None:
+        """Take over that a command was applied."""
+        now = self._clock.monotonic()
+        if changes:
+            self._quota.view_changed(now, changes)
+            self._flush_quota()
+
     def push_changes(self) -> None:
         """Send the entries what was committed since the last push."""
         for entry_id, grant in self._granter.pushes(self._clock.monotonic()):
             self._send(entry_id, grant)
 
-    def _plan_quota(self, now: timedelta) -> None:
-        for output in self._quota.plan(self._machine.state.view, now):
-            self._carry_out(output)
+    def _flush_quota(self) -> None:
+        for output in self._quota.take_outputs():
+            match output:
+                case Proposed():
+                    self._propose(output.command)
+                case Recalled():
+                    self._send(output.entry_id, output.message)
 
-    def _carry_out(self, output: Command | RebootOrder | AllotmentRecall) -> None:
-        """Send what is for an entry, propose what is for the log."""
-        view = self._machine.state.view
-        match output:
-            case AllotmentRecall(pool=pool):
-                lease = view.dispatchers.get(pool)
-                if lease is not None:
-                    self._send(lease.entry_id, output)
-            case RebootOrder():
-                if view.entries:
-                    self._send(self._rng.choice(sorted(view.entries)), output)
-            case _:
-                self._propose(output)
+    def _order_reboot(self, order: RebootOrder) -> None:
+        """Have any entry ask the platform; a resend may go to another one."""
+        entry_ids = sorted(self._machine.state.view.entries)
+        if entry_ids:
+            self._send(self._rng.choice(entry_ids), order)
 
     # Messages.
 
@@ -184,7 +191,7 @@
         now = self._clock.monotonic()
         self._moves.demand(msg, now)
         self._quota.demand(msg, now)
-        self._plan_quota(now)
+        self._flush_quota()
 
     @receive.register
     def _(self, msg: VmDrained, sender_id: str) -> None:
--- a/src/redwingslip/daemons/_machine.py
+++ b/src/redwingslip/daemons/_machine.py
@@ -1,8 +1,10 @@
 """The fleet's state as the state machine of the replicated log."""
 
+from collections.abc import Callable
+
 import msgspec
 
-from ..fleet import Command, FleetState, Outcome
+from ..fleet import Change, Command, FleetState, Outcome
 from ..leases import ChangeLog
 
 __all__ = ["FleetMachine", "encode_command"]
@@ -25,11 +27,14 @@
         The replicated state.
     changes : ChangeLog
         The latest changes of its view.
+    on_applied : callable
+        Called with the changes of each command.
     """
 
-    __slots__ = ("changes", "state")
+    __slots__ = ("changes", "on_applied", "state")
 
     def __init__(self) -> None:
+        self.on_applied: Callable[[tuple[Change, ...]], None] = lambda changes: None
         self.state = FleetState()
         self.changes = ChangeLog()
 
@@ -37,6 +42,7 @@
         """Apply an encoded command."""
         outcome, changes = self.state.apply(index, _DECODER.decode(data))
         self.changes.add(changes)
+        self.on_applied(changes)
         return outcome
 
     def skip(self, index: int) -> None:
--- a/src/redwingslip/daemons/_replica.py
+++ b/src/redwingslip/daemons/_replica.py
@@ -6,6 +6,7 @@
 
 from ..clock import Clock, SystemClock
 from ..consensus import ConsensusMessage, ConsensusSettings, Replica
+from ..fleet import Change
 from ..observe import Event, EventLog, EventName, EventSink
 from ..peers import (
     LeaseRenewal,
@@ -76,6 +77,7 @@
             events=self._events,
         )
         self.replica.on_leadership = self._on_leadership
+        self.machine.on_applied = self._on_applied
 
     async def start(self) -> None:
         """Listen and take part in the log.
@@ -120,6 +122,10 @@
             events=self._events,
         )
 
+    def _on_applied(self, changes: tuple[Change, ...]) -> None:
+        if self._leadership is not None:
+            self._leadership.applied(changes)
+
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK.total_seconds())
