Tell operators how the replicas are; draft the process tests

Cause: a repair could not be waited for, since nobody could see which replica is whole. Change: GET /v1/replicas, and eight failure tests on real processes as first written.

--- a/src/redwingslip/daemons/_entry.py
+++ b/src/redwingslip/daemons/_entry.py
@@ -36,6 +36,7 @@
     ProposalReply,
     RebootOrder,
     RedirectToLeader,
+    ReplicasReply,
 )
 from ..platform import PlatformClient, PlatformSettings
 from ..settings import EntrySettings
@@ -307,6 +308,10 @@
     def _(self, msg: ProposalReply, sender_id: str) -> None:
         self._leader.reply(msg)
 
+    @_receive.register
+    def _(self, msg: ReplicasReply, sender_id: str) -> None:
+        self._leader.replicas(msg)
+
     @_receive.register
     def _(self, msg: RebootOrder, sender_id: str) -> None:
         self._reboots.order(msg)
@@ -364,6 +369,10 @@
             dispatched_pools=self._host.pools,
         )
 
+    async def replicas(self, timeout: timedelta) -> ReplicasReply:
+        """Ask the leader how the replicas are."""
+        return await self._leader.ask_replicas(timeout)
+
     async def propose(self, command: Command, timeout: timedelta) -> Outcome:
         """Have a command committed, and wait until this entry's view has it."""
         until = self._now() + timeout
--- a/src/redwingslip/daemons/_leader.py
+++ b/src/redwingslip/daemons/_leader.py
@@ -7,7 +7,14 @@
 from ..clock import Clock
 from ..fleet import Command, Outcome
 from ..operators import NoLeaderError
-from ..peers import Message, Proposal, ProposalReply, RedirectToLeader
+from ..peers import (
+    Message,
+    Proposal,
+    ProposalReply,
+    RedirectToLeader,
+    ReplicasReply,
+    ReplicasRequest,
+)
 
 __all__ = ["LeaderLink"]
 
@@ -56,7 +63,7 @@
         self._leader_id = replicas[0]
         self._heard_at = clock.monotonic()
         self._number = 0
-        self._open: dict[int, asyncio.Future[Outcome | None]] = {}
+        self._open: dict[int, asyncio.Future[Outcome | ReplicasReply | None]] = {}
 
     @property
     def leader_id(self) -> str:
@@ -99,9 +106,16 @@
 
     def reply(self, msg: ProposalReply) -> None:
         """Take the leader's answer to a proposal."""
-        fut = self._open.get(msg.number)
+        self._resolve(msg.number, msg.outcome)
+
+    def replicas(self, msg: ReplicasReply) -> None:
+        """Take the leader's word on the replicas."""
+        self._resolve(msg.number, msg)
+
+    def _resolve(self, number: int, value: Outcome | ReplicasReply | None) -> None:
+        fut = self._open.get(number)
         if fut is not None and not fut.done():
-            fut.set_result(msg.outcome)
+            fut.set_result(value)
 
     async def propose(self, command: Command, timeout: timedelta) -> Outcome:
         """Have a command committed; it is sent again until it is answered.
@@ -113,20 +127,39 @@
         NoLeaderError
             No answer in time; the command may yet be done.
         """
+        return await self._ask(
+            lambda number: Proposal(number=number, command=command), timeout
+        )
+
+    async def ask_replicas(self, timeout: timedelta) -> ReplicasReply:
+        """Return how the replicas are.
+
+        Raises
+        ------
+        NoLeaderError
+            No answer in time.
+        """
+        return await self._ask(lambda number: ReplicasRequest(number=number), timeout)
+
+    async def _ask(
+        self, new_message: Callable[[int], Message], timeout: timedelta
+    ) -> Outcome | ReplicasReply:
         until = self._clock.monotonic() + timeout
         while (left := until - self._clock.monotonic()) > timedelta(0):
-            outcome = await self._try(command, min(left, RETRY_AFTER))
-            if outcome is not None:
-                return outcome
+            answer = await self._try(new_message, min(left, RETRY_AFTER))
+            if answer is not None:
+                return answer
             await asyncio.sleep(PAUSE_WITHOUT_LEADER.total_seconds())
         raise NoLeaderError(f"no leader confirmed it within {timeout}")
 
-    async def _try(self, command: Command, timeout: timedelta) -> Outcome | None:
+    async def _try(
+        self, new_message: Callable[[int], Message], timeout: timedelta
+    ) -> Outcome | ReplicasReply | None:
         self._number += 1
         number = self._number
-        fut: asyncio.Future[Outcome | None] = asyncio.get_running_loop().create_future()
+        fut = asyncio.get_running_loop().create_future()
         self._open[number] = fut
-        self.send(Proposal(number=number, command=command))
+        self.send(new_message(number))
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 return await fut
--- a/src/redwingslip/daemons/_leadership.py
+++ b/src/redwingslip/daemons/_leadership.py
@@ -20,6 +20,9 @@
     ProposalReply,
     RebootDone,
     RebootOrder,
+    ReplicasReply,
+    ReplicasRequest,
+    ReplicaStatus,
     VmDrained,
 )
 from ..quota import AllotmentPlanner, Proposed, QuotaSettings, Recalled
@@ -186,6 +189,28 @@
     def _(self, msg: Proposal, sender_id: str) -> None:
         self._start(self._answer(msg, sender_id))
 
+    @receive.register
+    def _(self, msg: ReplicasRequest, sender_id: str) -> None:
+        replica = self._replica
+        if not replica.has_quorum_lease():
+            return
+        replicas = tuple(
+            ReplicaStatus(
+                replica_id=member.replica_id,
+                address=member.address,
+                voting=member.voting,
+                repaired=replica.is_repaired(member.replica_id),
+            )
+            for member in replica.members
+        )
+        reply = ReplicasReply(
+            number=msg.number,
+            leader_id=replica.leader_id,
+            term=replica.term,
+            replicas=replicas,
+        )
+        self._send(sender_id, reply)
+
     @receive.register
     def _(self, msg: PoolDemand, sender_id: str) -> None:
         now = self._clock.monotonic()
--- a/src/redwingslip/daemons/_replica.py
+++ b/src/redwingslip/daemons/_replica.py
@@ -16,6 +16,7 @@
     Proposal,
     ProposalReply,
     RedirectToLeader,
+    ReplicasRequest,
 )
 from ..settings import ReplicaSettings
 from ._leadership import Leadership
@@ -144,7 +145,7 @@
         """Tell who leads to those who wait for an answer."""
         if isinstance(msg, Proposal):
             self._hub.send(sender_id, ProposalReply(number=msg.number, outcome=None))
-        if isinstance(msg, LeaseRenewal | Proposal):
+        if isinstance(msg, LeaseRenewal | Proposal | ReplicasRequest):
             leader_id = self.replica.leader_id
             address = self.cfg.replicas.get(leader_id, "")
             self._hub.send(
--- a/src/redwingslip/operators/_routes.py
+++ b/src/redwingslip/operators/_routes.py
@@ -96,6 +96,7 @@
         """Return the routes."""
         routes = [
             Route("/v1/status", self._guarded(self.get_status), methods=["GET"]),
+            Route("/v1/replicas", self._guarded(self.get_replicas), methods=["GET"]),
             Route(
                 "/v1/teams/{team}/keys",
                 self._guarded(self.grant_key),
@@ -142,6 +143,10 @@
 
         return guarded
 
+    async def get_replicas(self, req: Request) -> Response:
+        """Return how the replicas are, as the leader sees them."""
+        return _json(await self._service.replicas(PROPOSE_TIMEOUT))
+
     async def get_status(self, req: Request) -> Response:
         """Return what this entry knows of itself and of the leader."""
         return _json(self._service.status())
--- a/src/redwingslip/operators/_service.py
+++ b/src/redwingslip/operators/_service.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..fleet import Change, Command, FleetView, Outcome
+from ..peers import ReplicasReply
 
 __all__ = ["FleetService", "ProcessStatus"]
 
@@ -41,6 +42,15 @@
     def status(self) -> ProcessStatus:
         """Return what the entry knows of itself."""
 
+    async def replicas(self, timeout: timedelta) -> ReplicasReply:
+        """Return how the replicas are, as the leader sees them.
+
+        Raises
+        ------
+        NoLeaderError
+            No leader answered in time.
+        """
+
     async def propose(self, command: Command, timeout: timedelta) -> Outcome:
         """Have a command committed, and applied to this entry's view.
 
--- a/src/redwingslip/peers/_messages.py
+++ b/src/redwingslip/peers/_messages.py
@@ -30,6 +30,9 @@
     "RebootOrder",
     "RedirectToLeader",
     "RefusalReason",
+    "ReplicaStatus",
+    "ReplicasReply",
+    "ReplicasRequest",
     "RunResult",
     "RunningTask",
     "TeamDemand",
@@ -121,6 +124,38 @@
     n_waiting: int
 
 
+class ReplicasRequest(_Message):
+    """An entry asks the leader how the replicas are."""
+
+    number: int
+
+
+class ReplicaStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """A member of the log, as the leader sees it.
+
+    Attributes
+    ----------
+    voting : bool
+        False for a learner.
+    repaired : bool
+        Whether it holds everything that was committed, synced, and votes.
+    """
+
+    replica_id: str
+    address: str
+    voting: bool
+    repaired: bool
+
+
+class ReplicasReply(_Message):
+    """The members of the log."""
+
+    number: int
+    leader_id: str
+    term: int
+    replicas: tuple[ReplicaStatus, ...]
+
+
 class PoolDemand(_Message):
     """A dispatcher tells the leader what its pool is asked for.
 
@@ -340,6 +375,8 @@
     | LeaseRenewal
     | LeaseGrant
     | RedirectToLeader
+    | ReplicasRequest
+    | ReplicasReply
     | Proposal
     | ProposalReply
     | PoolDemand
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,321 @@
+"""Failure tests on real processes: kills, lost disks, freezes and races of operators.
+
+Each test starts a small system on loopback, provokes its failure, and compares what was
+promised with what the endpoints recorded or what a later read gives.
+"""
+
+import concurrent.futures
+import http.client
+import json
+import shutil
+import tempfile
+import time
+import unittest
+import uuid
+from pathlib import Path
+
+from scripts.demo_callers import new_request_key
+from scripts.fleet_processes import FleetProcesses
+
+PATIENCE_S = 40.0
+N_VMS = 2
+SLOTS = 4
+POOL = {"kind": "pools", "name": "p", "spec": {"max_unavailable": 1}}
+TEAM = {"kind": "teams", "name": "t", "spec": {"limit": 3}}
+QUEUE = {
+    "kind": "queues",
+    "name": "q",
+    "spec": {"pool": "p", "service": "s", "idempotent": False},
+}
+
+
+class Reply:
+    """An HTTP answer; `status` is 0 when there was none."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @property
+    def json(self):
+        """Return the body's value."""
+        return json.loads(self.body)
+
+
+def exchange(address, method, path, *, token, body=None, headers=(), timeout_s=20.0):
+    """Send one request on a connection of its own."""
+    host, _, port = address.rpartition(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    try:
+        head = {"Authorization": f"Bearer {token}", **dict(headers)}
+        conn.request(method, path, body=body, headers=head)
+        res = conn.getresponse()
+        return Reply(res.status, dict(res.getheaders()), res.read())
+    except (OSError, http.client.HTTPException):
+        return Reply(0, {}, b"")
+    finally:
+        conn.close()
+
+
+class ProcessTestCase(unittest.TestCase):
+    """A system of 3 replicas and 3 entries, with a pool, a team and a queue."""
+
+    n_entries = 3
+
+    def setUp(self):
+        self.folder = Path(tempfile.mkdtemp(prefix="redwingslip-test-"))
+        self.addCleanup(shutil.rmtree, self.folder, ignore_errors=True)
+        self.fleet = FleetProcesses(self.folder, n_entries=self.n_entries)
+        self.addCleanup(self.fleet.close)
+        self.fleet.found()
+        self.fleet.start()
+        self.fleet.wait_ready(timeout_s=PATIENCE_S)
+
+    def declare(self):
+        """Declare the fleet, start its endpoints and return a key."""
+        documents = [POOL, TEAM, QUEUE]
+        for i in range(N_VMS):
+            spec = {"pool": "p", "data_centre": "dc-1", "slots": SLOTS}
+            documents.append({"kind": "vms", "name": f"vm-{i}", "spec": spec})
+        path = self.folder / "fleet.json"
+        path.write_text(json.dumps(documents))
+        self.fleet.cli("apply", str(path))
+        endpoints = [f"e-{i},s,vm-{i},{SLOTS}" for i in range(N_VMS)]
+        self.fleet.add_endpoints("endpoints", endpoints)
+        granted = self.fleet.cli("key", "grant", "t", "--name", "k")
+        key = json.loads(granted.stdout)["secret"]
+        self.wait_until(lambda: self.ask(key).status == 200)
+        return key
+
+    def ask(self, key, *, entry=None, body=None, request_key="", timeout_s=20.0):
+        """Hand a request in at an entry."""
+        entry = entry or next(e for e in self.fleet.entry_ids if self.is_live(e))
+        headers = {"Idempotency-Key": request_key} if request_key else {}
+        return exchange(
+            self.fleet.http[entry],
+            "POST",
+            "/v1/queues/q/requests",
+            token=key,
+            body=body or json.dumps({"id": uuid.uuid4().hex}),
+            headers=headers,
+            timeout_s=timeout_s,
+        )
+
+    def operate(self, method, path, *, entry=None, spec=None, headers=()):
+        """Use the operators' interface of an entry."""
+        entry = entry or next(e for e in self.fleet.entry_ids if self.is_live(e))
+        body = None if spec is None else json.dumps({"spec": spec})
+        return exchange(
+            self.fleet.http[entry],
+            method,
+            path,
+            token=self.fleet.operator_token,
+            body=body,
+            headers=headers,
+        )
+
+    def is_live(self, name):
+        """Return whether a process is meant to run."""
+        return name in self.fleet.processes
+
+    def wait_until(self, condition, *, patience_s=PATIENCE_S):
+        """Wait until a condition holds; fail when it never does."""
+        deadline = time.monotonic() + patience_s
+        while not condition():
+            self.assertLess(time.monotonic(), deadline, "waited in vain")
+            time.sleep(0.1)
+
+    def leader(self):
+        """Return the replica that leads."""
+        reply = self.operate("GET", "/v1/replicas")
+        return reply.json["leader_id"] if reply.status == 200 else ""
+
+    def runs(self, event="start"):
+        """Return the runs that the endpoints recorded."""
+        lines = (self.folder / "endpoints.runs").read_text().splitlines()
+        return [r for r in map(json.loads, lines) if r["event"] == event]
+
+
+class TestFrozenEntry(ProcessTestCase):
+    """An entry that is stopped where it is, and wakes up later."""
+
+    def test_withdrawn_key_is_refused_after_the_thaw(self):
+        """A key withdrawn during the freeze gets nothing run, not even at first."""
+        key = self.declare()
+        self.fleet.freeze("entry-3")
+        self.fleet.cli("key", "withdraw", "k")
+        n_runs = len(self.runs())
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            # The requests lie in the frozen entry's sockets when it wakes up.
+            asks = [
+                pool.submit(self.ask, key, entry="entry-3", timeout_s=30.0)
+                for _ in range(8)
+            ]
+            time.sleep(0.5)
+            self.fleet.thaw("entry-3")
+            replies = [ask.result() for ask in asks]
+        self.assertNotIn(200, [reply.status for reply in replies])
+        for reply in replies:
+            self.assertEqual(reply.json["outcome"], "not-run")
+        self.assertEqual(len(self.runs()), n_runs)
+
+
+class TestKills(ProcessTestCase):
+    """Processes killed at once."""
+
+    def test_claimed_request_runs_once_though_its_entry_is_killed(self):
+        """A resend at another entry never runs a non-idempotent request again."""
+        key = self.declare()
+        body = json.dumps({"id": "only-once", "sleep_s": 1.0})
+        request_key = new_request_key()
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            first = pool.submit(
+                self.ask, key, entry="entry-1", body=body, request_key=request_key
+            )
+            self.wait_until(lambda: self.n_unfinished() > 0)
+            self.fleet.kill("entry-1")
+            self.assertEqual(first.result().status, 0)
+        again = self.ask(key, entry="entry-2", body=body, request_key=request_key)
+        self.assertEqual((again.status, again.json["outcome"]), (504, "unknown"))
+        third = self.ask(key, entry="entry-3", body=body, request_key=request_key)
+        self.assertEqual(third.json["outcome"], "unknown")
+        hashes = [run["body_sha256"] for run in self.runs()]
+        self.assertEqual(len(hashes), len(set(hashes)))
+
+    def n_unfinished(self):
+        """Return how many runs have begun and not ended."""
+        return len(self.runs()) - len(self.runs("end"))
+
+    def test_answer_is_recorded_for_a_resend_at_another_entry(self):
+        """A resend gets the first run's answer, at any entry and after a new leader."""
+        key = self.declare()
+        request_key = new_request_key()
+        first = self.ask(key, entry="entry-1", request_key=request_key)
+        self.assertEqual(first.status, 200)
+        self.fleet.kill(self.leader())
+        again = self.ask(key, entry="entry-2", request_key=request_key)
+        self.assertEqual((again.status, again.body), (200, first.body))
+        self.assertEqual(len(self.runs()), len({r["body_sha256"] for r in self.runs()}))
+
+    def test_accepted_writes_survive_kills_of_everything(self):
+        """Hundreds of accepted changes are there after every replica was killed."""
+        accepted = {}
+        killed = False
+        for i in range(300):
+            name = f"team-{i % 40}"
+            spec = {"share": 1.0 + i}
+            reply = self.operate("PUT", f"/v1/teams/{name}", spec=spec)
+            if reply.status in (200, 201):
+                accepted[name] = (reply.json["version"], spec["share"])
+            if i == 150 and not killed:
+                killed = True
+                self.fleet.kill(self.leader())
+        for name in self.fleet.replica_ids:
+            if self.is_live(name):
+                self.fleet.kill(name)
+        self.fleet.start(*self.fleet.replica_ids)
+        self.wait_until(lambda: self.leader() != "")
+        self.assertGreater(len(accepted), 30)
+        for name, (version, share) in accepted.items():
+            found = self.operate("GET", f"/v1/teams/{name}").json
+            self.assertEqual(
+                (found["version"], found["spec"]["share"]), (version, share)
+            )
+
+
+class TestLostDisk(ProcessTestCase):
+    """Replicas whose data folders are gone."""
+
+    def test_second_disk_lost_right_after_the_repair(self):
+        """Nothing is lost when another disk goes as soon as the first is repaired."""
+        for i in range(20):
+            reply = self.operate("PUT", f"/v1/teams/team-{i}", spec={"share": 2.0})
+            self.assertIn(reply.status, (200, 201))
+        followers = [r for r in self.fleet.replica_ids if r != self.leader()]
+        for name in followers:
+            self.fleet.kill(name)
+            shutil.rmtree(self.folder / f"{name}.data")
+            self.fleet.start(name)
+            self.wait_until(lambda name=name: self.is_repaired(name))
+        self.fleet.kill(self.leader())
+        self.wait_until(lambda: self.leader() != "")
+        names = {
+            item["name"] for item in self.operate("GET", "/v1/teams").json["items"]
+        }
+        self.assertEqual(names, {f"team-{i}" for i in range(20)})
+        reply = self.operate("PUT", "/v1/teams/after", spec={})
+        self.assertIn(reply.status, (200, 201))
+
+    def is_repaired(self, name):
+        """Return whether the leader reports a replica as whole, under its new disk."""
+        reply = self.operate("GET", "/v1/replicas")
+        if reply.status != 200:
+            return False
+        members = {m["replica_id"]: m for m in reply.json["replicas"]}
+        is_new = "member.changed" in (self.folder / f"{name}.jsonl").read_text()
+        return is_new and members.get(name, {}).get("repaired", False)
+
+
+class TestOperators(ProcessTestCase):
+    """Operators who race and resend."""
+
+    def test_one_of_two_writes_with_the_same_version_wins(self):
+        """The other is told the current version."""
+        base = self.operate("PUT", "/v1/teams/t", spec={}).json["version"]
+        with concurrent.futures.ThreadPoolExecutor(6) as pool:
+            replies = list(pool.map(lambda i: self.race(i, base), range(6)))
+        winners = [reply for reply in replies if reply.status == 200]
+        losers = [reply for reply in replies if reply.status == 412]
+        self.assertEqual((len(winners), len(losers)), (1, 5))
+        for reply in losers:
+            self.assertEqual(reply.json["version"], winners[0].json["version"])
+
+    def race(self, i, base):
+        """Write one of several specifications that are based on one version."""
+        return self.operate(
+            "PUT",
+            "/v1/teams/t",
+            entry=f"entry-{i % 3 + 1}",
+            spec={"share": 1.0 + i},
+            headers={"If-Match": f'"{base}"'},
+        )
+
+    def test_resend_after_a_new_leader_gets_the_first_outcome(self):
+        """A write whose answer was lost is not done a second time."""
+        headers = {"Idempotency-Key": "op-1", "If-None-Match": "*"}
+        first = self.operate("PUT", "/v1/teams/t", spec={}, headers=headers)
+        self.fleet.kill(self.leader())
+        again = self.operate(
+            "PUT", "/v1/teams/t", entry="entry-2", spec={}, headers=headers
+        )
+        self.assertEqual(first.json["version"], again.json["version"])
+        self.assertEqual(
+            self.operate("GET", "/v1/teams/t").json["version"], first.json["version"]
+        )
+
+
+class TestGracefulStop(ProcessTestCase):
+    """Planned stops."""
+
+    def test_stopped_entry_cuts_off_no_request(self):
+        """Requests under way at an entry that is told to stop get their answers."""
+        key = self.declare()
+        body = json.dumps({"id": "slow", "sleep_s": 1.5})
+        with concurrent.futures.ThreadPoolExecutor(3) as pool:
+            asks = [
+                pool.submit(
+                    self.ask, key, entry="entry-1", body=f'{body[:-1]}, "n": {i}}}'
+                )
+                for i in range(3)
+            ]
+            time.sleep(0.5)
+            process = self.fleet.terminate("entry-1")
+            replies = [ask.result() for ask in asks]
+            self.assertEqual(process.wait(timeout=PATIENCE_S), 0)
+        self.assertEqual([reply.status for reply in replies], [200, 200, 200])
+        self.wait_until(lambda: self.ask(key, entry="entry-2").status == 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
