--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -214,8 +214,8 @@
         """The wave holds the pool's VMs."""
         self.run_command("apply", self.file)
         self.run_command("drain", "p", "--name", "w", "--max-parallel", "2", "--wait")
-        pending = [vm.name for vm in self.fleet.state.view.pending_vms("w")]
-        self.assertEqual(pending, ["v1"])
+        pending = self.fleet.state.view.pending_vms("w")
+        self.assertEqual([vm.name for vm in pending], ["v1"])
 
     def test_pause_and_resume_keep_the_rest_of_the_wave(self):
         """Only the one field is written, and only when it differs."""
