Refuse addresses that others can't reach

Cause: a process is reached at the address that it listens on, so a wildcard there, or a replica elsewhere than [replicas] says, would only fail later; `advertise` was read by nothing. Change: both are problems of the file, a wildcard for HTTP is warned about, `advertise` is gone.

--- a/src/redwingslip/settings/_checks.py
+++ b/src/redwingslip/settings/_checks.py
@@ -11,6 +11,7 @@
     ExporterKind,
     LeaseSettings,
     MetricsSettings,
+    PeersSettings,
     ReplicaSettings,
     TlsSettings,
 )
@@ -79,16 +80,35 @@
         )
 
 
+@find_problems.register
+def _(cfg: PeersSettings, section: str) -> Iterator[SettingsError]:
+    if _is_wildcard(cfg.listen):
+        yield SettingsError(
+            section=section,
+            option="listen",
+            value=cfg.listen,
+            allowed="the IP number that the others connect to",
+        )
+
+
 @find_problems.register
 def _(cfg: ReplicaSettings, section: str) -> Iterator[SettingsError]:
     yield from _address_problems(cfg)
-    if cfg.process.id not in cfg.replicas:
+    address = cfg.replicas.get(cfg.process.id)
+    if address is None:
         yield SettingsError(
             section="process",
             option="id",
             value=cfg.process.id,
             allowed="a replica's id is listed in [replicas]",
         )
+    elif address != cfg.peers.listen:
+        yield SettingsError(
+            section="peers",
+            option="listen",
+            value=cfg.peers.listen,
+            allowed=f"{address}, where [replicas] says that this replica is",
+        )
 
 
 @find_problems.register
@@ -117,6 +137,10 @@
             )
 
 
+def _is_wildcard(address: str) -> bool:
+    return address.rpartition(":")[0] in ("0.0.0.0", "[::]")
+
+
 def find_warnings(cfg: EntrySettings | ReplicaSettings) -> tuple[str, ...]:
     """Return what is allowed but not safe, in words for the log."""
     warnings = []
@@ -126,4 +150,9 @@
         warnings.append(
             f"[replicas] lists {len(cfg.replicas)}: fewer than 3 survive no loss"
         )
+    if isinstance(cfg, EntrySettings) and _is_wildcard(cfg.http.listen):
+        warnings.append(
+            "[http] listen is no single address: the Location of an asynchronous "
+            "request leads nowhere"
+        )
     return tuple(warnings)
--- a/src/redwingslip/settings/_sections.py
+++ b/src/redwingslip/settings/_sections.py
@@ -74,13 +74,10 @@
     Attributes
     ----------
     listen : str
-        IP number and port to listen on.
-    advertise : str or None
-        IP number and port that the others connect to; none for the same.
+        IP number and port to listen on, which the others connect to.
     """
 
     listen: Annotated[Address, msgspec.Meta(examples=["127.0.0.1:7101"])]
-    advertise: Address | None = None
 
 
 class HttpSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_settings_loader.py
+++ b/tests/test_settings_loader.py
@@ -17,6 +17,7 @@
     RequestLogging,
     SettingsError,
     describe,
+    find_warnings,
     load_settings,
     parse_settings,
 )
@@ -134,6 +135,26 @@
                     place = ("replicas", "replica-1")
                 self.assertIn(place, places)
 
+    def test_addresses_can_be_reached_by_others(self):
+        """A wildcard is no address, and a replica is where [replicas] says."""
+        text = BASE.replace("listen = 127.0.0.1:7101", "listen = 0.0.0.0:7101")
+        (problem,) = problems_of(text)
+        self.assertEqual((problem.section, problem.option), ("peers", "listen"))
+        text = describe(ReplicaSettings)
+        text = text.replace("listen = 127.0.0.1:7001", "listen = 127.0.0.1:7009")
+        (problem,) = problems_of(text, ReplicaSettings)
+        self.assertEqual((problem.section, problem.option), ("peers", "listen"))
+
+    def test_what_is_allowed_and_unsafe_is_warned_about(self):
+        """Plain connections, too few replicas, and links that lead nowhere."""
+        text = BASE.replace("replica-3 =", "#").replace(
+            "listen = 127.0.0.1:8101", "listen = [::]:8101"
+        )
+        warnings = find_warnings(parse_settings(text, EntrySettings))
+        self.assertEqual(len(warnings), 3, warnings)
+        cfg = parse_settings(describe(ReplicaSettings), ReplicaSettings)
+        self.assertEqual(find_warnings(cfg), ())
+
     def test_encryption_needs_its_files(self):
         """Without a key, only saying that there is no encryption is valid."""
         text = describe(EntrySettings).replace(KEY_LINE, "")
