--- a/src/redwingslip/cli/_output.py
+++ b/src/redwingslip/cli/_output.py
@@ -17,6 +17,8 @@
 # Wide enough that rows are not folded where no terminal tells a width.
 PLAIN_WIDTH = 200
 
+MAX_ITEMS = 8
+
 
 def print_json(value: Any) -> None:
     """Print a value as one line of JSON."""
@@ -76,5 +78,7 @@
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, list):
-        return ",".join(_cell(item) for item in value) or "-"
+        shown = ",".join(_cell(item) for item in value[:MAX_ITEMS]) or "-"
+        n_more = len(value) - MAX_ITEMS
+        return f"{shown} and {n_more} more" if n_more > 0 else shown
     return str(value) if value != "" else "-"
