--- a/src/redwingslip/standins/_main.py
+++ b/src/redwingslip/standins/_main.py
@@ -77,7 +77,7 @@
     platform = None
     for endpoint in endpoints:
         await endpoint.start()
-        print(f"{endpoint.cfg.endpoint_id} {endpoint.address}", flush=True)
+        print(_describe(endpoint), flush=True)
     if args.platform_port is not None:
         platform = PlatformStandin(
             endpoints_of,
@@ -111,3 +111,8 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stopped.set)
     await stopped.wait()
+
+
+def _describe(endpoint: EndpointStandin) -> str:
+    """Return an endpoint's id, address and incarnation."""
+    return f"{endpoint.cfg.endpoint_id} {endpoint.address} {endpoint.incarnation}"
