--- a/src/redwingslip/cli/_tool_commands.py
+++ b/src/redwingslip/cli/_tool_commands.py
@@ -122,7 +122,7 @@
     cfg: CommandContext = ctx.obj
     wanted = TimelineFilter(request=request, vm=vm, team=team, wave=wave)
     try:
-        events = merge_timeline(files, wanted)
+        events = merge_timeline(_with_older_halves(files), wanted)
         if picture is not None:
             render_picture(events, picture)
     except TimelineError as exc:
@@ -132,3 +132,9 @@
             print_json(event)
     elif picture is None:
         typer.echo(render_text(events), nl=False)
+
+
+def _with_older_halves(files: list[Path]) -> list[Path]:
+    """Return logs and what they were renamed to when they reached their limit."""
+    older = [path.with_name(f"{path.name}.1") for path in files]
+    return [*files, *(path for path in older if path.exists())]
