Keep a link when one of its messages can't be handled

Ruled out: the codec and the redirect; the same message was decoded and delivered. Change: the hub reports such a message as a warning; links report only changes.

--- a/src/redwingslip/daemons/_leadership.py
+++ b/src/redwingslip/daemons/_leadership.py
@@ -197,9 +197,10 @@
         replicas = tuple(
             ReplicaStatus(
                 replica_id=member.replica_id,
+                incarnation=member.incarnation,
                 address=member.address,
                 voting=member.voting,
-                repaired=replica.is_repaired(member.replica_id),
+                repaired=replica.is_repaired(member.replica_id, member.incarnation),
             )
             for member in replica.members
         )
--- a/src/redwingslip/peers/_hub.py
+++ b/src/redwingslip/peers/_hub.py
@@ -57,6 +57,7 @@
         "_cfg",
         "_clock",
         "_diallers",
+        "_down",
         "_events",
         "_host",
         "_links",
@@ -93,6 +94,7 @@
         self._tls_server = tls_server
         self._tls_client = tls_client
         self._links: dict[str, Link] = {}
+        self._down: set[str] = set()
         self._diallers: dict[str, asyncio.Task] = {}
         self._server: Server | None = None
 
@@ -146,7 +148,7 @@
         """Send a message, at most once; it may be lost."""
         if peer_id == self._process_id:
             loop = asyncio.get_running_loop()
-            loop.call_soon(self._on_message, peer_id, message)
+            loop.call_soon(self._deliver, peer_id, message)
             return
         self._link(peer_id).send(message)
 
@@ -163,7 +165,7 @@
                 peer_id,
                 cfg=self._cfg,
                 clock=self._clock,
-                on_message=self._on_message,
+                on_message=self._deliver,
             )
             self._links[peer_id] = link
         return link
@@ -219,9 +221,22 @@
             self._report_down(peer_id, exc)
             raise GRPCError(Status.UNAVAILABLE, str(exc)) from exc
 
+    def _deliver(self, peer_id: str, message: Message) -> None:
+        """Hand a message over; one that can't be handled costs no other its link."""
+        try:
+            self._on_message(peer_id, message)
+        except Exception as exc:
+            detail = f"{type(message).__name__} not handled: {exc!r}"
+            event = Event(name=EventName.WARNING, peer=peer_id, detail=detail)
+            self._events.emit(event)
+
     def _report_up(self, peer_id: str) -> None:
+        self._down.discard(peer_id)
         self._events.emit(Event(name=EventName.LINK_UP, peer=peer_id))
 
     def _report_down(self, peer_id: str, exc: Exception) -> None:
+        if peer_id in self._down:
+            return
+        self._down.add(peer_id)
         detail = repr(exc)
         self._events.emit(Event(name=EventName.LINK_DOWN, peer=peer_id, detail=detail))
--- a/src/redwingslip/peers/_messages.py
+++ b/src/redwingslip/peers/_messages.py
@@ -135,6 +135,8 @@
 
     Attributes
     ----------
+    incarnation : str
+        Another one after its disk was lost.
     voting : bool
         False for a learner.
     repaired : bool
@@ -142,6 +144,7 @@
     """
 
     replica_id: str
+    incarnation: str
     address: str
     voting: bool
     repaired: bool
