Step down when the disk hangs; split elections and outputs from the node

Cause: a leader whose disk hangs kept its heartbeats up and confirmed nothing, so work stood still for good. Change: a save that takes longer than disk_timeout ends leadership and keeps the replica from standing; Election and Outputs are modules of their own. Seen failing without the check: test_steps_down_when_its_disk_hangs. Conclusion: green with it.

--- a/src/redwingslip/consensus/__init__.py
+++ b/src/redwingslip/consensus/__init__.py
@@ -5,7 +5,8 @@
 from ._founding import FoundingRound
 from ._messages import *  # noqa: F403
 from ._messages import __all__ as _messages_all
-from ._node import RaftNode, Ready
+from ._node import RaftNode
+from ._ready import Ready
 from ._records import HardState, Identity, LogStart, Save, Snapshot, StoredState
 from ._replica import Replica, StateMachine
 from ._settings import ConsensusSettings
--- a/src/redwingslip/consensus/_core.py
+++ b/src/redwingslip/consensus/_core.py
@@ -102,6 +102,11 @@
         """Return whether the disk has an older term or vote."""
         return self.hard_state != self._hard_state_saved
 
+    @property
+    def is_member(self) -> bool:
+        """Return whether this incarnation is a member, by its own log."""
+        return self.members.find(self.replica_id, self.incarnation) is not None
+
     @property
     def is_voter(self) -> bool:
         """Return whether this incarnation votes, by its own log."""
--- a/src/redwingslip/consensus/_node.py
+++ b/src/redwingslip/consensus/_node.py
@@ -4,9 +4,8 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-import msgspec
-
-from ._core import Core, Envelope
+from ._core import Core
+from ._election import Election
 from ._follower import SnapshotReceiver, accept_append, install
 from ._leadership import Leadership
 from ._messages import (
@@ -24,37 +23,13 @@
     VoteReply,
     VoteRequest,
 )
-from ._records import Save, Snapshot, StoredState
-from ._role import CANDIDATE, FOLLOWER, PRE_CANDIDATE, Role
+from ._ready import Outputs, Ready
+from ._records import Snapshot, StoredState
+from ._role import FOLLOWER, PRE_CANDIDATE, Role
 from ._settings import ConsensusSettings
 from .exceptions import ConsensusError, NotLeaderError
 
-__all__ = ["RaftNode", "Ready"]
-
-
-class Ready(msgspec.Struct, frozen=True, kw_only=True):
-    """What the owner of a node is to do.
-
-    Attributes
-    ----------
-    messages : tuple of Envelope
-        To be sent now.
-    committed : tuple of LogEntry
-        To be applied, in this order.
-    save : Save or None
-        To be made durable; then `RaftNode.mark_saved` is to be called.
-    snapshot : Snapshot or None
-        To be made durable before `save`.
-    is_installed : bool
-        The snapshot came from the leader: after the save, and before the next
-        `Ready`, the state machine is to be restored from it.
-    """
-
-    messages: tuple[Envelope, ...] = ()
-    committed: tuple[LogEntry, ...] = ()
-    save: Save | None = None
-    snapshot: Snapshot | None = None
-    is_installed: bool = False
+__all__ = ["RaftNode"]
 
 
 class RaftNode:
@@ -78,18 +53,12 @@
 
     __slots__ = (
         "_core",
-        "_election_at",
-        "_handed_index",
-        "_heard_at",
-        "_is_installing",
-        "_is_saving",
+        "_election",
         "_join_at",
         "_leadership",
+        "_outputs",
         "_receiver",
         "_role",
-        "_sticky_until",
-        "_unsaved_snapshot",
-        "_votes",
     )
 
     def __init__(
@@ -102,22 +71,15 @@
         rng: random.Random,
         now: timedelta,
     ) -> None:
-        self._core = Core(cfg=cfg, stored=stored, address=address, peers=peers, rng=rng)
+        core = Core(cfg=cfg, stored=stored, address=address, peers=peers, rng=rng)
+        self._core = core
         self._role = Role()
+        self._election = Election(core, self._role, now)
         self._leadership: Leadership | None = None
-        self._votes: set[str] = set()
         self._receiver = SnapshotReceiver()
-        self._handed_index = self._core.commit_index
-        self._unsaved_snapshot: Snapshot | None = None
-        self._is_installing = False
-        self._is_saving = False
-        # It may have heard a leader just before it was restarted, and that leader
-        # may count on it.
-        self._sticky_until = now + cfg.election_timeout_min
-        self._election_at = now + self._core.random_timeout()
+        self._outputs = Outputs(core)
         # A newcomer announces itself at once, a member gives the leader time.
-        is_member = self._core.members.find(self.replica_id, self.incarnation)
-        self._join_at = now + cfg.election_timeout_max if is_member else now
+        self._join_at = now + cfg.election_timeout_max if core.is_member else now
 
     @property
     def replica_id(self) -> str:
@@ -200,14 +162,17 @@
 
     def tick(self, now: timedelta) -> None:
         """Do what is due. To be called several times in a heartbeat interval."""
+        is_stuck = self._outputs.is_stuck(now)
         if self._leadership is not None:
-            if not self._leadership.tick(now):
+            # With a disk that hangs it could confirm nothing, and yet keep others
+            # from leading.
+            if is_stuck or not self._leadership.tick(now):
                 self._follow(now)
             return
-        if now >= self._election_at:
-            self._reset_election(now)
-            if self.is_voter:
-                self._start_pre_vote(now)
+        if self._election.is_due(now):
+            self._election.restart_timer(now)
+            if self.is_voter and not is_stuck and self._election.start_pre_vote():
+                self._win(now)
         if now >= self._join_at:
             self._announce(now)
 
@@ -241,37 +206,20 @@
             members=core.members.at(index),
             data=data,
         )
-        self._unsaved_snapshot = core.snapshot
+        self._outputs.add_snapshot(core.snapshot, is_installed=False)
         core.members.compact(index)
         start = max(core.log.start.index, index - core.cfg.n_trailing_entries)
         core.log.compact(start)
 
-    def take_ready(self) -> Ready:
+    def take_ready(self, now: timedelta) -> Ready:
         """Return what is to be done. At most one save is out at a time."""
         if self._leadership is not None:
             self._leadership.replicate()
-        committed = self._take_committed()
-        messages = self._core.take_messages()
-        if self._is_saving:
-            return Ready(messages=messages, committed=committed)
-        if self._unsaved_snapshot is not None:
-            snapshot = self._unsaved_snapshot
-            self._unsaved_snapshot = None
-            return Ready(
-                messages=messages,
-                committed=committed,
-                save=self._take_rewrite(),
-                snapshot=snapshot,
-                is_installed=self._is_installing,
-            )
-        return Ready(messages=messages, committed=committed, save=self._take_save())
+        return self._outputs.take(now)
 
     def mark_saved(self, now: timedelta) -> None:
         """Note that the save of the last `Ready` that had one is durable."""
-        self._is_saving = False
-        if self._unsaved_snapshot is None:
-            self._is_installing = False
-        self._core.mark_saved()
+        self._outputs.mark_saved()
         if self._leadership is not None:
             self._leadership.advance_commit()
 
@@ -289,35 +237,12 @@
 
     @_handle.register
     def _(self, message: VoteRequest, sender_id: str, now: timedelta) -> None:
-        core = self._core
-        is_refused = self._is_sticky(now) and not message.transfer
-        if is_refused and not message.pre:
-            return
-        if message.term > core.term and not message.pre:
-            self._enter_term(message.term, now)
-        is_newer = message.term > core.term
-        is_granted = (
-            not is_refused
-            and (is_newer or not message.pre)
-            and core.is_log_current(message.last_index, message.last_term)
-        )
         if not message.pre:
-            candidate = (sender_id, message.incarnation)
-            is_granted = (
-                is_granted
-                and message.term == core.term
-                and core.voted_for in (None, candidate)
-            )
-            if is_granted:
-                core.voted_for = candidate
-                self._reset_election(now)
-        reply = VoteReply(
-            term=message.term if is_granted else core.term,
-            incarnation=core.incarnation,
-            granted=is_granted,
-            pre=message.pre,
-        )
-        core.send_synced(sender_id, reply)
+            if self._is_silent(now) and not message.transfer:
+                return
+            if message.term > self.term:
+                self._enter_term(message.term, now)
+        self._election.answer(sender_id, message, now)
 
     @_handle.register
     def _(self, message: VoteReply, sender_id: str, now: timedelta) -> None:
@@ -327,12 +252,8 @@
         if not message.granted:
             if message.term > core.term:
                 self._enter_term(message.term, now)
-            return
-        role, term = CANDIDATE, core.term
-        if message.pre:
-            role, term = PRE_CANDIDATE, core.term + 1
-        if self.role == role and message.term == term:
-            self._count_vote(sender_id, now)
+        elif self._election.count(sender_id, message):
+            self._win(now)
 
     @_handle.register
     def _(self, message: Append, sender_id: str, now: timedelta) -> None:
@@ -365,9 +286,7 @@
         if snapshot is None:
             return
         if install(core, sender_id, message, snapshot):
-            self._unsaved_snapshot = snapshot
-            self._is_installing = True
-            self._handed_index = snapshot.index
+            self._outputs.add_snapshot(snapshot, is_installed=True)
 
     @_handle.register
     def _(self, message: SnapshotReply, sender_id: str, now: timedelta) -> None:
@@ -378,8 +297,10 @@
     def _(self, message: TimeoutNow, sender_id: str, now: timedelta) -> None:
         core = self._core
         is_from_leader = message.term == core.term and sender_id == core.leader_id
-        if is_from_leader and self.is_voter:
-            self._start_election(now, is_transfer=True)
+        if not (is_from_leader and self.is_voter):
+            return
+        if self._election.start(now, is_transfer=True):
+            self._win(now)
 
     @_handle.register
     def _(self, message: JoinRequest, sender_id: str, now: timedelta) -> None:
@@ -399,11 +320,11 @@
         if message.challenge:
             self._send_join_request(sender_id, message.challenge)
 
-    def _is_sticky(self, now: timedelta) -> bool:
+    def _is_silent(self, now: timedelta) -> bool:
         """Return whether a leader may count on this replica not to vote."""
         if self._leadership is not None:
             return self._leadership.has_quorum_lease(now)
-        return now < self._sticky_until
+        return self._election.is_silent(now)
 
     def _is_answer(
         self, message: AppendReply | SnapshotReply, sender_id: str, now: timedelta
@@ -426,12 +347,11 @@
         elif self.role != FOLLOWER:
             self._follow(now)
         core.leader_id = leader_id
-        self._sticky_until = now + core.cfg.election_timeout_min
+        self._election.hear_leader(now)
         # A leader that talks to the incarnation before this one is no reason not to
         # announce this one.
-        if core.members.find(core.replica_id, core.incarnation) is not None:
+        if core.is_member:
             self._join_at = now + core.cfg.election_timeout_max
-        self._reset_election(now)
 
     def _enter_term(self, term: int, now: timedelta) -> None:
         self._core.enter_term(term)
@@ -442,58 +362,16 @@
         if self._leadership is not None:
             self._leadership = None
             self._core.leader_id = ""
-        self._votes.clear()
+        self._election.cancel()
+        self._election.restart_timer(now)
         self._receiver.clear()
         self._role.follow()
         self._join_at = now + self._core.cfg.election_timeout_max
-        self._reset_election(now)
-
-    def _reset_election(self, now: timedelta) -> None:
-        self._election_at = now + self._core.random_timeout()
-
-    def _start_pre_vote(self, now: timedelta) -> None:
-        """Ask whether an election could be won, without disturbing anybody."""
-        self._role.start_pre_vote()
-        self._core.leader_id = ""
-        self._votes.clear()
-        self._request_votes(pre=True)
-        self._count_vote(self.replica_id, now)
 
-    def _start_election(self, now: timedelta, *, is_transfer: bool = False) -> None:
-        """Stand for election in the next term."""
-        core = self._core
-        core.enter_term(core.term + 1)
-        core.voted_for = (core.replica_id, core.incarnation)
-        self._role.start_election()
-        self._votes.clear()
-        self._reset_election(now)
-        self._request_votes(pre=False, is_transfer=is_transfer)
-        self._count_vote(self.replica_id, now)
-
-    def _request_votes(self, *, pre: bool, is_transfer: bool = False) -> None:
-        core = self._core
-        request = VoteRequest(
-            term=core.term + 1 if pre else core.term,
-            incarnation=core.incarnation,
-            last_index=core.log.last_index,
-            last_term=core.log.last_term,
-            pre=pre,
-            transfer=is_transfer,
-        )
-        for member in core.members.voters:
-            if member.replica_id != core.replica_id:
-                core.send_synced(member.replica_id, request)
-
-    def _count_vote(self, voter_id: str, now: timedelta) -> None:
-        self._votes.add(voter_id)
-        if len(self._votes) < self._core.members.quorum:
+    def _win(self, now: timedelta) -> None:
+        """Go on from a won pre-vote to the election, and from that to leading."""
+        if self.role == PRE_CANDIDATE and not self._election.start(now):
             return
-        if self.role == PRE_CANDIDATE:
-            self._start_election(now)
-        else:
-            self._lead(now)
-
-    def _lead(self, now: timedelta) -> None:
         self._role.win_election()
         self._core.leader_id = self.replica_id
         self._leadership = Leadership(self._core, now)
@@ -514,33 +392,3 @@
             challenge=challenge,
         )
         core.send(receiver_id, request)
-
-    def _take_committed(self) -> tuple[LogEntry, ...]:
-        if self._is_installing:
-            return ()
-        core = self._core
-        last = min(core.commit_index, core.log.stable_index)
-        entries = core.log.between(self._handed_index + 1, last)
-        self._handed_index = max(self._handed_index, last)
-        return tuple(entries)
-
-    def _take_save(self) -> Save | None:
-        core = self._core
-        if not (core.log.has_unsaved or core.is_hard_state_dirty):
-            return None
-        self._is_saving = True
-        truncate_from, entries = core.log.take_unsaved(None if core.cfg.batching else 1)
-        return Save(
-            hard_state=core.take_hard_state(always=False),
-            truncate_from=truncate_from,
-            entries=tuple(entries),
-        )
-
-    def _take_rewrite(self) -> Save:
-        core = self._core
-        self._is_saving = True
-        return Save(
-            hard_state=core.take_hard_state(always=True),
-            entries=tuple(core.log.take_all()),
-            log_start=core.log.start,
-        )
--- a/src/redwingslip/consensus/_replica.py
+++ b/src/redwingslip/consensus/_replica.py
@@ -16,7 +16,8 @@
 from ._folder import DataFolder
 from ._founding import FoundingRound
 from ._messages import ConsensusMessage, EntryKind, LogEntry, Member
-from ._node import RaftNode, Ready
+from ._node import RaftNode
+from ._ready import Ready
 from ._records import StoredState
 from ._settings import ConsensusSettings
 from .exceptions import (
@@ -329,7 +330,7 @@
         self._node.tick(now)
         if self._saving is not None and self._saving.done():
             self._finish_save()
-        ready = self._node.take_ready()
+        ready = self._node.take_ready(now)
         self._send_all(ready.messages)
         for entry in ready.committed:
             self._apply(entry)
--- a/src/redwingslip/consensus/_settings.py
+++ b/src/redwingslip/consensus/_settings.py
@@ -19,6 +19,8 @@
         Time between the leader's heartbeats.
     clock_rate_margin : float
         Part of the lease that is given up for clocks of unequal rate.
+    disk_timeout : timedelta
+        A leader whose disk takes longer for one step gives up.
     snapshot_every : int
         Entries between two snapshots.
     n_trailing_entries : int
@@ -37,6 +39,7 @@
     election_timeout_max: timedelta = timedelta(milliseconds=1200)
     heartbeat_interval: timedelta = timedelta(milliseconds=150)
     clock_rate_margin: float = 0.05
+    disk_timeout: timedelta = timedelta(seconds=2)
     snapshot_every: int = 4_000
     n_trailing_entries: int = 500
     batching: bool = True
--- a/tests/_consensus_cluster.py
+++ b/tests/_consensus_cluster.py
@@ -146,6 +146,12 @@
         process.node = None
         process.unsaved = None
 
+    def isolate(self, process):
+        """Cut a process off from all others."""
+        for other in self.processes:
+            self.cuts.add((process.replica_id, other))
+            self.cuts.add((other, process.replica_id))
+
     def may_lose_disk(self, process):
         """Return whether the promise covers losing this disk now."""
         return not (self.lost - {process.replica_id})
@@ -170,7 +176,7 @@
 
     def pump(self, process):
         """Do what a node asks for, but for the save."""
-        ready = process.node.take_ready()
+        ready = process.node.take_ready(self.clock(process))
         for receiver_id, message in ready.messages:
             if (process.replica_id, receiver_id) in self.cuts:
                 continue
--- a/tests/test_consensus_node.py
+++ b/tests/test_consensus_node.py
@@ -65,7 +65,7 @@
         """Let the disk do all it is asked for; return the messages sent meanwhile."""
         messages = []
         while True:
-            ready = self.node.take_ready()
+            ready = self.node.take_ready(self.now)
             messages.extend(ready.messages)
             if ready.save is None:
                 return messages
@@ -135,7 +135,7 @@
         """An acknowledgement waits until the entries are on disk."""
         self.make_node(term=1)
         self.append(1, [entry(1, 1)])
-        ready = self.node.take_ready()
+        ready = self.node.take_ready(self.now)
         self.assertEqual(self.of_type(ready.messages, AppendReply), [])
         self.assertEqual(ready.save.entries, (entry(1, 1),))
         self.node.mark_saved(self.now)
@@ -146,10 +146,10 @@
         """A sync that began before an entry came does not cover it."""
         self.make_node()
         self.append(1, [entry(1, 1)])
-        self.node.take_ready()
+        self.node.take_ready(self.now)
         self.append(1, [entry(2, 1)], prev=(1, 1))
         self.node.mark_saved(self.now)
-        replies = self.of_type(self.node.take_ready().messages, AppendReply)
+        replies = self.of_type(self.node.take_ready(self.now).messages, AppendReply)
         self.assertEqual([reply.match_index for reply in replies], [1])
 
     def test_vote_is_given_after_the_sync(self):
@@ -157,7 +157,7 @@
         self.make_node()
         self.pass_time(AFTER_SILENCE)
         self.vote_request("b", 1)
-        ready = self.node.take_ready()
+        ready = self.node.take_ready(self.now)
         self.assertEqual(self.of_type(ready.messages, VoteReply), [])
         self.assertEqual(ready.save.hard_state.voted_for, ("b", "b.0"))
         self.node.mark_saved(self.now)
@@ -170,7 +170,7 @@
         self.elect()
         self.ack("b", 1)
         written = self.node.propose(b"x")
-        self.node.take_ready()
+        self.node.take_ready(self.now)
         self.ack("b", written.index)
         self.assertEqual(self.node.commit_index, 1)
         self.node.mark_saved(self.now)
@@ -180,7 +180,7 @@
         """What a new leader replaced during the sync is not acknowledged."""
         self.make_node()
         self.append(1, [entry(1, 1), entry(2, 1)])
-        self.node.take_ready()
+        self.node.take_ready(self.now)
         self.append(2, [entry(1, 2), entry(2, 2)])
         self.node.mark_saved(self.now)
         replies = self.of_type(self.sync(), AppendReply)
@@ -190,9 +190,9 @@
         """A committed entry is applied once it is on the own disk."""
         self.make_node()
         self.append(1, [entry(1, 1)], commit=1)
-        self.assertEqual(self.node.take_ready().committed, ())
+        self.assertEqual(self.node.take_ready(self.now).committed, ())
         self.node.mark_saved(self.now)
-        self.assertEqual(self.node.take_ready().committed, (entry(1, 1),))
+        self.assertEqual(self.node.take_ready(self.now).committed, (entry(1, 1),))
 
 
 class TestVotes(NodeTestCase):
@@ -323,6 +323,25 @@
         self.pass_time(CFG.election_timeout_max)
         self.assertFalse(self.node.is_leader)
 
+    def test_steps_down_when_its_disk_hangs(self):
+        """A leader whose disk hangs gives up, although it hears its followers."""
+        self.make_node()
+        self.elect()
+        self.ack("b", 1)
+        self.node.propose(b"x")
+        self.node.take_ready(self.now)
+        since = self.now
+        while self.now < since + CFG.disk_timeout:
+            self.assertTrue(self.node.is_leader)
+            self.pass_time(CFG.heartbeat_interval)
+            for message in self.of_type(self.send_without_disk(), Append):
+                self.ack("b", 1, round_=message.round)
+        self.assertFalse(self.node.is_leader)
+
+    def send_without_disk(self):
+        """Return what is sent while the disk does nothing."""
+        return self.node.take_ready(self.now).messages
+
     def test_transfer_ends_the_lease(self):
         """Who hands over has no lease and takes no proposals."""
         self.make_node()
--- a/tests/test_consensus_safety.py
+++ b/tests/test_consensus_safety.py
@@ -74,10 +74,7 @@
     @rule(who=WHO)
     def isolate(self, who):
         """Cut a replica off from all others."""
-        replica_id = self.cluster.pick(who).replica_id
-        for other in self.cluster.processes:
-            self.cluster.cuts.add((replica_id, other))
-            self.cluster.cuts.add((other, replica_id))
+        self.cluster.isolate(self.cluster.pick(who))
 
     @rule()
     def heal_links(self):
@@ -98,13 +95,30 @@
         if not stay_down:
             self.cluster.start(process)
 
-    @rule(n_steps=st.integers(0, 9))
-    def power_cut(self, n_steps):
-        """End and restart all processes at once."""
+    @rule(ms=st.integers(400, 700), restart=st.booleans())
+    def hide_leader(self, ms, restart):
+        """Let one member miss the leader while another one hears it."""
+        leader, blind, voter = (self.cluster.pick(who) for who in ["leader", 0, 1])
+        self.cluster.cuts.add((leader.replica_id, blind.replica_id))
+        self.cluster.run(ms * MILLISECOND)
+        if restart:
+            self.cluster.kill(voter)
+            self.cluster.start(voter)
+        self.cluster.run(1500 * MILLISECOND)
+
+    @rule(n_proposals=st.integers(0, 3), n_steps=st.integers(0, 9), apart=st.booleans())
+    def power_cut(self, n_proposals, n_steps, apart):
+        """End and restart all processes at once, the leader perhaps cut off after."""
+        leader = self.cluster.pick("leader")
+        self.propose(n_proposals)
+        self.cluster.run(50 * MILLISECOND)
         for process in self.cluster.processes.values():
             self.cluster.kill(process, n_steps)
         for process in self.cluster.processes.values():
             self.cluster.start(process)
+        if apart:
+            self.cluster.isolate(leader)
+            self.cluster.run(2500 * MILLISECOND)
 
     @rule(who=WHO)
     def lose_disk(self, who):
