Split the driver's proposals and reports from its task

Change: Proposals and Reporter; an event ends the wait; a replaced proposal is lost. 'Every member is whole' is an event. The fuzzer loses a second disk right after the repair of the first was reported.

--- a/src/redwingslip/consensus/__init__.py
+++ b/src/redwingslip/consensus/__init__.py
@@ -3,12 +3,13 @@
 from ._core import Envelope
 from ._folder import DataFolder, found_data_folder
 from ._founding import FoundingRound
+from ._machine import StateMachine
 from ._messages import *  # noqa: F403
 from ._messages import __all__ as _messages_all
 from ._node import RaftNode
 from ._ready import Ready
 from ._records import HardState, Identity, LogStart, Save, Snapshot, StoredState
-from ._replica import Replica, StateMachine
+from ._replica import Replica
 from ._settings import ConsensusSettings
 from .exceptions import (
     ConsensusError,
--- /dev/null
+++ b/src/redwingslip/consensus/_proposals.py
@@ -0,0 +1,57 @@
+"""The proposals of a leader whose outcome is open."""
+
+import asyncio
+
+import msgspec
+
+from ._messages import LogEntry
+from .exceptions import ProposalLostError
+
+__all__ = ["Proposals"]
+
+
+class _Proposal(msgspec.Struct, frozen=True):
+    """A proposal and who waits for it."""
+
+    term: int
+    fut: asyncio.Future
+
+
+class Proposals:
+    """Proposals by the index of their entry."""
+
+    __slots__ = ("_by_index",)
+
+    def __init__(self) -> None:
+        self._by_index: dict[int, _Proposal] = {}
+
+    def add(self, entry: LogEntry) -> asyncio.Future:
+        """Return what gets the outcome of an entry."""
+        replaced = self._by_index.get(entry.index)
+        if replaced is not None:
+            _lose(replaced)
+        fut = asyncio.get_running_loop().create_future()
+        self._by_index[entry.index] = _Proposal(entry.term, fut)
+        return fut
+
+    def settle(self, entry: LogEntry, outcome: object) -> None:
+        """Answer the proposal of an applied entry, if there is one."""
+        proposal = self._by_index.pop(entry.index, None)
+        if proposal is None:
+            return
+        if proposal.term != entry.term:
+            _lose(proposal)
+        elif not proposal.fut.done():
+            proposal.fut.set_result(outcome)
+
+    def lose_all(self) -> None:
+        """Say of all that their outcome is unknown."""
+        for proposal in self._by_index.values():
+            _lose(proposal)
+        self._by_index.clear()
+
+
+def _lose(proposal: _Proposal) -> None:
+    if not proposal.fut.done():
+        error = ProposalLostError("leadership was lost before the outcome was known")
+        proposal.fut.set_exception(error)
--- a/src/redwingslip/consensus/_replica.py
+++ b/src/redwingslip/consensus/_replica.py
@@ -6,55 +6,29 @@
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 from pathlib import Path
-from typing import Protocol
 
 import msgspec
 
 from ..clock import Clock
-from ..observe._events import Event, EventName, EventSink
+from ..observe._events import EventSink
 from ..storage import FileSystem, StorageError
 from ._folder import DataFolder
 from ._founding import FoundingRound
+from ._machine import StateMachine
 from ._messages import ConsensusMessage, EntryKind, LogEntry, Member
 from ._node import RaftNode
+from ._proposals import Proposals
 from ._ready import Ready
 from ._records import StoredState
+from ._reporter import Reporter
 from ._settings import ConsensusSettings
-from .exceptions import (
-    ConsensusError,
-    NotLeaderError,
-    ProposalLostError,
-    ReplicaFailedError,
-)
+from .exceptions import ConsensusError, NotLeaderError, ReplicaFailedError
 
-__all__ = ["Replica", "StateMachine"]
+__all__ = ["Replica"]
 
 N_TICKS_PER_HEARTBEAT = 3
 
 
-class StateMachine(Protocol):
-    """What is replicated. It is called from the event loop only."""
-
-    def apply(self, index: int, data: bytes) -> object:
-        """Apply a command and return its outcome, the same on every replica."""
-
-    def skip(self, index: int) -> None:
-        """Note an entry that holds no command."""
-
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
-
-    def restore(self, index: int, data: bytes) -> None:
-        """Take over a state that `snapshot` returned after the entry `index`."""
-
-
-class _Proposal(msgspec.Struct, frozen=True):
-    """A proposal of this leader whose outcome is open."""
-
-    term: int
-    fut: asyncio.Future
-
-
 class Replica:
     """A member of the replicated log, from its data folder to its state machine.
 
@@ -87,9 +61,6 @@
     ----------
     applied_index : int
         The last entry that the state machine has.
-    on_leadership : callable or None
-        Called with True once this replica leads and its state is current, and with
-        False once it no longer leads.
     """
 
     __slots__ = (
@@ -97,17 +68,17 @@
         "_cfg",
         "_clock",
         "_disk",
-        "_events",
         "_failure",
         "_folder",
         "_founding",
-        "_is_announced",
+        "_handed_over",
         "_is_stopping",
         "_machine",
         "_node",
         "_peers",
         "_proposals",
         "_replica_id",
+        "_reporter",
         "_rng",
         "_save",
         "_saving",
@@ -115,10 +86,8 @@
         "_snapshot_at",
         "_stored",
         "_task",
-        "_term_led",
         "_wake",
         "applied_index",
-        "on_leadership",
     )
 
     def __init__(
@@ -145,23 +114,33 @@
         self._send = send
         self._clock = clock
         self._rng = rng
-        self._events = events
+        self._reporter = Reporter(replica_id, events)
         self._disk = ThreadPoolExecutor(1, thread_name_prefix="disk")
         self._founding: FoundingRound | None = None
         self._node: RaftNode | None = None
         self._stored: StoredState | None = None
         self._save: Ready | None = None
         self._saving: asyncio.Future | None = None
-        self._proposals: dict[int, _Proposal] = {}
+        self._proposals = Proposals()
         self._snapshot_at = 0
-        self._is_announced = False
-        self._term_led = 0
         self._is_stopping = False
         self._failure: Exception | None = None
         self._task: asyncio.Task | None = None
         self._wake = asyncio.Event()
+        self._handed_over = asyncio.Event()
         self.applied_index = 0
-        self.on_leadership: Callable[[bool], None] | None = None
+
+    @property
+    def on_leadership(self) -> Callable[[bool], None] | None:
+        """Return what is called when leadership begins (True) and ends (False).
+
+        It begins when the state machine holds everything that was committed before.
+        """
+        return self._reporter.on_leadership
+
+    @on_leadership.setter
+    def on_leadership(self, callback: Callable[[bool], None] | None) -> None:
+        self._reporter.on_leadership = callback
 
     @property
     def is_leader(self) -> bool:
@@ -243,10 +222,11 @@
 
     async def stop(self) -> None:
         """Hand leadership over and stop."""
-        if self._node is not None and self._failure is None:
-            self._node.transfer_leadership(self._clock.monotonic())
-            self._wake.set()
-            await self._lose_leadership()
+        if self._node is not None:
+            self._handed_over.clear()
+            if self._node.transfer_leadership(self._clock.monotonic()):
+                self._wake.set()
+                await self._handed_over.wait()
         self._is_stopping = True
         self._wake.set()
         if self._task is not None:
@@ -288,11 +268,9 @@
         ProposalLostError
             If leadership was lost first; the command may be committed or not.
         """
-        if self._node is None or self._failure is not None or self._is_stopping:
+        if self._node is None or self._is_stopping:
             raise NotLeaderError("")
-        entry = self._node.propose(data)
-        fut = asyncio.get_running_loop().create_future()
-        self._proposals[entry.index] = _Proposal(entry.term, fut)
+        fut = self._proposals.add(self._node.propose(data))
         self._wake.set()
         return await fut
 
@@ -334,7 +312,9 @@
         self._send_all(ready.messages)
         for entry in ready.committed:
             self._apply(entry)
-        self._follow_leadership()
+        if self._reporter.has_ended(self._node):
+            self._end_leadership()
+        self._reporter.follow(self._node, self.applied_index)
         if ready.save is not None:
             self._start_save(ready)
         elif self.applied_index >= self._snapshot_at + self._cfg.snapshot_every:
@@ -405,79 +385,29 @@
             self._machine.skip(entry.index)
             outcome = None
             if entry.kind is EntryKind.MEMBERSHIP:
-                self._emit(EventName.MEMBER_CHANGED, index=entry.index)
+                self._reporter.change_members(entry.index)
         self.applied_index = entry.index
-        proposal = self._proposals.pop(entry.index, None)
-        if proposal is None or proposal.fut.done():
-            return
-        if proposal.term == entry.term:
-            proposal.fut.set_result(outcome)
-        else:
-            proposal.fut.set_exception(_lost())
-
-    def _follow_leadership(self) -> None:
-        """Report the beginning and the end of this replica's leadership."""
-        if not self.is_leader or self._term_led not in (0, self.term):
-            self._end_leadership()
-        if not self.is_leader:
-            return
-        if not self._term_led:
-            self._term_led = self.term
-            self._emit(EventName.LEADER_ELECTED)
-        if self._is_announced:
-            return
-        if self.applied_index >= self._node.first_index_of_term:
-            self._is_announced = True
-            self._call_on_leadership(True)
+        self._proposals.settle(entry, outcome)
 
     def _end_leadership(self) -> None:
-        for proposal in self._proposals.values():
-            if not proposal.fut.done():
-                proposal.fut.set_exception(_lost())
-        self._proposals.clear()
-        if self._term_led:
-            self._term_led = 0
-            self._emit(EventName.LEADER_STEPPED_DOWN)
-        if self._is_announced:
-            self._is_announced = False
-            self._call_on_leadership(False)
-
-    def _call_on_leadership(self, is_leader: bool) -> None:
-        if self.on_leadership is not None:
-            self.on_leadership(is_leader)
-
-    def _emit(self, name: EventName, *, index: int = 0, detail: str = "") -> None:
-        event = Event(
-            name=name,
-            peer=self._replica_id,
-            index=index,
-            term=self.term,
-            detail=detail,
-        )
-        self._events.emit(event)
+        self._handed_over.set()
+        self._proposals.lose_all()
+        self._reporter.end()
 
     def _fail(self, exc: Exception) -> None:
         """Stop for good. Nothing is sent or acknowledged from here on."""
         if self._failure is None:
             self._failure = exc
-            self._emit(EventName.WARNING, detail=f"replica failed: {exc}")
+            self._reporter.fail(exc)
+        self._node = None
         self._wake.set()
 
-    async def _lose_leadership(self) -> None:
-        """Wait until another replica leads, or until nobody can take over."""
-        tick = self._cfg.heartbeat_interval / N_TICKS_PER_HEARTBEAT
-        while self.is_leader and self._node.is_transferring:
-            if self._failure is not None:
-                return
-            await asyncio.sleep(tick.total_seconds())
-
     async def _close(self) -> None:
         if self._saving is not None:
             await asyncio.wait([self._saving])
         self._node = None
-        self._end_leadership()
+        try:
+            self._end_leadership()
+        except Exception as exc:
+            self._fail(exc)
         self._folder.close()
-
-
-def _lost() -> ProposalLostError:
-    return ProposalLostError("leadership was lost before the outcome was known")
--- /dev/null
+++ b/src/redwingslip/consensus/_reporter.py
@@ -0,0 +1,101 @@
+"""Reports of a replica's leadership and members."""
+
+from collections.abc import Callable
+
+from ..observe._events import Event, EventName, EventSink
+from ._node import RaftNode
+
+__all__ = ["Reporter"]
+
+
+class Reporter:
+    """Turns what it sees of a node into events and calls, each change once.
+
+    Parameters
+    ----------
+    replica_id : str
+        The replica.
+    events : EventSink
+        Takes the events.
+
+    Attributes
+    ----------
+    on_leadership : callable or None
+        Called with True once the replica leads and its state is current, and with
+        False once it no longer leads.
+    """
+
+    __slots__ = (
+        "_events",
+        "_has_unrepaired",
+        "_is_announced",
+        "_replica_id",
+        "_term",
+        "on_leadership",
+    )
+
+    def __init__(self, replica_id: str, events: EventSink) -> None:
+        self._replica_id = replica_id
+        self._events = events
+        self._term = 0
+        self._is_announced = False
+        self._has_unrepaired = False
+        self.on_leadership: Callable[[bool], None] | None = None
+
+    def has_ended(self, node: RaftNode) -> bool:
+        """Return whether the leadership reported last, or any, is over."""
+        return not node.is_leader or self._term not in (0, node.term)
+
+    def follow(self, node: RaftNode, applied_index: int) -> None:
+        """Report the beginning of leadership, and that all members are whole."""
+        if not node.is_leader:
+            return
+        if not self._term:
+            self._term = node.term
+            self._emit(EventName.LEADER_ELECTED)
+        is_current = applied_index >= node.first_index_of_term
+        if is_current and not self._is_announced:
+            self._is_announced = True
+            self._call(True)
+        if self._has_unrepaired and self._is_whole(node):
+            self._has_unrepaired = False
+            detail = "every member votes and holds what was committed"
+            self._emit(EventName.MEMBER_CHANGED, detail=detail)
+
+    def end(self) -> None:
+        """Report the end of leadership, if its beginning was."""
+        if self._term:
+            self._emit(EventName.LEADER_STEPPED_DOWN)
+            self._term = 0
+        if self._is_announced:
+            self._is_announced = False
+            self._call(False)
+
+    def change_members(self, index: int) -> None:
+        """Report a committed change of members."""
+        self._has_unrepaired = True
+        self._emit(EventName.MEMBER_CHANGED, index=index)
+
+    def fail(self, exc: Exception) -> None:
+        """Report why the replica stops."""
+        self._emit(EventName.WARNING, detail=f"replica failed: {exc}")
+
+    def _is_whole(self, node: RaftNode) -> bool:
+        return all(
+            node.is_repaired(member.replica_id, member.incarnation)
+            for member in node.members
+        )
+
+    def _call(self, is_leader: bool) -> None:
+        if self.on_leadership is not None:
+            self.on_leadership(is_leader)
+
+    def _emit(self, name: EventName, *, index: int = 0, detail: str = "") -> None:
+        event = Event(
+            name=name,
+            peer=self._replica_id,
+            index=index,
+            term=self._term,
+            detail=detail,
+        )
+        self._events.emit(event)
--- a/tests/test_consensus_safety.py
+++ b/tests/test_consensus_safety.py
@@ -128,6 +128,16 @@
             self.cluster.lose_disk(process)
             self.cluster.start(process)
 
+    @rule(first=WHO, second=WHO, n_proposals=st.integers(0, 5))
+    def lose_two_disks(self, first, second, n_proposals):
+        """Lose a disk, and right after the repair is reported another one."""
+        for who in (first, second):
+            self.propose(n_proposals)
+            self.lose_disk(who)
+            self.cluster.heal()
+            whole = timedelta(seconds=20)
+            self.cluster.run(whole, until=lambda: not self.cluster.lost)
+
     @rule(who=WHO)
     def freeze(self, who):
         """Stop a process's work, or let it go on."""
