--- a/tests/test_consensus_safety.py
+++ b/tests/test_consensus_safety.py
@@ -97,13 +97,14 @@
 
     @rule(ms=st.integers(400, 700), restart=st.booleans())
     def hide_leader(self, ms, restart):
-        """Let one member miss the leader while another one hears it."""
+        """Hide the leader from one member, and from the other after its restart."""
         leader, blind, voter = (self.cluster.pick(who) for who in ["leader", 0, 1])
         self.cluster.cuts.add((leader.replica_id, blind.replica_id))
         self.cluster.run(ms * MILLISECOND)
         if restart:
             self.cluster.kill(voter)
             self.cluster.start(voter)
+            self.cluster.cuts.add((leader.replica_id, voter.replica_id))
         self.cluster.run(1500 * MILLISECOND)
 
     @rule(n_proposals=st.integers(0, 3), n_steps=st.integers(0, 9), apart=st.booleans())
