Order by slots in use, set late work aside, and compare the policies

Change: teams are ordered by slots in use for their share; batch waits for 20 s at most behind urgent work instead of taking each ninth grant; urgent work that is likely to be late goes last. The experiments feed one recorded arrival list to each policy.

--- /dev/null
+++ b/scripts/measure_decisions.py
@@ -0,0 +1,231 @@
+"""Measure what one decision costs as the fleet grows, and fit a line.
+
+A decision of a dispatcher is a request that comes, is granted and ends. A decision of
+the planner is one pool's changed demand. Each is timed in a fleet of every size, with
+every team waiting in the pool that is measured.
+"""
+
+import argparse
+import itertools
+import statistics
+import time
+from datetime import timedelta
+from random import Random
+
+import msgspec
+
+from redwingslip.dispatch import Dispatcher, DispatchSettings, Granted
+from redwingslip.fleet import (
+    AssignDispatcher,
+    FleetState,
+    PoolSpec,
+    PutResource,
+    QueueSpec,
+    RegisterEntry,
+    TeamSpec,
+    VmSpec,
+)
+from redwingslip.peers import (
+    EndpointReport,
+    PermitDone,
+    PermitRequest,
+    PoolDemand,
+    RunResult,
+    TeamDemand,
+)
+from redwingslip.quota import AllotmentPlanner, QuotaSettings
+
+N_WORKERS = 680
+N_POOLS = 108
+N_TEAMS = 90
+SCALES = (0.125, 0.25, 0.5, 1.0, 2.0)
+MILLISECOND = timedelta(milliseconds=1)
+FOREVER = timedelta(days=365)
+
+
+class Size(msgspec.Struct, frozen=True, kw_only=True):
+    """The size of a fleet."""
+
+    n_workers: int
+    n_pools: int
+    n_teams: int
+
+
+class Fleet:
+    """A declared fleet, every pool with a dispatcher's lease."""
+
+    def __init__(self, size: Size, *, limit: int | None) -> None:
+        self.size = size
+        self.state = FleetState()
+        self.index = 0
+        self.apply(RegisterEntry(entry_id="n", incarnation="1", address=""))
+        for number in range(size.n_teams):
+            self.apply(PutResource(name=f"t{number}", spec=TeamSpec(limit=limit)))
+        for number in range(size.n_pools):
+            self.apply(PutResource(name=f"p{number}", spec=PoolSpec()))
+        self.apply(PutResource(name="q", spec=QueueSpec(pool="p0", service="s")))
+        for number in range(size.n_workers):
+            spec = VmSpec(pool=f"p{number % size.n_pools}", data_centre="d")
+            self.apply(PutResource(name=f"v{number}", spec=spec))
+        self.epochs = {}
+        for number in range(size.n_pools):
+            pool = f"p{number}"
+            self.apply(AssignDispatcher(pool=pool, entry_id="n", incarnation="1"))
+            self.epochs[pool] = self.index
+
+    def apply(self, command) -> None:
+        """Apply a command."""
+        self.index += 1
+        self.state.apply(self.index, command)
+
+
+def make_dispatcher(fleet: Fleet) -> Dispatcher:
+    """Return the dispatcher of the first pool, all its endpoints confirmed."""
+    dispatcher = Dispatcher(
+        pool="p0",
+        epoch=fleet.epochs["p0"],
+        cfg=DispatchSettings(),
+        view=fleet.state.view,
+        rng=Random(1),
+    )
+    dispatcher.lease_until(FOREVER)
+    for vm in fleet.state.view.vms_of("p0"):
+        report = EndpointReport(
+            endpoint_id=vm.name,
+            incarnation="1",
+            service="s",
+            address="",
+            vm=vm.name,
+            slots=8,
+            leaving=False,
+            clock=MILLISECOND,
+            fencing_token=fleet.state.view.fencing_token(vm.name),
+        )
+        dispatcher.report(report, timedelta(0))
+    return dispatcher
+
+
+def time_dispatcher(fleet: Fleet, n_decisions: int) -> float:
+    """Return microseconds for each request that comes, is granted and ends."""
+    dispatcher = make_dispatcher(fleet)
+    numbers = itertools.count()
+    now = timedelta(0)
+
+    def request() -> None:
+        number = next(numbers)
+        msg = PermitRequest(
+            request_id=str(number),
+            entry_id="n",
+            pool="p0",
+            queue="q",
+            service="s",
+            team=f"t{number % fleet.size.n_teams}",
+            urgent=True,
+            deadline=timedelta(hours=1),
+            max_run=timedelta(seconds=30),
+        )
+        dispatcher.request(msg, now)
+
+    for _ in range(dispatcher.n_slots + 2 * fleet.size.n_teams):
+        request()
+    permits = [o for o in dispatcher.take_outputs() if isinstance(o, Granted)]
+    permits = [output.permit for output in permits]
+    # A manual clock that stands still keeps the rate-limited demand out of the sum.
+    begin = time.perf_counter()
+    for _ in range(n_decisions):
+        permit = permits.pop(0)
+        done = PermitDone(
+            permit_id=permit.permit_id,
+            request_id=permit.request_id,
+            pool="p0",
+            endpoint_id=permit.endpoint_id,
+            result=RunResult.COMPLETED,
+            run_time=MILLISECOND,
+        )
+        dispatcher.done(done, now)
+        request()
+        for output in dispatcher.take_outputs():
+            if isinstance(output, Granted):
+                permits.append(output.permit)
+    return (time.perf_counter() - begin) / n_decisions * 1e6
+
+
+def time_planner(fleet: Fleet, n_decisions: int) -> float:
+    """Return microseconds for each demand in which one team has changed."""
+    planner = AllotmentPlanner(cfg=QuotaSettings(), view=fleet.state.view)
+    planner.in_force(fleet.index, timedelta(0))
+    now = timedelta(seconds=10)
+    rng = Random(1)
+    for pool in fleet.epochs:
+        planner.demand(_demand(fleet, pool, rng.randrange(20)), now)
+    for output in planner.take_outputs():
+        if hasattr(output, "command"):
+            fleet.apply(output.command)
+    planner.view_changed(now)
+    planner.take_outputs()
+    pools = list(fleet.epochs)
+    messages = [
+        _demand(fleet, pools[n % len(pools)], rng.randrange(20))
+        for n in range(n_decisions)
+    ]
+    begin = time.perf_counter()
+    for message in messages:
+        planner.demand(message, now)
+        planner.take_outputs()
+    return (time.perf_counter() - begin) / n_decisions * 1e6
+
+
+def _demand(fleet: Fleet, pool: str, n_waiting: int) -> PoolDemand:
+    team = TeamDemand(team="t0", n_running=2, n_waiting=n_waiting)
+    return PoolDemand(
+        pool=pool, epoch=fleet.epochs[pool], teams=(team,), n_slots=48, n_idle=0
+    )
+
+
+def print_fit(label: str, sizes: list[int], costs: list[float]) -> None:
+    """Print the costs and the line through them."""
+    slope, intercept = statistics.linear_regression(sizes, costs)
+    growth = slope * (sizes[-1] - sizes[0])
+    print(f"\n{label}")
+    for size, cost in zip(sizes, costs, strict=True):
+        print(f"  {size:6d}  {cost:8.1f} us")
+    print(f"  fit: {intercept:.1f} us + {slope * 1000:.2f} us for each 1000;")
+    print(f"  {growth:+.1f} us from the smallest to the largest size")
+
+
+def scale(factor: float, *, n_pools: int | None = None) -> Size:
+    """Return the letter's size times a factor."""
+    return Size(
+        n_workers=int(N_WORKERS * factor),
+        n_pools=n_pools or max(int(N_POOLS * factor), 1),
+        n_teams=max(int(N_TEAMS * factor), 1),
+    )
+
+
+def main() -> None:
+    """Time every size."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--decisions", type=int, default=20_000)
+    parser.add_argument("--repeats", type=int, default=3)
+    args = parser.parse_args()
+
+    def best(timed, size: Size, limit: int | None) -> float:
+        return min(
+            timed(Fleet(size, limit=limit), args.decisions) for _ in range(args.repeats)
+        )
+
+    sizes = [scale(factor) for factor in SCALES]
+    costs = [best(time_dispatcher, size, None) for size in sizes]
+    workers = [size.n_workers for size in sizes]
+    print_fit("dispatcher, all grows: by workers", workers, costs)
+    sizes = [scale(factor, n_pools=1) for factor in SCALES]
+    costs = [best(time_dispatcher, size, None) for size in sizes]
+    print_fit("dispatcher, one pool holds all: by workers", workers, costs)
+    sizes = [scale(factor) for factor in SCALES]
+    costs = [best(time_planner, size, 500) for size in sizes]
+    pools = [size.n_pools for size in sizes]
+    print_fit("planner, one team in every pool: by pools", pools, costs)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/scripts/measure_policy.py
@@ -0,0 +1,75 @@
+"""Compare the policies on the arrival lists of the sites and print a table."""
+
+import argparse
+import pathlib
+
+import msgspec
+
+from redwingslip.experiments import (
+    POLICIES,
+    ExperimentSpec,
+    Measures,
+    most_timely,
+    read_experiment,
+    record_arrivals,
+    run_experiment,
+)
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+EXPERIMENTS = ROOT / "examples" / "experiments"
+
+HEADER = (
+    "| policy | timely | of bound | refused | late runs | share nearness "
+    "| buffer cost | wait p50/p95/p99 s | longest batch wait s |"
+)
+
+
+def format_row(measures: Measures) -> str:
+    """Return a row of the table."""
+    share = measures.share_nearness
+    waits = "/".join(f"{seconds:.2f}" for seconds in measures.wait_s.values())
+    cells = [
+        measures.policy,
+        f"{measures.n_timely} of {measures.n_requests}",
+        f"{measures.n_timely / measures.n_bound:.3f}",
+        str(measures.n_refused),
+        str(measures.n_wasted),
+        "none full" if share is None else f"{share:.3f} ({measures.n_full_windows})",
+        f"{measures.buffer_cost:.3f}",
+        waits,
+        f"{measures.longest_batch_wait.total_seconds():.1f}",
+    ]
+    return "| " + " | ".join(cells) + " |"
+
+
+def print_site(spec: ExperimentSpec) -> None:
+    """Run every policy on one site's list."""
+    arrivals = record_arrivals(spec)
+    n_bound = most_timely(arrivals, spec.n_slots_total)
+    print(f"\n{spec.site}: {len(arrivals)} requests, {spec.n_slots_total} slots, ")
+    print(f"utilisation {spec.utilisation}, seed {spec.seed}, bound {n_bound}\n")
+    print(HEADER)
+    print("|---" * HEADER.count("|", 1) + "|")
+    for policy in POLICIES:
+        measures = run_experiment(spec, arrivals, policy=policy, n_bound=n_bound)
+        print(format_row(measures), flush=True)
+
+
+def main() -> None:
+    """Print the tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("files", nargs="*", type=pathlib.Path)
+    parser.add_argument("--seed", type=int, help="another arrival list")
+    parser.add_argument("--utilisation", type=float, help="another mean demand")
+    args = parser.parse_args()
+    for path in args.files or sorted(EXPERIMENTS.glob("*.ini")):
+        spec = read_experiment(path)
+        if args.seed is not None:
+            spec = msgspec.structs.replace(spec, seed=args.seed)
+        if args.utilisation is not None:
+            spec = msgspec.structs.replace(spec, utilisation=args.utilisation)
+        print_site(spec)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/redwingslip/dispatch/_dispatcher.py
+++ b/src/redwingslip/dispatch/_dispatcher.py
@@ -482,7 +482,7 @@
             return
         self._scheduler.readmit()
         while True:
-            item = self._scheduler.next(self._has_room)
+            item = self._scheduler.next(self._has_room, now)
             if item is None:
                 return
             if self._scheduler.is_too_late(item, now):
--- a/src/redwingslip/dispatch/_lanes.py
+++ b/src/redwingslip/dispatch/_lanes.py
@@ -2,10 +2,11 @@
 
 import heapq
 from collections.abc import Callable
+from datetime import timedelta
 
 from ._policy import Policy
 from ._queue import Shape, TeamQueue
-from ._teams import TeamState
+from ._teams import TeamKey, TeamState
 
 __all__ = ["Lane"]
 
@@ -23,8 +24,8 @@
         self.shape = shape
         self.n_waiting = 0
         self._policy = policy
-        self._heap: list[tuple[float, str, TeamState]] = []
-        self._keys: dict[str, float] = {}
+        self._heap: list[tuple[TeamKey, str, TeamState]] = []
+        self._keys: dict[str, TeamKey] = {}
 
     def offer(self, team: TeamState) -> None:
         """Put a team that waits here in its place."""
@@ -46,8 +47,8 @@
             self.offer(team)
 
     def next_team(
-        self, is_blocked: Callable[[TeamState], bool]
-    ) -> tuple[float, TeamState] | None:
+        self, is_blocked: Callable[[TeamState], bool], now: timedelta
+    ) -> tuple[TeamKey, TeamState] | None:
         """Return the key and the team that goes next, or None.
 
         A team that is blocked is parked and leaves the lane until it is offered again.
@@ -59,7 +60,7 @@
                 heapq.heappop(heap)
                 continue
             queue = team.queues.get(self.shape)
-            if queue is None or queue.head() is None:
+            if queue is None or queue.head(now) is None:
                 self._drop_first(name)
                 continue
             if is_blocked(team):
--- a/src/redwingslip/dispatch/_learning.py
+++ b/src/redwingslip/dispatch/_learning.py
@@ -59,6 +59,13 @@
             return declared.total_seconds()
         return DEFAULT_RUN_SECONDS
 
+    def likely(self, team: str, queue: str) -> float:
+        """Return the mean run time in seconds; 0 if not learned."""
+        estimate = self._estimates.get((team, queue))
+        if estimate is None or estimate.n_seen < self._n_learning:
+            return 0.0
+        return estimate.mean
+
     def shortest(self, team: str, queue: str) -> float:
         """Return a run time in seconds that few runs stay below; 0 if not learned."""
         estimate = self._estimates.get((team, queue))
--- a/src/redwingslip/dispatch/_policy.py
+++ b/src/redwingslip/dispatch/_policy.py
@@ -8,16 +8,18 @@
 
 from ._queue import TeamQueue, Waiting
 from ._settings import PolicyName
-from ._teams import TeamState
+from ._teams import TeamKey, TeamState
 
 __all__ = ["FirstCome", "FixedPartition", "Policy", "WeightedFair", "make_policy"]
 
 
 class WeightedFair:
-    """The team that used least for its share goes next; idle share is borrowed."""
+    """The team that holds least for its share goes next; idle share is borrowed."""
 
     __slots__ = ()
 
+    sets_late_aside = True
+
     def rank(self, item: Waiting) -> float:
         """Return the place of a request within its team: by deadline."""
         return item.deadline.total_seconds()
@@ -26,9 +28,14 @@
         """Return whether a request goes before the others of its team."""
         return item.req.urgent
 
-    def key(self, team: TeamState, queue: TeamQueue) -> float:
-        """Return the place of a team among the teams that wait."""
-        return team.usage / team.share
+    def key(self, team: TeamState, queue: TeamQueue) -> TeamKey:
+        """Return the place of a team among the teams that wait.
+
+        Slots in use by share, and slot-seconds used lately where these are equal. The
+        half slot keeps rounding from favouring large or small shares (Webster's
+        method of apportionment).
+        """
+        return (team.n_slots_used + 0.5) / team.share, team.usage / team.share
 
     def max_slots(self, team: TeamState, *, n_slots: int, total_share: float) -> float:
         """Return how many slots a team may use at once."""
@@ -40,6 +47,8 @@
 
     __slots__ = ()
 
+    sets_late_aside = False
+
     def rank(self, item: Waiting) -> float:
         """Return the place of a request within its team: by arrival."""
         return item.number
@@ -48,10 +57,10 @@
         """Return False: no request goes before another."""
         return False
 
-    def key(self, team: TeamState, queue: TeamQueue) -> float:
+    def key(self, team: TeamState, queue: TeamQueue) -> TeamKey:
         """Return the arrival number of the team's first request."""
-        head = queue.head()
-        return math.inf if head is None else head.number
+        rank = queue.first_rank()
+        return (math.inf if rank is None else rank, 0.0)
 
 
 class FixedPartition(WeightedFair):
--- a/src/redwingslip/dispatch/_queue.py
+++ b/src/redwingslip/dispatch/_queue.py
@@ -27,6 +27,10 @@
         Service, slots, accelerators and memory that it needs.
     work : float
         Expected slot-seconds.
+    likely_until : timedelta
+        When it must start to be likely to end by its deadline.
+    heap : LazyHeap or None
+        Where it waits.
     is_waiting : bool
         False once it was granted, refused or cancelled.
     is_deferred : bool
@@ -36,8 +40,10 @@
     __slots__ = (
         "arrived",
         "deadline",
+        "heap",
         "is_deferred",
         "is_waiting",
+        "likely_until",
         "number",
         "req",
         "shape",
@@ -58,6 +64,8 @@
             req.memory_mb,
         )
         self.work = work
+        self.likely_until = self.deadline
+        self.heap: LazyHeap | None = None
         self.is_waiting = True
         self.is_deferred = False
 
@@ -75,6 +83,9 @@
         self._heap: list[tuple[float, int, Waiting]] = []
         self._n_dead = 0
 
+    def __len__(self) -> int:
+        return len(self._heap)
+
     def push(self, rank: float, item: Waiting) -> None:
         """Add a waiting request."""
         heapq.heappush(self._heap, (rank, item.number, item))
@@ -110,46 +121,75 @@
 class TeamQueue:
     """The requests of one team and one shape.
 
-    Urgent ones go first, but after `n_in_a_row` urgent grants one batch request
-    goes, so that batch work is never starved.
+    Urgent ones go first, then batch ones, then urgent ones that are likely to end
+    after their deadline wherever they start. So that batch work is never starved, one
+    batch request goes after each `n_in_a_row` others once the first has waited for
+    `patience`.
     """
 
-    __slots__ = ("_batch", "_n_in_a_row", "_n_urgent", "_urgent", "n_waiting")
+    __slots__ = (
+        "_batch",
+        "_chosen",
+        "_late",
+        "_n_in_a_row",
+        "_n_others",
+        "_patience",
+        "_urgent",
+        "n_waiting",
+    )
 
-    def __init__(self, *, n_in_a_row: int) -> None:
+    def __init__(self, *, n_in_a_row: int, patience: timedelta) -> None:
         self._urgent = LazyHeap()
         self._batch = LazyHeap()
+        self._late = LazyHeap()
+        self._chosen = self._batch
         self._n_in_a_row = n_in_a_row
-        self._n_urgent = 0
+        self._patience = patience
+        self._n_others = 0
         self.n_waiting = 0
 
     def push(self, rank: float, item: Waiting, *, urgent: bool) -> None:
         """Add a request."""
         heap = self._urgent if urgent else self._batch
         heap.push(rank, item)
+        item.heap = heap
         self.n_waiting += 1
 
-    def _heap(self) -> LazyHeap:
-        batch_is_due = self._n_urgent >= self._n_in_a_row
-        if self._urgent.first() is None:
-            return self._batch
-        if batch_is_due and self._batch.first() is not None:
-            return self._batch
-        return self._urgent
+    def first_rank(self) -> float | None:
+        """Return the lowest rank of the requests that are not urgent."""
+        return self._batch.first_rank()
 
-    def head(self) -> Waiting | None:
+    def head(self, now: timedelta) -> Waiting | None:
         """Return the request that goes next, or None."""
-        return self._heap().first()
+        self._set_late_aside(now)
+        self._chosen = self._choose(now)
+        return self._chosen.first()
+
+    def _set_late_aside(self, now: timedelta) -> None:
+        item = self._urgent.first()
+        while item is not None and item.likely_until < now:
+            self._urgent.pop()
+            self._late.push(item.deadline.total_seconds(), item)
+            item.heap = self._late
+            item = self._urgent.first()
+
+    def _choose(self, now: timedelta) -> LazyHeap:
+        batch = self._batch.first()
+        urgent = self._urgent.first()
+        if batch is None:
+            return self._late if urgent is None else self._urgent
+        is_due = now - batch.arrived >= self._patience
+        if urgent is None or (is_due and self._n_others >= self._n_in_a_row):
+            return self._batch
+        return self._urgent
 
     def pop(self) -> Waiting:
-        """Take the request that goes next."""
-        heap = self._heap()
-        self._n_urgent = self._n_urgent + 1 if heap is self._urgent else 0
+        """Take the request that `head` has returned."""
+        self._n_others = 0 if self._chosen is self._batch else self._n_others + 1
         self.n_waiting -= 1
-        return heap.pop()
+        return self._chosen.pop()
 
-    def note_dead(self, *, urgent: bool) -> None:
-        """Count one request that was refused or cancelled."""
-        heap = self._urgent if urgent else self._batch
-        heap.note_dead()
+    def remove(self, item: Waiting) -> None:
+        """Count out a request that was refused or cancelled."""
+        item.heap.note_dead()
         self.n_waiting -= 1
--- a/src/redwingslip/dispatch/_scheduler.py
+++ b/src/redwingslip/dispatch/_scheduler.py
@@ -9,7 +9,7 @@
 from ._queue import LazyHeap, Shape, TeamQueue, Waiting
 from ._settings import DispatchSettings
 from ._tasks import Task
-from ._teams import TeamState, UsageLedger
+from ._teams import TeamKey, TeamState, UsageLedger
 
 __all__ = ["Scheduler"]
 
@@ -121,7 +121,11 @@
     def make_waiting(self, req, *, number: int, now: timedelta) -> Waiting:
         """Return a request ready to wait, with its expected work."""
         seconds = self.run_times.expected(req.team, req.queue, req.expected_run)
-        return Waiting(req, number=number, now=now, work=seconds * max(req.slots, 1))
+        item = Waiting(req, number=number, now=now, work=seconds * max(req.slots, 1))
+        if self._policy.sets_late_aside:
+            likely = self.run_times.likely(req.team, req.queue)
+            item.likely_until = item.deadline - timedelta(seconds=likely)
+        return item
 
     def add(self, item: Waiting) -> None:
         """Let a request wait."""
@@ -148,7 +152,10 @@
             lane = self._lanes[item.shape] = Lane(item.shape, self._policy)
         queue = team.queues.get(item.shape)
         if queue is None:
-            queue = TeamQueue(n_in_a_row=self._cfg.n_urgent_in_a_row)
+            queue = TeamQueue(
+                n_in_a_row=self._cfg.n_urgent_in_a_row,
+                patience=self._cfg.batch_patience,
+            )
             team.queues[item.shape] = queue
         urgent = self._policy.is_urgent(item)
         queue.push(self._policy.rank(item), item, urgent=urgent)
@@ -164,7 +171,7 @@
             self._deferred.remove(item)
         else:
             queue = team.queues[item.shape]
-            queue.note_dead(urgent=self._policy.is_urgent(item))
+            queue.remove(item)
             self._leave_lane(team, item.shape, queue)
         self._leave(team, item)
 
@@ -209,20 +216,20 @@
             item.is_deferred = False
             self._enqueue(self.teams[item.req.team], item)
 
-    def next(self, has_room: Callable[[Shape], bool]) -> Waiting | None:
+    def next(self, has_room: Callable[[Shape], bool], now: timedelta) -> Waiting | None:
         """Return the request that goes next among the shapes that find room."""
-        best: tuple[float, TeamState] | None = None
+        best: tuple[TeamKey, TeamState] | None = None
         best_lane: Lane | None = None
         for lane in self._lanes.values():
             if not has_room(lane.shape):
                 continue
-            found = lane.next_team(lambda t, n=lane.shape[1]: self._parks(t, n))
+            found = lane.next_team(lambda t, n=lane.shape[1]: self._parks(t, n), now)
             if found is not None and (best is None or found[0] < best[0]):
                 best = found
                 best_lane = lane
         if best is None:
             return None
-        return best_lane.queue(best[1]).head()
+        return best_lane.queue(best[1]).head(now)
 
     def _parks(self, team: TeamState, slots: int) -> bool:
         if not self.is_blocked(team, slots):
@@ -276,6 +283,7 @@
         team.n_slots_used += sign * task.slots
         if sign < 0:
             self.unpark(team)
+            self._offer(team)
 
     def charge(self, team: TeamState, slot_seconds: float, now: timedelta) -> None:
         """Charge a team for slots, or pay back when negative."""
--- a/src/redwingslip/dispatch/_settings.py
+++ b/src/redwingslip/dispatch/_settings.py
@@ -38,8 +38,11 @@
         is not granted again.
     half_life : timedelta
         How fast the use of slots by a team is forgotten.
+    batch_patience : timedelta
+        How long batch work waits while its team has urgent work.
     n_urgent_in_a_row : int
-        Urgent grants of a team after which one waiting batch request goes first.
+        Urgent grants of a team after which one batch request goes first that has
+        waited for longer than that.
     early_refusal : bool
         Whether a request is refused once it can't be answered by its deadline.
     refusal_slack : float
@@ -64,9 +67,10 @@
     demand_interval: timedelta = timedelta(milliseconds=100)
     remember: timedelta = timedelta(seconds=30)
     half_life: timedelta = timedelta(seconds=5)
+    batch_patience: timedelta = timedelta(seconds=20)
     n_urgent_in_a_row: int = 8
     early_refusal: bool = True
-    refusal_slack: float = 2.0
+    refusal_slack: float = 3.0
     n_learning: int = 5
     eject_after: int = 5
     eject_backoff: timedelta = timedelta(seconds=5)
--- a/src/redwingslip/dispatch/_teams.py
+++ b/src/redwingslip/dispatch/_teams.py
@@ -4,11 +4,14 @@
 
 from ._queue import Shape, TeamQueue, Waiting
 
-__all__ = ["TeamState", "UsageLedger", "WaitingWork"]
+__all__ = ["TeamKey", "TeamState", "UsageLedger", "WaitingWork"]
 
 MAX_EXPONENT = 64.0
 N_PATIENCE_CLASSES = 16
 
+TeamKey = tuple[float, float]
+"""The place of a team among those that wait: the lowest goes first."""
+
 
 class TeamState:
     """A team in one pool.
--- /dev/null
+++ b/src/redwingslip/experiments/_arrivals.py
@@ -0,0 +1,86 @@
+"""Arrival lists: the same for every policy that is compared."""
+
+import math
+from datetime import timedelta
+from random import Random
+
+import msgspec
+
+from ._spec import CustomerSpec, ExperimentSpec, WorkSpec
+
+__all__ = ["Arrival", "record_arrivals"]
+
+
+class Arrival(msgspec.Struct, frozen=True, kw_only=True):
+    """One request of an arrival list.
+
+    Attributes
+    ----------
+    at : timedelta
+        When it arrives.
+    run : timedelta
+        How long it runs, which only the endpoint knows.
+    declared : timedelta
+        What its caller says about that.
+    """
+
+    number: int
+    at: timedelta
+    team: str
+    queue: str
+    urgent: bool
+    run: timedelta
+    declared: timedelta
+    deadline: timedelta
+
+
+def record_arrivals(spec: ExperimentSpec) -> list[Arrival]:
+    """Return the arrival list of an experiment, the same each time.
+
+    The requests arrive independently of each other at a rate that changes between
+    peak and trough.
+    """
+    rng = Random(spec.seed)
+    mean_rate = spec.utilisation * spec.n_slots_total / _mean_run(spec)
+    highest = mean_rate * spec.peak_factor
+    arrivals: list[Arrival] = []
+    seconds = 0.0
+    while True:
+        seconds += rng.expovariate(highest)
+        if seconds >= spec.duration_s:
+            return arrivals
+        if rng.random() * highest < mean_rate * _factor(spec, seconds):
+            arrivals.append(_draw(spec, rng, len(arrivals), seconds))
+
+
+def _mean_run(spec: ExperimentSpec) -> float:
+    parts = sum(work.part for work in spec.work)
+    return sum(work.part * work.mean_run_s for work in spec.work) / parts
+
+
+def _factor(spec: ExperimentSpec, seconds: float) -> float:
+    """Return the demand at a time, in means."""
+    since_peak = seconds % spec.period.total_seconds()
+    return spec.peak_factor if since_peak < spec.peak_s else spec.trough_factor
+
+
+def _draw(spec: ExperimentSpec, rng: Random, number: int, seconds: float) -> Arrival:
+    customer: CustomerSpec = rng.choices(
+        spec.customers, weights=[customer.demand for customer in spec.customers]
+    )[0]
+    work: WorkSpec = rng.choices(spec.work, weights=[work.part for work in spec.work])[
+        0
+    ]
+    location = math.log(work.mean_run_s) - work.shape**2 / 2
+    run = rng.lognormvariate(location, work.shape)
+    declared = run * rng.lognormvariate(0.0, spec.declared_error)
+    return Arrival(
+        number=number,
+        at=timedelta(seconds=seconds),
+        team=customer.name,
+        queue=work.name,
+        urgent=work.urgent,
+        run=timedelta(seconds=run),
+        declared=timedelta(seconds=declared),
+        deadline=timedelta(seconds=work.deadline_s),
+    )
--- /dev/null
+++ b/src/redwingslip/experiments/_run.py
@@ -0,0 +1,275 @@
+"""Feeds an arrival list to one pool's dispatcher.
+
+There are no nodes and no network: a permit starts its run at once, and an endpoint
+runs what it is given for the time that the list says.
+"""
+
+import heapq
+from datetime import timedelta
+from random import Random
+
+from ..clock import ManualClock
+from ..dispatch import Dispatcher, DispatchSettings, Granted, PolicyName, Refused
+from ..fleet import (
+    AssignDispatcher,
+    FleetState,
+    PoolSpec,
+    PutResource,
+    QueueSpec,
+    RegisterEntry,
+    TeamSpec,
+    VmSpec,
+)
+from ..peers import (
+    EndpointReport,
+    PermitCancel,
+    PermitDone,
+    PermitRequest,
+    RunningTask,
+    RunResult,
+)
+from ._arrivals import Arrival
+from ._measures import Measures, Window, nearness, percentile
+from ._spec import ExperimentSpec
+
+__all__ = ["POLICIES", "run_experiment"]
+
+POOL = "pool"
+SERVICE = "service"
+LOOK = timedelta(milliseconds=50)
+REPORT = timedelta(seconds=1)
+WINDOW = timedelta(seconds=1)
+MAX_RUN = timedelta(minutes=5)
+FOREVER = timedelta(days=365)
+
+POLICIES = {
+    "weighted fair": DispatchSettings(),
+    "fair, no early refusal": DispatchSettings(early_refusal=False),
+    "first come": DispatchSettings(policy=PolicyName.FIRST_COME, early_refusal=False),
+    "fixed partition": DispatchSettings(
+        policy=PolicyName.FIXED_PARTITION, early_refusal=False
+    ),
+}
+
+
+class _Run:
+    """One policy on one arrival list."""
+
+    def __init__(self, spec: ExperimentSpec, cfg: DispatchSettings) -> None:
+        self.spec = spec
+        self.clock = ManualClock()
+        self.state = FleetState()
+        self.index = 0
+        self.events: list[tuple[timedelta, int, object]] = []
+        self.n_events = 0
+        self.arrivals: dict[str, Arrival] = {}
+        self.running: dict[str, dict[str, Arrival]] = {}
+        self.waiting: set[str] = set()
+        self.slot_seconds = 0.0
+        self.idle_seconds = 0.0
+        self.n_timely = 0
+        self.n_wasted = 0
+        self.n_refused = 0
+        self.waits: list[float] = []
+        self.longest_batch_wait = timedelta(0)
+        self.windows = [Window()]
+        epoch = self._declare()
+        self.dispatcher = Dispatcher(
+            pool=POOL, epoch=epoch, cfg=cfg, view=self.state.view, rng=Random(spec.seed)
+        )
+        self.dispatcher.lease_until(FOREVER)
+
+    def _declare(self) -> int:
+        """Declare the pool and its teams; return the dispatcher's epoch."""
+        self._apply(PutResource(name=POOL, spec=PoolSpec()))
+        for work in self.spec.work:
+            queue = QueueSpec(pool=POOL, service=SERVICE, max_run=MAX_RUN)
+            self._apply(PutResource(name=work.name, spec=queue))
+        for customer in self.spec.customers:
+            team = TeamSpec(share=customer.share, max_waiting=100_000)
+            self._apply(PutResource(name=customer.name, spec=team))
+        for number in range(self.spec.n_workers):
+            vm = VmSpec(pool=POOL, data_centre="d", slots=self.spec.n_slots)
+            self._apply(PutResource(name=f"vm{number}", spec=vm))
+            self.running[f"vm{number}"] = {}
+        self._apply(RegisterEntry(entry_id="entry", incarnation="1", address=""))
+        self._apply(AssignDispatcher(pool=POOL, entry_id="entry", incarnation="1"))
+        return self.index
+
+    def _apply(self, command) -> None:
+        self.index += 1
+        self.state.apply(self.index, command)
+
+    def _at(self, when: timedelta, event: object) -> None:
+        self.n_events += 1
+        heapq.heappush(self.events, (when, self.n_events, event))
+
+    def go(self, arrivals: list[Arrival]) -> None:
+        """Run until every request has its outcome."""
+        for number in range(self.spec.n_workers):
+            self._at(timedelta(0), f"vm{number}")
+        self._at(timedelta(0), LOOK)
+        for arrival in arrivals:
+            self._at(arrival.at, arrival)
+        last = arrivals[-1].at + max(arrival.deadline for arrival in arrivals)
+        while self.events and self.events[0][0] <= last:
+            when, _, event = heapq.heappop(self.events)
+            self.clock.advance(when - self.clock.monotonic())
+            self._handle(event, when)
+            self._take_outputs(when)
+
+    def _handle(self, event: object, now: timedelta) -> None:
+        if isinstance(event, Arrival):
+            self._request(event, now)
+        elif isinstance(event, PermitDone):
+            self._end(event, now)
+        elif isinstance(event, PermitCancel):
+            self._give_up(event, now)
+        elif isinstance(event, str):
+            self._report(event, now)
+        else:
+            self._look(now)
+
+    def _request(self, arrival: Arrival, now: timedelta) -> None:
+        request_id = str(arrival.number)
+        self.arrivals[request_id] = arrival
+        self.waiting.add(request_id)
+        self._at(now + arrival.deadline, PermitCancel(request_id=request_id, pool=POOL))
+        self.dispatcher.request(
+            PermitRequest(
+                request_id=request_id,
+                entry_id="entry",
+                pool=POOL,
+                queue=arrival.queue,
+                service=SERVICE,
+                team=arrival.team,
+                urgent=arrival.urgent,
+                deadline=arrival.deadline,
+                max_run=MAX_RUN,
+                expected_run=arrival.declared,
+            ),
+            now,
+        )
+
+    def _give_up(self, cancel: PermitCancel, now: timedelta) -> None:
+        if cancel.request_id in self.waiting:
+            self.waiting.discard(cancel.request_id)
+            self.windows[-1].refused.add(self.arrivals[cancel.request_id].team)
+            self.dispatcher.cancel(cancel, now)
+
+    def _report(self, vm: str, now: timedelta) -> None:
+        running = tuple(
+            RunningTask(permit_id, arrival.team)
+            for permit_id, arrival in self.running[vm].items()
+        )
+        report = EndpointReport(
+            endpoint_id=vm,
+            incarnation="1",
+            service=SERVICE,
+            address="",
+            vm=vm,
+            slots=self.spec.n_slots,
+            leaving=False,
+            clock=now + REPORT,
+            fencing_token=self.state.view.fencing_token(vm),
+            running=running,
+        )
+        self.dispatcher.report(report, now)
+        self._at(now + REPORT, vm)
+
+    def _end(self, done: PermitDone, now: timedelta) -> None:
+        arrival = self.running[done.endpoint_id].pop(done.permit_id)
+        if now <= arrival.at + arrival.deadline:
+            self.n_timely += 1
+        else:
+            self.n_wasted += 1
+        self.dispatcher.done(done, now)
+
+    def _look(self, now: timedelta) -> None:
+        """Tick, and sample what is in use while requests arrive."""
+        self.dispatcher.tick(now)
+        self._at(now + LOOK, LOOK)
+        if now.total_seconds() > self.spec.duration_s:
+            return
+        seconds = LOOK.total_seconds()
+        n_slots = self.spec.n_slots_total
+        running = [a.team for tasks in self.running.values() for a in tasks.values()]
+        self.slot_seconds += n_slots * seconds
+        self.idle_seconds += (n_slots - len(running)) * seconds
+        window = self.windows[-1]
+        window.n_looks += 1
+        window.n_not_full += len(running) < n_slots
+        for team in running:
+            window.got[team] = window.got.get(team, 0.0) + seconds
+        short = {self.arrivals[request_id].team for request_id in self.waiting}
+        window.satisfied |= {c.name for c in self.spec.customers} - short
+        if window.n_looks * LOOK >= WINDOW:
+            self.windows.append(Window())
+
+    def _take_outputs(self, now: timedelta) -> None:
+        for output in self.dispatcher.take_outputs():
+            if isinstance(output, Granted):
+                self._start(output, now)
+            elif isinstance(output, Refused):
+                self._refuse(output)
+
+    def _start(self, output: Granted, now: timedelta) -> None:
+        permit = output.permit
+        arrival = self.arrivals[permit.request_id]
+        self.waiting.discard(permit.request_id)
+        self.running[permit.endpoint_id][permit.permit_id] = arrival
+        self.waits.append((now - arrival.at).total_seconds())
+        if not arrival.urgent:
+            self.longest_batch_wait = max(self.longest_batch_wait, now - arrival.at)
+        done = PermitDone(
+            permit_id=permit.permit_id,
+            request_id=permit.request_id,
+            pool=POOL,
+            endpoint_id=permit.endpoint_id,
+            result=RunResult.COMPLETED,
+            run_time=arrival.run,
+        )
+        self._at(now + arrival.run, done)
+
+    def _refuse(self, output: Refused) -> None:
+        request_id = output.refusal.request_id
+        if request_id in self.waiting:
+            self.waiting.discard(request_id)
+            self.n_refused += 1
+            self.windows[-1].refused.add(self.arrivals[request_id].team)
+
+
+def run_experiment(
+    spec: ExperimentSpec,
+    arrivals: list[Arrival],
+    *,
+    policy: str,
+    n_bound: int,
+    cfg: DispatchSettings | None = None,
+) -> Measures:
+    """Run one policy on an arrival list and measure it.
+
+    Parameters
+    ----------
+    policy : str
+        A name of `POLICIES`, or any name when `cfg` is given.
+    n_bound : int
+        What `most_timely` says of the list.
+    """
+    run = _Run(spec, POLICIES[policy] if cfg is None else cfg)
+    run.go(arrivals)
+    full = [w for w in run.windows if w.n_looks and not w.n_not_full]
+    shares = {customer.name: customer.share for customer in spec.customers}
+    return Measures(
+        policy=policy,
+        n_requests=len(arrivals),
+        n_timely=run.n_timely,
+        n_bound=n_bound,
+        n_refused=run.n_refused,
+        n_wasted=run.n_wasted,
+        share_nearness=nearness(full, shares),
+        n_full_windows=len(full),
+        buffer_cost=run.idle_seconds / run.slot_seconds,
+        wait_s={number: percentile(run.waits, number) for number in (50, 95, 99)},
+        longest_batch_wait=run.longest_batch_wait,
+    )
--- /dev/null
+++ b/src/redwingslip/experiments/_spec.py
@@ -0,0 +1,120 @@
+"""What an experiment is made of, read from an INI file."""
+
+import configparser
+import pathlib
+from datetime import timedelta
+
+import msgspec
+
+from .exceptions import ExperimentFileError
+
+__all__ = ["CustomerSpec", "ExperimentSpec", "WorkSpec", "read_experiment"]
+
+
+class CustomerSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """A customer: its team's share, and its part of the requests."""
+
+    name: str
+    share: float
+    demand: float
+
+
+class WorkSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """One kind of work.
+
+    Attributes
+    ----------
+    part : float
+        Its part of the requests.
+    mean_run_s : float
+        Mean run time in seconds.
+    shape : float
+        Standard deviation of the logarithm of the run time.
+    deadline_s : float
+        How long its callers wait.
+    """
+
+    name: str
+    part: float
+    mean_run_s: float
+    shape: float
+    deadline_s: float
+    urgent: bool
+
+
+class ExperimentSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """An experiment on one pool.
+
+    Attributes
+    ----------
+    utilisation : float
+        Mean demand as a part of what the pool holds.
+    peak_factor : float
+        Demand in a peak, in means.
+    trough_factor : float
+        Demand between peaks, in means.
+    peak_s : float
+        Length of a peak in seconds.
+    duration_s : float
+        Length of the arrival list in seconds.
+    declared_error : float
+        Standard deviation of the logarithm of how far declared run times are off.
+    """
+
+    site: str
+    n_workers: int
+    n_slots: int
+    utilisation: float
+    peak_factor: float
+    trough_factor: float
+    peak_s: float
+    duration_s: float
+    declared_error: float
+    seed: int
+    customers: tuple[CustomerSpec, ...]
+    work: tuple[WorkSpec, ...]
+
+    @property
+    def n_slots_total(self) -> int:
+        """Slots of the pool."""
+        return self.n_workers * self.n_slots
+
+    @property
+    def period(self) -> timedelta:
+        """Time from one peak to the next, so that the mean comes out."""
+        part = (1 - self.trough_factor) / (self.peak_factor - self.trough_factor)
+        return timedelta(seconds=self.peak_s / part)
+
+
+def read_experiment(path: pathlib.Path) -> ExperimentSpec:
+    """Read an experiment from an INI file.
+
+    Raises
+    ------
+    ExperimentFileError
+        The file is missing or something in it is missing or malformed.
+    """
+    parser = configparser.ConfigParser()
+    try:
+        with path.open() as file:
+            parser.read_file(file)
+        return _convert(parser)
+    except (OSError, configparser.Error, KeyError, msgspec.ValidationError) as exc:
+        raise ExperimentFileError(f"{path}: {exc}") from exc
+
+
+def _convert(parser: configparser.ConfigParser) -> ExperimentSpec:
+    customers = [_named(parser, name, "customer ") for name in parser.sections()]
+    work = [_named(parser, name, "work ") for name in parser.sections()]
+    raw = dict(parser["experiment"])
+    raw["customers"] = [found for found in customers if found]
+    raw["work"] = [found for found in work if found]
+    return msgspec.convert(raw, ExperimentSpec, strict=False)
+
+
+def _named(
+    parser: configparser.ConfigParser, section: str, prefix: str
+) -> dict[str, str]:
+    if not section.startswith(prefix):
+        return {}
+    return {"name": section.removeprefix(prefix), **parser[section]}
