--- a/src/redwingslip/http/_limits.py
+++ b/src/redwingslip/http/_limits.py
@@ -13,7 +13,8 @@
     Attributes
     ----------
     max_header_bytes : int
-        Longest request head.
+        How much of a request head is waited for; one that comes whole in a single
+        read may be longer.
     max_body_bytes : int
         Longest request body.
     header_timeout : timedelta
--- a/src/redwingslip/http/_server.py
+++ b/src/redwingslip/http/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 import socket
 import ssl
 from collections import Counter
@@ -55,56 +56,99 @@
         self.accepting.set()
 
 
-def _limited_protocol(cfg: HttpLimits) -> type[H11Protocol]:
-    """Return the protocol class of one server, which counts its connections."""
-    n_of_peer: Counter[str] = Counter()
-
-    class LimitedProtocol(H11Protocol):
-        """Closes connections that are too many or too slow with their request."""
-
-        def connection_made(self, transport) -> None:
-            peer = transport.get_extra_info("peername")
-            self.peer = peer[0] if peer else ""
-            n_of_peer[self.peer] += 1
-            super().connection_made(transport)
-            self.timer = self.loop.call_later(
-                cfg.header_timeout.total_seconds(), transport.abort
-            )
-            too_many = n_of_peer[self.peer] > cfg.max_connections_per_peer
-            if too_many or n_of_peer.total() > cfg.max_connections:
-                transport.abort()
-
-        def data_received(self, data: bytes) -> None:
-            super().data_received(data)
-            if self.cycle is not None:
-                self.timer.cancel()
-            if self.is_answered_early():
-                self.timer = self.loop.call_later(
-                    cfg.body_timeout.total_seconds(), self.transport.abort
-                )
-
-        def is_answered_early(self) -> bool:
-            """Return whether the rest of an answered request's body still comes.
-
-            It is read and dropped for a while: closing now would reset the
-            connection, and the answer could be lost with it.
-            """
-            is_answered = self.cycle is not None and self.cycle.response_complete
-            return is_answered and self.conn.their_state is h11.SEND_BODY
-
-        def send_400_response(self, msg: str) -> None:
-            """Refuse what is no HTTP request, then close."""
-            self.transport.write(_BAD_REQUEST)
-            self.transport.close()
-
-        def connection_lost(self, exc: Exception | None) -> None:
+class _Phase(enum.Enum):
+    """What a connection waits for."""
+
+    HEAD = "head"
+    ANSWER = "answer"
+    REST_OF_BODY = "rest of body"
+    NOTHING = "nothing"
+
+
+class _LimitedProtocol(H11Protocol):
+    """Closes connections that are too many, or too slow with their request.
+
+    Each server has a subclass of its own, which carries its limits and counts.
+    """
+
+    limits: HttpLimits
+    n_of_peer: Counter[str]
+
+    def connection_made(self, transport) -> None:
+        """Count the connection, and wait for its first head."""
+        peer = transport.get_extra_info("peername")
+        self.peer = peer[0] if peer else ""
+        self.phase = _Phase.NOTHING
+        self.timer: asyncio.TimerHandle | None = None
+        self.n_of_peer[self.peer] += 1
+        super().connection_made(transport)
+        self.set_timer()
+        too_many = self.n_of_peer[self.peer] > self.limits.max_connections_per_peer
+        if too_many or self.n_of_peer.total() > self.limits.max_connections:
+            transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes."""
+        super().data_received(data)
+        self.set_timer()
+
+    def on_response_complete(self) -> None:
+        """Go on to the next request."""
+        super().on_response_complete()
+        self.set_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Count the connection off."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.n_of_peer[self.peer] -= 1
+        if not self.n_of_peer[self.peer]:
+            del self.n_of_peer[self.peer]
+        super().connection_lost(exc)
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what is no HTTP request, then close."""
+        self.transport.write(_BAD_REQUEST)
+        self.transport.close()
+
+    def set_timer(self) -> None:
+        """Bound the wait of a new phase; more bytes of the same do not extend it."""
+        phase = self.current_phase()
+        if phase is self.phase or self.transport.is_closing():
+            return
+        self.phase = phase
+        if self.timer is not None:
             self.timer.cancel()
-            n_of_peer[self.peer] -= 1
-            if not n_of_peer[self.peer]:
-                del n_of_peer[self.peer]
-            super().connection_lost(exc)
+        if phase is _Phase.HEAD:
+            self.abort_after(self.limits.header_timeout)
+        elif phase is _Phase.REST_OF_BODY:
+            self.abort_after(self.limits.body_timeout)
+
+    def current_phase(self) -> _Phase:
+        """Return what the connection waits for now.
+
+        After an early answer the rest of the request's body is read and dropped for
+        a while: closing at once would reset the connection, and the answer could be
+        lost with it.
+        """
+        if self.cycle is not None and not self.cycle.response_complete:
+            return _Phase.ANSWER
+        if self.conn.their_state is h11.SEND_BODY:
+            return _Phase.REST_OF_BODY
+        if self.cycle is None or self.conn.trailing_data[0]:
+            return _Phase.HEAD
+        return _Phase.NOTHING
+
+    def abort_after(self, timeout: timedelta) -> None:
+        """Close the connection when this phase lasts too long."""
+        self.timer = self.loop.call_later(timeout.total_seconds(), self.transport.abort)
 
-    return LimitedProtocol
+
+def _limited_protocol(cfg: HttpLimits) -> type[H11Protocol]:
+    """Return the protocol class of one server."""
+    counts: Counter[str] = Counter()
+    namespace = {"limits": cfg, "n_of_peer": counts}
+    return type("LimitedProtocol", (_LimitedProtocol,), namespace)
 
 
 class HttpServer:
