Let short peaks keep no lent VM

Cause: a pool gave a VM back only after windows without any busy second, and a queue that peaks each minute never has one: four VMs were lent for good. Change: idle slots are those that were idle but for a quarter of each window; shortage still has to last through all of it. The durations of the measurement no longer depend on the order in which they are asked for. Seen failing first: test_peaks_do_not_keep_a_lent_vm.

--- a/scripts/measure_waves.py
+++ b/scripts/measure_waves.py
@@ -36,17 +36,15 @@
     """How long each VM takes to drain and to boot, from a seed."""
 
     def __init__(self, seed: int) -> None:
-        self._rng = random.Random(seed)
-        self._drains: dict[str, int] = {}
-        self._boots: dict[str, int] = {}
+        self._seed = seed
 
     def drain(self, vm: str) -> timedelta:
         """Return the drain time of a VM."""
-        return self._drains.setdefault(vm, self._rng.randint(5, 30)) * SECOND
+        return random.Random(f"{self._seed} drain {vm}").randint(5, 30) * SECOND
 
     def boot(self, vm: str) -> timedelta:
         """Return the time from a VM's reboot order until it serves."""
-        return self._boots.setdefault(vm, self._rng.randint(90, 240)) * SECOND
+        return random.Random(f"{self._seed} boot {vm}").randint(90, 240) * SECOND
 
     def whole(self, vm: str) -> float:
         """Return the seconds that a VM is out at least."""
--- a/src/redwingslip/maintenance/_loans.py
+++ b/src/redwingslip/maintenance/_loans.py
@@ -23,8 +23,8 @@
 class PoolTrend:
     """The demand on one pool that lasted through whole windows.
 
-    For each window only the least shortage and the least idleness count, so a peak
-    shorter than a window, or a gap in the demand, shows in neither.
+    Only a shortage that lasted through the whole window counts, and only slots that
+    were idle for most of it: a short peak neither borrows a VM nor keeps one.
 
     Parameters
     ----------
@@ -45,33 +45,35 @@
         self._short.clear()
         self._idle.clear()
         self._began_at: timedelta | None = None
-        self._n_short = 0
-        self._n_idle = 0
+        self._n_short: list[int] = []
+        self._n_idle: list[int] = []
 
     def observe(self, msg: PoolDemand, now: timedelta) -> None:
         """Take in one report of the pool's dispatcher."""
+        if self._began_at is not None:
+            self._close_window(now)
+        if self._began_at is None:
+            self._began_at = now
         n_waiting = sum(team.n_waiting for team in msg.teams)
         # What waits beside idle slots waits for its team's limit, not for a VM.
-        n_short = 0 if msg.n_idle else n_waiting
-        if self._began_at is None:
-            self._open_window(n_short, msg.n_idle, now)
-            return
-        self._n_short = min(self._n_short, n_short)
-        self._n_idle = min(self._n_idle, msg.n_idle)
-        if now - self._began_at < self._settings.window:
+        self._n_short.append(0 if msg.n_idle else n_waiting)
+        self._n_idle.append(msg.n_idle)
+
+    def _close_window(self, now: timedelta) -> None:
+        """Keep what a window that is over has shown."""
+        age = now - self._began_at
+        if age < self._settings.window:
             return
-        if now - self._began_at < 2 * self._settings.window:
-            self._short.append(self._n_short)
-            self._idle.append(self._n_idle)
-        else:
+        if age >= 2 * self._settings.window:
             # No reports for a whole window: what came before proves nothing now.
             self.restart()
-        self._open_window(n_short, msg.n_idle, now)
-
-    def _open_window(self, n_short: int, n_idle: int, now: timedelta) -> None:
+            return
+        self._short.append(min(self._n_short))
+        n_peak = int(len(self._n_idle) * self._settings.peak_part)
+        self._idle.append(sorted(self._n_idle)[n_peak])
         self._began_at = now
-        self._n_short = n_short
-        self._n_idle = n_idle
+        self._n_short = []
+        self._n_idle = []
 
     @property
     def _is_full(self) -> bool:
@@ -84,7 +86,7 @@
 
     @property
     def n_idle(self) -> int:
-        """Return the slots that were idle all the time."""
+        """Return the slots that were idle but for short peaks."""
         return min(self._idle) if self._is_full else 0
 
 
--- a/src/redwingslip/maintenance/_settings.py
+++ b/src/redwingslip/maintenance/_settings.py
@@ -60,6 +60,8 @@
         leaves no trace.
     n_windows : int
         Windows in a row that must agree before a VM is lent or given back.
+    peak_part : float
+        Part of a window that peaks may take when idle slots are judged.
     horizon : timedelta
         How long a shortage is taken to last when its cost is set against the price
         of a move.
@@ -70,5 +72,6 @@
     propose_again: timedelta = timedelta(seconds=2)
     window: timedelta = timedelta(seconds=60)
     n_windows: int = 5
+    peak_part: float = 0.25
     horizon: timedelta = timedelta(minutes=10)
     n_slots_reserved: int = 8
--- a/tests/test_maintenance_moves.py
+++ b/tests/test_maintenance_moves.py
@@ -106,6 +106,19 @@
         self.assertEqual(len(fleet.view.vms_of("s")), 2)
         self.assertFalse(any(vm.lent for vm in fleet.view.vms.values()))
 
+    def test_peaks_do_not_keep_a_lent_vm(self):
+        """A pool that is idle but for short peaks gives its lent VM back."""
+        fleet = site(spare=1)
+        self.drive(fleet, 6, lambda second: 8)
+        self.assertEqual(pool_of(fleet, "s0"), "a")
+        self.drive(
+            fleet,
+            7,
+            lambda second: 100 if second % 60 < 5 else 0,
+            lambda second: 0 if second % 60 < 5 else 20,
+        )
+        self.assertEqual(pool_of(fleet, "s0"), "s")
+
     def test_peak_of_a_few_seconds_moves_nothing(self):
         """Peaks that leave gaps between them do not move a VM, however high."""
         fleet = site()
