Sort only the VMs that a wave may take now

Cause: each plan of a running wave sorted all its pending VMs, though nearly all of their pools had their budget in use. Change: VMs that no budget admits are left out before the sort. Conclusion: 31 tests of maintenance pass.

--- a/src/redwingslip/maintenance/_order.py
+++ b/src/redwingslip/maintenance/_order.py
@@ -11,24 +11,35 @@
 
 
 def ordered(
-    view: FleetView, vms: Iterable[VmRecord], max_parallel: int
+    view: FleetView,
+    admitted: list[VmRecord],
+    pending: list[VmRecord],
+    max_parallel: int,
 ) -> list[VmRecord]:
-    """Return VMs in the order in which a wave tries to take them.
+    """Return the admitted VMs in the order in which a wave tries to take them.
 
     Spare pools go first, then one failure domain after the other. A VM goes before
     all that when its pool, data centre or rack alone needs every round that is left:
     leaving it for later would make the wave longer.
+
+    Parameters
+    ----------
+    admitted : list of VmRecord
+        Those that the budgets admit now.
+    pending : list of VmRecord
+        All that the wave has still to take.
     """
-    vms = list(vms)
-    rounds = _rounds_by_scope(view, vms)
-    n_left = _n_rounds(rounds, len(vms), max_parallel)
+    if not admitted:
+        return []
+    rounds = _rounds_by_scope(view, pending)
+    n_left = _n_rounds(rounds, len(pending), max_parallel)
 
     def key(vm: VmRecord) -> tuple:
         longest = max(rounds[scope] for scope in _scopes(vm))
         spec = view.pool(vm.pool) or PoolSpec()
         return (longest < n_left, not spec.spare, vm.data_centre, vm.rack, vm.name)
 
-    return sorted(vms, key=key)
+    return sorted(admitted, key=key)
 
 
 def n_rounds(view: FleetView, vms: Iterable[VmRecord], max_parallel: int) -> int:
--- a/src/redwingslip/maintenance/_waves.py
+++ b/src/redwingslip/maintenance/_waves.py
@@ -190,18 +190,17 @@
                 continue
             spec = view.spec(Kind.WAVE, wave)
             n_free = spec.max_parallel - view.waves[wave].n_active
-            candidates = [vm for vm in view.pending_vms(wave) if vm.name not in taken]
-            for vm in ordered(view, candidates, spec.max_parallel):
-                if n_free <= 0:
-                    break
-                if not _can_begin(view, vm):
-                    continue
-                if vm.pool not in budgets:
-                    budgets[vm.pool] = _budget_beside_moves(view, vm.pool)
+            if n_free <= 0:
+                continue
+            pending = [vm for vm in view.pending_vms(wave) if vm.name not in taken]
+            admitted = [vm for vm in pending if _is_admitted(view, vm, budgets)]
+            for vm in ordered(view, admitted, pending, spec.max_parallel):
                 if budgets[vm.pool].take(vm):
                     taken.add(vm.name)
                     n_free -= 1
                     yield BeginMaintenance(vm=vm.name, wave=wave)
+                if n_free <= 0:
+                    break
 
     def _reboot_orders(self, view: FleetView, vm: VmRecord) -> Iterator[RebootOrder]:
         operation_id = _operation_id(vm)
@@ -264,9 +263,13 @@
     return 0 if resource is None else resource.version
 
 
-def _can_begin(view: FleetView, vm: VmRecord) -> bool:
-    is_serving = vm.phase is VmPhase.SERVING and vm.pool in view.dispatchers
-    return is_serving and not is_misplaced(view, vm)
+def _is_admitted(view: FleetView, vm: VmRecord, budgets: dict[str, PoolBudget]) -> bool:
+    """Return whether a VM could be taken before any other is."""
+    if vm.phase is not VmPhase.SERVING or vm.pool not in view.dispatchers:
+        return False
+    if vm.pool not in budgets:
+        budgets[vm.pool] = _budget_beside_moves(view, vm.pool)
+    return budgets[vm.pool].violation(vm) is None and not is_misplaced(view, vm)
 
 
 def _budget_beside_moves(view: FleetView, pool: str) -> PoolBudget:
