--- a/tests/test_fleet_allotments.py
+++ b/tests/test_fleet_allotments.py
@@ -1,7 +1,9 @@
 """Stateful fuzzing of allotments against plain sums."""
 
+import os
 import unittest
 
+from hypothesis import seed
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -17,11 +19,14 @@
 
 from .fleet_driver import FleetDriver
 
+FUZZ_SEED = int(os.environ.get("REDWINGSLIP_FUZZ_SEED", "0"))
+
 teams = st.sampled_from(["s", "t"])
 pools = st.sampled_from(["a", "b", "c"])
 counts = st.integers(0, 12)
 
 
+@seed(FUZZ_SEED)
 class AllotmentMachine(RuleBasedStateMachine):
     """Limits, grants, returns and lost entries, against a dict of grants."""
 
--- a/tests/test_maintenance_machine.py
+++ b/tests/test_maintenance_machine.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from datetime import timedelta
 
-from hypothesis import settings
+from hypothesis import seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -47,6 +47,7 @@
 from .fleet_driver import FleetDriver
 
 IS_LONG = "REDWINGSLIP_FUZZ_SEED" in os.environ
+FUZZ_SEED = int(os.environ.get("REDWINGSLIP_FUZZ_SEED", "0"))
 N_CASES = 2_000 if IS_LONG else 150
 N_STEPS = 120 if IS_LONG else 80
 
@@ -70,6 +71,7 @@
         self.moves = MovePlanner(MoveSettings(window=2 * SECOND, n_windows=2))
 
 
+@seed(FUZZ_SEED)
 class FleetMachine(RuleBasedStateMachine):
     """Operators, failures, two leaders and late messages against plain counts."""
 
