Order a wave by what each pool has left, longest failure domain first

Cause: a VM counted as urgent only against the longest pool of the wave, so other pools left two VMs of one rack for the end, one after the other. Ruled out: an order by learnt durations; the view does not hold them. Change: urgent within its own pool as well, then the failure domain with the most rounds left.

--- a/src/redwingslip/maintenance/_order.py
+++ b/src/redwingslip/maintenance/_order.py
@@ -19,8 +19,9 @@
     """Return the admitted VMs in the order in which a wave tries to take them.
 
     Spare pools go first, then one failure domain after the other. A VM goes before
-    all that when its pool, data centre or rack alone needs every round that is left:
-    leaving it for later would make the wave longer.
+    all that when its data centre or rack alone needs every round that is left for its
+    pool, or its pool every round of the wave: leaving it for later would make the
+    wave longer.
 
     Parameters
     ----------
@@ -35,9 +36,17 @@
     n_left = _n_rounds(rounds, len(pending), max_parallel)
 
     def key(vm: VmRecord) -> tuple:
-        longest = max(rounds[scope] for scope in _scopes(vm))
+        pool, *domains = (rounds[scope] for scope in _scopes(vm))
         spec = view.pool(vm.pool) or PoolSpec()
-        return (longest < n_left, not spec.spare, vm.data_centre, vm.rack, vm.name)
+        return (
+            max(pool, *domains) < n_left,
+            max(domains) < pool,
+            -max(domains),
+            not spec.spare,
+            vm.data_centre,
+            vm.rack,
+            vm.name,
+        )
 
     return sorted(admitted, key=key)
 
--- a/tests/test_maintenance_machine.py
+++ b/tests/test_maintenance_machine.py
@@ -18,6 +18,7 @@
 from redwingslip.fleet import (
     Accepted,
     AssignDispatcher,
+    BeginMaintenance,
     CompleteMove,
     DeleteResource,
     ExpireEntry,
@@ -296,6 +297,13 @@
 
     # Leaders.
 
+    @rule()
+    def propose_rashly(self):
+        """Propose to take every VM that a wave waits for, whatever the budgets."""
+        for record in list(self.view.vms.values()):
+            for wave in record.waits_for:
+                self.apply(BeginMaintenance(vm=record.name, wave=wave))
+
     @rule(i=leaders)
     def refresh(self, i):
         """Let a leader see the present view."""
