--- a/src/redwingslip/daemons/_replica.py
+++ b/src/redwingslip/daemons/_replica.py
@@ -6,6 +6,7 @@
 
 from ..clock import Clock, SystemClock
 from ..consensus import ConsensusMessage, ConsensusSettings, Replica
+from ..fleet import Change
 from ..observe import Event, EventLog, EventName, EventSink
 from ..peers import (
     LeaseRenewal,
@@ -15,6 +16,7 @@
     Proposal,
     ProposalReply,
     RedirectToLeader,
+    ReplicasRequest,
 )
 from ..settings import ReplicaSettings
 from ._leadership import Leadership
@@ -76,6 +78,7 @@
             events=self._events,
         )
         self.replica.on_leadership = self._on_leadership
+        self.machine.on_applied = self._on_applied
 
     async def start(self) -> None:
         """Listen and take part in the log.
@@ -120,6 +123,10 @@
             events=self._events,
         )
 
+    def _on_applied(self, changes: tuple[Change, ...]) -> None:
+        if self._leadership is not None:
+            self._leadership.applied(changes)
+
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK.total_seconds())
@@ -138,7 +145,7 @@
         """Tell who leads to those who wait for an answer."""
         if isinstance(msg, Proposal):
             self._hub.send(sender_id, ProposalReply(number=msg.number, outcome=None))
-        if isinstance(msg, LeaseRenewal | Proposal):
+        if isinstance(msg, LeaseRenewal | Proposal | ReplicasRequest):
             leader_id = self.replica.leader_id
             address = self.cfg.replicas.get(leader_id, "")
             self._hub.send(
