--- a/tests/test_maintenance_waves.py
+++ b/tests/test_maintenance_waves.py
@@ -162,6 +162,55 @@
         self.assertEqual(fleet.view.vms["a3"].pool, "b")
 
 
+class TestOrder(unittest.TestCase):
+    """The order in which waves take VMs."""
+
+    def taken(self, fleet, wave: str) -> list[str]:
+        """Return the VMs of a wave in the order of their reboots."""
+        fleet.run_wave(wave)
+        return [operation.split("/")[1] for operation in fleet.reboots]
+
+    def test_spare_pools_then_one_data_centre_after_the_other(self):
+        """One VM at a time, a wave takes spare VMs and then finishes each place."""
+        fleet = FleetDriver()
+        fleet.add_pool("a", max_unavailable=8)
+        fleet.add_pool("s", spare=True, max_unavailable=8)
+        for i in range(4):
+            fleet.add_vm(f"a{i}", "a", dc=f"d{i % 2}", rack=f"r{i // 2}")
+        fleet.add_vm("s0", "s", dc="d1")
+        fleet.put("w", WaveSpec(max_parallel=1))
+        self.assertEqual(self.taken(fleet, "w"), ["s0", "a0", "a2", "a1", "a3"])
+
+    def test_longest_failure_domain_is_not_left_for_the_end(self):
+        """A rack that alone needs every round left is begun at once."""
+        fleet = FleetDriver()
+        fleet.add_pool("a", max_unavailable=2, max_unavailable_per_rack=1)
+        for i, rack in enumerate(("r0", "r1", "r2", "r2", "r2")):
+            fleet.add_vm(f"a{i}", "a", rack=rack)
+        fleet.put("w", WaveSpec())
+        self.assertIn("a2", self.taken(fleet, "w")[:2])
+
+    def test_two_waves_share_the_budgets(self):
+        """VMs of two waves at once are each rebooted once by each."""
+        fleet = small_fleet(max_unavailable=2)
+        fleet.put("x", WaveSpec(pools=("a",)))
+        fleet.run_wave("w")
+        fleet.run_wave("x")
+        self.assertEqual(len(fleet.reboots), 12)
+        self.assertEqual(fleet.n_refused, 0)
+
+    def test_end_is_estimated_from_what_was_seen(self):
+        """Once a VM is back, the estimate is near the time that the rest takes."""
+        fleet = small_fleet()
+        status = fleet.waves.status(fleet.view, "w", fleet.now)
+        self.assertIsNone(status.remaining)
+        fleet.run(lambda: fleet.view.waves["w"].n_done == 4, 60 * SECOND)
+        fleet.step()
+        status = fleet.waves.status(fleet.view, "w", fleet.now)
+        rest = fleet.run_wave("w")
+        self.assertAlmostEqual(status.remaining / rest, 1.0, delta=0.5)
+
+
 class TestFailures(unittest.TestCase):
     """Waves while VMs fail."""
 
