--- a/tests/test_maintenance_waves.py
+++ b/tests/test_maintenance_waves.py
@@ -130,6 +130,7 @@
     def test_refusal_does_not_outrun_a_reboot_that_was_taken(self):
         """One entry's refusal gives no VM back that another entry has rebooted."""
         fleet = small_fleet()
+        fleet.refused_vms = {"a0"}
         fleet.plan()
         record = fleet.view.vms["a0"]
         fleet.drained(record)
