Wire TLS, metrics, all settings, the load command; stop without a ping-pong

Cause: [tls] was ignored by the daemons; a stopping entry was given its pools again (100 dispatch.started events in one stop); the settings of consensus, dispatch, planners and HTTP could not be written in the files; the load generator had no command. Not run yet: processes under TLS.

--- a/src/redwingslip/cli/_app.py
+++ b/src/redwingslip/cli/_app.py
@@ -6,7 +6,13 @@
 
 import typer
 
-from . import _key_commands, _resource_commands, _tool_commands, _wave_commands
+from . import (
+    _key_commands,
+    _load_commands,
+    _resource_commands,
+    _tool_commands,
+    _wave_commands,
+)
 from ._context import CommandContext, OutputFormat
 from ._roles import ROLES
 from ._roles import main as run_role
@@ -74,5 +80,6 @@
 _wave_commands.register(app)
 _key_commands.register(app)
 _tool_commands.register(app)
+_load_commands.register(app)
 for _role, _words in ROLES.items():
     _add_role(_role, _words)
--- a/src/redwingslip/cli/_client.py
+++ b/src/redwingslip/cli/_client.py
@@ -151,6 +151,11 @@
         answer = await self._ask(_Call(method="GET", path="/v1/status"))
         return _decode(answer, dict[str, Any])
 
+    async def replicas(self) -> dict[str, Any]:
+        """Return how the replicas are, as the leader sees them."""
+        answer = await self._ask(_Call(method="GET", path="/v1/replicas"))
+        return _decode(answer, dict[str, Any])
+
     async def put(
         self, document: Document, *, if_version: int | None, operation_id: str = ""
     ) -> Document:
--- a/src/redwingslip/cli/_resource_commands.py
+++ b/src/redwingslip/cli/_resource_commands.py
@@ -32,7 +32,7 @@
 
 def register(app: typer.Typer) -> None:
     """Add the commands."""
-    for command in (apply, diff, get, watch, delete, status):
+    for command in (apply, diff, get, watch, delete, status, replicas):
         app.command()(command)
 
 
@@ -200,6 +200,18 @@
         raise typer.Exit(ExitCode.NOT_REACHED)
 
 
+def replicas(ctx: typer.Context) -> None:
+    """Show the replicas, and which of them are repaired, as the leader sees them."""
+    cfg: CommandContext = ctx.obj
+    found = run(ctx, cfg.client().replicas())
+    if cfg.is_json:
+        print_json(found)
+        return
+    titles = ["replica_id", "voting", "repaired", "address", "incarnation"]
+    rows = [[item[title] for title in titles] for item in found["replicas"]]
+    print_rows(titles, rows)
+
+
 def _print_status(found: list[dict]) -> None:
     titles = list(dict.fromkeys(key for item in found for key in item))
     print_rows(titles, [[item.get(title) for title in titles] for item in found])
--- a/src/redwingslip/cli/_tool_commands.py
+++ b/src/redwingslip/cli/_tool_commands.py
@@ -6,6 +6,7 @@
 
 import typer
 
+from ..daemons import EntryDaemonSettings, ReplicaDaemonSettings
 from ..observe import (
     TimelineError,
     TimelineFilter,
@@ -14,9 +15,7 @@
     render_text,
 )
 from ..settings import (
-    EntrySettings,
     InvalidSettingsError,
-    ReplicaSettings,
     describe,
     find_warnings,
     load_settings,
@@ -35,7 +34,7 @@
     REPLICA = "replica"
 
 
-_SETTINGS = {Role.ENTRY: EntrySettings, Role.REPLICA: ReplicaSettings}
+_SETTINGS = {Role.ENTRY: EntryDaemonSettings, Role.REPLICA: ReplicaDaemonSettings}
 
 RoleArgument = Annotated[Role, typer.Argument(help="Role of the process.")]
 
--- a/src/redwingslip/daemons/__init__.py
+++ b/src/redwingslip/daemons/__init__.py
@@ -1,9 +1,32 @@
 """The daemons: application objects that anyone can embed, and their processes.
 
-`EntryApp` and `ReplicaApp` are imported from their modules, so that each process
-loads only what its role needs.
+The public names are imported when they are first used, so that each process loads only
+what its role needs.
 """
 
+import importlib
+
 from ._main import run_entry, run_replica
 
-__all__ = ["run_entry", "run_replica"]
+__all__ = [
+    "EntryApp",
+    "EntryDaemonSettings",
+    "ReplicaApp",
+    "ReplicaDaemonSettings",
+    "run_entry",
+    "run_replica",
+]
+
+_MODULES = {
+    "EntryApp": "._entry",
+    "EntryDaemonSettings": "._entry_settings",
+    "ReplicaApp": "._replica",
+    "ReplicaDaemonSettings": "._replica_settings",
+}
+
+
+def __getattr__(name: str) -> object:
+    """Import a public name of a role's modules."""
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(_MODULES[name], __name__), name)
--- a/src/redwingslip/daemons/_entry.py
+++ b/src/redwingslip/daemons/_entry.py
@@ -9,7 +9,6 @@
 
 from ..callers import caller_routes
 from ..clock import Clock, SystemClock
-from ..dispatch import DispatchSettings
 from ..endpoints import (
     AnnouncementError,
     AnnouncementReply,
@@ -17,9 +16,9 @@
     announcement_routes,
 )
 from ..fleet import Change, Command, FleetView, Outcome, ReleaseDispatcher
-from ..http import ClientLimits, HttpLimits, HttpServer, build_app
+from ..http import HttpServer, TlsFiles, build_app
 from ..leases import ChangeLog, LeaseHolder
-from ..observe import Event, EventLog, EventName, EventSink
+from ..observe import Event, EventLog, EventName, EventSink, new_metrics
 from ..operators import NoLeaderError, ProcessStatus, operator_routes
 from ..peers import (
     AllotmentRecall,
@@ -27,7 +26,6 @@
     LeaseGrant,
     Message,
     PeerHub,
-    PeerSettings,
     Permit,
     PermitCancel,
     PermitDone,
@@ -39,9 +37,10 @@
     ReplicasReply,
 )
 from ..platform import PlatformClient, PlatformSettings
-from ..settings import EntrySettings
+from ..settings import find_warnings, load_tls
 from ._claims import ClaimDesk
 from ._dispatch_host import DispatchHost
+from ._entry_settings import EntryDaemonSettings
 from ._leader import LeaderLink
 from ._permits import PermitDesk
 from ._reboots import RebootDesk
@@ -62,7 +61,7 @@
 
     Parameters
     ----------
-    cfg : EntrySettings
+    cfg : EntryDaemonSettings
         Its settings.
     clock : Clock or None
         The machine's by default.
@@ -72,7 +71,7 @@
 
     def __init__(
         self,
-        cfg: EntrySettings,
+        cfg: EntryDaemonSettings,
         *,
         clock: Clock | None = None,
         events: EventSink | None = None,
@@ -95,14 +94,19 @@
     def _build(self) -> None:
         cfg = self.cfg
         secret = cfg.cluster.secret_file.read_text().strip()
+        tls = load_tls(cfg.tls)
+        self._tls = tls
+        self._metrics = new_metrics(cfg.metrics, process_id=self._entry_id)
         self._hub = PeerHub(
             process_id=self._entry_id,
             address=cfg.peers.listen,
             secret=secret,
-            cfg=PeerSettings(),
+            cfg=cfg.links,
             clock=self._clock,
             on_message=self._on_message,
             events=self._events,
+            tls_server=None if tls is None else tls.server,
+            tls_client=None if tls is None else tls.client,
         )
         self._leader = LeaderLink(
             replicas=tuple(cfg.replicas),
@@ -120,11 +124,11 @@
             entry_id=self._entry_id,
             incarnation=self._incarnation,
         )
-        self._client = EndpointClient(ClientLimits())
+        self._client = EndpointClient(cfg.endpoint_calls)
         self._platform = self._platform_client()
         self._reboots = RebootDesk(self._platform, self._leader.send)
         self._host = DispatchHost(
-            cfg=DispatchSettings(),
+            cfg=cfg.dispatch,
             entry_id=self._entry_id,
             incarnation=self._incarnation,
             view=self._view,
@@ -145,6 +149,7 @@
             client=self._client,
             clock=self._clock,
             events=self._events,
+            metrics=self._metrics,
         )
 
     def _platform_client(self) -> PlatformClient | None:
@@ -173,33 +178,54 @@
         )
         for replica_id, address in self.cfg.replicas.items():
             self._hub.set_address(replica_id, address)
-        limits = HttpLimits()
+        limits = self.cfg.http_limits
         host, _, port = self.cfg.http.listen.rpartition(":")
+        scheme = "http" if self._tls is None else "https"
         routes = [
             *caller_routes(
                 self.runner,
                 limits,
                 clock=self._clock,
-                own_url=f"http://{self.cfg.http.listen}",
+                own_url=f"{scheme}://{self.cfg.http.listen}",
             ),
             *announcement_routes(
                 self, limits, token_hashes=self.cfg.endpoints.token_sha256
             ),
             *operator_routes(self, limits, self.cfg.operators.token_sha256),
         ]
-        self._server = HttpServer(build_app(routes), limits, host=host, port=int(port))
+        self._server = HttpServer(
+            build_app(routes), limits, host=host, port=int(port), tls=self._tls_files()
+        )
         await self._server.start()
         self._tasks = [
             asyncio.create_task(self._renew_forever(), name="renew the lease"),
             asyncio.create_task(self._tick_forever(), name="tick"),
         ]
         self._emit(EventName.PROCESS_STARTED, detail=self._incarnation)
+        for words in find_warnings(self.cfg):
+            self._emit(EventName.WARNING, detail=words)
+
+    def _tls_files(self) -> TlsFiles | None:
+        cfg = self.cfg.tls
+        if not cfg.enabled:
+            return None
+        return TlsFiles(certificate=str(cfg.certificate), key=str(cfg.key))
+
+    def reload(self) -> None:
+        """Read certificates and keys again; new connections use them."""
+        cfg = self.cfg.tls
+        if self._tls is None:
+            return
+        self._server.reload_tls()
+        for context in (self._tls.server, self._tls.client):
+            context.load_cert_chain(cfg.certificate, cfg.key)
 
     async def stop(self) -> None:
         """Stop in good order: nothing that was taken is cut off."""
         self.runner.is_stopping = True
         await asyncio.sleep(READYZ_OFF_BEFORE_STOP.total_seconds())
         self._host.stop_granting()
+        self._renew()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(RELEASE_TIMEOUT.total_seconds()):
                 await self._release_pools()
@@ -214,6 +240,7 @@
         if self._platform is not None:
             await self._platform.close()
         await self._hub.stop()
+        self._metrics.close()
         self._emit(EventName.PROCESS_STOPPED)
 
     async def _release_pools(self) -> None:
@@ -243,10 +270,14 @@
     async def _renew_forever(self) -> None:
         cfg = self.cfg.leases
         while True:
-            self._leader.send(self._holder.renewal(self._now()))
+            self._renew()
             await asyncio.sleep(cfg.renewal.total_seconds())
             self._leader.check(2 * cfg.renewal)
 
+    def _renew(self) -> None:
+        renewal = self._holder.renewal(self._now(), stopping=self.runner.is_stopping)
+        self._leader.send(renewal)
+
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK.total_seconds())
@@ -273,6 +304,7 @@
             self._changes.add(changes)
         self._follow_entries()
         if changes is None or changes:
+            self._emit(EventName.COMMAND_APPLIED, index=self._view.index)
             self._host.view_changed(changes, self._holder.ends_at)
             self._permits.check()
         self._changed.set()
--- /dev/null
+++ b/src/redwingslip/daemons/_entry_settings.py
@@ -0,0 +1,17 @@
+"""All the settings of an entry daemon, those of its parts included."""
+
+from ..dispatch import DispatchSettings
+from ..http import ClientLimits, HttpLimits
+from ..peers import PeerSettings
+from ..settings import EntrySettings
+
+__all__ = ["EntryDaemonSettings"]
+
+
+class EntryDaemonSettings(EntrySettings, frozen=True, kw_only=True):
+    """Settings of an entry daemon."""
+
+    dispatch: DispatchSettings = DispatchSettings()
+    http_limits: HttpLimits = HttpLimits()
+    endpoint_calls: ClientLimits = ClientLimits()
+    links: PeerSettings = PeerSettings()
--- a/src/redwingslip/daemons/_leadership.py
+++ b/src/redwingslip/daemons/_leadership.py
@@ -11,7 +11,7 @@
 from ..fleet import Change, Command, ForgetClaims, Outcome
 from ..leases import LeaseGranter
 from ..maintenance import MovePlanner, WavePlanner
-from ..observe import Event, EventName, EventSink
+from ..observe import Event, EventName, EventSink, Metrics
 from ..peers import (
     LeaseRenewal,
     Message,
@@ -25,9 +25,9 @@
     ReplicaStatus,
     VmDrained,
 )
-from ..quota import AllotmentPlanner, Proposed, QuotaSettings, Recalled
-from ..settings import ReplicaSettings
+from ..quota import AllotmentPlanner, Proposed, Recalled
 from ._machine import FleetMachine, encode_command
+from ._replica_settings import ReplicaDaemonSettings
 
 __all__ = ["Leadership"]
 
@@ -40,7 +40,7 @@
 
     Parameters
     ----------
-    cfg : ReplicaSettings
+    cfg : ReplicaDaemonSettings
         Settings of the replica.
     replica : Replica
         The replicated log.
@@ -54,6 +54,8 @@
         The process's clock.
     events : EventSink
         Takes the events.
+    metrics : Metrics
+        Takes the times of commits.
     """
 
     __slots__ = (
@@ -63,6 +65,7 @@
         "_granter",
         "_in_flight",
         "_machine",
+        "_metrics",
         "_moves",
         "_planned_at",
         "_quota",
@@ -77,13 +80,14 @@
     def __init__(
         self,
         *,
-        cfg: ReplicaSettings,
+        cfg: ReplicaDaemonSettings,
         replica: Replica,
         machine: FleetMachine,
         send: Callable[[str, Message], None],
         set_address: Callable[[str, str], None],
         clock: Clock,
         events: EventSink,
+        metrics: Metrics,
     ) -> None:
         now = clock.monotonic()
         self._replica = replica
@@ -92,6 +96,7 @@
         self._set_address = set_address
         self._clock = clock
         self._events = events
+        self._metrics = metrics
         self._rng = random.Random(f"{cfg.process.id}/{replica.term}")
         self._granter = LeaseGranter(
             cfg=cfg.leases,
@@ -101,9 +106,9 @@
             now=now,
             has_quorum=lambda now: replica.has_quorum_lease(),
         )
-        self._quota = AllotmentPlanner(cfg=QuotaSettings(), view=machine.state.view)
-        self._waves = WavePlanner(sink=events)
-        self._moves = MovePlanner()
+        self._quota = AllotmentPlanner(cfg=cfg.quota, view=machine.state.view)
+        self._waves = WavePlanner(cfg.waves, sink=events)
+        self._moves = MovePlanner(cfg.moves)
         self._planned_at = now
         self._forgot_at = now
         self._in_flight: set[Command] = set()
@@ -252,10 +257,13 @@
         self.push_changes()
 
     async def _commit(self, command: Command) -> Outcome | None:
+        began = self._clock.monotonic()
         try:
-            return await self._replica.propose(encode_command(command))
+            outcome = await self._replica.propose(encode_command(command))
         except ConsensusError:
             return None
+        self._metrics.record_commit(duration=self._clock.monotonic() - began)
+        return outcome
 
     def _start(self, coro) -> None:
         task = asyncio.create_task(coro)
--- a/src/redwingslip/daemons/_main.py
+++ b/src/redwingslip/daemons/_main.py
@@ -4,7 +4,7 @@
 import signal
 from pathlib import Path
 
-from ..settings import EntrySettings, ReplicaSettings, load_settings
+from ..settings import load_settings
 
 __all__ = ["run_entry", "run_replica"]
 
@@ -18,8 +18,9 @@
         Its settings file.
     """
     from ._entry import EntryApp
+    from ._entry_settings import EntryDaemonSettings
 
-    asyncio.run(_run(EntryApp, load_settings(path, EntrySettings)))
+    asyncio.run(_run(EntryApp, load_settings(path, EntryDaemonSettings)))
 
 
 def run_replica(path: Path) -> None:
@@ -31,8 +32,9 @@
         Its settings file.
     """
     from ._replica import ReplicaApp
+    from ._replica_settings import ReplicaDaemonSettings
 
-    asyncio.run(_run(ReplicaApp, load_settings(path, ReplicaSettings)))
+    asyncio.run(_run(ReplicaApp, load_settings(path, ReplicaDaemonSettings)))
 
 
 async def _run(app_class, cfg) -> None:
@@ -42,6 +44,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, app.reload)
     await app.start()
     waits = {asyncio.create_task(stopping.wait())}
     if hasattr(app, "wait_failed"):
--- a/src/redwingslip/daemons/_replica.py
+++ b/src/redwingslip/daemons/_replica.py
@@ -5,22 +5,22 @@
 from datetime import timedelta
 
 from ..clock import Clock, SystemClock
-from ..consensus import ConsensusMessage, ConsensusSettings, Replica
+from ..consensus import ConsensusMessage, Replica
 from ..fleet import Change
-from ..observe import Event, EventLog, EventName, EventSink
+from ..observe import Event, EventLog, EventName, EventSink, new_metrics
 from ..peers import (
     LeaseRenewal,
     Message,
     PeerHub,
-    PeerSettings,
     Proposal,
     ProposalReply,
     RedirectToLeader,
     ReplicasRequest,
 )
-from ..settings import ReplicaSettings
+from ..settings import find_warnings, load_tls
 from ._leadership import Leadership
 from ._machine import FleetMachine
+from ._replica_settings import ReplicaDaemonSettings
 
 __all__ = ["ReplicaApp"]
 
@@ -32,7 +32,7 @@
 
     Parameters
     ----------
-    cfg : ReplicaSettings
+    cfg : ReplicaDaemonSettings
         Its settings.
     clock : Clock or None
         The machine's by default.
@@ -42,7 +42,7 @@
 
     def __init__(
         self,
-        cfg: ReplicaSettings,
+        cfg: ReplicaDaemonSettings,
         *,
         clock: Clock | None = None,
         events: EventSink | None = None,
@@ -55,18 +55,23 @@
         )
         self._leadership: Leadership | None = None
         self._task: asyncio.Task | None = None
+        tls = load_tls(cfg.tls)
+        self._tls = tls
+        self._metrics = new_metrics(cfg.metrics, process_id=self._id)
         self._hub = PeerHub(
             process_id=self._id,
             address=cfg.peers.listen,
             secret=cfg.cluster.secret_file.read_text().strip(),
-            cfg=PeerSettings(),
+            cfg=cfg.links,
             clock=self._clock,
             on_message=self._on_message,
             events=self._events,
+            tls_server=None if tls is None else tls.server,
+            tls_client=None if tls is None else tls.client,
         )
         self.machine = FleetMachine()
         self.replica = Replica(
-            cfg=ConsensusSettings(),
+            cfg=cfg.consensus,
             data_folder=cfg.replica.data_folder,
             replica_id=self._id,
             address=cfg.peers.listen,
@@ -94,6 +99,16 @@
         await self.replica.start()
         self._task = asyncio.create_task(self._tick_forever(), name="tick")
         self._emit(EventName.PROCESS_STARTED, detail=self.replica.incarnation)
+        for words in find_warnings(self.cfg):
+            self._emit(EventName.WARNING, detail=words)
+
+    def reload(self) -> None:
+        """Read certificates and keys again; new links use them."""
+        cfg = self.cfg.tls
+        if self._tls is None:
+            return
+        for context in (self._tls.server, self._tls.client):
+            context.load_cert_chain(cfg.certificate, cfg.key)
 
     async def stop(self) -> None:
         """Hand leadership over and stop."""
@@ -101,6 +116,7 @@
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         await self._hub.stop()
+        self._metrics.close()
         self._emit(EventName.PROCESS_STOPPED)
 
     async def wait_failed(self) -> None:
@@ -121,9 +137,14 @@
             set_address=self._hub.set_address,
             clock=self._clock,
             events=self._events,
+            metrics=self._metrics,
         )
 
     def _on_applied(self, changes: tuple[Change, ...]) -> None:
+        if changes:
+            index = changes[-1].index
+            event = Event(name=EventName.COMMAND_APPLIED, index=index)
+            self._events.emit(event)
         if self._leadership is not None:
             self._leadership.applied(changes)
 
--- a/src/redwingslip/daemons/_runner.py
+++ b/src/redwingslip/daemons/_runner.py
@@ -11,6 +11,7 @@
     BadRequestError,
     NotRunError,
     OutcomeUnknownError,
+    RequestError,
     Submission,
     UnauthorizedError,
     UnknownQueueError,
@@ -25,7 +26,7 @@
     EndpointUnreachableError,
 )
 from ..fleet import ClaimOutcome, FleetView, QueueSpec
-from ..observe import Event, EventName, EventSink
+from ..observe import Event, EventName, EventSink, Metrics
 from ..peers import Permit, PermitRefusal, PermitRequest, RefusalReason, RunResult
 from ..settings import RequestsSettings
 from ._claims import NOT_RUN, ClaimDesk, HeldClaim
@@ -34,6 +35,13 @@
 __all__ = ["EntryRunner"]
 
 OPEN_TEAM = "open"
+
+# Outcomes of requests in the metrics.
+ANSWERED = "answered"
+CANCELLED = "cancelled"
+REFUSED = "not-run"
+UNKNOWN = "unknown"
+
 N_ATTEMPTS_MAX = 6
 SERVER_ERROR = 500
 MIN_RETRY_TOKENS = 10.0
@@ -135,6 +143,8 @@
         The process's clock.
     events : EventSink
         Takes the events of requests.
+    metrics : Metrics
+        Takes the times of requests and calls.
     """
 
     __slots__ = (
@@ -145,6 +155,7 @@
         "_entry_id",
         "_events",
         "_has_lease",
+        "_metrics",
         "_permits",
         "_view",
         "is_stopping",
@@ -163,7 +174,9 @@
         client: EndpointClient,
         clock: Clock,
         events: EventSink,
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         self._budget = RetryBudget(cfg.retry_budget)
         self._entry_id = entry_id
         self._view = view
@@ -182,17 +195,26 @@
 
     async def run(self, submission: Submission) -> Answer:
         """Run a request and return its whole answer; see `RequestRunner`."""
+        began = self._clock.monotonic()
         self.n_running += 1
         run = None
+        outcome = CANCELLED
         try:
             run = self._admit(submission)
             self._emit(EventName.REQUEST_RECEIVED, run)
             answer = await self._run_once(run)
-        except Exception as exc:
+            outcome = ANSWERED
+        except RequestError as exc:
+            outcome = UNKNOWN if exc.has_run else REFUSED
             self._emit(EventName.REQUEST_REFUSED, run, detail=str(exc))
             raise
         finally:
             self.n_running -= 1
+            self._metrics.record_request(
+                queue="" if run is None else submission.queue,
+                outcome=outcome,
+                duration=self._clock.monotonic() - began,
+            )
         self._emit(EventName.REQUEST_ANSWERED, run, status=answer.status)
         return answer
 
@@ -352,6 +374,9 @@
             raise
         finally:
             run_time = self._clock.monotonic() - started
+            self._metrics.record_call(
+                pool=permit.pool, outcome=result, duration=run_time
+            )
             self._permits.done(permit, result, run_time)
             self._emit(EventName.CALL_ENDED, run, permit=permit, detail=result)
 
--- a/src/redwingslip/leases/_granter.py
+++ b/src/redwingslip/leases/_granter.py
@@ -31,7 +31,14 @@
 class _EntryLease:
     """What the leader knows of one entry's lease."""
 
-    __slots__ = ("acked_index", "granted", "incarnation", "is_leaving", "sent_index")
+    __slots__ = (
+        "acked_index",
+        "granted",
+        "incarnation",
+        "is_leaving",
+        "is_stopping",
+        "sent_index",
+    )
 
     def __init__(self, incarnation: str) -> None:
         self.incarnation = incarnation
@@ -39,6 +46,7 @@
         self.sent_index = 0
         self.granted: deque[_Granted] = deque()
         self.is_leaving = False
+        self.is_stopping = False
 
     def drop_ended(self, now: timedelta) -> None:
         while self.granted and self.granted[0].ends_at <= now:
@@ -139,6 +147,7 @@
         if lease is None or lease.incarnation != msg.incarnation:
             lease = self._adopt(msg.entry_id, msg.incarnation, now, self._view.index)
         lease.acked_index = max(lease.acked_index, msg.applied_index)
+        lease.is_stopping = msg.stopping
         lease.drop_ended(now)
         if msg.leaving:
             lease.is_leaving = True
@@ -241,7 +250,9 @@
 
     def _may_dispatch(self, entry_id: str) -> bool:
         lease = self._leases.get(entry_id)
-        return lease is not None and bool(lease.sent_index) and not lease.is_leaving
+        if lease is None or lease.is_leaving or lease.is_stopping:
+            return False
+        return bool(lease.sent_index)
 
     def _find_in_force(self, now: timedelta) -> int:
         index = self._view.index
--- a/src/redwingslip/leases/_holder.py
+++ b/src/redwingslip/leases/_holder.py
@@ -79,8 +79,10 @@
         """Return whether the lease holds at `now`."""
         return now < self._ends_at
 
-    def renewal(self, now: timedelta, *, leaving: bool = False) -> LeaseRenewal:
-        """Return the next renewal to send, at once."""
+    def renewal(
+        self, now: timedelta, *, stopping: bool = False, leaving: bool = False
+    ) -> LeaseRenewal:
+        """Return the next renewal, to be sent at once."""
         self._number += 1
         self._sent_at[self._number] = now
         if len(self._sent_at) > N_RENEWALS_REMEMBERED:
@@ -95,6 +97,7 @@
             data_centre=self._data_centre,
             number=self._number,
             applied_index=self.view.index,
+            stopping=stopping,
             leaving=leaving,
         )
 
--- a/src/redwingslip/peers/_messages.py
+++ b/src/redwingslip/peers/_messages.py
@@ -56,8 +56,10 @@
         Counts the renewals of this incarnation; the answer repeats it.
     applied_index : int
         Log index of the entry's view.
+    stopping : bool
+        The entry finishes what it has and dispatches no further pool.
     leaving : bool
-        The entry stops and gives its lease up.
+        The entry has finished and gives its lease up.
     """
 
     entry_id: str
@@ -66,6 +68,7 @@
     data_centre: str
     number: int
     applied_index: int
+    stopping: bool = False
     leaving: bool = False
 
 
