--- /dev/null
+++ b/tests/test_consensus_reporter.py
@@ -0,0 +1,60 @@
+"""Tests of the reports of leadership and members."""
+
+import unittest
+from types import SimpleNamespace
+
+from redwingslip.consensus._reporter import Reporter
+from redwingslip.observe._events import EventName
+
+
+class TestReporter(unittest.TestCase):
+    """What is reported, and when."""
+
+    def setUp(self):
+        """Make a reporter and a node that leads since the entry 5."""
+        self.events = []
+        self.calls = []
+        sink = SimpleNamespace(emit=lambda event: self.events.append(event.name))
+        self.reporter = Reporter("a", sink)
+        self.reporter.on_leadership = self.calls.append
+        self.repaired = set()
+        member = SimpleNamespace(replica_id="b", incarnation="b.1")
+        self.node = SimpleNamespace(
+            is_leader=True,
+            term=3,
+            first_index_of_term=5,
+            members=(member,),
+            is_repaired=lambda *key: key in self.repaired,
+        )
+
+    def test_leadership_begins_when_the_state_is_current(self):
+        """The call waits until the first entry of the term is applied."""
+        self.reporter.follow(self.node, 4)
+        self.assertEqual(self.calls, [])
+        self.reporter.follow(self.node, 5)
+        self.reporter.follow(self.node, 6)
+        self.assertEqual(self.calls, [True])
+
+    def test_next_term_is_another_leadership(self):
+        """Leadership that was lost and won between two looks has ended."""
+        self.reporter.follow(self.node, 5)
+        self.assertFalse(self.reporter.has_ended(self.node))
+        self.node.term = 5
+        self.assertTrue(self.reporter.has_ended(self.node))
+        self.reporter.end()
+        self.assertEqual(self.calls, [True, False])
+
+    def test_whole_again_is_an_event(self):
+        """After a change of members one event says that all are whole."""
+        self.reporter.follow(self.node, 5)
+        self.reporter.change_members(6)
+        self.reporter.follow(self.node, 6)
+        self.assertEqual(self.events.count(EventName.MEMBER_CHANGED), 1)
+        self.repaired.add(("b", "b.1"))
+        self.reporter.follow(self.node, 6)
+        self.reporter.follow(self.node, 6)
+        self.assertEqual(self.events.count(EventName.MEMBER_CHANGED), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
