Test that three members grow to five

Cause: growth goes by the path of a newcomer, and no test took it. Change: a test that grows a cluster and then loses two disks of five at once.

--- a/tests/_consensus_cluster.py
+++ b/tests/_consensus_cluster.py
@@ -63,7 +63,7 @@
     same index; a lease holder has no other leader beside it that is newer.
     """
 
-    def __init__(self, seed=0, n_replicas=3, cfg=CFG):
+    def __init__(self, seed=0, n_replicas=3, n_founders=3, cfg=CFG):
         self.cfg = cfg
         self.rng = random.Random(seed)
         self.now = timedelta(seconds=1)
@@ -83,14 +83,18 @@
         self.acknowledged = []
         self.leaders = {}
         self.lost = set()
-        self._found(ids)
+        self._found(ids[:n_founders])
+        for replica_id in ids[n_founders:]:
+            self.lost.add(replica_id)
+            self.start(self.processes[replica_id])
 
     def _found(self, ids):
-        """Give every process a folder whose founding is agreed."""
+        """Give processes folders whose founding is agreed, and start them."""
         members = tuple(
             Member(replica_id=i, incarnation=f"{i}.0", address=f"{i}:1") for i in ids
         )
-        for process in self.processes.values():
+        for replica_id in ids:
+            process = self.processes[replica_id]
             folder = DataFolder(FOLDER, process.files)
             folder.load(process.replica_id)
             identity = Identity(
--- a/tests/test_consensus_safety.py
+++ b/tests/test_consensus_safety.py
@@ -172,5 +172,20 @@
     settings = settings(max_examples=3 * settings().max_examples)
 
 
+class TestGrowth(unittest.TestCase):
+    """Replicas that are new in the settings."""
+
+    def test_new_replicas_become_voters_one_by_one(self):
+        """Three members grow to five, which then survive two lost disks."""
+        cluster = Cluster(seed=1, n_replicas=5)
+        cluster.check_recovery()
+        names = [m.replica_id for m in cluster.pick("leader").node.members if m.voting]
+        self.assertEqual(names, list(cluster.processes))
+        lost = [cluster.pick("leader"), cluster.pick(0)]
+        for process in lost:
+            cluster.lose_disk(process)
+        cluster.check_recovery()
+
+
 if __name__ == "__main__":
     unittest.main()
