Refuse a log that lost its first record

Cause: a member whose log file was emptied (but not its identity) started as a member without its votes and acknowledgements, and could have voted twice in a term. Change: a log is made with a first record; one without it is corrupt. Seen failing without the check: test_log_without_a_first_record_is_an_error. Conclusion: green with it.

--- a/src/redwingslip/consensus/_folder.py
+++ b/src/redwingslip/consensus/_folder.py
@@ -185,5 +185,6 @@
     """Make a folder. The identity comes last, so that it vouches for the log."""
     files.make_folder(path)
     files.sync_folder(path.parent)
-    RecordLog(path / LOG_NAME, files).rewrite([])
+    first = _ENCODER.encode(Save(hard_state=HardState()))
+    RecordLog(path / LOG_NAME, files).rewrite([first])
     write_sealed(path / IDENTITY_NAME, _ENCODER.encode(identity), files)
--- a/src/redwingslip/storage/_records.py
+++ b/src/redwingslip/storage/_records.py
@@ -24,6 +24,9 @@
 class RecordLog:
     """A file of records to which records are added, each synced.
 
+    `rewrite` makes it, with at least one record, and at once. So a file without a
+    whole first record is corrupt, and not one that a crash interrupted.
+
     Parameters
     ----------
     path : Path
@@ -51,6 +54,8 @@
         """
         data = self._files.read(self._path)
         payloads, end = _read_records(data)
+        if not payloads:
+            raise CorruptLogError(self._path, 0, "the first record is bad")
         if end < len(data):
             _check_torn(self._path, data, end)
             self._files.truncate(self._path, end)
@@ -75,6 +80,9 @@
 
     def rewrite(self, payloads: Iterable[bytes]) -> None:
         """Replace all records at once, durably."""
+        payloads = list(payloads)
+        if not payloads:
+            raise ValueError("a log has at least one record")
         data = b"".join(_seal(payload) for payload in payloads)
         with self._guard():
             _write_file(self._path, data, self._files)
--- a/tests/test_storage_records.py
+++ b/tests/test_storage_records.py
@@ -20,11 +20,11 @@
 PAYLOADS = st.lists(st.binary(max_size=40), min_size=1, max_size=6)
 
 
-def new_log(files, payloads=()):
+def new_log(files, payloads):
     """Return a log with records."""
     log = RecordLog(PATH, files)
-    log.rewrite([])
-    for payload in payloads:
+    log.rewrite(payloads[:1])
+    for payload in payloads[1:]:
         log.append(payload)
     return log
 
@@ -68,6 +68,14 @@
         self.assertLessEqual(caught.exception.offset, position)
         self.assertEqual(files.read(PATH), bytes(content))
 
+    def test_log_without_a_first_record_is_an_error(self):
+        """A log that lost its content is not taken for a new one."""
+        files = MemoryFiles()
+        for content in (b"", bytes(64)):
+            files.overwrite(PATH, content)
+            with self.assertRaises(CorruptLogError):
+                RecordLog(PATH, files).open()
+
     def test_zeros_at_the_end_are_cut_off(self):
         """A tail that the file system had only reserved is no record."""
         files = MemoryFiles()
