Split the dispatcher by concern, and follow demand at constant cost

Change: view, ejection, reports to the leader and permits in modules of their own. The planner keeps sums for each team: while there is enough for all a demand is followed without looking at other pools; a contended limit is divided anew at most each 100 ms. A refused request is remembered, so a resend gets the refusal again.

--- a/src/redwingslip/dispatch/_dispatcher.py
+++ b/src/redwingslip/dispatch/_dispatcher.py
@@ -2,51 +2,36 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
-from functools import singledispatchmethod
 from random import Random
 
-from ..fleet import (
-    Allotment,
-    Change,
-    DispatcherLease,
-    FleetView,
-    Kind,
-    QueueSpec,
-    ReportVm,
-    Resource,
-    Table,
-    TeamSpec,
-    VmRecord,
-    VmSpec,
-)
-from ..fleet import Removed as RemovedRow
-from ..observe._events import Event, EventName
+from ..fleet import Change, FleetView
+from ..observe._events import EventName
 from ..peers import (
     AllotmentRecall,
     EndpointReport,
-    Permit,
     PermitCancel,
     PermitDone,
     PermitRefusal,
     PermitRequest,
-    PoolDemand,
     RefusalReason,
     RunResult,
-    TeamDemand,
-    VmDrained,
 )
 from ._admission import Admission
 from ._capacity import PoolCapacity
-from ._demand import DemandReporter
-from ._endpoints import Endpoint, VmState
+from ._ejection import Ejector
+from ._endpoints import Endpoint
+from ._grants import make_task, with_window
 from ._judgement import FailureJudge
+from ._leader_reports import LeaderReporter
 from ._limits import AllotmentKeeper
-from ._outputs import Emitted, Granted, Output, Proposed, Refused, ToLeader
+from ._outbox import Outbox
+from ._outputs import Granted, Output, Proposed, Refused
 from ._queue import Shape, Waiting
 from ._requests import CANCELLED, KnownRequest, RequestTable
 from ._scheduler import Scheduler
 from ._settings import DispatchSettings
-from ._tasks import PermitId, Task
+from ._tasks import Task
+from ._view_reader import ViewReader
 
 __all__ = ["Dispatcher"]
 
@@ -79,8 +64,7 @@
         "_allotments",
         "_capacity",
         "_cfg",
-        "_demand",
-        "_is_replaced",
+        "_ejector",
         "_is_started",
         "_is_stopped",
         "_judge",
@@ -88,10 +72,11 @@
         "_n_permits",
         "_n_requests",
         "_now",
-        "_outputs",
+        "_outbox",
+        "_reader",
+        "_reporter",
         "_requests",
         "_scheduler",
-        "_shrinkable",
         "_view",
         "epoch",
         "pool",
@@ -114,19 +99,39 @@
         self._lease_until = ZERO
         self._is_started = False
         self._is_stopped = False
-        self._is_replaced = False
         self._n_requests = 0
         self._n_permits = 0
-        self._outputs: list[Output] = []
-        self._shrinkable: set[str] = set()
+        self._outbox = Outbox(pool=pool, epoch=epoch)
         self._requests = RequestTable(remember=cfg.remember)
         self._scheduler = Scheduler(cfg)
         self._judge = FailureJudge(cfg)
-        self._demand = DemandReporter(cfg)
         self._allotments = AllotmentKeeper(pool=pool, epoch=epoch, cfg=cfg, view=view)
         self._capacity = PoolCapacity(
             pool=pool, epoch=epoch, cfg=cfg, view=view, on_task=self._count
         )
+        self._reader = ViewReader(
+            pool=pool,
+            epoch=epoch,
+            view=view,
+            capacity=self._capacity,
+            scheduler=self._scheduler,
+            allotments=self._allotments,
+        )
+        self._reporter = LeaderReporter(
+            pool=pool,
+            epoch=epoch,
+            cfg=cfg,
+            capacity=self._capacity,
+            outbox=self._outbox,
+        )
+        self._ejector = Ejector(
+            pool=pool,
+            cfg=cfg,
+            view=view,
+            capacity=self._capacity,
+            judge=self._judge,
+            outbox=self._outbox,
+        )
         self._admission = Admission(
             cfg=cfg,
             view=view,
@@ -160,14 +165,13 @@
 
     def may_hand_over(self, now: timedelta) -> bool:
         """Return whether no permit's start is still open."""
-        if not self._is_stopped and not self._is_replaced:
+        if not self._is_stopped and not self._reader.is_replaced:
             return False
         return all(task.starts_until <= now for task in self._capacity.tasks)
 
     def take_outputs(self) -> list[Output]:
         """Return what is to be done since the last call, in order."""
-        outputs, self._outputs = self._outputs, []
-        return outputs
+        return self._outbox.take()
 
     # Inputs.
 
@@ -180,11 +184,11 @@
             return
         if known is not None:
             self._supersede(msg, known, now)
-        if self._is_replaced or msg.pool != self.pool:
+        if self._reader.is_replaced or msg.pool != self.pool:
             self._refuse(msg, RefusalReason.NOT_DISPATCHER, ZERO)
             return
         self._n_requests += 1
-        self._know_team(msg.team)
+        self._reader.know_team(msg.team)
         self._capacity.raise_longest_run(self._task_lease(msg))
         item = self._scheduler.make_waiting(msg, number=self._n_requests, now=now)
         reason = self._admission.refusal(item)
@@ -210,6 +214,7 @@
             return
         known.waiting = None
         self._scheduler.remove(item)
+        known.refusal = RefusalReason.CANCELLED
         self._say_refused(item.req, RefusalReason.CANCELLED, ZERO)
         self._finish(now)
 
@@ -238,7 +243,8 @@
             return
         if endpoint.takes_work and not was_serving:
             self._emit_endpoint(EventName.ENDPOINT_UP, endpoint)
-        self._report_vm(endpoint.vm, now)
+        if not self._reader.is_replaced:
+            self._reporter.say_health(endpoint.vm, now)
         self._finish(now)
 
     def view_changed(
@@ -250,17 +256,18 @@
         """
         self._begin(now)
         if changes is None:
-            self._read_view(now)
+            self._reader.read_all(now)
         else:
-            for change in changes:
-                self._take_row(change.row, now)
+            self._reader.read(changes, now)
+        if self._reader.is_replaced:
+            self._refuse_all(RefusalReason.NOT_DISPATCHER)
         self._finish(now)
 
     def recall(self, msg: AllotmentRecall, now: timedelta) -> None:
         """Give back what can be spared of an allotment."""
         self._begin(now)
         self._allotments.recall(msg, now)
-        self._shrinkable.add(msg.team)
+        self._reader.shrinkable.add(msg.team)
         self._finish(now)
 
     def tick(self, now: timedelta) -> None:
@@ -273,11 +280,10 @@
         self._refuse_expired(now)
         if self._capacity.n_slots_unknown and self._capacity.is_surely_over(now):
             self._capacity.refresh_all(now)
-        for vm in self._capacity.vms.values():
-            self._report_vm(vm, now)
-            self._report_drained(vm, now)
-        for command in self._allotments.take_due(now):
-            self._outputs.append(Proposed(command=command))
+        if not self._reader.is_replaced:
+            self._reporter.say_vms(now)
+            for command in self._allotments.take_due(now):
+                self._outbox.put(Proposed(command=command))
         self._requests.forget_old(now)
         self._finish(now)
 
@@ -293,119 +299,33 @@
         """Allow grants whose calls start before this monotonic time."""
         self._lease_until = deadline
 
-    # The view.
+    # Before and after each input.
 
     def _begin(self, now: timedelta) -> None:
         self._now = max(self._now, now)
         if not self._is_started:
             self._is_started = True
             self._capacity.start(now)
-            self._read_view(now)
-
-    def _read_view(self, now: timedelta) -> None:
-        self._read_lease(now)
-        for name in [name for name in self._capacity.vms if name not in self._view.vms]:
-            self._capacity.drop_vm(name)
-        for record in self._view.vms_of(self.pool):
-            self._capacity.put_vm(record, now)
-        for name in list(self._capacity.vms):
-            self._capacity.put_vm(self._view.vms[name], now)
-        for queue in self._view.resources[Kind.QUEUE].values():
-            self._take_spec(queue.spec, queue.name, now)
-        self._scheduler.total_share = sum(
-            team.spec.share for team in self._view.resources[Kind.TEAM].values()
-        )
-        for name in list(self._scheduler.teams):
-            self._refresh_team(name)
-
-    def _read_lease(self, now: timedelta) -> None:
-        is_current = self._capacity.is_current
-        if not is_current and self._view.index >= self.epoch:
-            self._is_replaced = True
-            self._refuse_all(RefusalReason.NOT_DISPATCHER)
-        self._capacity.refresh_all(now)
-
-    def _know_team(self, name: str) -> None:
-        if name not in self._scheduler.teams:
-            self._refresh_team(name)
-
-    def _refresh_team(self, name: str) -> None:
-        """Take over a team's share, limit and allotment."""
-        team = self._scheduler.team(name)
-        spec = self._view.team(name)
-        self._scheduler.set_share(team, spec.share)
-        team.max_waiting = spec.max_waiting
-        team.limit = self._allotments.allowed(name)
-        self._shrinkable.add(name)
-        self._scheduler.unpark(team)
-
-    @singledispatchmethod
-    def _take_row(self, row: object, now: timedelta) -> None:
-        """Take over one changed row of the view."""
-
-    @_take_row.register
-    def _(self, row: VmRecord, now: timedelta) -> None:
-        if row.pool == self.pool or row.name in self._capacity.vms:
-            self._capacity.put_vm(row, now)
-
-    @_take_row.register
-    def _(self, row: DispatcherLease, now: timedelta) -> None:
-        if row.pool == self.pool:
-            self._read_lease(now)
-
-    @_take_row.register
-    def _(self, row: Allotment, now: timedelta) -> None:
-        if row.pool == self.pool:
-            self._refresh_team(row.team)
-
-    @_take_row.register
-    def _(self, row: Resource, now: timedelta) -> None:
-        self._take_spec(row.spec, row.name, now)
-
-    @_take_row.register
-    def _(self, row: RemovedRow, now: timedelta) -> None:
-        if row.table is Table.VMS:
-            self._capacity.drop_vm(row.key[0])
-        elif row.table in (Table.RESOURCES, Table.DISPATCHERS, Table.ALLOTMENTS):
-            self._read_view(now)
-
-    @singledispatchmethod
-    def _take_spec(self, spec: object, name: str, now: timedelta) -> None:
-        """Take over one changed resource."""
-
-    @_take_spec.register
-    def _(self, spec: QueueSpec, name: str, now: timedelta) -> None:
-        if spec.pool == self.pool:
-            self._capacity.raise_longest_run(spec.max_run)
-
-    @_take_spec.register
-    def _(self, spec: VmSpec, name: str, now: timedelta) -> None:
-        if name in self._capacity.vms:
-            self._capacity.put_vm(self._view.vms[name], now)
-
-    @_take_spec.register
-    def _(self, spec: TeamSpec, name: str, now: timedelta) -> None:
-        self._scheduler.total_share = sum(
-            team.spec.share for team in self._view.resources[Kind.TEAM].values()
-        )
-        if name in self._scheduler.teams:
-            self._refresh_team(name)
+            self._reader.read_all(now)
 
     # Refusals and resends.
 
     def _answer_again(self, msg: PermitRequest, known: KnownRequest) -> None:
-        """Answer a resend by the same permit, unless its entry has finished with it.
+        """Answer a resend as before, unless its entry has finished with the permit.
 
         When the start window is over, the entry reports "not run" and asks anew.
         """
+        if msg.n_attempts < known.n_attempts:
+            return
+        if known.refusal is not None:
+            self._say_refused(msg, known.refusal, ZERO)
+            return
         task = known.task
         if task is None or task.result is not None:
             return
-        if msg.n_attempts < known.n_attempts:
-            return
         left = max(task.starts_until - self._cfg.clock_margin - self._now, ZERO)
-        self._outputs.append(
-            Granted(entry_id=msg.entry_id, permit=_with_window(task.permit, left))
+        self._outbox.put(
+            Granted(entry_id=msg.entry_id, permit=with_window(task.permit, left))
         )
 
     def _supersede(
@@ -418,19 +338,21 @@
         """
         if known.waiting is not None:
             self._scheduler.remove(known.waiting)
+            known.waiting = None
         task = known.task
         if task is None or task.result is not RunResult.NOT_RUN:
             return
         endpoint = self._capacity.endpoints.get(task.endpoint_id)
         if endpoint is not None and task.endpoint_id in msg.excluded:
-            self._judge.note(endpoint, msg, RunResult.FAILED, now)
-            self._judge_endpoint(endpoint, RunResult.FAILED, now)
+            self._ejector.note(endpoint, msg, RunResult.FAILED, now)
 
     def _refuse_waiting(self, item: Waiting, reason: RefusalReason) -> None:
         """Refuse a request that waits."""
         retry_after = self._admission.retry_after(item, reason)
         self._scheduler.remove(item)
-        self._requests.drop(item.req.request_id)
+        known = self._requests.get(item.req.request_id)
+        known.waiting = None
+        known.refusal = reason
         self._say_refused(item.req, reason, retry_after)
 
     def _refuse_expired(self, now: timedelta) -> None:
@@ -448,7 +370,8 @@
     def _refuse(
         self, req: PermitRequest, reason: RefusalReason, retry_after: timedelta
     ) -> None:
-        self._requests.drop(req.request_id)
+        known = self._requests.add(req.request_id, req.n_attempts, self._now, ZERO)
+        known.refusal = reason
         self._say_refused(req, reason, retry_after)
 
     def _say_refused(
@@ -460,8 +383,8 @@
             reason=reason,
             retry_after=retry_after,
         )
-        self._outputs.append(Refused(entry_id=req.entry_id, refusal=refusal))
-        self._emit(
+        self._outbox.put(Refused(entry_id=req.entry_id, refusal=refusal))
+        self._outbox.emit(
             EventName.REQUEST_REFUSED,
             request_id=req.request_id,
             team=req.team,
@@ -472,7 +395,11 @@
     # Grants.
 
     def _may_grant(self, now: timedelta) -> bool:
-        if self._is_stopped or self._is_replaced or not self._capacity.is_current:
+        if (
+            self._is_stopped
+            or self._reader.is_replaced
+            or not self._capacity.is_current
+        ):
             return False
         return self._lease_until - now >= self._cfg.min_start_window
 
@@ -523,67 +450,44 @@
         req = item.req
         self._scheduler.take(item)
         window = min(self._cfg.start_window, self._lease_until - now)
-        lease = self._task_lease(req)
-        size = PermitId(
-            epoch=self.epoch,
-            slots=item.shape[1],
-            accelerators=req.accelerators,
-            memory_mb=req.memory_mb,
-        )
         self._n_permits += 1
-        permit = Permit(
-            permit_id=size.encode(self.pool, self._n_permits),
-            request_id=req.request_id,
+        task = make_task(
+            item,
+            endpoint,
             pool=self.pool,
             epoch=self.epoch,
-            endpoint_id=endpoint.endpoint_id,
-            incarnation=endpoint.last.incarnation,
-            address=endpoint.last.address,
-            fencing_token=endpoint.last.fencing_token,
-            start_by=endpoint.clock_at(now) + window,
-            start_within=window,
-            lease=lease,
-        )
-        starts_until = now + window + self._cfg.clock_margin
-        task = Task(
-            permit_id=permit.permit_id,
-            team=req.team,
-            endpoint_id=endpoint.endpoint_id,
-            vm=endpoint.vm.record.name,
-            size=size,
+            number=self._n_permits,
+            window=window,
+            lease=self._task_lease(req),
+            margin=self._cfg.clock_margin,
             now=now,
-            ends_by=starts_until + lease + self._cfg.clock_margin,
         )
-        task.permit = permit
-        task.req = req
-        task.starts_until = starts_until
-        task.charged = item.work
         known = self._requests.get(req.request_id)
         known.waiting = None
         known.task = task
         self._capacity.begin(endpoint, task, now)
-        self._outputs.append(Granted(entry_id=req.entry_id, permit=permit))
-        self._emit(
+        self._outbox.put(Granted(entry_id=req.entry_id, permit=task.permit))
+        self._outbox.emit(
             EventName.PERMIT_GRANTED,
             request_id=req.request_id,
             team=req.team,
             queue=req.queue,
             endpoint_id=endpoint.endpoint_id,
-            permit_id=permit.permit_id,
+            permit_id=task.permit_id,
         )
 
     # Tasks that end.
 
     def _count(self, task: Task, sign: int) -> None:
         """Count a task for its team, and charge what it used."""
-        self._know_team(task.team)
+        self._reader.know_team(task.team)
         team = self._scheduler.team(task.team)
         self._scheduler.count(task, sign)
-        self._demand.is_changed = True
+        self._reporter.demand.is_changed = True
         if sign > 0:
             self._scheduler.charge(team, task.charged, self._now)
             return
-        self._shrinkable.add(task.team)
+        self._reader.shrinkable.add(task.team)
         if task.is_foreign:
             return
         used = task.used_seconds
@@ -602,80 +506,7 @@
             self._scheduler.run_times.add(task.team, task.req.queue, msg.run_time)
         endpoint = self._capacity.endpoints.get(task.endpoint_id)
         if endpoint is not None:
-            self._judge.note(endpoint, task.req, msg.result, now)
-            self._judge_endpoint(endpoint, msg.result, now)
-
-    def _judge_endpoint(
-        self, endpoint: Endpoint, result: RunResult, now: timedelta
-    ) -> None:
-        """Eject an endpoint that fails everything, or take it back after a probe."""
-        health = endpoint.health
-        if health.state == "probing" and result is RunResult.COMPLETED:
-            endpoint.backoff = ZERO
-            self._capacity.change_health(endpoint, health.recover)
-            return
-        if health.state not in ("serving", "probing"):
-            return
-        peers = [
-            e
-            for e in self._capacity.endpoints.values()
-            if e.last.service == endpoint.last.service
-        ]
-        if not self._judge.is_bad(endpoint, peers) or not self._may_eject(endpoint):
-            return
-        backoff = max(endpoint.backoff * 2, self._cfg.eject_backoff)
-        endpoint.backoff = min(backoff, self._cfg.max_eject_backoff)
-        endpoint.ejected_until = now + endpoint.backoff
-        endpoint.n_failures = 0
-        self._capacity.change_health(endpoint, health.eject)
-        self._emit_endpoint(EventName.ENDPOINT_EJECTED, endpoint)
-
-    def _may_eject(self, endpoint: Endpoint) -> bool:
-        """Return whether the pool's budget holds without an endpoint's VM."""
-        spec = self._view.pool(self.pool)
-        if spec is None or endpoint.health.state == "probing":
-            return True
-        serving = {
-            e.vm.record.name
-            for e in self._capacity.endpoints.values()
-            if e is not endpoint and e.takes_work
-        }
-        return len(serving) >= spec.min_serving
-
-    # What the leader is told.
-
-    def _report_vm(self, vm: VmState, now: timedelta) -> None:
-        """Propose a VM's health if the view shows another."""
-        health = self._capacity.seen_health(vm, now)
-        if health is None or health is vm.record.health or self._is_replaced:
-            return
-        is_said = vm.reported_at is not None and vm.said_health is health
-        if is_said and now - vm.reported_at < self._cfg.repeat:
-            return
-        vm.reported_at = now
-        vm.said_health = health
-        command = ReportVm(
-            vm=vm.record.name,
-            pool=self.pool,
-            epoch=self.epoch,
-            assigned_at=vm.record.assigned_at,
-            health=health,
-        )
-        self._outputs.append(Proposed(command=command))
-
-    def _report_drained(self, vm: VmState, now: timedelta) -> None:
-        """Say that a VM is drained, until the view shows that it is done."""
-        if not vm.must_drain or self._is_replaced:
-            return
-        if not self._capacity.is_drained(vm):
-            return
-        if vm.drained_at is not None and now - vm.drained_at < self._cfg.repeat:
-            return
-        if vm.drained_at is None:
-            self._emit(EventName.VM_DRAINED, vm=vm.record.name)
-        vm.drained_at = now
-        message = VmDrained(vm=vm.record.name, pool=self.pool, epoch=self.epoch)
-        self._outputs.append(ToLeader(message=message))
+            self._ejector.note(endpoint, task.req, msg.result, now)
 
     def _finish(self, now: timedelta) -> None:
         """Do what may follow from any input."""
@@ -686,37 +517,20 @@
         # A recalled slot that falls free must not be taken again first.
         self._shrink(now)
         self._fill(now)
-        if self._demand.is_due(now) and not self._is_replaced:
-            demand = self._demand.take(self._describe_demand(), now)
-            if demand is not None:
-                self._outputs.append(ToLeader(message=demand))
+        if not self._reader.is_replaced:
+            self._reporter.say_demand(self._scheduler.teams.values(), now)
 
     def _shrink(self, now: timedelta) -> None:
         """Give back what was recalled and is not used any more."""
-        names, self._shrinkable = self._shrinkable, set()
+        names, self._reader.shrinkable = self._reader.shrinkable, set()
         for name in names:
             team = self._scheduler.team(name)
             n_running = team.n_running + self._capacity.n_slots_unknown
             command = self._allotments.shrink(name, n_running, now)
-            if command is not None and not self._is_replaced:
+            if command is not None and not self._reader.is_replaced:
+                # The promise binds at once, before its proposal is under way.
                 team.limit = self._allotments.allowed(name)
-                self._outputs.append(Proposed(command=command))
-
-    def _describe_demand(self) -> PoolDemand:
-        teams = tuple(
-            TeamDemand(
-                team=team.name, n_running=team.n_running, n_waiting=team.n_waiting
-            )
-            for team in self._scheduler.teams.values()
-            if not team.is_idle
-        )
-        return PoolDemand(
-            pool=self.pool,
-            epoch=self.epoch,
-            teams=teams,
-            n_slots=self.n_slots,
-            n_idle=self.n_idle,
-        )
+                self._outbox.put(Proposed(command=command))
 
     # Events.
 
@@ -725,20 +539,6 @@
         self._emit_endpoint(EventName.ENDPOINT_DOWN, endpoint)
 
     def _emit_endpoint(self, name: EventName, endpoint: Endpoint) -> None:
-        self._emit(name, endpoint_id=endpoint.endpoint_id, vm=endpoint.vm.record.name)
-
-    def _emit(self, name: EventName, **fields: str) -> None:
-        event = Event(name=name, pool=self.pool, epoch=self.epoch, **fields)
-        self._outputs.append(Emitted(event=event))
-
-
-def _with_window(permit: Permit, left: timedelta) -> Permit:
-    """Return a permit with what is left of its start window."""
-    return Permit(
-        **{
-            name: getattr(permit, name)
-            for name in permit.__struct_fields__
-            if name != "start_within"
-        },
-        start_within=left,
-    )
+        self._outbox.emit(
+            name, endpoint_id=endpoint.endpoint_id, vm=endpoint.vm.record.name
+        )
--- /dev/null
+++ b/src/redwingslip/dispatch/_leader_reports.py
@@ -0,0 +1,109 @@
+"""What a dispatcher tells the leader: health of VMs, drains and demand."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from ..fleet import ReportVm
+from ..observe._events import EventName
+from ..peers import PoolDemand, TeamDemand, VmDrained
+from ._capacity import PoolCapacity
+from ._demand import DemandReporter
+from ._endpoints import VmState
+from ._outbox import Outbox
+from ._outputs import Proposed, ToLeader
+from ._settings import DispatchSettings
+from ._teams import TeamState
+
+__all__ = ["LeaderReporter"]
+
+
+class LeaderReporter:
+    """Says again what the view does not show yet, at a bounded rate.
+
+    Attributes
+    ----------
+    demand : DemandReporter
+        When the demand is said.
+    """
+
+    __slots__ = ("_capacity", "_cfg", "_epoch", "_outbox", "_pool", "demand")
+
+    def __init__(
+        self,
+        *,
+        pool: str,
+        epoch: int,
+        cfg: DispatchSettings,
+        capacity: PoolCapacity,
+        outbox: Outbox,
+    ) -> None:
+        self._pool = pool
+        self._epoch = epoch
+        self._cfg = cfg
+        self._capacity = capacity
+        self._outbox = outbox
+        self.demand = DemandReporter(cfg)
+
+    def say_vms(self, now: timedelta) -> None:
+        """Say what is due of every VM."""
+        for vm in self._capacity.vms.values():
+            self.say_health(vm, now)
+            self._say_drained(vm, now)
+
+    def say_health(self, vm: VmState, now: timedelta) -> None:
+        """Propose a VM's health if the view shows another."""
+        health = self._capacity.seen_health(vm, now)
+        if health is None or health is vm.record.health:
+            return
+        is_said = vm.reported_at is not None and vm.said_health is health
+        if is_said and now - vm.reported_at < self._cfg.repeat:
+            return
+        vm.reported_at = now
+        vm.said_health = health
+        command = ReportVm(
+            vm=vm.record.name,
+            pool=self._pool,
+            epoch=self._epoch,
+            assigned_at=vm.record.assigned_at,
+            health=health,
+        )
+        self._outbox.put(Proposed(command=command))
+
+    def _say_drained(self, vm: VmState, now: timedelta) -> None:
+        """Say that a VM is drained, until the view shows that it is done."""
+        if not vm.must_drain:
+            vm.drained_at = None
+            return
+        if not self._capacity.is_drained(vm):
+            return
+        if vm.drained_at is not None and now - vm.drained_at < self._cfg.repeat:
+            return
+        if vm.drained_at is None:
+            self._outbox.emit(EventName.VM_DRAINED, vm=vm.record.name)
+        vm.drained_at = now
+        message = VmDrained(vm=vm.record.name, pool=self._pool, epoch=self._epoch)
+        self._outbox.put(ToLeader(message=message))
+
+    def say_demand(self, teams: Iterable[TeamState], now: timedelta) -> None:
+        """Say what the pool is asked for, if that is due."""
+        if not self.demand.is_due(now):
+            return
+        message = self.demand.take(self._describe(teams), now)
+        if message is not None:
+            self._outbox.put(ToLeader(message=message))
+
+    def _describe(self, teams: Iterable[TeamState]) -> PoolDemand:
+        demands = tuple(
+            TeamDemand(
+                team=team.name, n_running=team.n_running, n_waiting=team.n_waiting
+            )
+            for team in teams
+            if not team.is_idle
+        )
+        return PoolDemand(
+            pool=self._pool,
+            epoch=self._epoch,
+            teams=demands,
+            n_slots=self._capacity.n_slots,
+            n_idle=self._capacity.slots.n_free,
+        )
--- a/src/redwingslip/dispatch/_requests.py
+++ b/src/redwingslip/dispatch/_requests.py
@@ -3,6 +3,7 @@
 from collections import deque
 from datetime import timedelta
 
+from ..peers import RefusalReason
 from ._queue import Waiting
 from ._tasks import Task
 
@@ -23,15 +24,18 @@
         While it waits.
     task : Task or None
         Once it was granted.
+    refusal : RefusalReason or None
+        Once it was refused.
     """
 
-    __slots__ = ("forget_at", "n_attempts", "task", "waiting")
+    __slots__ = ("forget_at", "n_attempts", "refusal", "task", "waiting")
 
     def __init__(self, n_attempts: int, forget_at: timedelta) -> None:
         self.n_attempts = n_attempts
         self.forget_at = forget_at
         self.waiting: Waiting | None = None
         self.task: Task | None = None
+        self.refusal: RefusalReason | None = None
 
 
 class RequestTable:
@@ -60,10 +64,6 @@
         self._oldest.append((now + self._remember, request_id))
         return known
 
-    def drop(self, request_id: str) -> None:
-        """Forget a request that was refused: asking again is a new try."""
-        self._by_id.pop(request_id, None)
-
     def forget_old(self, now: timedelta) -> None:
         """Forget the requests whose time is over and that hold nothing."""
         while self._oldest and self._oldest[0][0] <= now:
--- /dev/null
+++ b/src/redwingslip/dispatch/_view_reader.py
@@ -0,0 +1,162 @@
+"""How the shared view reaches the parts of a dispatcher."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from ..fleet import (
+    Allotment,
+    Change,
+    DispatcherLease,
+    FleetView,
+    Kind,
+    QueueSpec,
+    Removed,
+    Resource,
+    Table,
+    TeamSpec,
+    VmRecord,
+    VmSpec,
+)
+from ._capacity import PoolCapacity
+from ._limits import AllotmentKeeper
+from ._scheduler import Scheduler
+
+__all__ = ["ViewReader"]
+
+
+class ViewReader:
+    """Takes over the rows of the view that concern one pool.
+
+    Attributes
+    ----------
+    is_replaced : bool
+        Whether the view names another dispatcher, or none, of the pool.
+    shrinkable : set of str
+        Teams whose allotment may have something to give back.
+    """
+
+    __slots__ = (
+        "_allotments",
+        "_capacity",
+        "_epoch",
+        "_pool",
+        "_scheduler",
+        "_view",
+        "is_replaced",
+        "shrinkable",
+    )
+
+    def __init__(
+        self,
+        *,
+        pool: str,
+        epoch: int,
+        view: FleetView,
+        capacity: PoolCapacity,
+        scheduler: Scheduler,
+        allotments: AllotmentKeeper,
+    ) -> None:
+        self._pool = pool
+        self._epoch = epoch
+        self._view = view
+        self._capacity = capacity
+        self._scheduler = scheduler
+        self._allotments = allotments
+        self.is_replaced = False
+        self.shrinkable: set[str] = set()
+
+    def read_all(self, now: timedelta) -> None:
+        """Take over the whole view."""
+        self._read_lease(now)
+        for name in [name for name in self._capacity.vms if name not in self._view.vms]:
+            self._capacity.drop_vm(name)
+        for name in list(self._capacity.vms):
+            self._capacity.put_vm(self._view.vms[name], now)
+        for record in self._view.vms_of(self._pool):
+            self._capacity.put_vm(record, now)
+        for queue in self._view.resources[Kind.QUEUE].values():
+            self._take_spec(queue.spec, queue.name, now)
+        self._sum_shares()
+        for name in list(self._scheduler.teams):
+            self.refresh_team(name)
+
+    def read(self, changes: Iterable[Change], now: timedelta) -> None:
+        """Take over what has changed."""
+        for change in changes:
+            self._take_row(change.row, now)
+
+    def know_team(self, name: str) -> None:
+        """Take over a team that is new here."""
+        if name not in self._scheduler.teams:
+            self.refresh_team(name)
+
+    def refresh_team(self, name: str) -> None:
+        """Take over a team's share, limit and allotment."""
+        team = self._scheduler.team(name)
+        spec = self._view.team(name)
+        self._scheduler.set_share(team, spec.share)
+        team.max_waiting = spec.max_waiting
+        team.limit = self._allotments.allowed(name)
+        self.shrinkable.add(name)
+        self._scheduler.unpark(team)
+
+    def _read_lease(self, now: timedelta) -> None:
+        if not self._capacity.is_current and self._view.index >= self._epoch:
+            self.is_replaced = True
+        self._capacity.refresh_all(now)
+
+    def _sum_shares(self) -> None:
+        self._scheduler.total_share = sum(
+            team.spec.share for team in self._view.resources[Kind.TEAM].values()
+        )
+
+    @singledispatchmethod
+    def _take_row(self, row: object, now: timedelta) -> None:
+        """Take over one changed row of the view."""
+
+    @_take_row.register
+    def _(self, row: VmRecord, now: timedelta) -> None:
+        if row.pool == self._pool or row.name in self._capacity.vms:
+            self._capacity.put_vm(row, now)
+
+    @_take_row.register
+    def _(self, row: DispatcherLease, now: timedelta) -> None:
+        if row.pool == self._pool:
+            self._read_lease(now)
+
+    @_take_row.register
+    def _(self, row: Allotment, now: timedelta) -> None:
+        if row.pool == self._pool:
+            self.refresh_team(row.team)
+
+    @_take_row.register
+    def _(self, row: Resource, now: timedelta) -> None:
+        self._take_spec(row.spec, row.name, now)
+
+    @_take_row.register
+    def _(self, row: Removed, now: timedelta) -> None:
+        if row.table is Table.VMS:
+            self._capacity.drop_vm(row.key[0])
+        elif row.table in (Table.RESOURCES, Table.DISPATCHERS, Table.ALLOTMENTS):
+            self.read_all(now)
+
+    @singledispatchmethod
+    def _take_spec(self, spec: object, name: str, now: timedelta) -> None:
+        """Take over one changed resource."""
+
+    @_take_spec.register
+    def _(self, spec: QueueSpec, name: str, now: timedelta) -> None:
+        if spec.pool == self._pool:
+            self._capacity.raise_longest_run(spec.max_run)
+
+    @_take_spec.register
+    def _(self, spec: VmSpec, name: str, now: timedelta) -> None:
+        if name in self._capacity.vms:
+            self._capacity.put_vm(self._view.vms[name], now)
+
+    @_take_spec.register
+    def _(self, spec: TeamSpec, name: str, now: timedelta) -> None:
+        self._sum_shares()
+        if name in self._scheduler.teams:
+            self.refresh_team(name)
--- a/src/redwingslip/quota/_planner.py
+++ b/src/redwingslip/quota/_planner.py
@@ -29,10 +29,10 @@
 class _Demand:
     """The newest demand of a pool."""
 
-    __slots__ = ("epoch", "heard_at", "n_slots", "teams")
+    __slots__ = ("heard_at", "is_stale", "n_slots", "teams")
 
     def __init__(self, msg: PoolDemand, now: timedelta) -> None:
-        self.epoch = msg.epoch
+        self.is_stale = False
         self.heard_at = now
         self.n_slots = msg.n_slots
         self.teams = {team.team: team for team in msg.teams}
@@ -41,11 +41,77 @@
 class _Settling:
     """Since when a team's limit is in force, and how long a silent pool is awaited."""
 
-    __slots__ = ("patience", "since")
+    __slots__ = ("is_over", "patience", "since")
 
     def __init__(self, since: timedelta, patience: timedelta) -> None:
         self.since = since
         self.patience = patience
+        self.is_over = False
+
+
+class _Book:
+    """What all pools wish and hold of one team's limit, with the sums kept up.
+
+    Attributes
+    ----------
+    wishes, running, held : dict
+        By pool: what it could use, what runs there, and its allotment.
+    n_wished, n_held : int
+        Sums of wishes and allotments.
+    n_excess : int
+        Work that runs beyond the allotments, begun while there was no limit.
+    planned_at : timedelta or None
+        When the limit was last divided.
+    """
+
+    __slots__ = (
+        "held",
+        "n_excess",
+        "n_held",
+        "n_wished",
+        "planned_at",
+        "running",
+        "wishes",
+    )
+
+    def __init__(self) -> None:
+        self.wishes: dict[str, int] = {}
+        self.running: dict[str, int] = {}
+        self.held: dict[str, int] = {}
+        self.n_wished = 0
+        self.n_held = 0
+        self.n_excess = 0
+        self.planned_at: timedelta | None = None
+
+    def _excess(self, pool: str) -> int:
+        return max(self.running.get(pool, 0) - self.held.get(pool, 0), 0)
+
+    def set_demand(self, pool: str, wish: int, n_running: int) -> None:
+        """Take over what a pool wishes and runs."""
+        self.n_wished += wish - self.wishes.get(pool, 0)
+        self.n_excess -= self._excess(pool)
+        _put(self.wishes, pool, wish)
+        _put(self.running, pool, n_running)
+        self.n_excess += self._excess(pool)
+
+    def set_held(self, pool: str, count: int) -> None:
+        """Take over a pool's allotment."""
+        self.n_held += count - self.held.get(pool, 0)
+        self.n_excess -= self._excess(pool)
+        _put(self.held, pool, count)
+        self.n_excess += self._excess(pool)
+
+    def lack(self, pool: str) -> int:
+        """Return what a pool wishes beyond its allotment."""
+        return self.wishes.get(pool, 0) - self.held.get(pool, 0)
+
+
+def _put(counts: dict[str, int], pool: str, count: int) -> None:
+    """Set a count, keeping no zeros."""
+    if count:
+        counts[pool] = count
+    else:
+        counts.pop(pool, None)
 
 
 class AllotmentPlanner:
@@ -68,11 +134,10 @@
     """
 
     __slots__ = (
-        "_by_team",
+        "_books",
         "_cfg",
         "_demands",
         "_dirty",
-        "_held",
         "_in_force_index",
         "_new_limits",
         "_outputs",
@@ -85,8 +150,7 @@
         self._cfg = cfg
         self._view = view
         self._demands: dict[str, _Demand] = {}
-        self._by_team: dict[str, set[str]] = {}
-        self._held: dict[str, dict[str, Allotment]] = {}
+        self._books: dict[str, _Book] = {}
         self._dirty: set[str] = set()
         self._outputs: list[QuotaOutput] = []
         self._in_force_index = 0
@@ -108,14 +172,28 @@
         if lease is None or lease.epoch != msg.epoch:
             return
         known = self._demands.get(msg.pool)
-        new = _Demand(msg, now)
         before = {} if known is None else known.teams
-        self._demands[msg.pool] = new
+        new = self._demands[msg.pool] = _Demand(msg, now)
+        is_fresh = known is None or known.is_stale or known.n_slots != new.n_slots
         for team in before.keys() | new.teams.keys():
-            if before.get(team) != new.teams.get(team):
-                self._by_team.setdefault(team, set()).add(msg.pool)
-                self._dirty.add(team)
-        self._plan_dirty(now)
+            if is_fresh or before.get(team) != new.teams.get(team):
+                self._note_demand(team, msg.pool, new)
+                self._follow(team, msg.pool, now)
+
+    def _note_demand(self, team: str, pool: str, demand: _Demand) -> None:
+        asked = demand.teams.get(team)
+        if asked is None:
+            self._book(team).set_demand(pool, 0, 0)
+            return
+        n_wanted = asked.n_running + asked.n_waiting
+        wish = min(n_wanted, max(demand.n_slots, asked.n_running))
+        self._book(team).set_demand(pool, wish, asked.n_running)
+
+    def _book(self, team: str) -> _Book:
+        book = self._books.get(team)
+        if book is None:
+            book = self._books[team] = _Book()
+        return book
 
     def view_changed(
         self, now: timedelta, changes: Iterable[Change] | None = None
@@ -123,7 +201,7 @@
         """Take over that the view has changed, by these changes only if given."""
         if changes is None:
             self._read_view()
-            self._dirty.update(self._by_team)
+            self._dirty.update(self._books)
         else:
             for change in changes:
                 self._take_row(change.row)
@@ -137,12 +215,13 @@
         self._in_force_index = max(self._in_force_index, index)
         for team in [name for name in self._new_limits if self._is_in_force(name)]:
             self._settling[team] = _Settling(now, self._new_limits.pop(team))
-        self._dirty.update(self._by_team)
+        self._dirty.update(self._books)
         self._plan_dirty(now)
 
     def tick(self, now: timedelta) -> None:
         """Repeat what had no effect; to be called a few times a second."""
-        self._dirty.update(self._by_team)
+        self._forget_silent(now)
+        self._dirty.update(self._books)
         self._plan_dirty(now)
 
     # The view.
@@ -151,9 +230,13 @@
         for team, resource in self._view.resources[Kind.TEAM].items():
             if resource.spec.limit is not None and team not in self._settling:
                 self._new_limits[team] = self._cfg.stale_after
-        self._held = {}
+        for team, book in self._books.items():
+            for pool in [
+                p for p in book.held if (team, p) not in self._view.allotments
+            ]:
+                book.set_held(pool, 0)
         for allotment in self._view.allotments.values():
-            self._held.setdefault(allotment.team, {})[allotment.pool] = allotment
+            self._book(allotment.team).set_held(allotment.pool, allotment.count)
 
     @singledispatchmethod
     def _take_row(self, row: object) -> None:
@@ -161,7 +244,7 @@
 
     @_take_row.register
     def _(self, row: Allotment) -> None:
-        self._held.setdefault(row.team, {})[row.pool] = row
+        self._book(row.team).set_held(row.pool, row.count)
         self._dirty.add(row.team)
 
     @_take_row.register
@@ -179,33 +262,71 @@
     def _(self, row: RemovedRow) -> None:
         if row.table is Table.ALLOTMENTS:
             team, pool = row.key
-            self._held.get(team, {}).pop(pool, None)
+            self._book(team).set_held(pool, 0)
             self._dirty.add(team)
+        elif row.table is Table.RESOURCES and row.key[0] == Kind.POOL:
+            self._forget_pool(row.key[1])
+
+    def _forget_pool(self, pool: str) -> None:
+        demand = self._demands.pop(pool, None)
+        for team in () if demand is None else demand.teams:
+            self._book(team).set_demand(pool, 0, 0)
 
     # Planning.
 
+    def _forget_silent(self, now: timedelta) -> None:
+        """Count the wishes of pools that are not heard as zero; their work goes on."""
+        for pool, demand in self._demands.items():
+            is_stale = now - demand.heard_at >= self._cfg.stale_after
+            if not is_stale or demand.is_stale:
+                continue
+            demand.is_stale = True
+            for team, asked in demand.teams.items():
+                self._book(team).set_demand(pool, 0, asked.n_running)
+
+    def _follow(self, team: str, pool: str, now: timedelta) -> None:
+        """Follow a changed demand: at once when there is enough for all."""
+        limit = self._view.team(team).limit
+        book = self._book(team)
+        if limit is None or not self._is_in_force(team):
+            return
+        lack = book.lack(pool)
+        free = limit - book.n_held - book.n_excess
+        if book.n_wished <= limit and lack <= max(free, 0):
+            if lack > 0 and self._is_settled(team, now):
+                self._grant(team, {pool: lack}, lack, now)
+            return
+        is_due = book.planned_at is None
+        if is_due or now - book.planned_at >= self._cfg.plan_interval:
+            self._plan(team, now)
+        else:
+            self._dirty.add(team)
+
     def _plan_dirty(self, now: timedelta) -> None:
         names, self._dirty = self._dirty, set()
         for team in sorted(names):
             self._plan(team, now)
 
     def _plan(self, team: str, now: timedelta) -> None:
+        """Divide a team's limit among all pools anew."""
         limit = self._view.team(team).limit
         if limit is None or not self._is_in_force(team):
             return
-        wishes = self._wishes(team, now)
-        held = {p: a.count for p, a in self._held.get(team, {}).items() if a.count}
-        parts = water_fill(limit, wishes)
+        book = self._book(team)
+        book.planned_at = now
+        wishes = sorted(book.wishes.items(), key=lambda item: (item[1], item[0]))
+        parts = water_fill(limit, dict(wishes))
+        held = book.held
         lacks = {
             pool: part - held.get(pool, 0)
             for pool, part in parts.items()
             if part > held.get(pool, 0)
         }
-        free = limit - self._taken(team, held)
+        free = limit - book.n_held - book.n_excess
         if lacks and free > 0 and self._is_settled(team, now):
             self._grant(team, lacks, free, now)
-        n_over = sum(held.values()) - limit
-        if n_over > 0 or self._is_worth_recall(lacks, held, limit, free):
+        is_over = book.n_held > limit
+        if is_over or self._is_worth_recall(lacks, held, limit, free):
             self._recall(team, parts, held, now)
 
     def _is_in_force(self, team: str) -> bool:
@@ -225,10 +346,14 @@
         settling = self._settling.get(team)
         if settling is None:
             return False
-        if now - settling.since >= settling.patience:
-            return True
+        if not settling.is_over:
+            is_late = now - settling.since >= settling.patience
+            settling.is_over = is_late or self._all_said(settling.since)
+        return settling.is_over
+
+    def _all_said(self, since: timedelta) -> bool:
         return all(
-            pool in self._demands and self._demands[pool].heard_at >= settling.since
+            pool in self._demands and self._demands[pool].heard_at >= since
             for pool in self._view.dispatchers
         )
 
@@ -245,31 +370,6 @@
         slack = limit // HYSTERESIS
         return any(lack > slack or pool not in held for pool, lack in lacks.items())
 
-    def _wishes(self, team: str, now: timedelta) -> dict[str, int]:
-        """Return what each pool could use, the least first."""
-        wishes = {}
-        for pool in self._by_team.get(team, ()):
-            demand = self._demands[pool]
-            asked = demand.teams.get(team)
-            is_stale = now - demand.heard_at >= self._cfg.stale_after
-            if asked is None or is_stale or pool not in self._view.dispatchers:
-                continue
-            n_wanted = asked.n_running + asked.n_waiting
-            wishes[pool] = min(n_wanted, max(demand.n_slots, asked.n_running))
-        return dict(sorted(wishes.items(), key=lambda item: (item[1], item[0])))
-
-    def _taken(self, team: str, held: dict[str, int]) -> int:
-        """Return how much of the limit is allotted or in use beyond an allotment.
-
-        Work that began while the team had no limit is in use without an allotment.
-        """
-        taken = sum(held.values())
-        for pool in self._by_team.get(team, ()):
-            asked = self._demands[pool].teams.get(team)
-            if asked is not None and pool in self._view.dispatchers:
-                taken += max(asked.n_running - held.get(pool, 0), 0)
-        return taken
-
     def _grant(
         self,
         team: str,
@@ -278,7 +378,7 @@
         now: timedelta,
     ) -> None:
         for pool, added in water_fill(free, lacks).items():
-            if not added:
+            if not added or pool not in self._view.dispatchers:
                 continue
             allotment = self._view.allotment(team, pool)
             # The version makes a grant that was overtaken by a return fail.
--- a/src/redwingslip/quota/_settings.py
+++ b/src/redwingslip/quota/_settings.py
@@ -14,6 +14,8 @@
     ----------
     repeat : timedelta
         After how long a proposal or a recall without effect is made again.
+    plan_interval : timedelta
+        The shortest time between two divisions of a limit that is contended.
     stale_after : timedelta
         A pool's demand that was not heard for this long counts as zero.
     longest_run : timedelta
@@ -22,5 +24,6 @@
     """
 
     repeat: timedelta = timedelta(milliseconds=500)
+    plan_interval: timedelta = timedelta(milliseconds=100)
     stale_after: timedelta = timedelta(seconds=3)
     longest_run: timedelta = timedelta(seconds=60)
