--- a/scripts/measure_decisions.py
+++ b/scripts/measure_decisions.py
@@ -151,8 +151,17 @@
     return (time.perf_counter() - begin) / n_decisions * 1e6
 
 
-def time_planner(fleet: Fleet, n_decisions: int) -> float:
-    """Return microseconds for each demand in which one team has changed."""
+def time_demand(fleet: Fleet, n_decisions: int) -> float:
+    """Return microseconds for each changed demand between two divisions."""
+    return _time_planner(fleet, n_decisions, timedelta(0))
+
+
+def time_division(fleet: Fleet, n_decisions: int) -> float:
+    """Return microseconds for each changed demand that divides a limit anew."""
+    return _time_planner(fleet, n_decisions // 10, QuotaSettings().plan_interval)
+
+
+def _time_planner(fleet: Fleet, n_decisions: int, step: timedelta) -> float:
     planner = AllotmentPlanner(cfg=QuotaSettings(), view=fleet.state.view)
     planner.in_force(fleet.index, timedelta(0))
     now = timedelta(seconds=10)
@@ -171,6 +180,7 @@
     ]
     begin = time.perf_counter()
     for message in messages:
+        now += step
         planner.demand(message, now)
         planner.take_outputs()
     return (time.perf_counter() - begin) / n_decisions * 1e6
@@ -223,9 +233,11 @@
     costs = [best(time_dispatcher, size, None) for size in sizes]
     print_fit("dispatcher, one pool holds all: by workers", workers, costs)
     sizes = [scale(factor) for factor in SCALES]
-    costs = [best(time_planner, size, 500) for size in sizes]
     pools = [size.n_pools for size in sizes]
-    print_fit("planner, one team in every pool: by pools", pools, costs)
+    costs = [best(time_demand, size, 500) for size in sizes]
+    print_fit("planner, a changed demand: by pools", pools, costs)
+    costs = [best(time_division, size, 500) for size in sizes]
+    print_fit("planner, a limit divided over all pools: by pools", pools, costs)
 
 
 if __name__ == "__main__":
--- a/src/redwingslip/dispatch/_ejection.py
+++ b/src/redwingslip/dispatch/_ejection.py
@@ -49,11 +49,12 @@
             self._eject(endpoint, now)
 
     def _must_eject(self, endpoint: Endpoint) -> bool:
-        peers = [
+        # A generator: the peers are looked at only after failures in a row.
+        peers = (
             e
             for e in self._capacity.endpoints.values()
             if e.last.service == endpoint.last.service
-        ]
+        )
         return self._judge.is_bad(endpoint, peers) and self._may_eject(endpoint)
 
     def _may_eject(self, endpoint: Endpoint) -> bool:
--- a/tests/test_dispatch_dispatcher.py
+++ b/tests/test_dispatch_dispatcher.py
@@ -209,10 +209,13 @@
         follower.permits[permit.request_id] = permit.permit_id
         report, heard_at = follower.heard[permit.endpoint_id]
         record = follower.view.vms[report.vm]
-        assert not report.leaving and self.now - heard_at < 3 * SECOND
-        assert record.pool == follower.pool and record.phase is VmPhase.SERVING
-        assert report.fencing_token == follower.view.fencing_token(report.vm)
-        assert self.now + permit.start_within <= follower.lease
+        assert not report.leaving, "a permit for a leaving endpoint"
+        assert self.now - heard_at < 3 * SECOND, "a permit for a silent endpoint"
+        assert record.pool == follower.pool, "a permit for another pool's VM"
+        assert record.phase is VmPhase.SERVING, "a permit for a VM that leaves"
+        token = follower.view.fencing_token(report.vm)
+        assert report.fencing_token == token, "a permit for an unconfirmed endpoint"
+        assert self.now + permit.start_within <= follower.lease, "beyond the lease"
 
     def _deliver(self, msg) -> None:
         if isinstance(msg, Permit):
@@ -455,7 +458,7 @@
         for pool, follower in self.current.items():
             n_running = follower.dispatcher.n_running
             assert not n_running, f"pool {pool} still counts {n_running}"
-            assert not follower.dispatcher.n_waiting
+            assert not follower.dispatcher.n_waiting, "requests wait for ever"
         for pool in POOLS:
             self._check_served(pool)
 
--- /dev/null
+++ b/tests/test_experiments_run.py
@@ -0,0 +1,127 @@
+"""Tests of the experiments: exact repetition, the bound and the measures."""
+
+import pathlib
+import tempfile
+import unittest
+from datetime import timedelta
+
+import msgspec
+
+from redwingslip.experiments import (
+    Arrival,
+    ExperimentFileError,
+    Window,
+    most_timely,
+    nearness,
+    read_experiment,
+    record_arrivals,
+    run_experiment,
+)
+from tests import SECOND
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BRITTANY = ROOT / "examples" / "experiments" / "brittany.ini"
+
+
+def make_arrival(number: int, at: float, run: float, deadline: float) -> Arrival:
+    """Return an arrival; times in seconds."""
+    return Arrival(
+        number=number,
+        at=timedelta(seconds=at),
+        team="x",
+        queue="q",
+        urgent=True,
+        run=timedelta(seconds=run),
+        declared=SECOND,
+        deadline=timedelta(seconds=deadline),
+    )
+
+
+class TestReadExperiment(unittest.TestCase):
+    """Reading an experiment's file."""
+
+    def test_both_sites_can_be_read(self):
+        """The files that come with the project are well-formed."""
+        sites = [read_experiment(p).site for p in sorted(BRITTANY.parent.glob("*.ini"))]
+        self.assertEqual(sites, ["brittany", "central-slovakia"])
+
+    def test_malformed_file_is_named_in_the_error(self):
+        """The error says which file and what is wrong."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "bad.ini"
+            path.write_text("[experiment]\nsite = x\n")
+            with self.assertRaisesRegex(ExperimentFileError, r"bad\.ini.*n_workers"):
+                read_experiment(path)
+
+
+class TestMostTimely(unittest.TestCase):
+    """The bound on timely answers."""
+
+    def test_what_does_not_fit_in_its_interval_is_lost(self):
+        """Of ten seconds of work in an interval of two, the shortest fit."""
+        arrivals = [make_arrival(n, 0.0, 1.0, 2.0) for n in range(10)]
+        self.assertEqual(most_timely(arrivals, 1), 2)
+        self.assertEqual(most_timely(arrivals, 4), 8)
+
+    def test_work_that_can_wait_is_not_lost(self):
+        """A long deadline leaves time enough."""
+        arrivals = [make_arrival(n, 0.0, 1.0, 20.0) for n in range(10)]
+        self.assertEqual(most_timely(arrivals, 1), 10)
+
+
+class TestNearness(unittest.TestCase):
+    """Share nearness."""
+
+    def test_exact_shares_give_one(self):
+        """Who gets its share is as near as can be."""
+        window = Window(got={"a": 3.0, "b": 1.0})
+        self.assertEqual(nearness([window], {"a": 3.0, "b": 1.0}), 1.0)
+
+    def test_missing_part_counts_once(self):
+        """A quarter that went to the wrong team is a quarter missing."""
+        window = Window(got={"a": 3.0, "b": 1.0})
+        self.assertEqual(nearness([window], {"a": 1.0, "b": 1.0}), 0.75)
+
+    def test_team_that_lacks_nothing_may_get_less_than_its_share(self):
+        """What one team does not ask for goes to the others by share."""
+        window = Window(got={"a": 1.0, "b": 3.0}, satisfied={"a"})
+        self.assertEqual(nearness([window], {"a": 1.0, "b": 1.0}), 1.0)
+
+
+class TestRunExperiment(unittest.TestCase):
+    """Policies on the same arrivals."""
+
+    @classmethod
+    def setUpClass(cls):
+        """Record one period of a site's demand, and run each policy on it."""
+        spec = read_experiment(BRITTANY)
+        cls.spec = msgspec.structs.replace(spec, duration_s=12.0, n_workers=4)
+        cls.arrivals = record_arrivals(cls.spec)
+        cls.n_bound = most_timely(cls.arrivals, cls.spec.n_slots_total)
+        cls.fair = cls.run_policy("weighted fair")
+        cls.first = cls.run_policy("first come")
+
+    @classmethod
+    def run_policy(cls, policy: str):
+        """Run a policy on the list."""
+        return run_experiment(
+            cls.spec, cls.arrivals, policy=policy, n_bound=cls.n_bound
+        )
+
+    def test_run_repeats_exactly(self):
+        """The same list and policy give the same measures."""
+        self.assertEqual(self.run_policy("weighted fair"), self.fair)
+
+    def test_weighted_fair_answers_more_in_time_than_first_come(self):
+        """In a peak above what the pool holds, at least 0.95 of the bound."""
+        self.assertGreater(self.fair.n_timely, self.first.n_timely)
+        self.assertGreaterEqual(self.fair.n_timely, 0.95 * self.n_bound)
+
+    def test_shares_are_near_when_all_is_full(self):
+        """Where every slot is in use, the teams come close to their shares."""
+        self.assertGreater(self.fair.n_full_windows, 2)
+        self.assertGreaterEqual(self.fair.share_nearness, 0.97)
+
+
+if __name__ == "__main__":
+    unittest.main()
