Refuse misframed answers; drain before a server stops to accept

Cause: a line of the head that is no header ended the head, so later lines were taken for the body; a chunk longer than it says and a further transfer coding were passed on. A stop closed idle connections and the listening socket at once, which resets requests on their way. Change: heads and chunks are checked line by line; a stopping server goes on for its drain time and answers with Connection: close. The stand-in endpoint stops the same way.

--- a/src/redwingslip/http/_app.py
+++ b/src/redwingslip/http/_app.py
@@ -4,6 +4,7 @@
 
 from starlette.applications import Starlette
 from starlette.exceptions import HTTPException
+from starlette.middleware import Middleware
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import BaseRoute
@@ -27,11 +28,36 @@
         HTTPException: _on_http_exception,
         Exception: _on_failure,
     }
-    app = Starlette(routes=list(routes), exception_handlers=handlers)
+    app = Starlette(
+        routes=list(routes),
+        exception_handlers=handlers,
+        middleware=[Middleware(_CloseWhenStopping)],
+    )
     app.state.is_stopping = False
     return app
 
 
+class _CloseWhenStopping:
+    """Adds ``Connection: close`` to every answer of a stopping server."""
+
+    __slots__ = ("_app",)
+
+    def __init__(self, app) -> None:
+        self._app = app
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answer a request."""
+        state = scope["app"].state
+
+        async def send_closing(message) -> None:
+            if message["type"] == "http.response.start" and state.is_stopping:
+                headers = [*message.get("headers", ()), (b"connection", b"close")]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        await self._app(scope, receive, send_closing)
+
+
 async def _on_too_large(req: Request, exc: BodyTooLargeError) -> Response:
     problem = Problem(
         status=413,
--- a/src/redwingslip/http/_client.py
+++ b/src/redwingslip/http/_client.py
@@ -14,7 +14,7 @@
 import aiosonic
 import msgspec
 from aiosonic.connection import Connection
-from aiosonic.exceptions import ConnectionDisconnected
+from aiosonic.exceptions import ConnectionDisconnected, HttpParsingError
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
@@ -76,6 +76,7 @@
     def __init__(self, pool) -> None:
         super().__init__(pool)
         self.has_sent = False
+        self._is_in_head = False
         self._first_byte: asyncio.Task | None = None
         self._is_watching = False
         self._on_input: Callable[[], None] | None = None
@@ -95,21 +96,32 @@
         super().write(data)
 
     async def readline(self) -> bytes:
-        """Read a whole line."""
+        """Read a whole line; in the head, one that can stand there."""
         line = await super().readline()
         if not line.endswith(b"\n"):
-            self.close()
             raise ConnectionDisconnected("cut in the middle of a line")
+        is_end = line in (b"\r\n", b"\n")
+        if self._is_in_head and not is_end and b":" not in line:
+            raise HttpParsingError("a line of the head is no header")
+        if is_end:
+            self._is_in_head = False
         return line
 
+    async def readexactly(self, size: int) -> bytes:
+        """Read a chunk with the line end behind it."""
+        chunk = await super().readexactly(size)
+        if size and not chunk.endswith(b"\r\n"):
+            raise HttpParsingError("a chunk is longer than it says")
+        return chunk
+
     async def readuntil(self, separator: bytes = b"\n") -> bytes:
         """Read the status line, of which the idle watch may hold the first byte."""
+        self._is_in_head = True
         if self._first_byte is None:
             return await super().readuntil(separator)
         first = await self._first_byte
         self._first_byte = None
         if not first:
-            self.close()
             raise ConnectionDisconnected("closed without an answer")
         return first + await super().readuntil(separator)
 
@@ -325,10 +337,12 @@
         return True
     lengths = {val for key, val in res.raw_headers if key.lower() == "content-length"}
     codings = [
-        val for key, val in res.raw_headers if key.lower() == "transfer-encoding"
+        val.lower()
+        for key, val in res.raw_headers
+        if key.lower() == "transfer-encoding"
     ]
     if codings:
-        return not lengths and res.chunked
+        return not lengths and codings == ["chunked"]
     return len(lengths) == 1 and next(iter(lengths)).isdecimal()
 
 
--- a/src/redwingslip/http/_limits.py
+++ b/src/redwingslip/http/_limits.py
@@ -23,6 +23,9 @@
         Longest wait for a whole request body.
     idle_timeout : timedelta
         How long an idle connection is kept.
+    drain_time : timedelta
+        How long a stopping server still takes requests, each answered with
+        ``Connection: close``, while the balancer turns away from it.
     max_connections_per_peer : int
         Connections from one IP number; more are closed at once.
     max_connections : int
@@ -34,6 +37,7 @@
     header_timeout: timedelta = timedelta(seconds=10)
     body_timeout: timedelta = timedelta(seconds=30)
     idle_timeout: timedelta = timedelta(seconds=30)
+    drain_time: timedelta = timedelta(0)
     max_connections_per_peer: int = 1_000
     max_connections: int = 4_000
 
--- a/src/redwingslip/http/_server.py
+++ b/src/redwingslip/http/_server.py
@@ -209,11 +209,31 @@
             await self._task
 
     async def stop(self, grace: timedelta) -> None:
-        """Stop accepting, let running requests finish for `grace`, then end them."""
+        """Stop: go on for the drain time, accept no more, finish within `grace`.
+
+        Closing the listening socket or an idle connection at once would reset
+        requests that are on their way, so both come after the drain time. Requests
+        that still run after `grace` are ended.
+        """
         if self._server is None:
             return
         self._app.state.is_stopping = True
+        await asyncio.sleep(self._cfg.drain_time.total_seconds())
         server, self._server = self._server, None
+        if server is not None:
+            await self._finish(server, grace)
+
+    async def abort(self) -> None:
+        """Stop at once, cutting off every connection."""
+        if self._server is None:
+            return
+        server, self._server = self._server, None
+        for listener in server.servers:
+            listener.close()
+        _abort_connections(server)
+        await self._finish(server, timedelta(0))
+
+    async def _finish(self, server: _Server, grace: timedelta) -> None:
         server.config.timeout_graceful_shutdown = grace.total_seconds()
         server.should_exit = True
         await self._task
@@ -222,15 +242,6 @@
         if server.server_state.tasks:
             await asyncio.wait(set(server.server_state.tasks))
 
-    async def abort(self) -> None:
-        """Stop at once, cutting off every connection."""
-        if self._server is None:
-            return
-        for listener in self._server.servers:
-            listener.close()
-        _abort_connections(self._server)
-        await self.stop(timedelta(0))
-
     def reload_tls(self) -> None:
         """Read the TLS files again; new connections use them."""
         _load_tls(self._server.config.ssl, self._tls)
--- a/src/redwingslip/standins/_endpoint.py
+++ b/src/redwingslip/standins/_endpoint.py
@@ -37,6 +37,10 @@
         0 for any free one, which is kept over restarts.
     mode : Mode
         How runs go wrong that do not say it themselves.
+    limits : HttpLimits
+        Their drain time should outlast the start window of permits.
+    grace : timedelta
+        How long runs may take to finish after the drain time.
     """
 
     endpoint_id: str
@@ -47,7 +51,7 @@
     port: int = 0
     mode: Mode = Mode.OK
     announcer: AnnouncerSettings = AnnouncerSettings()
-    limits: HttpLimits = HttpLimits()
+    limits: HttpLimits = HttpLimits(drain_time=timedelta(seconds=3))
     grace: timedelta = timedelta(seconds=60)
 
 
@@ -85,7 +89,6 @@
     __slots__ = (
         "_announcer",
         "_clock",
-        "_idle",
         "_recorder",
         "_server",
         "_tasks",
@@ -117,8 +120,6 @@
         self.is_leaving = False
         self.running: dict[str, CallHeaders] = {}
         self._tasks: set[asyncio.Task] = set()
-        self._idle = asyncio.Event()
-        self._idle.set()
         self._announcer = Announcer(self, self.cfg.announcer, self._clock)
 
     @property
@@ -135,9 +136,8 @@
         """Announce as leaving, finish what runs, and stop."""
         self.is_leaving = True
         await self._announcer.announce_once()
-        await self._idle.wait()
-        await self._announcer.stop()
         await self._server.stop(self.cfg.grace)
+        await self._announcer.stop()
 
     async def kill(self) -> None:
         """Stop at once, as when the VM fails; what runs is cut off."""
@@ -183,7 +183,6 @@
     async def _run(self, call: CallHeaders, work: Work, body: bytes) -> Response:
         mode = work.mode or self.mode
         self.running[call.permit_id] = call
-        self._idle.clear()
         self._record("start", call)
         event = "killed"
         try:
@@ -195,8 +194,6 @@
         finally:
             self._record(event, call)
             del self.running[call.permit_id]
-            if not self.running:
-                self._idle.set()
         if mode is Mode.LATE:
             await asyncio.sleep(work.late_s)
         return self._response(call, event, mode, body)
--- a/tests/support_endpoints.py
+++ b/tests/support_endpoints.py
@@ -68,6 +68,7 @@
 def make_endpoint(endpoint_id="e1", *, entries=(), token="t", **changes):
     """Return a stand-in endpoint and its recorder."""
     announcer = AnnouncerSettings(entries=entries, token=token)
+    changes.setdefault("limits", HttpLimits())
     cfg = EndpointSettings(
         endpoint_id=endpoint_id, service="s", vm="v1", announcer=announcer, **changes
     )
