--- a/src/redwingslip/dispatch/_leader_reports.py
+++ b/src/redwingslip/dispatch/_leader_reports.py
@@ -81,7 +81,12 @@
         if vm.drained_at is None:
             self._outbox.emit(EventName.VM_DRAINED, vm=vm.record.name)
         vm.drained_at = now
-        message = VmDrained(vm=vm.record.name, pool=self._pool, epoch=self._epoch)
+        message = VmDrained(
+            vm=vm.record.name,
+            pool=self._pool,
+            epoch=self._epoch,
+            drain_index=vm.record.drain_index,
+        )
         self._outbox.put(ToLeader(message=message))
 
     def say_demand(self, teams: Iterable[TeamState], now: timedelta) -> None:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,16 +12,15 @@
 from redwingslip.cli._documents import read_documents
 from redwingslip.cli.exceptions import ExitCode
 from redwingslip.observe import EventName
+from redwingslip.daemons import EntryDaemonSettings, ReplicaDaemonSettings
 from redwingslip.settings import (
-    EntrySettings,
-    ReplicaSettings,
     describe,
     load_settings,
 )
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DOCS = [ROOT / "README.md", ROOT / "CHANGELOG.md", *ROOT.glob("docs/**/*.md")]
-EXAMPLES = {"entry": EntrySettings, "replica": ReplicaSettings}
+EXAMPLES = {"entry": EntryDaemonSettings, "replica": ReplicaDaemonSettings}
 
 _FENCE = re.compile(r"^( *)```(\w+)\n(.*?)^\1```$", re.MULTILINE | re.DOTALL)
 _LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
@@ -101,7 +100,7 @@
         """The token file has the hash that the entry's settings name."""
         token = str(ROOT / "examples/local/operator.token")
         result = CliRunner().invoke(app, ["hash-token", token])
-        cfg = load_settings(ROOT / "examples/local/entry.ini", EntrySettings)
+        cfg = load_settings(ROOT / "examples/local/entry.ini", EntryDaemonSettings)
         self.assertIn(result.stdout.strip(), cfg.operators.token_sha256)
 
 
