Judge share nearness for each pool of a load

Cause: full was taken over all slots, which is rare when queues peak in turn, and a team's surplus in one pool hid what it lacked in another. Change: an experiment names the pool of each queue and the slots of each pool; runs are assigned to queues by their bodies. Seen failing first: with the sums over pools kept, as before, the test of unfair pools gives 1.0 in place of 0.5.

--- a/src/redwingslip/load/_runner.py
+++ b/src/redwingslip/load/_runner.py
@@ -11,12 +11,12 @@
 
 from ..clock import Clock, SystemClock
 from ._caller import Caller, blank_outcome
-from ._judge import judge, read_runs
+from ._judge import Run, judge, read_runs
 from ._outcomes import CallOutcome, OutcomeKind
 from ._report import LoadReport, make_report
 from ._schedule import Arrival, Cancellation, schedule
 from ._settings import LoadSettings
-from ._shares import share_report
+from ._shares import PoolLoad, share_report
 
 __all__ = ["run_load"]
 
@@ -103,19 +103,42 @@
             for arrival in self._arrivals
         ]
         runs = read_runs(Path(path) for path in sorted(glob.glob(cfg.records)))
-        asked = [
-            (call.team, begin, begin + call.took.total_seconds())
-            for call in outcomes
-            for begin in (call.began_at.total_seconds(),)
-        ]
         shares = share_report(
-            runs, asked, self._customers, self._began_at, cfg.duration, cfg.n_slots
+            self._pool_loads(outcomes, runs),
+            self._customers,
+            self._began_at,
+            cfg.duration,
         )
         verdict = judge(outcomes, runs) if cfg.records else None
         return make_report(
             cfg.seed, self._began_at, cfg.duration, outcomes, shares, verdict
         )
 
+    def _pool_loads(
+        self, outcomes: list[CallOutcome], runs: list[Run]
+    ) -> list[PoolLoad]:
+        """Return the load of each pool whose slots the experiment gives."""
+        pool_of_body = {call.body_sha256: self._pool(call.queue) for call in outcomes}
+        loads = {
+            pool: PoolLoad(n_slots=n_slots, runs=[], asked=[])
+            for pool, n_slots in self._cfg.slots.items()
+        }
+        for run in runs:
+            load = loads.get(pool_of_body.get(run.body_sha256, ""))
+            if load is not None:
+                load.runs.append(run)
+        for call in outcomes:
+            load = loads.get(self._pool(call.queue))
+            if load is not None:
+                begin = call.began_at.total_seconds()
+                end = begin + call.took.total_seconds()
+                load.asked.append((call.team, begin, end))
+        return list(loads.values())
+
+    def _pool(self, queue: str) -> str:
+        """Return the pool of a queue; one that is not listed has its own."""
+        return self._cfg.pools.get(queue, queue)
+
     async def _sleep_until(self, at: timedelta) -> None:
         left = self._start + at - self._clock.monotonic()
         await asyncio.sleep(max(0.0, left.total_seconds()))
--- a/src/redwingslip/load/_settings.py
+++ b/src/redwingslip/load/_settings.py
@@ -47,9 +47,6 @@
         Time between two waves of cancellations; zero for none.
     cancelled : float
         Part of the open requests that one wave cancels.
-    n_slots : int
-        Slots of all endpoints together, for buffer cost and share nearness; 0 for
-        unknown.
     allow_remote : bool
         Whether entries off this machine may be loaded.
     records : str
@@ -69,7 +66,6 @@
     wrong_declarations: Share = 0.3
     cancel_every: timedelta = timedelta(seconds=10)
     cancelled: Share = 0.1
-    n_slots: Annotated[int, msgspec.Meta(ge=0)] = 0
     allow_remote: bool = False
     records: str = ""
 
@@ -115,6 +111,10 @@
         Declared share of each team; 1 where none is given.
     limits : dict
         Upper limit of each team; none where none is given.
+    pools : dict
+        Name of each queue to that of its pool.
+    slots : dict
+        Slots of each pool, for buffer cost and share nearness.
     """
 
     entries: Annotated[dict[Name, Address], msgspec.Meta(min_length=1)]
@@ -123,6 +123,8 @@
     keys: dict[Name, Path]
     shares: dict[Name, Positive] = msgspec.field(default_factory=dict)
     limits: dict[Name, int] = msgspec.field(default_factory=dict)
+    pools: dict[Name, Name] = msgspec.field(default_factory=dict)
+    slots: dict[Name, Count] = msgspec.field(default_factory=dict)
     load: LoadSection = LoadSection()
 
     def read_customers(self) -> list[CustomerSettings]:
--- a/src/redwingslip/load/_shares.py
+++ b/src/redwingslip/load/_shares.py
@@ -9,20 +9,37 @@
 from ._judge import START, Run
 from ._settings import CustomerSettings
 
-__all__ = ["ShareReport", "busy_seconds", "share_report", "water_fill"]
+__all__ = ["PoolLoad", "ShareReport", "busy_seconds", "share_report", "water_fill"]
 
 FULL = 0.95
 
 
+class PoolLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """What a pool was asked for and what ran on it.
+
+    Attributes
+    ----------
+    runs : list of Run
+        The endpoints' records.
+    asked : list of tuple
+        Team, begin and end, in seconds from the beginning of the load, of each
+        request as its caller saw it.
+    """
+
+    n_slots: int
+    runs: list[Run]
+    asked: list[tuple[str, float, float]]
+
+
 class ShareReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Share nearness over the windows in which every slot was busy.
+    """Share nearness over the windows in which every slot of a pool was busy.
 
     Attributes
     ----------
     nearness : float or None
         1 for every team at its entitlement; None when nothing was ever full.
     n_windows : int
-        Windows that were full.
+        Windows that were full, counted for each pool.
     buffer_cost : float or None
         Idle slot-seconds over all slot-seconds.
     got, entitled : dict
@@ -66,49 +83,50 @@
 
 
 def share_report(
-    runs: Sequence[Run],
-    asked: Sequence[tuple[str, float, float]],
+    pools: Sequence[PoolLoad],
     customers: Sequence[CustomerSettings],
     began_at: datetime,
     duration: timedelta,
-    n_slots: int,
 ) -> ShareReport:
     """Compare what teams got with what they were entitled to.
 
+    In a full window a pool's slot-seconds are divided by share, up to what each team
+    wanted there and to its upper limit.
+
     Parameters
     ----------
-    runs : sequence of Run
-        The endpoints' records.
-    asked : sequence of tuple
-        Team, begin and end, in seconds, of each request as its caller saw it.
+    pools : sequence of PoolLoad
+        The pools whose slots are known.
     customers : sequence of CustomerSettings
         Shares and limits.
     began_at : datetime
         When the load began.
-    n_slots : int
-        Slots of all endpoints together; 0 for unknown.
     """
-    if not n_slots or not runs:
-        return ShareReport()
     n_windows = int(duration.total_seconds())
-    got = busy_seconds(_run_intervals(runs, began_at, n_windows), n_windows)
-    wanted = busy_seconds(asked, n_windows)
+    if not n_windows or not any(pool.runs for pool in pools):
+        return ShareReport()
     shares = {customer.team: customer.share for customer in customers}
     limits = {customer.team: customer.limit for customer in customers}
-    total_got: dict[str, float] = dict.fromkeys(shares, 0.0)
-    total_entitled: dict[str, float] = dict.fromkeys(shares, 0.0)
+    total_got = dict.fromkeys(shares, 0.0)
+    total_entitled = dict.fromkeys(shares, 0.0)
     n_full = 0
-    for got_now, wanted_now in zip(got, wanted, strict=True):
-        if sum(got_now.values()) < FULL * n_slots:
-            continue
-        n_full += 1
-        most = {team: _limited(wanted_now[team], limits[team]) for team in shares}
-        entitled = water_fill(sum(got_now.values()), most, shares)
-        for team in shares:
-            total_got[team] += got_now[team]
-            total_entitled[team] += entitled[team]
-    busy = sum(sum(window.values()) for window in got)
-    off = sum(abs(total_got[team] - total_entitled[team]) for team in shares)
+    busy = 0.0
+    off = 0.0
+    for pool in pools:
+        got = busy_seconds(_run_intervals(pool.runs, began_at, n_windows), n_windows)
+        wanted = busy_seconds(pool.asked, n_windows)
+        busy += sum(sum(window.values()) for window in got)
+        for got_now, wanted_now in zip(got, wanted, strict=True):
+            if sum(got_now.values()) < FULL * pool.n_slots:
+                continue
+            n_full += 1
+            most = {team: _limited(wanted_now[team], limits[team]) for team in shares}
+            entitled = water_fill(sum(got_now.values()), most, shares)
+            for team in shares:
+                total_got[team] += got_now[team]
+                total_entitled[team] += entitled[team]
+                off += abs(got_now[team] - entitled[team])
+    n_slots = sum(pool.n_slots for pool in pools)
     return ShareReport(
         nearness=1 - off / 2 / sum(total_got.values()) if n_full else None,
         n_windows=n_full,
--- a/tests/test_load_judge.py
+++ b/tests/test_load_judge.py
@@ -15,7 +15,7 @@
     judge,
 )
 from redwingslip.load._judge import Run, read_runs
-from redwingslip.load._shares import share_report, water_fill
+from redwingslip.load._shares import PoolLoad, share_report, water_fill
 
 from . import SECOND
 
@@ -124,11 +124,30 @@
             runs.append(run("start", "x", 0.0, permit_id=permit, team=team))
             runs.append(run("end", "x", 1.0, permit_id=permit, team=team))
         asked = [("s", 0.0, 1.0)] * 4 + [("t", 0.0, 1.0)] * 4
-        report = share_report(runs, asked, customers, NOON, 2 * SECOND, 4)
+        pool = PoolLoad(n_slots=4, runs=runs, asked=asked)
+        report = share_report([pool], customers, NOON, 2 * SECOND)
         self.assertEqual(report.n_windows, 1)
         self.assertAlmostEqual(report.nearness, 0.75)
         self.assertAlmostEqual(report.buffer_cost, 0.5)
 
+    def test_unfair_pools_do_not_even_out(self):
+        """Too much in one pool is no excuse for too little in another."""
+        customers = [
+            CustomerSettings(team=team, weight=1.0, key="") for team in ("s", "t")
+        ]
+        pools = []
+        for team in ("s", "t"):
+            runs = [
+                run(event, "x", at, permit_id=f"{slot}", team=team)
+                for slot in range(2)
+                for event, at in (("start", 0.0), ("end", 1.0))
+            ]
+            asked = [("s", 0.0, 1.0)] * 2 + [("t", 0.0, 1.0)] * 2
+            pools.append(PoolLoad(n_slots=2, runs=runs, asked=asked))
+        report = share_report(pools, customers, NOON, SECOND)
+        self.assertEqual(report.n_windows, 2)
+        self.assertAlmostEqual(report.nearness, 0.5)
+
 
 if __name__ == "__main__":
     unittest.main()
