Lend no VM that is smaller than those of the pool

Cause: any spare VM was lent, also one without the accelerators that the pool's jobs need; it would hold no work there. Change: a lent VM has at least the accelerators and memory of the pool's smallest VM. Seen failing first: test_smaller_vm_is_not_lent. Conclusion: 14 tests of moves pass.

--- a/src/redwingslip/maintenance/_loans.py
+++ b/src/redwingslip/maintenance/_loans.py
@@ -9,6 +9,7 @@
     FleetView,
     PoolBudget,
     VmRecord,
+    VmSpec,
     is_loan_allowed,
     wished_pool,
 )
@@ -166,10 +167,14 @@
         Among them come first those in data centres where the pool has the fewest.
         """
         here = Counter(vm.data_centre for vm in view.vms_of(pool))
+        needed = _least_size(view, pool)
         vms = [
             vm
             for vm in view.vms.values()
-            if vm.is_available and vm.pool != pool and self._is_free(view, vm)
+            if vm.is_available
+            and vm.pool != pool
+            and self._is_free(view, vm)
+            and _is_as_large(view.vm_spec(vm.name), needed)
         ]
         return sorted(vms, key=lambda vm: (vm.lent, here[vm.data_centre], vm.name))
 
@@ -192,3 +197,16 @@
             if self._is_idle(vm) and is_loan_allowed(view, vm):
                 pools.add(vm.pool)
                 yield BeginMove(vm=vm.name, to_pool=wished_pool(view, vm))
+
+
+def _least_size(view: FleetView, pool: str) -> tuple[int, int]:
+    """Return the fewest accelerators and the least memory of a pool's VMs."""
+    specs = [view.vm_spec(vm.name) for vm in view.vms_of(pool) if not vm.removing]
+    accelerators = min((spec.accelerators for spec in specs), default=0)
+    memory_mb = min((spec.memory_mb for spec in specs), default=0)
+    return accelerators, memory_mb
+
+
+def _is_as_large(spec: VmSpec, needed: tuple[int, int]) -> bool:
+    accelerators, memory_mb = needed
+    return spec.accelerators >= accelerators and spec.memory_mb >= memory_mb
--- a/tests/test_maintenance_moves.py
+++ b/tests/test_maintenance_moves.py
@@ -149,6 +149,17 @@
         self.drive(fleet, 10, lambda second: 50, lambda second: 4)
         self.assertEqual(len(fleet.view.vms_of("s")), 2)
 
+    def test_smaller_vm_is_not_lent(self):
+        """A spare VM that holds less than any VM of the pool is no help to it."""
+        fleet = site(spare=2)
+        for i in range(3):
+            spec = VmSpec(pool="a", data_centre="d0", accelerators=2)
+            fleet.put(f"a{i}", spec)
+        fleet.put("s1", VmSpec(pool="s", data_centre="d0", accelerators=2))
+        self.drive(fleet, 6, lambda second: 16)
+        self.assertEqual(pool_of(fleet, "s0"), "s")
+        self.assertEqual(pool_of(fleet, "s1"), "a")
+
     def test_operator_who_ends_moves_gets_the_vms_back(self):
         """Lent VMs go home when the site no longer allows moves."""
         fleet = site()
