--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,8 +11,8 @@
 from redwingslip.cli._app import app
 from redwingslip.cli._documents import read_documents
 from redwingslip.cli.exceptions import ExitCode
-from redwingslip.observe import EventName
 from redwingslip.daemons import EntryDaemonSettings, ReplicaDaemonSettings
+from redwingslip.observe import EventName
 from redwingslip.settings import (
     describe,
     load_settings,
