--- /dev/null
+++ b/scripts/measure_recovery.py
@@ -0,0 +1,115 @@
+"""Measure the time without service after a process is killed.
+
+Callers ask again and again through the entries that say they are ready. The figure is
+the longest gap between two answers, from the kill on; the gap without a kill stands
+beside it.
+"""
+
+import argparse
+import asyncio
+import json
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from scripts.demo_callers import Ask, Balancer, Caller
+from scripts.fleet_processes import FleetProcesses
+from scripts.measure_path import declare, start_endpoints
+
+N_CALLERS = 4
+PAUSE_S = 0.01
+WATCHED_S = 6.0
+SETTLED_S = 4.0
+
+
+class Probe:
+    """Callers that note when each of their answers came."""
+
+    def __init__(self, fleet: FleetProcesses, key: str) -> None:
+        self._balancer = Balancer(list(fleet.http.values()))
+        self._caller = Caller(self._balancer)
+        self._key = key
+        self._tasks: list[asyncio.Task] = []
+        self.answered_at: list[float] = []
+
+    async def __aenter__(self):
+        """Begin to ask."""
+        self._tasks = [asyncio.create_task(self._balancer.watch())]
+        for _ in range(N_CALLERS):
+            self._tasks.append(asyncio.create_task(self._ask_forever()))
+        return self
+
+    async def __aexit__(self, *exc_info):
+        """Stop asking."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._caller.close()
+
+    async def _ask_forever(self) -> None:
+        while True:
+            ask = Ask(queue="q", body=b"{}", key=self._key, idempotent=True)
+            await self._caller.ask(ask)
+            if ask.outcome == "answered":
+                self.answered_at.append(time.monotonic())
+            await asyncio.sleep(PAUSE_S)
+
+    def longest_gap(self, since: float) -> float:
+        """Return the longest time between two answers from `since` on."""
+        times = [since, *(at for at in self.answered_at if at > since)]
+        times.append(time.monotonic())
+        return max(after - before for before, after in itertools.pairwise(times))
+
+
+def victim(fleet: FleetProcesses, role: str) -> str:
+    """Return the process that has a role now."""
+    status = json.loads(fleet.cli("status").stdout)
+    if role == "leader":
+        return json.loads(fleet.cli("replicas").stdout)["leader_id"]
+    is_wanted = role == "dispatcher"
+    found = [s for s in status if bool(s["dispatched_pools"]) is is_wanted]
+    return found[0]["entry_id"]
+
+
+async def measure(fleet: FleetProcesses, key: str, role: str) -> float:
+    """Kill the process of a role and return the longest gap."""
+    name = await asyncio.to_thread(victim, fleet, role) if role != "none" else ""
+    async with Probe(fleet, key) as probe:
+        await asyncio.sleep(1.0)
+        killed_at = time.monotonic()
+        if name:
+            fleet.kill(name)
+        await asyncio.sleep(WATCHED_S)
+        gap = probe.longest_gap(killed_at)
+    if name:
+        fleet.start(name)
+        await asyncio.to_thread(fleet.wait_ready)
+        await asyncio.sleep(SETTLED_S)
+    return gap
+
+
+def main() -> int:
+    """Measure and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--repeat", type=int, default=5)
+    args = parser.parse_args()
+    fleet = FleetProcesses(Path(tempfile.mkdtemp()), n_entries=3)
+    try:
+        fleet.found()
+        fleet.start()
+        fleet.wait_ready()
+        key = declare(fleet)
+        start_endpoints(fleet)
+        time.sleep(SETTLED_S)
+        print("killed      longest gap between answers, s, each time")
+        for role in ("none", "leader", "dispatcher", "entry"):
+            gaps = [asyncio.run(measure(fleet, key, role)) for _ in range(args.repeat)]
+            print(f"{role:10}  " + "  ".join(f"{gap:.2f}" for gap in gaps), flush=True)
+    finally:
+        fleet.close()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
