--- a/tests/test_dispatch_dispatcher.py
+++ b/tests/test_dispatch_dispatcher.py
@@ -662,5 +662,156 @@
         self.assertEqual(self.dispatcher.n_slots, 2 * N_SLOTS)
 
 
+class TestTakeover(DispatcherTestCase):
+    """A new dispatcher and what the one before it may have left running."""
+
+    def setUp(self):
+        """Replace the dispatcher; its VMs have not announced again yet."""
+        super().setUp()
+        self.machine.replace_dispatcher("a")
+        self.follower = self.machine.current["a"]
+        self.dispatcher = self.follower.dispatcher
+        self.machine.tick("a", is_synced=True)
+
+    def hear(self, vm: str, *running: RunningTask) -> None:
+        """Let an endpoint that knows the new token announce itself."""
+        endpoint = self.machine.endpoints[f"e-{vm}"]
+        endpoint.token = self.follower.view.fencing_token(vm)
+        report = endpoint.report(self.machine.now)
+        report = msgspec.structs.replace(report, running=running)
+        self.follower.heard[report.endpoint_id] = (report, self.machine.now)
+        self.dispatcher.report(report, self.machine.now)
+
+    def test_slots_not_heard_of_count_against_every_limit(self):
+        """A limited team starts nothing while its work may run where nobody looked."""
+        self.hear("v1")
+        limited, unlimited = self.request("x"), self.request("y")
+        granted = [o.permit.request_id for o in self.outputs(Granted)]
+        self.assertEqual(granted, [unlimited.request_id])
+        self.hear("v2")
+        granted = [o.permit.request_id for o in self.outputs(Granted)]
+        self.assertEqual(granted, [limited.request_id])
+
+    def test_slots_not_heard_of_are_free_once_all_leases_have_ended(self):
+        """A VM that is lost for good does not hold limited teams up for ever."""
+        msg = self.request("x", deadline=60 * SECOND)
+        for _ in range(7):
+            self.machine.now += SECOND
+            self.hear("v1")
+            self.machine.tick("a", is_synced=True)
+        granted = [m.request_id for m in self.machine.bag if isinstance(m, Permit)]
+        self.assertEqual(granted, [msg.request_id])
+
+    def test_vm_not_heard_of_is_not_drained(self):
+        """A VM that is to leave may still run what the older dispatcher started."""
+        self.machine._apply(BeginMove(vm="v1", to_pool="b"))
+        self.machine.tick("a", is_synced=True)
+        self.assertFalse(any(isinstance(m, VmDrained) for m in self.machine.bag))
+        self.hear("v1")
+        self.machine.tick("a", is_synced=True)
+        self.assertTrue(any(isinstance(m, VmDrained) for m in self.machine.bag))
+
+    def test_reported_task_of_the_older_epoch_holds_its_slots_and_limit(self):
+        """What an endpoint lists counts until it is listed no longer."""
+        tasks = [RunningTask(f"a/1/{n}/1/0/0", "x") for n in range(2)]
+        self.hear("v1", *tasks)
+        self.hear("v2")
+        self.request("x")
+        self.assertEqual((self.dispatcher.n_running, self.dispatcher.n_idle), (2, 2))
+        self.assertEqual(self.outputs(Granted), [])
+        self.machine.now += SECOND
+        self.hear("v1")
+        self.assertEqual(len(self.outputs(Granted)), 1)
+
+
+class TestPermitEnd(DispatcherTestCase):
+    """When the slot of a permit is free again."""
+
+    def setUp(self):
+        """Use all slots, and let one more request wait."""
+        super().setUp()
+        self.now = self.machine.now
+        for _ in range(5):
+            self.request(deadline=60 * SECOND)
+        self.permits = [o.permit for o in self.outputs(Granted)]
+
+    def hear(self, *running: Permit) -> int:
+        """Let all endpoints announce what runs; return how many are granted then."""
+        for vm in ("v1", "v2"):
+            report = self.machine.endpoints[f"e-{vm}"].report(self.now)
+            tasks = tuple(
+                RunningTask(permit.permit_id, "y")
+                for permit in running
+                if permit.endpoint_id == report.endpoint_id
+            )
+            report = msgspec.structs.replace(report, running=tasks)
+            self.dispatcher.report(report, self.now)
+        self.dispatcher.lease_until(self.now + 3 * SECOND)
+        self.dispatcher.tick(self.now)
+        return len(self.outputs(Granted))
+
+    def test_unknown_result_holds_the_slot_while_the_endpoint_lists_the_task(self):
+        """An entry that lost the answer does not know whether the task runs on."""
+        self.end(self.permits[0], RunResult.UNKNOWN)
+        self.now += 2.5 * SECOND
+        self.assertEqual(self.hear(*self.permits), 0)
+        self.now += SECOND
+        self.assertEqual(self.hear(*self.permits[1:]), 1)
+
+    def test_permit_that_was_lost_is_free_once_its_start_is_over(self):
+        """An entry that died does not hold slots: the endpoint shows that none runs."""
+        self.now += SECOND
+        self.assertEqual(self.hear(), 0)
+        self.now += 1.5 * SECOND
+        self.assertEqual(self.hear(), 1)
+
+    def test_slot_of_a_lost_endpoint_counts_until_the_task_lease_has_ended(self):
+        """A task on an endpoint that nobody hears may run as long as its lease."""
+        last = self.permits[0].lease + self.permits[0].start_within
+        self.dispatcher.tick(self.now + last)
+        self.assertEqual(self.dispatcher.n_running, 4)
+        self.dispatcher.tick(self.now + last + 2 * SECOND)
+        self.assertEqual(self.dispatcher.n_running, 0)
+
+
+class TestDrain(DispatcherTestCase):
+    """VMs that are to leave."""
+
+    def test_vm_is_drained_only_when_its_last_task_has_ended(self):
+        """It gets no new work at once and is reported when nothing runs."""
+        self.request()
+        self.request()
+        permits = [o.permit for o in self.outputs(Granted)]
+        permit = next(p for p in permits if p.endpoint_id == "e-v1")
+        self.machine._apply(BeginMove(vm="v1", to_pool="b"))
+        self.machine.tick("a", is_synced=True)
+        self.assertFalse(any(isinstance(m, VmDrained) for m in self.machine.bag))
+        for _ in range(3):
+            self.request()
+        names = [o.permit.endpoint_id for o in self.outputs(Granted)]
+        self.assertEqual(names, ["e-v2"])
+        self.end(permit, RunResult.COMPLETED)
+        self.machine.tick("a", is_synced=True)
+        drained = [m.vm for m in self.machine.bag if isinstance(m, VmDrained)]
+        self.assertEqual(drained, ["v1"])
+
+    def test_silent_endpoint_gets_nothing_even_before_the_next_tick(self):
+        """A dispatcher that was frozen looks at the age of a report at each grant."""
+        self.machine.now += 3 * SECOND
+        self.dispatcher.lease_until(self.machine.now + 3 * SECOND)
+        self.request()
+        self.assertEqual(self.outputs(Granted), [])
+
+    def test_nothing_starts_after_the_lease(self):
+        """No permit's start window goes beyond the dispatcher's lease."""
+        self.dispatcher.lease_until(self.machine.now + SECOND / 2)
+        self.request()
+        permit = self.outputs(Granted)[0].permit
+        self.assertEqual(permit.start_within, SECOND / 2)
+        self.dispatcher.lease_until(self.machine.now)
+        self.request()
+        self.assertEqual(self.outputs(Granted), [])
+
+
 if __name__ == "__main__":
     unittest.main()
