Keep a team's limit when a recall comes before its first request

Cause: a recall made the team known without taking over its limit, so a new dispatcher took it for unlimited. Change: a team is taken over wherever it is first named, and one that is not may start nothing. The stateful test also restarts endpoints and loses answers.

--- a/src/redwingslip/dispatch/_dispatcher.py
+++ b/src/redwingslip/dispatch/_dispatcher.py
@@ -524,6 +524,7 @@
         """Give back what was recalled and is not used any more."""
         names, self._reader.shrinkable = self._reader.shrinkable, set()
         for name in names:
+            self._reader.know_team(name)
             team = self._scheduler.team(name)
             n_running = team.n_running + self._capacity.n_slots_unknown
             command = self._allotments.shrink(name, n_running, now)
--- a/src/redwingslip/dispatch/_teams.py
+++ b/src/redwingslip/dispatch/_teams.py
@@ -53,7 +53,8 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.share = 1.0
-        self.limit: int | None = None
+        # Nothing starts before the view's limit was taken over.
+        self.limit: int | None = 0
         self.max_waiting = 1
         self.usage = 0.0
         self.n_running = 0
--- a/tests/test_dispatch_dispatcher.py
+++ b/tests/test_dispatch_dispatcher.py
@@ -375,6 +375,19 @@
         """Let an endpoint say that it is leaving, or not."""
         self.endpoints[f"e-{vm}"].leaving = leaving
 
+    @rule(vm=st.sampled_from(sorted(VMS)))
+    def restart_endpoint(self, vm: str) -> None:
+        """Kill an endpoint and what runs on it; its successor has seen no token."""
+        number = self.endpoints[f"e-{vm}"].number + len(VMS)
+        self.endpoints[f"e-{vm}"] = FakeEndpoint(vm, number)
+
+    @rule(vm=st.sampled_from(sorted(VMS)))
+    def entry_loses_answers(self, vm: str) -> None:
+        """Let the connections to an endpoint break while its tasks run on."""
+        for _, _, done in self.endpoints[f"e-{vm}"].running.values():
+            unknown = msgspec.structs.replace(done, result=RunResult.UNKNOWN)
+            self.bag.append(unknown)
+
     @rule(tenths=st.sampled_from([1, 5, 10, 10, 30]))
     def advance(self, tenths: int) -> None:
         """Let time pass and tasks end."""
@@ -533,6 +546,20 @@
         granted = [o for o in outputs if isinstance(o, Granted)]
         self.assertEqual((returned, granted), ([1], []))
 
+    def test_recall_for_a_team_not_seen_yet_leaves_its_limit_in_force(self):
+        """A recall that comes before the first request lifts no limit."""
+        self.machine.replace_dispatcher("b")
+        dispatcher = self.machine.current["b"].dispatcher
+        recall = AllotmentRecall(team="x", pool="b", epoch=dispatcher.epoch, count=1)
+        dispatcher.recall(recall, self.machine.now)
+        self.machine._calm(2)
+        dispatcher.take_outputs()
+        for _ in range(2):
+            msg = self.machine._request("b", "x", 10 * SECOND, SECOND)
+            dispatcher.request(msg, self.machine.now)
+        granted = [o for o in dispatcher.take_outputs() if isinstance(o, Granted)]
+        self.assertEqual(len(granted), 1)
+
 
 class TestOrder(DispatcherTestCase):
     """Which request goes first."""
