Ignore late reports of a replaced incarnation while its successor is heard

Cause: incarnations have no order, so a late report of a dead process was taken for the newest and permits were granted for it; the endpoint refused them. Ruled out: ignoring a replaced incarnation for good. Change: replaced incarnations are ignored while the present one is heard. The oracle looks at the newest report of the permit's own incarnation.

--- a/src/redwingslip/dispatch/_capacity.py
+++ b/src/redwingslip/dispatch/_capacity.py
@@ -176,7 +176,7 @@
             self.endpoints[msg.endpoint_id] = endpoint
             vm.endpoints[msg.endpoint_id] = endpoint
             self._readopt(endpoint)
-        elif self._is_stale(endpoint, msg):
+        elif self._is_stale(endpoint, msg, now):
             return None
         else:
             self._replace_report(endpoint, msg, now)
@@ -188,8 +188,16 @@
         self.refresh_vm(vm, now)
         return endpoint
 
-    def _is_stale(self, endpoint: Endpoint, msg: EndpointReport) -> bool:
-        """Return whether a report is doubled or was overtaken by a newer one."""
+    def _is_stale(
+        self, endpoint: Endpoint, msg: EndpointReport, now: timedelta
+    ) -> bool:
+        """Return whether a report is doubled or was overtaken by a newer one.
+
+        Incarnations have no order. One that was replaced is taken for the older one
+        as long as its successor is heard.
+        """
+        if msg.incarnation in endpoint.retired and not self.is_silent(endpoint, now):
+            return True
         is_same_process = msg.incarnation == endpoint.last.incarnation
         return is_same_process and msg.clock <= endpoint.last.clock
 
@@ -198,6 +206,8 @@
     ) -> None:
         if msg.service != endpoint.last.service:
             self.slots.remove(endpoint)
+        if msg.incarnation != endpoint.last.incarnation:
+            endpoint.retire(endpoint.last.incarnation)
         endpoint.last = msg
         endpoint.heard_at = now
 
--- a/src/redwingslip/dispatch/_endpoints.py
+++ b/src/redwingslip/dispatch/_endpoints.py
@@ -1,5 +1,6 @@
 """Endpoints and VMs as one dispatcher sees them."""
 
+from collections import deque
 from datetime import timedelta
 
 from ..fleet import VmHealth, VmPhase, VmRecord, VmSpec
@@ -9,6 +10,8 @@
 
 __all__ = ["Endpoint", "VmState"]
 
+N_RETIRED_KEPT = 8
+
 
 class VmState:
     """A VM of the pool and what is held of it.
@@ -110,6 +113,9 @@
         older epoch can be on it unlisted.
     tasks : dict
         Its open tasks by permit id.
+    retired : deque of str
+        Incarnations that were replaced; a late report of one is ignored
+        while its successor is heard.
     n_free : int
         Free slots that the index knows of.
     n_slots_counted : int
@@ -129,6 +135,7 @@
         "n_free",
         "n_slots_counted",
         "n_slots_used",
+        "retired",
         "succeeded_at",
         "tasks",
         "vm",
@@ -142,6 +149,7 @@
         self.is_cleared = False
         self.tasks: dict[str, Task] = {}
         self.n_slots_used = 0
+        self.retired: deque[str] = deque(maxlen=N_RETIRED_KEPT)
         self.n_free = 0
         self.n_slots_counted = 0
         self.n_failures = 0
@@ -168,6 +176,11 @@
             return 0 if self.tasks else min(free, 1)
         return max(free, 0)
 
+    def retire(self, incarnation: str) -> None:
+        """Note that a process of this endpoint was replaced."""
+        if incarnation not in self.retired:
+            self.retired.append(incarnation)
+
     def hold(self, task: Task) -> None:
         """Take in an open task."""
         self.tasks[task.permit_id] = task
--- a/tests/test_dispatch_dispatcher.py
+++ b/tests/test_dispatch_dispatcher.py
@@ -127,7 +127,7 @@
         self.n_synced = 0
         self.lease = now
         self.permits: dict[str, str] = {}
-        self.heard: dict[str, tuple[EndpointReport, timedelta]] = {}
+        self.heard: dict[tuple[str, str], tuple[EndpointReport, timedelta]] = {}
         self.dispatcher = Dispatcher(
             pool=pool,
             epoch=epoch,
@@ -207,7 +207,7 @@
             assert known == permit.permit_id, "a request was granted twice"
             return
         follower.permits[permit.request_id] = permit.permit_id
-        report, heard_at = follower.heard[permit.endpoint_id]
+        report, heard_at = follower.heard[permit.endpoint_id, permit.incarnation]
         record = follower.view.vms[report.vm]
         assert not report.leaving, "a permit for a leaving endpoint"
         assert self.now - heard_at < 3 * SECOND, "a permit for a silent endpoint"
@@ -241,11 +241,11 @@
 
     def _hear(self, msg: EndpointReport) -> None:
         for follower in [*self.current.values(), *self.old]:
-            known = follower.heard.get(msg.endpoint_id)
+            known = follower.heard.get((msg.endpoint_id, msg.incarnation))
             record = follower.view.vms.get(msg.vm)
             is_ours = record is not None and record.pool == follower.pool
             if is_ours and (known is None or known[0].clock < msg.clock):
-                follower.heard[msg.endpoint_id] = (msg, self.now)
+                follower.heard[msg.endpoint_id, msg.incarnation] = (msg, self.now)
             follower.dispatcher.report(msg, self.now)
             self._collect(follower)
 
@@ -706,7 +706,8 @@
         endpoint.token = self.follower.view.fencing_token(vm)
         report = endpoint.report(self.machine.now)
         report = msgspec.structs.replace(report, running=running)
-        self.follower.heard[report.endpoint_id] = (report, self.machine.now)
+        key = (report.endpoint_id, report.incarnation)
+        self.follower.heard[key] = (report, self.machine.now)
         self.dispatcher.report(report, self.machine.now)
 
     def test_slots_not_heard_of_count_against_every_limit(self):
--- a/tests/test_quota_planner.py
+++ b/tests/test_quota_planner.py
@@ -251,6 +251,7 @@
             self.advance(5)
             for pool in self.pools.values():
                 self._sync(pool)
+            self.bag = [msg for msg in self.bag if not isinstance(msg, PoolDemand)]
             self.n_in_force = self.index
             self.planner.in_force(self.index, self.now)
             self._collect()
