Split grants and refusals from the dispatcher; keep less of ended requests

Change: Granter and Refuser; a request that has run is kept as known only, and one that is refused on arrival not at all.

--- a/src/redwingslip/dispatch/_dispatcher.py
+++ b/src/redwingslip/dispatch/_dispatcher.py
@@ -11,7 +11,6 @@
     EndpointReport,
     PermitCancel,
     PermitDone,
-    PermitRefusal,
     PermitRequest,
     RefusalReason,
     RunResult,
@@ -20,13 +19,14 @@
 from ._capacity import PoolCapacity
 from ._ejection import Ejector
 from ._endpoints import Endpoint
-from ._grants import make_task, with_window
+from ._granter import Granter
+from ._grants import with_window
 from ._judgement import FailureJudge
 from ._leader_reports import LeaderReporter
 from ._limits import AllotmentKeeper
 from ._outbox import Outbox
-from ._outputs import Granted, Output, Proposed, Refused
-from ._queue import Shape, Waiting
+from ._outputs import Granted, Output, Proposed
+from ._refusals import Refuser
 from ._requests import CANCELLED, KnownRequest, RequestTable
 from ._scheduler import Scheduler
 from ._settings import DispatchSettings
@@ -65,15 +65,14 @@
         "_capacity",
         "_cfg",
         "_ejector",
+        "_granter",
         "_is_started",
-        "_is_stopped",
         "_judge",
-        "_lease_until",
-        "_n_permits",
         "_n_requests",
         "_now",
         "_outbox",
         "_reader",
+        "_refuser",
         "_reporter",
         "_requests",
         "_scheduler",
@@ -96,11 +95,8 @@
         self._cfg = cfg
         self._view = view
         self._now = ZERO
-        self._lease_until = ZERO
         self._is_started = False
-        self._is_stopped = False
         self._n_requests = 0
-        self._n_permits = 0
         self._outbox = Outbox(pool=pool, epoch=epoch)
         self._requests = RequestTable(remember=cfg.remember)
         self._scheduler = Scheduler(cfg)
@@ -141,6 +137,26 @@
             rng=rng,
         )
 
+        self._refuser = Refuser(
+            pool=pool,
+            admission=self._admission,
+            scheduler=self._scheduler,
+            requests=self._requests,
+            outbox=self._outbox,
+        )
+        self._granter = Granter(
+            pool=pool,
+            epoch=epoch,
+            cfg=cfg,
+            view=view,
+            capacity=self._capacity,
+            scheduler=self._scheduler,
+            requests=self._requests,
+            reader=self._reader,
+            refuser=self._refuser,
+            outbox=self._outbox,
+        )
+
     # What can be read.
 
     @property
@@ -165,7 +181,7 @@
 
     def may_hand_over(self, now: timedelta) -> bool:
         """Return whether no permit's start is still open."""
-        if not self._is_stopped and not self._reader.is_replaced:
+        if not self._granter.is_stopped and not self._reader.is_replaced:
             return False
         return all(task.starts_until <= now for task in self._capacity.tasks)
 
@@ -185,15 +201,16 @@
         if known is not None:
             self._supersede(msg, known, now)
         if self._reader.is_replaced or msg.pool != self.pool:
-            self._refuse(msg, RefusalReason.NOT_DISPATCHER, ZERO)
+            self._refuser.say(msg, RefusalReason.NOT_DISPATCHER, ZERO)
             return
         self._n_requests += 1
         self._reader.know_team(msg.team)
-        self._capacity.raise_longest_run(self._task_lease(msg))
+        self._capacity.raise_longest_run(self._granter.task_lease(msg))
         item = self._scheduler.make_waiting(msg, number=self._n_requests, now=now)
         reason = self._admission.refusal(item)
         if reason is not None:
-            self._refuse(msg, reason, self._admission.retry_after(item, reason))
+            retry_after = self._admission.retry_after(item, reason)
+            self._refuser.say(msg, reason, retry_after)
             return
         known = self._requests.add(msg.request_id, msg.n_attempts, now, msg.deadline)
         known.waiting = item
@@ -215,7 +232,7 @@
         known.waiting = None
         self._scheduler.remove(item)
         known.refusal = RefusalReason.CANCELLED
-        self._say_refused(item.req, RefusalReason.CANCELLED, ZERO)
+        self._refuser.say(item.req, RefusalReason.CANCELLED, ZERO)
         self._finish(now)
 
     def done(self, msg: PermitDone, now: timedelta) -> None:
@@ -231,6 +248,7 @@
         if msg.result is RunResult.UNKNOWN:
             return
         self._capacity.end(task, now)
+        self._requests.settle(msg.request_id, task)
         self._finish(now)
 
     def report(self, msg: EndpointReport, now: timedelta) -> None:
@@ -260,7 +278,7 @@
         else:
             self._reader.read(changes, now)
         if self._reader.is_replaced:
-            self._refuse_all(RefusalReason.NOT_DISPATCHER)
+            self._refuser.refuse_all(RefusalReason.NOT_DISPATCHER)
         self._finish(now)
 
     def recall(self, msg: AllotmentRecall, now: timedelta) -> None:
@@ -274,10 +292,10 @@
         """Do what is due; to be called a few times a second."""
         self._begin(now)
         for endpoint in self._capacity.find_silent(now):
-            self._lose(endpoint)
+            self._granter.lose(endpoint)
         for task in self._capacity.tasks.take_ended(now):
             self._capacity.end(task, now)
-        self._refuse_expired(now)
+        self._refuser.refuse_expired(now)
         if self._capacity.n_slots_unknown and self._capacity.is_surely_over(now):
             self._capacity.refresh_all(now)
         if not self._reader.is_replaced:
@@ -293,11 +311,11 @@
         What waits is asked for again at the next dispatcher.
         """
         self._begin(now)
-        self._is_stopped = True
+        self._granter.is_stopped = True
 
     def lease_until(self, deadline: timedelta) -> None:
         """Allow grants whose calls start before this monotonic time."""
-        self._lease_until = deadline
+        self._granter.lease_until = deadline
 
     # Before and after each input.
 
@@ -308,7 +326,7 @@
             self._capacity.start(now)
             self._reader.read_all(now)
 
-    # Refusals and resends.
+    # Resends.
 
     def _answer_again(self, msg: PermitRequest, known: KnownRequest) -> None:
         """Answer a resend as before, unless its entry has finished with the permit.
@@ -318,7 +336,7 @@
         if msg.n_attempts < known.n_attempts:
             return
         if known.refusal is not None:
-            self._say_refused(msg, known.refusal, ZERO)
+            self._refuser.say(msg, known.refusal, ZERO)
             return
         task = known.task
         if task is None or task.result is not None:
@@ -346,136 +364,6 @@
         if endpoint is not None and task.endpoint_id in msg.excluded:
             self._ejector.note(endpoint, msg, RunResult.FAILED, now)
 
-    def _refuse_waiting(self, item: Waiting, reason: RefusalReason) -> None:
-        """Refuse a request that waits."""
-        retry_after = self._admission.retry_after(item, reason)
-        self._scheduler.remove(item)
-        known = self._requests.get(item.req.request_id)
-        known.waiting = None
-        known.refusal = reason
-        self._say_refused(item.req, reason, retry_after)
-
-    def _refuse_expired(self, now: timedelta) -> None:
-        item = self._scheduler.first_expired(now)
-        while item is not None:
-            self._refuse_waiting(item, RefusalReason.TOO_LATE)
-            item = self._scheduler.first_expired(now)
-
-    def _refuse_all(self, reason: RefusalReason) -> None:
-        item = self._scheduler.first_to_expire()
-        while item is not None:
-            self._refuse_waiting(item, reason)
-            item = self._scheduler.first_to_expire()
-
-    def _refuse(
-        self, req: PermitRequest, reason: RefusalReason, retry_after: timedelta
-    ) -> None:
-        known = self._requests.add(req.request_id, req.n_attempts, self._now, ZERO)
-        known.refusal = reason
-        self._say_refused(req, reason, retry_after)
-
-    def _say_refused(
-        self, req: PermitRequest, reason: RefusalReason, retry_after: timedelta
-    ) -> None:
-        refusal = PermitRefusal(
-            request_id=req.request_id,
-            pool=self.pool,
-            reason=reason,
-            retry_after=retry_after,
-        )
-        self._outbox.put(Refused(entry_id=req.entry_id, refusal=refusal))
-        self._outbox.emit(
-            EventName.REQUEST_REFUSED,
-            request_id=req.request_id,
-            team=req.team,
-            queue=req.queue,
-            detail=reason.value,
-        )
-
-    # Grants.
-
-    def _may_grant(self, now: timedelta) -> bool:
-        if (
-            self._is_stopped
-            or self._reader.is_replaced
-            or not self._capacity.is_current
-        ):
-            return False
-        return self._lease_until - now >= self._cfg.min_start_window
-
-    def _fill(self, now: timedelta) -> None:
-        """Grant slots while there are any and someone may use them."""
-        if not self._may_grant(now):
-            return
-        self._scheduler.readmit()
-        while True:
-            item = self._scheduler.next(self._has_room, now)
-            if item is None:
-                return
-            if self._scheduler.is_too_late(item, now):
-                self._refuse_waiting(item, RefusalReason.TOO_LATE)
-                continue
-            endpoint = self._pick(item)
-            if endpoint is None:
-                self._scheduler.defer(item)
-                continue
-            if self._capacity.is_silent(endpoint, now):
-                self._lose(endpoint)
-                continue
-            self._grant(item, endpoint, now)
-
-    def _has_room(self, shape: Shape) -> bool:
-        return self._capacity.slots.pick(shape) is not None
-
-    def _pick(self, item: Waiting) -> Endpoint | None:
-        """Return an endpoint for a request; an excluded one only for want of others."""
-        excluded = item.req.excluded
-        endpoint = self._capacity.slots.pick(item.shape, excluded)
-        if endpoint is not None or not excluded:
-            return endpoint
-        others = (
-            e
-            for e in self._capacity.endpoints.values()
-            if e.takes_work and e.last.service == item.req.service
-        )
-        if any(e.endpoint_id not in excluded for e in others):
-            return None
-        return self._capacity.slots.pick(item.shape)
-
-    def _task_lease(self, req: PermitRequest) -> timedelta:
-        queue = self._view.queue(req.queue)
-        return req.max_run if queue is None else min(req.max_run, queue.max_run)
-
-    def _grant(self, item: Waiting, endpoint: Endpoint, now: timedelta) -> None:
-        req = item.req
-        self._scheduler.take(item)
-        window = min(self._cfg.start_window, self._lease_until - now)
-        self._n_permits += 1
-        task = make_task(
-            item,
-            endpoint,
-            pool=self.pool,
-            epoch=self.epoch,
-            number=self._n_permits,
-            window=window,
-            lease=self._task_lease(req),
-            margin=self._cfg.clock_margin,
-            now=now,
-        )
-        known = self._requests.get(req.request_id)
-        known.waiting = None
-        known.task = task
-        self._capacity.begin(endpoint, task, now)
-        self._outbox.put(Granted(entry_id=req.entry_id, permit=task.permit))
-        self._outbox.emit(
-            EventName.PERMIT_GRANTED,
-            request_id=req.request_id,
-            team=req.team,
-            queue=req.queue,
-            endpoint_id=endpoint.endpoint_id,
-            permit_id=task.permit_id,
-        )
-
     # Tasks that end.
 
     def _count(self, task: Task, sign: int) -> None:
@@ -516,7 +404,7 @@
         )
         # A recalled slot that falls free must not be taken again first.
         self._shrink(now)
-        self._fill(now)
+        self._granter.fill(now)
         if not self._reader.is_replaced:
             self._reporter.say_demand(self._scheduler.teams.values(), now)
 
@@ -535,10 +423,6 @@
 
     # Events.
 
-    def _lose(self, endpoint: Endpoint) -> None:
-        self._capacity.change_health(endpoint, endpoint.health.lose)
-        self._emit_endpoint(EventName.ENDPOINT_DOWN, endpoint)
-
     def _emit_endpoint(self, name: EventName, endpoint: Endpoint) -> None:
         self._outbox.emit(
             name, endpoint_id=endpoint.endpoint_id, vm=endpoint.vm.record.name
--- /dev/null
+++ b/src/redwingslip/dispatch/_granter.py
@@ -0,0 +1,164 @@
+"""Granting permits while there are slots and someone may use them."""
+
+from datetime import timedelta
+
+from ..fleet import FleetView
+from ..observe._events import EventName
+from ..peers import PermitRequest, RefusalReason
+from ._capacity import PoolCapacity
+from ._endpoints import Endpoint
+from ._grants import make_task
+from ._outbox import Outbox
+from ._outputs import Granted
+from ._queue import Shape, Waiting
+from ._refusals import Refuser
+from ._requests import RequestTable
+from ._scheduler import Scheduler
+from ._settings import DispatchSettings
+from ._view_reader import ViewReader
+
+__all__ = ["Granter"]
+
+
+class Granter:
+    """Gives the free slots of a pool to the requests that go next.
+
+    Attributes
+    ----------
+    lease_until : timedelta
+        Every call starts before this monotonic time.
+    is_stopped : bool
+        Whether nothing more is granted.
+    """
+
+    __slots__ = (
+        "_capacity",
+        "_cfg",
+        "_epoch",
+        "_n_permits",
+        "_outbox",
+        "_pool",
+        "_reader",
+        "_refuser",
+        "_requests",
+        "_scheduler",
+        "_view",
+        "is_stopped",
+        "lease_until",
+    )
+
+    def __init__(
+        self,
+        *,
+        pool: str,
+        epoch: int,
+        cfg: DispatchSettings,
+        view: FleetView,
+        capacity: PoolCapacity,
+        scheduler: Scheduler,
+        requests: RequestTable,
+        reader: ViewReader,
+        refuser: Refuser,
+        outbox: Outbox,
+    ) -> None:
+        self._pool = pool
+        self._epoch = epoch
+        self._cfg = cfg
+        self._view = view
+        self._capacity = capacity
+        self._scheduler = scheduler
+        self._requests = requests
+        self._reader = reader
+        self._refuser = refuser
+        self._outbox = outbox
+        self._n_permits = 0
+        self.is_stopped = False
+        self.lease_until = timedelta(0)
+
+    def _may_grant(self, now: timedelta) -> bool:
+        if self.is_stopped or self._reader.is_replaced or not self._capacity.is_current:
+            return False
+        return self.lease_until - now >= self._cfg.min_start_window
+
+    def fill(self, now: timedelta) -> None:
+        """Grant slots while there are any and someone may use them."""
+        if not self._may_grant(now):
+            return
+        self._scheduler.readmit()
+        while True:
+            item = self._scheduler.next(self._has_room, now)
+            if item is None:
+                return
+            if self._scheduler.is_too_late(item, now):
+                self._refuser.refuse_waiting(item, RefusalReason.TOO_LATE)
+                continue
+            endpoint = self._pick(item)
+            if endpoint is None:
+                self._scheduler.defer(item)
+                continue
+            if self._capacity.is_silent(endpoint, now):
+                self.lose(endpoint)
+                continue
+            self._grant(item, endpoint, now)
+
+    def _has_room(self, shape: Shape) -> bool:
+        return self._capacity.slots.pick(shape) is not None
+
+    def _pick(self, item: Waiting) -> Endpoint | None:
+        """Return an endpoint for a request; an excluded one only for want of others."""
+        excluded = item.req.excluded
+        endpoint = self._capacity.slots.pick(item.shape, excluded)
+        if endpoint is not None or not excluded:
+            return endpoint
+        others = (
+            e
+            for e in self._capacity.endpoints.values()
+            if e.takes_work and e.last.service == item.req.service
+        )
+        if any(e.endpoint_id not in excluded for e in others):
+            return None
+        return self._capacity.slots.pick(item.shape)
+
+    def task_lease(self, req: PermitRequest) -> timedelta:
+        """Return how long a request may run."""
+        queue = self._view.queue(req.queue)
+        return req.max_run if queue is None else min(req.max_run, queue.max_run)
+
+    def _grant(self, item: Waiting, endpoint: Endpoint, now: timedelta) -> None:
+        req = item.req
+        self._scheduler.take(item)
+        window = min(self._cfg.start_window, self.lease_until - now)
+        self._n_permits += 1
+        task = make_task(
+            item,
+            endpoint,
+            pool=self._pool,
+            epoch=self._epoch,
+            number=self._n_permits,
+            window=window,
+            lease=self.task_lease(req),
+            margin=self._cfg.clock_margin,
+            now=now,
+        )
+        known = self._requests.get(req.request_id)
+        known.waiting = None
+        known.task = task
+        self._capacity.begin(endpoint, task, now)
+        self._outbox.put(Granted(entry_id=req.entry_id, permit=task.permit))
+        self._outbox.emit(
+            EventName.PERMIT_GRANTED,
+            request_id=req.request_id,
+            team=req.team,
+            queue=req.queue,
+            endpoint_id=endpoint.endpoint_id,
+            permit_id=task.permit_id,
+        )
+
+    def lose(self, endpoint: Endpoint) -> None:
+        """Take a silent endpoint out of service."""
+        self._capacity.change_health(endpoint, endpoint.health.lose)
+        self._outbox.emit(
+            EventName.ENDPOINT_DOWN,
+            endpoint_id=endpoint.endpoint_id,
+            vm=endpoint.vm.record.name,
+        )
--- a/src/redwingslip/dispatch/_requests.py
+++ b/src/redwingslip/dispatch/_requests.py
@@ -3,7 +3,7 @@
 from collections import deque
 from datetime import timedelta
 
-from ..peers import RefusalReason
+from ..peers import RefusalReason, RunResult
 from ._queue import Waiting
 from ._tasks import Task
 
@@ -64,6 +64,16 @@
         self._oldest.append((now + self._remember, request_id))
         return known
 
+    def settle(self, request_id: str, task: Task) -> None:
+        """Keep no more of a run request than that it is known.
+
+        A call that was not run is kept: its retry tells who was at fault.
+        """
+        known = self._by_id.get(request_id)
+        is_over = task.result in (RunResult.COMPLETED, RunResult.FAILED)
+        if known is not None and known.task is task and is_over:
+            known.task = None
+
     def forget_old(self, now: timedelta) -> None:
         """Forget the requests whose time is over and that hold nothing."""
         while self._oldest and self._oldest[0][0] <= now:
