Close connections whose peer stops reading its answer

Cause: a peer that reads no further held its connection and answer for good. Change: a bounded wait while writing is paused; start_draining for daemons that turn readiness off before they stop. Proof: without the wait the new test fails; so does a second new test when a running request's timer of the head is not cancelled.

--- a/src/redwingslip/http/_limits.py
+++ b/src/redwingslip/http/_limits.py
@@ -20,7 +20,8 @@
     header_timeout : timedelta
         Longest wait for a whole request head on a new connection.
     body_timeout : timedelta
-        Longest wait for a whole request body.
+        Longest wait for a whole request body, and for a peer to read on when it has
+        stopped reading its answer.
     idle_timeout : timedelta
         How long an idle connection is kept.
     drain_time : timedelta
--- a/src/redwingslip/http/_server.py
+++ b/src/redwingslip/http/_server.py
@@ -80,6 +80,7 @@
         self.peer = peer[0] if peer else ""
         self.phase = _Phase.NOTHING
         self.timer: asyncio.TimerHandle | None = None
+        self.write_timer: asyncio.TimerHandle | None = None
         self.n_of_peer[self.peer] += 1
         super().connection_made(transport)
         self.set_timer()
@@ -99,13 +100,25 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Count the connection off."""
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.write_timer):
+            if timer is not None:
+                timer.cancel()
         self.n_of_peer[self.peer] -= 1
         if not self.n_of_peer[self.peer]:
             del self.n_of_peer[self.peer]
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """Wait for a peer that does not read its answer, but not for good."""
+        super().pause_writing()
+        self.write_timer = self.abort_after(self.limits.body_timeout)
+
+    def resume_writing(self) -> None:
+        """Go on with the answer."""
+        super().resume_writing()
+        if self.write_timer is not None:
+            self.write_timer.cancel()
+
     def send_400_response(self, msg: str) -> None:
         """Refuse what is no HTTP request, then close."""
         self.transport.write(_BAD_REQUEST)
@@ -120,9 +133,9 @@
         if self.timer is not None:
             self.timer.cancel()
         if phase is _Phase.HEAD:
-            self.abort_after(self.limits.header_timeout)
+            self.timer = self.abort_after(self.limits.header_timeout)
         elif phase is _Phase.REST_OF_BODY:
-            self.abort_after(self.limits.body_timeout)
+            self.timer = self.abort_after(self.limits.body_timeout)
 
     def current_phase(self) -> _Phase:
         """Return what the connection waits for now.
@@ -139,9 +152,9 @@
             return _Phase.HEAD
         return _Phase.NOTHING
 
-    def abort_after(self, timeout: timedelta) -> None:
-        """Close the connection when this phase lasts too long."""
-        self.timer = self.loop.call_later(timeout.total_seconds(), self.transport.abort)
+    def abort_after(self, timeout: timedelta) -> asyncio.TimerHandle:
+        """Close the connection after a time, unless that is cancelled."""
+        return self.loop.call_later(timeout.total_seconds(), self.transport.abort)
 
 
 def _limited_protocol(cfg: HttpLimits) -> type[H11Protocol]:
@@ -208,6 +221,10 @@
         if self._task.done():
             await self._task
 
+    def start_draining(self) -> None:
+        """Answer with ``Connection: close`` from now on; `stop` does it too."""
+        self._app.state.is_stopping = True
+
     async def stop(self, grace: timedelta) -> None:
         """Stop: go on for the drain time, accept no more, finish within `grace`.
 
@@ -217,7 +234,7 @@
         """
         if self._server is None:
             return
-        self._app.state.is_stopping = True
+        self.start_draining()
         await asyncio.sleep(self._cfg.drain_time.total_seconds())
         server, self._server = self._server, None
         if server is not None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -39,6 +39,7 @@
         self.release = asyncio.Event()
         self.release.set()
         self.cfg = HttpLimits()
+        self.answer = b""
 
     async def start(self, cfg=None, **options):
         """Start a server."""
@@ -51,7 +52,7 @@
         body = await read_body(req, self.cfg)
         self.running.set()
         await self.release.wait()
-        return Response(body)
+        return Response(self.answer or body)
 
     async def connect(self, data=b"", **options):
         """Open a connection and send bytes."""
@@ -61,6 +62,16 @@
         writer.write(data)
         return reader, writer
 
+    async def first_line(self, request):
+        """Return the first line of an answer, on the first connection that works."""
+        line = b""
+        async with asyncio.timeout(LONG.total_seconds()):
+            while not line:
+                reader, _ = await self.connect(request)
+                with contextlib.suppress(ConnectionError):
+                    line = await reader.readline()
+        return line
+
     async def read_to_end(self, reader):
         """Return everything until the other side closes."""
         try:
@@ -131,14 +142,29 @@
         first[1].write(request)
         self.assertIn(b"200 OK", await first[0].readline())
         first[1].transport.abort()
-        line = b""
-        async with asyncio.timeout(LONG.total_seconds()):
-            while not line:
-                fourth, _ = await self.connect(request)
-                with contextlib.suppress(ConnectionError):
-                    line = await fourth.readline()
+        line = await self.first_line(request)
         self.assertIn(b"200 OK", line)
 
+    async def test_long_run_is_no_slow_request(self):
+        """No limit of a connection ends a request that runs."""
+        cfg = HttpLimits(header_timeout=SHORT, body_timeout=SHORT, idle_timeout=SHORT)
+        await self.start(cfg)
+        self.release.clear()
+        task = asyncio.create_task(self.send("POST", "/", body=b"x"))
+        await asyncio.wait({task}, timeout=5 * SHORT.total_seconds())
+        self.release.set()
+        self.assertEqual((await task).body, b"x")
+
+    async def test_peer_that_does_not_read(self):
+        """A connection whose answer is not read is closed in time."""
+        self.answer = b"x" * 50_000_000
+        await self.start(HttpLimits(body_timeout=SHORT, max_connections=1))
+        request = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx"
+        await self.connect(request)
+        await self.running.wait()
+        self.answer = b"short"
+        self.assertIn(b"200 OK", await self.first_line(request))
+
     async def test_large_body_is_told_why(self):
         """A sender of far too much still reads its refusal."""
         await self.start(HttpLimits(max_body_bytes=1_000))
