Bound the bodies of all requests under way together

Cause: four thousand connections with the longest body each would take 16 GB. Change: bytes are reserved before a body is read and held until its run ends, the asynchronous ones too; what does not fit is refused as not run.

--- a/src/redwingslip/callers/_routes.py
+++ b/src/redwingslip/callers/_routes.py
@@ -16,9 +16,11 @@
     UNKNOWN,
     HttpLimits,
     Problem,
+    expected_body_bytes,
     problem_response,
     read_body,
 )
+from ._budget import ByteBudget
 from ._headers import parse_submission
 from ._keys import bearer_token, hash_secret
 from ._requests import Answer, RequestRunner, Submission, WaitingAnswer
@@ -82,7 +84,7 @@
         `UnauthorizedError` for a key that is not, or no longer, valid.
     """
 
-    __slots__ = ("_cfg", "_identify", "_own_url", "_runner", "_store")
+    __slots__ = ("_budget", "_cfg", "_identify", "_own_url", "_runner", "_store")
 
     def __init__(
         self,
@@ -93,6 +95,7 @@
         own_url: str = "",
         identify: Callable[[str], str] = hash_secret,
     ) -> None:
+        self._budget = ByteBudget(cfg.max_total_body_bytes)
         self._own_url = own_url
         self._identify = identify
         self._runner = runner
@@ -119,13 +122,16 @@
 
     async def post(self, req: Request) -> Response:
         """Run a request."""
-        body = await read_body(req, self._cfg)
         request_id = uuid.uuid4().hex
+        n_bytes = expected_body_bytes(req, self._cfg)
         try:
-            submission, is_async = parse_submission(req, request_id, body)
-            if is_async:
-                return self._start(submission)
-            return await self._run_while_connected(req, submission)
+            with contextlib.ExitStack() as held:
+                held.enter_context(self._budget.reserve(n_bytes))
+                body = await read_body(req, self._cfg)
+                submission, is_async = parse_submission(req, request_id, body)
+                if is_async:
+                    return self._start(submission, held)
+                return await self._run_while_connected(req, submission)
         except RequestError as exc:
             return _error_response(exc, request_id)
 
@@ -170,16 +176,26 @@
         """Return who may ask for a result; requests without a key share one."""
         return "" if key is None else self._identify(key)
 
-    def _start(self, submission: Submission) -> Response:
+    def _start(self, submission: Submission, held: contextlib.ExitStack) -> Response:
         request_id = submission.request_id
         owner = self._owner(submission.key)
+        kept = held.pop_all()
+        run = self._run_holding(submission, kept)
         try:
-            self._store.start(request_id, owner, self._runner.run(submission))
+            self._store.start(request_id, owner, run)
         except TooManyResultsError as exc:
+            kept.close()
             text = "too many asynchronous requests; send it again later"
             raise NotRunError(text, retry_after=RETRY_AFTER) from exc
         return _accepted_response(request_id, self._own_url)
 
+    async def _run_holding(
+        self, submission: Submission, held: contextlib.ExitStack
+    ) -> Answer:
+        """Run a request whose body counts until its end."""
+        with held:
+            return await self._runner.run(submission)
+
     async def _run_while_connected(
         self, req: Request, submission: Submission
     ) -> Response:
--- a/src/redwingslip/http/__init__.py
+++ b/src/redwingslip/http/__init__.py
@@ -1,7 +1,13 @@
 """HTTP servers and clients: limits, problem documents, whole answers."""
 
 from ._app import build_app
-from ._bodies import FieldError, decode_json, read_body, strict_convert
+from ._bodies import (
+    FieldError,
+    decode_json,
+    expected_body_bytes,
+    read_body,
+    strict_convert,
+)
 from ._client import ClientAnswer, ClientPool, ClientRequest
 from ._limits import ClientLimits, HttpLimits, TlsFiles
 from ._problems import NOT_RUN, PROBLEM_TYPE, UNKNOWN, Problem, problem_response
@@ -32,6 +38,7 @@
     "UNKNOWN",
     "build_app",
     "decode_json",
+    "expected_body_bytes",
     "problem_response",
     "read_body",
     "strict_convert",
--- a/src/redwingslip/http/_bodies.py
+++ b/src/redwingslip/http/_bodies.py
@@ -10,7 +10,13 @@
 from ._limits import HttpLimits
 from .exceptions import BodyTooLargeError, HttpError
 
-__all__ = ["FieldError", "decode_json", "read_body", "strict_convert"]
+__all__ = [
+    "FieldError",
+    "decode_json",
+    "expected_body_bytes",
+    "read_body",
+    "strict_convert",
+]
 
 _PATH = re.compile(r" - at `\$?\.?(?P<path>[^`]*)`$")
 
@@ -24,6 +30,14 @@
         self.detail = detail
 
 
+def expected_body_bytes(req: Request, cfg: HttpLimits) -> int:
+    """Return how long the body of a request can become."""
+    declared = req.headers.get("content-length")
+    if declared is None:
+        return cfg.max_body_bytes if "transfer-encoding" in req.headers else 0
+    return min(int(declared), cfg.max_body_bytes)
+
+
 async def read_body(req: Request, cfg: HttpLimits) -> bytes:
     """Return the whole body of a request.
 
--- a/src/redwingslip/http/_limits.py
+++ b/src/redwingslip/http/_limits.py
@@ -17,6 +17,8 @@
         read may be longer.
     max_body_bytes : int
         Longest request body.
+    max_total_body_bytes : int
+        Bodies of callers' requests that are read or run, all together.
     header_timeout : timedelta
         Longest wait for a whole request head on a new connection.
     body_timeout : timedelta
@@ -35,6 +37,7 @@
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
+    max_total_body_bytes: int = 268_435_456
     header_timeout: timedelta = timedelta(seconds=10)
     body_timeout: timedelta = timedelta(seconds=30)
     idle_timeout: timedelta = timedelta(seconds=30)
--- a/tests/test_callers_routes.py
+++ b/tests/test_callers_routes.py
@@ -1,6 +1,7 @@
 """Tests of the callers' interface, over real sockets."""
 
 import asyncio
+import itertools
 import logging
 import unittest
 from datetime import timedelta
@@ -20,7 +21,7 @@
 )
 from redwingslip.clock import ManualClock
 from redwingslip.http import HttpLimits
-from tests.support_http import HttpTestCase, json_of
+from tests.support_http import LONG, HttpTestCase, json_of
 
 PATH = "/v1/queues/listings/requests"
 SECOND = timedelta(seconds=1)
@@ -71,7 +72,7 @@
         self.withdrawn = set()
         interface = CallerInterface(
             self.runner,
-            HttpLimits(max_body_bytes=1_000),
+            HttpLimits(max_body_bytes=1_000, max_total_body_bytes=2_500),
             ResultStore(self.limits, self.clock),
             own_url="http://10.0.0.1:80",
             identify=self.identify,
@@ -198,6 +199,31 @@
         self.assertIn(b" 413 ", await reader.readline())
         self.assertEqual(self.runner.submissions, [])
 
+    async def test_bodies_under_way_are_bounded_together(self):
+        """Bodies that no memory is left for are refused as not run."""
+        await self.ask(b"x" * 900)
+        self.runner.error = KeyError("boom")
+        with self.assertLogs("uvicorn.error"):
+            await self.ask(b"x" * 900)
+        self.runner.error = None
+        head = f"POST {PATH} HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n\r\n"
+        _, held = await self.raw(head.encode() + b"x" * 800)
+        _, other = await self.raw(head.encode() + b"x" * 800)
+        refused = await self.until(503, b"x" * 900)
+        self.assertEqual(json_of(refused)["outcome"], "not-run")
+        self.assertEqual((await self.ask(b"x" * 600)).status, 200)
+        held.transport.abort()
+        other.transport.abort()
+        await self.until(200, b"x" * 900)
+
+    async def until(self, status, body):
+        """Send a body until it gets this status, and return that answer."""
+        async with asyncio.timeout(LONG.total_seconds()):
+            for _ in itertools.count():
+                answer = await self.ask(body)
+                if answer.status == status:
+                    return answer
+
     async def test_other_paths_and_methods(self):
         """What can't be routed gets a problem document too."""
         missing = await self.ask(path="/v1/nothing")
@@ -299,6 +325,14 @@
         self.assertEqual(len(self.runner.cancelled), 1)
         self.assertEqual((await self.get(path)).status, 404)
 
+    async def test_bodies_count_until_their_runs_end(self):
+        """The body of an asynchronous request counts while it runs, no longer."""
+        paths = [await self.start(b"x" * 900) for _ in range(3)]
+        self.assertEqual(len(paths), 3)
+        for _ in range(2):
+            answer = await self.ask(b"x" * 900)
+            self.assertEqual(answer.status, 200)
+
     async def test_count_is_bounded(self):
         """When all that is kept still runs, one more is refused as not run."""
         for _ in range(3):
