--- a/scripts/fleet_processes.py
+++ b/scripts/fleet_processes.py
@@ -10,10 +10,15 @@
 import time
 from pathlib import Path
 
+import msgspec
+
+from redwingslip.settings import TlsSettings
+
 __all__ = ["FleetProcesses", "free_ports"]
 
 ROOT = Path(__file__).resolve().parent.parent
 POLL_S = 0.05
+TLS_FILES = ("certificate", "key", "authority")
 
 REPLICA_SETTINGS = """\
 [process]
@@ -28,7 +33,7 @@
 [cluster]
 secret_file = {folder}/cluster.secret
 [tls]
-enabled = no
+{tls}
 [logs]
 path = {folder}/{id}.jsonl
 """
@@ -52,7 +57,7 @@
 [cluster]
 secret_file = {folder}/cluster.secret
 [tls]
-enabled = no
+{tls}
 [logs]
 path = {folder}/{id}.jsonl
 """
@@ -78,6 +83,8 @@
         Processes of each role.
     data_centres : tuple of str
         The processes are spread over these.
+    tls : TlsSettings or None
+        Files of a certificate for all processes; None for plain connections.
     """
 
     def __init__(
@@ -87,7 +94,9 @@
         n_replicas: int = 3,
         n_entries: int = 4,
         data_centres: tuple[str, ...] = ("dc-1", "dc-2", "dc-3", "dc-4"),
+        tls: TlsSettings | None = None,
     ) -> None:
+        self._tls = tls
         self.folder = folder
         self.operator_token = secrets.token_hex(16)
         self.endpoint_token = secrets.token_hex(16)
@@ -111,6 +120,7 @@
             "folder": folder,
             "replicas": replicas,
             "platform": self.platform,
+            "tls": self._tls_options(),
             "operator_hash": hashlib.sha256(self.operator_token.encode()).hexdigest(),
             "endpoint_hash": hashlib.sha256(self.endpoint_token.encode()).hexdigest(),
         }
@@ -136,6 +146,13 @@
                 **common,
             )
 
+    def _tls_options(self) -> str:
+        if self._tls is None:
+            return "enabled = no"
+        options = msgspec.structs.asdict(self._tls)
+        lines = [f"{name} = {options[name]}" for name in TLS_FILES]
+        return "\n".join(lines)
+
     def _write(self, name: str, template: str, **values: object) -> None:
         path = self.folder / f"{name}.ini"
         path.write_text(template.format(**values))
@@ -214,10 +231,15 @@
 
     def cli(self, *args: str, check: bool = True) -> subprocess.CompletedProcess:
         """Run an operator's command and return what it printed."""
+        scheme = "http" if self._tls is None else "https"
         live = [
-            f"http://{at}" for name, at in self.http.items() if name in self.processes
+            f"{scheme}://{at}"
+            for name, at in self.http.items()
+            if name in self.processes
         ]
         command = [sys.executable, "-m", "redwingslip", "--server", ",".join(live)]
+        if self._tls is not None:
+            command += ["--authority", str(self._tls.authority)]
         command += ["--token-file", str(self.folder / "operator.token")]
         command += ["--output", "json", *args]
         result = subprocess.run(
