Count demands, not instants, before a new limit is divided

Cause: a demand heard in the same instant in which a limit came in force was taken for a later one, so what ran without a limit was not counted. Change: demands are numbered. The planner's books are a module of their own.

--- a/src/redwingslip/quota/_planner.py
+++ b/src/redwingslip/quota/_planner.py
@@ -16,6 +16,7 @@
 )
 from ..fleet import Removed as RemovedRow
 from ..peers import AllotmentRecall, PoolDemand
+from ._book import Book, Demand, Settling
 from ._outputs import Proposed, QuotaOutput, Recalled
 from ._settings import QuotaSettings
 from ._waterfill import water_fill
@@ -26,94 +27,6 @@
 """A lack below this fraction of the limit is not worth a recall."""
 
 
-class _Demand:
-    """The newest demand of a pool."""
-
-    __slots__ = ("heard_at", "is_stale", "n_slots", "teams")
-
-    def __init__(self, msg: PoolDemand, now: timedelta) -> None:
-        self.is_stale = False
-        self.heard_at = now
-        self.n_slots = msg.n_slots
-        self.teams = {team.team: team for team in msg.teams}
-
-
-class _Settling:
-    """Since when a team's limit is in force, and how long a silent pool is awaited."""
-
-    __slots__ = ("is_over", "patience", "since")
-
-    def __init__(self, since: timedelta, patience: timedelta) -> None:
-        self.since = since
-        self.patience = patience
-        self.is_over = False
-
-
-class _Book:
-    """What all pools wish and hold of one team's limit, with the sums kept up.
-
-    Attributes
-    ----------
-    wishes, running, held : dict
-        By pool: what it could use, what runs there, and its allotment.
-    n_wished, n_held : int
-        Sums of wishes and allotments.
-    n_excess : int
-        Work that runs beyond the allotments, begun while there was no limit.
-    planned_at : timedelta or None
-        When the limit was last divided.
-    """
-
-    __slots__ = (
-        "held",
-        "n_excess",
-        "n_held",
-        "n_wished",
-        "planned_at",
-        "running",
-        "wishes",
-    )
-
-    def __init__(self) -> None:
-        self.wishes: dict[str, int] = {}
-        self.running: dict[str, int] = {}
-        self.held: dict[str, int] = {}
-        self.n_wished = 0
-        self.n_held = 0
-        self.n_excess = 0
-        self.planned_at: timedelta | None = None
-
-    def _excess(self, pool: str) -> int:
-        return max(self.running.get(pool, 0) - self.held.get(pool, 0), 0)
-
-    def set_demand(self, pool: str, wish: int, n_running: int) -> None:
-        """Take over what a pool wishes and runs."""
-        self.n_wished += wish - self.wishes.get(pool, 0)
-        self.n_excess -= self._excess(pool)
-        _put(self.wishes, pool, wish)
-        _put(self.running, pool, n_running)
-        self.n_excess += self._excess(pool)
-
-    def set_held(self, pool: str, count: int) -> None:
-        """Take over a pool's allotment."""
-        self.n_held += count - self.held.get(pool, 0)
-        self.n_excess -= self._excess(pool)
-        _put(self.held, pool, count)
-        self.n_excess += self._excess(pool)
-
-    def lack(self, pool: str) -> int:
-        """Return what a pool wishes beyond its allotment."""
-        return self.wishes.get(pool, 0) - self.held.get(pool, 0)
-
-
-def _put(counts: dict[str, int], pool: str, count: int) -> None:
-    """Set a count, keeping no zeros."""
-    if count:
-        counts[pool] = count
-    else:
-        counts.pop(pool, None)
-
-
 class AllotmentPlanner:
     """Divides each team's upper limit among the pools by their demand.
 
@@ -139,6 +52,7 @@
         "_demands",
         "_dirty",
         "_in_force_index",
+        "_n_demands",
         "_new_limits",
         "_outputs",
         "_said",
@@ -149,12 +63,13 @@
     def __init__(self, *, cfg: QuotaSettings, view: FleetView) -> None:
         self._cfg = cfg
         self._view = view
-        self._demands: dict[str, _Demand] = {}
-        self._books: dict[str, _Book] = {}
+        self._demands: dict[str, Demand] = {}
+        self._books: dict[str, Book] = {}
         self._dirty: set[str] = set()
         self._outputs: list[QuotaOutput] = []
         self._in_force_index = 0
-        self._settling: dict[str, _Settling] = {}
+        self._n_demands = 0
+        self._settling: dict[str, Settling] = {}
         self._new_limits: dict[str, timedelta] = {}
         self._said: dict[tuple[str, str], tuple[QuotaOutput, timedelta]] = {}
         self._read_view()
@@ -173,14 +88,15 @@
             return
         known = self._demands.get(msg.pool)
         before = {} if known is None else known.teams
-        new = self._demands[msg.pool] = _Demand(msg, now)
+        self._n_demands += 1
+        new = self._demands[msg.pool] = Demand(msg, self._n_demands, now)
         is_fresh = known is None or known.is_stale or known.n_slots != new.n_slots
         for team in before.keys() | new.teams.keys():
             if is_fresh or before.get(team) != new.teams.get(team):
                 self._note_demand(team, msg.pool, new)
                 self._follow(team, msg.pool, now)
 
-    def _note_demand(self, team: str, pool: str, demand: _Demand) -> None:
+    def _note_demand(self, team: str, pool: str, demand: Demand) -> None:
         asked = demand.teams.get(team)
         if asked is None:
             self._book(team).set_demand(pool, 0, 0)
@@ -189,10 +105,10 @@
         wish = min(n_wanted, max(demand.n_slots, asked.n_running))
         self._book(team).set_demand(pool, wish, asked.n_running)
 
-    def _book(self, team: str) -> _Book:
+    def _book(self, team: str) -> Book:
         book = self._books.get(team)
         if book is None:
-            book = self._books[team] = _Book()
+            book = self._books[team] = Book()
         return book
 
     def view_changed(
@@ -214,7 +130,8 @@
         """
         self._in_force_index = max(self._in_force_index, index)
         for team in [name for name in self._new_limits if self._is_in_force(name)]:
-            self._settling[team] = _Settling(now, self._new_limits.pop(team))
+            patience = self._new_limits.pop(team)
+            self._settling[team] = Settling(now, self._n_demands, patience)
         self._dirty.update(self._books)
         self._plan_dirty(now)
 
@@ -348,12 +265,12 @@
             return False
         if not settling.is_over:
             is_late = now - settling.since >= settling.patience
-            settling.is_over = is_late or self._all_said(settling.since)
+            settling.is_over = is_late or self._all_said(settling.number)
         return settling.is_over
 
-    def _all_said(self, since: timedelta) -> bool:
+    def _all_said(self, number: int) -> bool:
         return all(
-            pool in self._demands and self._demands[pool].heard_at >= since
+            pool in self._demands and self._demands[pool].number > number
             for pool in self._view.dispatchers
         )
 
