--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,6 +10,7 @@
 import unittest
 from datetime import timedelta
 
+import msgspec
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
@@ -283,6 +284,24 @@
             server.reload_tls()
             self.assertEqual(await self.serial_served(files), 12)
 
+    async def test_clients_without_a_certificate(self):
+        """With an authority set, only clients that it knows are served."""
+        request = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx"
+        with tempfile.TemporaryDirectory() as name:
+            files = self.make_files(pathlib.Path(name), 11)
+            strict = msgspec.structs.replace(files, ca=files.certificate)
+            await self.start(tls=strict)
+            context = ssl.create_default_context(cafile=files.certificate)
+            reader, _ = await self.connect(request, ssl=context)
+            line = b""
+            with contextlib.suppress(ssl.SSLError, ConnectionError):
+                line = await reader.readline()
+            self.assertEqual(line, b"")
+            self.assertFalse(self.running.is_set())
+            context.load_cert_chain(files.certificate, files.key)
+            reader, _ = await self.connect(request, ssl=context)
+            self.assertIn(b"200 OK", await reader.readline())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_standins_endpoint.py
+++ b/tests/test_standins_endpoint.py
@@ -127,6 +127,8 @@
             with self.subTest(mode=mode), self.assertRaises(EndpointLostError):
                 await self.call(body=work(mode=mode, late_s=9), timeout=2 * SHORT)
         self.assertEqual(self.events(), ["start", "failed"] + 4 * ["start", "end"])
+        answer = await self.call(2, body=b"mine")
+        self.assertEqual(msgspec.json.decode(answer.body)["echo"], "mine")
 
 
 class TestLife(StandinTestCase):
