Test that a watch ends when its server stops

Cause: an open watch must not use up the grace time of a stop. Proof: without the check of the stop the new test fails.

--- a/tests/test_operators_routes.py
+++ b/tests/test_operators_routes.py
@@ -1,8 +1,10 @@
 """Tests of the operators' resource interface, over real sockets."""
 
 import asyncio
+import contextlib
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 import msgspec
 
@@ -13,6 +15,7 @@
 from redwingslip.operators import NoLeaderError, ProcessStatus, operator_routes
 from tests.support_http import LONG, HttpTestCase, json_of
 
+SHORT = timedelta(milliseconds=100)
 TOKEN = "operator-token"
 
 
@@ -59,7 +62,8 @@
             return None
         if not self._after(index) and timeout:
             self.changed.clear()
-            await self.changed.wait()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), timeout.total_seconds())
         return self._after(index)
 
     def _after(self, index):
@@ -76,7 +80,7 @@
         for name, spec in (("a", PoolSpec()), ("smiths", TeamSpec(limit=5))):
             put = PutResource(name=name, spec=spec)
             await self.fleet.propose(put, timedelta(0))
-        await self.serve(
+        self.server = await self.serve(
             operator_routes(self.fleet, HttpLimits(), [hash_secret(TOKEN)])
         )
 
@@ -252,7 +256,7 @@
     """?watch=REV."""
 
     async def lines(self, path):
-        """Open a watch and return a function that gives its next line."""
+        """Open a watch; return a function that gives its next line, or None."""
         host, port = self.address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         self.addCleanup(lambda: writer.transport.abort())
@@ -265,7 +269,7 @@
             async with asyncio.timeout(LONG.total_seconds()):
                 n_bytes = int(await reader.readline(), 16)
                 chunk = await reader.readexactly(n_bytes + 2)
-            return msgspec.json.decode(chunk)
+            return msgspec.json.decode(chunk) if n_bytes else None
 
         return next_line
 
@@ -281,6 +285,16 @@
         deleted = {"kind": "pools", "name": "a"}
         self.assertEqual((await next_line())["deleted"], deleted)
 
+    async def test_watch_ends_when_the_server_stops(self):
+        """A stop ends a watch after a whole line, and need not wait for its grace."""
+        with mock.patch("redwingslip.operators._watch.IDLE_TIMEOUT", SHORT):
+            next_line = await self.lines("/v1/pools?watch=2")
+            self.assertEqual((await next_line())["bookmark"], 2)
+            stop = asyncio.create_task(self.server.stop(timedelta(hours=1)))
+            await asyncio.wait_for(stop, LONG.total_seconds())
+            while (line := await next_line()) is not None:
+                self.assertEqual(line["bookmark"], 2)
+
     async def test_revision_that_is_too_old(self):
         """A revision that can't be continued gets 410 and the current one."""
         self.fleet.oldest = 2
