Drain asynchronous requests on a stop; one judge for demo and load

Cause: a stop did not wait for asynchronous requests; a withdrawn key could fetch results; the demo had a judge of its own beside the load tool's; an entry without a platform refused reboots that another entry could have carried out. Change: the entry owns the callers' interface and drains it, results are asked for under a key that holds now, orders without a platform stay unanswered and go elsewhere.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -18,7 +18,8 @@
 
 import msgspec
 
-from scripts.demo_callers import Ask, Balancer, Caller, judge, new_photo
+from redwingslip.load import judge, read_runs
+from scripts.demo_callers import REFUSED_KEY, Ask, Balancer, Caller, new_photo
 from scripts.fleet_processes import FleetProcesses
 
 RUN_S = 30.0
@@ -190,10 +191,13 @@
 
 def report(asks: list[Ask], fleet: FleetProcesses) -> bool:
     """Print the table; return whether every promise was kept."""
-    verdict = judge(asks, sorted(fleet.folder.glob("*.runs")))
+    runs = read_runs(sorted(fleet.folder.glob("*.runs")))
+    verdict = judge([ask.as_call(i) for i, ask in enumerate(asks)], runs)
+    n_refused_key = sum(ask.outcome == REFUSED_KEY for ask in asks)
     print("\n  what               count")
     for field, value in msgspec.structs.asdict(verdict).items():
         print(f"  {field.removeprefix('n_').replace('_', ' '):18} {value:6}")
+    print(f"  (not run for a withdrawn key: {n_refused_key})")
     times = sorted(ask.took_s for ask in asks if ask.outcome == "answered")
     if times:
         p50 = times[len(times) // 2]
--- a/scripts/demo_callers.py
+++ b/scripts/demo_callers.py
@@ -1,14 +1,11 @@
-"""Callers of the demo and the judge of what they saw."""
+"""Callers of the demo."""
 
 import asyncio
-import collections
 import hashlib
 import os
 import time
-import uuid
 import zlib
 from datetime import timedelta
-from pathlib import Path
 
 import msgspec
 
@@ -20,24 +17,15 @@
     HttpError,
     NotConnectedError,
 )
-from redwingslip.standins import RunRecord
+from redwingslip.load import CallOutcome, OutcomeKind, new_request_key
 from scripts.fleet_processes import is_ready
 
-__all__ = ["Ask", "Balancer", "Caller", "Verdict", "judge", "new_request_key"]
+__all__ = ["REFUSED_KEY", "Ask", "Balancer", "Caller", "new_photo"]
 
 PROBE_INTERVAL_S = 0.25
 ATTEMPT_TIMEOUT = timedelta(seconds=10)
 PAUSE_S = 0.2
-
-
-def new_request_key() -> str:
-    """Return a version 7 UUID, which carries its time."""
-    milliseconds = time.time_ns() // 1_000_000
-    random = int.from_bytes(os.urandom(10))
-    value = (milliseconds << 80) | random
-    value = (value & ~(0xF << 76)) | (0x7 << 76)
-    value = (value & ~(0x3 << 62)) | (0x2 << 62)
-    return str(uuid.UUID(int=value))
+REFUSED_KEY = "refused-key"
 
 
 def new_photo(n_pixels: int = 24) -> bytes:
@@ -75,10 +63,20 @@
         self.is_crossed = False
         self.not_run_ids: list[str] = []
 
-    @property
-    def body_sha256(self) -> str:
-        """Return what the endpoints record of the body."""
-        return hashlib.sha256(self.body).hexdigest()
+    def as_call(self, number: int) -> CallOutcome:
+        """Return the ask as the judge takes it."""
+        kind = OutcomeKind.NOT_RUN
+        if self.outcome != REFUSED_KEY:
+            kind = OutcomeKind(self.outcome or OutcomeKind.LOST)
+        return CallOutcome(
+            number=number,
+            queue=self.queue,
+            team="",
+            idempotent=self.idempotent,
+            body_sha256=hashlib.sha256(self.body).hexdigest(),
+            kind=kind,
+            is_crossed=self.is_crossed,
+        )
 
 
 class Balancer:
@@ -183,58 +181,8 @@
         if problem.get("outcome") == "not-run":
             ask.not_run_ids.append(problem.get("request_id", ""))
             if answer.status in (400, 401, 403, 404, 413):
-                ask.outcome = "refused-key" if answer.status == 401 else "not-run"
+                ask.outcome = REFUSED_KEY if answer.status == 401 else "not-run"
                 return True
             return False
         ask.outcome = "unknown"
         return True
-
-
-class Verdict(msgspec.Struct):
-    """Counts over all asks."""
-
-    n_asked: int = 0
-    n_answered: int = 0
-    n_not_run: int = 0
-    n_refused_key: int = 0
-    n_unknown: int = 0
-    n_lost: int = 0
-    n_doubled: int = 0
-    n_false_refusals: int = 0
-    n_crossed: int = 0
-
-    @property
-    def is_clean(self) -> bool:
-        """Whether every promise was kept."""
-        return not (
-            self.n_lost or self.n_doubled or self.n_false_refusals or self.n_crossed
-        )
-
-
-def judge(asks: list[Ask], records: list[Path]) -> Verdict:
-    """Compare what callers saw with what the endpoints recorded."""
-    n_starts: collections.Counter[str] = collections.Counter()
-    n_ends: collections.Counter[str] = collections.Counter()
-    started_ids = set()
-    for path in records:
-        for line in path.read_bytes().splitlines():
-            record = msgspec.json.decode(line, type=RunRecord)
-            if record.event == "start":
-                n_starts[record.body_sha256] += 1
-                started_ids.add(record.request_id.partition(".")[0])
-            elif record.event == "end":
-                n_ends[record.body_sha256] += 1
-    verdict = Verdict(n_asked=len(asks))
-    for ask in asks:
-        digest = ask.body_sha256
-        verdict.n_answered += ask.outcome == "answered"
-        verdict.n_not_run += ask.outcome == "not-run"
-        verdict.n_refused_key += ask.outcome == "refused-key"
-        verdict.n_unknown += ask.outcome == "unknown"
-        has_no_run = ask.outcome == "answered" and not n_ends[digest]
-        verdict.n_lost += not ask.outcome or has_no_run
-        verdict.n_doubled += not ask.idempotent and n_starts[digest] > 1
-        verdict.n_crossed += ask.is_crossed
-        false_ids = [i for i in ask.not_run_ids if i in started_ids]
-        verdict.n_false_refusals += bool(false_ids)
-    return verdict
--- a/src/redwingslip/daemons/_entry.py
+++ b/src/redwingslip/daemons/_entry.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from ..callers import caller_routes
+from ..callers import CallerInterface, ResultLimits, ResultStore, authenticate
 from ..clock import Clock, SystemClock
 from ..endpoints import (
     AnnouncementError,
@@ -178,24 +178,7 @@
         )
         for replica_id, address in self.cfg.replicas.items():
             self._hub.set_address(replica_id, address)
-        limits = self.cfg.http_limits
-        host, _, port = self.cfg.http.listen.rpartition(":")
-        scheme = "http" if self._tls is None else "https"
-        routes = [
-            *caller_routes(
-                self.runner,
-                limits,
-                clock=self._clock,
-                own_url=f"{scheme}://{self.cfg.http.listen}",
-            ),
-            *announcement_routes(
-                self, limits, token_hashes=self.cfg.endpoints.token_sha256
-            ),
-            *operator_routes(self, limits, self.cfg.operators.token_sha256),
-        ]
-        self._server = HttpServer(
-            build_app(routes), limits, host=host, port=int(port), tls=self._tls_files()
-        )
+        self._build_server()
         await self._server.start()
         self._tasks = [
             asyncio.create_task(self._renew_forever(), name="renew the lease"),
@@ -205,6 +188,27 @@
         for words in find_warnings(self.cfg):
             self._emit(EventName.WARNING, detail=words)
 
+    def _build_server(self) -> None:
+        cfg = self.cfg
+        limits = cfg.http_limits
+        scheme = "http" if self._tls is None else "https"
+        self._callers = CallerInterface(
+            self.runner,
+            limits,
+            ResultStore(ResultLimits(), self._clock),
+            own_url=f"{scheme}://{cfg.http.listen}",
+            identify=lambda secret: authenticate(self._view, secret),
+        )
+        routes = [
+            *self._callers.routes(),
+            *announcement_routes(self, limits, token_hashes=cfg.endpoints.token_sha256),
+            *operator_routes(self, limits, cfg.operators.token_sha256),
+        ]
+        host, _, port = cfg.http.listen.rpartition(":")
+        self._server = HttpServer(
+            build_app(routes), limits, host=host, port=int(port), tls=self._tls_files()
+        )
+
     def _tls_files(self) -> TlsFiles | None:
         cfg = self.cfg.tls
         if not cfg.enabled:
@@ -223,13 +227,16 @@
     async def stop(self) -> None:
         """Stop in good order: nothing that was taken is cut off."""
         self.runner.is_stopping = True
+        self._server.start_draining()
         await asyncio.sleep(READYZ_OFF_BEFORE_STOP.total_seconds())
         self._host.stop_granting()
         self._renew()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(RELEASE_TIMEOUT.total_seconds()):
                 await self._release_pools()
+        await self._callers.drain()
         await self._server.stop(self.cfg.entry.drain_grace)
+        await self._callers.close()
         await self._claims.drain()
         await self._leave()
         for task in self._tasks:
--- a/src/redwingslip/daemons/_reboots.py
+++ b/src/redwingslip/daemons/_reboots.py
@@ -24,7 +24,7 @@
     Parameters
     ----------
     client : PlatformClient or None
-        The platform; None refuses every order.
+        The platform; None carries out no order.
     answer : callable
         Takes the word for the leader, which may be lost; the leader orders again.
     """
@@ -39,7 +39,13 @@
         self._tasks: dict[str, asyncio.Task] = {}
 
     def order(self, msg: RebootOrder) -> None:
-        """Take an order; a resend of one that is under way is dropped."""
+        """Take an order; a resend of one that is under way is dropped.
+
+        Without a platform nothing is said, so that the next resend, which may go to
+        another entry, is carried out there.
+        """
+        if self._client is None:
+            return
         if msg.operation_id in self._tasks:
             return
         task = asyncio.create_task(self._carry_out(msg), name=f"reboot {msg.vm}")
@@ -54,9 +60,6 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _carry_out(self, msg: RebootOrder) -> None:
-        if self._client is None:
-            self._refuse(msg, "this entry has no [platform] section in its settings")
-            return
         try:
             async with asyncio.timeout(GIVE_UP_AFTER.total_seconds()):
                 await self._reboot(msg)
--- a/src/redwingslip/load/__init__.py
+++ b/src/redwingslip/load/__init__.py
@@ -1,6 +1,7 @@
 """A load generator for running entries, and the judge of what came of the load."""
 
-from ._judge import Verdict, judge
+from ._caller import new_request_key
+from ._judge import Verdict, judge, read_runs
 from ._outcomes import CallOutcome, OutcomeKind
 from ._plot import plot_report
 from ._report import LoadReport, QueueReport, format_report
@@ -24,7 +25,9 @@
     "format_report",
     "judge",
     "load_experiment",
+    "new_request_key",
     "plot_report",
+    "read_runs",
     "run_load",
     "schedule",
 ]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -14,9 +14,10 @@
 import uuid
 from pathlib import Path
 
-from scripts.demo_callers import new_request_key
 from scripts.fleet_processes import FleetProcesses
 
+from redwingslip.load import new_request_key
+
 PATIENCE_S = 40.0
 N_VMS = 2
 SLOTS = 4
