--- /dev/null
+++ b/scripts/capacity_fleet.py
@@ -0,0 +1,243 @@
+"""A system of processes that is grown while it is measured."""
+
+import http.client
+import json
+import statistics
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from .capacity_probe import Counters, read_memory_kb, sample
+from .fleet_processes import FleetProcesses
+
+__all__ = ["MeasuredFleet", "Role", "print_fit"]
+
+N_POOLS_AT_DESIGN = 108
+N_TEAMS_AT_DESIGN = 90
+N_VMS_AT_DESIGN = 680
+N_ACCELERATORS_AT_DESIGN = 1_400
+N_DATA_CENTRES = 7
+N_VMS_PER_RACK = 4
+N_ENDPOINTS_PER_PROCESS = 85
+POLL_S = 0.005
+GIVE_UP_S = 30.0
+SETTLE_S = 6.0
+
+
+class Role:
+    """The names of the parts that are told apart."""
+
+    LEADER = "leader"
+    FOLLOWER = "follower"
+    ENTRY = "entry"
+
+
+class MeasuredFleet:
+    """Processes of one system, with what is declared in it.
+
+    Parameters
+    ----------
+    folder : Path
+        Where its files go.
+    n_entries : int
+        Entries beside the three replicas.
+    """
+
+    def __init__(self, folder: Path, n_entries: int) -> None:
+        self.folder = folder
+        self.fleet = FleetProcesses(folder, n_entries=n_entries)
+        self._n_declared = {"vms": 0, "pools": 0, "teams": 0}
+        self._n_endpoints = 0
+        self._link_ports = frozenset(self._read_link_ports())
+
+    def _read_link_ports(self):
+        for name in (*self.fleet.replica_ids, *self.fleet.entry_ids):
+            text = (self.folder / f"{name}.ini").read_text()
+            after = text.split("[peers]\nlisten = ")[1]
+            yield int(after.splitlines()[0].rpartition(":")[2])
+
+    def start(self) -> None:
+        """Start every process and wait until all entries take work."""
+        self.fleet.found()
+        self.fleet.start()
+        self.fleet.wait_ready()
+
+    # What is declared.
+
+    def declare(self, n_vms: int) -> None:
+        """Grow to a number of VMs, with pools and teams in the design's proportion."""
+        share = n_vms / N_VMS_AT_DESIGN
+        wanted = {
+            "pools": round(share * N_POOLS_AT_DESIGN),
+            "vms": n_vms,
+            "teams": round(share * N_TEAMS_AT_DESIGN),
+        }
+        documents = []
+        for kind, count in wanted.items():
+            for i in range(self._n_declared[kind], count):
+                documents += _documents(kind, i, wanted["pools"])
+            self._n_declared[kind] = count
+        path = self.folder / "declared.json"
+        path.write_text(json.dumps(documents))
+        self.fleet.cli("apply", str(path), "--wait")
+
+    def add_endpoints(self, count: int) -> None:
+        """Grow to a number of stand-in endpoints, one on each VM.
+
+        Each process of endpoints announces to another entry first.
+        """
+        n_pools = self._n_declared["pools"]
+        while self._n_endpoints < count:
+            begin = self._n_endpoints
+            end = min(count, begin + N_ENDPOINTS_PER_PROCESS)
+            endpoints = [
+                f"e-{i},service-{i % n_pools},vm-{i:04},8" for i in range(begin, end)
+            ]
+            addresses = list(self.fleet.http.items())
+            turn = begin // N_ENDPOINTS_PER_PROCESS % len(addresses)
+            self.fleet.http = dict(addresses[turn:] + addresses[:turn])
+            self.fleet.add_endpoints(f"endpoints-{begin}", endpoints)
+            self.fleet.http = dict(addresses)
+            self._n_endpoints = end
+
+    # What is read.
+
+    def pids(self) -> dict[str, int]:
+        """Return the processes of the system itself by name."""
+        names = (*self.fleet.replica_ids, *self.fleet.entry_ids)
+        return {name: self.fleet.processes[name].pid for name in names}
+
+    def leader(self) -> str:
+        """Return which replica leads."""
+        return self.get("/v1/status")["leader_id"]
+
+    def names_of(self, role: str) -> list[str]:
+        """Return the processes of a role."""
+        if role == Role.ENTRY:
+            return self.fleet.entry_ids
+        leader = self.leader()
+        if role == Role.LEADER:
+            return [leader]
+        return [name for name in self.fleet.replica_ids if name != leader]
+
+    def memory_kb(self) -> dict[str, tuple[int, int]]:
+        """Return resident and anonymous memory of each role, its largest process."""
+        pids = self.pids()
+        found = {}
+        for role in (Role.LEADER, Role.FOLLOWER, Role.ENTRY):
+            found[role] = max(read_memory_kb(pids[n]) for n in self.names_of(role))
+        return found
+
+    def count(self, seconds: float) -> dict[str, Counters]:
+        """Return what each process used over some seconds."""
+        return self.count_while(lambda: time.sleep(seconds))
+
+    def count_while(self, run: Callable[[], None]) -> dict[str, Counters]:
+        """Return what each process used while something ran."""
+        pids = self.pids()
+        began_at = time.monotonic()
+        begin = sample(list(pids.values()), self._link_ports)
+        run()
+        end = sample(list(pids.values()), self._link_ports)
+        passed = time.monotonic() - began_at
+        return {n: Counters(begin[pid], end[pid], passed) for n, pid in pids.items()}
+
+    def by_role(
+        self, counters: dict[str, Counters], attribute: str
+    ) -> dict[str, float]:
+        """Return the mean of a figure over the processes of each role."""
+        return {
+            role: statistics.fmean(
+                getattr(counters[name], attribute) for name in self.names_of(role)
+            )
+            for role in (Role.LEADER, Role.FOLLOWER, Role.ENTRY)
+        }
+
+    # Operators.
+
+    def get(self, path: str, entry_id: str = "entry-1") -> dict:
+        """Return what an entry answers."""
+        return self._exchange(entry_id, "GET", path)
+
+    def _exchange(
+        self, entry_id: str, method: str, path: str, body: dict | None = None
+    ) -> dict:
+        conn = http.client.HTTPConnection(self.fleet.http[entry_id], timeout=GIVE_UP_S)
+        headers = {"Authorization": f"Bearer {self.fleet.operator_token}"}
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+        content = None if body is None else json.dumps(body)
+        try:
+            conn.request(method, path, content, headers)
+            answer = conn.getresponse()
+            value = json.loads(answer.read())
+        finally:
+            conn.close()
+        if answer.status != http.HTTPStatus.OK:
+            raise RuntimeError(f"{method} {path}: {answer.status} {value}")
+        return value
+
+    def put_team(self, name: str, limit: int, entry_id: str = "entry-1") -> dict:
+        """Write a team's limit and return the answer."""
+        return self.put("teams", name, {"limit": limit}, entry_id)
+
+    def put(self, kind: str, name: str, spec: dict, entry_id: str = "entry-1") -> dict:
+        """Write a resource of any version and return the answer."""
+        body = {"spec": spec}
+        return self._exchange(entry_id, "PUT", f"/v1/{kind}/{name}", body)
+
+    def change_team(self, limit: int) -> tuple[float, float]:
+        """Change a team; return ms until the answer, and from it until in force."""
+        began_at = time.monotonic()
+        record = self.put_team("team-00", limit)
+        accepted_at = time.monotonic()
+        while self.get("/v1/status")["in_force_index"] < record["version"]:
+            if time.monotonic() > accepted_at + GIVE_UP_S:
+                raise TimeoutError("the change did not come into force")
+            time.sleep(POLL_S)
+        ended_at = time.monotonic()
+        return 1_000 * (accepted_at - began_at), 1_000 * (ended_at - accepted_at)
+
+    def disk_bytes(self, name: str) -> int:
+        """Return the bytes in a replica's data folder."""
+        folder = self.folder / f"{name}.data"
+        return sum(p.stat().st_size for p in folder.rglob("*") if p.is_file())
+
+    def close(self) -> None:
+        """End every process."""
+        self.fleet.close()
+
+
+def _documents(kind: str, i: int, n_pools: int) -> list[dict]:
+    if kind == "pools":
+        queue = {"pool": f"pool-{i:03}", "service": f"service-{i}"}
+        return [
+            {"kind": "pools", "name": f"pool-{i:03}", "spec": {"max_unavailable": 1}},
+            {"kind": "queues", "name": f"queue-{i:03}", "spec": queue},
+        ]
+    if kind == "teams":
+        return [{"kind": "teams", "name": f"team-{i:02}", "spec": {"limit": 100}}]
+    spec = {
+        "pool": f"pool-{i % n_pools:03}",
+        "data_centre": f"dc-{i // N_VMS_PER_RACK % N_DATA_CENTRES}",
+        "rack": f"rack-{i // N_VMS_PER_RACK:03}",
+        "accelerators": 2 + (i % 17 == 0),
+    }
+    return [{"kind": "vms", "name": f"vm-{i:04}", "spec": spec}]
+
+
+def print_fit(name: str, sizes: list[int], values: list[float], unit: str) -> None:
+    """Print sizes, values and the line that fits them best."""
+    fit = statistics.linear_regression(sizes, values)
+    residual = max(
+        abs(value - fit.intercept - fit.slope * size)
+        for size, value in zip(sizes, values, strict=True)
+    )
+    shown = " ".join(
+        f"{size}:{value:.5g}" for size, value in zip(sizes, values, strict=True)
+    )
+    print(
+        f"{name} [{unit}] {shown} | slope {fit.slope:.5g} "
+        f"intercept {fit.intercept:.5g} largest residual {residual:.3g}",
+        flush=True,
+    )
--- /dev/null
+++ b/scripts/capacity_probe.py
@@ -0,0 +1,212 @@
+"""What the kernel counts for a process: memory, processor time, bytes of its sockets.
+
+Bytes and segments are those of ``struct tcp_info``, read over a netlink socket, so
+nothing in the measured process or on its connections changes.
+"""
+
+import os
+import socket
+import struct
+from pathlib import Path
+
+__all__ = ["Counters", "Sample", "TcpTotals", "read_memory_kb", "sample"]
+
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+UTIME_FIELD = 11
+STIME_FIELD = 12
+
+NETLINK_SOCK_DIAG = 4
+SOCK_DIAG_BY_FAMILY = 20
+NLMSG_DONE = 3
+NLM_F_REQUEST_DUMP = 0x301
+INET_DIAG_INFO = 2
+TCP_ESTABLISHED = 1
+HEADER_BYTES = 16
+RECEIVE_BYTES = 1 << 20
+PORTS_OFFSET = 4
+INODE_OFFSET = 68
+MESSAGE_BYTES = 72
+BYTES_ACKED_OFFSET = 120
+DATA_SEGMENTS_OFFSET = 152
+
+
+class TcpTotals:
+    """Payload bytes and data segments of some connections since they were opened."""
+
+    __slots__ = ("n_bytes_received", "n_bytes_sent", "n_received", "n_sent")
+
+    def __init__(self) -> None:
+        self.n_bytes_sent = 0
+        self.n_bytes_received = 0
+        self.n_sent = 0
+        self.n_received = 0
+
+    def minus(self, earlier: "TcpTotals") -> "TcpTotals":
+        """Return what was added since an earlier reading."""
+        difference = TcpTotals()
+        for name in self.__slots__:
+            setattr(difference, name, getattr(self, name) - getattr(earlier, name))
+        return difference
+
+
+class Sample:
+    """One reading of a process.
+
+    Attributes
+    ----------
+    cpu_s : float
+        Processor time in user and system mode, in seconds.
+    links : TcpTotals
+        Connections of the ports between processes.
+    http : TcpTotals
+        All other connections.
+    """
+
+    __slots__ = ("cpu_s", "http", "links")
+
+    def __init__(self, cpu_s: float, links: TcpTotals, http: TcpTotals) -> None:
+        self.cpu_s = cpu_s
+        self.links = links
+        self.http = http
+
+
+class Counters:
+    """What a process used over a time, a second."""
+
+    __slots__ = ("cpu_percent", "http", "links", "seconds")
+
+    def __init__(self, begin: Sample, end: Sample, seconds: float) -> None:
+        self.seconds = seconds
+        self.cpu_percent = 100 * (end.cpu_s - begin.cpu_s) / seconds
+        self.links = end.links.minus(begin.links)
+        self.http = end.http.minus(begin.http)
+
+    @property
+    def link_bytes_out(self) -> float:
+        """Return payload bytes a second sent to other processes of the system."""
+        return self.links.n_bytes_sent / self.seconds
+
+    @property
+    def link_bytes_in(self) -> float:
+        """Return payload bytes a second that came from them."""
+        return self.links.n_bytes_received / self.seconds
+
+    @property
+    def link_segments(self) -> float:
+        """Return data segments a second on the links, both ways."""
+        return (self.links.n_sent + self.links.n_received) / self.seconds
+
+    @property
+    def http_bytes(self) -> float:
+        """Return payload bytes a second on HTTP, both ways."""
+        return (self.http.n_bytes_sent + self.http.n_bytes_received) / self.seconds
+
+
+def read_memory_kb(pid: int) -> tuple[int, int]:
+    """Return the resident memory of a process and its anonymous part, in kB."""
+    values = {}
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        name, _, value = line.partition(":")
+        values[name] = value
+    return int(values["VmRSS"].split()[0]), int(values["RssAnon"].split()[0])
+
+
+def sample(pids: list[int], link_ports: frozenset[int]) -> dict[int, Sample]:
+    """Read processes; a connection that uses one of `link_ports` is a link."""
+    connections = _read_connections()
+    return {pid: _sample(pid, link_ports, connections) for pid in pids}
+
+
+def _sample(pid: int, link_ports: frozenset[int], connections: dict) -> Sample:
+    links = TcpTotals()
+    http = TcpTotals()
+    for inode in _socket_inodes(pid):
+        if inode not in connections:
+            continue
+        ports, figures = connections[inode]
+        _add(links if link_ports & ports else http, figures)
+    return Sample(_cpu_s(pid), links, http)
+
+
+def _add(totals: TcpTotals, figures: tuple[int, int, int, int]) -> None:
+    totals.n_bytes_sent += figures[0]
+    totals.n_bytes_received += figures[1]
+    totals.n_received += figures[2]
+    totals.n_sent += figures[3]
+
+
+def _cpu_s(pid: int) -> float:
+    text = Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[UTIME_FIELD]) + int(fields[STIME_FIELD])) / TICKS_PER_SECOND
+
+
+def _socket_inodes(pid: int) -> list[int]:
+    inodes = []
+    for path in Path(f"/proc/{pid}/fd").iterdir():
+        try:
+            target = os.readlink(path)
+        except FileNotFoundError:
+            continue
+        if target.startswith("socket:["):
+            inodes.append(int(target[len("socket:[") : -1]))
+    return inodes
+
+
+def _read_connections() -> dict[int, tuple[frozenset[int], tuple[int, int, int, int]]]:
+    """Return ports and counts of each established IPv4 connection by its inode."""
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, NETLINK_SOCK_DIAG) as sock:
+        extensions = 1 << (INET_DIAG_INFO - 1)
+        states = 1 << TCP_ESTABLISHED
+        request = struct.pack(
+            "=BBBBI48x", socket.AF_INET, socket.IPPROTO_TCP, extensions, 0, states
+        )
+        header = struct.pack(
+            "=IHHII",
+            HEADER_BYTES + len(request),
+            SOCK_DIAG_BY_FAMILY,
+            NLM_F_REQUEST_DUMP,
+            1,
+            0,
+        )
+        sock.send(header + request)
+        connections: dict = {}
+        while _read_part(sock.recv(RECEIVE_BYTES), connections):
+            pass
+        return connections
+
+
+def _read_part(data: bytes, connections: dict) -> bool:
+    """Add the connections of one datagram; return whether more follow."""
+    offset = 0
+    while offset < len(data):
+        length, kind = struct.unpack_from("=IH", data, offset)
+        if kind != SOCK_DIAG_BY_FAMILY:
+            if kind != NLMSG_DONE:
+                raise OSError("the kernel gave no socket information")
+            return False
+        message = data[offset + HEADER_BYTES : offset + length]
+        ports = frozenset(struct.unpack_from("!HH", message, PORTS_OFFSET))
+        inode = struct.unpack_from("=I", message, INODE_OFFSET)[0]
+        info = _find_info(message)
+        if info:
+            acked = struct.unpack_from("=QQ", info, BYTES_ACKED_OFFSET)
+            segments = struct.unpack_from("=II", info, DATA_SEGMENTS_OFFSET)
+            connections[inode] = ports, acked + segments
+        offset += _aligned(length)
+    return True
+
+
+def _find_info(message: bytes) -> bytes:
+    """Return the ``tcp_info`` among the attributes of a message."""
+    offset = MESSAGE_BYTES
+    while offset < len(message):
+        length, kind = struct.unpack_from("=HH", message, offset)
+        if kind == INET_DIAG_INFO:
+            return message[offset + 4 : offset + length]
+        offset += _aligned(length)
+    return b""
+
+
+def _aligned(length: int) -> int:
+    return (length + 3) & ~3
