Await every pool before a limit is divided, also after a change of leader

In force, unlimited work and repeated returns have tests of their own. With each taken out, the new tests fail.

--- a/src/redwingslip/quota/_book.py
+++ b/src/redwingslip/quota/_book.py
@@ -21,20 +21,21 @@
 
 
 class Settling:
-    """Since when a team's limit is in force, and how long a silent pool is awaited.
+    """Since when a team's limit is in force, as this leader knows.
 
     Attributes
     ----------
     number : int
         Demands that came before; a time can't tell what came within one instant.
+    is_over : bool
+        Whether every pool has said what runs since.
     """
 
-    __slots__ = ("is_over", "number", "patience", "since")
+    __slots__ = ("is_over", "number", "since")
 
-    def __init__(self, since: timedelta, number: int, patience: timedelta) -> None:
+    def __init__(self, since: timedelta, number: int) -> None:
         self.since = since
         self.number = number
-        self.patience = patience
         self.is_over = False
 
 
--- a/src/redwingslip/quota/_planner.py
+++ b/src/redwingslip/quota/_planner.py
@@ -70,7 +70,7 @@
         self._in_force_index = 0
         self._n_demands = 0
         self._settling: dict[str, Settling] = {}
-        self._new_limits: dict[str, timedelta] = {}
+        self._new_limits: set[str] = set()
         self._said: dict[tuple[str, str], tuple[QuotaOutput, timedelta]] = {}
         self._read_view()
 
@@ -130,8 +130,8 @@
         """
         self._in_force_index = max(self._in_force_index, index)
         for team in [name for name in self._new_limits if self._is_in_force(name)]:
-            patience = self._new_limits.pop(team)
-            self._settling[team] = Settling(now, self._n_demands, patience)
+            self._new_limits.discard(team)
+            self._settling[team] = Settling(now, self._n_demands)
         self._dirty.update(self._books)
         self._plan_dirty(now)
 
@@ -146,7 +146,7 @@
     def _read_view(self) -> None:
         for team, resource in self._view.resources[Kind.TEAM].items():
             if resource.spec.limit is not None and team not in self._settling:
-                self._new_limits[team] = self._cfg.stale_after
+                self._new_limits.add(team)
         for team, book in self._books.items():
             for pool in [
                 p for p in book.held if (team, p) not in self._view.allotments
@@ -171,9 +171,9 @@
         self._dirty.add(row.name)
         if row.spec.limit is None:
             self._settling.pop(row.name, None)
-            self._new_limits.pop(row.name, None)
+            self._new_limits.discard(row.name)
         elif row.name not in self._settling:
-            self._new_limits[row.name] = self._cfg.longest_run
+            self._new_limits.add(row.name)
 
     @_take_row.register
     def _(self, row: RemovedRow) -> None:
@@ -264,7 +264,7 @@
         if settling is None:
             return False
         if not settling.is_over:
-            is_late = now - settling.since >= settling.patience
+            is_late = now - settling.since >= self._cfg.longest_run
             settling.is_over = is_late or self._all_said(settling.number)
         return settling.is_over
 
--- a/src/redwingslip/quota/_settings.py
+++ b/src/redwingslip/quota/_settings.py
@@ -19,8 +19,8 @@
     stale_after : timedelta
         A pool's demand that was not heard for this long counts as zero.
     longest_run : timedelta
-        How long a pool that is not heard is awaited after a team without a limit was
-        given one; work that began before has ended by then.
+        How long a pool that is not heard is awaited after a limit came in force, or
+        after this leader began; work that began before has ended by then.
     """
 
     repeat: timedelta = timedelta(milliseconds=500)
--- a/tests/test_quota_planner.py
+++ b/tests/test_quota_planner.py
@@ -20,7 +20,7 @@
     ReleaseDispatcher,
     TeamSpec,
 )
-from redwingslip.peers import PoolDemand, TeamDemand
+from redwingslip.peers import AllotmentRecall, PoolDemand, TeamDemand
 from redwingslip.quota import AllotmentPlanner, Proposed, QuotaSettings, water_fill
 from tests import SECOND
 
@@ -82,7 +82,9 @@
         self.changes = []
         self.bag = []
         self.bound = limit
-        self.planner = AllotmentPlanner(cfg=QuotaSettings(), view=self.state.view)
+        # The pools' work here ends when a rule says so, however long that takes.
+        self.cfg = QuotaSettings(longest_run=timedelta(days=1))
+        self.planner = AllotmentPlanner(cfg=self.cfg, view=self.state.view)
         self._apply(RegisterEntry(entry_id="n", incarnation="1", address="n"))
         self._apply(PutResource(name="x", spec=TeamSpec(limit=limit)))
         self.pools: dict[str, _Pool] = {}
@@ -115,7 +117,7 @@
         if isinstance(msg, PoolDemand):
             self.planner.demand(msg, self.now)
             self._collect()
-        elif type(msg).__name__ == "AllotmentRecall":
+        elif isinstance(msg, AllotmentRecall):
             self.pools[msg.pool].keeper.recall(msg, self.now)
             self._shrink(self.pools[msg.pool])
         else:
@@ -176,7 +178,7 @@
     @rule()
     def replace_leader(self) -> None:
         """Start a planner that knows the log only."""
-        self.planner = AllotmentPlanner(cfg=QuotaSettings(), view=self.state.view)
+        self.planner = AllotmentPlanner(cfg=self.cfg, view=self.state.view)
         self.planner.in_force(self.n_in_force, self.now)
 
     @rule()
@@ -291,6 +293,62 @@
         self.assertEqual(machine.pools["b"].n_running, 5)
         self.assertLessEqual(machine.index - index, 4)
 
+    def unlimited(self) -> QuotaMachine:
+        """Return pools of which one runs 20 requests of a team that gets a limit."""
+        machine = QuotaMachine()
+        machine.set_up(None)
+        machine.pools["a"].n_asked = 20
+        machine.pools["a"].start()
+        machine._apply(PutResource(name="x", spec=TeamSpec(limit=5)))
+        machine.pools["b"].n_asked = 5
+        return machine
+
+    def say_all(self, machine: QuotaMachine) -> list[str]:
+        """Let every pool say its demand; return which pools are granted something."""
+        for pool in machine.pools.values():
+            machine.planner.demand(pool.demand(), machine.now)
+        outputs = machine.planner.take_outputs()
+        return [o.command.pool for o in outputs if isinstance(o, Proposed)]
+
+    def test_new_limit_is_not_divided_before_it_is_in_force(self):
+        """A dispatcher that does not know the limit may still start more."""
+        machine = self.unlimited()
+        machine.pools["a"].n_asked = machine.pools["a"].n_running = 0
+        machine.planner.in_force(machine.index - 1, machine.now)
+        self.assertEqual(self.say_all(machine), [])
+        machine.planner.in_force(machine.index, machine.now)
+        self.assertEqual(self.say_all(machine), [])
+        self.assertEqual(self._granted_later(machine), ["b"])
+
+    def _granted_later(self, machine: QuotaMachine) -> list[str]:
+        machine.now += SECOND
+        machine.planner.tick(machine.now)
+        outputs = machine.planner.take_outputs()
+        return [o.command.pool for o in outputs if isinstance(o, Proposed)]
+
+    def test_work_begun_without_a_limit_counts_against_a_new_one(self):
+        """Nothing is granted while more runs than the new limit allows."""
+        machine = self.unlimited()
+        machine.planner.in_force(machine.index, machine.now)
+        self.assertEqual(self.say_all(machine), [])
+        self.assertEqual(self._granted_later(machine), [])
+        machine.pools["a"].n_asked = machine.pools["a"].n_running = 0
+        self.assertEqual(self.say_all(machine) + self._granted_later(machine), ["b"])
+
+    def test_return_without_an_outcome_is_proposed_again(self):
+        """A proposal that was lost is repeated, and binds meanwhile."""
+        machine = QuotaMachine()
+        machine.set_up(5)
+        machine.pools["a"].n_asked = 5
+        machine._calm(2)
+        pool = machine.pools["a"]
+        recall = AllotmentRecall(team="x", pool="a", epoch=pool.epoch, count=0)
+        pool.keeper.recall(recall, machine.now)
+        first = pool.keeper.shrink("x", 2, machine.now)
+        self.assertEqual((first.count, pool.keeper.allowed("x")), (2, 2))
+        self.assertEqual(pool.keeper.take_due(machine.now), [])
+        self.assertEqual(pool.keeper.take_due(machine.now + SECOND), [first])
+
 
 if __name__ == "__main__":
     unittest.main()
