--- a/scripts/measure_path.py
+++ b/scripts/measure_path.py
@@ -23,7 +23,7 @@
 from scripts.fleet_processes import FleetProcesses
 
 N_VMS = 4
-SLOTS = 64
+SLOTS = 256
 LONG = timedelta(days=365)
 MAX_LATENCY_US = 60_000_000
 N_CALLERS = (1, 16, 128)
