--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -16,6 +16,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from redwingslip.fleet import VmPhase
 from redwingslip.observe import EventName
 
 from .capacity_faults import measure_faults
@@ -217,6 +218,40 @@
         fleet.close()
 
 
+def measure_wave(folder: Path, seconds: float) -> None:
+    """Compare the rest with a wave whose reboots no platform takes.
+
+    So each pool has one VM in maintenance and all others wait, for as long as the
+    reading takes.
+    """
+    fleet = MeasuredFleet(folder / "wave", N_ENTRIES_FOR_STATE)
+    try:
+        fleet.start()
+        fleet.declare(N_VMS[-1])
+        fleet.add_endpoints(N_ENDPOINTS[-1])
+        time.sleep(2 * SETTLE_S)
+        print_roles(fleet, "no wave", seconds)
+        fleet.put("waves", "wave-1", {})
+        time.sleep(2 * SETTLE_S)
+        vms = fleet.get("/v1/vms")["items"]
+        n_out = sum(vm["status"]["phase"] == VmPhase.MAINTENANCE for vm in vms)
+        print_roles(fleet, f"wave with {n_out} VMs out", seconds)
+    finally:
+        fleet.close()
+
+
+def print_roles(fleet: MeasuredFleet, title: str, seconds: float) -> None:
+    """Print the rates and the memory of each role."""
+    counters = fleet.count(seconds)
+    memory = fleet.memory_kb()
+    for role in ROLES:
+        shown = [
+            f"{fleet.by_role(counters, attribute)[role]:.5g} {unit}"
+            for attribute, unit in RATES.items()
+        ]
+        print(f"{title}, {role}: {memory[role][0]} kB, {', '.join(shown)}", flush=True)
+
+
 def measure_offline(folder: Path, seconds: float) -> None:
     """Measure what needs no processes."""
     measure_snapshots()
@@ -228,6 +263,7 @@
     "offline": measure_offline,
     "entries": measure_entries,
     "growth": measure_growth,
+    "wave": measure_wave,
 }
 
 
