--- a/scripts/measure_decisions.py
+++ b/scripts/measure_decisions.py
@@ -205,7 +205,7 @@
 
 
 def scale(factor: float, *, n_pools: int | None = None) -> Size:
-    """Return the letter's size times a factor."""
+    """Return the planned size times a factor."""
     return Size(
         n_workers=int(N_WORKERS * factor),
         n_pools=n_pools or max(int(N_POOLS * factor), 1),
