Free no slot on a permit's second copy; await the longest queue's runs

Cause: a permit that was resent and arrived again after its answer was lost was reported as not run, which frees the slot of a task that may still run; a silent pool was awaited for 60 s whatever its queues' max_run, so a limit could be divided while older work ran. Change: used permits are remembered; the longest max_run of all queues counts.

--- a/src/redwingslip/daemons/_permits.py
+++ b/src/redwingslip/daemons/_permits.py
@@ -1,6 +1,7 @@
 """The entry's side of the permits."""
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -22,6 +23,7 @@
 __all__ = ["GrantedPermit", "PermitDesk", "PermitRefusedError"]
 
 RESEND_AFTER = timedelta(milliseconds=500)
+N_USED_REMEMBERED = 10_000
 
 
 class PermitRefusedError(Exception):
@@ -67,7 +69,7 @@
         The process's clock.
     """
 
-    __slots__ = ("_clock", "_in_use", "_send", "_view", "_waiting")
+    __slots__ = ("_clock", "_in_use", "_send", "_used", "_view", "_waiting")
 
     def __init__(
         self,
@@ -81,6 +83,7 @@
         self._clock = clock
         self._waiting: dict[str, _Waiting] = {}
         self._in_use: dict[str, Permit] = {}
+        self._used: OrderedDict[str, None] = OrderedDict()
 
     @property
     def n_in_use(self) -> int:
@@ -118,8 +121,12 @@
             )
 
     def permit(self, permit: Permit) -> None:
-        """Take a permit; one that is not wanted any more is given back."""
-        if permit.permit_id in self._in_use:
+        """Take a permit; one that is not wanted any more is given back.
+
+        A second copy of one that was used says nothing: after a lost answer its task
+        may still run, and giving it back would free that task's slot.
+        """
+        if permit.permit_id in self._in_use or permit.permit_id in self._used:
             return
         waiting = self._waiting.get(permit.request_id)
         lease = self._view.dispatchers.get(permit.pool)
@@ -143,6 +150,9 @@
     def done(self, permit: Permit, result: RunResult, run_time: timedelta) -> None:
         """Give a permit back after its use."""
         self._in_use.pop(permit.permit_id, None)
+        self._used[permit.permit_id] = None
+        if len(self._used) > N_USED_REMEMBERED:
+            self._used.popitem(last=False)
         self._send_done(permit, result, run_time)
 
     def check(self) -> None:
--- a/src/redwingslip/peers/_messages.py
+++ b/src/redwingslip/peers/_messages.py
@@ -181,7 +181,13 @@
 
 
 class AllotmentRecall(_Message):
-    """The leader asks a dispatcher to give back what it can spare of an allotment."""
+    """The leader asks a dispatcher to give back what it can spare of an allotment.
+
+    Attributes
+    ----------
+    count : int
+        The size that is wished for, below the present one.
+    """
 
     team: str
     pool: str
--- a/src/redwingslip/quota/_planner.py
+++ b/src/redwingslip/quota/_planner.py
@@ -26,6 +26,9 @@
 HYSTERESIS = 32
 """A lack below this fraction of the limit is not worth a recall."""
 
+# The start window of a permit and the margin of the clocks.
+START_MARGIN = timedelta(seconds=5)
+
 
 class AllotmentPlanner:
     """Divides each team's upper limit among the pools by their demand.
@@ -264,10 +267,16 @@
         if settling is None:
             return False
         if not settling.is_over:
-            is_late = now - settling.since >= self._cfg.longest_run
+            is_late = now - settling.since >= self._longest_run()
             settling.is_over = is_late or self._all_said(settling.number)
         return settling.is_over
 
+    def _longest_run(self) -> timedelta:
+        """Return how long work that began under an older view may go on."""
+        queues = self._view.resources[Kind.QUEUE].values()
+        runs = [resource.spec.max_run for resource in queues]
+        return max([self._cfg.longest_run, *(run + START_MARGIN for run in runs)])
+
     def _all_said(self, number: int) -> bool:
         return all(
             pool in self._demands and self._demands[pool].number > number
--- a/src/redwingslip/quota/_settings.py
+++ b/src/redwingslip/quota/_settings.py
@@ -20,7 +20,8 @@
         A pool's demand that was not heard for this long counts as zero.
     longest_run : timedelta
         How long a pool that is not heard is awaited after a limit came in force, or
-        after this leader began; work that began before has ended by then.
+        after this leader began, at least; a longer ``max_run`` of a queue counts
+        instead, so that work that began before has ended by then.
     """
 
     repeat: timedelta = timedelta(milliseconds=500)
--- a/tests/test_quota_planner.py
+++ b/tests/test_quota_planner.py
@@ -16,6 +16,7 @@
     FleetView,
     PoolSpec,
     PutResource,
+    QueueSpec,
     RegisterEntry,
     ReleaseDispatcher,
     TeamSpec,
@@ -335,6 +336,22 @@
         machine.pools["a"].n_asked = machine.pools["a"].n_running = 0
         self.assertEqual(self.say_all(machine) + self._granted_later(machine), ["b"])
 
+    def test_silent_pool_is_awaited_as_long_as_its_work_may_run(self):
+        """A queue's longest run counts, however short the setting is."""
+        machine = self.unlimited()
+        machine.pools["a"].n_asked = machine.pools["a"].n_running = 0
+        cfg = QuotaSettings(longest_run=60 * SECOND)
+        machine.planner = AllotmentPlanner(cfg=cfg, view=machine.state.view)
+        queue = QueueSpec(pool="a", service="s", max_run=3600 * SECOND)
+        machine._apply(PutResource(name="long", spec=queue))
+        machine.planner.in_force(machine.index, machine.now)
+        machine.now += 3000 * SECOND
+        machine.planner.demand(machine.pools["b"].demand(), machine.now)
+        self.assertEqual(self._granted_later(machine), [])
+        machine.now += 700 * SECOND
+        machine.planner.demand(machine.pools["b"].demand(), machine.now)
+        self.assertEqual(self._granted_later(machine), ["b"])
+
     def test_return_without_an_outcome_is_proposed_again(self):
         """A proposal that was lost is repeated, and binds meanwhile."""
         machine = QuotaMachine()
