Give both daemons one core for clock, events, metrics and links

Cause: entry and replica built their links, logs and TLS with the same lines. Change: ProcessCore; background proposals belong to the leader's link.

--- a/src/redwingslip/daemons/_entry.py
+++ b/src/redwingslip/daemons/_entry.py
@@ -8,7 +8,7 @@
 from functools import singledispatchmethod
 
 from ..callers import CallerInterface, ResultLimits, ResultStore, authenticate
-from ..clock import Clock, SystemClock
+from ..clock import Clock
 from ..endpoints import (
     AnnouncementError,
     AnnouncementReply,
@@ -26,14 +26,13 @@
 )
 from ..http import HttpServer, TlsFiles, build_app
 from ..leases import LeaseHolder
-from ..observe import Event, EventLog, EventName, EventSink, new_metrics
+from ..observe import EventName, EventSink
 from ..operators import NoLeaderError, ProcessStatus, operator_routes
 from ..peers import (
     AllotmentRecall,
     EndpointReport,
     LeaseGrant,
     Message,
-    PeerHub,
     Permit,
     PermitCancel,
     PermitDone,
@@ -45,12 +44,12 @@
     ReplicasReply,
 )
 from ..platform import PlatformClient, PlatformSettings
-from ..settings import find_warnings, load_tls
 from ._claims import ClaimDesk
 from ._dispatch_host import DispatchHost
 from ._entry_settings import EntryDaemonSettings
 from ._leader import LeaderLink
 from ._permits import PermitDesk
+from ._process import ProcessCore
 from ._reboots import RebootDesk
 from ._runner import EntryRunner
 from ._view_follower import ViewFollower
@@ -86,35 +85,21 @@
         events: EventSink | None = None,
     ) -> None:
         self.cfg = cfg
-        self._clock = clock or SystemClock()
         self._entry_id = cfg.process.id
         self._incarnation = secrets.token_hex(N_INCARNATION_BYTES)
-        self._events = events or EventLog(
-            cfg.logs, process_id=self._entry_id, clock=self._clock
+        self._core = ProcessCore(
+            cfg, clock=clock, events=events, on_message=self._on_message
         )
+        self._clock = self._core.clock
+        self._events = self._core.events
+        self._hub = self._core.hub
         self._view = FleetView()
         self._tasks: list[asyncio.Task] = []
-        self._proposals: set[asyncio.Task] = set()
         self._had_lease = False
         self._build()
 
     def _build(self) -> None:
         cfg = self.cfg
-        secret = cfg.cluster.secret_file.read_text().strip()
-        tls = load_tls(cfg.tls)
-        self._tls = tls
-        self._metrics = new_metrics(cfg.metrics, process_id=self._entry_id)
-        self._hub = PeerHub(
-            process_id=self._entry_id,
-            address=cfg.peers.listen,
-            secret=secret,
-            cfg=cfg.links,
-            clock=self._clock,
-            on_message=self._on_message,
-            events=self._events,
-            tls_server=None if tls is None else tls.server,
-            tls_client=None if tls is None else tls.client,
-        )
         self._leader = LeaderLink(
             replicas=tuple(cfg.replicas),
             send=self._hub.send,
@@ -141,7 +126,7 @@
             view=self._view,
             send=self._hub.send,
             send_to_leader=self._leader.send,
-            propose=self._propose_in_background,
+            propose=self._leader.propose_in_background,
             clock=self._clock,
             rng=random.Random(self._incarnation),
             events=self._events,
@@ -156,7 +141,7 @@
             client=self._client,
             clock=self._clock,
             events=self._events,
-            metrics=self._metrics,
+            metrics=self._core.metrics,
         )
 
     def _platform_client(self) -> PlatformClient | None:
@@ -174,7 +159,7 @@
 
     async def start(self) -> None:
         """Listen and begin to ask for the lease."""
-        await self._hub.start()
+        await self._core.start()
         holder = LeaseHolder(
             cfg=self.cfg.leases,
             entry_id=self._entry_id,
@@ -184,22 +169,18 @@
             view=self._view,
         )
         self._follower = ViewFollower(holder, self._clock)
-        for replica_id, address in self.cfg.replicas.items():
-            self._hub.set_address(replica_id, address)
         self._build_server()
         await self._server.start()
         self._tasks = [
             asyncio.create_task(self._renew_forever(), name="renew the lease"),
             asyncio.create_task(self._tick_forever(), name="tick"),
         ]
-        self._emit(EventName.PROCESS_STARTED, detail=self._incarnation)
-        for words in find_warnings(self.cfg):
-            self._emit(EventName.WARNING, detail=words)
+        self._core.report_start(self._incarnation)
 
     def _build_server(self) -> None:
         cfg = self.cfg
         limits = cfg.http_limits
-        scheme = "http" if self._tls is None else "https"
+        scheme = "https" if self._core.is_encrypted else "http"
         self._callers = CallerInterface(
             self.runner,
             limits,
@@ -224,13 +205,10 @@
         return TlsFiles(certificate=str(cfg.certificate), key=str(cfg.key))
 
     def reload(self) -> None:
-        """Read certificates and keys again; new connections use them."""
-        cfg = self.cfg.tls
-        if self._tls is None:
-            return
-        self._server.reload_tls()
-        for context in (self._tls.server, self._tls.client):
-            context.load_cert_chain(cfg.certificate, cfg.key)
+        """Read certificate and key again; new connections use them."""
+        if self._core.is_encrypted:
+            self._server.reload_tls()
+            self._core.reload()
 
     async def stop(self) -> None:
         """Stop in good order: nothing that was taken is cut off."""
@@ -254,9 +232,7 @@
         await self._client.close()
         if self._platform is not None:
             await self._platform.close()
-        await self._hub.stop()
-        self._metrics.close()
-        self._emit(EventName.PROCESS_STOPPED)
+        await self._core.stop()
 
     async def _release_pools(self) -> None:
         """Hand the pools over once no start of a permit is open."""
@@ -305,7 +281,7 @@
         if has_lease != self._had_lease:
             self._had_lease = has_lease
             name = EventName.LEASE_ACQUIRED if has_lease else EventName.LEASE_LOST
-            self._emit(name, index=self._view.index)
+            self._core.emit(name, index=self._view.index)
 
     def _take_grant(self, msg: LeaseGrant) -> None:
         is_new, changes = self._follower.take(msg)
@@ -314,7 +290,7 @@
             return
         self._follow_entries()
         if changes is None or changes:
-            self._emit(EventName.COMMAND_APPLIED, index=self._view.index)
+            self._core.emit(EventName.COMMAND_APPLIED, index=self._view.index)
             self._host.view_changed(changes, self._follower.lease_ends_at)
             self._permits.check()
 
@@ -329,7 +305,7 @@
 
     @singledispatchmethod
     def _receive(self, msg: Message, sender_id: str) -> None:
-        self._emit(
+        self._core.emit(
             EventName.WARNING,
             peer=sender_id,
             detail=f"unexpected {type(msg).__name__}",
@@ -426,23 +402,3 @@
     ) -> tuple[Change, ...] | None:
         """Wait for the changes after a log index."""
         return await self._follower.changes_after(index, timeout)
-
-    def _propose_in_background(self, command: Command) -> None:
-        """Propose what its dispatcher proposes again when it has no effect."""
-        task = asyncio.create_task(self._propose_quietly(command))
-        self._proposals.add(task)
-        task.add_done_callback(self._proposals.discard)
-
-    async def _propose_quietly(self, command: Command) -> None:
-        with contextlib.suppress(NoLeaderError):
-            await self._leader.propose(command, PROPOSE_TIMEOUT)
-
-    def _emit(
-        self,
-        name: EventName,
-        *,
-        peer: str = "",
-        index: int = 0,
-        detail: str = "",
-    ) -> None:
-        self._events.emit(Event(name=name, peer=peer, index=index, detail=detail))
--- a/src/redwingslip/daemons/_leader.py
+++ b/src/redwingslip/daemons/_leader.py
@@ -1,6 +1,7 @@
 """The way of an entry to the leader of the replicated log."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -19,6 +20,7 @@
 __all__ = ["LeaderLink"]
 
 RETRY_AFTER = timedelta(milliseconds=400)
+BACKGROUND_TIMEOUT = timedelta(seconds=2)
 PAUSE_WITHOUT_LEADER = timedelta(milliseconds=50)
 
 
@@ -46,6 +48,7 @@
         "_replicas",
         "_reset",
         "_send",
+        "_tasks",
     )
 
     def __init__(
@@ -63,6 +66,7 @@
         self._leader_id = replicas[0]
         self._heard_at = clock.monotonic()
         self._number = 0
+        self._tasks: set[asyncio.Task] = set()
         self._open: dict[int, asyncio.Future[Outcome | ReplicasReply | None]] = {}
 
     @property
@@ -131,6 +135,16 @@
             lambda number: Proposal(number=number, command=command), timeout
         )
 
+    def propose_in_background(self, command: Command) -> None:
+        """Propose what its author proposes again when it has no effect."""
+        task = asyncio.create_task(self._propose_quietly(command))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _propose_quietly(self, command: Command) -> None:
+        with contextlib.suppress(NoLeaderError):
+            await self.propose(command, BACKGROUND_TIMEOUT)
+
     async def ask_replicas(self, timeout: timedelta) -> ReplicasReply:
         """Return how the replicas are.
 
--- a/src/redwingslip/daemons/_replica.py
+++ b/src/redwingslip/daemons/_replica.py
@@ -4,22 +4,21 @@
 import random
 from datetime import timedelta
 
-from ..clock import Clock, SystemClock
+from ..clock import Clock
 from ..consensus import ConsensusMessage, Replica
 from ..fleet import Change
-from ..observe import Event, EventLog, EventName, EventSink, new_metrics
+from ..observe import Event, EventName, EventSink
 from ..peers import (
     LeaseRenewal,
     Message,
-    PeerHub,
     Proposal,
     ProposalReply,
     RedirectToLeader,
     ReplicasRequest,
 )
-from ..settings import find_warnings, load_tls
 from ._leadership import Leadership
 from ._machine import FleetMachine
+from ._process import ProcessCore
 from ._replica_settings import ReplicaDaemonSettings
 
 __all__ = ["ReplicaApp"]
@@ -49,26 +48,14 @@
     ) -> None:
         self.cfg = cfg
         self._id = cfg.process.id
-        self._clock = clock or SystemClock()
-        self._events = events or EventLog(
-            cfg.logs, process_id=self._id, clock=self._clock
+        self._core = ProcessCore(
+            cfg, clock=clock, events=events, on_message=self._on_message
         )
+        self._clock = self._core.clock
+        self._events = self._core.events
+        self._hub = self._core.hub
         self._leadership: Leadership | None = None
         self._task: asyncio.Task | None = None
-        tls = load_tls(cfg.tls)
-        self._tls = tls
-        self._metrics = new_metrics(cfg.metrics, process_id=self._id)
-        self._hub = PeerHub(
-            process_id=self._id,
-            address=cfg.peers.listen,
-            secret=cfg.cluster.secret_file.read_text().strip(),
-            cfg=cfg.links,
-            clock=self._clock,
-            on_message=self._on_message,
-            events=self._events,
-            tls_server=None if tls is None else tls.server,
-            tls_client=None if tls is None else tls.client,
-        )
         self.machine = FleetMachine()
         self.replica = Replica(
             cfg=cfg.consensus,
@@ -93,31 +80,21 @@
         ReplicaFailedError
             If the data folder can't be read.
         """
-        await self._hub.start()
-        for replica_id, address in self.cfg.replicas.items():
-            self._hub.set_address(replica_id, address)
+        await self._core.start()
         await self.replica.start()
         self._task = asyncio.create_task(self._tick_forever(), name="tick")
-        self._emit(EventName.PROCESS_STARTED, detail=self.replica.incarnation)
-        for words in find_warnings(self.cfg):
-            self._emit(EventName.WARNING, detail=words)
+        self._core.report_start(self.replica.incarnation)
 
     def reload(self) -> None:
-        """Read certificates and keys again; new links use them."""
-        cfg = self.cfg.tls
-        if self._tls is None:
-            return
-        for context in (self._tls.server, self._tls.client):
-            context.load_cert_chain(cfg.certificate, cfg.key)
+        """Read certificate and key again; new links use them."""
+        self._core.reload()
 
     async def stop(self) -> None:
         """Hand leadership over and stop."""
         await self.replica.stop()
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
-        await self._hub.stop()
-        self._metrics.close()
-        self._emit(EventName.PROCESS_STOPPED)
+        await self._core.stop()
 
     async def wait_failed(self) -> None:
         """Return or raise once the replica has stopped by itself."""
@@ -137,7 +114,7 @@
             set_address=self._hub.set_address,
             clock=self._clock,
             events=self._events,
-            metrics=self._metrics,
+            metrics=self._core.metrics,
         )
 
     def _on_applied(self, changes: tuple[Change, ...]) -> None:
@@ -172,6 +149,3 @@
             self._hub.send(
                 sender_id, RedirectToLeader(leader_id=leader_id, address=address)
             )
-
-    def _emit(self, name: EventName, *, detail: str = "") -> None:
-        self._events.emit(Event(name=name, detail=detail))
