--- a/scripts/capacity_fleet.py
+++ b/scripts/capacity_fleet.py
@@ -10,7 +10,7 @@
 from .capacity_probe import Counters, read_memory_kb, sample
 from .fleet_processes import FleetProcesses
 
-__all__ = ["MeasuredFleet", "Role", "print_fit"]
+__all__ = ["ROLES", "MeasuredFleet", "Role", "print_fit"]
 
 N_POOLS_AT_DESIGN = 108
 N_TEAMS_AT_DESIGN = 90
@@ -32,6 +32,9 @@
     ENTRY = "entry"
 
 
+ROLES = (Role.LEADER, Role.FOLLOWER, Role.ENTRY)
+
+
 class MeasuredFleet:
     """Processes of one system, with what is declared in it.
 
@@ -124,7 +127,7 @@
         """Return resident and anonymous memory of each role, its largest process."""
         pids = self.pids()
         found = {}
-        for role in (Role.LEADER, Role.FOLLOWER, Role.ENTRY):
+        for role in ROLES:
             found[role] = max(read_memory_kb(pids[n]) for n in self.names_of(role))
         return found
 
@@ -150,7 +153,7 @@
             role: statistics.fmean(
                 getattr(counters[name], attribute) for name in self.names_of(role)
             )
-            for role in (Role.LEADER, Role.FOLLOWER, Role.ENTRY)
+            for role in ROLES
         }
 
     # Operators.
--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -16,7 +16,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from redwingslip.fleet import VmPhase
 from redwingslip.observe import EventName
 
 from .capacity_faults import measure_faults
@@ -27,15 +26,8 @@
     print_message_sizes,
 )
 from .capacity_probe import read_memory_kb
+from .capacity_wave import RATES, measure_wave
 
-ROLES = (Role.LEADER, Role.FOLLOWER, Role.ENTRY)
-RATES = {
-    "cpu_percent": "% of a core",
-    "link_bytes_out": "B/s",
-    "link_bytes_in": "B/s",
-    "link_segments": "segments/s",
-    "http_bytes": "B/s",
-}
 N_VMS = (85, 170, 340, 680)
 N_ENDPOINTS = (85, 170, 340, 680)
 N_ENTRIES = (2, 3, 5, 7)
@@ -218,38 +210,16 @@
         fleet.close()
 
 
-def measure_wave(folder: Path, seconds: float) -> None:
-    """Compare the rest with a wave whose reboots no platform takes.
-
-    So each pool has one VM in maintenance and all others wait, for as long as the
-    reading takes.
-    """
-    fleet = MeasuredFleet(folder / "wave", N_ENTRIES_FOR_STATE)
-    try:
-        fleet.start()
-        fleet.declare(N_VMS[-1])
-        fleet.add_endpoints(N_ENDPOINTS[-1])
-        time.sleep(2 * SETTLE_S)
-        print_roles(fleet, "no wave", seconds)
-        fleet.put("waves", "wave-1", {})
-        time.sleep(2 * SETTLE_S)
-        vms = fleet.get("/v1/vms")["items"]
-        n_out = sum(vm["status"]["phase"] == VmPhase.MAINTENANCE for vm in vms)
-        print_roles(fleet, f"wave with {n_out} VMs out", seconds)
-    finally:
-        fleet.close()
-
-
-def print_roles(fleet: MeasuredFleet, title: str, seconds: float) -> None:
-    """Print the rates and the memory of each role."""
-    counters = fleet.count(seconds)
-    memory = fleet.memory_kb()
-    for role in ROLES:
-        shown = [
-            f"{fleet.by_role(counters, attribute)[role]:.5g} {unit}"
-            for attribute, unit in RATES.items()
-        ]
-        print(f"{title}, {role}: {memory[role][0]} kB, {', '.join(shown)}", flush=True)
+def measure_waves(folder: Path, seconds: float) -> None:
+    """Measure a wave without a platform, and one with it."""
+    for with_platform in (False, True):
+        measure_wave(
+            folder / f"wave-{with_platform}",
+            seconds,
+            n_vms=N_VMS[-1],
+            n_entries=N_ENTRIES_FOR_STATE,
+            with_platform=with_platform,
+        )
 
 
 def measure_offline(folder: Path, seconds: float) -> None:
@@ -263,7 +233,7 @@
     "offline": measure_offline,
     "entries": measure_entries,
     "growth": measure_growth,
-    "wave": measure_wave,
+    "waves": measure_waves,
 }
 
 
