Take moves back in the dispatchers' test as the planner does

Ruled out: a fault of dispatcher or state; CompleteMove rightly refuses a move that nobody wants, and the planner cancels it. Change: the test's rule cancels, too.

--- a/tests/dispatch_machine.py
+++ b/tests/dispatch_machine.py
@@ -19,6 +19,7 @@
 from redwingslip.fleet import (
     AssignDispatcher,
     BeginMove,
+    CancelMove,
     CompleteMove,
     FleetState,
     FleetView,
@@ -455,6 +456,10 @@
         """Begin to move a VM where the operator wants it now."""
         spec = VmSpec(pool=pool, data_centre="d", slots=N_SLOTS)
         self._apply(PutResource(name=vm, spec=spec))
+        record = self.state.view.vms[vm]
+        if record.phase is VmPhase.LEAVING and record.move_to != pool:
+            # The planner takes back what the operator wants no more.
+            self._apply(CancelMove(vm=vm, drain_index=record.drain_index))
         self._apply(BeginMove(vm=vm, to_pool=pool))
 
     @invariant()
