--- a/scripts/fleet_processes.py
+++ b/scripts/fleet_processes.py
@@ -114,7 +114,10 @@
         folder.mkdir(parents=True, exist_ok=True)
         (folder / "cluster.secret").write_text(secrets.token_hex(16))
         (folder / "operator.token").write_text(self.operator_token)
-        addresses = {name: f"127.0.0.1:{ports.pop()}" for name in self.replica_ids}
+        addresses = {
+            name: f"127.0.2.{i + 1}:{ports.pop()}"
+            for i, name in enumerate(self.replica_ids)
+        }
         replicas = "\n".join(f"{name} = {at}" for name, at in addresses.items())
         common = {
             "folder": folder,
