Mend what a last reading found: unused errors, one refusal written twice

Change: DaemonError is the base of PermitRefusedError and StalePermitError; token_refused in http; one common part of the launcher's settings. No check differs.

--- a/scripts/fleet_processes.py
+++ b/scripts/fleet_processes.py
@@ -20,7 +20,7 @@
 POLL_S = 0.05
 TLS_FILES = ("certificate", "key", "authority")
 
-REPLICA_SETTINGS = """\
+COMMON_SETTINGS = """\
 [process]
 id = {id}
 data_centre = {data_centre}
@@ -28,8 +28,6 @@
 listen = {address}
 [replicas]
 {replicas}
-[replica]
-data_folder = {folder}/{id}.data
 [cluster]
 secret_file = {folder}/cluster.secret
 [tls]
@@ -38,28 +36,20 @@
 path = {folder}/{id}.jsonl
 """
 
+REPLICA_SETTINGS = """\
+[replica]
+data_folder = {folder}/{id}.data
+"""
+
 ENTRY_SETTINGS = """\
-[process]
-id = {id}
-data_centre = {data_centre}
-[peers]
-listen = {address}
 [http]
 listen = {http}
-[replicas]
-{replicas}
 [operators]
 token_sha256 = {operator_hash}
 [endpoints]
 token_sha256 = {endpoint_hash}
 [platform]
 address = {platform}
-[cluster]
-secret_file = {folder}/cluster.secret
-[tls]
-{tls}
-[logs]
-path = {folder}/{id}.jsonl
 """
 
 
@@ -158,7 +148,7 @@
 
     def _write(self, name: str, template: str, **values: object) -> None:
         path = self.folder / f"{name}.ini"
-        path.write_text(template.format(**values))
+        path.write_text((COMMON_SETTINGS + template).format(**values))
         role = "replica" if name in self.replica_ids else "entry"
         self._commands[name] = ["-m", "redwingslip", role, str(path)]
 
--- a/src/redwingslip/daemons/_permits.py
+++ b/src/redwingslip/daemons/_permits.py
@@ -19,21 +19,14 @@
     RefusalReason,
     RunResult,
 )
+from .exceptions import PermitRefusedError
 
-__all__ = ["GrantedPermit", "PermitDesk", "PermitRefusedError"]
+__all__ = ["GrantedPermit", "PermitDesk"]
 
 RESEND_AFTER = timedelta(milliseconds=500)
 N_USED_REMEMBERED = 10_000
 
 
-class PermitRefusedError(Exception):
-    """The dispatcher gives no permit; `refusal` says why."""
-
-    def __init__(self, refusal: PermitRefusal) -> None:
-        super().__init__(refusal.reason)
-        self.refusal = refusal
-
-
 class GrantedPermit(msgspec.Struct, frozen=True):
     """A permit and when its start window ends, in this process's monotonic time."""
 
@@ -85,11 +78,6 @@
         self._in_use: dict[str, Permit] = {}
         self._used: OrderedDict[str, None] = OrderedDict()
 
-    @property
-    def n_in_use(self) -> int:
-        """Return how many permits are being used."""
-        return len(self._in_use)
-
     async def obtain(self, request: PermitRequest, until: timedelta) -> GrantedPermit:
         """Wait for a permit until the monotonic time `until`.
 
--- a/src/redwingslip/daemons/_runner.py
+++ b/src/redwingslip/daemons/_runner.py
@@ -30,9 +30,10 @@
 from ..peers import Permit, PermitRequest, RunResult
 from ..settings import RequestsSettings
 from ._claims import NOT_RUN, ClaimDesk, HeldClaim
-from ._permits import GrantedPermit, PermitDesk, PermitRefusedError
+from ._permits import GrantedPermit, PermitDesk
 from ._refusals import refusal_error
 from ._retry_budget import RetryBudget
+from .exceptions import PermitRefusedError, StalePermitError
 
 __all__ = ["EntryRunner"]
 
@@ -216,7 +217,7 @@
         The process may have been frozen since the permit came, and the key withdrawn.
         """
         if self._clock.monotonic() >= granted.start_until:
-            raise _StaleError("the permit's start window has ended")
+            raise StalePermitError("the permit's start window has ended")
         queue = self._view.queue(run.submission.queue)
         if queue is None:
             raise UnknownQueueError(f"queue {run.submission.queue!r} was deleted")
@@ -263,7 +264,11 @@
             run.n_attempts += 1
             try:
                 answer = await self._use(run, granted)
-            except (EndpointUnreachableError, EndpointRefusedError, _StaleError) as exc:
+            except (
+                EndpointUnreachableError,
+                EndpointRefusedError,
+                StalePermitError,
+            ) as exc:
                 self._prepare_retry(run, granted.permit)
                 if run.n_attempts >= N_ATTEMPTS_MAX:
                     raise NotRunError(str(exc), retry_after=_SECOND) from exc
@@ -389,8 +394,4 @@
             self._events.emit(event)
 
 
-class _StaleError(Exception):
-    """A permit can't be used any more; nothing was sent."""
-
-
 _SECOND = timedelta(seconds=1)
--- a/src/redwingslip/daemons/exceptions.py
+++ b/src/redwingslip/daemons/exceptions.py
@@ -1,13 +1,22 @@
 """Errors of the daemons."""
 
 from ..exceptions import RedwingslipError
+from ..peers import PermitRefusal
 
-__all__ = ["DaemonError", "StartError"]
+__all__ = ["DaemonError", "PermitRefusedError", "StalePermitError"]
 
 
 class DaemonError(RedwingslipError):
     """Base of the daemons' errors."""
 
 
-class StartError(DaemonError):
-    """A daemon can't start; the message names the cause."""
+class PermitRefusedError(DaemonError):
+    """The dispatcher gives no permit; `refusal` says why."""
+
+    def __init__(self, refusal: PermitRefusal) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
+class StalePermitError(DaemonError):
+    """A permit can't be used any more; nothing was sent."""
--- a/src/redwingslip/endpoints/_routes.py
+++ b/src/redwingslip/endpoints/_routes.py
@@ -17,6 +17,7 @@
     problem_response,
     read_body,
     strict_convert,
+    token_refused,
 )
 from ..peers import EndpointReport, RunningTask
 from ._calls import Announcements
@@ -86,7 +87,7 @@
 
     async def put(req: Request) -> Response:
         if not hash_matches(req.headers.get("authorization"), hashes):
-            return _unauthorized()
+            return token_refused("the endpoints'")
         body = decode_json(await read_body(req, cfg))
         announcement = strict_convert(body, Announcement)
         report = _report(req.path_params["endpoint_id"], announcement)
@@ -122,16 +123,6 @@
     )
 
 
-def _unauthorized() -> Response:
-    problem = Problem(
-        status=401,
-        title="token not accepted",
-        detail="send the endpoints' token as 'Authorization: Bearer TOKEN'",
-        field="Authorization",
-    )
-    return problem_response(problem, headers={"WWW-Authenticate": "Bearer"})
-
-
 def _not_taken(exc: AnnouncementError) -> Response:
     problem = Problem(status=503, title="announcement not taken", detail=str(exc))
     return problem_response(problem, retry_after=RETRY_AFTER)
--- a/src/redwingslip/http/__init__.py
+++ b/src/redwingslip/http/__init__.py
@@ -10,7 +10,14 @@
 )
 from ._client import ClientAnswer, ClientPool, ClientRequest
 from ._limits import ClientLimits, HttpLimits, TlsFiles
-from ._problems import NOT_RUN, PROBLEM_TYPE, UNKNOWN, Problem, problem_response
+from ._problems import (
+    NOT_RUN,
+    PROBLEM_TYPE,
+    UNKNOWN,
+    Problem,
+    problem_response,
+    token_refused,
+)
 from ._server import HttpServer
 from .exceptions import (
     AnswerLostError,
@@ -42,4 +49,5 @@
     "problem_response",
     "read_body",
     "strict_convert",
+    "token_refused",
 ]
--- a/src/redwingslip/http/_problems.py
+++ b/src/redwingslip/http/_problems.py
@@ -7,7 +7,14 @@
 import msgspec
 from starlette.responses import Response
 
-__all__ = ["NOT_RUN", "PROBLEM_TYPE", "UNKNOWN", "Problem", "problem_response"]
+__all__ = [
+    "NOT_RUN",
+    "PROBLEM_TYPE",
+    "UNKNOWN",
+    "Problem",
+    "problem_response",
+    "token_refused",
+]
 
 PROBLEM_TYPE = "application/problem+json"
 
@@ -55,3 +62,20 @@
         headers=all_headers,
         media_type=PROBLEM_TYPE,
     )
+
+
+def token_refused(whose: str) -> Response:
+    """Return the answer to a request without a bearer token that is accepted.
+
+    Parameters
+    ----------
+    whose : str
+        Whose token is wanted, such as ``an operator's``.
+    """
+    problem = Problem(
+        status=401,
+        title="token not accepted",
+        detail=f"send {whose} token as 'Authorization: Bearer TOKEN'",
+        field="Authorization",
+    )
+    return problem_response(problem, headers={"WWW-Authenticate": "Bearer"})
--- a/src/redwingslip/operators/_routes.py
+++ b/src/redwingslip/operators/_routes.py
@@ -29,6 +29,7 @@
     problem_response,
     read_body,
     strict_convert,
+    token_refused,
 )
 from ._outcomes import outcome_problem
 from ._resources import parse_record, record_of
@@ -133,7 +134,7 @@
 
         async def guarded(req: Request) -> Response:
             if not hash_matches(req.headers.get("authorization"), self._token_hashes):
-                return _unauthorized()
+                return token_refused("an operator's")
             try:
                 return await handler(req)
             except FieldError as exc:
@@ -314,16 +315,6 @@
     return f"{team[:40]}-{digits[:N_NAME_DIGITS]}"
 
 
-def _unauthorized() -> Response:
-    problem = Problem(
-        status=401,
-        title="token not accepted",
-        detail="send an operator's token as 'Authorization: Bearer TOKEN'",
-        field="Authorization",
-    )
-    return problem_response(problem, headers={"WWW-Authenticate": "Bearer"})
-
-
 def _invalid(exc: FieldError) -> Response:
     problem = Problem(status=422, title="invalid", detail=exc.detail, field=exc.field)
     return problem_response(problem)
--- a/src/redwingslip/peers/__init__.py
+++ b/src/redwingslip/peers/__init__.py
@@ -4,12 +4,11 @@
 from ._hub import PeerHub
 from ._messages import *  # noqa: F403
 from ._settings import PeerSettings
-from .exceptions import LinkError, PeerRefusedError
+from .exceptions import LinkError
 
 __all__ = [
     *_messages.__all__,
     "LinkError",
     "PeerHub",
-    "PeerRefusedError",
     "PeerSettings",
 ]
--- a/tests/test_daemons_permits.py
+++ b/tests/test_daemons_permits.py
@@ -5,7 +5,8 @@
 from datetime import timedelta
 
 from redwingslip.clock import ManualClock
-from redwingslip.daemons._permits import PermitDesk, PermitRefusedError
+from redwingslip.daemons._permits import PermitDesk
+from redwingslip.daemons.exceptions import PermitRefusedError
 from redwingslip.fleet import Change, DispatcherLease, FleetView
 from redwingslip.peers import (
     Permit,
