--- /dev/null
+++ b/deploy/serve.py
@@ -0,0 +1,13 @@
+"""Run a daemon from a checkout, with the settings file that the platform names."""
+
+import os
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from redwingslip.cli import main
+
+if __name__ == "__main__":
+    sys.argv = ["redwingslip", sys.argv[1], os.environ["REDWINGSLIP_SETTINGS"]]
+    main()
--- a/src/redwingslip/cli/_roles.py
+++ b/src/redwingslip/cli/_roles.py
@@ -20,6 +20,8 @@
     "entry": "run an entry daemon",
     "replica": "run a replica daemon",
     "replica-init": "found the data folder of a replica, once",
+    "gateway": "run a gateway daemon, which takes jobs for the controllers",
+    "controller": "run a controller daemon, which schedules jobs",
 }
 
 
@@ -77,8 +79,22 @@
     print(f"founded {cfg.replica.data_folder} for {cfg.process.id}")
 
 
+def _run_gateway(path: Path) -> None:
+    from ..daemons import run_gateway
+
+    run_gateway(path)
+
+
+def _run_controller(path: Path) -> None:
+    from ..daemons import run_controller
+
+    run_controller(path)
+
+
 _RUNNERS = {
     "entry": _run_entry,
     "replica": _run_replica,
     "replica-init": _found_replica,
+    "gateway": _run_gateway,
+    "controller": _run_controller,
 }
--- a/src/redwingslip/clock.py
+++ b/src/redwingslip/clock.py
@@ -11,6 +11,8 @@
 
 __all__ = ["Clock", "ManualClock", "SystemClock"]
 
+_MONOTONIC_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
 
 class Clock(Protocol):
     """What the parts of this library ask of a clock."""
@@ -23,13 +25,17 @@
 
 
 class SystemClock:
-    """The clock of the machine."""
+    """The clock of the machine.
+
+    Its monotonic time goes on while the machine is suspended, where the operating
+    system can tell: a lease must not outlast the time that its holder slept.
+    """
 
     __slots__ = ()
 
     def monotonic(self) -> timedelta:
         """Return the machine's monotonic time."""
-        return timedelta(seconds=time.monotonic())
+        return timedelta(seconds=time.clock_gettime(_MONOTONIC_CLOCK))
 
     def utcnow(self) -> datetime:
         """Return the machine's wall-clock time in UTC."""
--- a/src/redwingslip/consensus/_core.py
+++ b/src/redwingslip/consensus/_core.py
@@ -40,7 +40,8 @@
     address : str
         Own ``host:port``.
     peers : frozenset of str
-        Replica ids of the others in the settings.
+        Replica ids of the others in the settings; where replicas may join, of those
+        that are asked for the way into the log.
     rng : random.Random
         Source of the election timeouts.
     """
@@ -78,7 +79,7 @@
         self.replica_id = stored.identity.replica_id
         self.incarnation = stored.identity.incarnation
         self.address = address
-        self.peers = peers
+        self.peers = set(peers)
         self.rng = rng
         self.term = stored.hard_state.term
         self.voted_for = stored.hard_state.voted_for
--- a/src/redwingslip/consensus/_folder.py
+++ b/src/redwingslip/consensus/_folder.py
@@ -57,6 +57,10 @@
         self._files = files or OsFileSystem()
         self._log = RecordLog(path / LOG_NAME, self._files)
 
+    def exists(self) -> bool:
+        """Return whether the folder holds a replica."""
+        return self._files.exists(self._path / IDENTITY_NAME)
+
     def load(self, replica_id: str) -> StoredState:
         """Return what the folder holds, as a new incarnation if it is empty.
 
--- a/src/redwingslip/consensus/_leadership.py
+++ b/src/redwingslip/consensus/_leadership.py
@@ -53,6 +53,7 @@
         "_rounds",
         "_snapshot_bytes",
         "_snapshot_index",
+        "_ticked_at",
         "_transfer_by",
         "_transfer_to",
         "first_index",
@@ -61,6 +62,7 @@
     def __init__(self, core: Core, now: timedelta) -> None:
         self._core = core
         self._elected_at = now
+        self._ticked_at = now
         self._next_round_at = now
         self._rounds = Rounds(core.cfg.election_timeout_max)
         self._progress: dict[str, Progress] = {}
@@ -90,6 +92,7 @@
 
     def tick(self, now: timedelta) -> bool:
         """Do what is due; return False when leadership is over."""
+        self._ticked_at = now
         if not self._has_contact(now):
             return False
         if self.is_transferring and now >= self._transfer_by:
@@ -150,7 +153,8 @@
         """Take up a new incarnation once it has shown that it is alive."""
         core = self._core
         key = (sender_id, msg.incarnation)
-        if sender_id not in core.peers or core.members.find(*key):
+        is_known = core.cfg.is_open or sender_id in core.peers
+        if not is_known or core.members.find(*key):
             return
         challenge = self._challenges.get(key)
         if challenge is not None and msg.challenge == challenge:
@@ -280,7 +284,9 @@
         is_open = core.members.index > core.commit_index
         if is_open or core.commit_index < self.first_index or self.is_transferring:
             return
-        members = self._with_joiner() or self._with_promotion()
+        members = (
+            self._with_joiner() or self._with_promotion() or self._without_silent()
+        )
         if members is not None:
             self.append(EntryKind.MEMBERSHIP, encode_members(members))
             self.replicate()
@@ -299,16 +305,48 @@
 
     def _with_promotion(self) -> tuple[Member, ...] | None:
         """Return the members with a learner made a voter that has caught up."""
-        members = self._core.members.members
+        core = self._core
+        members = core.members.members
+        if core.cfg.is_open and len(core.members.voters) >= core.cfg.max_voters:
+            return None
         for position, member in enumerate(members):
-            if member.voting:
-                continue
-            progress = self._progress[member.replica_id]
-            if progress.match_index >= self._core.commit_index:
+            if self._is_ready_learner(member):
                 promoted = msgspec.structs.replace(member, voting=True)
                 return (*members[:position], promoted, *members[position + 1 :])
         return None
 
+    def _without_silent(self) -> tuple[Member, ...] | None:
+        """Return the members without a silent voter whose place a learner can take.
+
+        One step removes the voter, the next one promotes the learner: changing both
+        at once could leave two majorities without a common member.
+        """
+        core = self._core
+        if not core.cfg.is_open:
+            return None
+        members = core.members.members
+        if not any(self._is_ready_learner(member) for member in members):
+            return None
+        for position, member in enumerate(members):
+            if member.voting and self._is_silent(member):
+                return (*members[:position], *members[position + 1 :])
+        return None
+
+    def _is_ready_learner(self, member: Member) -> bool:
+        """Return whether a member does not vote, answers and holds the whole log."""
+        if member.voting or self._is_silent(member):
+            return False
+        progress = self._progress[member.replica_id]
+        return progress.match_index >= self._core.commit_index
+
+    def _is_silent(self, member: Member) -> bool:
+        """Return whether a member has not answered for too long in an open log."""
+        core = self._core
+        if not core.cfg.is_open or member.replica_id == core.replica_id:
+            return False
+        contact = self._progress[member.replica_id].contact or self._elected_at
+        return self._ticked_at > max(contact, self._elected_at) + core.cfg.voter_silence
+
     def _send_heartbeat(self, replica_id: str, progress: Progress) -> None:
         if progress.snapshot_index:
             self._send_chunk(replica_id, progress)
--- a/src/redwingslip/consensus/_node.py
+++ b/src/redwingslip/consensus/_node.py
@@ -1,6 +1,7 @@
 """A replica as a state machine: messages, times and disk reports in, a `Ready` out."""
 
 import random
+from collections.abc import Iterable
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -314,11 +315,30 @@
             core.send(sender_id, reply)
         elif self._leadership is not None:
             self._leadership.receive_join(sender_id, message)
+        elif core.cfg.is_open:
+            reply = JoinReply(
+                term=core.term,
+                incarnation=core.incarnation,
+                members=core.members.members,
+            )
+            core.send(sender_id, reply)
 
     @_handle.register
     def _(self, message: JoinReply, sender_id: str, now: timedelta) -> None:
         if message.challenge:
             self._send_join_request(sender_id, message.challenge)
+        elif self._core.cfg.is_open and not self._core.is_member:
+            self._learn_peers(member.replica_id for member in message.members)
+
+    def add_peers(self, replica_ids: Iterable[str]) -> None:
+        """Take further replicas to ask for the way into the log."""
+        self._learn_peers(replica_ids)
+
+    def _learn_peers(self, replica_ids: Iterable[str]) -> None:
+        core = self._core
+        for replica_id in sorted(set(replica_ids) - core.peers - {core.replica_id}):
+            core.peers.add(replica_id)
+            self._send_join_request(replica_id, 0)
 
     def _is_silent(self, now: timedelta) -> bool:
         """Return whether a leader may count on this replica not to vote."""
@@ -379,8 +399,12 @@
 
     def _announce(self, now: timedelta) -> None:
         """Tell all peers of this incarnation, since no leader has been heard."""
-        self._join_at = now + self._core.cfg.election_timeout_max
-        for peer in sorted(self._core.peers):
+        core = self._core
+        self._join_at = now + core.cfg.election_timeout_max
+        peers = set(core.peers)
+        if core.cfg.is_open:
+            peers |= {member.replica_id for member in core.members.members}
+        for peer in sorted(peers - {core.replica_id}):
             self._send_join_request(peer, 0)
 
     def _send_join_request(self, receiver_id: str, challenge: int) -> None:
--- a/src/redwingslip/consensus/_replica.py
+++ b/src/redwingslip/consensus/_replica.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 from pathlib import Path
@@ -258,6 +258,12 @@
             self._fail(exc)
         self._wake.set()
 
+    def add_peers(self, replica_ids: Iterable[str]) -> None:
+        """Take further replicas to ask for the way into the log."""
+        if self._node is not None:
+            self._node.add_peers(replica_ids)
+            self._wake.set()
+
     async def propose(self, data: bytes) -> object:
         """Have a command committed; return what applying it returned here.
 
--- a/src/redwingslip/consensus/_settings.py
+++ b/src/redwingslip/consensus/_settings.py
@@ -33,6 +33,12 @@
         Entries sent to a member and not yet acknowledged.
     snapshot_chunk_bytes : int
         Size of one `InstallSnapshot`.
+    max_voters : int
+        Voting members of a log whose replicas find each other through seeds; any
+        replica may join such a log. 0 for a log whose members the settings name.
+    voter_silence : timedelta
+        Where replicas may join: a voter that has not answered for this long gives
+        its place to a replica that holds the whole log.
     """
 
     election_timeout_min: timedelta = timedelta(milliseconds=600)
@@ -47,6 +53,8 @@
     max_batch_bytes: int = 256 * 1024
     max_inflight_entries: int = 2_048
     snapshot_chunk_bytes: int = 64 * 1024
+    max_voters: int = 0
+    voter_silence: timedelta = timedelta(seconds=3)
 
     def __post_init__(self) -> None:
         if self.election_timeout_max <= self.election_timeout_min:
@@ -54,6 +62,11 @@
         if 2 * self.heartbeat_interval > self.election_timeout_min:
             raise ValueError("heartbeat_interval is over half of election_timeout_min")
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether replicas that the settings don't name may join."""
+        return self.max_voters > 0
+
     @property
     def lease_duration(self) -> timedelta:
         """Return how long contact with a quorum rules out another leader."""
--- a/src/redwingslip/daemons/__init__.py
+++ b/src/redwingslip/daemons/__init__.py
@@ -6,18 +6,28 @@
 
 import importlib
 
-from ._main import run_entry, run_replica
+from ._main import run_controller, run_entry, run_gateway, run_replica
 
 __all__ = [
+    "ControllerApp",
+    "ControllerSettings",
     "EntryApp",
     "EntryDaemonSettings",
+    "GatewayApp",
+    "GatewaySettings",
     "ReplicaApp",
     "ReplicaDaemonSettings",
+    "run_controller",
     "run_entry",
+    "run_gateway",
     "run_replica",
 ]
 
 _MODULES = {
+    "ControllerApp": "._controller",
+    "ControllerSettings": "._fleet_settings",
+    "GatewayApp": "._gateway",
+    "GatewaySettings": "._fleet_settings",
     "EntryApp": "._entry",
     "EntryDaemonSettings": "._entry_settings",
     "ReplicaApp": "._replica",
--- /dev/null
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -0,0 +1,162 @@
+"""Settings of the gateway and the controller daemons."""
+
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+
+from ..consensus import ConsensusSettings
+from ..http import HttpLimits
+from ..peers import PeerSettings
+from ..scheduling import AgentSettings, SchedulingSettings, WaveSettings
+from ..settings import (
+    Address,
+    LogSettings,
+    MetricsSettings,
+    PeersSettings,
+    ProcessSettings,
+    ReplicaRoleSettings,
+    TlsSettings,
+)
+from ..workers import HealthSettings, LeaseSettings
+
+__all__ = [
+    "CloudSettings",
+    "ControllerSettings",
+    "GatewaySettings",
+    "MeetingSettings",
+    "RelaySettings",
+]
+
+
+class MeetingSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How the system's processes find and know each other.
+
+    Attributes
+    ----------
+    secret_file : Path
+        File with the secret that all of them share.
+    seeds : tuple of str
+        Control addresses of some controllers; their processes listen for others on
+        the same port as this one.
+    is_founding : bool
+        Whether the system starts for the first time.
+    """
+
+    secret_file: Path
+    seeds: tuple[Address, ...]
+    is_founding: bool = False
+
+
+class ListenSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Where calls from outside are taken.
+
+    Attributes
+    ----------
+    calls : str
+        IP number and port for callers, or for endpoints and operators.
+    readiness : str or None
+        Where a gateway says whether it wants new connections.
+    """
+
+    calls: Address
+    readiness: Address | None = None
+
+
+class RelaySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How calls reach the leader.
+
+    Attributes
+    ----------
+    query_interval : timedelta
+        Time between two questions after the leader while none is known.
+    ping_interval : timedelta
+        Time between two questions to a known leader.
+    silence : timedelta
+        A leader that has not answered for this long is looked for anew.
+    attempt_timeout : timedelta
+        A call without an answer is sent again after this time.
+    caller_patience : timedelta
+        How long a caller's call is tried at most; about two elections.
+    control_patience : timedelta
+        The same for endpoints and operators, who try another process after a second.
+    """
+
+    query_interval: timedelta = timedelta(milliseconds=150)
+    ping_interval: timedelta = timedelta(milliseconds=300)
+    silence: timedelta = timedelta(milliseconds=900)
+    attempt_timeout: timedelta = timedelta(milliseconds=800)
+    caller_patience: timedelta = timedelta(milliseconds=2400)
+    control_patience: timedelta = timedelta(milliseconds=900)
+
+
+class CloudSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The platform that runs the machines.
+
+    Attributes
+    ----------
+    address : str or None
+        IP number and port of its interface.
+    """
+
+    address: Address | None = None
+
+
+class _FleetSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What both daemons need."""
+
+    process: ProcessSettings
+    peers: PeersSettings
+    cluster: MeetingSettings
+    listen: ListenSettings
+    http: HttpLimits = HttpLimits()
+    relay: RelaySettings = RelaySettings()
+    links: PeerSettings = PeerSettings(
+        heartbeat=timedelta(milliseconds=400), silence=timedelta(milliseconds=1200)
+    )
+    tls: TlsSettings = TlsSettings(enabled=False)
+    logs: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
+
+    @property
+    def replicas(self) -> dict[str, str]:
+        """Return the replicas that the settings name: none, they are found."""
+        return {}
+
+    @property
+    def seed_ids(self) -> tuple[str, ...]:
+        """Return the addresses at which the seeds' processes listen for others."""
+        port = self.peers.listen.rpartition(":")[2]
+        return tuple(f"{seed.rpartition(':')[0]}:{port}" for seed in self.cluster.seeds)
+
+
+class DrainSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How a planned stop goes.
+
+    Attributes
+    ----------
+    grace : timedelta
+        How long calls that have begun are waited for.
+    """
+
+    grace: timedelta = timedelta(seconds=2)
+
+
+class GatewaySettings(_FleetSettings, frozen=True, kw_only=True):
+    """Settings of a gateway daemon."""
+
+    drain: DrainSettings = DrainSettings()
+
+
+class ControllerSettings(_FleetSettings, frozen=True, kw_only=True):
+    """Settings of a controller daemon."""
+
+    replica: ReplicaRoleSettings
+    consensus: ConsensusSettings = ConsensusSettings(max_voters=5)
+    cloud: CloudSettings = CloudSettings()
+    scheduling: SchedulingSettings = SchedulingSettings()
+    agents: AgentSettings = AgentSettings()
+    leases: LeaseSettings = LeaseSettings()
+    health: HealthSettings = HealthSettings()
+    waves: WaveSettings = WaveSettings()
+    drain: DrainSettings = DrainSettings()
--- a/src/redwingslip/daemons/_main.py
+++ b/src/redwingslip/daemons/_main.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
 from pathlib import Path
 
 from ..settings import load_settings
+from ._reload import SettingsWatcher
 
-__all__ = ["run_entry", "run_replica"]
+__all__ = ["run_controller", "run_entry", "run_gateway", "run_replica"]
 
 
 def run_entry(path: Path) -> None:
@@ -20,7 +22,7 @@
     from ._entry import EntryApp
     from ._entry_settings import EntryDaemonSettings
 
-    asyncio.run(_run(EntryApp, load_settings(path, EntryDaemonSettings)))
+    asyncio.run(_run_static(EntryApp, load_settings(path, EntryDaemonSettings)))
 
 
 def run_replica(path: Path) -> None:
@@ -34,17 +36,61 @@
     from ._replica import ReplicaApp
     from ._replica_settings import ReplicaDaemonSettings
 
-    asyncio.run(_run(ReplicaApp, load_settings(path, ReplicaDaemonSettings)))
+    asyncio.run(_run_static(ReplicaApp, load_settings(path, ReplicaDaemonSettings)))
 
 
-async def _run(app_class, cfg) -> None:
-    """Run an application from its start to a signal's graceful stop."""
+def run_gateway(path: Path) -> None:
+    """Run a gateway until it is told to stop.
+
+    Parameters
+    ----------
+    path : Path
+        Its settings file.
+    """
+    from ._fleet_settings import GatewaySettings
+    from ._gateway import GatewayApp
+
+    asyncio.run(_run_reloading(GatewayApp, path, GatewaySettings))
+
+
+def run_controller(path: Path) -> None:
+    """Run a controller until it is told to stop, or its disk fails.
+
+    Parameters
+    ----------
+    path : Path
+        Its settings file.
+    """
+    from ._controller import ControllerApp
+    from ._fleet_settings import ControllerSettings
+
+    asyncio.run(_run_reloading(ControllerApp, path, ControllerSettings))
+
+
+async def _run_static(app_class, cfg) -> None:
+    """Run an application whose settings hold until it is started again."""
     app = app_class(cfg)
+    await _run(app, reload=app.reload)
+
+
+async def _run_reloading(app_class, path: Path, settings_class) -> None:
+    """Run an application that takes over its settings file when it changes."""
+    app = app_class(load_settings(path, settings_class))
+    watcher = SettingsWatcher(path, settings_class, app.reload)
+    watch = asyncio.create_task(watcher.run())
+    try:
+        await _run(app, reload=watcher.check)
+    finally:
+        watch.cancel()
+
+
+async def _run(app, *, reload: Callable[[], None]) -> None:
+    """Run an application from its start to a signal's graceful stop."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, app.reload)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     await app.start()
     waits = {asyncio.create_task(stopping.wait())}
     if hasattr(app, "wait_failed"):
--- a/src/redwingslip/daemons/_process.py
+++ b/src/redwingslip/daemons/_process.py
@@ -55,13 +55,15 @@
         on_message: Callable[[str, Message], None],
     ) -> None:
         name = cfg.process.id
+        # Where processes find each other, addresses are what they know of each other.
+        peer_id = name if cfg.replicas else cfg.peers.listen
         self._cfg = cfg
         self._tls = load_tls(cfg.tls)
         self.clock = clock or SystemClock()
         self.events = events or EventLog(cfg.logs, process_id=name, clock=self.clock)
         self.metrics = new_metrics(cfg.metrics, process_id=name)
         self.hub = PeerHub(
-            process_id=name,
+            process_id=peer_id,
             address=cfg.peers.listen,
             secret=cfg.cluster.secret_file.read_text().strip(),
             cfg=cfg.links,
@@ -83,6 +85,11 @@
         for replica_id, address in self._cfg.replicas.items():
             self.hub.set_address(replica_id, address)
 
+    def send(self, peer_id: str, message: Message) -> None:
+        """Send a message to a process whose id is its address; it may be lost."""
+        self.hub.set_address(peer_id, peer_id)
+        self.hub.send(peer_id, message)
+
     def report_start(self, incarnation: str) -> None:
         """Write that the process has started, and what its settings risk."""
         self.emit(EventName.PROCESS_STARTED, detail=incarnation)
--- a/src/redwingslip/daemons/exceptions.py
+++ b/src/redwingslip/daemons/exceptions.py
@@ -3,7 +3,13 @@
 from ..exceptions import RedwingslipError
 from ..peers import PermitRefusal
 
-__all__ = ["DaemonError", "PermitRefusedError", "StalePermitError"]
+__all__ = [
+    "AnswerUnknownError",
+    "DaemonError",
+    "NoLeaderKnownError",
+    "PermitRefusedError",
+    "StalePermitError",
+]
 
 
 class DaemonError(RedwingslipError):
@@ -20,3 +26,11 @@
 
 class StalePermitError(DaemonError):
     """A permit can't be used any more; nothing was sent."""
+
+
+class NoLeaderKnownError(DaemonError):
+    """No leader took a call; it had no effect."""
+
+
+class AnswerUnknownError(DaemonError):
+    """A leader may have taken a call, and no answer came."""
--- /dev/null
+++ b/src/redwingslip/jobs/_state.py
@@ -0,0 +1,344 @@
+"""The replicated state of plan, jobs, VMs and waves."""
+
+from collections.abc import Iterator
+from functools import singledispatchmethod
+
+import msgspec
+
+from ._commands import (
+    CancelJob,
+    Command,
+    ForgetJobs,
+    ForgetVm,
+    NoteVm,
+    RecordEnds,
+    RecordMaintenance,
+    ReplacePlan,
+    RunEnd,
+    RunStart,
+    StartRuns,
+    StartWave,
+    SubmitJob,
+)
+from ._plan import Plan
+from ._records import (
+    ACTIVE_STATUSES,
+    EndKind,
+    JobRecord,
+    JobStatus,
+    RunRecord,
+    TaskRecord,
+    VmRecord,
+    WaveRecord,
+)
+from ._spec import StepSpec, TaskKey
+
+__all__ = ["ActiveRun", "JobsState", "iter_tasks"]
+
+
+class ActiveRun(msgspec.Struct, frozen=True):
+    """A run that may be alive, with its task."""
+
+    key: TaskKey
+    number: int
+    vm_id: str
+    born_ms: int
+    checkpoint: str
+    started_ms: int
+
+
+class _Snapshot(msgspec.Struct, frozen=True, kw_only=True):
+    plan: Plan
+    jobs: tuple[JobRecord, ...]
+    vms: tuple[VmRecord, ...]
+    waves: tuple[WaveRecord, ...]
+
+
+class JobsState:
+    """What the commands of the log have come to.
+
+    Attributes
+    ----------
+    plan : Plan
+        The one in force; version 0 before the first.
+    jobs : dict of str to JobRecord
+        By id.
+    vms : dict of str to VmRecord
+        The newest known life of each endpoint.
+    waves : dict of int to WaveRecord
+        By number.
+    runs : dict
+        The runs that may be alive: by VM, then by task and run number.
+    """
+
+    __slots__ = ("jobs", "plan", "runs", "vms", "waves")
+
+    def __init__(self) -> None:
+        self.plan = Plan()
+        self.jobs: dict[str, JobRecord] = {}
+        self.vms: dict[str, VmRecord] = {}
+        self.waves: dict[int, WaveRecord] = {}
+        self.runs: dict[str, dict[tuple[TaskKey, int], ActiveRun]] = {}
+
+    def apply(self, command: Command) -> object:
+        """Apply a command and return what its proposer wants to know."""
+        return self._apply(command)
+
+    def task(self, key: TaskKey) -> TaskRecord | None:
+        """Return a task, None when its job is forgotten or has no such task."""
+        job = self.jobs.get(key.job_id)
+        if job is None:
+            return None
+        try:
+            return job.tasks[key.occurrence][key.step][key.index]
+        except IndexError:
+            return None
+
+    def step(self, key: TaskKey) -> StepSpec:
+        """Return the step of a task that is known."""
+        return self.jobs[key.job_id].spec.steps[key.step]
+
+    def runs_of(self, vm_id: str, born_ms: int | None = None) -> tuple[ActiveRun, ...]:
+        """Return the runs that may be alive on a VM, or on one life of it."""
+        runs = self.runs.get(vm_id, {}).values()
+        return tuple(r for r in runs if born_ms is None or r.born_ms == born_ms)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return msgspec.msgpack.encode(
+            _Snapshot(
+                plan=self.plan,
+                jobs=tuple(self.jobs.values()),
+                vms=tuple(self.vms.values()),
+                waves=tuple(self.waves.values()),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Take over a snapshot."""
+        snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
+        self.plan = snapshot.plan
+        self.jobs = {job.spec.job_id: job for job in snapshot.jobs}
+        self.vms = {vm.vm_id: vm for vm in snapshot.vms}
+        self.waves = {wave.number: wave for wave in snapshot.waves}
+        self.runs = {}
+        for job in snapshot.jobs:
+            for key, task in iter_tasks(job):
+                for run in task.runs:
+                    self._index(key, run)
+
+    @singledispatchmethod
+    def _apply(self, command: Command) -> object:
+        raise TypeError(f"not a command: {command!r}")
+
+    @_apply.register
+    def _(self, command: ReplacePlan) -> int:
+        """Return the version in force."""
+        if command.plan.version > self.plan.version:
+            self.plan = command.plan
+        return self.plan.version
+
+    @_apply.register
+    def _(self, command: SubmitJob) -> JobRecord:
+        """Return the job of that id."""
+        spec = command.spec
+        job = self.jobs.get(spec.job_id)
+        if job is None:
+            job = JobRecord(spec, command.now_ms, tasks=_new_tasks(command))
+            self.jobs[spec.job_id] = job
+            if not any(step.n_tasks for step in spec.steps):
+                job.status, job.ended_ms = JobStatus.COMPLETED, command.now_ms
+        return job
+
+    @_apply.register
+    def _(self, command: CancelJob) -> JobRecord | None:
+        """Return the job, None for an unknown one."""
+        job = self.jobs.get(command.job_id)
+        if job is not None and job.status in ACTIVE_STATUSES:
+            job.status, job.ended_ms = JobStatus.CANCELLED, command.now_ms
+        return job
+
+    @_apply.register
+    def _(self, command: StartRuns) -> tuple[ActiveRun, ...]:
+        """Return the runs; a task that has ended, or a VM's old life, gets none."""
+        runs = []
+        gang_numbers = self._gang_numbers(command.starts)
+        for start in command.starts:
+            run = self._start(start, command.now_ms, gang_numbers)
+            if run is not None:
+                runs.append(run)
+        return tuple(runs)
+
+    @_apply.register
+    def _(self, command: RecordEnds) -> None:
+        for end in command.ends:
+            self._end(command, end)
+        vm = self.vms.get(command.vm_id)
+        is_life = vm is not None and vm.born_ms == command.born_ms
+        if is_life and command.cursor > vm.end_cursor:
+            self.vms[vm.vm_id] = msgspec.structs.replace(vm, end_cursor=command.cursor)
+
+    @_apply.register
+    def _(self, command: NoteVm) -> VmRecord:
+        """Return the newest life."""
+        vm = command.vm
+        known = self.vms.get(vm.vm_id)
+        if known is not None and known.born_ms > vm.born_ms:
+            return known
+        if known is not None and known.born_ms == vm.born_ms:
+            vm = msgspec.structs.replace(vm, end_cursor=known.end_cursor)
+        elif known is not None:
+            self._lose_runs(known.vm_id, known.born_ms, command.now_ms)
+        self.vms[vm.vm_id] = vm
+        return vm
+
+    @_apply.register
+    def _(self, command: ForgetVm) -> None:
+        vm = self.vms.get(command.vm_id)
+        if vm is not None and vm.born_ms == command.born_ms:
+            del self.vms[command.vm_id]
+        self._lose_runs(command.vm_id, command.born_ms, command.now_ms)
+
+    @_apply.register
+    def _(self, command: ForgetJobs) -> None:
+        for job_id in command.job_ids:
+            job = self.jobs.get(job_id)
+            if job is not None and job.status not in ACTIVE_STATUSES:
+                if not any(task.runs for _, task in iter_tasks(job)):
+                    del self.jobs[job_id]
+
+    @_apply.register
+    def _(self, command: StartWave) -> None:
+        if command.number not in self.waves:
+            self.waves[command.number] = WaveRecord(
+                command.number,
+                command.machines,
+                command.now_ms + command.duration_ms,
+                command.max_at_once,
+                command.duration_ms,
+            )
+
+    @_apply.register
+    def _(self, command: RecordMaintenance) -> None:
+        wave = self.waves.get(command.number)
+        if wave is None:
+            return
+        for machine in command.ordered:
+            wave.ordered[machine] = command.now_ms
+        for machine in command.given_up:
+            wave.ordered.pop(machine, None)
+        wave.begun.update(command.begun)
+        wave.gone.update(command.gone)
+
+    def _gang_numbers(self, starts: tuple[RunStart, ...]) -> dict[tuple, int]:
+        """Return the common next run number of each gang among the starts."""
+        numbers: dict[tuple, int] = {}
+        for start in starts:
+            key = start.key
+            task = self.task(key)
+            if task is not None and self.step(key).is_gang:
+                gang = key[:3]
+                numbers[gang] = max(numbers.get(gang, 1), task.n_runs + 1)
+        return numbers
+
+    def _start(
+        self, start: RunStart, now_ms: int, gang_numbers: dict[tuple, int]
+    ) -> ActiveRun | None:
+        key = start.key
+        task = self.task(key)
+        vm = self.vms.get(start.vm_id)
+        if task is None or task.is_done or vm is None or vm.born_ms != start.born_ms:
+            return None
+        job = self.jobs[key.job_id]
+        if job.status not in ACTIVE_STATUSES:
+            return None
+        if task.runs and not self.step(key).is_speculative:
+            return None
+        task.n_runs = gang_numbers.get(key[:3], task.n_runs + 1)
+        run = RunRecord(
+            task.n_runs, start.vm_id, start.born_ms, start.checkpoint, now_ms
+        )
+        task.runs.append(run)
+        job.status = JobStatus.RUNNING
+        return self._index(key, run)
+
+    def _index(self, key: TaskKey, run: RunRecord) -> ActiveRun:
+        active = ActiveRun(
+            key,
+            run.number,
+            run.vm_id,
+            run.born_ms,
+            run.checkpoint,
+            run.started_ms,
+        )
+        self.runs.setdefault(run.vm_id, {})[(key, run.number)] = active
+        return active
+
+    def _end(self, command: RecordEnds, end: RunEnd) -> None:
+        """Close a run, if it is open on that life of the VM."""
+        vm_runs = self.runs.get(command.vm_id, {})
+        active = vm_runs.get((end.key, end.number))
+        if active is None or active.born_ms != command.born_ms:
+            return
+        del vm_runs[(end.key, end.number)]
+        task = self.task(end.key)
+        if task is None:
+            return
+        task.runs = [r for r in task.runs if r.number != end.number]
+        job = self.jobs[end.key.job_id]
+        step = self.step(end.key)
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        if end.kind is EndKind.FAILED:
+            task.n_failures += 1
+            self._fail_if_hopeless(job, step, task, command.now_ms)
+        elif end.kind is EndKind.DONE and not step.is_long_running:
+            self._finish(job, step, end.key, command.now_ms)
+
+    def _fail_if_hopeless(
+        self, job: JobRecord, step: StepSpec, task: TaskRecord, now_ms: int
+    ) -> None:
+        if step.is_long_running or job.status not in ACTIVE_STATUSES or task.is_done:
+            return
+        queue = next((q for q in self.plan.queues if q.name == job.spec.queue), None)
+        max_attempts = queue.max_attempts if queue else 1
+        if task.n_failures >= max_attempts:
+            job.status, job.ended_ms = JobStatus.FAILED, now_ms
+
+    def _finish(
+        self, job: JobRecord, step: StepSpec, key: TaskKey, now_ms: int
+    ) -> None:
+        tasks = job.tasks[key.occurrence][key.step]
+        done = tasks if step.is_gang else [tasks[key.index]]
+        for task in done:
+            task.is_done = True
+        if job.status not in ACTIVE_STATUSES:
+            return
+        if all(task.is_done for _, task in iter_tasks(job)):
+            job.status, job.ended_ms = JobStatus.COMPLETED, now_ms
+
+    def _lose_runs(self, vm_id: str, born_ms: int, now_ms: int) -> None:
+        ends = tuple(
+            RunEnd(run.key, run.number, EndKind.LOST)
+            for run in self.runs_of(vm_id, born_ms)
+        )
+        command = RecordEnds(vm_id=vm_id, born_ms=born_ms, ends=ends, now_ms=now_ms)
+        for end in ends:
+            self._end(command, end)
+
+
+def iter_tasks(job: JobRecord) -> Iterator[tuple[TaskKey, TaskRecord]]:
+    """Yield the tasks of a job with their keys."""
+    for occurrence, steps in enumerate(job.tasks):
+        for step, tasks in enumerate(steps):
+            for index, task in enumerate(tasks):
+                yield TaskKey(job.spec.job_id, occurrence, step, index), task
+
+
+def _new_tasks(command: SubmitJob) -> list[list[list[TaskRecord]]]:
+    spec = command.spec
+    n_occurrences = spec.repetition.count if spec.repetition else 1
+    return [
+        [[TaskRecord() for _ in range(step.n_tasks)] for step in spec.steps]
+        for _ in range(n_occurrences)
+    ]
--- /dev/null
+++ b/src/redwingslip/jobs/exceptions.py
@@ -0,0 +1,18 @@
+"""Errors of the jobs."""
+
+from ..exceptions import RedwingslipError
+
+__all__ = ["InvalidPlanError", "JobsError"]
+
+
+class JobsError(RedwingslipError):
+    """Something is wrong with a job or with the plan that it runs under."""
+
+
+class InvalidPlanError(JobsError):
+    """A plan contradicts itself; `field` names the part at fault."""
+
+    def __init__(self, field: str, detail: str) -> None:
+        super().__init__(f"{field}: {detail}")
+        self.field = field
+        self.detail = detail
--- a/src/redwingslip/observe/_log.py
+++ b/src/redwingslip/observe/_log.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import os
+import sys
 from pathlib import Path
 
 import eliot
@@ -15,6 +16,7 @@
 from ..clock import Clock
 from ..settings import LogSettings, RequestLogging
 from ._events import Event, EventName
+from ._stream import LineStream
 
 __all__ = ["EventLog"]
 
@@ -100,7 +102,9 @@
 
     __slots__ = ("_clock", "_encoder", "_file", "_process")
 
-    def __init__(self, file: _LineFile, process: str, clock: Clock) -> None:
+    def __init__(
+        self, file: _LineFile | LineStream, process: str, clock: Clock
+    ) -> None:
         self._file = file
         self._process = process
         self._clock = clock
@@ -144,10 +148,13 @@
     def __init__(self, cfg: LogSettings, *, process_id: str, clock: Clock) -> None:
         self._requests = cfg.requests
         self._n_reported = 0
-        self._file: _LineFile | None = None
+        self._file: _LineFile | LineStream | None = None
         self._action: eliot.Action | None = None
         if cfg.path is not None:
             self._file = _LineFile(cfg.path, cfg.max_file_bytes)
+        elif cfg.to_stdout:
+            self._file = LineStream(sys.stdout.fileno(), cfg.max_pending_lines)
+        if self._file is not None:
             logger = _FileLogger(self._file, process_id, clock)
             self._action = eliot.start_task(logger, action_type=ACTION_TYPE)
 
--- a/src/redwingslip/peers/_messages.py
+++ b/src/redwingslip/peers/_messages.py
@@ -11,6 +11,7 @@
 
 from ..consensus._messages import ConsensusMessage
 from ..fleet import Change, Command, Outcome, ViewSnapshot
+from ._relay_messages import LeaderQuery, LeaderReport, RelayedAnswer, RelayedCall
 
 __all__ = [
     "AllotmentRecall",
@@ -402,4 +403,8 @@
     | PermitRefusal
     | PermitCancel
     | PermitDone
+    | RelayedCall
+    | RelayedAnswer
+    | LeaderQuery
+    | LeaderReport
 )
--- /dev/null
+++ b/src/redwingslip/placement/_placer.py
@@ -0,0 +1,134 @@
+"""Choosing VMs for tasks that wait, in the order of their urgency."""
+
+from collections.abc import Iterable, Mapping
+
+from ..jobs import NO_AMOUNTS, Amounts, RunStart, StepSpec
+from ._view import PoolRoom, VmRoom, WaitingTask
+
+__all__ = ["Placer"]
+
+
+class Placer:
+    """One round of placement over the room that is left.
+
+    Parameters
+    ----------
+    pools : mapping of str to PoolRoom
+        Room by pool; used up as tasks are placed.
+    usage : mapping of str to Amounts
+        What each customer has running.
+    limits : mapping of str to Amounts
+        Upper limits of customers; 0 of anything is no limit.
+    """
+
+    __slots__ = ("_limits", "_pools", "_usage")
+
+    def __init__(
+        self,
+        *,
+        pools: Mapping[str, PoolRoom],
+        usage: Mapping[str, Amounts],
+        limits: Mapping[str, Amounts],
+    ) -> None:
+        self._pools = pools
+        self._usage = dict(usage)
+        self._limits = limits
+
+    def place(self, task: WaitingTask) -> RunStart | None:
+        """Return where a task starts, None while there is no place for it."""
+        if not self.is_within_limit(task.customer, task.step.need):
+            return None
+        vm = self._choose(task)
+        if vm is None:
+            return None
+        return self._take(task, vm)
+
+    def place_gang(self, tasks: Iterable[WaitingTask]) -> tuple[RunStart, ...]:
+        """Return places for all of some tasks, or none at all."""
+        starts: list[RunStart] = []
+        taken: list[tuple[WaitingTask, VmRoom]] = []
+        for task in tasks:
+            vm = None
+            if self.is_within_limit(task.customer, task.step.need):
+                vm = self._choose(task)
+            if vm is None:
+                for placed, room in taken:
+                    self._give_back(placed, room)
+                return ()
+            starts.append(self._take(task, vm))
+            taken.append((task, vm))
+        return tuple(starts)
+
+    def is_within_limit(self, customer: str, need: Amounts) -> bool:
+        """Return whether a customer may have that much more running."""
+        limit = self._limits.get(customer)
+        if limit is None:
+            return True
+        total = self._usage.get(customer, NO_AMOUNTS) + need
+        return (
+            (not limit.cpu or total.cpu <= limit.cpu)
+            and (not limit.memory_mb or total.memory_mb <= limit.memory_mb)
+            and (not limit.accelerators or total.accelerators <= limit.accelerators)
+        )
+
+    def _choose(self, task: WaitingTask) -> VmRoom | None:
+        pool = self._pools.get(task.pool)
+        if pool is None:
+            return None
+        need = _reserved(task.step)
+        step_key = task.key[:3]
+        best = None
+        best_rank = None
+        for vm in pool.vms:
+            if not need.fits(vm.free) or not _allows(vm, task.step, step_key):
+                continue
+            rank = _rank(vm, task, step_key)
+            if best_rank is None or rank < best_rank:
+                best, best_rank = vm, rank
+        return best
+
+    def _take(self, task: WaitingTask, vm: VmRoom) -> RunStart:
+        vm.free = vm.free - _reserved(task.step)
+        vm.tasks_of_step[task.key[:3]] += 1
+        used = self._usage.get(task.customer, NO_AMOUNTS)
+        self._usage[task.customer] = used + task.step.need
+        return RunStart(task.key, vm.vm_id, vm.born_ms, task.checkpoint)
+
+    def _give_back(self, task: WaitingTask, vm: VmRoom) -> None:
+        vm.free = vm.free + _reserved(task.step)
+        vm.tasks_of_step[task.key[:3]] -= 1
+        self._usage[task.customer] = self._usage[task.customer] - task.step.need
+
+
+def _reserved(step: StepSpec) -> Amounts:
+    """Return what a task takes of a VM's capacity."""
+    if step.is_filler:
+        return Amounts(0, step.need.memory_mb, step.need.accelerators)
+    return step.need
+
+
+def _allows(vm: VmRoom, step: StepSpec, step_key: tuple) -> bool:
+    """Return whether label and spread let a task of a step run on a VM."""
+    if step.label and step.label not in vm.labels:
+        return False
+    n_there = vm.tasks_of_step.get(step_key, 0)
+    if step.max_per_vm and n_there >= step.max_per_vm:
+        return False
+    if step.is_long_running and step.disruption_budget:
+        # One stop of the VM must not take more tasks away than the budget allows.
+        return n_there < step.disruption_budget
+    return True
+
+
+def _rank(vm: VmRoom, task: WaitingTask, step_key: tuple) -> tuple:
+    """Return the sort key of a VM for a task, the lowest first."""
+    step = task.step
+    is_far = bool(step.data_rack) and step.data_rack not in vm.labels
+    n_there = vm.tasks_of_step.get(step_key, 0) if step.is_long_running else 0
+    return (
+        vm.is_avoided or vm.vm_id in task.avoided,
+        is_far,
+        n_there,
+        -vm.free.cpu,
+        vm.vm_id,
+    )
--- /dev/null
+++ b/src/redwingslip/placement/_view.py
@@ -0,0 +1,123 @@
+"""What the placement decides on."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from ..jobs import Amounts, StepSpec, TaskKey
+
+__all__ = ["PoolRoom", "Urgency", "VmRoom", "WaitingTask"]
+
+
+class Urgency(NamedTuple):
+    """Sort key of a waiting task, the lowest first.
+
+    Attributes
+    ----------
+    band : int
+        0 for tasks that run until cancelled, else 1 and the queue's priority above.
+    share : float
+        What the customer uses by its share, as far as shares decide.
+    due_ms : float
+        When the job's objective ends.
+    """
+
+    band: int
+    share: float
+    due_ms: float
+
+
+class WaitingTask:
+    """A task that may start now.
+
+    Parameters
+    ----------
+    key : TaskKey
+        The task.
+    step : StepSpec
+        Its step.
+    customer : str
+        Whose limit it counts against; empty for nobody's.
+    pool : str
+        Pool whose VMs may run it.
+    checkpoint : str
+        What it resumes from.
+    avoided : frozenset of str
+        VMs on which it failed before.
+    """
+
+    __slots__ = ("avoided", "checkpoint", "customer", "key", "pool", "step")
+
+    def __init__(
+        self,
+        key: TaskKey,
+        step: StepSpec,
+        *,
+        customer: str,
+        pool: str,
+        checkpoint: str = "",
+        avoided: frozenset[str] = frozenset(),
+    ) -> None:
+        self.key = key
+        self.step = step
+        self.customer = customer
+        self.pool = pool
+        self.checkpoint = checkpoint
+        self.avoided = avoided
+
+
+class VmRoom:
+    """A VM that takes new runs, and what is free on it.
+
+    Attributes
+    ----------
+    free : Amounts
+        What its runs leave.
+    tasks_of_step : Counter
+        Its runs by job, occurrence and step.
+    is_avoided : bool
+        Whether it is used only where no other VM will do.
+    """
+
+    __slots__ = (
+        "born_ms",
+        "data_centre",
+        "free",
+        "is_avoided",
+        "labels",
+        "tasks_of_step",
+        "vm_id",
+    )
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        born_ms: int,
+        labels: tuple[str, ...],
+        free: Amounts,
+        tasks_of_step: Counter[tuple],
+        data_centre: str = "",
+        is_avoided: bool = False,
+    ) -> None:
+        self.vm_id = vm_id
+        self.born_ms = born_ms
+        self.labels = labels
+        self.free = free
+        self.tasks_of_step = tasks_of_step
+        self.data_centre = data_centre
+        self.is_avoided = is_avoided
+
+
+class PoolRoom:
+    """The VMs of a pool that take new runs.
+
+    Attributes
+    ----------
+    vms : list of VmRoom
+        In any order.
+    """
+
+    __slots__ = ("vms",)
+
+    def __init__(self, vms: list[VmRoom]) -> None:
+        self.vms = vms
--- /dev/null
+++ b/src/redwingslip/platform/_calls.py
@@ -0,0 +1,127 @@
+"""The platform's calls to the leader, turned into calls of its job service."""
+
+import re
+
+import msgspec
+
+from ..peers import CallSource, RelayedAnswer, RelayedCall
+from ..scheduling import (
+    CommandLostError,
+    JobService,
+    KeyRefusedError,
+    NoPlanError,
+    NoQueueError,
+    NotLeadingError,
+)
+from ._documents import (
+    decode_job,
+    decode_leave,
+    decode_plan,
+    decode_report,
+    decode_wave,
+)
+from .exceptions import DocumentError
+
+__all__ = ["answer_call"]
+
+RETRY_AFTER_S = 1
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+_INSTANCE = re.compile(r"/instances/(?P<id>[^/]+)/(?P<verb>heartbeat|deregister)")
+_WAVE = re.compile(r"/wave-get/(?P<number>[0-9]+)")
+
+
+async def answer_call(
+    service: JobService, call: RelayedCall, *, own_address: str
+) -> RelayedAnswer:
+    """Return the leader's answer to a call from outside.
+
+    Parameters
+    ----------
+    service : JobService
+        The leader's interface.
+    call : RelayedCall
+        The call.
+    own_address : str
+        Where workers should send their next reports.
+    """
+    try:
+        if call.source is CallSource.CALLERS:
+            return await _answer_caller(service, call)
+        return await _answer_control(service, call, own_address)
+    except DocumentError as exc:
+        return _answer(call, 400, {"error": str(exc)})
+    except NoQueueError as exc:
+        return _answer(call, 404, {"error": str(exc)})
+    except KeyRefusedError as exc:
+        return _answer(call, 401, {"error": str(exc)})
+    except (NoPlanError, NotLeadingError) as exc:
+        return _answer(call, 503, {"error": str(exc)}, retry_after_s=RETRY_AFTER_S)
+    except CommandLostError as exc:
+        return _answer(call, 504, {"error": str(exc)})
+
+
+async def _answer_caller(service: JobService, call: RelayedCall) -> RelayedAnswer:
+    queue, job_id = service.find_queue(call.host, call.path)
+    customer = service.find_customer(queue, call.token)
+    if not job_id:
+        if call.method != "GET":
+            return _answer(call, 405, {"error": "a queue can only be read"})
+        return _answer(call, 200, {"pending": service.n_not_begun(queue)})
+    if not _JOB_ID.fullmatch(job_id):
+        return _answer(call, 404, {"error": "an id has 16 hexadecimal digits"})
+    if call.method == "POST":
+        spec = decode_job(call.body, job_id=job_id, queue=queue, customer=customer)
+        await service.submit(spec)
+        return _answer(call, 200, {})
+    job = service.find_job(job_id)
+    if call.method == "DELETE":
+        job = await service.cancel(job_id)
+    elif call.method != "GET":
+        return _answer(call, 405, {"error": f"{call.method} is not known"})
+    if job is None:
+        return _answer(call, 410, {"error": "no such submission"})
+    return _answer(call, 200, {"state": job.status.value})
+
+
+async def _answer_control(
+    service: JobService, call: RelayedCall, own_address: str
+) -> RelayedAnswer:
+    path = call.path
+    if call.method == "POST" and path == "/config/replace":
+        version = await service.replace_plan(decode_plan(call.body))
+        return _answer(call, 200, {"version": version})
+    if call.method == "GET" and path == "/config/read":
+        return RelayedAnswer(number=call.number, body=service.plan.document)
+    if call.method == "POST" and path == "/wave-start":
+        order = decode_wave(call.body)
+        await service.start_wave(
+            number=order.number,
+            machines=order.machines,
+            duration_ms=order.duration_ms,
+            most=order.max_at_once,
+        )
+        return _answer(call, 200, {})
+    if found := _INSTANCE.fullmatch(path):
+        if found["verb"] == "deregister":
+            await service.leave_vm(found["id"], decode_leave(call.body))
+            return _answer(call, 200, {})
+        report = decode_report(call.body, vm_id=found["id"])
+        await service.report_vm(report.vm, report.sequence, report.clock_ms)
+        return _answer(call, 200, {"heartbeatAddress": own_address})
+    if found := _WAVE.fullmatch(path):
+        is_complete = service.is_wave_complete(int(found["number"]))
+        if is_complete is None:
+            return _answer(call, 404, {"error": "no such wave"})
+        return _answer(call, 200, {"state": "completed" if is_complete else "running"})
+    return _answer(call, 404, {"error": f"no interface at {path}"})
+
+
+def _answer(
+    call: RelayedCall, status: int, body: dict, *, retry_after_s: int = 0
+) -> RelayedAnswer:
+    return RelayedAnswer(
+        number=call.number,
+        status=status,
+        body=msgspec.json.encode(body),
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/src/redwingslip/platform/_documents.py
@@ -0,0 +1,302 @@
+"""The platform's documents, and the product's types that they are decoded into."""
+
+import msgspec
+
+from ..jobs import (
+    Amounts,
+    Customer,
+    InvalidPlanError,
+    JobSpec,
+    Plan,
+    Pool,
+    Queue,
+    Repetition,
+    StepSpec,
+    VmRecord,
+    check_plan,
+)
+from .exceptions import DocumentError
+
+__all__ = [
+    "WaveOrder",
+    "WorkerReport",
+    "decode_job",
+    "decode_leave",
+    "decode_plan",
+    "decode_report",
+    "decode_wave",
+]
+
+MAX_PAYLOAD_BYTES = 4_000
+READY, DRAINING = "ready", "draining"
+
+
+class _Document(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Base of the documents: names in camel case, unknown fields ignored."""
+
+
+class _AmountsDoc(_Document):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+    def decode(self) -> Amounts:
+        return Amounts(self.cpu, self.mem_mb, self.gpu)
+
+
+class _AdviceDoc(_Document):
+    decision_ms: int = 0
+
+
+class _RouteDoc(_Document):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: int
+    target_latency_ms: int = 0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    public: bool = False
+    advice: _AdviceDoc | None = None
+
+
+class _ServiceDoc(_Document):
+    name: str
+    enforces_capacity: bool = True
+    standby: bool = False
+
+
+class _TenantDoc(_Document):
+    name: str
+    api_keys: tuple[str, ...]
+    weight: float
+    # Not a count of anything: the amounts that the tenant may have running.
+    max_count: _AmountsDoc = _AmountsDoc()
+
+
+class _ConfigDoc(_Document):
+    version: int
+    routes: tuple[_RouteDoc, ...]
+    services: tuple[_ServiceDoc, ...]
+    tenants: tuple[_TenantDoc, ...] = ()
+
+
+class _StepDoc(_Document, omit_defaults=True):
+    count: int = 0
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    rack_sensitive: bool = False
+    # One label that the VM must have, in spite of the plural.
+    constraints: str = ""
+    data_rack: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    miss_budget: int = 0
+
+
+class _JobDoc(_Document):
+    spec: str = ""
+    steps: tuple[_StepDoc, ...] = ()
+    repeat_count: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+class _ReportDoc(_Document):
+    service: str
+    address: str
+    zone: str
+    state: str
+    sequence: int
+    capacity: _AmountsDoc
+    labels: tuple[str, ...] = ()
+    clock_ms: int = 0
+    machine: str = ""
+    born: int = 0
+    remaining_ms: int = 0
+
+
+class _LeaveDoc(_Document):
+    born: int = 0
+
+
+class _WaveDoc(_Document):
+    wave: int
+    machines: tuple[str, ...]
+    duration_s: float
+    # How many machines may be down at once.
+    max_count: int
+
+
+class WorkerReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What an endpoint reports of itself, and where the report stands in its life."""
+
+    vm: VmRecord
+    sequence: int
+    clock_ms: int
+
+
+class WaveOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """An operator's order of a maintenance wave."""
+
+    number: int
+    machines: tuple[str, ...]
+    duration_ms: int
+    max_at_once: int
+
+
+_CONFIG = msgspec.json.Decoder(_ConfigDoc)
+_JOB = msgspec.json.Decoder(_JobDoc)
+_REPORT = msgspec.json.Decoder(_ReportDoc)
+_LEAVE = msgspec.json.Decoder(_LeaveDoc)
+_WAVE = msgspec.json.Decoder(_WaveDoc)
+
+
+def _decode(decoder: msgspec.json.Decoder, body: bytes):
+    try:
+        return decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise DocumentError(str(exc)) from exc
+
+
+def decode_plan(body: bytes) -> Plan:
+    """Return the plan in a configuration; raise `DocumentError` if it is invalid."""
+    doc = _decode(_CONFIG, body)
+    for route in doc.routes:
+        if route.timeout_ms <= 0:
+            raise DocumentError(f"routes.{route.name}.timeoutMs: must be above 0")
+    plan = Plan(
+        version=doc.version,
+        queues=tuple(_decode_queue(route) for route in doc.routes),
+        pools=tuple(
+            Pool(
+                name=service.name,
+                is_guarded=service.enforces_capacity,
+                is_standby=service.standby,
+            )
+            for service in doc.services
+        ),
+        customers=tuple(
+            Customer(
+                name=tenant.name,
+                keys=tenant.api_keys,
+                weight=tenant.weight,
+                limit=tenant.max_count.decode(),
+            )
+            for tenant in doc.tenants
+        ),
+        document=body,
+    )
+    try:
+        check_plan(plan)
+    except InvalidPlanError as exc:
+        raise DocumentError(str(exc)) from exc
+    return plan
+
+
+def _decode_queue(route: _RouteDoc) -> Queue:
+    return Queue(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        pool=route.service,
+        is_public=route.public,
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        stretch=route.stretch,
+        target_latency_ms=route.target_latency_ms,
+        needs_advice=route.advice is not None,
+    )
+
+
+def decode_job(body: bytes, *, job_id: str, queue: Queue, customer: str) -> JobSpec:
+    """Return the job in a submission; raise `DocumentError` if it is invalid."""
+    doc = _decode(_JOB, body)
+    if len(doc.spec.encode()) > MAX_PAYLOAD_BYTES:
+        raise DocumentError(f"spec: at most {MAX_PAYLOAD_BYTES} bytes are accepted")
+    for number, step in enumerate(doc.steps):
+        if step.count < 0 or any(not 0 <= i < number for i in step.after):
+            raise DocumentError(f"steps.{number}.after: must name earlier steps")
+    repetition = None
+    if doc.repeat_count > 0:
+        repetition = Repetition(
+            first_at_ms=doc.start_at_ms,
+            interval_ms=doc.interval_ms,
+            count=doc.repeat_count,
+        )
+    return JobSpec(
+        job_id=job_id,
+        queue=queue.name,
+        pool=queue.pool,
+        customer=customer,
+        payload=doc.spec,
+        steps=tuple(_decode_step(step) for step in doc.steps),
+        repetition=repetition,
+    )
+
+
+def _decode_step(step: _StepDoc) -> StepSpec:
+    return StepSpec(
+        n_tasks=step.count,
+        need=Amounts(step.cpu, step.mem_mb, step.gpu),
+        estimate_ms=step.estimate_ms,
+        after=step.after,
+        has_checkpoints=step.checkpointing,
+        is_gang=step.gang,
+        is_rack_bound=step.rack_sensitive,
+        label=step.constraints,
+        data_rack=step.data_rack,
+        max_per_vm=step.anti_affinity,
+        is_speculative=step.speculative,
+        is_long_running=step.long_running,
+        image=step.image,
+        target_ms=step.target_ms,
+        is_filler=step.fills,
+        disruption_budget=step.miss_budget,
+    )
+
+
+def decode_report(body: bytes, *, vm_id: str) -> WorkerReport:
+    """Return a worker's report; raise `DocumentError` if it names no endpoint."""
+    doc = _decode(_REPORT, body)
+    if doc.state not in (READY, DRAINING):
+        raise DocumentError(f"state: {doc.state!r} is not known")
+    vm = VmRecord(
+        vm_id=vm_id,
+        born_ms=doc.born,
+        machine=doc.machine,
+        pool=doc.service,
+        address=doc.address,
+        data_centre=doc.zone,
+        capacity=doc.capacity.decode(),
+        labels=doc.labels,
+        is_draining=doc.state == DRAINING,
+    )
+    return WorkerReport(vm=vm, sequence=doc.sequence, clock_ms=doc.clock_ms)
+
+
+def decode_leave(body: bytes) -> int:
+    """Return which life of an endpoint says that it ends, 0 when it doesn't say."""
+    return _decode(_LEAVE, body).born if body else 0
+
+
+def decode_wave(body: bytes) -> WaveOrder:
+    """Return the order of a wave; raise `DocumentError` if it is invalid."""
+    doc = _decode(_WAVE, body)
+    return WaveOrder(
+        number=doc.wave,
+        machines=doc.machines,
+        duration_ms=round(doc.duration_s * 1000),
+        max_at_once=doc.max_count,
+    )
--- /dev/null
+++ b/src/redwingslip/platform/_orders.py
@@ -0,0 +1,220 @@
+"""Orders to the platform's workers."""
+
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from ..http import (
+    AnswerLostError,
+    ClientAnswer,
+    ClientLimits,
+    ClientPool,
+    ClientRequest,
+    HttpError,
+    NotConnectedError,
+)
+from ..jobs import ActiveRun, EndKind, TaskKey, VmRecord
+from ..scheduling import (
+    HoldReport,
+    ListedEnd,
+    ListedRun,
+    OrderLostError,
+    OrderNotSentError,
+    StartOutcome,
+    StartResult,
+    VmReplacedError,
+)
+
+__all__ = ["WorkerOrders"]
+
+# Twice the round trip that the platform's links may take under load, and the time
+# that a worker may need for its answer.
+ORDER_TIMEOUT = timedelta(milliseconds=800)
+N_TASK_PARTS = 4
+
+_REFUSALS = {
+    "fence": StartResult.SUPERSEDED,
+    "old": StartResult.OLD,
+    "late": StartResult.LATE,
+    "room": StartResult.NO_ROOM,
+}
+
+
+class _StartDoc(msgspec.Struct, frozen=True, rename="camel", omit_defaults=True):
+    task: str
+    run_id: int
+    spec: str
+    not_after_ms: int
+    fencing_token: int
+    checkpoint: str = ""
+
+
+class _StopDoc(msgspec.Struct, frozen=True, rename="camel"):
+    task: str
+    run_id: int
+    fencing_token: int
+
+
+class _HoldDoc(msgspec.Struct, frozen=True, rename="camel", omit_defaults=True):
+    fencing_token: int
+    # Ends up to this number are recorded and need not be listed again.
+    ack_cursor: int | None = None
+    not_after_ms: int | None = None
+    wait_ms: int = 0
+
+
+class _AnswerDoc(msgspec.Struct, frozen=True, rename="camel"):
+    clock_ms: int | None = None
+    reason: str = ""
+
+
+class _ListsDoc(msgspec.Struct, frozen=True, rename="camel"):
+    clock_ms: int
+    # Rows of task, run, checkpoint, percent and load; the last may be missing.
+    running: tuple[list[Any], ...] = ()
+    # Rows of number, task, run, kind of end, checkpoint.
+    ended_runs: tuple[list[Any], ...] = ()
+    born: int = 0
+
+
+_ANSWER = msgspec.json.Decoder(_AnswerDoc)
+_LISTS = msgspec.json.Decoder(_ListsDoc)
+
+
+class WorkerOrders:
+    """Calls workers over HTTP; see `redwingslip.scheduling.VmOrders`."""
+
+    __slots__ = ("_pool",)
+
+    def __init__(self) -> None:
+        self._pool = ClientPool(
+            ClientLimits(
+                connect_timeout=ORDER_TIMEOUT,
+                idle_timeout=timedelta(seconds=60),
+                max_idle_per_peer=2,
+            )
+        )
+
+    async def hold(
+        self,
+        vm: VmRecord,
+        *,
+        fence: int,
+        cursor: int,
+        until_ms: int | None,
+        wait_ms: int,
+    ) -> HoldReport:
+        """Renew the lease, take note of ends up to `cursor`, and look."""
+        doc = _HoldDoc(
+            fencing_token=fence,
+            ack_cursor=cursor,
+            not_after_ms=until_ms,
+            wait_ms=wait_ms,
+        )
+        timeout = ORDER_TIMEOUT + timedelta(milliseconds=wait_ms)
+        answer = await self._post(vm, "/hold", doc, timeout)
+        if answer.status != 200:
+            raise OrderLostError(f"{vm.vm_id} answers a hold with {answer.status}")
+        try:
+            lists = _LISTS.decode(answer.body)
+            return HoldReport(
+                clock_ms=lists.clock_ms,
+                born_ms=lists.born,
+                runs=tuple(_decode_run(row) for row in lists.running),
+                ends=tuple(_decode_end(row) for row in lists.ended_runs),
+            )
+        except (msgspec.DecodeError, ValueError, IndexError, TypeError) as exc:
+            raise OrderLostError(f"{vm.vm_id} sent unreadable lists: {exc}") from exc
+
+    async def start(
+        self, vm: VmRecord, run: ActiveRun, *, payload: str, fence: int, until_ms: int
+    ) -> StartOutcome:
+        """Have a run started, once."""
+        doc = _StartDoc(
+            task=_format_task(run.key),
+            run_id=run.number,
+            spec=payload,
+            not_after_ms=until_ms,
+            fencing_token=fence,
+            checkpoint=run.checkpoint,
+        )
+        answer = await self._post(vm, "/run-start", doc, ORDER_TIMEOUT)
+        if answer.status in (429, 503):
+            return StartOutcome(StartResult.UNHEALTHY)
+        if answer.status >= 500:
+            raise OrderLostError(f"{vm.vm_id} answers a start with {answer.status}")
+        doc = _decode_answer(answer)
+        if answer.status == 200:
+            return StartOutcome(StartResult.ACCEPTED, doc.clock_ms)
+        result = _REFUSALS.get(doc.reason, StartResult.REFUSED)
+        return StartOutcome(result, doc.clock_ms)
+
+    async def stop(
+        self, vm: VmRecord, key: TaskKey, number: int, *, fence: int
+    ) -> None:
+        """Have a run stopped; it can't start any more either."""
+        doc = _StopDoc(task=_format_task(key), run_id=number, fencing_token=fence)
+        answer = await self._post(vm, "/run-stop", doc, ORDER_TIMEOUT)
+        if answer.status not in (200, 404, 410):
+            raise OrderLostError(f"{vm.vm_id} answers a stop with {answer.status}")
+
+    async def drop(self, vm: VmRecord) -> None:
+        """Close the connections to a VM."""
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._pool.close()
+
+    async def _post(
+        self, vm: VmRecord, path: str, doc: msgspec.Struct, timeout: timedelta
+    ) -> ClientAnswer:
+        req = ClientRequest(
+            address=vm.address,
+            method="POST",
+            path=path,
+            headers={
+                "Content-Type": "application/json",
+                "Target-Instance": vm.vm_id,
+            },
+            body=msgspec.json.encode(doc),
+            timeout=timeout,
+        )
+        try:
+            answer = await self._pool.exchange(req)
+        except NotConnectedError as exc:
+            raise OrderNotSentError(str(exc)) from exc
+        except (AnswerLostError, HttpError) as exc:
+            raise OrderLostError(str(exc)) from exc
+        if answer.status == 421:
+            raise VmReplacedError(f"another life answers at {vm.address}")
+        return answer
+
+
+def _decode_answer(answer: ClientAnswer) -> _AnswerDoc:
+    try:
+        return _ANSWER.decode(answer.body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return _AnswerDoc()
+
+
+def _format_task(key: TaskKey) -> str:
+    return f"{key.job_id}.{key.occurrence}.{key.step}.{key.index}"
+
+
+def _parse_task(text: str) -> TaskKey:
+    parts = text.split(".")
+    if len(parts) != N_TASK_PARTS:
+        raise ValueError(f"{text!r} is no task")
+    return TaskKey(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+
+
+def _decode_run(row: list[Any]) -> ListedRun:
+    load = float(row[4]) if len(row) > 4 else 0.0
+    return ListedRun(_parse_task(row[0]), int(row[1]), row[2], float(row[3]), load)
+
+
+def _decode_end(row: list[Any]) -> ListedEnd:
+    return ListedEnd(
+        int(row[0]), _parse_task(row[1]), int(row[2]), EndKind(row[3]), row[4]
+    )
--- a/src/redwingslip/platform/exceptions.py
+++ b/src/redwingslip/platform/exceptions.py
@@ -2,7 +2,12 @@
 
 from ..exceptions import RedwingslipError
 
-__all__ = ["PlatformError", "PlatformRefusedError", "PlatformUnavailableError"]
+__all__ = [
+    "DocumentError",
+    "PlatformError",
+    "PlatformRefusedError",
+    "PlatformUnavailableError",
+]
 
 
 class PlatformError(RedwingslipError):
@@ -15,3 +20,7 @@
 
 class PlatformUnavailableError(PlatformError):
     """The platform gave no answer; ask again with the same operation id."""
+
+
+class DocumentError(PlatformError):
+    """A document of the platform's can't be read or contradicts itself."""
--- /dev/null
+++ b/src/redwingslip/scheduling/_board.py
@@ -0,0 +1,193 @@
+"""Which tasks wait, in which order: the leader's index over the replicated jobs."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from ..jobs import (
+    ACTIVE_STATUSES,
+    NO_AMOUNTS,
+    Amounts,
+    JobRecord,
+    JobsState,
+    TaskKey,
+    TaskRecord,
+)
+from ..placement import Urgency, WaitingTask
+
+__all__ = ["JobBoard", "count_steps"]
+
+N_MS_PER_S = 1000
+
+
+class JobBoard:
+    """Keeps the active jobs and what waits of each.
+
+    Parameters
+    ----------
+    state : JobsState
+        The replicated state.
+    """
+
+    __slots__ = ("_active", "_failed_on", "_queues", "_state", "_waiting")
+
+    def __init__(self, state: JobsState) -> None:
+        self._state = state
+        self._queues = {queue.name: queue for queue in state.plan.queues}
+        self._active: set[str] = {
+            job_id
+            for job_id, job in state.jobs.items()
+            if job.status in ACTIVE_STATUSES
+        }
+        self._waiting: dict[str, list[TaskKey]] = {}
+        self._failed_on: dict[TaskKey, set[str]] = {}
+
+    def change_plan(self) -> None:
+        """Take over the queues of a new plan."""
+        self._queues = {queue.name: queue for queue in self._state.plan.queues}
+
+    def change_job(self, job_id: str) -> None:
+        """Look at a job anew."""
+        self._waiting.pop(job_id, None)
+        job = self._state.jobs.get(job_id)
+        if job is not None and job.status in ACTIVE_STATUSES:
+            self._active.add(job_id)
+        else:
+            self._active.discard(job_id)
+
+    def note_failure(self, key: TaskKey, vm_id: str) -> None:
+        """Remember where a task failed, to try it elsewhere."""
+        self._failed_on.setdefault(key, set()).add(vm_id)
+
+    def pool_of(self, job: JobRecord) -> str:
+        """Return the pool that runs a job's tasks now."""
+        queue = self._queues.get(job.spec.queue)
+        return queue.pool if queue is not None else job.spec.pool
+
+    def n_not_begun(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have started no task."""
+        jobs = self._state.jobs
+        return sum(
+            1
+            for job_id in self._active
+            if jobs[job_id].spec.queue == queue and not _has_begun(jobs[job_id])
+        )
+
+    def usage(self) -> dict[str, Amounts]:
+        """Return what each customer has running."""
+        totals: dict[str, list[int]] = {}
+        for runs in self._state.runs.values():
+            for run in runs.values():
+                job = self._state.jobs.get(run.key.job_id)
+                if job is None or not job.spec.customer:
+                    continue
+                need = job.spec.steps[run.key.step].need
+                total = totals.setdefault(job.spec.customer, [0, 0, 0])
+                total[0] += need.cpu
+                total[1] += need.memory_mb
+                total[2] += need.accelerators
+        return {name: Amounts(*total) for name, total in totals.items()}
+
+    def waiting(
+        self, now_ms: int, usage: dict[str, Amounts]
+    ) -> list[tuple[Urgency, list[WaitingTask]]]:
+        """Return what waits, by job, the most urgent job first."""
+        found = []
+        for job_id in self._active:
+            job = self._state.jobs[job_id]
+            keys = self._waiting_keys(job_id, job)
+            if not keys:
+                continue
+            tasks = [
+                self._waiting_task(job, key)
+                for key in keys
+                if _is_due(job, key, now_ms)
+            ]
+            if tasks:
+                found.append((self._urgency(job, usage), job_id, tasks))
+        found.sort(key=lambda item: item[:2])
+        return [(urgency, tasks) for urgency, _, tasks in found]
+
+    def _waiting_keys(self, job_id: str, job: JobRecord) -> list[TaskKey]:
+        keys = self._waiting.get(job_id)
+        if keys is None:
+            keys = list(_ready_keys(job))
+            self._waiting[job_id] = keys
+        return keys
+
+    def _waiting_task(self, job: JobRecord, key: TaskKey) -> WaitingTask:
+        task = self._state.task(key)
+        return WaitingTask(
+            key,
+            job.spec.steps[key.step],
+            customer=job.spec.customer,
+            pool=self.pool_of(job),
+            checkpoint=task.checkpoint,
+            avoided=frozenset(self._failed_on.get(key, ())),
+        )
+
+    def _urgency(self, job: JobRecord, usage: dict[str, Amounts]) -> Urgency:
+        queue = self._queues.get(job.spec.queue)
+        if any(step.is_long_running for step in job.spec.steps):
+            return Urgency(0, 0.0, job.accepted_ms)
+        stretch = queue.stretch if queue else 1.0
+        target_ms = queue.target_latency_ms if queue else 0
+        due_ms = job.accepted_ms + stretch * _chain_ms(job) + target_ms
+        return Urgency(1 + (queue.priority if queue else 0), 0.0, due_ms)
+
+
+def _chain_ms(job: JobRecord) -> int:
+    """Return the longest chain of estimates through a job's steps."""
+    ends: list[int] = []
+    for step in job.spec.steps:
+        begin = max((ends[i] for i in step.after if i < len(ends)), default=0)
+        ends.append(begin + step.estimate_ms)
+    return max(ends, default=0)
+
+
+def _has_begun(job: JobRecord) -> bool:
+    return any(task.n_runs for steps in job.tasks for tasks in steps for task in tasks)
+
+
+def _is_due(job: JobRecord, key: TaskKey, now_ms: int) -> bool:
+    repetition = job.spec.repetition
+    if repetition is None:
+        return True
+    due_ms = repetition.first_at_ms + key.occurrence * repetition.interval_ms
+    return now_ms >= due_ms
+
+
+def _ready_keys(job: JobRecord) -> Iterator[TaskKey]:
+    """Yield the tasks that have no run and whose earlier steps are done."""
+    for occurrence, steps in enumerate(job.tasks):
+        done = [all(task.is_done for task in tasks) for tasks in steps]
+        for number, step in enumerate(job.spec.steps):
+            if done[number] or not all(done[i] for i in step.after):
+                continue
+            tasks = steps[number]
+            if step.is_gang and any(task.runs for task in tasks):
+                continue
+            for index, task in enumerate(tasks):
+                if _is_waiting(task):
+                    yield TaskKey(job.spec.job_id, occurrence, number, index)
+
+
+def _is_waiting(task: TaskRecord) -> bool:
+    return not task.is_done and not task.runs
+
+
+def count_steps(state: JobsState, vm_id: str) -> tuple[Amounts, Counter]:
+    """Return what the runs of a VM take of its capacity, and their steps."""
+    cpu = memory_mb = accelerators = 0
+    steps: Counter = Counter()
+    for run in state.runs.get(vm_id, {}).values():
+        job = state.jobs.get(run.key.job_id)
+        if job is None:
+            continue
+        step = job.spec.steps[run.key.step]
+        cpu += 0 if step.is_filler else step.need.cpu
+        memory_mb += step.need.memory_mb
+        accelerators += step.need.accelerators
+        steps[run.key[:3]] += 1
+    if not cpu and not memory_mb and not accelerators:
+        return NO_AMOUNTS, steps
+    return Amounts(cpu, memory_mb, accelerators), steps
--- /dev/null
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -0,0 +1,437 @@
+"""The leader's scheduling: agents for the VMs, and rounds of placement."""
+
+import asyncio
+from datetime import timedelta
+from functools import singledispatchmethod
+
+import msgspec
+
+from ..clock import Clock
+from ..consensus import NotLeaderError, ProposalLostError, Replica
+from ..jobs import (
+    ACTIVE_STATUSES,
+    ActiveRun,
+    CancelJob,
+    Command,
+    EndKind,
+    ForgetJobs,
+    ForgetVm,
+    JobsState,
+    NoteVm,
+    RecordEnds,
+    ReplacePlan,
+    RunEnd,
+    RunStart,
+    StartRuns,
+    SubmitJob,
+    VmRecord,
+    encode_command,
+)
+from ..observe import Event, EventName, EventSink
+from ..placement import Placer, PoolRoom, Urgency, VmRoom, WaitingTask
+from ..workers import HealthSettings, LeaseSettings
+from ._agent import AgentSettings, VmAgent
+from ._board import JobBoard, count_steps
+from ._ports import VmOperations, VmOrders
+from ._preemption import choose_victims
+from ._waves import WaveKeeper, WaveSettings
+from .exceptions import CommandLostError, NotLeadingError
+
+__all__ = ["Scheduler", "SchedulingSettings"]
+
+MS = timedelta(milliseconds=1)
+
+
+class SchedulingSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How the leader schedules.
+
+    Attributes
+    ----------
+    round_interval : timedelta
+        Longest time between two rounds of placement.
+    keep_ended : timedelta
+        How long an ended job is remembered.
+    """
+
+    round_interval: timedelta = timedelta(milliseconds=100)
+    keep_ended: timedelta = timedelta(seconds=150)
+
+
+class Scheduler:
+    """One leadership's scheduling, from its beginning to its end.
+
+    Parameters
+    ----------
+    replica : Replica
+        Has the commands committed.
+    state : JobsState
+        The replicated state.
+    orders : VmOrders
+        Calls to endpoints.
+    operations : VmOperations
+        Calls to the platform.
+    clock : Clock
+        The time.
+    events : EventSink
+        Takes the events.
+    cfg, agent_cfg, lease_cfg, health_cfg, wave_cfg
+        The settings.
+    """
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        state: JobsState,
+        orders: VmOrders,
+        operations: VmOperations,
+        clock: Clock,
+        events: EventSink,
+        cfg: SchedulingSettings,
+        agent_cfg: AgentSettings,
+        lease_cfg: LeaseSettings,
+        health_cfg: HealthSettings,
+        wave_cfg: WaveSettings,
+    ) -> None:
+        self._replica = replica
+        self._state = state
+        self._orders = orders
+        self._clock = clock
+        self._events = events
+        self._cfg = cfg
+        self._agent_cfg = agent_cfg
+        self._lease_cfg = lease_cfg
+        self._health_cfg = health_cfg
+        self._fence = replica.term
+        self._wall_offset = _wall_ms(clock) - clock.monotonic() // MS
+        self._board = JobBoard(state)
+        self._wake = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+        self.agents: dict[str, VmAgent] = {}
+        self.waves = WaveKeeper(
+            state=state,
+            agents=self.agents,
+            operations=operations,
+            propose=self.propose,
+            is_leading=self.is_leading,
+            fence=self._fence,
+            clock=clock,
+            now_ms=self.now_ms,
+            events=events,
+            cfg=wave_cfg,
+        )
+
+    def begin(self) -> None:
+        """Take over the VMs and begin to place."""
+        for vm in self._state.vms.values():
+            self._follow_vm(vm)
+        for job in self._state.jobs.values():
+            if job.status not in ACTIVE_STATUSES:
+                self._stop_runs(job.spec.job_id)
+        self._tasks = [
+            asyncio.create_task(self._place_forever(), name="placement"),
+            asyncio.create_task(self.waves.run(), name="waves"),
+            asyncio.create_task(self._forget_forever(), name="forgetting"),
+        ]
+
+    def close(self) -> None:
+        """Give no further orders."""
+        for task in self._tasks:
+            task.cancel()
+        for agent in self.agents.values():
+            agent.close()
+
+    def now_ms(self) -> int:
+        """Return Unix time as it was when leadership began, steady since then."""
+        return self._wall_offset + self._clock.monotonic() // MS
+
+    def is_leading(self) -> bool:
+        """Return whether no other leader can exist."""
+        return self._replica.has_quorum_lease()
+
+    def n_not_begun(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have started no task."""
+        return self._board.n_not_begun(queue)
+
+    async def propose(self, command: Command) -> object:
+        """Have a command committed and return its outcome.
+
+        Raises
+        ------
+        NotLeadingError
+            The command was not taken.
+        CommandLostError
+            The command may have been taken or not.
+        """
+        try:
+            return await self._replica.propose(encode_command(command))
+        except NotLeaderError as exc:
+            raise NotLeadingError("this replica does not lead") from exc
+        except ProposalLostError as exc:
+            raise CommandLostError(str(exc)) from exc
+
+    async def record_ends(
+        self, vm: VmRecord, ends: tuple[RunEnd, ...], cursor: int
+    ) -> None:
+        """Have ends recorded; return once they are, or leadership is over."""
+        command = RecordEnds(
+            vm_id=vm.vm_id,
+            born_ms=vm.born_ms,
+            ends=ends,
+            now_ms=self.now_ms(),
+            cursor=cursor,
+        )
+        await self._propose_or_log(command)
+
+    async def forget_vm(self, vm: VmRecord, reason: str) -> None:
+        """Have a life dropped that is over."""
+        self._emit(EventName.VM_LOST, vm=vm.vm_id, detail=reason)
+        command = ForgetVm(vm_id=vm.vm_id, born_ms=vm.born_ms, now_ms=self.now_ms())
+        await self._propose_or_log(command)
+
+    def note_start(self, run: ActiveRun, vm: VmRecord, outcome: str) -> None:
+        """Log the outcome of a start."""
+        self._emit(
+            EventName.RUN_ORDERED,
+            request_id=run.key.job_id,
+            vm=vm.vm_id,
+            detail=f"{_name(run)} {outcome}",
+        )
+
+    def note_contact(self, agent: VmAgent) -> None:
+        """Take note that a VM was heard."""
+        self._wake.set()
+
+    def applied(self, command: Command, outcome: object) -> None:
+        """Follow a command that was applied to the state."""
+        self._follow(command, outcome)
+        self._wake.set()
+
+    async def _propose_or_log(self, command: Command) -> object:
+        try:
+            return await self.propose(command)
+        except (NotLeadingError, CommandLostError) as exc:
+            self._emit(
+                EventName.WARNING, detail=f"{type(command).__name__} not taken: {exc}"
+            )
+            return None
+
+    @singledispatchmethod
+    def _follow(self, command: Command, outcome: object) -> None:
+        """Follow a command that changes nothing here."""
+
+    @_follow.register
+    def _(self, command: ReplacePlan, outcome: int) -> None:
+        self._board.change_plan()
+        self._emit(EventName.PLAN_CHANGED, detail=f"version {outcome} in force")
+
+    @_follow.register
+    def _(self, command: SubmitJob, outcome: object) -> None:
+        self._board.change_job(command.spec.job_id)
+
+    @_follow.register
+    def _(self, command: CancelJob, outcome: object) -> None:
+        self._board.change_job(command.job_id)
+        self._stop_runs(command.job_id)
+
+    @_follow.register
+    def _(self, command: StartRuns, outcome: tuple[ActiveRun, ...]) -> None:
+        for start in command.starts:
+            self._board.change_job(start.key.job_id)
+        for run in outcome:
+            agent = self.agents.get(run.vm_id)
+            if agent is not None and agent.vm.born_ms == run.born_ms:
+                agent.start(run)
+
+    @_follow.register
+    def _(self, command: RecordEnds, outcome: None) -> None:
+        agent = self.agents.get(command.vm_id)
+        for end in command.ends:
+            self._follow_end(command.vm_id, end, agent)
+
+    @_follow.register
+    def _(self, command: NoteVm, outcome: VmRecord) -> None:
+        self._follow_vm(outcome)
+        self._change_all_jobs()
+
+    @_follow.register
+    def _(self, command: ForgetVm, outcome: None) -> None:
+        agent = self.agents.get(command.vm_id)
+        if agent is not None and agent.vm.born_ms == command.born_ms:
+            agent.close()
+            del self.agents[command.vm_id]
+        self._change_all_jobs()
+
+    @_follow.register
+    def _(self, command: ForgetJobs, outcome: None) -> None:
+        for job_id in command.job_ids:
+            self._board.change_job(job_id)
+
+    def _follow_end(self, vm_id: str, end: RunEnd, agent: VmAgent | None) -> None:
+        job_id = end.key.job_id
+        self._board.change_job(job_id)
+        job = self._state.jobs.get(job_id)
+        if job is not None and job.status not in ACTIVE_STATUSES:
+            self._stop_runs(job_id)
+        if end.kind is EndKind.FAILED:
+            self._board.note_failure(end.key, vm_id)
+        if agent is not None and end.kind is EndKind.DONE:
+            agent.health.note_success()
+        elif agent is not None and end.kind is EndKind.FAILED:
+            if agent.health.note_failure(job_id, self._clock.monotonic()):
+                self._emit(EventName.VM_AVOIDED, vm=vm_id, detail="fails several jobs")
+        status = job.status.value if job is not None else "forgotten"
+        self._emit(
+            EventName.RUN_ENDED,
+            request_id=job_id,
+            vm=vm_id,
+            detail=f"{_name(end)} {end.kind.value}; job {status}",
+        )
+
+    def _change_all_jobs(self) -> None:
+        for job_id in tuple(self._state.jobs):
+            self._board.change_job(job_id)
+
+    def _stop_runs(self, job_id: str) -> None:
+        """Stop what still runs of a job that has ended."""
+        for vm_id, runs in self._state.runs.items():
+            agent = self.agents.get(vm_id)
+            for key, number in runs:
+                if key.job_id == job_id and agent is not None:
+                    agent.stop(key, number)
+
+    def _follow_vm(self, vm: VmRecord) -> None:
+        agent = self.agents.get(vm.vm_id)
+        if agent is not None and agent.vm.born_ms == vm.born_ms:
+            agent.vm = vm
+            return
+        if agent is not None:
+            agent.close()
+        agent = VmAgent(
+            vm,
+            fence=self._fence,
+            state=self._state,
+            leading=self,
+            orders=self._orders,
+            clock=self._clock,
+            cfg=self._agent_cfg,
+            lease_cfg=self._lease_cfg,
+            health_cfg=self._health_cfg,
+        )
+        self.agents[vm.vm_id] = agent
+        agent.begin()
+
+    async def _place_forever(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(self._cfg.round_interval.total_seconds()):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            if not self.is_leading():
+                continue
+            starts = self._decide()
+            if starts:
+                command = StartRuns(starts=starts, now_ms=self.now_ms())
+                await self._propose_or_log(command)
+
+    def _decide(self) -> tuple[RunStart, ...]:
+        """Return the starts of one round."""
+        usage = self._board.usage()
+        jobs = self._board.waiting(self.now_ms(), usage)
+        if not jobs:
+            return ()
+        limits = {c.name: c.limit for c in self._state.plan.customers}
+        placer = Placer(pools=self._rooms(), usage=usage, limits=limits)
+        starts: list[RunStart] = []
+        for urgency, tasks in jobs:
+            starts.extend(self._place_job(placer, urgency, tasks))
+        return tuple(starts)
+
+    def _place_job(
+        self, placer: Placer, urgency: Urgency, tasks: list[WaitingTask]
+    ) -> list[RunStart]:
+        starts: list[RunStart] = []
+        full_steps = set()
+        gangs: dict[tuple, list[WaitingTask]] = {}
+        for task in tasks:
+            if task.step.is_gang:
+                gangs.setdefault(task.key[:3], []).append(task)
+            elif task.key[:3] not in full_steps:
+                start = placer.place(task)
+                if start is not None:
+                    starts.append(start)
+                    continue
+                full_steps.add(task.key[:3])
+                if urgency.band == 0:
+                    self._make_room(task)
+        for members in gangs.values():
+            starts.extend(placer.place_gang(members))
+        return starts
+
+    def _make_room(self, task: WaitingTask) -> None:
+        """Stop less urgent runs where a task that must run has no place."""
+        for agent, run in choose_victims(task, self._state, self.agents, self._clock):
+            self._emit(
+                EventName.RUN_PREEMPTED,
+                request_id=run.key.job_id,
+                vm=run.vm_id,
+                detail=f"{_name(run)} for a task of {task.key.job_id}",
+            )
+            agent.stop(run.key, run.number)
+
+    def _rooms(self) -> dict[str, PoolRoom]:
+        now = self._clock.monotonic()
+        pools: dict[str, PoolRoom] = {}
+        for vm_id, agent in self.agents.items():
+            if not agent.is_ready(now) or self.waves.is_cordoned(agent.vm):
+                continue
+            used, steps = count_steps(self._state, vm_id)
+            room = VmRoom(
+                vm_id=vm_id,
+                born_ms=agent.vm.born_ms,
+                labels=agent.vm.labels,
+                free=agent.vm.capacity - used,
+                tasks_of_step=steps,
+                data_centre=agent.vm.data_centre,
+                is_avoided=agent.health.is_avoided(now),
+            )
+            pools.setdefault(agent.vm.pool, PoolRoom([])).vms.append(room)
+        return pools
+
+    async def _forget_forever(self) -> None:
+        """Drop ended jobs after the time for which they are remembered."""
+        keep_ms = self._cfg.keep_ended // MS
+        while True:
+            await asyncio.sleep(self._cfg.keep_ended.total_seconds() / 20)
+            horizon = self.now_ms() - keep_ms
+            job_ids = tuple(
+                job_id
+                for job_id, job in self._state.jobs.items()
+                if job.ended_ms and job.ended_ms < horizon
+            )
+            if job_ids:
+                await self._propose_or_log(ForgetJobs(job_ids=job_ids))
+
+    def _emit(
+        self, name: EventName, *, request_id: str = "", vm: str = "", detail: str = ""
+    ) -> None:
+        self._events.emit(
+            Event(
+                name=name,
+                request_id=request_id,
+                vm=vm,
+                term=self._fence,
+                detail=detail,
+            )
+        )
+
+
+def _name(run: ActiveRun | RunEnd) -> str:
+    key = run.key
+    return f"{key.occurrence}.{key.step}.{key.index} run {run.number}"
+
+
+def _wall_ms(clock: Clock) -> int:
+    return int(clock.utcnow().timestamp() * 1000)
--- /dev/null
+++ b/src/redwingslip/scheduling/_service.py
@@ -0,0 +1,237 @@
+"""What the leader answers to callers, operators and endpoints."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from ..jobs import (
+    CancelJob,
+    ForgetVm,
+    JobRecord,
+    JobSpec,
+    JobsState,
+    JobStatus,
+    NoteVm,
+    Plan,
+    Queue,
+    ReplacePlan,
+    StartWave,
+    SubmitJob,
+    VmRecord,
+)
+from ..observe import Event, EventName, EventSink
+from ._scheduler import Scheduler
+from .exceptions import KeyRefusedError, NoPlanError, NoQueueError
+
+__all__ = ["JobService"]
+
+
+class JobService:
+    """The leader's interface, without names or formats of any outside.
+
+    Parameters
+    ----------
+    state : JobsState
+        The replicated state.
+    scheduler : Scheduler
+        The leader's scheduling.
+    events : EventSink
+        Takes the events.
+    """
+
+    __slots__ = ("_events", "_keys", "_plan", "_scheduler", "_sequences", "_state")
+
+    def __init__(
+        self, *, state: JobsState, scheduler: Scheduler, events: EventSink
+    ) -> None:
+        self._state = state
+        self._scheduler = scheduler
+        self._events = events
+        self._sequences: dict[tuple[str, int], int] = {}
+        self._plan: Plan | None = None
+        self._keys: Mapping[str, str] = {}
+
+    @property
+    def plan(self) -> Plan:
+        """Return the plan in force; raise `NoPlanError` before the first."""
+        if not self._state.plan.version:
+            raise NoPlanError("no plan has been handed in yet")
+        return self._state.plan
+
+    def find_queue(self, host: str, path: str) -> tuple[Queue, str]:
+        """Return the queue that a path belongs to, and the rest of the path.
+
+        Raises
+        ------
+        NoPlanError
+            There is no plan yet.
+        NoQueueError
+            No queue has this host and a prefix of this path.
+        """
+        found = None
+        for queue in self.plan.queues:
+            if queue.host == host and path.startswith(queue.path_prefix):
+                if found is None or len(queue.path_prefix) > len(found.path_prefix):
+                    found = queue
+        if found is None:
+            raise NoQueueError(f"no queue at {host}{path}")
+        return found, path[len(found.path_prefix) :]
+
+    def find_customer(self, queue: Queue, key: str) -> str:
+        """Return whose key came with a call; empty for a public queue without one.
+
+        Raises
+        ------
+        KeyRefusedError
+            The key is nobody's, and the queue is not public.
+        """
+        if self._plan is not self._state.plan:
+            self._plan = self._state.plan
+            self._keys = {
+                key: customer.name
+                for customer in self._plan.customers
+                for key in customer.keys
+            }
+        customer = self._keys.get(key, "")
+        if not customer and not queue.is_public:
+            raise KeyRefusedError("the key is not accepted")
+        return customer
+
+    async def submit(self, spec: JobSpec) -> JobRecord:
+        """Accept a job, once; return it when it is stored.
+
+        Raises
+        ------
+        NotLeadingError
+            The job was not accepted and never runs.
+        CommandLostError
+            The job may have been accepted or not.
+        """
+        known = self._state.jobs.get(spec.job_id)
+        if known is not None:
+            return known
+        command = SubmitJob(spec=spec, now_ms=self._scheduler.now_ms())
+        job = await self._scheduler.propose(command)
+        n_tasks = sum(step.n_tasks for step in spec.steps)
+        self._emit(
+            EventName.JOB_ACCEPTED,
+            spec.job_id,
+            f"queue {spec.queue}, customer {spec.customer or 'none'}, "
+            f"plan {self._state.plan.version}, {n_tasks} tasks",
+        )
+        return job
+
+    def find_job(self, job_id: str) -> JobRecord | None:
+        """Return a job, None for an unknown one."""
+        return self._state.jobs.get(job_id)
+
+    async def cancel(self, job_id: str) -> JobRecord | None:
+        """End a job; return it, None for an unknown one. See `submit` for errors."""
+        job = self._state.jobs.get(job_id)
+        if job is None or job.status not in (JobStatus.QUEUED, JobStatus.RUNNING):
+            return job
+        command = CancelJob(job_id=job_id, now_ms=self._scheduler.now_ms())
+        job = await self._scheduler.propose(command)
+        self._emit(EventName.JOB_CANCELLED, job_id, "by its caller")
+        return job
+
+    def n_not_begun(self, queue: Queue) -> int:
+        """Return how many accepted jobs of a queue have started no task."""
+        return self._scheduler.n_not_begun(queue.name)
+
+    async def replace_plan(self, plan: Plan) -> int:
+        """Put a plan in force unless a newer one is; return the version in force."""
+        if plan.version <= self._state.plan.version:
+            return self._state.plan.version
+        return await self._scheduler.propose(ReplacePlan(plan=plan))
+
+    async def report_vm(self, vm: VmRecord, sequence: int, clock_ms: int) -> None:
+        """Take over what an endpoint reports; return once it is stored.
+
+        A report of an earlier life than the known one, or one that was overtaken by a
+        later report, changes nothing.
+        """
+        life = (vm.vm_id, vm.born_ms)
+        if sequence < self._sequences.get(life, -1):
+            return
+        self._sequences[life] = sequence
+        known = self._state.vms.get(vm.vm_id)
+        if known is not None and known.born_ms > vm.born_ms:
+            return
+        if known is not None and known.born_ms == vm.born_ms:
+            is_draining = known.is_draining or vm.is_draining
+            vm = msgspec.structs.replace(
+                vm, end_cursor=known.end_cursor, is_draining=is_draining
+            )
+            if vm == known:
+                return
+        if self._is_outlived(vm):
+            return
+        await self._drop_outlived(vm)
+        command = NoteVm(vm=vm, now_ms=self._scheduler.now_ms())
+        await self._scheduler.propose(command)
+        self._events.emit(
+            Event(
+                name=EventName.VM_NOTED,
+                vm=vm.vm_id,
+                pool=vm.pool,
+                detail=f"life {vm.born_ms} of machine {vm.machine} at {vm.address}"
+                + (", draining" if vm.is_draining else ""),
+            )
+        )
+
+    async def leave_vm(self, vm_id: str, born_ms: int) -> None:
+        """Drop an endpoint that says that it ends; 0 stands for its known life."""
+        known = self._state.vms.get(vm_id)
+        if known is None or (born_ms and born_ms != known.born_ms):
+            return
+        command = ForgetVm(
+            vm_id=vm_id, born_ms=known.born_ms, now_ms=self._scheduler.now_ms()
+        )
+        await self._scheduler.propose(command)
+        self._events.emit(Event(name=EventName.VM_LOST, vm=vm_id, detail="has left"))
+
+    async def start_wave(
+        self, *, number: int, machines: tuple[str, ...], duration_ms: int, most: int
+    ) -> None:
+        """Begin a wave, once."""
+        if number in self._state.waves:
+            return
+        command = StartWave(
+            number=number,
+            machines=machines,
+            duration_ms=duration_ms,
+            max_at_once=most,
+            now_ms=self._scheduler.now_ms(),
+        )
+        await self._scheduler.propose(command)
+
+    def is_wave_complete(self, number: int) -> bool | None:
+        """Return whether a wave is over, None for an unknown one."""
+        wave = self._state.waves.get(number)
+        return None if wave is None else wave.is_complete
+
+    def _is_outlived(self, vm: VmRecord) -> bool:
+        """Return whether a later life has the place of this one already."""
+        return any(
+            other.vm_id != vm.vm_id
+            and other.born_ms > vm.born_ms
+            and _has_same_place(other, vm)
+            for other in self._state.vms.values()
+        )
+
+    async def _drop_outlived(self, vm: VmRecord) -> None:
+        """Drop earlier lives in the place of a new one: they can't be there still."""
+        for other in tuple(self._state.vms.values()):
+            is_earlier = other.vm_id != vm.vm_id and other.born_ms < vm.born_ms
+            if is_earlier and _has_same_place(other, vm):
+                await self._scheduler.forget_vm(other, f"replaced by {vm.vm_id}")
+
+    def _emit(self, name: EventName, job_id: str, detail: str) -> None:
+        self._events.emit(Event(name=name, request_id=job_id, detail=detail))
+
+
+def _has_same_place(vm: VmRecord, other: VmRecord) -> bool:
+    """Return whether two endpoints can't live at the same time."""
+    same_machine = bool(vm.machine) and vm.machine == other.machine
+    return vm.address == other.address or same_machine
--- a/src/redwingslip/settings/_checks.py
+++ b/src/redwingslip/settings/_checks.py
@@ -146,7 +146,7 @@
     warnings = []
     if not cfg.tls.enabled:
         warnings.append("[tls] enabled = no: connections are not encrypted")
-    if len(cfg.replicas) < 3:
+    if cfg.replicas and len(cfg.replicas) < 3:
         warnings.append(
             f"[replicas] lists {len(cfg.replicas)}: fewer than 3 survive no loss"
         )
--- a/src/redwingslip/settings/_sections.py
+++ b/src/redwingslip/settings/_sections.py
@@ -236,6 +236,10 @@
     ----------
     path : Path or None
         The file; none for no log.
+    to_stdout : bool
+        Whether lines go to standard output when there is no file.
+    max_pending_lines : int
+        Lines that wait for a slow reader of standard output; more are left out.
     requests : RequestLogging
         Which events of single requests are logged: all, problems or off.
     max_file_bytes : int
@@ -243,6 +247,8 @@
     """
 
     path: Path | None = None
+    to_stdout: bool = False
+    max_pending_lines: Annotated[int, msgspec.Meta(ge=1)] = 5_000
     requests: RequestLogging = RequestLogging.ALL
     max_file_bytes: Annotated[int, msgspec.Meta(ge=4096)] = 64 << 20
 
