--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -227,9 +227,20 @@
         agent = self._agents.get(vm_id)
         if agent is None or not agent.lease.is_in_contact(self._clock.monotonic()):
             return False
+        if self._is_being_ordered(agent.vm.machine):
+            return False
         listed = agent.listed.get((key, number))
         return listed is not None and listed.percent >= AT_WORK_PERCENT
 
+    def _is_being_ordered(self, machine: str) -> bool:
+        """Return whether an order may end everything on a machine at any moment."""
+        if machine in self._orders:
+            return True
+        return any(
+            machine in wave.ordered and machine not in wave.begun
+            for wave in self._state.waves.values()
+        )
+
     def _is_down(self, wave: WaveRecord, machine: str, now: timedelta) -> bool:
         """Return whether a machine may be down for its maintenance."""
         if machine in self._orders:
