Begin once after a mismatch, keep few unsent messages, end a cordon in time

Change: one resend a heartbeat round; links keep 64 messages while they are down; the cordon ends when the maintenance has begun.

--- a/src/redwingslip/consensus/_leadership.py
+++ b/src/redwingslip/consensus/_leadership.py
@@ -130,6 +130,11 @@
             self.advance_commit()
             self._change_members()
         elif not progress.snapshot_index:
+            # Of the answers to all that was sent before the first mismatch was known,
+            # one is enough to begin anew from.
+            if msg.round < progress.mismatch_round:
+                return
+            progress.mismatch_round = self._rounds.number + 1
             progress.note_mismatch(msg.match_index)
         self._send_entries(sender_id, progress)
         self._pass_on(sender_id, progress)
--- a/src/redwingslip/consensus/_progress.py
+++ b/src/redwingslip/consensus/_progress.py
@@ -18,6 +18,8 @@
         When the latest answered heartbeat was sent.
     window_start : int
         Entries in flight are counted from here.
+    mismatch_round : int
+        Mismatches of earlier rounds than this one have been dealt with.
     snapshot_index : int
         The snapshot that is being sent, 0 for none.
     snapshot_offset : int
@@ -28,6 +30,7 @@
         "contact",
         "incarnation",
         "match_index",
+        "mismatch_round",
         "next_index",
         "snapshot_index",
         "snapshot_offset",
@@ -38,6 +41,7 @@
         self.incarnation = incarnation
         self.next_index = next_index
         self.match_index = 0
+        self.mismatch_round = 0
         self.window_start = next_index - 1
         self.contact: timedelta | None = None
         self.snapshot_index = 0
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -112,7 +112,9 @@
     http: HttpLimits = HttpLimits()
     relay: RelaySettings = RelaySettings()
     links: PeerSettings = PeerSettings(
-        heartbeat=timedelta(milliseconds=400), silence=timedelta(milliseconds=1200)
+        heartbeat=timedelta(milliseconds=400),
+        silence=timedelta(milliseconds=1200),
+        max_unsent=64,
     )
     tls: TlsSettings = TlsSettings(enabled=False)
     logs: LogSettings = LogSettings()
--- a/src/redwingslip/peers/_link.py
+++ b/src/redwingslip/peers/_link.py
@@ -80,7 +80,10 @@
 
     def send(self, message: Message) -> None:
         """Put a message into the next frame."""
-        if len(self._outbox) >= self._cfg.max_outbox:
+        n_kept = self._cfg.max_outbox
+        if not self.is_up:
+            n_kept = min(n_kept, self._cfg.max_unsent)
+        while len(self._outbox) >= n_kept:
             self._outbox.popleft()
             self.n_dropped += 1
         self._outbox.append(message)
--- a/src/redwingslip/peers/_settings.py
+++ b/src/redwingslip/peers/_settings.py
@@ -22,6 +22,9 @@
         The wait before the next attempt.
     max_outbox : int
         Messages kept for a peer that can't be reached; older ones are dropped.
+    max_unsent : int
+        Messages kept while no stream carries a link: they are stale by the time that
+        one does, and their receiver asks again.
     max_batch : int
         Messages in one frame.
     """
@@ -31,4 +34,5 @@
     connect_timeout: timedelta = timedelta(seconds=1)
     retry_delay: timedelta = timedelta(milliseconds=100)
     max_outbox: int = 20_000
+    max_unsent: int = 20_000
     max_batch: int = 512
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -253,10 +253,7 @@
         if now > begun_at + self._cfg.down_timeout:
             return False
         agent = self._agent_on(machine)
-        if agent is not None and agent.is_ready(now):
-            self._cordoned.pop(machine, None)
-            return False
-        return True
+        return agent is None or not agent.is_ready(now)
 
     def _agent_on(self, machine: str) -> VmAgent | None:
         found = None
@@ -293,6 +290,7 @@
             if outcome is MachineOutcome.DONE:
                 self._begun_at[machine] = self._clock.monotonic()
                 await self._record(wave, begun=(machine,))
+                self._cordoned.pop(machine, None)
                 if agent is not None:
                     await self._forget(agent.vm)
             elif outcome in (
