Pace waves, and start first what can still be on time

Cause: a wave of 13 machines cordoned ten of 24 at once, at its very start, in loaded pools; under overload the order by due time spent the room on jobs that were late anyway. Ruled out: start latency (p95 39 ms with room), the wave's drain time. Change: a wave takes what its pace needs, and idle machines of pools without a backlog; jobs that can't be on time any more go behind those that can.

--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -9,20 +9,21 @@
 
 
 class Urgency(NamedTuple):
-    """Sort key of a waiting task, the lowest first.
+    """Sort key of a waiting job, the lowest first.
 
     Attributes
     ----------
     band : int
-        0 for tasks that run until cancelled, else 1 and the queue's priority above.
-    share : float
-        What the customer uses by its share, as far as shares decide.
+        0 for tasks that run until cancelled, 1 for jobs that can still be on time, 2
+        for those that can't.
+    priority : int
+        The queue's.
     due_ms : float
         When the job's objective ends.
     """
 
     band: int
-    share: float
+    priority: int
     due_ms: float
 
 
--- a/src/redwingslip/scheduling/_board.py
+++ b/src/redwingslip/scheduling/_board.py
@@ -16,7 +16,10 @@
 
 __all__ = ["JobBoard", "count_steps"]
 
-N_MS_PER_S = 1000
+LASTING, TIMELY, LATE = 0, 1, 2
+# Estimates are rough (platform contract); a job counts as late only when less than
+# this part of its estimated chain would have to fit.
+TIMELY_PART = 0.7
 
 
 class JobBoard:
@@ -87,9 +90,7 @@
                 total[2] += need.accelerators
         return {name: Amounts(*total) for name, total in totals.items()}
 
-    def waiting(
-        self, now_ms: int, usage: dict[str, Amounts]
-    ) -> list[tuple[Urgency, list[WaitingTask]]]:
+    def waiting(self, now_ms: int) -> list[tuple[Urgency, list[WaitingTask]]]:
         """Return what waits, by job, the most urgent job first."""
         found = []
         for job_id in self._active:
@@ -103,7 +104,7 @@
                 if _is_due(job, key, now_ms)
             ]
             if tasks:
-                found.append((self._urgency(job, usage), job_id, tasks))
+                found.append((self._urgency(job, now_ms), job_id, tasks))
         found.sort(key=lambda item: item[:2])
         return [(urgency, tasks) for urgency, _, tasks in found]
 
@@ -125,22 +126,28 @@
             avoided=frozenset(self._failed_on.get(key, ())),
         )
 
-    def _urgency(self, job: JobRecord, usage: dict[str, Amounts]) -> Urgency:
+    def _urgency(self, job: JobRecord, now_ms: int) -> Urgency:
         queue = self._queues.get(job.spec.queue)
+        priority = queue.priority if queue else 0
         if any(step.is_long_running for step in job.spec.steps):
-            return Urgency(0, 0.0, job.accepted_ms)
+            return Urgency(LASTING, 0, job.accepted_ms)
         stretch = queue.stretch if queue else 1.0
         target_ms = queue.target_latency_ms if queue else 0
         due_ms = job.accepted_ms + stretch * _chain_ms(job) + target_ms
-        return Urgency(1 + (queue.priority if queue else 0), 0.0, due_ms)
+        is_late = now_ms + TIMELY_PART * _chain_ms(job, only_open=True) > due_ms
+        return Urgency(LATE if is_late else TIMELY, priority, due_ms)
 
 
-def _chain_ms(job: JobRecord) -> int:
-    """Return the longest chain of estimates through a job's steps."""
+def _chain_ms(job: JobRecord, *, only_open: bool = False) -> int:
+    """Return the longest chain of estimates through a job's (open) steps.
+
+    Of a repeated job, that of its last occurrence.
+    """
     ends: list[int] = []
-    for step in job.spec.steps:
+    for number, step in enumerate(job.spec.steps):
         begin = max((ends[i] for i in step.after if i < len(ends)), default=0)
-        ends.append(begin + step.estimate_ms)
+        is_open = not only_open or not all(t.is_done for t in job.tasks[-1][number])
+        ends.append(begin + (step.estimate_ms if is_open else 0))
     return max(ends, default=0)
 
 
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -107,6 +107,7 @@
         self._board = JobBoard(state)
         self._wake = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
+        self._backlog: dict[str, int] = {}
         self.agents: dict[str, VmAgent] = {}
         self.waves = WaveKeeper(
             state=state,
@@ -117,6 +118,7 @@
             fence=self._fence,
             clock=clock,
             now_ms=self.now_ms,
+            backlog=self._backlog,
             events=events,
             cfg=wave_cfg,
         )
@@ -339,7 +341,8 @@
     def _decide(self) -> tuple[RunStart, ...]:
         """Return the starts of one round."""
         usage = self._board.usage()
-        jobs = self._board.waiting(self.now_ms(), usage)
+        jobs = self._board.waiting(self.now_ms())
+        self._backlog.clear()
         if not jobs:
             return ()
         limits = {c.name: c.limit for c in self._state.plan.customers}
@@ -364,12 +367,19 @@
                     starts.append(start)
                     continue
                 full_steps.add(task.key[:3])
+                self._note_backlog(task, tasks)
                 if urgency.band == 0:
                     self._make_room(task)
         for members in gangs.values():
             starts.extend(placer.place_gang(members))
         return starts
 
+    def _note_backlog(self, task: WaitingTask, tasks: list[WaitingTask]) -> None:
+        """Add what waits of a task's step to its pool's backlog."""
+        n_tasks = sum(other.key[:3] == task.key[:3] for other in tasks)
+        waiting = self._backlog.get(task.pool, 0)
+        self._backlog[task.pool] = waiting + n_tasks * task.step.need.cpu
+
     def _make_room(self, task: WaitingTask) -> None:
         """Stop less urgent runs where a task that must run has no place."""
         for agent, run in choose_victims(task, self._state, self.agents, self._clock):
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -1,6 +1,7 @@
 """Maintenance waves: which machines are drained and maintained, and when."""
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
@@ -45,6 +46,13 @@
         A machine that has not come back counts as down for at most this long.
     retry_delay : timedelta
         Wait before an order is repeated that the platform did not carry out.
+    cycle : timedelta
+        What one machine takes from the beginning of its drain until it serves again,
+        for the pace of a wave.
+    safety : float
+        Part of a wave's time that is kept back for orders that are not carried out.
+    pool_share : float
+        Part of a pool's VMs that may be away at once while the pace allows a choice.
     """
 
     interval: timedelta = timedelta(milliseconds=100)
@@ -52,6 +60,9 @@
     max_drain: timedelta = timedelta(seconds=4)
     down_timeout: timedelta = timedelta(seconds=12)
     retry_delay: timedelta = timedelta(seconds=1)
+    cycle: timedelta = timedelta(seconds=5)
+    safety: float = 0.2
+    pool_share: float = 0.2
 
 
 class WaveKeeper:
@@ -75,6 +86,8 @@
         The time.
     now_ms : callable
         Returns the leader's Unix time.
+    backlog : mapping of str to int
+        What waits for room in each pool, in thousandths of a core.
     events : EventSink
         Takes the events.
     cfg : WaveSettings
@@ -83,6 +96,7 @@
 
     __slots__ = (
         "_agents",
+        "_backlog",
         "_begun_at",
         "_cfg",
         "_clock",
@@ -110,6 +124,7 @@
         fence: int,
         clock: Clock,
         now_ms: Callable[[], int],
+        backlog: Mapping[str, int],
         events: EventSink,
         cfg: WaveSettings,
     ) -> None:
@@ -121,6 +136,7 @@
         self._fence = fence
         self._clock = clock
         self._now_ms = now_ms
+        self._backlog = backlog
         self._events = events
         self._cfg = cfg
         self._since = clock.monotonic()
@@ -173,13 +189,54 @@
         self._orders.pop(machine, None)
 
     def _cordon(self, wave: WaveRecord, left: list[str], now: timedelta) -> None:
-        """Keep enough machines draining for the next orders."""
-        draining = [machine for machine in left if machine in self._cordoned]
-        n_wanted = 2 * max(1, wave.max_at_once) - len(draining)
+        """Begin to drain the machines whose turn is next.
+
+        As many as the pace of the wave needs are taken in any case, and more where
+        nobody misses them: idle machines of pools in which nothing waits.
+        """
+        n_away = sum(machine in self._cordoned for machine in left) + sum(
+            self._is_down(wave, machine, now)
+            for machine in wave.machines
+            if machine not in self._cordoned
+        )
+        most = max(1, wave.max_at_once)
+        n_needed = min(most, self._n_needed(wave, len(left)))
         candidates = [machine for machine in left if machine not in self._cordoned]
-        candidates.sort(key=lambda machine: (self._n_runs(machine), machine))
-        for machine in candidates[: max(0, n_wanted)]:
-            self._cordoned[machine] = now
+        candidates.sort(key=lambda machine: (*self._cost(machine), machine))
+        for machine in candidates:
+            if n_away >= most:
+                return
+            if n_away < n_needed or self._is_spare(machine):
+                self._cordoned[machine] = now
+                n_away += 1
+
+    def _n_needed(self, wave: WaveRecord, n_left: int) -> int:
+        """Return how many machines must be away at once for the wave to be in time."""
+        kept_ms = self._cfg.safety * wave.duration_ms
+        left_ms = max(1, wave.due_ms - kept_ms - self._now_ms())
+        return math.ceil(n_left * (self._cfg.cycle / MS) / left_ms)
+
+    def _cost(self, machine: str) -> tuple[float, int]:
+        """Return what its pool and its runs lose by a machine's absence."""
+        agent = self._agent_on(machine)
+        if agent is None:
+            return (0.0, 0)
+        return (self._backlog.get(agent.vm.pool, 0), self._n_runs(machine))
+
+    def _is_spare(self, machine: str) -> bool:
+        """Return whether nobody misses a machine now."""
+        agent = self._agent_on(machine)
+        if agent is None:
+            return True
+        vm = agent.vm
+        runs = self._state.runs_of(vm.vm_id, vm.born_ms)
+        if self._backlog.get(vm.pool, 0):
+            return False
+        if not all(self._state.step(run.key).is_long_running for run in runs):
+            return False
+        pool = [a.vm.machine for a in self._agents.values() if a.vm.pool == vm.pool]
+        n_cordoned = sum(name in self._cordoned for name in pool)
+        return n_cordoned + 1 <= max(1, self._cfg.pool_share * len(pool))
 
     def _is_due(self, machine: str, wave: WaveRecord, now: timedelta) -> bool:
         """Return whether a machine can be maintained now."""
