Move machines after the load, and switch idle ones off

Change: a pool that is asked for over 85 % of its room gets machines that are off, then idle ones of other pools; what rests is switched off; short tasks fill VMs that run long-running ones first.

--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -144,6 +144,8 @@
             lease_cfg=cfg.leases,
             health_cfg=cfg.health,
             wave_cfg=cfg.waves,
+            move_cfg=cfg.moves,
+            sizing_cfg=cfg.sizing,
         )
         self._service = JobService(
             state=self.machine.state, scheduler=self._scheduler, events=self._events
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -8,7 +8,13 @@
 from ..consensus import ConsensusSettings
 from ..http import HttpLimits
 from ..peers import PeerSettings
-from ..scheduling import AgentSettings, SchedulingSettings, WaveSettings
+from ..placement import SizingSettings
+from ..scheduling import (
+    AgentSettings,
+    MoveSettings,
+    SchedulingSettings,
+    WaveSettings,
+)
 from ..settings import (
     Address,
     LogSettings,
@@ -161,4 +167,6 @@
     leases: LeaseSettings = LeaseSettings()
     health: HealthSettings = HealthSettings()
     waves: WaveSettings = WaveSettings()
+    moves: MoveSettings = MoveSettings()
+    sizing: SizingSettings = SizingSettings()
     drain: DrainSettings = DrainSettings()
--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -129,6 +129,8 @@
         vm.is_avoided or vm.vm_id in task.avoided,
         is_far,
         n_there,
+        # The others stay idle as far as possible, and can be moved or switched off.
+        not vm.is_anchored,
         -vm.free.cpu,
         vm.vm_id,
     )
--- /dev/null
+++ b/src/redwingslip/placement/_sizing.py
@@ -0,0 +1,133 @@
+"""How many machines each pool needs, and which moves bring them there."""
+
+import math
+
+import msgspec
+
+__all__ = ["Move", "PoolLoad", "SizingSettings", "plan_moves"]
+
+
+class SizingSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """When pools grow and shrink.
+
+    Attributes
+    ----------
+    grow_above : float
+        A pool grows when more than this part of its room is asked for.
+    aim : float
+        Part of the room that should be asked for after it has grown.
+    shrink_below : float
+        A pool may give a machine away if less than this part of what it keeps is
+        asked for.
+    min_vms : int
+        VMs that a pool keeps in any case, so that one failure leaves some.
+    max_moves : int
+        Moves that may be under way at a time.
+    """
+
+    grow_above: float = 0.85
+    aim: float = 0.75
+    shrink_below: float = 0.5
+    min_vms: int = 2
+    max_moves: int = 12
+
+
+class PoolLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """What is asked of a pool and what it has, in thousandths of a core.
+
+    Attributes
+    ----------
+    is_standby : bool
+        Whether its machines are off; they cost nothing there.
+    asked : int
+        What its tasks use and wait for.
+    room : int
+        What its VMs have, those on their way included.
+    vm_room : int
+        What one VM has.
+    n_vms : int
+        Its VMs, those on their way included.
+    idle : tuple of str
+        Machines that nothing runs on, the longest idle ones first.
+    resting : tuple of str
+        Those of them that have been idle for long enough to be switched off.
+    """
+
+    pool: str
+    is_standby: bool = False
+    asked: int = 0
+    room: int = 0
+    vm_room: int = 0
+    n_vms: int = 0
+    idle: tuple[str, ...] = ()
+    resting: tuple[str, ...] = ()
+
+
+class Move(msgspec.Struct, frozen=True):
+    """A machine and the pool that it is to belong to."""
+
+    machine: str
+    pool: str
+
+
+def plan_moves(
+    loads: tuple[PoolLoad, ...], n_under_way: int, cfg: SizingSettings
+) -> tuple[Move, ...]:
+    """Return the moves to begin now.
+
+    Pools that are asked for more than they hold get machines that are switched off,
+    then idle ones of other pools; what nobody asks for is switched off.
+    """
+    serving = [load for load in loads if not load.is_standby]
+    standby = [load for load in loads if load.is_standby]
+    givers = [machine for load in standby for machine in load.idle] + [
+        machine for load in serving for machine in _spare(load, load.idle, cfg)
+    ]
+    moves: list[Move] = []
+    taken: set[str] = set()
+    n_left = cfg.max_moves - n_under_way
+    for load in sorted(serving, key=_shortage, reverse=True):
+        own = set(load.idle)
+        for machine in givers:
+            if len(moves) >= n_left or len(taken) >= len(givers):
+                break
+            n_wanted = _n_wanted(load, cfg)
+            if sum(move.pool == load.pool for move in moves) >= n_wanted:
+                break
+            if machine not in taken and machine not in own:
+                taken.add(machine)
+                moves.append(Move(machine, load.pool))
+    if standby:
+        home = standby[0].pool
+        for load in serving:
+            for machine in _spare(load, load.resting, cfg):
+                if len(moves) < n_left and machine not in taken:
+                    taken.add(machine)
+                    moves.append(Move(machine, home))
+    return tuple(moves)
+
+
+def _shortage(load: PoolLoad) -> float:
+    return load.asked / max(1, load.room)
+
+
+def _n_wanted(load: PoolLoad, cfg: SizingSettings) -> int:
+    """Return how many machines a pool should get."""
+    if not load.vm_room or load.asked <= cfg.grow_above * load.room:
+        return 0
+    missing = load.asked / cfg.aim - load.room
+    return max(1, math.floor(missing / load.vm_room))
+
+
+def _spare(
+    load: PoolLoad, machines: tuple[str, ...], cfg: SizingSettings
+) -> tuple[str, ...]:
+    """Return which of some machines a pool can do without."""
+    n_spare = 0
+    while n_spare < len(machines):
+        n_kept = load.n_vms - n_spare - 1
+        room = load.room - (n_spare + 1) * load.vm_room
+        if n_kept < cfg.min_vms or load.asked > cfg.shrink_below * room:
+            break
+        n_spare += 1
+    return machines[:n_spare]
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -77,12 +77,15 @@
         Its runs by job, occurrence and step.
     is_avoided : bool
         Whether it is used only where no other VM will do.
+    is_anchored : bool
+        Whether it runs long-running tasks, and so stays where it is.
     """
 
     __slots__ = (
         "born_ms",
         "data_centre",
         "free",
+        "is_anchored",
         "is_avoided",
         "labels",
         "tasks_of_step",
@@ -99,6 +102,7 @@
         tasks_of_step: Counter[tuple],
         data_centre: str = "",
         is_avoided: bool = False,
+        is_anchored: bool = False,
     ) -> None:
         self.vm_id = vm_id
         self.born_ms = born_ms
@@ -107,6 +111,7 @@
         self.tasks_of_step = tasks_of_step
         self.data_centre = data_centre
         self.is_avoided = is_avoided
+        self.is_anchored = is_anchored
 
 
 class PoolRoom:
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -1,6 +1,7 @@
 """Scheduling: the leader's work with jobs, VMs and waves, over ports to the outside."""
 
 from ._agent import AgentSettings, VmAgent
+from ._moves import MoveKeeper, MoveSettings
 from ._ports import (
     HoldReport,
     ListedEnd,
@@ -39,6 +40,8 @@
     "MachineOutcome",
     "MachineState",
     "MachineView",
+    "MoveKeeper",
+    "MoveSettings",
     "NoPlanError",
     "NoQueueError",
     "NotLeadingError",
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -1,6 +1,7 @@
 """The leader's scheduling: agents for the VMs, and rounds of placement."""
 
 import asyncio
+from collections.abc import Iterable
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -28,10 +29,11 @@
     encode_command,
 )
 from ..observe import Event, EventName, EventSink
-from ..placement import Placer, PoolRoom, Urgency, VmRoom, WaitingTask
+from ..placement import Placer, PoolRoom, SizingSettings, Urgency, VmRoom, WaitingTask
 from ..workers import HealthSettings, LeaseSettings
 from ._agent import AgentSettings, VmAgent
 from ._board import JobBoard, count_steps
+from ._moves import MoveKeeper, MoveSettings
 from ._ports import VmOperations, VmOrders
 from ._preemption import choose_victims
 from ._waves import WaveKeeper, WaveSettings
@@ -74,7 +76,7 @@
         The time.
     events : EventSink
         Takes the events.
-    cfg, agent_cfg, lease_cfg, health_cfg, wave_cfg
+    cfg, agent_cfg, lease_cfg, health_cfg, wave_cfg, move_cfg, sizing_cfg
         The settings.
     """
 
@@ -92,6 +94,8 @@
         lease_cfg: LeaseSettings,
         health_cfg: HealthSettings,
         wave_cfg: WaveSettings,
+        move_cfg: MoveSettings,
+        sizing_cfg: SizingSettings,
     ) -> None:
         self._replica = replica
         self._state = state
@@ -109,12 +113,27 @@
         self._tasks: list[asyncio.Task] = []
         self._backlog: dict[str, int] = {}
         self.agents: dict[str, VmAgent] = {}
+        self.moves = MoveKeeper(
+            state=state,
+            agents=self.agents,
+            operations=operations,
+            propose=self.propose,
+            may_order=lambda: self.waves.may_order(),
+            is_reserved=lambda machine: self.waves.is_cordoned(machine),
+            backlog=self._backlog,
+            fence=self._fence,
+            clock=clock,
+            events=events,
+            cfg=move_cfg,
+            sizing=sizing_cfg,
+        )
         self.waves = WaveKeeper(
             state=state,
             agents=self.agents,
             operations=operations,
             propose=self.propose,
             is_leading=self.is_leading,
+            is_moving=self.moves.is_moving,
             fence=self._fence,
             clock=clock,
             now_ms=self.now_ms,
@@ -133,6 +152,7 @@
         self._tasks = [
             asyncio.create_task(self._place_forever(), name="placement"),
             asyncio.create_task(self.waves.run(), name="waves"),
+            asyncio.create_task(self.moves.run(), name="moves"),
             asyncio.create_task(self._forget_forever(), name="forgetting"),
         ]
 
@@ -395,7 +415,11 @@
         now = self._clock.monotonic()
         pools: dict[str, PoolRoom] = {}
         for vm_id, agent in self.agents.items():
-            if not agent.is_ready(now) or self.waves.is_cordoned(agent.vm):
+            machine = agent.vm.machine
+            is_leaving = self.waves.is_cordoned(machine) or self.moves.is_moving(
+                machine
+            )
+            if is_leaving or not agent.is_ready(now):
                 continue
             used, steps = count_steps(self._state, vm_id)
             room = VmRoom(
@@ -406,10 +430,18 @@
                 tasks_of_step=steps,
                 data_centre=agent.vm.data_centre,
                 is_avoided=agent.health.is_avoided(now),
+                is_anchored=self._is_anchored(steps),
             )
             pools.setdefault(agent.vm.pool, PoolRoom([])).vms.append(room)
         return pools
 
+    def _is_anchored(self, steps: Iterable[tuple[str, int, int]]) -> bool:
+        """Return whether any of some steps runs until cancelled."""
+        return any(
+            self._state.jobs[job_id].spec.steps[number].is_long_running
+            for job_id, _, number in steps
+        )
+
     async def _forget_forever(self) -> None:
         """Drop ended jobs after the time for which they are remembered."""
         keep_ms = self._cfg.keep_ended // MS
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -80,6 +80,8 @@
         Has a command committed.
     is_leading : callable
         Returns whether no other leader can exist.
+    is_moving : callable
+        Returns whether a machine is about to leave its pool.
     fence : int
         The leader's term.
     clock : Clock
@@ -104,6 +106,7 @@
         "_events",
         "_fence",
         "_is_leading",
+        "_is_moving",
         "_now_ms",
         "_operations",
         "_orders",
@@ -121,6 +124,7 @@
         operations: VmOperations,
         propose: Callable[[Command], Awaitable[object]],
         is_leading: Callable[[], bool],
+        is_moving: Callable[[str], bool],
         fence: int,
         clock: Clock,
         now_ms: Callable[[], int],
@@ -133,6 +137,7 @@
         self._operations = operations
         self._propose = propose
         self._is_leading = is_leading
+        self._is_moving = is_moving
         self._fence = fence
         self._clock = clock
         self._now_ms = now_ms
@@ -145,21 +150,23 @@
         self._retry_at: dict[str, timedelta] = {}
         self._orders: dict[str, asyncio.Task] = {}
 
-    def is_cordoned(self, vm: VmRecord) -> bool:
-        """Return whether a VM gets no new runs since its machine's turn is near."""
-        return vm.machine in self._cordoned
+    def is_cordoned(self, machine: str) -> bool:
+        """Return whether a machine gets no new runs since its turn is near."""
+        return machine in self._cordoned or machine in self._orders
+
+    def may_order(self) -> bool:
+        """Return whether this leader may give orders to machines now."""
+        delay = self._cfg.takeover_delay
+        return self._is_leading() and self._clock.monotonic() >= self._since + delay
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
         try:
             while True:
                 await asyncio.sleep(self._cfg.interval.total_seconds())
-                now = self._clock.monotonic()
-                if (
-                    not self._is_leading()
-                    or now < self._since + self._cfg.takeover_delay
-                ):
+                if not self.may_order():
                     continue
+                now = self._clock.monotonic()
                 for wave in tuple(self._state.waves.values()):
                     if not wave.is_complete:
                         self._advance(wave, now)
@@ -206,6 +213,8 @@
         for machine in candidates:
             if n_away >= most:
                 return
+            if self._is_moving(machine):
+                continue
             if n_away < n_needed or self._is_spare(machine):
                 self._cordoned[machine] = now
                 n_away += 1
