Grow pools for tasks that may not share a VM; damp the growth

Change: tasks that may not share a VM count as missing VMs; 0.6 of what waits counts for growth; idle machines are switched off after 1.2 s.

--- a/src/redwingslip/placement/_sizing.py
+++ b/src/redwingslip/placement/_sizing.py
@@ -16,6 +16,8 @@
         A pool grows when more than this part of its room is asked for.
     aim : float
         Part of the room that should be asked for after it has grown.
+    waiting_part : float
+        Part of the waiting tasks' needs that counts for the growth.
     shrink_below : float
         A pool may give a machine away if less than this part of what it keeps is
         asked for.
@@ -26,7 +28,8 @@
     """
 
     grow_above: float = 0.85
-    aim: float = 0.75
+    aim: float = 0.9
+    waiting_part: float = 0.6
     shrink_below: float = 0.5
     min_vms: int = 2
     max_moves: int = 12
@@ -39,14 +42,16 @@
     ----------
     is_standby : bool
         Whether its machines are off; they cost nothing there.
-    asked : int
-        What its tasks use and wait for.
+    used, waiting : int
+        What its tasks use, and what those need that wait for room.
     room : int
         What its VMs have, those on their way included.
     vm_room : int
         What one VM has.
     n_vms : int
         Its VMs, those on their way included.
+    n_missing : int
+        VMs that are wanted for tasks which may not share one with their like.
     idle : tuple of str
         Machines that nothing runs on, the longest idle ones first.
     resting : tuple of str
@@ -55,13 +60,20 @@
 
     pool: str
     is_standby: bool = False
-    asked: int = 0
+    used: int = 0
+    waiting: int = 0
     room: int = 0
     vm_room: int = 0
     n_vms: int = 0
+    n_missing: int = 0
     idle: tuple[str, ...] = ()
     resting: tuple[str, ...] = ()
 
+    @property
+    def asked(self) -> int:
+        """Return what is asked for now."""
+        return self.used + self.waiting
+
 
 class Move(msgspec.Struct, frozen=True):
     """A machine and the pool that it is to belong to."""
@@ -108,15 +120,17 @@
 
 
 def _shortage(load: PoolLoad) -> float:
-    return load.asked / max(1, load.room)
+    return load.n_missing + load.asked / max(1, load.room)
 
 
 def _n_wanted(load: PoolLoad, cfg: SizingSettings) -> int:
     """Return how many machines a pool should get."""
     if not load.vm_room or load.asked <= cfg.grow_above * load.room:
-        return 0
-    missing = load.asked / cfg.aim - load.room
-    return max(1, math.floor(missing / load.vm_room))
+        return load.n_missing
+    # A part of what waits finds room before a machine that is moved now serves.
+    asked = load.used + cfg.waiting_part * load.waiting
+    missing = asked / cfg.aim - load.room
+    return max(load.n_missing, math.ceil(missing / load.vm_room))
 
 
 def _spare(
@@ -124,6 +138,8 @@
 ) -> tuple[str, ...]:
     """Return which of some machines a pool can do without."""
     n_spare = 0
+    if load.n_missing:
+        return ()
     while n_spare < len(machines):
         n_kept = load.n_vms - n_spare - 1
         room = load.room - (n_spare + 1) * load.vm_room
--- a/src/redwingslip/scheduling/_board.py
+++ b/src/redwingslip/scheduling/_board.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from collections.abc import Iterator
 
+import msgspec
+
 from ..jobs import (
     ACTIVE_STATUSES,
     NO_AMOUNTS,
@@ -14,7 +16,7 @@
 )
 from ..placement import Urgency, WaitingTask
 
-__all__ = ["JobBoard", "count_steps"]
+__all__ = ["JobBoard", "PoolBacklog", "count_steps"]
 
 LASTING, TIMELY, LATE = 0, 1, 2
 # Estimates are rough (platform contract); a job counts as late only when less than
@@ -22,6 +24,22 @@
 TIMELY_PART = 0.7
 
 
+class PoolBacklog(msgspec.Struct):
+    """What waits for room in a pool.
+
+    Attributes
+    ----------
+    cpu : int
+        Thousandths of a core that the waiting tasks need.
+    n_vms : int
+        Waiting tasks of the step with most of them that may not share a VM with
+        their like.
+    """
+
+    cpu: int = 0
+    n_vms: int = 0
+
+
 class JobBoard:
     """Keeps the active jobs and what waits of each.
 
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -11,7 +11,7 @@
 from ..observe import Event, EventName, EventSink
 from ..placement import PoolLoad, SizingSettings, plan_moves
 from ._agent import VmAgent
-from ._board import count_steps
+from ._board import PoolBacklog, count_steps
 from ._ports import MachineOutcome, MachineState, MachineView, VmOperations
 from .exceptions import CommandLostError, NotLeadingError, OrderLostError
 
@@ -28,15 +28,14 @@
     list_interval : timedelta
         Time between two readings of the platform's list of machines.
     rest_time : timedelta
-        A machine is switched off when it was idle for this long: about two moves, so
-        that a short pause does not cost more than it saves.
+        A machine is switched off when it was idle for this long, about a move's time.
     arrival_time : timedelta
         A machine that was moved counts as on its way for at most this long.
     """
 
     interval: timedelta = timedelta(milliseconds=100)
     list_interval: timedelta = timedelta(seconds=1)
-    rest_time: timedelta = timedelta(milliseconds=2500)
+    rest_time: timedelta = timedelta(milliseconds=1200)
     arrival_time: timedelta = timedelta(seconds=5)
 
 
@@ -65,8 +64,8 @@
         Returns whether this leader may give orders to machines now.
     is_reserved : callable
         Returns whether a machine has another use soon.
-    backlog : mapping of str to int
-        What waits for room in each pool, in thousandths of a core.
+    backlog : mapping of str to PoolBacklog
+        What waits for room in each pool.
     fence : int
         The leader's term.
     clock : Clock
@@ -106,7 +105,7 @@
         propose: Callable[[Command], Awaitable[object]],
         may_order: Callable[[], bool],
         is_reserved: Callable[[str], bool],
-        backlog: Mapping[str, int],
+        backlog: Mapping[str, PoolBacklog],
         fence: int,
         clock: Clock,
         events: EventSink,
@@ -198,15 +197,14 @@
         return PoolLoad(pool=pool, is_standby=True, idle=idle)
 
     def _serving_load(self, pool: str, now: timedelta) -> PoolLoad:
-        asked = self._backlog.get(pool, 0)
-        room = vm_room = n_vms = 0
+        used_cpu = room = vm_room = n_vms = 0
         idle: list[str] = []
         for vm_id, agent in self._agents.items():
             vm = agent.vm
             if vm.pool != pool or not agent.is_ready(now) or self.is_moving(vm.machine):
                 continue
             used, steps = count_steps(self._state, vm_id)
-            asked += used.cpu
+            used_cpu += used.cpu
             room += vm.capacity.cpu
             vm_room = max(vm_room, vm.capacity.cpu)
             n_vms += 1
@@ -216,11 +214,18 @@
             self._idle_since.setdefault(vm.machine, now)
             if vm.machine and self._is_free(vm.machine):
                 idle.append(vm.machine)
+        backlog = self._backlog.get(pool, PoolBacklog())
+        if not vm_room:
+            # No VM is up to be measured; the platform's list knows the machines.
+            rooms = [v.capacity.cpu for v in self._machines.values()]
+            vm_room = max(rooms, default=0)
         arriving = [a for a in self._arrivals.values() if a.pool == pool]
         idle.sort(key=lambda machine: (self._idle_since[machine], machine))
         return PoolLoad(
             pool=pool,
-            asked=asked,
+            used=used_cpu,
+            waiting=backlog.cpu,
+            n_missing=max(0, backlog.n_vms - len(arriving)),
             room=room + sum(arrival.room for arrival in arriving),
             vm_room=vm_room,
             n_vms=n_vms + len(arriving),
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -32,7 +32,7 @@
 from ..placement import Placer, PoolRoom, SizingSettings, Urgency, VmRoom, WaitingTask
 from ..workers import HealthSettings, LeaseSettings
 from ._agent import AgentSettings, VmAgent
-from ._board import JobBoard, count_steps
+from ._board import JobBoard, PoolBacklog, count_steps
 from ._moves import MoveKeeper, MoveSettings
 from ._ports import VmOperations, VmOrders
 from ._preemption import choose_victims
@@ -111,7 +111,7 @@
         self._board = JobBoard(state)
         self._wake = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
-        self._backlog: dict[str, int] = {}
+        self._backlog: dict[str, PoolBacklog] = {}
         self.agents: dict[str, VmAgent] = {}
         self.moves = MoveKeeper(
             state=state,
@@ -397,8 +397,10 @@
     def _note_backlog(self, task: WaitingTask, tasks: list[WaitingTask]) -> None:
         """Add what waits of a task's step to its pool's backlog."""
         n_tasks = sum(other.key[:3] == task.key[:3] for other in tasks)
-        waiting = self._backlog.get(task.pool, 0)
-        self._backlog[task.pool] = waiting + n_tasks * task.step.need.cpu
+        backlog = self._backlog.setdefault(task.pool, PoolBacklog())
+        backlog.cpu += n_tasks * task.step.need.cpu
+        if task.step.max_per_vm or task.step.disruption_budget:
+            backlog.n_vms = max(backlog.n_vms, n_tasks)
 
     def _make_room(self, task: WaitingTask) -> None:
         """Stop less urgent runs where a task that must run has no place."""
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -21,6 +21,7 @@
 )
 from ..observe import Event, EventName, EventSink
 from ._agent import VmAgent
+from ._board import PoolBacklog
 from ._ports import MachineOutcome, VmOperations
 from .exceptions import CommandLostError, NotLeadingError
 
@@ -88,8 +89,8 @@
         The time.
     now_ms : callable
         Returns the leader's Unix time.
-    backlog : mapping of str to int
-        What waits for room in each pool, in thousandths of a core.
+    backlog : mapping of str to PoolBacklog
+        What waits for room in each pool.
     events : EventSink
         Takes the events.
     cfg : WaveSettings
@@ -128,7 +129,7 @@
         fence: int,
         clock: Clock,
         now_ms: Callable[[], int],
-        backlog: Mapping[str, int],
+        backlog: Mapping[str, PoolBacklog],
         events: EventSink,
         cfg: WaveSettings,
     ) -> None:
@@ -225,12 +226,13 @@
         left_ms = max(1, wave.due_ms - kept_ms - self._now_ms())
         return math.ceil(n_left * (self._cfg.cycle / MS) / left_ms)
 
-    def _cost(self, machine: str) -> tuple[float, int]:
+    def _cost(self, machine: str) -> tuple[int, int]:
         """Return what its pool and its runs lose by a machine's absence."""
         agent = self._agent_on(machine)
         if agent is None:
-            return (0.0, 0)
-        return (self._backlog.get(agent.vm.pool, 0), self._n_runs(machine))
+            return (0, 0)
+        backlog = self._backlog.get(agent.vm.pool, PoolBacklog())
+        return (backlog.cpu, self._n_runs(machine))
 
     def _is_spare(self, machine: str) -> bool:
         """Return whether nobody misses a machine now."""
@@ -239,7 +241,7 @@
             return True
         vm = agent.vm
         runs = self._state.runs_of(vm.vm_id, vm.born_ms)
-        if self._backlog.get(vm.pool, 0):
+        if vm.pool in self._backlog:
             return False
         if not all(self._state.step(run.key).is_long_running for run in runs):
             return False
