Let a leader commit by the others' disks; probe further back after a mismatch

Ruled out: doing the same on followers, whose applied state nobody waits for. Change: a leader applies what a quorum has on disk; an older answer counts when its hint is lower; controllers bear a hanging disk for 8 s.

--- a/src/redwingslip/consensus/_leadership.py
+++ b/src/redwingslip/consensus/_leadership.py
@@ -131,8 +131,9 @@
             self._change_members()
         elif not progress.snapshot_index:
             # Of the answers to all that was sent before the first mismatch was known,
-            # one is enough to begin anew from.
-            if msg.round < progress.mismatch_round:
+            # one is enough to begin anew from; one that leads further back is news.
+            is_old = msg.round < progress.mismatch_round
+            if is_old and msg.match_index >= progress.window_start:
                 return
             progress.mismatch_round = self._rounds.number + 1
             progress.note_mismatch(msg.match_index)
--- a/src/redwingslip/consensus/_node.py
+++ b/src/redwingslip/consensus/_node.py
@@ -209,14 +209,14 @@
         )
         self._outputs.add_snapshot(core.snapshot, is_installed=False)
         core.members.compact(index)
-        start = max(core.log.start.index, index - core.cfg.n_trailing_entries)
-        core.log.compact(start)
+        start = min(index - core.cfg.n_trailing_entries, core.log.stable_index)
+        core.log.compact(max(core.log.start.index, start))
 
     def take_ready(self, now: timedelta) -> Ready:
         """Return what is to be done. At most one save is out at a time."""
         if self._leadership is not None:
             self._leadership.replicate()
-        return self._outputs.take(now)
+        return self._outputs.take(now, is_leader=self.is_leader)
 
     def mark_saved(self, now: timedelta) -> None:
         """Note that the save of the last `Ready` that had one is durable."""
--- a/src/redwingslip/consensus/_ready.py
+++ b/src/redwingslip/consensus/_ready.py
@@ -73,9 +73,12 @@
             self._is_installing = True
             self._handed_index = snapshot.index
 
-    def take(self, now: timedelta) -> Ready:
-        """Return what is to be done."""
-        committed = self._take_committed()
+    def take(self, now: timedelta, *, is_leader: bool) -> Ready:
+        """Return what is to be done.
+
+        A leader applies what a quorum has on disk, though its own disk may be slow.
+        """
+        committed = self._take_committed(is_leader=is_leader)
         messages = self._core.take_messages()
         if self._saving_since is not None:
             return Ready(messages=messages, committed=committed)
@@ -99,11 +102,13 @@
             self._is_installing = False
         self._core.mark_saved()
 
-    def _take_committed(self) -> tuple[LogEntry, ...]:
+    def _take_committed(self, *, is_leader: bool) -> tuple[LogEntry, ...]:
         if self._is_installing:
             return ()
         core = self._core
-        last = min(core.commit_index, core.log.stable_index)
+        last = core.commit_index
+        if not is_leader:
+            last = min(last, core.log.stable_index)
         entries = core.log.between(self._handed_index + 1, last)
         self._handed_index = max(self._handed_index, last)
         return tuple(entries)
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -160,7 +160,10 @@
     """Settings of a controller daemon."""
 
     replica: ReplicaRoleSettings
-    consensus: ConsensusSettings = ConsensusSettings(max_voters=5)
+    # A leader commits by the disks of the others while its own one hangs.
+    consensus: ConsensusSettings = ConsensusSettings(
+        max_voters=5, disk_timeout=timedelta(seconds=8)
+    )
     cloud: CloudSettings = CloudSettings()
     scheduling: SchedulingSettings = SchedulingSettings()
     agents: AgentSettings = AgentSettings()
