Don't extend the lease of a VM that doesn't answer; tests of the new parts

Cause: every unanswered look asked for a longer lease, and as it may have been heard, the runs of a silent VM could never be given up (found by a test of the agent). Ruled out: taking a refused connection for the end of a VM: a cut can refuse as well.

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -99,6 +99,7 @@
         "_clock",
         "_fence",
         "_has_looked",
+        "_is_silent",
         "_leading",
         "_orders",
         "_pending",
@@ -139,6 +140,7 @@
         self.full_until: timedelta | None = None
         self.listed: dict[tuple[TaskKey, int], ListedRun] = {}
         self._has_looked = False
+        self._is_silent = False
         self._queue: deque[_Order] = deque()
         self._pending: dict[tuple[TaskKey, int], _Order] = {}
         self._settled_at: dict[tuple[TaskKey, int], timedelta] = {}
@@ -209,7 +211,7 @@
     async def _look(self) -> None:
         """Renew the lease and take in what the VM lists."""
         sent_at = self._clock.monotonic()
-        until_ms = self.lease.extend(sent_at) if self.lease.has_clock else None
+        until_ms = self._lease_end(sent_at) if self.lease.has_clock else None
         wait = self._cfg.wait if self._has_looked else timedelta(0)
         report = await self._orders.hold(
             self.vm,
@@ -223,6 +225,7 @@
         now = self._clock.monotonic()
         self.lease.note_clock(report.clock_ms, now)
         self.lease.note_contact(now)
+        self._is_silent = False
         await self._record_ends(report)
         self.listed = {(run.key, run.number): run for run in report.runs}
         self._reconcile(sent_at)
@@ -230,6 +233,10 @@
             self._has_looked = True
         self._leading.note_contact(self)
 
+    def _lease_end(self, now: timedelta) -> int:
+        """Return until when runs may go on, longer only while the VM answers."""
+        return self.lease.repeat(now) if self._is_silent else self.lease.extend(now)
+
     def _cursor(self) -> int:
         vm = self._state.vms.get(self.vm.vm_id)
         if vm is None or vm.born_ms != self.vm.born_ms:
@@ -286,6 +293,7 @@
 
     async def _note_silence(self) -> None:
         """Give the runs up once they have surely lapsed, and later the VM."""
+        self._is_silent = True
         now = self._clock.monotonic()
         if not self.lease.has_lapsed(now):
             return
@@ -357,7 +365,7 @@
         job = self._state.jobs.get(order.key.job_id)
         if job is None:
             return
-        until_ms = self.lease.extend(self._clock.monotonic())
+        until_ms = self._lease_end(self._clock.monotonic())
         outcome = await self._orders.start(
             self.vm,
             order.run,
--- a/src/redwingslip/workers/_lease.py
+++ b/src/redwingslip/workers/_lease.py
@@ -46,11 +46,19 @@
         then.
     """
 
-    __slots__ = ("_cfg", "_clock_at", "_clock_ms", "_lapsed_at", "contact_at")
+    __slots__ = (
+        "_cfg",
+        "_clock_at",
+        "_clock_ms",
+        "_lapsed_at",
+        "_until_ms",
+        "contact_at",
+    )
 
     def __init__(self, cfg: LeaseSettings, now: timedelta) -> None:
         self._cfg = cfg
         self._clock_ms = 0
+        self._until_ms = 0
         self._clock_at: timedelta | None = None
         self._lapsed_at = now + self._stretched(cfg.max_duration) + cfg.margin
         self.contact_at = now
@@ -81,8 +89,17 @@
         left = (until_ms - self._clock_ms) * MS
         lapsed_at = self._clock_at + self._stretched(left) + self._cfg.margin
         self._lapsed_at = max(self._lapsed_at, lapsed_at)
+        self._until_ms = max(self._until_ms, until_ms)
         return until_ms
 
+    def repeat(self, now: timedelta) -> int:
+        """Return the end of the lease that was sent last.
+
+        A VM that does not answer may still hear what is sent to it: extending its
+        lease would keep its runs open for good.
+        """
+        return self._until_ms or self.extend(now)
+
     def has_lapsed(self, now: timedelta) -> bool:
         """Return whether nothing that was started under this lease can be alive."""
         return now >= self._lapsed_at
--- /dev/null
+++ b/tests/support_scheduling.py
@@ -0,0 +1,224 @@
+"""Fakes for the ports of the scheduling: endpoints, the platform, the leader."""
+
+import asyncio
+
+from redwingslip.clock import ManualClock
+from redwingslip.jobs import (
+    Amounts,
+    JobSpec,
+    JobsState,
+    NoteVm,
+    Plan,
+    Pool,
+    Queue,
+    RecordEnds,
+    ReplacePlan,
+    StepSpec,
+    SubmitJob,
+    VmRecord,
+)
+from redwingslip.observe import NullSink
+from redwingslip.scheduling import (
+    AgentSettings,
+    HoldReport,
+    ListedRun,
+    MachineOutcome,
+    OrderLostError,
+    StartOutcome,
+    StartResult,
+    VmAgent,
+)
+from redwingslip.workers import HealthSettings, LeaseSettings
+
+PLAN = Plan(
+    version=1,
+    queues=(Queue(name="q", host="h", path_prefix="/q/", pool="p", max_attempts=2),),
+    pools=(Pool(name="p"), Pool(name="off", is_standby=True)),
+)
+
+
+def make_vm(vm_id="v1", *, born_ms=1, machine="", **options):
+    """Return a life of an endpoint."""
+    fields = {
+        "pool": "p",
+        "address": f"{vm_id}:1",
+        "capacity": Amounts(4000, 4000),
+        "labels": ("a", "r1"),
+        **options,
+    }
+    return VmRecord(
+        vm_id=vm_id, born_ms=born_ms, machine=machine or f"m-{vm_id}", **fields
+    )
+
+
+def make_job(job_id="j1", **step):
+    """Return a job of one step."""
+    fields = {"n_tasks": 1, "need": Amounts(1000, 100), **step}
+    return JobSpec(job_id=job_id, queue="q", pool="p", steps=(StepSpec(**fields),))
+
+
+def make_state(*vms, jobs=()):
+    """Return a state with VMs and jobs."""
+    state = JobsState()
+    state.apply(ReplacePlan(plan=PLAN))
+    for vm in vms:
+        state.apply(NoteVm(vm=vm, now_ms=1))
+    for job in jobs:
+        state.apply(SubmitJob(spec=job, now_ms=1))
+    return state
+
+
+class FakeEndpoint:
+    """An endpoint that runs what it is told, and answers as a test wants.
+
+    Attributes
+    ----------
+    start_answers : list
+        What the next starts are answered with; an exception is raised.
+    runs : dict
+        What it runs: percent by task and run number.
+    ends : list
+        What it lists as ended.
+    is_silent : bool
+        Whether it answers nothing.
+    """
+
+    def __init__(self):
+        self.start_answers = []
+        self.runs = {}
+        self.ends = []
+        self.started = []
+        self.stopped = []
+        self.cursors = []
+        self.is_silent = False
+        self.born_ms = 1
+        self.clock_ms = 10_000
+
+    async def hold(self, vm, *, fence, cursor, until_ms, wait_ms):
+        """Answer with the lists."""
+        await asyncio.sleep(0.002)
+        if self.is_silent:
+            raise OrderLostError("silent")
+        self.cursors.append(cursor)
+        return HoldReport(
+            clock_ms=self.clock_ms,
+            born_ms=self.born_ms,
+            runs=tuple(
+                ListedRun(key, number, "", percent)
+                for (key, number), percent in self.runs.items()
+            ),
+            ends=tuple(end for end in self.ends if end.cursor > cursor),
+        )
+
+    async def start(self, vm, run, *, payload, fence, until_ms):
+        """Start a run, or give the next answer."""
+        await asyncio.sleep(0)
+        if self.is_silent:
+            raise OrderLostError("silent")
+        self.started.append((run.key, run.number))
+        if self.start_answers:
+            answer = self.start_answers.pop(0)
+            if isinstance(answer, Exception):
+                raise answer
+            return StartOutcome(answer, self.clock_ms)
+        self.runs[(run.key, run.number)] = 100
+        return StartOutcome(StartResult.ACCEPTED, self.clock_ms)
+
+    async def stop(self, vm, key, number, *, fence):
+        """Stop a run."""
+        await asyncio.sleep(0)
+        if self.is_silent:
+            raise OrderLostError("silent")
+        self.stopped.append((key, number))
+        self.runs.pop((key, number), None)
+
+    async def drop(self, vm):
+        """Do nothing."""
+
+
+class FakeLeader:
+    """The leader of an agent, whose commands are applied at once."""
+
+    def __init__(self, state):
+        self.state = state
+        self.is_leader = True
+        self.forgotten = []
+        self.outcomes = []
+
+    def is_leading(self):
+        """Return whether it leads."""
+        return self.is_leader
+
+    async def record_ends(self, vm, ends, cursor):
+        """Apply ends."""
+        self.state.apply(
+            RecordEnds(
+                vm_id=vm.vm_id,
+                born_ms=vm.born_ms,
+                ends=ends,
+                now_ms=1,
+                cursor=cursor,
+            )
+        )
+
+    async def forget_vm(self, vm, reason):
+        """Remember that a life is over."""
+        self.forgotten.append(vm.vm_id)
+
+    def note_start(self, run, vm, outcome):
+        """Remember the outcome of a start."""
+        self.outcomes.append(outcome)
+
+    def note_contact(self, agent):
+        """Do nothing."""
+
+
+class FakePlatform:
+    """A platform that does what it is asked, or what a test wants."""
+
+    def __init__(self):
+        self.answers = []
+        self.maintained = []
+        self.moved = []
+        self.machines = ()
+
+    async def list_machines(self):
+        """Return the machines of the test."""
+        return self.machines
+
+    async def maintain(self, machine, wave, *, fence):
+        """Take note of an order."""
+        self.maintained.append(machine)
+        await asyncio.sleep(0)
+        return self.answers.pop(0) if self.answers else MachineOutcome.DONE
+
+    async def move(self, machine, pool, *, fence):
+        """Take note of an order."""
+        self.moved.append((machine, pool))
+        await asyncio.sleep(0)
+        return self.answers.pop(0) if self.answers else MachineOutcome.DONE
+
+
+def make_agent(state, vm, endpoint, leader, clock=None):
+    """Return an agent over fakes."""
+    return VmAgent(
+        vm,
+        fence=3,
+        state=state,
+        leading=leader,
+        orders=endpoint,
+        clock=clock or ManualClock(),
+        cfg=AgentSettings(),
+        lease_cfg=LeaseSettings(),
+        health_cfg=HealthSettings(),
+    )
+
+
+async def eventually(condition, timeout=3.0):
+    """Return once a condition holds; fail after a time."""
+    async with asyncio.timeout(timeout):
+        while not condition():
+            await asyncio.sleep(0.002)
+
+
+EVENTS = NullSink()
--- /dev/null
+++ b/tests/test_daemons_relay.py
@@ -0,0 +1,107 @@
+"""Tests of the way of calls to the leader."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from redwingslip.clock import SystemClock
+from redwingslip.daemons._fleet_settings import RelaySettings
+from redwingslip.daemons._gateway import refuse
+from redwingslip.daemons._relay import LeaderRelay
+from redwingslip.daemons.exceptions import AnswerUnknownError, NoLeaderKnownError
+from redwingslip.observe import NullSink
+from redwingslip.peers import (
+    CallSource,
+    LeaderQuery,
+    LeaderReport,
+    RelayedAnswer,
+    RelayedCall,
+)
+
+CFG = RelaySettings(
+    query_interval=timedelta(milliseconds=5),
+    ping_interval=timedelta(milliseconds=10),
+    silence=timedelta(milliseconds=60),
+    attempt_timeout=timedelta(milliseconds=40),
+)
+CALL = RelayedCall(number=0, source=CallSource.CALLERS, method="POST", path="/q/1")
+PATIENCE = timedelta(milliseconds=400)
+
+
+class TestLeaderRelay(unittest.IsolatedAsyncioTestCase):
+    """Leaders that change, stay silent or lose their answers."""
+
+    async def asyncSetUp(self):
+        self.leader = "a"
+        self.n_taken = 0
+        self.drops = 0
+        self.relay = LeaderRelay(
+            cfg=CFG,
+            seeds=("a", "b"),
+            send=self.send,
+            clock=SystemClock(),
+            events=NullSink(),
+        )
+        self.task = asyncio.create_task(self.relay.run())
+
+    async def asyncTearDown(self):
+        self.task.cancel()
+
+    def send(self, replica_id, msg):
+        """Answer as the replicas of the test would."""
+        loop = asyncio.get_running_loop()
+        is_leader = replica_id == self.leader
+        if isinstance(msg, LeaderQuery):
+            report = LeaderReport(
+                leader_id=self.leader, has_lease=is_leader, members=("a", "b")
+            )
+            if self.leader:
+                loop.call_soon(self.relay.receive_report, replica_id, report)
+            return
+        answer = RelayedAnswer(number=msg.number, is_taken=is_leader)
+        if is_leader:
+            self.n_taken += 1
+            if self.drops:
+                self.drops -= 1
+                return
+        loop.call_soon(self.relay.receive_answer, replica_id, answer)
+
+    async def test_a_call_is_answered_by_the_leader(self):
+        answer = await self.relay.exchange(CALL, PATIENCE)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.n_taken, 1)
+
+    async def test_a_lost_answer_is_asked_for_again(self):
+        self.drops = 2
+        answer = await self.relay.exchange(CALL, PATIENCE)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.n_taken, 3)
+
+    async def test_a_new_leader_is_found(self):
+        await self.relay.exchange(CALL, PATIENCE)
+        self.leader = "b"
+        answer = await self.relay.exchange(CALL, PATIENCE)
+        self.assertEqual(answer.status, 200)
+
+    async def test_without_a_leader_a_call_surely_did_not_run(self):
+        self.leader = ""
+        with self.assertRaises(NoLeaderKnownError):
+            await self.relay.exchange(CALL, timedelta(milliseconds=50))
+
+    async def test_a_call_that_was_sent_may_have_run(self):
+        self.drops = 1_000
+        with self.assertRaises(AnswerUnknownError):
+            await self.relay.exchange(CALL, timedelta(milliseconds=120))
+
+    async def test_a_silent_leader_is_given_up(self):
+        await self.relay.exchange(CALL, PATIENCE)
+        self.leader = ""
+        async with asyncio.timeout(2):
+            while self.relay.has_leader:
+                await asyncio.sleep(0.005)
+
+    def test_only_a_refusal_before_the_leader_says_when_to_come_back(self):
+        refused = refuse(CALL, NoLeaderKnownError("none"), NullSink())
+        self.assertEqual((refused.status, refused.retry_after_s), (503, 1))
+        unknown = refuse(CALL, AnswerUnknownError("silent"), NullSink())
+        self.assertEqual((unknown.status, unknown.retry_after_s), (504, 0))
--- /dev/null
+++ b/tests/test_placement_placer.py
@@ -0,0 +1,108 @@
+"""Tests of the choice of VMs; each names the load that it answers."""
+
+import unittest
+from collections import Counter
+
+from redwingslip.jobs import Amounts, StepSpec, TaskKey
+from redwingslip.placement import Placer, PoolRoom, VmRoom, WaitingTask
+
+
+def make_vm(vm_id, cpu=1000, **options):
+    """Return a VM with that much room."""
+    fields = {"labels": ("a", "r1"), "tasks_of_step": Counter(), **options}
+    return VmRoom(vm_id=vm_id, born_ms=1, free=Amounts(cpu, 1000), **fields)
+
+
+def make_tasks(n_tasks=1, customer="", **step):
+    """Return the waiting tasks of one step."""
+    spec = StepSpec(**{"n_tasks": n_tasks, "need": Amounts(300, 10), **step})
+    return [
+        WaitingTask(TaskKey("j", 0, 0, index), spec, customer=customer, pool="p")
+        for index in range(n_tasks)
+    ]
+
+
+def make_placer(*vms, usage=None, limits=None):
+    """Return a placer for one pool."""
+    return Placer(
+        pools={"p": PoolRoom(list(vms))}, usage=usage or {}, limits=limits or {}
+    )
+
+
+class TestPlacer(unittest.TestCase):
+    """Room, limits, labels, spread and gangs."""
+
+    def place(self, placer, tasks):
+        starts = [placer.place(task) for task in tasks]
+        return [start.vm_id if start else None for start in starts]
+
+    def test_burst_beyond_the_room_of_a_pool_waits(self):
+        found = self.place(make_placer(make_vm("v1"), make_vm("v2")), make_tasks(8))
+        self.assertEqual(Counter(found), {"v1": 3, "v2": 3, None: 2})
+
+    def test_a_customer_never_gets_beyond_its_limit(self):
+        placer = make_placer(
+            make_vm("v1", cpu=9000),
+            usage={"forges": Amounts(600, 20)},
+            limits={"forges": Amounts(1300, 0, 0)},
+        )
+        found = self.place(placer, make_tasks(4, customer="forges"))
+        self.assertEqual(found, ["v1", "v1", None, None])
+
+    def test_zero_is_no_limit(self):
+        placer = make_placer(
+            make_vm("v1", cpu=9000), limits={"forges": Amounts(0, 0, 0)}
+        )
+        found = self.place(placer, make_tasks(4, customer="forges"))
+        self.assertNotIn(None, found)
+
+    def test_only_vms_with_the_label_are_used(self):
+        placer = make_placer(make_vm("v1"), make_vm("v2", labels=("b", "r1")))
+        self.assertEqual(self.place(placer, make_tasks(1, label="b")), ["v2"])
+        self.assertEqual(self.place(placer, make_tasks(1, label="c")), [None])
+
+    def test_spread_limits_the_tasks_on_one_vm(self):
+        placer = make_placer(make_vm("v1", cpu=9000), make_vm("v2", cpu=400))
+        found = self.place(placer, make_tasks(3, max_per_vm=1))
+        self.assertEqual(found, ["v1", "v2", None])
+
+    def test_one_stop_of_a_vm_stays_within_the_disruption_budget(self):
+        placer = make_placer(make_vm("v1", cpu=9000), make_vm("v2", cpu=9000))
+        tasks = make_tasks(3, is_long_running=True, disruption_budget=1)
+        self.assertEqual(
+            Counter(self.place(placer, tasks)), {"v1": 1, "v2": 1, None: 1}
+        )
+
+    def test_the_rack_of_the_data_goes_before_room(self):
+        placer = make_placer(
+            make_vm("v1", cpu=9000), make_vm("v2", cpu=400, labels=("a", "r2"))
+        )
+        self.assertEqual(self.place(placer, make_tasks(1, data_rack="r2")), ["v2"])
+
+    def test_a_vm_that_fails_jobs_is_the_last_choice(self):
+        placer = make_placer(make_vm("v1", cpu=9000, is_avoided=True), make_vm("v2"))
+        found = self.place(placer, make_tasks(4))
+        self.assertEqual(found, ["v2", "v2", "v2", "v1"])
+
+    def test_a_task_avoids_the_vm_on_which_it_failed(self):
+        placer = make_placer(make_vm("v1", cpu=9000), make_vm("v2"))
+        (task,) = make_tasks(1)
+        task.avoided = frozenset({"v1"})
+        self.assertEqual(placer.place(task).vm_id, "v2")
+
+    def test_short_tasks_leave_idle_vms_idle(self):
+        placer = make_placer(
+            make_vm("v1", cpu=9000), make_vm("v2", cpu=1000, is_anchored=True)
+        )
+        self.assertEqual(self.place(placer, make_tasks(3)), ["v2", "v2", "v2"])
+
+    def test_fillers_take_no_share_of_the_processor(self):
+        placer = make_placer(make_vm("v1", cpu=100))
+        self.assertEqual(self.place(placer, make_tasks(1, is_filler=True)), ["v1"])
+
+    def test_a_gang_starts_whole_or_not_at_all(self):
+        vm = make_vm("v1")
+        placer = make_placer(vm)
+        self.assertEqual(placer.place_gang(make_tasks(4, is_gang=True)), ())
+        self.assertEqual(vm.free, Amounts(1000, 1000))
+        self.assertEqual(len(placer.place_gang(make_tasks(3, is_gang=True))), 3)
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,218 @@
+"""Tests of the platform's documents: what is read, and what is refused."""
+
+import unittest
+
+import msgspec
+
+from redwingslip.jobs import Amounts, Queue, Repetition
+from redwingslip.platform import DocumentError
+from redwingslip.platform._documents import (
+    decode_job,
+    decode_leave,
+    decode_plan,
+    decode_report,
+    decode_wave,
+)
+
+ROUTE = {
+    "name": "r1",
+    "host": "h.example",
+    "pathPrefix": "/a/",
+    "kind": "unsafe",
+    "timeoutMs": 3000,
+    "targetLatencyMs": 600,
+    "priority": 1,
+    "service": "s1",
+    "maxAttempts": 4,
+    "stretch": 1.6,
+    "public": False,
+}
+TENANT = {
+    "name": "t1",
+    "apiKeys": ["k1", "k2"],
+    "weight": 20,
+    "maxCount": {"cpu": 1000, "memMb": 2000, "gpu": 0},
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "s1", "enforcesCapacity": True, "standby": False}],
+    "limits": {"maxBodyBytes": 262144},
+    "tenants": [TENANT],
+}
+QUEUE = Queue(name="r1", host="h", path_prefix="/a/", pool="s1")
+REPORT = {
+    "service": "s1",
+    "address": "10.0.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clockMs": 482113,
+    "sequence": 4,
+    "machine": "m-1",
+    "born": 1700,
+}
+
+
+def encode(doc, **changes):
+    """Return a document's bytes, with some fields changed or (None) left out."""
+    doc = {**doc, **changes}
+    return msgspec.json.encode({k: v for k, v in doc.items() if v is not None})
+
+
+class TestDecodePlan(unittest.TestCase):
+    """Configurations."""
+
+    def test_every_field_gets_its_meaning(self):
+        body = encode(CONFIG)
+        plan = decode_plan(body)
+        self.assertEqual(plan.version, 7)
+        self.assertEqual(plan.document, body)
+        (queue,) = plan.queues
+        self.assertEqual((queue.pool, queue.max_attempts), ("s1", 4))
+        self.assertEqual((queue.stretch, queue.target_latency_ms), (1.6, 600))
+        (customer,) = plan.customers
+        self.assertEqual(customer.keys, ("k1", "k2"))
+        self.assertEqual(customer.limit, Amounts(1000, 2000, 0))
+
+    def check(self, field, **changes):
+        with self.assertRaises(DocumentError) as caught:
+            decode_plan(encode(CONFIG, **changes))
+        self.assertIn(field, str(caught.exception))
+
+    def test_cut_short(self):
+        with self.assertRaises(DocumentError):
+            decode_plan(encode(CONFIG)[:-20])
+
+    def test_unknown_service(self):
+        self.check("queue r1", routes=[{**ROUTE, "service": "nowhere"}])
+
+    def test_same_place(self):
+        self.check("queue r2", routes=[ROUTE, {**ROUTE, "name": "r2"}])
+
+    def test_no_timeout(self):
+        self.check("timeoutMs", routes=[{**ROUTE, "timeoutMs": 0}])
+
+    def test_no_weight(self):
+        self.check("customer t1", tenants=[{**TENANT, "weight": 0}])
+
+    def test_shared_key(self):
+        self.check("customer t2", tenants=[TENANT, {**TENANT, "name": "t2"}])
+
+    def test_missing_fields(self):
+        for field in ("version", "routes", "services"):
+            self.check(field, **{field: None})
+
+    def test_wrong_types(self):
+        self.check("version", version="7")
+        self.check("routes", routes={})
+
+    def test_not_text(self):
+        with self.assertRaises(DocumentError):
+            decode_plan(b"\xff\xfe\x00")
+
+
+class TestDecodeJob(unittest.TestCase):
+    """Submissions."""
+
+    def decode(self, doc):
+        body = doc if isinstance(doc, bytes) else msgspec.json.encode(doc)
+        return decode_job(body, job_id="0" * 16, queue=QUEUE, customer="t1")
+
+    def test_every_field_gets_its_meaning(self):
+        step = {
+            "count": 4,
+            "cpu": 500,
+            "memMb": 256,
+            "gpu": 1,
+            "estimateMs": 900,
+            "checkpointing": True,
+            "gang": True,
+            "rackSensitive": True,
+            "constraints": "a",
+            "dataRack": "r1-3",
+            "antiAffinity": 2,
+            "speculative": True,
+            "longRunning": True,
+            "image": "i",
+            "targetMs": 50,
+            "fills": True,
+            "missBudget": 3,
+        }
+        (found,) = self.decode({"spec": "x", "steps": [step]}).steps
+        self.assertEqual(found.need, Amounts(500, 256, 1))
+        self.assertEqual(found.label, "a")
+        self.assertEqual(found.max_per_vm, 2)
+        self.assertEqual(found.disruption_budget, 3)
+        for name in (
+            "has_checkpoints",
+            "is_gang",
+            "is_rack_bound",
+            "is_speculative",
+            "is_long_running",
+            "is_filler",
+        ):
+            self.assertTrue(getattr(found, name), name)
+
+    def test_occurrences(self):
+        job = self.decode(
+            {"steps": [], "repeatCount": 3, "startAtMs": 5, "intervalMs": 7}
+        )
+        wanted = Repetition(first_at_ms=5, interval_ms=7, count=3)
+        self.assertEqual(job.repetition, wanted)
+
+    def test_refused(self):
+        for doc in (
+            b"{",
+            b"",
+            b"[]",
+            {"spec": "x" * 4001},
+            {"spec": 7},
+            {"steps": [{"count": 1, "after": [0]}]},
+            {"steps": [{"count": -1}]},
+            {"steps": [{"count": "1"}]},
+        ):
+            with self.subTest(doc=doc), self.assertRaises(DocumentError):
+                self.decode(doc)
+
+
+class TestOtherDocuments(unittest.TestCase):
+    """Reports, waves and goodbyes."""
+
+    def test_a_report_becomes_a_life(self):
+        report = decode_report(encode(REPORT), vm_id="i-1")
+        self.assertEqual(report.vm.vm_id, "i-1")
+        self.assertEqual(report.vm.pool, "s1")
+        self.assertEqual(report.vm.born_ms, 1700)
+        self.assertEqual(report.vm.capacity, Amounts(16000, 32768, 0))
+        self.assertFalse(report.vm.is_draining)
+        self.assertEqual((report.sequence, report.clock_ms), (4, 482113))
+
+    def test_a_report_by_another_writer_names_no_endpoint(self):
+        for changes in (
+            {"state": "sleeping"},
+            {"service": None},
+            {"capacity": 5},
+            {"sequence": "x"},
+            {"address": None},
+        ):
+            with self.subTest(changes=changes), self.assertRaises(DocumentError):
+                decode_report(encode(REPORT, **changes), vm_id="i-1")
+
+    def test_draining(self):
+        report = decode_report(encode(REPORT, state="draining"), vm_id="i-1")
+        self.assertTrue(report.vm.is_draining)
+
+    def test_a_wave(self):
+        body = b'{"wave":1,"machines":["m1"],"durationS":20,"maxCount":2}'
+        wave = decode_wave(body)
+        self.assertEqual((wave.number, wave.machines), (1, ("m1",)))
+        self.assertEqual((wave.duration_ms, wave.max_at_once), (20_000, 2))
+
+    def test_a_goodbye_may_have_no_body(self):
+        self.assertEqual(decode_leave(b""), 0)
+        self.assertEqual(decode_leave(b'{"born":5}'), 5)
--- /dev/null
+++ b/tests/test_platform_orders.py
@@ -0,0 +1,209 @@
+"""Tests of the calls to workers and to the platform, against stand-ins over HTTP."""
+
+import unittest
+from datetime import timedelta
+
+import msgspec
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from redwingslip.http import HttpLimits, HttpServer, build_app
+from redwingslip.jobs import ActiveRun, EndKind, TaskKey
+from redwingslip.platform import MachineClient, WorkerOrders
+from redwingslip.scheduling import (
+    MachineOutcome,
+    MachineState,
+    OrderLostError,
+    OrderNotSentError,
+    StartResult,
+    VmReplacedError,
+)
+from tests.support_scheduling import make_vm
+
+KEY = TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
+RUN = ActiveRun(KEY, 2, "v1", 1, "00000bb8", 0)
+
+
+class _Remote:
+    """A server that gives one answer and keeps the last call."""
+
+    def __init__(self):
+        self.answer = Response(status_code=200)
+        self.path = self.body = self.headers = None
+
+    async def handle(self, req):
+        self.path = str(req.url.path)
+        body = await req.body()
+        self.body = msgspec.json.decode(body) if body else None
+        self.headers = req.headers
+        return self.answer
+
+
+class RemoteTestCase(unittest.IsolatedAsyncioTestCase):
+    """A test with a remote server on loopback."""
+
+    async def asyncSetUp(self):
+        self.remote = _Remote()
+        route = Route("/{path:path}", self.remote.handle, methods=["GET", "POST"])
+        self.server = HttpServer(build_app([route]), HttpLimits())
+        await self.server.start()
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.server.stop(timedelta(0))
+
+    def reply(self, doc, status=200):
+        self.remote.answer = JSONResponse(doc, status_code=status)
+
+
+class TestWorkerOrders(RemoteTestCase):
+    """Starts, stops and looks."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.client = WorkerOrders()
+        self.vm = make_vm(address=self.server.address)
+
+    async def hold(self):
+        return await self.client.hold(
+            self.vm, fence=7, cursor=57, until_ms=486000, wait_ms=0
+        )
+
+    async def start(self):
+        return await self.client.start(
+            self.vm, RUN, payload="(text)", fence=7, until_ms=486000
+        )
+
+    async def test_a_look_decodes_both_lists(self):
+        self.reply(
+            {
+                "clockMs": 482113,
+                "born": 9,
+                "running": [["5c0e7a21d94b36f8.0.1.17", 2, "0bb8", 41, 230]],
+                "endedRuns": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+            }
+        )
+        report = await self.hold()
+        self.assertEqual((report.clock_ms, report.born_ms), (482113, 9))
+        (run,) = report.runs
+        self.assertEqual((run.key, run.number, run.percent), (KEY, 2, 41))
+        (end,) = report.ends
+        self.assertEqual((end.cursor, end.key.index, end.kind), (58, 9, EndKind.DONE))
+        self.assertEqual(self.remote.body["ackCursor"], 57)
+        self.assertEqual(self.remote.headers["target-instance"], "v1")
+
+    async def test_unreadable_lists_are_a_lost_answer(self):
+        for lists in (
+            {"clockMs": 1, "running": [["no.task", 1, "", 1]]},
+            {"clockMs": 1, "endedRuns": [[1, "a.0.0.0", 1, "melted", ""]]},
+            {"running": []},
+            [],
+        ):
+            self.reply(lists)
+            with self.subTest(lists=lists), self.assertRaises(OrderLostError):
+                await self.hold()
+
+    async def test_a_start_carries_what_the_worker_needs(self):
+        self.reply({"clockMs": 5})
+        outcome = await self.start()
+        self.assertEqual(outcome.result, StartResult.ACCEPTED)
+        self.assertEqual(
+            self.remote.body,
+            {
+                "task": "5c0e7a21d94b36f8.0.1.17",
+                "runId": 2,
+                "spec": "(text)",
+                "notAfterMs": 486000,
+                "fencingToken": 7,
+                "checkpoint": "00000bb8",
+            },
+        )
+
+    async def test_refusals(self):
+        for status, reason, result in (
+            (409, "fence", StartResult.SUPERSEDED),
+            (409, "old", StartResult.OLD),
+            (409, "late", StartResult.LATE),
+            (409, "room", StartResult.NO_ROOM),
+            (409, "ticket", StartResult.REFUSED),
+            (400, "", StartResult.REFUSED),
+            (429, "", StartResult.UNHEALTHY),
+            (503, "", StartResult.UNHEALTHY),
+        ):
+            self.reply({"clockMs": 5, "reason": reason}, status)
+            with self.subTest(status=status, reason=reason):
+                self.assertEqual((await self.start()).result, result)
+
+    async def test_another_life_at_the_address(self):
+        self.reply({}, 421)
+        with self.assertRaises(VmReplacedError):
+            await self.start()
+
+    async def test_a_failed_server_may_have_started_it(self):
+        self.reply({}, 502)
+        with self.assertRaises(OrderLostError):
+            await self.start()
+
+    async def test_nobody_there(self):
+        self.vm = make_vm(address="127.0.0.1:9")
+        with self.assertRaises(OrderNotSentError):
+            await self.start()
+
+    async def test_a_stop_of_a_run_that_is_not_there(self):
+        self.reply({}, 404)
+        await self.client.stop(self.vm, KEY, 2, fence=7)
+
+
+class TestMachineClient(RemoteTestCase):
+    """Lists, moves and maintenance."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.client = MachineClient(self.server.address, holder="c1")
+
+    async def test_the_list(self):
+        self.reply(
+            {
+                "machines": [
+                    {
+                        "machine": "m1",
+                        "pool": "s1",
+                        "state": "upkeep",
+                        "zone": "z",
+                        "labels": ["a"],
+                        "capacity": {"cpu": 5, "memMb": 6, "gpu": 0},
+                        "id": None,
+                    }
+                ],
+                "nextPageToken": None,
+            }
+        )
+        (view,) = await self.client.list_machines()
+        self.assertEqual(view.state, MachineState.MAINTENANCE)
+        self.assertEqual((view.vm_id, view.capacity.cpu), ("", 5))
+
+    async def test_an_unreadable_list(self):
+        self.reply({"machines": 5})
+        with self.assertRaises(OrderLostError):
+            await self.client.list_machines()
+
+    async def test_orders_carry_holder_and_fence(self):
+        self.reply({})
+        outcome = await self.client.maintain("m1", 4, fence=12)
+        self.assertEqual(outcome, MachineOutcome.DONE)
+        self.assertEqual(self.remote.body, {"machine": "m1", "wave": 4})
+        self.assertEqual(self.remote.headers["lease-holder"], "c1")
+        self.assertEqual(self.remote.headers["fencing-token"], "12")
+
+    async def test_outcomes(self):
+        for status, reason, outcome in (
+            (409, "fence", MachineOutcome.SUPERSEDED),
+            (409, "busy", MachineOutcome.BUSY),
+            (409, "wave", MachineOutcome.NOT_OF_WAVE),
+            (400, "", MachineOutcome.UNKNOWN_MACHINE),
+            (429, "", MachineOutcome.LATER),
+            (500, "", MachineOutcome.NO_ANSWER),
+        ):
+            self.reply({"reason": reason}, status)
+            with self.subTest(status=status):
+                self.assertEqual(await self.client.move("m", "p", fence=1), outcome)
--- /dev/null
+++ b/tests/test_scheduling_agent.py
@@ -0,0 +1,168 @@
+"""Tests of the leader's work with one VM."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from redwingslip.clock import ManualClock
+from redwingslip.jobs import EndKind, RunStart, StartRuns, TaskKey
+from redwingslip.scheduling import (
+    ListedEnd,
+    OrderLostError,
+    StartResult,
+    VmReplacedError,
+)
+from tests.support_scheduling import (
+    FakeEndpoint,
+    FakeLeader,
+    eventually,
+    make_agent,
+    make_job,
+    make_state,
+    make_vm,
+)
+
+KEY = TaskKey("j1", 0, 0, 0)
+
+
+class TestVmAgent(unittest.IsolatedAsyncioTestCase):
+    """Orders that are lost, late or refused, and lists that differ."""
+
+    async def asyncSetUp(self):
+        self.vm = make_vm()
+        self.state = make_state(self.vm, jobs=[make_job()])
+        self.endpoint = FakeEndpoint()
+        self.leader = FakeLeader(self.state)
+        self.clock = ManualClock()
+        self.agent = make_agent(
+            self.state, self.vm, self.endpoint, self.leader, self.clock
+        )
+
+    async def asyncTearDown(self):
+        self.agent.close()
+        await asyncio.sleep(0)
+
+    def decide(self):
+        """Decide on the next run of the task and return it."""
+        command = StartRuns(starts=(RunStart(KEY, "v1", 1),), now_ms=2)
+        (run,) = self.state.apply(command)
+        return run
+
+    def is_open(self):
+        return bool(self.state.runs_of("v1"))
+
+    async def test_a_run_is_started_and_its_end_recorded(self):
+        self.agent.begin()
+        run = self.decide()
+        self.agent.start(run)
+        await eventually(lambda: self.endpoint.runs)
+        self.endpoint.runs.clear()
+        self.endpoint.ends.append(ListedEnd(1, KEY, 1, EndKind.DONE))
+        await eventually(lambda: 1 in self.endpoint.cursors)
+        self.assertFalse(self.is_open())
+        self.assertTrue(self.state.task(KEY).is_done)
+
+    async def test_an_end_is_acknowledged_only_once_recorded(self):
+        """The cursor that the VM gets comes from the replicated state."""
+        recorded = asyncio.Event()
+        record = self.leader.record_ends
+
+        async def slow_record(vm, ends, cursor):
+            await recorded.wait()
+            await record(vm, ends, cursor)
+
+        self.leader.record_ends = slow_record
+        self.endpoint.ends.append(ListedEnd(5, KEY, 1, EndKind.DONE))
+        self.agent.begin()
+        await asyncio.sleep(0.05)
+        self.assertNotIn(5, self.endpoint.cursors)
+        recorded.set()
+        await eventually(lambda: 5 in self.endpoint.cursors)
+
+    async def test_a_start_without_an_answer_is_repeated_under_its_number(self):
+        self.endpoint.start_answers = [OrderLostError("lost")]
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: self.endpoint.runs)
+        self.assertEqual(self.endpoint.started, [(KEY, 1), (KEY, 1)])
+
+    async def test_a_refused_start_ends_the_run_at_once(self):
+        self.endpoint.start_answers = [StartResult.NO_ROOM]
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: not self.is_open())
+        self.assertFalse(self.agent.is_ready(self.clock.monotonic()))
+
+    async def test_a_refusal_after_a_lost_start_is_sealed_by_a_stop(self):
+        """The lost copy may be carried out late; the stop keeps it from starting."""
+        self.endpoint.start_answers = [OrderLostError("lost"), StartResult.NO_ROOM]
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: self.endpoint.stopped)
+        self.assertTrue(self.is_open(), "open until a look proves its end")
+        self.clock.advance(timedelta(milliseconds=10))
+        await eventually(lambda: not self.is_open())
+
+    async def test_an_unknown_run_is_stopped(self):
+        self.endpoint.runs[(TaskKey("other", 0, 0, 0), 4)] = 10
+        self.agent.begin()
+        await eventually(lambda: self.endpoint.stopped)
+
+    async def test_a_new_leader_orders_a_decided_run_that_is_not_listed(self):
+        self.decide()
+        self.agent.begin()
+        await eventually(lambda: self.endpoint.runs)
+        self.assertEqual(self.endpoint.started, [(KEY, 1)])
+
+    async def test_a_new_leader_takes_over_a_run_that_is_listed(self):
+        self.decide()
+        self.endpoint.runs[(KEY, 1)] = 40
+        self.agent.begin()
+        await eventually(lambda: len(self.endpoint.cursors) > 5)
+        self.assertEqual(self.endpoint.started, [])
+        self.assertTrue(self.is_open())
+
+    async def test_runs_of_a_silent_vm_are_given_up_only_after_their_lease(self):
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: self.endpoint.runs)
+        self.endpoint.is_silent = True
+        self.clock.advance(timedelta(seconds=5.9))
+        await asyncio.sleep(0.3)
+        self.assertTrue(self.is_open())
+        self.assertFalse(self.agent.is_ready(self.clock.monotonic()))
+        self.clock.advance(timedelta(seconds=1))
+        await eventually(lambda: not self.is_open())
+
+    async def test_another_life_at_the_address_ends_this_one(self):
+        self.endpoint.born_ms = 7
+        self.agent.begin()
+        await eventually(lambda: self.leader.forgotten == ["v1"])
+
+    async def test_a_misdirected_start_ends_this_life(self):
+        self.endpoint.start_answers = [VmReplacedError("421")]
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: self.leader.forgotten)
+
+    async def test_without_leadership_nothing_is_sent(self):
+        self.leader.is_leader = False
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await asyncio.sleep(0.15)
+        self.assertEqual(self.endpoint.cursors, [])
+        self.assertEqual(self.endpoint.started, [])
+
+    async def test_a_draining_vm_gets_no_new_runs(self):
+        self.agent.begin()
+        await eventually(lambda: self.agent.is_ready(self.clock.monotonic()))
+        self.agent.vm = make_vm(is_draining=True)
+        self.assertFalse(self.agent.is_ready(self.clock.monotonic()))
+
+    async def test_a_stop_overtakes_a_start_that_waits(self):
+        run = self.decide()
+        self.agent.start(run)
+        self.agent.stop(KEY, 1)
+        self.agent.begin()
+        await eventually(lambda: self.endpoint.stopped)
+        self.assertEqual(self.endpoint.started, [])
--- /dev/null
+++ b/tests/test_scheduling_waves.py
@@ -0,0 +1,176 @@
+"""Tests of maintenance waves over fakes."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from redwingslip.clock import ManualClock
+from redwingslip.jobs import RunStart, StartRuns, StartWave, TaskKey
+from redwingslip.scheduling import (
+    ListedRun,
+    MachineOutcome,
+    WaveKeeper,
+    WaveSettings,
+)
+from tests.support_scheduling import (
+    EVENTS,
+    FakeEndpoint,
+    FakeLeader,
+    FakePlatform,
+    eventually,
+    make_agent,
+    make_job,
+    make_state,
+    make_vm,
+)
+
+CFG = WaveSettings(
+    interval=timedelta(milliseconds=2), retry_delay=timedelta(milliseconds=5)
+)
+
+
+class TestWaveKeeper(unittest.IsolatedAsyncioTestCase):
+    """Budgets, limits and pace of a wave."""
+
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.platform = FakePlatform()
+        self.moving = set()
+
+    def build(self, *vms, job=None, max_at_once=1, duration_ms=20_000):
+        """Make a keeper for a wave over the machines of some VMs."""
+        self.state = make_state(*vms, jobs=[job] if job else [])
+        leader = FakeLeader(self.state)
+        self.agents = {}
+        for vm in vms:
+            agent = make_agent(self.state, vm, FakeEndpoint(), leader, self.clock)
+            agent._has_looked = True
+            agent.lease.note_contact(self.clock.monotonic())
+            self.agents[vm.vm_id] = agent
+        self.state.apply(
+            StartWave(
+                number=1,
+                machines=tuple(vm.machine for vm in vms),
+                duration_ms=duration_ms,
+                max_at_once=max_at_once,
+                now_ms=self.now_ms(),
+            )
+        )
+
+        async def propose(command):
+            await asyncio.sleep(0)
+            outcome = self.state.apply(command)
+            vm_id = getattr(command, "vm_id", None)
+            if vm_id in self.agents and vm_id not in self.state.vms:
+                del self.agents[vm_id]
+            return outcome
+
+        keeper = WaveKeeper(
+            state=self.state,
+            agents=self.agents,
+            operations=self.platform,
+            propose=propose,
+            is_leading=lambda: True,
+            is_moving=lambda machine: machine in self.moving,
+            fence=3,
+            clock=self.clock,
+            now_ms=self.now_ms,
+            backlog={},
+            events=EVENTS,
+            cfg=CFG,
+        )
+        task = asyncio.create_task(keeper.run())
+        self.addCleanup(task.cancel)
+        self.keeper = keeper
+        return keeper
+
+    def now_ms(self):
+        return self.clock.monotonic() // timedelta(milliseconds=1)
+
+    def run_task(self, index, vm_id, percent=100):
+        """Have a task at work on a VM."""
+        key = TaskKey("j1", 0, 0, index)
+        self.state.apply(StartRuns(starts=(RunStart(key, vm_id, 1),), now_ms=1))
+        self.agents[vm_id].listed[(key, 1)] = ListedRun(key, 1, "", percent)
+
+    def pass_takeover(self):
+        self.clock.advance(CFG.takeover_delay)
+        for agent in self.agents.values():
+            agent.lease.note_contact(self.clock.monotonic())
+
+    async def test_a_new_leader_orders_nothing_at_first(self):
+        self.build(make_vm("v1"))
+        await asyncio.sleep(0.03)
+        self.assertEqual(self.platform.maintained, [])
+        self.pass_takeover()
+        await eventually(lambda: self.platform.maintained == ["m-v1"])
+
+    async def test_a_wave_ends_when_every_machine_has_begun(self):
+        self.build(make_vm("v1"), make_vm("v2"), max_at_once=2, duration_ms=4_000)
+        self.pass_takeover()
+        await eventually(lambda: self.state.waves[1].is_complete)
+        self.assertEqual(sorted(self.platform.maintained), ["m-v1", "m-v2"])
+
+    async def test_no_more_machines_are_down_than_the_wave_allows(self):
+        self.build(make_vm("v1"), make_vm("v2"), duration_ms=4_000)
+        self.pass_takeover()
+        await eventually(lambda: self.platform.maintained)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.platform.maintained), 1, "the first is not back")
+
+    async def test_two_machines_with_tasks_of_one_step_never_go_together(self):
+        """Each sees the other's task at work until the first order is out."""
+        job = make_job(n_tasks=2, is_long_running=True, disruption_budget=1)
+        self.build(
+            make_vm("v1"), make_vm("v2"), job=job, max_at_once=2, duration_ms=4_000
+        )
+        self.run_task(0, "v1")
+        self.run_task(1, "v2")
+        self.pass_takeover()
+        await eventually(lambda: self.platform.maintained)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.platform.maintained), 1)
+
+    async def test_a_task_that_is_away_holds_the_next_machine_back(self):
+        job = make_job(n_tasks=2, is_long_running=True, disruption_budget=1)
+        self.build(make_vm("v1"), job=job, duration_ms=4_000)
+        self.run_task(0, "v1")
+        self.pass_takeover()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.platform.maintained, [], "task 1 has no run")
+
+    async def test_the_cordon_ends_when_the_last_machine_has_begun(self):
+        self.build(make_vm("v1"))
+        self.pass_takeover()
+        await eventually(lambda: self.state.waves[1].is_complete)
+        await eventually(lambda: not self.keeper.is_cordoned("m-v1"))
+
+    async def test_a_busy_machine_is_tried_again(self):
+        self.platform.answers = [MachineOutcome.BUSY]
+        self.build(make_vm("v1"))
+        self.pass_takeover()
+        await eventually(lambda: self.platform.maintained)
+        self.clock.advance(timedelta(seconds=1))
+        await eventually(lambda: len(self.platform.maintained) == 2)
+
+    async def test_an_unknown_machine_does_not_keep_the_wave_open(self):
+        self.platform.answers = [MachineOutcome.UNKNOWN_MACHINE]
+        self.build(make_vm("v1"))
+        self.pass_takeover()
+        await eventually(lambda: self.state.waves[1].is_complete)
+
+    async def test_a_machine_that_is_moving_waits(self):
+        self.moving.add("m-v1")
+        self.build(make_vm("v1"))
+        self.pass_takeover()
+        await asyncio.sleep(0.03)
+        self.assertEqual(self.platform.maintained, [])
+
+    async def test_short_tasks_hold_a_machine_back_for_a_while_only(self):
+        self.build(make_vm("v1"), job=make_job(), duration_ms=4_000)
+        self.run_task(0, "v1", percent=10)
+        self.pass_takeover()
+        await asyncio.sleep(0.03)
+        self.assertEqual(self.platform.maintained, [])
+        self.clock.advance(CFG.max_drain)
+        await eventually(lambda: self.platform.maintained)
--- /dev/null
+++ b/tests/test_workers.py
@@ -0,0 +1,81 @@
+"""Tests of leases on the VM's own clock, and of the health of VMs."""
+
+import unittest
+from datetime import timedelta
+
+from hypothesis import given, settings, strategies as st
+
+from redwingslip.workers import HealthSettings, LeaseSettings, VmHealth, VmLease
+
+CFG = LeaseSettings()
+MS = timedelta(milliseconds=1)
+
+
+class TestVmLease(unittest.TestCase):
+    """A lease has surely lapsed only when it has on the slowest clock."""
+
+    def test_a_new_leader_waits_for_the_leases_of_the_old_one(self):
+        lease = VmLease(CFG, timedelta(seconds=10))
+        self.assertFalse(lease.has_lapsed(timedelta(seconds=16)))
+        self.assertTrue(lease.has_lapsed(timedelta(seconds=16.5)))
+
+    def test_a_renewal_asks_for_the_duration_on_the_vms_clock(self):
+        lease = VmLease(CFG, timedelta(0))
+        lease.note_clock(50_000, timedelta(seconds=1))
+        self.assertEqual(lease.extend(timedelta(seconds=1)), 56_000)
+        self.assertEqual(lease.extend(timedelta(seconds=2)), 57_000)
+
+    @given(
+        rate=st.floats(0.98, 1.0),
+        delays=st.lists(st.integers(0, 2_000), min_size=1, max_size=12),
+    )
+    @settings(deadline=None, derandomize=True)
+    def test_never_lapsed_before_the_vm_has(self, rate, delays):
+        """Answers that are late by up to two seconds, on a clock that is slow."""
+        lease = VmLease(CFG, timedelta(0))
+        now = timedelta(0)
+        until_ms = 0
+        for delay in delays:
+            # The reading is as old as the answer's way back.
+            clock_ms = int((now / MS) * rate)
+            now += delay * MS
+            lease.note_clock(clock_ms, now)
+            until_ms = max(until_ms, lease.extend(now))
+        lapses_at = until_ms / rate * MS
+        self.assertFalse(lease.has_lapsed(lapses_at - MS))
+
+    def test_a_vm_that_has_not_answered_is_out_of_contact(self):
+        lease = VmLease(CFG, timedelta(0))
+        lease.note_contact(timedelta(seconds=5))
+        self.assertTrue(lease.is_in_contact(timedelta(seconds=7)))
+        self.assertFalse(lease.is_in_contact(timedelta(seconds=7.5)))
+
+
+class TestVmHealth(unittest.TestCase):
+    """Poison fails everywhere; a bad VM fails the tasks of several jobs."""
+
+    def setUp(self):
+        self.health = VmHealth(HealthSettings())
+        self.now = timedelta(seconds=5)
+
+    def test_one_job_that_fails_often_is_no_reason(self):
+        for _ in range(5):
+            self.assertFalse(self.health.note_failure("poison", self.now))
+        self.assertFalse(self.health.is_avoided(self.now))
+
+    def test_failures_of_several_jobs_in_a_row_are(self):
+        self.health.note_failure("j1", self.now)
+        self.assertTrue(self.health.note_failure("j2", self.now))
+        self.assertTrue(self.health.is_avoided(self.now + timedelta(seconds=2)))
+        self.assertFalse(self.health.is_avoided(self.now + timedelta(seconds=4)))
+
+    def test_a_success_between_them_clears_the_count(self):
+        self.health.note_failure("j1", self.now)
+        self.health.note_success()
+        self.assertFalse(self.health.note_failure("j2", self.now))
+
+    def test_the_time_doubles_up_to_the_longest(self):
+        for number in range(8):
+            self.health.note_failure(f"j{number}", self.now)
+        self.assertTrue(self.health.is_avoided(self.now + timedelta(seconds=11)))
+        self.assertFalse(self.health.is_avoided(self.now + timedelta(seconds=13)))
