Begin runs that hang or crawl anew elsewhere; notice lapsed leases sooner

Change: silent VMs are looked at without waiting; a run that stands still for 1.8 s, or would take six times its estimate, is stopped and begun elsewhere; a task that may run twice gets a second run while its VM is silent; leases of 6 s.

--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -143,6 +143,7 @@
             agent_cfg=cfg.agents,
             lease_cfg=cfg.leases,
             health_cfg=cfg.health,
+            progress_cfg=cfg.progress,
             wave_cfg=cfg.waves,
             move_cfg=cfg.moves,
             sizing_cfg=cfg.sizing,
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -24,7 +24,7 @@
     ReplicaRoleSettings,
     TlsSettings,
 )
-from ..workers import HealthSettings, LeaseSettings
+from ..workers import HealthSettings, LeaseSettings, ProgressSettings
 
 __all__ = [
     "CloudSettings",
@@ -169,6 +169,7 @@
     agents: AgentSettings = AgentSettings()
     leases: LeaseSettings = LeaseSettings()
     health: HealthSettings = HealthSettings()
+    progress: ProgressSettings = ProgressSettings()
     waves: WaveSettings = WaveSettings()
     moves: MoveSettings = MoveSettings()
     sizing: SizingSettings = SizingSettings()
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -10,7 +10,14 @@
 
 from ..clock import Clock
 from ..jobs import ActiveRun, EndKind, JobsState, RunEnd, TaskKey, VmRecord
-from ..workers import HealthSettings, LeaseSettings, VmHealth, VmLease
+from ..workers import (
+    HealthSettings,
+    LeaseSettings,
+    ProgressSettings,
+    RunProgress,
+    VmHealth,
+    VmLease,
+)
 from ._ports import HoldReport, ListedRun, StartOutcome, StartResult, VmOrders
 from .exceptions import OrderLostError, OrderNotSentError, VmReplacedError
 
@@ -33,7 +40,7 @@
 
     wait: timedelta = timedelta(milliseconds=1000)
     retry_delay: timedelta = timedelta(milliseconds=100)
-    max_retry_delay: timedelta = timedelta(milliseconds=800)
+    max_retry_delay: timedelta = timedelta(milliseconds=400)
     gone_after: timedelta = timedelta(seconds=20)
 
 
@@ -54,6 +61,9 @@
     def note_start(self, run: ActiveRun, vm: VmRecord, outcome: str) -> None:
         """Take note of the outcome of a start."""
 
+    def note_restart(self, key: TaskKey, number: int, vm: VmRecord) -> None:
+        """Take note that a run is stopped since it does not go forward."""
+
     def note_contact(self, agent: "VmAgent") -> None:
         """Take note that a VM was heard, with what it lists."""
 
@@ -85,7 +95,7 @@
         Calls to endpoints.
     clock : Clock
         The time.
-    cfg, lease_cfg, health_cfg : AgentSettings, LeaseSettings, HealthSettings
+    cfg, lease_cfg, health_cfg, progress_cfg
         The settings.
 
     Attributes
@@ -103,9 +113,12 @@
         "_leading",
         "_orders",
         "_pending",
+        "_progress",
+        "_progress_cfg",
         "_queue",
         "_settled_at",
         "_state",
+        "_stopped_at",
         "_tasks",
         "_wake",
         "full_until",
@@ -127,6 +140,7 @@
         cfg: AgentSettings,
         lease_cfg: LeaseSettings,
         health_cfg: HealthSettings,
+        progress_cfg: ProgressSettings,
     ) -> None:
         self.vm = vm
         self._fence = fence
@@ -137,6 +151,9 @@
         self._cfg = cfg
         self.lease = VmLease(lease_cfg, clock.monotonic())
         self.health = VmHealth(health_cfg)
+        self._progress_cfg = progress_cfg
+        self._stopped_at: dict[tuple[TaskKey, int], timedelta] = {}
+        self._progress: dict[tuple[TaskKey, int], RunProgress] = {}
         self.full_until: timedelta | None = None
         self.listed: dict[tuple[TaskKey, int], ListedRun] = {}
         self._has_looked = False
@@ -212,7 +229,8 @@
         """Renew the lease and take in what the VM lists."""
         sent_at = self._clock.monotonic()
         until_ms = self._lease_end(sent_at) if self.lease.has_clock else None
-        wait = self._cfg.wait if self._has_looked else timedelta(0)
+        is_calm = self._has_looked and not self._is_silent
+        wait = self._cfg.wait if is_calm else timedelta(0)
         report = await self._orders.hold(
             self.vm,
             fence=self._fence,
@@ -229,6 +247,7 @@
         await self._record_ends(report)
         self.listed = {(run.key, run.number): run for run in report.runs}
         self._reconcile(sent_at)
+        self._watch_progress(now)
         if until_ms is not None:
             self._has_looked = True
         self._leading.note_contact(self)
@@ -261,7 +280,8 @@
             for run in self._state.runs_of(self.vm.vm_id, self.vm.born_ms)
         }
         for name in self.listed:
-            if name not in active and not self.is_stopping(*name):
+            is_stopped = self.is_stopping(*name) or name in self._stopped_at
+            if name not in active and not is_stopped:
                 self.stop(*name)
         for name, run in active.items():
             if name in self.listed:
@@ -271,6 +291,40 @@
         for name in self._settled_at.keys() - active.keys():
             del self._settled_at[name]
 
+    def _watch_progress(self, now: timedelta) -> None:
+        """Stop runs that hang or crawl, so that they begin anew elsewhere."""
+        for known in (self._progress, self._stopped_at):
+            for name in known.keys() - self.listed.keys():
+                del known[name]
+        for name, listed in self.listed.items():
+            progress = self._progress.get(name)
+            if progress is None:
+                self._progress[name] = RunProgress(now, listed.percent)
+                continue
+            progress.note(now, listed.percent)
+            is_stopped = self.is_stopping(*name) or name in self._stopped_at
+            if not is_stopped and self._should_restart(name, progress, now):
+                self._leading.note_restart(name[0], name[1], self.vm)
+                self.health.avoid(now)
+                self.stop(*name)
+
+    def _should_restart(
+        self, name: tuple[TaskKey, int], progress: RunProgress, now: timedelta
+    ) -> bool:
+        cfg = self._progress_cfg
+        key, number = name
+        if self._state.task(key) is None:
+            return False
+        step = self._state.step(key)
+        if step.is_gang or number > cfg.max_runs:
+            return False
+        if progress.is_hanging(now, cfg):
+            return True
+        if step.is_long_running or step.data_rack or step.is_rack_bound:
+            return False
+        estimate = timedelta(milliseconds=step.estimate_ms)
+        return progress.is_slow(now, estimate, cfg)
+
     def _check_missing(
         self, name: tuple[TaskKey, int], run: ActiveRun, sent_at: timedelta
     ) -> None:
@@ -360,6 +414,7 @@
             del self._pending[name]
         # From here on the run can't begin; a look that does not list it proves its end.
         self._settled_at[name] = now
+        self._stopped_at[name] = now
 
     async def _give_start(self, order: _Order) -> None:
         job = self._state.jobs.get(order.key.job_id)
--- a/src/redwingslip/scheduling/_board.py
+++ b/src/redwingslip/scheduling/_board.py
@@ -1,7 +1,7 @@
 """Which tasks wait, in which order: the leader's index over the replicated jobs."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -11,6 +11,7 @@
     Amounts,
     JobRecord,
     JobsState,
+    RunRecord,
     TaskKey,
     TaskRecord,
 )
@@ -108,12 +109,20 @@
                 total[2] += need.accelerators
         return {name: Amounts(*total) for name, total in totals.items()}
 
-    def waiting(self, now_ms: int) -> list[tuple[Urgency, list[WaitingTask]]]:
-        """Return what waits, by job, the most urgent job first."""
+    def waiting(
+        self, now_ms: int, is_doubtful: Callable[[RunRecord], bool]
+    ) -> list[tuple[Urgency, list[WaitingTask]]]:
+        """Return what waits, by job, the most urgent job first.
+
+        A task that may run twice waits for a second place when its run is doubtful.
+        """
         found = []
         for job_id in self._active:
             job = self._state.jobs[job_id]
-            keys = self._waiting_keys(job_id, job)
+            keys = [
+                *self._waiting_keys(job_id, job),
+                *_copy_keys(job, is_doubtful),
+            ]
             if not keys:
                 continue
             tasks = [
@@ -196,6 +205,20 @@
                     yield TaskKey(job.spec.job_id, occurrence, number, index)
 
 
+def _copy_keys(
+    job: JobRecord, is_doubtful: Callable[[RunRecord], bool]
+) -> Iterator[TaskKey]:
+    """Yield the tasks whose only run is doubtful and that may run twice."""
+    for number, step in enumerate(job.spec.steps):
+        if not step.is_speculative or step.is_gang:
+            continue
+        for occurrence, steps in enumerate(job.tasks):
+            for index, task in enumerate(steps[number]):
+                is_alone = not task.is_done and len(task.runs) == 1
+                if is_alone and is_doubtful(task.runs[0]):
+                    yield TaskKey(job.spec.job_id, occurrence, number, index)
+
+
 def _is_waiting(task: TaskRecord) -> bool:
     return not task.is_done and not task.runs
 
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -22,15 +22,17 @@
     RecordEnds,
     ReplacePlan,
     RunEnd,
+    RunRecord,
     RunStart,
     StartRuns,
     SubmitJob,
+    TaskKey,
     VmRecord,
     encode_command,
 )
 from ..observe import Event, EventName, EventSink
 from ..placement import Placer, PoolRoom, SizingSettings, Urgency, VmRoom, WaitingTask
-from ..workers import HealthSettings, LeaseSettings
+from ..workers import HealthSettings, LeaseSettings, ProgressSettings
 from ._agent import AgentSettings, VmAgent
 from ._board import JobBoard, PoolBacklog, count_steps
 from ._moves import MoveKeeper, MoveSettings
@@ -76,7 +78,7 @@
         The time.
     events : EventSink
         Takes the events.
-    cfg, agent_cfg, lease_cfg, health_cfg, wave_cfg, move_cfg, sizing_cfg
+    cfg, agent_cfg, lease_cfg, health_cfg, progress_cfg, wave_cfg, move_cfg, sizing_cfg
         The settings.
     """
 
@@ -95,6 +97,7 @@
         health_cfg: HealthSettings,
         wave_cfg: WaveSettings,
         move_cfg: MoveSettings,
+        progress_cfg: ProgressSettings,
         sizing_cfg: SizingSettings,
     ) -> None:
         self._replica = replica
@@ -106,6 +109,7 @@
         self._agent_cfg = agent_cfg
         self._lease_cfg = lease_cfg
         self._health_cfg = health_cfg
+        self._progress_cfg = progress_cfg
         self._fence = replica.term
         self._wall_offset = _wall_ms(clock) - clock.monotonic() // MS
         self._board = JobBoard(state)
@@ -220,6 +224,16 @@
             detail=f"{_name(run)} {outcome}",
         )
 
+    def note_restart(self, key: TaskKey, number: int, vm: VmRecord) -> None:
+        """Log a run that is stopped since it does not go forward."""
+        self._board.note_failure(key, vm.vm_id)
+        self._emit(
+            EventName.RUN_PREEMPTED,
+            request_id=key.job_id,
+            vm=vm.vm_id,
+            detail=f"{key.occurrence}.{key.step}.{key.index} run {number} stands still",
+        )
+
     def note_contact(self, agent: VmAgent) -> None:
         """Take note that a VM was heard."""
         self._wake.set()
@@ -339,6 +353,7 @@
             cfg=self._agent_cfg,
             lease_cfg=self._lease_cfg,
             health_cfg=self._health_cfg,
+            progress_cfg=self._progress_cfg,
         )
         self.agents[vm.vm_id] = agent
         agent.begin()
@@ -361,7 +376,7 @@
     def _decide(self) -> tuple[RunStart, ...]:
         """Return the starts of one round."""
         usage = self._board.usage()
-        jobs = self._board.waiting(self.now_ms())
+        jobs = self._board.waiting(self.now_ms(), self._is_doubtful)
         self._backlog.clear()
         if not jobs:
             return ()
@@ -372,6 +387,13 @@
             starts.extend(self._place_job(placer, urgency, tasks))
         return tuple(starts)
 
+    def _is_doubtful(self, run: RunRecord) -> bool:
+        """Return whether a run's VM has not answered lately."""
+        agent = self.agents.get(run.vm_id)
+        if agent is None:
+            return True
+        return not agent.lease.is_in_contact(self._clock.monotonic())
+
     def _place_job(
         self, placer: Placer, urgency: Urgency, tasks: list[WaitingTask]
     ) -> list[RunStart]:
--- a/src/redwingslip/workers/_lease.py
+++ b/src/redwingslip/workers/_lease.py
@@ -15,7 +15,9 @@
     Attributes
     ----------
     duration : timedelta
-        What a renewal asks for.
+        What a renewal asks for, unless `max_duration` is shorter: long enough for a
+        new leader to be elected and to renew, short since the runs of a VM that was
+        lost begin anew only after it.
     max_duration : timedelta
         What an endpoint cuts a longer lease to; the longest that a previous leader
         can have given.
@@ -85,7 +87,8 @@
     def extend(self, now: timedelta) -> int:
         """Return the end of a lease to be sent now, in ms of the VM's clock."""
         elapsed = now - self._clock_at
-        until_ms = self._clock_ms + (elapsed + self._cfg.duration) // MS
+        duration = min(self._cfg.duration, self._cfg.max_duration)
+        until_ms = self._clock_ms + (elapsed + duration) // MS
         left = (until_ms - self._clock_ms) * MS
         lapsed_at = self._clock_at + self._stretched(left) + self._cfg.margin
         self._lapsed_at = max(self._lapsed_at, lapsed_at)
--- a/tests/support_scheduling.py
+++ b/tests/support_scheduling.py
@@ -28,7 +28,7 @@
     StartResult,
     VmAgent,
 )
-from redwingslip.workers import HealthSettings, LeaseSettings
+from redwingslip.workers import HealthSettings, LeaseSettings, ProgressSettings
 
 PLAN = Plan(
     version=1,
@@ -169,6 +169,10 @@
         """Remember the outcome of a start."""
         self.outcomes.append(outcome)
 
+    def note_restart(self, key, number, vm):
+        """Remember a run that is begun anew."""
+        self.outcomes.append(("restart", key, number))
+
     def note_contact(self, agent):
         """Do nothing."""
 
@@ -211,6 +215,7 @@
         cfg=AgentSettings(),
         lease_cfg=LeaseSettings(),
         health_cfg=HealthSettings(),
+        progress_cfg=ProgressSettings(),
     )
 
 
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -7,7 +7,7 @@
 
 from redwingslip.workers import HealthSettings, LeaseSettings, VmHealth, VmLease
 
-CFG = LeaseSettings()
+CFG = LeaseSettings(duration=timedelta(seconds=6))
 MS = timedelta(milliseconds=1)
 
 
