Serve metrics, ask for advice, test the whole path and open membership

Cause: on-call engineers had no counters; a queue whose policy an adviser keeps had every start refused for want of a ticket, without an end. Change: exporter prometheus on the metrics address; tickets are asked for one call at a time and kept while they last; tests over real sockets with a stand-in worker; tests of founding, joining and replacement. Ruled out: tickets in the log (a new leader asks again).

--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -10,16 +10,26 @@
 from ..jobs import Command, JobsMachine
 from ..observe import EventName, EventSink
 from ..peers import LeaderQuery, LeaderReport, Message, RelayedAnswer, RelayedCall
-from ..platform import MachineClient, WorkerOrders, answer_call, control_app
+from ..platform import (
+    AdviceClient,
+    MachineClient,
+    WorkerOrders,
+    answer_call,
+    control_app,
+)
 from ..scheduling import JobService, Scheduler
 from ._fleet_settings import ControllerSettings
 from ._gateway import refuse
+from ._metrics_server import MetricsServer
 from ._process import ProcessCore
 from ._relay import LeaderRelay
 from .exceptions import AnswerUnknownError, NoLeaderKnownError
 
 __all__ = ["ControllerApp"]
 
+# The discard port: refuses connections, so that calls fail at once.
+NOWHERE = "127.0.0.1:9"
+
 
 class ControllerApp:
     """A controller, from its settings to its end.
@@ -72,13 +82,15 @@
         )
         self._orders = WorkerOrders()
         self._operations = MachineClient(
-            cfg.cloud.address or "127.0.0.1:9", holder=cfg.process.id
+            cfg.cloud.address or NOWHERE, holder=cfg.process.id
         )
+        self._adviser = AdviceClient(cfg.cloud.advice or NOWHERE)
         self._scheduler: Scheduler | None = None
         self._service: JobService | None = None
         self._tasks: set[asyncio.Task] = set()
         host, _, port = cfg.listen.calls.rpartition(":")
         app = control_app(self._exchange, cfg.http, cfg.relay.control_patience)
+        self._metrics_server = MetricsServer(cfg.metrics)
         self._server = HttpServer(app, cfg.http, host=host, port=int(port))
 
     async def start(self) -> None:
@@ -94,6 +106,7 @@
         await self.replica.start()
         self._spawn(self.relay.run())
         await self._server.start()
+        await self._metrics_server.start()
         self._core.report_start(self.replica.incarnation)
 
     def _found(self) -> None:
@@ -113,11 +126,13 @@
         """Hand leadership over, finish the calls that have begun, and stop."""
         await self.replica.stop()
         await self._server.stop(self.cfg.drain.grace)
+        await self._metrics_server.stop()
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._orders.close()
         await self._operations.close()
+        await self._adviser.close()
         await self._core.stop()
 
     async def wait_failed(self) -> None:
@@ -137,8 +152,10 @@
             state=self.machine.state,
             orders=self._orders,
             operations=self._operations,
+            adviser=self._adviser,
             clock=self._clock,
             events=self._events,
+            metrics=self._core.metrics,
             cfg=cfg.scheduling,
             agent_cfg=cfg.agents,
             lease_cfg=cfg.leases,
@@ -147,6 +164,7 @@
             wave_cfg=cfg.waves,
             move_cfg=cfg.moves,
             sizing_cfg=cfg.sizing,
+            advice_cfg=cfg.advice,
         )
         self._service = JobService(
             state=self.machine.state, scheduler=self._scheduler, events=self._events
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -10,6 +10,7 @@
 from ..peers import PeerSettings
 from ..placement import SizingSettings
 from ..scheduling import (
+    AdviceSettings,
     AgentSettings,
     MoveSettings,
     SchedulingSettings,
@@ -102,10 +103,13 @@
     Attributes
     ----------
     address : str or None
-        IP number and port of its interface.
+        IP number and port of its interface; none keeps every machine where it is.
+    advice : str or None
+        IP number and port of the service that knows which VMs may run a step.
     """
 
     address: Address | None = None
+    advice: Address | None = None
 
 
 class _FleetSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -173,4 +177,5 @@
     waves: WaveSettings = WaveSettings()
     moves: MoveSettings = MoveSettings()
     sizing: SizingSettings = SizingSettings()
+    advice: AdviceSettings = AdviceSettings()
     drain: DrainSettings = DrainSettings()
--- a/src/redwingslip/daemons/_gateway.py
+++ b/src/redwingslip/daemons/_gateway.py
@@ -9,6 +9,7 @@
 from ..peers import LeaderReport, Message, RelayedAnswer, RelayedCall
 from ..platform import caller_app, readiness_app
 from ._fleet_settings import GatewaySettings
+from ._metrics_server import MetricsServer
 from ._process import ProcessCore
 from ._relay import LeaderRelay
 from .exceptions import AnswerUnknownError, NoLeaderKnownError
@@ -52,6 +53,7 @@
             clock=self._core.clock,
             events=self._core.events,
         )
+        self._metrics_server = MetricsServer(cfg.metrics)
         self._is_stopping = False
         self._task: asyncio.Task | None = None
         patience = cfg.relay.caller_patience
@@ -71,6 +73,7 @@
         self._task = asyncio.create_task(self.relay.run(), name="relay")
         await self._server.start()
         await self._readiness.start()
+        await self._metrics_server.start()
         self._core.report_start("")
 
     def reload(self, cfg: GatewaySettings) -> None:
@@ -83,15 +86,23 @@
         self._is_stopping = True
         await self._server.stop(self.cfg.drain.grace)
         await self._readiness.stop(timedelta(0))
+        await self._metrics_server.stop()
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         await self._core.stop()
 
     async def _exchange(self, call: RelayedCall, patience: timedelta) -> RelayedAnswer:
+        began_at = self._core.clock.monotonic()
         try:
-            return await self.relay.exchange(call, patience)
+            answer = await self.relay.exchange(call, patience)
         except (NoLeaderKnownError, AnswerUnknownError) as exc:
-            return refuse(call, exc, self._core.events)
+            answer = refuse(call, exc, self._core.events)
+        self._core.metrics.record_request(
+            queue=call.method,
+            outcome=str(answer.status),
+            duration=self._core.clock.monotonic() - began_at,
+        )
+        return answer
 
     def _on_message(self, sender_id: str, msg: Message) -> None:
         if isinstance(msg, RelayedAnswer):
--- /dev/null
+++ b/src/redwingslip/daemons/_metrics_server.py
@@ -0,0 +1,48 @@
+"""Serving a process's metrics to collectors that fetch them."""
+
+from datetime import timedelta
+
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from ..http import HttpLimits, HttpServer, build_app
+from ..observe import metrics_text
+from ..settings import ExporterKind, MetricsSettings
+
+__all__ = ["MetricsServer"]
+
+TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class MetricsServer:
+    """Serves ``/metrics`` where the settings ask for it.
+
+    Parameters
+    ----------
+    cfg : MetricsSettings
+        The exporter and its address.
+    """
+
+    __slots__ = ("_server",)
+
+    def __init__(self, cfg: MetricsSettings) -> None:
+        self._server: HttpServer | None = None
+        if cfg.exporter is ExporterKind.PROMETHEUS:
+            host, _, port = cfg.listen.rpartition(":")
+            app = build_app([Route("/metrics", _answer, methods=["GET"])])
+            self._server = HttpServer(app, HttpLimits(), host=host, port=int(port))
+
+    async def start(self) -> None:
+        """Listen, if there is an address."""
+        if self._server is not None:
+            await self._server.start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            await self._server.stop(timedelta(0))
+
+
+async def _answer(req: Request) -> Response:
+    return Response(metrics_text(), media_type=TEXT_TYPE)
--- a/src/redwingslip/observe/__init__.py
+++ b/src/redwingslip/observe/__init__.py
@@ -2,7 +2,7 @@
 
 from ._events import Event, EventName, EventSink, NullSink
 from ._log import EventLog
-from ._metrics import Metrics, new_metrics
+from ._metrics import Metrics, metrics_text, new_metrics
 from ._render import render_picture, render_text
 from ._timeline import TimelineFilter, merge_timeline
 from ._timeline_event import TimelineEvent
@@ -19,6 +19,7 @@
     "TimelineEvent",
     "TimelineFilter",
     "merge_timeline",
+    "metrics_text",
     "new_metrics",
     "render_picture",
     "render_text",
--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -46,6 +46,7 @@
     VM_LOST = "vm.lost"
     VM_AVOIDED = "vm.avoided"
     MAINTENANCE_ORDERED = "maintenance.ordered"
+    ADVICE_TAKEN = "advice.taken"
     MOVE_ORDERED = "move.ordered"
     LEADER_FOUND = "leader.found"
     LEADER_SILENT = "leader.silent"
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -9,7 +9,7 @@
 
 from ..settings import ExporterKind, MetricsSettings
 
-__all__ = ["Metrics", "new_metrics"]
+__all__ = ["Metrics", "metrics_text", "new_metrics"]
 
 MAX_ATTRIBUTE_VALUES = 500
 OTHER = "other"
@@ -62,11 +62,15 @@
         "_dropped_events",
         "_in_force",
         "_known",
+        "_machine_orders",
         "_moves",
         "_provider",
         "_requests",
+        "_run_ends",
+        "_run_starts",
         "_slot_limit",
         "_slot_usage",
+        "_start_waits",
         "_waits",
     )
 
@@ -107,6 +111,26 @@
             unit="s",
             description="From the acceptance of a change until it is in force.",
         )
+        self._start_waits = meter.create_histogram(
+            "redwingslip.job.start.wait.duration",
+            unit="s",
+            description="From the acceptance of a job to the first start of a task.",
+        )
+        self._run_starts = meter.create_counter(
+            "redwingslip.run.starts",
+            unit="{run}",
+            description="Orders to start a run, by what the VM did with them.",
+        )
+        self._run_ends = meter.create_counter(
+            "redwingslip.run.ends",
+            unit="{run}",
+            description="Runs that ended, by how.",
+        )
+        self._machine_orders = meter.create_counter(
+            "redwingslip.machine.orders",
+            unit="{order}",
+            description="Moves and maintenances that were ordered, by outcome.",
+        )
         self._dropped_events = meter.create_counter(
             "redwingslip.event.dropped",
             unit="{event}",
@@ -146,6 +170,23 @@
         """Count a VM that came into a pool."""
         self._moves.add(1, self._bounded({"redwingslip.pool": pool}))
 
+    def record_start_wait(self, *, queue: str, duration: timedelta) -> None:
+        """Record how long a job waited for the first start of a task."""
+        self._record(self._start_waits, duration, {"redwingslip.queue": queue})
+
+    def add_run_start(self, *, outcome: str) -> None:
+        """Count an order to start a run."""
+        self._run_starts.add(1, self._bounded({"redwingslip.outcome": outcome}))
+
+    def add_run_end(self, *, kind: str) -> None:
+        """Count the end of a run."""
+        self._run_ends.add(1, self._bounded({"redwingslip.outcome": kind}))
+
+    def add_machine_order(self, *, kind: str, outcome: str) -> None:
+        """Count an order for a machine."""
+        attributes = {"redwingslip.order": kind, "redwingslip.outcome": outcome}
+        self._machine_orders.add(1, self._bounded(attributes))
+
     def add_dropped_events(self, count: int) -> None:
         """Count events that the log could not take."""
         self._dropped_events.add(count)
@@ -186,10 +227,15 @@
     from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
     from opentelemetry.sdk.resources import Resource
 
-    interval = cfg.interval.total_seconds() * MILLISECONDS_PER_SECOND
-    reader = PeriodicExportingMetricReader(
-        _new_exporter(cfg), export_interval_millis=interval
-    )
+    if cfg.exporter is ExporterKind.PROMETHEUS:
+        from opentelemetry.exporter.prometheus import PrometheusMetricReader
+
+        reader = PrometheusMetricReader()
+    else:
+        interval = cfg.interval.total_seconds() * MILLISECONDS_PER_SECOND
+        reader = PeriodicExportingMetricReader(
+            _new_exporter(cfg), export_interval_millis=interval
+        )
     resource = Resource(
         {"service.name": "redwingslip", "service.instance.id": process_id}
     )
@@ -197,6 +243,13 @@
     return Metrics(provider.get_meter("redwingslip"), provider)
 
 
+def metrics_text() -> bytes:
+    """Return the metrics of the exporter prometheus, as collectors read them."""
+    from prometheus_client import generate_latest
+
+    return generate_latest()
+
+
 def _new_exporter(cfg: MetricsSettings) -> Any:
     from opentelemetry.sdk.metrics.export import ConsoleMetricExporter
 
--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -82,6 +82,8 @@
         for vm in pool.vms:
             if not need.fits(vm.free) or not _allows(vm, task.step, step_key):
                 continue
+            if task.allowed is not None and vm.vm_id not in task.allowed:
+                continue
             rank = _rank(vm, task, step_key)
             if best_rank is None or rank < best_rank:
                 best, best_rank = vm, rank
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -1,6 +1,7 @@
 """What the placement decides on."""
 
 from collections import Counter
+from collections.abc import Collection
 from typing import NamedTuple
 
 from ..jobs import Amounts, StepSpec, TaskKey
@@ -44,9 +45,11 @@
         What it resumes from.
     avoided : frozenset of str
         VMs on which it failed before.
+    allowed : collection of str or None
+        The VMs that may run it; None for any.
     """
 
-    __slots__ = ("avoided", "checkpoint", "customer", "key", "pool", "step")
+    __slots__ = ("allowed", "avoided", "checkpoint", "customer", "key", "pool", "step")
 
     def __init__(
         self,
@@ -64,6 +67,7 @@
         self.pool = pool
         self.checkpoint = checkpoint
         self.avoided = avoided
+        self.allowed: Collection[str] | None = None
 
 
 class VmRoom:
--- a/src/redwingslip/platform/__init__.py
+++ b/src/redwingslip/platform/__init__.py
@@ -1,5 +1,6 @@
 """Platform: the one place that knows the names and formats of the platform."""
 
+from ._advice import AdviceClient
 from ._calls import answer_call
 from ._client import PlatformClient, PlatformSettings, VmPower, VmState
 from ._machines import MachineClient
@@ -13,6 +14,7 @@
 )
 
 __all__ = [
+    "AdviceClient",
     "DocumentError",
     "MachineClient",
     "PlatformClient",
--- a/src/redwingslip/platform/_orders.py
+++ b/src/redwingslip/platform/_orders.py
@@ -38,6 +38,7 @@
     "old": StartResult.OLD,
     "late": StartResult.LATE,
     "room": StartResult.NO_ROOM,
+    "ticket": StartResult.NO_TICKET,
 }
 
 
@@ -48,6 +49,7 @@
     not_after_ms: int
     fencing_token: int
     checkpoint: str = ""
+    ticket: str = ""
 
 
 class _StopDoc(msgspec.Struct, frozen=True, rename="camel"):
@@ -128,9 +130,16 @@
             raise OrderLostError(f"{vm.vm_id} sent unreadable lists: {exc}") from exc
 
     async def start(
-        self, vm: VmRecord, run: ActiveRun, *, payload: str, fence: int, until_ms: int
+        self,
+        vm: VmRecord,
+        run: ActiveRun,
+        *,
+        payload: str,
+        ticket: str,
+        fence: int,
+        until_ms: int,
     ) -> StartOutcome:
-        """Have a run started, once."""
+        """Have a run started, once; `ticket` is empty where none is needed."""
         doc = _StartDoc(
             task=_format_task(run.key),
             run_id=run.number,
@@ -138,6 +147,7 @@
             not_after_ms=until_ms,
             fencing_token=fence,
             checkpoint=run.checkpoint,
+            ticket=ticket,
         )
         answer = await self._post(vm, "/run-start", doc, ORDER_TIMEOUT)
         if answer.status in (429, 503):
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -1,5 +1,6 @@
 """Scheduling: the leader's work with jobs, VMs and waves, over ports to the outside."""
 
+from ._advice import Advice, AdviceBook, Adviser, AdviceSettings
 from ._agent import AgentSettings, VmAgent
 from ._moves import MoveKeeper, MoveSettings
 from ._ports import (
@@ -30,6 +31,10 @@
 )
 
 __all__ = [
+    "Advice",
+    "AdviceBook",
+    "AdviceSettings",
+    "Adviser",
     "AgentSettings",
     "CommandLostError",
     "HoldReport",
--- /dev/null
+++ b/src/redwingslip/scheduling/_advice.py
@@ -0,0 +1,174 @@
+"""Which VMs may run a step, where a service outside decides that."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from typing import Protocol
+
+import msgspec
+
+from ..clock import Clock
+from ..observe import Event, EventName, EventSink
+from .exceptions import OrderLostError
+
+__all__ = ["Advice", "AdviceBook", "AdviceSettings", "Adviser"]
+
+StepKey = tuple[str, int, int]
+
+
+class Advice(msgspec.Struct, frozen=True, kw_only=True):
+    """The VMs that may run a step, each with the ticket that proves it."""
+
+    tickets: dict[str, str]
+    validity: timedelta
+
+
+class Adviser(Protocol):
+    """The service that knows which VMs may run a step."""
+
+    async def ask(self, step: StepKey, vm_ids: tuple[str, ...]) -> Advice:
+        """Return the good ones of some VMs; raise `OrderLostError` without an answer.
+
+        The service takes one call at a time.
+        """
+
+
+class AdviceSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How advice is asked for.
+
+    Attributes
+    ----------
+    max_vms : int
+        VMs in one call; each of them takes the service some time.
+    margin : timedelta
+        A ticket is not used when it expires this soon: the start is on its way then.
+    retry_delay : timedelta
+        Wait after a call without an answer.
+    """
+
+    max_vms: int = 24
+    margin: timedelta = timedelta(milliseconds=400)
+    retry_delay: timedelta = timedelta(milliseconds=200)
+
+
+class _Ticket(msgspec.Struct, frozen=True):
+    text: str
+    expires_at: timedelta
+
+
+class AdviceBook:
+    """Keeps tickets and asks for those that are wanted, one call at a time.
+
+    Parameters
+    ----------
+    adviser : Adviser
+        The service.
+    candidates : callable
+        Returns the VMs of a pool in the order in which they should be asked about.
+    clock : Clock
+        The time.
+    events : EventSink
+        Takes the events.
+    on_advice : callable
+        Called when there are new tickets.
+    cfg : AdviceSettings
+        The settings.
+    """
+
+    __slots__ = (
+        "_adviser",
+        "_asked",
+        "_candidates",
+        "_cfg",
+        "_clock",
+        "_events",
+        "_on_advice",
+        "_tickets",
+        "_wake",
+        "_wanted",
+    )
+
+    def __init__(
+        self,
+        *,
+        adviser: Adviser,
+        candidates: Callable[[str], tuple[str, ...]],
+        clock: Clock,
+        events: EventSink,
+        on_advice: Callable[[], None],
+        cfg: AdviceSettings,
+    ) -> None:
+        self._adviser = adviser
+        self._candidates = candidates
+        self._clock = clock
+        self._events = events
+        self._on_advice = on_advice
+        self._cfg = cfg
+        self._tickets: dict[StepKey, dict[str, _Ticket]] = {}
+        self._asked: dict[StepKey, set[str]] = {}
+        self._wanted: dict[StepKey, str] = {}
+        self._wake = asyncio.Event()
+
+    def tickets(self, step: StepKey) -> Mapping[str, str]:
+        """Return the tickets of a step that can still be used, by VM."""
+        until = self._clock.monotonic() + self._cfg.margin
+        return {
+            vm_id: ticket.text
+            for vm_id, ticket in self._tickets.get(step, {}).items()
+            if ticket.expires_at > until
+        }
+
+    def want(self, step: StepKey, pool: str) -> None:
+        """Have more tickets asked for; the first wants are served first."""
+        self._wanted.setdefault(step, pool)
+        self._wake.set()
+
+    def forget(self, job_id: str) -> None:
+        """Drop what is kept for a job that has ended."""
+        for known in (self._tickets, self._asked, self._wanted):
+            for step in [step for step in known if step[0] == job_id]:
+                del known[step]
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            while not self._wanted:
+                self._wake.clear()
+                await self._wake.wait()
+            step = next(iter(self._wanted))
+            pool = self._wanted.pop(step)
+            await self._ask(step, pool)
+
+    async def _ask(self, step: StepKey, pool: str) -> None:
+        vm_ids = self._choose(step, pool)
+        if not vm_ids:
+            await asyncio.sleep(self._cfg.retry_delay.total_seconds())
+            return
+        asked_at = self._clock.monotonic()
+        try:
+            advice = await self._adviser.ask(step, vm_ids)
+        except OrderLostError as exc:
+            self._events.emit(Event(name=EventName.WARNING, detail=str(exc)))
+            await asyncio.sleep(self._cfg.retry_delay.total_seconds())
+            return
+        self._asked.setdefault(step, set()).update(vm_ids)
+        tickets = self._tickets.setdefault(step, {})
+        for vm_id, text in advice.tickets.items():
+            tickets[vm_id] = _Ticket(text, asked_at + advice.validity)
+        self._events.emit(
+            Event(
+                name=EventName.ADVICE_TAKEN,
+                request_id=step[0],
+                detail=f"step {step[2]}: {len(advice.tickets)} of {len(vm_ids)} VMs",
+            )
+        )
+        self._on_advice()
+
+    def _choose(self, step: StepKey, pool: str) -> tuple[str, ...]:
+        """Return VMs that were good before, then such as were not asked about."""
+        candidates = self._candidates(pool)
+        known = self._tickets.get(step, {})
+        asked = self._asked.get(step, set())
+        good = [vm_id for vm_id in candidates if vm_id in known]
+        new = [vm_id for vm_id in candidates if vm_id not in asked]
+        return tuple((good + new)[: self._cfg.max_vms])
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -75,6 +75,7 @@
     number: int
     is_stop: bool
     run: ActiveRun | None = None
+    ticket: str = ""
     n_lost: int = 0
 
 
@@ -185,9 +186,10 @@
             return False
         return self.lease.is_in_contact(now)
 
-    def start(self, run: ActiveRun) -> None:
+    def start(self, run: ActiveRun, ticket: str = "") -> None:
         """Have a run started."""
-        self._add(_Order(run.key, run.number, is_stop=False, run=run))
+        order = _Order(run.key, run.number, is_stop=False, run=run, ticket=ticket)
+        self._add(order)
 
     def stop(self, key: TaskKey, number: int) -> None:
         """Have a run stopped, before any start that waits."""
@@ -425,6 +427,7 @@
             self.vm,
             order.run,
             payload=job.spec.payload,
+            ticket=order.ticket,
             fence=self._fence,
             until_ms=until_ms,
         )
@@ -449,7 +452,7 @@
         elif outcome.result is not StartResult.SUPERSEDED:
             if outcome.result is StartResult.NO_ROOM:
                 self.full_until = now + self._cfg.max_retry_delay
-            else:
+            elif outcome.result is not StartResult.NO_TICKET:
                 self.health.avoid(now)
             if order.n_lost:
                 # An earlier copy of the order may still be on its way.
--- a/src/redwingslip/scheduling/_board.py
+++ b/src/redwingslip/scheduling/_board.py
@@ -85,6 +85,11 @@
         queue = self._queues.get(job.spec.queue)
         return queue.pool if queue is not None else job.spec.pool
 
+    def needs_advice(self, job_id: str) -> bool:
+        """Return whether a job's queue lets an adviser choose the VMs."""
+        queue = self._queues.get(self._state.jobs[job_id].spec.queue)
+        return queue is not None and queue.needs_advice
+
     def n_not_begun(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have started no task."""
         jobs = self._state.jobs
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -8,7 +8,7 @@
 
 from ..clock import Clock
 from ..jobs import Command, ForgetVm, JobsState
-from ..observe import Event, EventName, EventSink
+from ..observe import Event, EventName, EventSink, Metrics
 from ..placement import PoolLoad, SizingSettings, plan_moves
 from ._agent import VmAgent
 from ._board import PoolBacklog, count_steps
@@ -72,6 +72,8 @@
         The time.
     events : EventSink
         Takes the events.
+    metrics : Metrics
+        Takes the metrics.
     cfg, sizing : MoveSettings, SizingSettings
         The settings.
     """
@@ -88,6 +90,7 @@
         "_is_reserved",
         "_machines",
         "_may_order",
+        "_metrics",
         "_operations",
         "_orders",
         "_planned",
@@ -109,6 +112,7 @@
         fence: int,
         clock: Clock,
         events: EventSink,
+        metrics: Metrics,
         cfg: MoveSettings,
         sizing: SizingSettings,
     ) -> None:
@@ -122,6 +126,7 @@
         self._fence = fence
         self._clock = clock
         self._events = events
+        self._metrics = metrics
         self._cfg = cfg
         self._sizing = sizing
         self._machines: dict[str, MachineView] = {}
@@ -261,6 +266,7 @@
     async def _move(self, machine: str, pool: str, agent: VmAgent | None) -> None:
         """Order one move and take note that its VM is gone."""
         outcome = await self._operations.move(machine, pool, fence=self._fence)
+        self._metrics.add_machine_order(kind="move", outcome=outcome.value)
         self._emit(EventName.MOVE_ORDERED, machine, f"to {pool}: {outcome.value}")
         self._idle_since.pop(machine, None)
         if outcome is not MachineOutcome.DONE:
--- a/src/redwingslip/scheduling/_ports.py
+++ b/src/redwingslip/scheduling/_ports.py
@@ -72,6 +72,7 @@
     OLD = "old"
     LATE = "late"
     NO_ROOM = "no room"
+    NO_TICKET = "no ticket"
     REFUSED = "refused"
     UNHEALTHY = "unhealthy"
 
@@ -101,9 +102,16 @@
         """Renew the lease, take note of ends up to `cursor`, and look."""
 
     async def start(
-        self, vm: VmRecord, run: ActiveRun, *, payload: str, fence: int, until_ms: int
+        self,
+        vm: VmRecord,
+        run: ActiveRun,
+        *,
+        payload: str,
+        ticket: str,
+        fence: int,
+        until_ms: int,
     ) -> StartOutcome:
-        """Have a run started, once."""
+        """Have a run started, once; `ticket` is empty where none is needed."""
 
     async def stop(
         self, vm: VmRecord, key: TaskKey, number: int, *, fence: int
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -30,9 +30,10 @@
     VmRecord,
     encode_command,
 )
-from ..observe import Event, EventName, EventSink
+from ..observe import Event, EventName, EventSink, Metrics
 from ..placement import Placer, PoolRoom, SizingSettings, Urgency, VmRoom, WaitingTask
 from ..workers import HealthSettings, LeaseSettings, ProgressSettings
+from ._advice import AdviceBook, Adviser, AdviceSettings
 from ._agent import AgentSettings, VmAgent
 from ._board import JobBoard, PoolBacklog, count_steps
 from ._moves import MoveKeeper, MoveSettings
@@ -74,11 +75,16 @@
         Calls to endpoints.
     operations : VmOperations
         Calls to the platform.
+    adviser : Adviser
+        Knows which VMs may run a step, for queues that need to ask.
     clock : Clock
         The time.
     events : EventSink
         Takes the events.
-    cfg, agent_cfg, lease_cfg, health_cfg, progress_cfg, wave_cfg, move_cfg, sizing_cfg
+    metrics : Metrics
+        Takes the metrics.
+    cfg, agent_cfg, lease_cfg, health_cfg, progress_cfg, wave_cfg, move_cfg, sizing_cfg,
+    advice_cfg
         The settings.
     """
 
@@ -89,8 +95,10 @@
         state: JobsState,
         orders: VmOrders,
         operations: VmOperations,
+        adviser: Adviser,
         clock: Clock,
         events: EventSink,
+        metrics: Metrics,
         cfg: SchedulingSettings,
         agent_cfg: AgentSettings,
         lease_cfg: LeaseSettings,
@@ -99,12 +107,14 @@
         move_cfg: MoveSettings,
         progress_cfg: ProgressSettings,
         sizing_cfg: SizingSettings,
+        advice_cfg: AdviceSettings,
     ) -> None:
         self._replica = replica
         self._state = state
         self._orders = orders
         self._clock = clock
         self._events = events
+        self._metrics = metrics
         self._cfg = cfg
         self._agent_cfg = agent_cfg
         self._lease_cfg = lease_cfg
@@ -117,6 +127,14 @@
         self._tasks: list[asyncio.Task] = []
         self._backlog: dict[str, PoolBacklog] = {}
         self.agents: dict[str, VmAgent] = {}
+        self._advice = AdviceBook(
+            adviser=adviser,
+            candidates=self._candidates,
+            clock=clock,
+            events=events,
+            on_advice=self._wake.set,
+            cfg=advice_cfg,
+        )
         self.moves = MoveKeeper(
             state=state,
             agents=self.agents,
@@ -128,6 +146,7 @@
             fence=self._fence,
             clock=clock,
             events=events,
+            metrics=metrics,
             cfg=move_cfg,
             sizing=sizing_cfg,
         )
@@ -143,6 +162,7 @@
             now_ms=self.now_ms,
             backlog=self._backlog,
             events=events,
+            metrics=metrics,
             cfg=wave_cfg,
         )
 
@@ -157,6 +177,7 @@
             asyncio.create_task(self._place_forever(), name="placement"),
             asyncio.create_task(self.waves.run(), name="waves"),
             asyncio.create_task(self.moves.run(), name="moves"),
+            asyncio.create_task(self._advice.run(), name="advice"),
             asyncio.create_task(self._forget_forever(), name="forgetting"),
         ]
 
@@ -189,12 +210,15 @@
         CommandLostError
             The command may have been taken or not.
         """
+        began_at = self._clock.monotonic()
         try:
-            return await self._replica.propose(encode_command(command))
+            outcome = await self._replica.propose(encode_command(command))
         except NotLeaderError as exc:
             raise NotLeadingError("this replica does not lead") from exc
         except ProposalLostError as exc:
             raise CommandLostError(str(exc)) from exc
+        self._metrics.record_commit(duration=self._clock.monotonic() - began_at)
+        return outcome
 
     async def record_ends(
         self, vm: VmRecord, ends: tuple[RunEnd, ...], cursor: int
@@ -216,7 +240,12 @@
         await self._propose_or_log(command)
 
     def note_start(self, run: ActiveRun, vm: VmRecord, outcome: str) -> None:
-        """Log the outcome of a start."""
+        """Log and count the outcome of a start."""
+        self._metrics.add_run_start(outcome=outcome)
+        job = self._state.jobs.get(run.key.job_id)
+        if job is not None and run.number == 1 and run.key[1:] == (0, 0, 0):
+            wait_ms = max(0, run.started_ms - job.accepted_ms)
+            self._metrics.record_start_wait(queue=job.spec.queue, duration=wait_ms * MS)
         self._emit(
             EventName.RUN_ORDERED,
             request_id=run.key.job_id,
@@ -277,7 +306,8 @@
         for run in outcome:
             agent = self.agents.get(run.vm_id)
             if agent is not None and agent.vm.born_ms == run.born_ms:
-                agent.start(run)
+                ticket = self._advice.tickets(run.key[:3]).get(run.vm_id, "")
+                agent.start(run, ticket)
 
     @_follow.register
     def _(self, command: RecordEnds, outcome: None) -> None:
@@ -302,9 +332,11 @@
     def _(self, command: ForgetJobs, outcome: None) -> None:
         for job_id in command.job_ids:
             self._board.change_job(job_id)
+            self._advice.forget(job_id)
 
     def _follow_end(self, vm_id: str, end: RunEnd, agent: VmAgent | None) -> None:
         job_id = end.key.job_id
+        self._metrics.add_run_end(kind=end.kind.value)
         self._board.change_job(job_id)
         job = self._state.jobs.get(job_id)
         if job is not None and job.status not in ACTIVE_STATUSES:
@@ -399,6 +431,10 @@
     ) -> list[RunStart]:
         starts: list[RunStart] = []
         full_steps = set()
+        needs_advice = self._board.needs_advice(tasks[0].key.job_id)
+        if needs_advice:
+            for task in tasks:
+                task.allowed = self._advice.tickets(task.key[:3])
         gangs: dict[tuple, list[WaitingTask]] = {}
         for task in tasks:
             if task.step.is_gang:
@@ -409,11 +445,18 @@
                     starts.append(start)
                     continue
                 full_steps.add(task.key[:3])
+                if needs_advice:
+                    self._advice.want(task.key[:3], task.pool)
                 self._note_backlog(task, tasks)
                 if urgency.band == 0:
                     self._make_room(task)
-        for members in gangs.values():
-            starts.extend(placer.place_gang(members))
+        for step_key, members in gangs.items():
+            placed = placer.place_gang(members)
+            starts.extend(placed)
+            if not placed:
+                self._note_backlog(members[0], members)
+                if needs_advice:
+                    self._advice.want(step_key, members[0].pool)
         return starts
 
     def _note_backlog(self, task: WaitingTask, tasks: list[WaitingTask]) -> None:
@@ -459,6 +502,16 @@
             pools.setdefault(agent.vm.pool, PoolRoom([])).vms.append(room)
         return pools
 
+    def _candidates(self, pool: str) -> tuple[str, ...]:
+        """Return the VMs of a pool that take runs, those with most room first."""
+        now = self._clock.monotonic()
+        room = {
+            vm_id: agent.vm.capacity.cpu - count_steps(self._state, vm_id)[0].cpu
+            for vm_id, agent in self.agents.items()
+            if agent.vm.pool == pool and agent.is_ready(now)
+        }
+        return tuple(sorted(room, key=lambda vm_id: (-room[vm_id], vm_id)))
+
     def _is_anchored(self, steps: Iterable[tuple[str, int, int]]) -> bool:
         """Return whether any of some steps runs until cancelled."""
         return any(
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -19,7 +19,7 @@
     WaveRecord,
     iter_tasks,
 )
-from ..observe import Event, EventName, EventSink
+from ..observe import Event, EventName, EventSink, Metrics
 from ._agent import VmAgent
 from ._board import PoolBacklog
 from ._ports import MachineOutcome, VmOperations
@@ -93,6 +93,8 @@
         What waits for room in each pool.
     events : EventSink
         Takes the events.
+    metrics : Metrics
+        Takes the metrics.
     cfg : WaveSettings
         The settings.
     """
@@ -108,6 +110,7 @@
         "_fence",
         "_is_leading",
         "_is_moving",
+        "_metrics",
         "_now_ms",
         "_operations",
         "_orders",
@@ -131,6 +134,7 @@
         now_ms: Callable[[], int],
         backlog: Mapping[str, PoolBacklog],
         events: EventSink,
+        metrics: Metrics,
         cfg: WaveSettings,
     ) -> None:
         self._state = state
@@ -144,6 +148,7 @@
         self._now_ms = now_ms
         self._backlog = backlog
         self._events = events
+        self._metrics = metrics
         self._cfg = cfg
         self._since = clock.monotonic()
         self._cordoned: dict[str, timedelta] = {}
@@ -355,6 +360,7 @@
                     detail=outcome.value,
                 )
             )
+            self._metrics.add_machine_order(kind="maintenance", outcome=outcome.value)
             if outcome is MachineOutcome.DONE:
                 self._begun_at[machine] = self._clock.monotonic()
                 await self._record(wave, begun=(machine,))
--- a/src/redwingslip/settings/_checks.py
+++ b/src/redwingslip/settings/_checks.py
@@ -71,6 +71,13 @@
 
 @find_problems.register
 def _(cfg: MetricsSettings, section: str) -> Iterator[SettingsError]:
+    if cfg.exporter is ExporterKind.PROMETHEUS and cfg.listen is None:
+        yield SettingsError(
+            section=section,
+            option="listen",
+            value=None,
+            allowed="is needed with 'exporter = prometheus'",
+        )
     if cfg.exporter is ExporterKind.JSON_FILE and cfg.path is None:
         yield SettingsError(
             section=section,
--- a/src/redwingslip/settings/_sections.py
+++ b/src/redwingslip/settings/_sections.py
@@ -48,6 +48,7 @@
     NONE = "none"
     CONSOLE = "console"
     JSON_FILE = "json-file"
+    PROMETHEUS = "prometheus"
 
 
 class ProcessSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -259,7 +260,10 @@
     Attributes
     ----------
     exporter : ExporterKind
-        Where they go: none, console or json-file.
+        Where they go: none, console or json-file; prometheus serves them as text to
+        collectors that fetch them.
+    listen : str or None
+        IP number and port of the exporter prometheus.
     path : Path or None
         The file of the exporter json-file, JSON lines.
     interval : timedelta
@@ -267,6 +271,7 @@
     """
 
     exporter: ExporterKind = ExporterKind.NONE
+    listen: Address | None = None
     path: Path | None = None
     interval: timedelta = timedelta(seconds=15)
 
--- /dev/null
+++ b/tests/test_consensus_open.py
@@ -0,0 +1,193 @@
+"""Tests of logs whose replicas find each other, and of catching up after a cut."""
+
+import random
+import unittest
+from datetime import timedelta
+
+from redwingslip.consensus import (
+    Append,
+    ConsensusSettings,
+    HardState,
+    Identity,
+    LogStart,
+    Member,
+    RaftNode,
+    StoredState,
+)
+
+CFG = ConsensusSettings(max_voters=5)
+STEP = timedelta(milliseconds=50)
+FOUNDERS = tuple(
+    Member(replica_id=name, incarnation=f"{name}.0", address=name) for name in "abc"
+)
+
+
+class Network:
+    """Nodes whose disks and links are fast; links can be cut and keep a backlog."""
+
+    def __init__(self):
+        self.now = timedelta(0)
+        self.nodes = {}
+        self.cut = set()
+        self.backlog = []
+        self.keep_backlog = False
+        self.n_entries_sent = 0
+
+    def add(self, name, *, members=(), peers="abc", incarnation=0):
+        """Start a node on an empty disk."""
+        identity = Identity(
+            replica_id=name, incarnation=f"{name}.{incarnation}", members=members
+        )
+        stored = StoredState(
+            identity=identity,
+            hard_state=HardState(),
+            snapshot=None,
+            log_start=LogStart(),
+            entries=(),
+        )
+        self.nodes[name] = RaftNode(
+            cfg=CFG,
+            stored=stored,
+            address=name,
+            peers=frozenset(peers) - {name},
+            rng=random.Random(name),
+            now=self.now,
+        )
+
+    def run(self, duration):
+        """Let time pass."""
+        end = self.now + duration
+        while self.now < end:
+            self.now += STEP
+            for node in self.nodes.values():
+                node.tick(self.now)
+            for _ in range(4):
+                self.exchange()
+
+    def exchange(self):
+        """Save and deliver what there is."""
+        for name, node in list(self.nodes.items()):
+            ready = node.take_ready(self.now)
+            if ready.save is not None:
+                node.mark_saved(self.now)
+            for receiver, message in ready.messages:
+                if isinstance(message, Append):
+                    self.n_entries_sent += len(message.entries)
+                if receiver not in self.nodes:
+                    continue
+                if {name, receiver} & self.cut:
+                    if self.keep_backlog:
+                        self.backlog.append((name, receiver, message))
+                    continue
+                self.nodes[receiver].receive(name, message, self.now)
+
+    def heal(self):
+        """End the cut, and deliver what was held up by it."""
+        self.cut.clear()
+        held, self.backlog = self.backlog, []
+        for name, receiver, message in held:
+            self.nodes[receiver].receive(name, message, self.now)
+
+    def leader(self):
+        """Return the node that leads and is not cut off."""
+        return next(
+            node
+            for name, node in self.nodes.items()
+            if node.is_leader and name not in self.cut
+        )
+
+    def voters(self):
+        """Return the names of the leader's voters."""
+        return {m.replica_id for m in self.leader().members if m.voting}
+
+
+class TestOpenLog(unittest.TestCase):
+    """Founders, newcomers and replacements."""
+
+    def setUp(self):
+        self.net = Network()
+        for name in "abc":
+            self.net.add(name, members=FOUNDERS)
+        self.net.run(timedelta(seconds=3))
+
+    def test_newcomers_that_know_only_seeds_become_voters(self):
+        self.net.add("d", peers="a")
+        self.net.add("e", peers="b")
+        self.net.run(timedelta(seconds=4))
+        self.assertEqual(self.net.voters(), set("abcde"))
+
+    def test_no_more_voters_than_the_settings_want(self):
+        for name in "defg":
+            self.net.add(name)
+        self.net.run(timedelta(seconds=6))
+        self.assertEqual(len(self.net.voters()), 5)
+
+    def test_a_replacement_at_another_address_takes_the_place_of_the_lost_one(self):
+        for name in "de":
+            self.net.add(name)
+        self.net.run(timedelta(seconds=4))
+        lost = next(name for name in "abc" if not self.net.nodes[name].is_leader)
+        del self.net.nodes[lost]
+        self.net.add("f", peers="".join(sorted(set("abc") - {lost})))
+        self.net.run(timedelta(seconds=8))
+        self.assertEqual(self.net.voters(), set("abcdef") - {lost})
+
+    def test_silent_voters_stay_while_nobody_can_take_their_place(self):
+        for name in "de":
+            self.net.add(name)
+        self.net.run(timedelta(seconds=4))
+        followers = [n for n, node in self.net.nodes.items() if not node.is_leader]
+        self.net.cut.update(followers[:2])
+        self.net.run(timedelta(seconds=10))
+        self.assertEqual(self.net.voters(), set("abcde"))
+
+    def test_a_lost_disk_joins_under_the_same_name(self):
+        lost = next(name for name in "abc" if not self.net.nodes[name].is_leader)
+        self.net.add(lost, incarnation=1)
+        self.net.run(timedelta(seconds=5))
+        self.assertTrue(self.net.leader().is_repaired(lost, f"{lost}.1"))
+
+
+class TestBacklog(unittest.TestCase):
+    """A link that holds messages back for seconds and delivers them at once."""
+
+    def test_stale_heartbeats_have_the_log_sent_once_not_once_each(self):
+        net = Network()
+        for name in "abc":
+            net.add(name, members=FOUNDERS)
+        net.run(timedelta(seconds=3))
+        leader = net.leader()
+        follower = next(n for n in "abc" if n != leader.replica_id)
+        net.cut.add(follower)
+        n_entries = 200
+        for number in range(n_entries):
+            leader.propose(b"%d" % number)
+            net.run(STEP)
+        # The entries were lost; the heartbeats behind them arrive.
+        net.keep_backlog = True
+        net.run(timedelta(milliseconds=500))
+        net.n_entries_sent = 0
+        net.heal()
+        net.run(timedelta(seconds=2))
+        self.assertEqual(net.nodes[follower].commit_index, leader.commit_index)
+        self.assertLess(net.n_entries_sent, 3 * n_entries)
+
+    def test_a_longer_log_of_an_older_term_is_followed_back(self):
+        """Its end hides where both logs part; each answer leads one step back."""
+        net = Network()
+        for name in "abc":
+            net.add(name, members=FOUNDERS)
+        net.run(timedelta(seconds=3))
+        old = net.leader()
+        net.cut.add(old.replica_id)
+        for number in range(6):
+            old.propose(b"old %d" % number)
+        net.run(timedelta(seconds=4))
+        new = net.leader()
+        for number in range(3):
+            new.propose(b"new %d" % number)
+        net.run(timedelta(seconds=1))
+        net.heal()
+        net.run(timedelta(seconds=3))
+        indexes = {node.commit_index for node in net.nodes.values()}
+        self.assertEqual(len(indexes), 1)
--- /dev/null
+++ b/tests/test_daemons_fleet.py
@@ -0,0 +1,168 @@
+"""Tests of the whole path: gateway, controllers and a worker, over real sockets."""
+
+import asyncio
+import socket
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests.support_fleet import Fleet, StandInWorker, plan
+
+JOB = {
+    "spec": "x",
+    "steps": [
+        {"count": 3, "cpu": 500, "memMb": 10, "estimateMs": 50},
+        {"count": 1, "cpu": 500, "memMb": 10, "estimateMs": 50, "after": [0]},
+    ],
+}
+
+
+def free_ports():
+    """Return the first of some ports that are likely to be free."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.11", 0))
+        return min(sock.getsockname()[1], 65_000)
+
+
+class TestFleet(unittest.IsolatedAsyncioTestCase):
+    """Jobs are accepted once, run once, and survive the leader."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        ports = free_ports()
+        self.fleet = Fleet(Path(folder.name), ports)
+        self.worker = StandInWorker(f"127.0.0.15:{ports}")
+        await self.worker.start()
+        await self.fleet.start()
+        self.beats = asyncio.create_task(self.beat())
+        await self.until(self.fleet.is_ready)
+        status, _ = await self.fleet.control("POST", "/config/replace", plan())
+        self.assertEqual(status, 200)
+
+    async def asyncTearDown(self):
+        self.beats.cancel()
+        await self.fleet.stop()
+        await self.worker.stop()
+
+    async def beat(self):
+        """Report the worker to one controller after the other."""
+        for sequence in range(10_000):
+            at = (11, 12, 13)[sequence % 3]
+            doc = self.worker.report(sequence)
+            await self.fleet.control("POST", "/instances/i-1/heartbeat", doc, at=at)
+            await asyncio.sleep(0.2)
+
+    async def until(self, condition, timeout=15):
+        async with asyncio.timeout(timeout):
+            while not await condition():
+                await asyncio.sleep(0.05)
+
+    async def wait_state(self, path, state, timeout=15):
+        async def has_state():
+            status, doc = await self.fleet.call("GET", path)
+            return status == 200 and doc["state"] == state
+
+        await self.until(has_state, timeout)
+
+    async def test_a_job_runs_once_in_the_order_of_its_steps(self):
+        path = "/keyed/0000000000000001"
+        self.assertEqual((await self.fleet.call("POST", path, JOB))[0], 200)
+        self.assertEqual((await self.fleet.call("POST", path, JOB))[0], 200)
+        await self.wait_state(path, "completed")
+        self.assertEqual(len(self.worker.started), 4)
+        self.assertEqual(self.worker.started[-1][0].split(".")[2], "1")
+
+    async def test_keys_and_addresses_are_checked(self):
+        path = "/keyed/0000000000000002"
+        for key in ("", "wrong"):
+            status, _ = await self.fleet.call("POST", path, JOB, key=key)
+            self.assertEqual(status, 401)
+        cases = [
+            ("POST", "/nowhere/0000000000000002", 404),
+            ("GET", "/keyed/00000000000000ff", 410),
+            ("GET", "/keyed/not-an-id", 404),
+            ("DELETE", "/keyed/00000000000000ff", 410),
+            ("GET", "/keyed/", 200),
+        ]
+        for method, path, wanted in cases:
+            status, _ = await self.fleet.call(method, path, JOB)
+            self.assertEqual(status, wanted, path)
+        status, _ = await self.fleet.call("POST", "/open/0000000000000003", JOB, key="")
+        self.assertEqual(status, 200)
+
+    async def test_bad_bodies_are_refused_and_change_nothing(self):
+        path = "/keyed/0000000000000004"
+        for body in (b"{", b'{"steps":5}', b'{"steps":[{"count":"x"}]}'):
+            status, doc = await self.fleet.call("POST", path, body)
+            self.assertEqual(status, 400)
+            self.assertTrue(doc["error"])
+        self.assertEqual((await self.fleet.call("GET", path))[0], 410)
+
+    async def test_invalid_plans_are_refused_and_older_ones_acknowledged(self):
+        status, doc = await self.fleet.control(
+            "POST", "/config/replace", plan(5, timeout_ms=0)
+        )
+        self.assertEqual(status, 400)
+        self.assertIn("timeoutMs", doc["error"])
+        for at in (11, 12, 13):
+            status, doc = await self.fleet.control("GET", "/config/read", at=at)
+            self.assertEqual((status, doc["version"]), (200, 1))
+        status, _ = await self.fleet.control("POST", "/config/replace", plan(0))
+        self.assertEqual(status, 200)
+
+    async def test_a_cancelled_job_stops(self):
+        self.worker.work_s = 30
+        path = "/keyed/0000000000000005"
+        await self.fleet.call("POST", path, JOB)
+        await self.wait_state(path, "running")
+        self.assertEqual((await self.fleet.call("DELETE", path))[0], 200)
+        await self.wait_state(path, "cancelled")
+
+        async def is_idle():
+            return not self.worker.running
+
+        await self.until(is_idle)
+
+    async def test_running_work_survives_a_change_of_leader(self):
+        self.worker.work_s = 2.5
+        paths = [f"/keyed/{n:016x}" for n in range(16, 19)]
+        for path in paths:
+            self.assertEqual((await self.fleet.call("POST", path, JOB))[0], 200)
+        await self.wait_state(paths[-1], "running")
+        leader = self.fleet.leader()
+        await self.fleet.controllers[leader].stop()
+        del self.fleet.controllers[leader]
+        late = "/keyed/00000000000000aa"
+
+        async def is_accepted():
+            return (await self.fleet.call("POST", late, JOB))[0] == 200
+
+        await self.until(is_accepted)
+        for path in (*paths, late):
+            await self.wait_state(path, "completed", timeout=25)
+        doubled = [name for name, count in self.worker.n_done.items() if count > 1]
+        self.assertEqual(doubled, [])
+
+    async def test_a_replica_whose_disk_is_lost_joins_again(self):
+        n = next(k for k in (11, 12, 13) if k != self.fleet.leader())
+        await self.fleet.controllers[n].stop()
+        for path in (self.fleet.folder / f"replica-{n}").iterdir():
+            path.unlink()
+        (self.fleet.folder / f"replica-{n}").rmdir()
+        # The settings of a replacement do not say that the system is founded.
+        app = self.fleet._controller(n)
+        app._found = lambda: None
+        self.fleet.controllers[n] = app
+        await app.start()
+
+        async def is_whole():
+            leader = self.fleet.leader()
+            if leader is None:
+                return False
+            replica = self.fleet.controllers[leader].replica
+            name = f"127.0.0.{n}:{self.fleet.ports}"
+            return replica.is_repaired(name, app.replica.incarnation)
+
+        await self.until(is_whole)
+        self.assertEqual(app.machine.state.plan.version, 1)
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -14,6 +14,7 @@
 )
 from tests.support_scheduling import (
     EVENTS,
+    METRICS,
     FakeEndpoint,
     FakeLeader,
     FakePlatform,
@@ -77,6 +78,7 @@
             now_ms=self.now_ms,
             backlog={},
             events=EVENTS,
+            metrics=METRICS,
             cfg=CFG,
         )
         task = asyncio.create_task(keeper.run())
