Elect sooner; put jobs that are of no use any more last

Cause: a lost leader was replaced after 0.6 to 1.2 s, and gateways noticed after 0.9 s; jobs past three times their objective still took room from late ones. Ruled out: as a cause of the worst windows: with all controllers without power for seconds, the outage itself outweighs the election. Change: elections after 450 to 900 ms, heartbeats each 100 ms; a last band.

--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -89,10 +89,10 @@
         The same for endpoints and operators, who try another process after a second.
     """
 
-    query_interval: timedelta = timedelta(milliseconds=150)
-    ping_interval: timedelta = timedelta(milliseconds=300)
-    silence: timedelta = timedelta(milliseconds=900)
-    attempt_timeout: timedelta = timedelta(milliseconds=800)
+    query_interval: timedelta = timedelta(milliseconds=100)
+    ping_interval: timedelta = timedelta(milliseconds=200)
+    silence: timedelta = timedelta(milliseconds=600)
+    attempt_timeout: timedelta = timedelta(milliseconds=700)
     caller_patience: timedelta = timedelta(milliseconds=2400)
     control_patience: timedelta = timedelta(milliseconds=900)
 
@@ -166,7 +166,11 @@
     replica: ReplicaRoleSettings
     # A leader commits by the disks of the others while its own one hangs.
     consensus: ConsensusSettings = ConsensusSettings(
-        max_voters=5, disk_timeout=timedelta(seconds=8)
+        max_voters=5,
+        disk_timeout=timedelta(seconds=8),
+        election_timeout_min=timedelta(milliseconds=450),
+        election_timeout_max=timedelta(milliseconds=900),
+        heartbeat_interval=timedelta(milliseconds=100),
     )
     cloud: CloudSettings = CloudSettings()
     scheduling: SchedulingSettings = SchedulingSettings()
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -16,7 +16,7 @@
     ----------
     band : int
         0 for tasks that run until cancelled, 1 for jobs that can still be on time, 2
-        for those that can't.
+        for those that can't, 3 for those that are of no use any more.
     priority : int
         The queue's.
     due_ms : float
--- a/src/redwingslip/scheduling/_board.py
+++ b/src/redwingslip/scheduling/_board.py
@@ -19,7 +19,10 @@
 
 __all__ = ["JobBoard", "PoolBacklog", "count_steps"]
 
-LASTING, TIMELY, LATE = 0, 1, 2
+LASTING, TIMELY, LATE, USELESS = 0, 1, 2, 3
+# A job is of no use to its caller after this many times its objective (platform
+# contract); it is done all the same, behind all others.
+USELESS_AFTER = 3
 # Estimates are rough (platform contract); a job counts as late only when less than
 # this part of its estimated chain would have to fit.
 TIMELY_PART = 0.7
@@ -166,8 +169,12 @@
         stretch = queue.stretch if queue else 1.0
         target_ms = queue.target_latency_ms if queue else 0
         due_ms = job.accepted_ms + stretch * _chain_ms(job) + target_ms
-        is_late = now_ms + TIMELY_PART * _chain_ms(job, only_open=True) > due_ms
-        return Urgency(LATE if is_late else TIMELY, priority, due_ms)
+        end_ms = now_ms + TIMELY_PART * _chain_ms(job, only_open=True)
+        useless_ms = job.accepted_ms + USELESS_AFTER * (due_ms - job.accepted_ms)
+        band = TIMELY
+        if end_ms > due_ms:
+            band = LATE if end_ms <= useless_ms else USELESS
+        return Urgency(band, priority, due_ms)
 
 
 def _chain_ms(job: JobRecord, *, only_open: bool = False) -> int:
--- a/tests/test_consensus_open.py
+++ b/tests/test_consensus_open.py
@@ -14,6 +14,7 @@
     RaftNode,
     StoredState,
 )
+from tests.test_consensus_safety import ClusterMachine
 
 CFG = ConsensusSettings(max_voters=5)
 STEP = timedelta(milliseconds=50)
@@ -172,6 +173,14 @@
         self.assertEqual(net.nodes[follower].commit_index, leader.commit_index)
         self.assertLess(net.n_entries_sent, 3 * n_entries)
 
+    def test_a_longer_log_of_an_older_term_is_found_by_the_fuzzed_cluster(self):
+        """The optimistic probe always ended at the same hint (seed 149)."""
+        machine = ClusterMachine()
+        machine.set_up(seed=149)
+        machine.lose_two_disks(first="leader", n_proposals=4, second=1)
+        machine.power_cut(apart=True, n_proposals=2, n_steps=0)
+        machine.teardown()
+
     def test_a_longer_log_of_an_older_term_is_followed_back(self):
         """Its end hides where both logs part; each answer leads one step back."""
         net = Network()
