Split the scheduler and the agent; keep their work alive

Change: placement rounds, order desk and settings are modules of their own; settings are passed whole; endless work is logged and begun anew when it fails. Ruled out: ending the process on a failure, which would be met again after the restart.

--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -146,7 +146,6 @@
             self._service = None
         if not is_leader:
             return
-        cfg = self.cfg
         self._scheduler = Scheduler(
             replica=self.replica,
             state=self.machine.state,
@@ -156,15 +155,7 @@
             clock=self._clock,
             events=self._events,
             metrics=self._core.metrics,
-            cfg=cfg.scheduling,
-            agent_cfg=cfg.agents,
-            lease_cfg=cfg.leases,
-            health_cfg=cfg.health,
-            progress_cfg=cfg.progress,
-            wave_cfg=cfg.waves,
-            move_cfg=cfg.moves,
-            sizing_cfg=cfg.sizing,
-            advice_cfg=cfg.advice,
+            cfg=self.cfg.leader,
         )
         self._service = JobService(
             state=self.machine.state, scheduler=self._scheduler, events=self._events
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -12,8 +12,10 @@
 from ..scheduling import (
     AdviceSettings,
     AgentSettings,
+    LeaderPolicy,
     MoveSettings,
     SchedulingSettings,
+    VmPolicy,
     WaveSettings,
 )
 from ..settings import (
@@ -183,3 +185,20 @@
     sizing: SizingSettings = SizingSettings()
     advice: AdviceSettings = AdviceSettings()
     drain: DrainSettings = DrainSettings()
+
+    @property
+    def leader(self) -> LeaderPolicy:
+        """Return the settings of a leader."""
+        return LeaderPolicy(
+            scheduling=self.scheduling,
+            vms=VmPolicy(
+                agents=self.agents,
+                leases=self.leases,
+                health=self.health,
+                progress=self.progress,
+            ),
+            waves=self.waves,
+            moves=self.moves,
+            sizing=self.sizing,
+            advice=self.advice,
+        )
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -203,9 +203,9 @@
     def _(self, command: ForgetJobs) -> None:
         for job_id in command.job_ids:
             job = self.jobs.get(job_id)
-            if job is not None and job.status not in ACTIVE_STATUSES:
-                if not any(task.runs for _, task in iter_tasks(job)):
-                    del self.jobs[job_id]
+            has_ended = job is not None and job.status not in ACTIVE_STATUSES
+            if has_ended and not any(task.runs for _, task in iter_tasks(job)):
+                del self.jobs[job_id]
 
     @_apply.register
     def _(self, command: StartWave) -> None:
--- a/src/redwingslip/platform/_advice.py
+++ b/src/redwingslip/platform/_advice.py
@@ -40,7 +40,7 @@
         self._pool = ClientPool(ClientLimits(connect_timeout=timedelta(seconds=1)))
 
     async def ask(self, step: tuple[str, int, int], vm_ids: tuple[str, ...]) -> Advice:
-        """Return the good ones of some VMs; raise `OrderLostError` without an answer."""
+        """Return which of some VMs may run a step; see `OrderLostError`."""
         name = ".".join(str(part) for part in step)
         req = ClientRequest(
             address=self._address,
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -1,7 +1,8 @@
 """Scheduling: the leader's work with jobs, VMs and waves, over ports to the outside."""
 
-from ._advice import Advice, AdviceBook, Adviser, AdviceSettings
-from ._agent import AgentSettings, VmAgent
+from ._advice import Advice, AdviceBook, AdviceSettings, Adviser
+from ._agent import VmAgent
+from ._agent_settings import AgentSettings, VmPolicy
 from ._moves import MoveKeeper, MoveSettings
 from ._ports import (
     HoldReport,
@@ -15,8 +16,9 @@
     VmOperations,
     VmOrders,
 )
-from ._scheduler import Scheduler, SchedulingSettings
+from ._scheduler import Scheduler
 from ._service import JobService
+from ._settings import LeaderPolicy, SchedulingSettings
 from ._waves import WaveKeeper, WaveSettings
 from .exceptions import (
     CommandLostError,
@@ -40,6 +42,7 @@
     "HoldReport",
     "JobService",
     "KeyRefusedError",
+    "LeaderPolicy",
     "ListedEnd",
     "ListedRun",
     "MachineOutcome",
@@ -60,6 +63,7 @@
     "VmAgent",
     "VmOperations",
     "VmOrders",
+    "VmPolicy",
     "VmReplacedError",
     "WaveKeeper",
     "WaveSettings",
--- a/src/redwingslip/scheduling/_board.py
+++ b/src/redwingslip/scheduling/_board.py
@@ -17,7 +17,7 @@
 )
 from ..placement import Urgency, WaitingTask
 
-__all__ = ["JobBoard", "PoolBacklog", "count_steps"]
+__all__ = ["LASTING", "JobBoard", "PoolBacklog", "count_steps"]
 
 LASTING, TIMELY, LATE, USELESS = 0, 1, 2, 3
 # A job is of no use to its caller after this many times its objective (platform
--- /dev/null
+++ b/src/redwingslip/scheduling/_order_desk.py
@@ -0,0 +1,303 @@
+"""Orders to one life of a VM, given one at a time."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable
+from datetime import timedelta
+from typing import Protocol
+
+import msgspec
+
+from ..clock import Clock
+from ..jobs import ActiveRun, EndKind, JobsState, RunEnd, TaskKey, VmRecord
+from ..observe import EventSink
+from ..workers import VmHealth, VmLease
+from ._agent_settings import VmPolicy
+from ._ports import StartOutcome, StartResult, VmOrders
+from ._supervise import run_forever
+from .exceptions import OrderLostError, OrderNotSentError, VmReplacedError
+
+__all__ = ["Leading", "OrderDesk", "RunName"]
+
+RunName = tuple[TaskKey, int]
+
+
+class Leading(Protocol):
+    """What an agent asks of the leader that it works for."""
+
+    def is_leading(self) -> bool:
+        """Return whether no other leader can exist."""
+
+    async def record_ends(
+        self, vm: VmRecord, ends: tuple[RunEnd, ...], cursor: int
+    ) -> None:
+        """Have ends recorded; return once they are."""
+
+    async def forget_vm(self, vm: VmRecord, reason: str) -> None:
+        """Have a life dropped that is over."""
+
+    def note_start(self, run: ActiveRun, vm: VmRecord, outcome: str) -> None:
+        """Take note of the outcome of a start."""
+
+    def note_restart(self, key: TaskKey, number: int, vm: VmRecord) -> None:
+        """Take note that a run is stopped since it does not go forward."""
+
+    def note_contact(self) -> None:
+        """Take note that a VM was heard."""
+
+
+class _Order(msgspec.Struct):
+    """An order that is to be given."""
+
+    key: TaskKey
+    number: int
+    is_stop: bool
+    run: ActiveRun | None = None
+    ticket: str = ""
+    n_lost: int = 0
+
+
+class OrderDesk:
+    """Gives orders to one life of a VM until each is answered.
+
+    Parameters
+    ----------
+    vm : VmRecord
+        The life.
+    lease : VmLease
+        Its lease, which each start renews.
+    health : VmHealth
+        Its health.
+    fence : int
+        The leader's term.
+    state : JobsState
+        The replicated state.
+    leading : Leading
+        The leader.
+    orders : VmOrders
+        Calls to endpoints.
+    clock : Clock
+        The time.
+    events : EventSink
+        Takes the events.
+    cfg : VmPolicy
+        The settings.
+
+    Attributes
+    ----------
+    full_until : timedelta or None
+        The VM had no room, and gets no new runs before.
+    is_silent : bool
+        Whether the VM has not answered last; its lease is not extended then.
+    settled_at : dict
+        When an order for a run was answered: a later look proves whether it runs.
+    stopped_at : dict
+        When the stop of a run was answered.
+    """
+
+    __slots__ = (
+        "_cfg",
+        "_clock",
+        "_events",
+        "_fence",
+        "_leading",
+        "_orders",
+        "_pending",
+        "_queue",
+        "_state",
+        "_tasks",
+        "_wake",
+        "full_until",
+        "health",
+        "is_silent",
+        "lease",
+        "settled_at",
+        "stopped_at",
+        "vm",
+    )
+
+    def __init__(
+        self,
+        vm: VmRecord,
+        *,
+        lease: VmLease,
+        health: VmHealth,
+        fence: int,
+        state: JobsState,
+        leading: Leading,
+        orders: VmOrders,
+        clock: Clock,
+        events: EventSink,
+        cfg: VmPolicy,
+    ) -> None:
+        self.vm = vm
+        self.lease = lease
+        self.health = health
+        self._fence = fence
+        self._state = state
+        self._leading = leading
+        self._orders = orders
+        self._clock = clock
+        self._events = events
+        self._cfg = cfg.agents
+        self.full_until: timedelta | None = None
+        self.is_silent = False
+        self.settled_at: dict[RunName, timedelta] = {}
+        self.stopped_at: dict[RunName, timedelta] = {}
+        self._queue: deque[_Order] = deque()
+        self._pending: dict[RunName, _Order] = {}
+        self._wake = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+
+    def begin(self) -> None:
+        """Begin to give orders."""
+        name = f"orders to {self.vm.vm_id}"
+        self._spawn(run_forever(name, self._order_forever, self._events))
+
+    def close(self) -> None:
+        """Give no further orders."""
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    def is_pending(self, name: RunName) -> bool:
+        """Return whether an order for a run waits for its answer."""
+        return name in self._pending
+
+    def lease_end(self, now: timedelta) -> int:
+        """Return until when runs may go on, longer only while the VM answers."""
+        return self.lease.repeat(now) if self.is_silent else self.lease.extend(now)
+
+    def close_run(self, name: RunName, kind: EndKind) -> None:
+        """Have the end of a run recorded that the VM does not list."""
+        end = RunEnd(name[0], name[1], kind)
+        self._spawn(self._leading.record_ends(self.vm, (end,), 0))
+
+    def start(self, run: ActiveRun, ticket: str = "") -> None:
+        """Have a run started."""
+        order = _Order(run.key, run.number, is_stop=False, run=run, ticket=ticket)
+        self._add(order)
+
+    def stop(self, key: TaskKey, number: int) -> None:
+        """Have a run stopped, before any start that waits."""
+        pending = self._pending.get((key, number))
+        if pending is None or not pending.is_stop:
+            self._add(_Order(key, number, is_stop=True))
+
+    def is_stopping(self, key: TaskKey, number: int) -> bool:
+        """Return whether a run is to be stopped, or was told to stop."""
+        pending = self._pending.get((key, number))
+        is_told = pending is not None and pending.is_stop
+        return is_told or (key, number) in self.stopped_at
+
+    def _add(self, order: _Order) -> None:
+        self._pending[(order.key, order.number)] = order
+        if order.is_stop:
+            self._queue.appendleft(order)
+        else:
+            self._queue.append(order)
+        self._wake.set()
+
+    async def _order_forever(self) -> None:
+        while True:
+            while not self._queue or not self.lease.has_clock:
+                self._wake.clear()
+                if self._queue:
+                    await asyncio.sleep(self._cfg.retry_delay.total_seconds())
+                else:
+                    await self._wake.wait()
+            order = self._queue.popleft()
+            if self._pending.get((order.key, order.number)) is order:
+                await self._give(order)
+
+    async def _give(self, order: _Order) -> None:
+        name = (order.key, order.number)
+        if not self._leading.is_leading():
+            await asyncio.sleep(self._cfg.retry_delay.total_seconds())
+            self._queue.appendleft(order)
+            return
+        if not order.is_stop and not self._is_wanted(order):
+            self._pending.pop(name, None)
+            return
+        try:
+            if order.is_stop:
+                await self._give_stop(order)
+            else:
+                await self._give_start(order)
+        except VmReplacedError as exc:
+            await self._leading.forget_vm(self.vm, str(exc))
+        except OrderNotSentError:
+            await self._retry(order)
+        except OrderLostError:
+            order.n_lost += 1
+            await self._retry(order)
+
+    def _is_wanted(self, order: _Order) -> bool:
+        """Return whether a start still has its run."""
+        runs = self._state.runs.get(self.vm.vm_id, {})
+        return (order.key, order.number) in runs
+
+    async def _retry(self, order: _Order) -> None:
+        await asyncio.sleep(self._cfg.retry_delay.total_seconds())
+        if self._pending.get((order.key, order.number)) is order:
+            if order.is_stop:
+                self._queue.appendleft(order)
+            else:
+                self._queue.append(order)
+
+    async def _give_stop(self, order: _Order) -> None:
+        name = (order.key, order.number)
+        await self._orders.stop(self.vm, order.key, order.number, fence=self._fence)
+        now = self._clock.monotonic()
+        self.lease.note_contact(now)
+        if self._pending.get(name) is order:
+            del self._pending[name]
+        # From here on the run can't begin; a look that does not list it proves its end.
+        self.settled_at[name] = now
+        self.stopped_at[name] = now
+
+    async def _give_start(self, order: _Order) -> None:
+        job = self._state.jobs.get(order.key.job_id)
+        if job is None:
+            return
+        until_ms = self.lease_end(self._clock.monotonic())
+        outcome = await self._orders.start(
+            self.vm,
+            order.run,
+            payload=job.spec.payload,
+            ticket=order.ticket,
+            fence=self._fence,
+            until_ms=until_ms,
+        )
+        now = self._clock.monotonic()
+        self.lease.note_contact(now)
+        if outcome.clock_ms is not None:
+            self.lease.note_clock(outcome.clock_ms, now)
+        self._leading.note_start(order.run, self.vm, outcome.result.value)
+        name = (order.key, order.number)
+        if self._pending.get(name) is order:
+            del self._pending[name]
+            self._settle_start(order, outcome, now)
+
+    def _settle_start(
+        self, order: _Order, outcome: StartOutcome, now: timedelta
+    ) -> None:
+        name = (order.key, order.number)
+        if outcome.result in (StartResult.ACCEPTED, StartResult.OLD):
+            self.settled_at[name] = now
+        elif outcome.result is StartResult.LATE:
+            self._add(order)
+        elif outcome.result is not StartResult.SUPERSEDED:
+            if outcome.result is StartResult.NO_ROOM:
+                self.full_until = now + self._cfg.max_retry_delay
+            elif outcome.result is not StartResult.NO_TICKET:
+                self.health.avoid(now)
+            if order.n_lost:
+                # An earlier copy of the order may still be on its way.
+                self.stop(*name)
+            else:
+                self.close_run(name, EndKind.REJECTED)
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -1,12 +1,9 @@
 """The leader's scheduling: agents for the VMs, and rounds of placement."""
 
 import asyncio
-from collections.abc import Iterable
 from datetime import timedelta
 from functools import singledispatchmethod
 
-import msgspec
-
 from ..clock import Clock
 from ..consensus import NotLeaderError, ProposalLostError, Replica
 from ..jobs import (
@@ -22,8 +19,6 @@
     RecordEnds,
     ReplacePlan,
     RunEnd,
-    RunRecord,
-    RunStart,
     StartRuns,
     SubmitJob,
     TaskKey,
@@ -31,37 +26,23 @@
     encode_command,
 )
 from ..observe import Event, EventName, EventSink, Metrics
-from ..placement import Placer, PoolRoom, SizingSettings, Urgency, VmRoom, WaitingTask
-from ..workers import HealthSettings, LeaseSettings, ProgressSettings
-from ._advice import AdviceBook, Adviser, AdviceSettings
-from ._agent import AgentSettings, VmAgent
-from ._board import JobBoard, PoolBacklog, count_steps
-from ._moves import MoveKeeper, MoveSettings
+from ..placement import WaitingTask
+from ._advice import AdviceBook, Adviser
+from ._agent import VmAgent
+from ._board import JobBoard
+from ._moves import MoveKeeper
 from ._ports import VmOperations, VmOrders
-from ._preemption import choose_victims
-from ._waves import WaveKeeper, WaveSettings
+from ._rounds import PlacementRounds
+from ._settings import LeaderPolicy
+from ._supervise import run_forever
+from ._waves import WaveKeeper
 from .exceptions import CommandLostError, NotLeadingError
 
-__all__ = ["Scheduler", "SchedulingSettings"]
+__all__ = ["Scheduler"]
 
 MS = timedelta(milliseconds=1)
 
 
-class SchedulingSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """How the leader schedules.
-
-    Attributes
-    ----------
-    round_interval : timedelta
-        Longest time between two rounds of placement.
-    keep_ended : timedelta
-        How long an ended job is remembered.
-    """
-
-    round_interval: timedelta = timedelta(milliseconds=100)
-    keep_ended: timedelta = timedelta(seconds=150)
-
-
 class Scheduler:
     """One leadership's scheduling, from its beginning to its end.
 
@@ -83,8 +64,7 @@
         Takes the events.
     metrics : Metrics
         Takes the metrics.
-    cfg, agent_cfg, lease_cfg, health_cfg, progress_cfg, wave_cfg, move_cfg, sizing_cfg,
-    advice_cfg
+    cfg : LeaderPolicy
         The settings.
     """
 
@@ -99,15 +79,7 @@
         clock: Clock,
         events: EventSink,
         metrics: Metrics,
-        cfg: SchedulingSettings,
-        agent_cfg: AgentSettings,
-        lease_cfg: LeaseSettings,
-        health_cfg: HealthSettings,
-        wave_cfg: WaveSettings,
-        move_cfg: MoveSettings,
-        progress_cfg: ProgressSettings,
-        sizing_cfg: SizingSettings,
-        advice_cfg: AdviceSettings,
+        cfg: LeaderPolicy,
     ) -> None:
         self._replica = replica
         self._state = state
@@ -116,24 +88,30 @@
         self._events = events
         self._metrics = metrics
         self._cfg = cfg
-        self._agent_cfg = agent_cfg
-        self._lease_cfg = lease_cfg
-        self._health_cfg = health_cfg
-        self._progress_cfg = progress_cfg
         self._fence = replica.term
         self._wall_offset = _wall_ms(clock) - clock.monotonic() // MS
         self._board = JobBoard(state)
         self._wake = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
-        self._backlog: dict[str, PoolBacklog] = {}
         self.agents: dict[str, VmAgent] = {}
         self._advice = AdviceBook(
             adviser=adviser,
-            candidates=self._candidates,
+            candidates=lambda pool: self._rounds.candidates(pool),
             clock=clock,
             events=events,
             on_advice=self._wake.set,
-            cfg=advice_cfg,
+            cfg=cfg.advice,
+        )
+        self._rounds = PlacementRounds(
+            state=state,
+            agents=self.agents,
+            board=self._board,
+            advice=self._advice,
+            is_leaving=lambda machine: (
+                self.waves.is_cordoned(machine) or self.moves.is_moving(machine)
+            ),
+            clock=clock,
+            on_preempted=self._note_preempted,
         )
         self.moves = MoveKeeper(
             state=state,
@@ -142,13 +120,13 @@
             propose=self.propose,
             may_order=lambda: self.waves.may_order(),
             is_reserved=lambda machine: self.waves.is_cordoned(machine),
-            backlog=self._backlog,
+            backlog=self._rounds.backlog,
             fence=self._fence,
             clock=clock,
             events=events,
             metrics=metrics,
-            cfg=move_cfg,
-            sizing=sizing_cfg,
+            cfg=cfg.moves,
+            sizing=cfg.sizing,
         )
         self.waves = WaveKeeper(
             state=state,
@@ -160,10 +138,10 @@
             fence=self._fence,
             clock=clock,
             now_ms=self.now_ms,
-            backlog=self._backlog,
+            backlog=self._rounds.backlog,
             events=events,
             metrics=metrics,
-            cfg=wave_cfg,
+            cfg=cfg.waves,
         )
 
     def begin(self) -> None:
@@ -174,11 +152,14 @@
             if job.status not in ACTIVE_STATUSES:
                 self._stop_runs(job.spec.job_id)
         self._tasks = [
-            asyncio.create_task(self._place_forever(), name="placement"),
-            asyncio.create_task(self.waves.run(), name="waves"),
-            asyncio.create_task(self.moves.run(), name="moves"),
-            asyncio.create_task(self._advice.run(), name="advice"),
-            asyncio.create_task(self._forget_forever(), name="forgetting"),
+            asyncio.create_task(run_forever(name, work, self._events), name=name)
+            for name, work in (
+                ("placement", self._place_forever),
+                ("waves", self.waves.run),
+                ("moves", self.moves.run),
+                ("advice", self._advice.run),
+                ("forgetting", self._forget_forever),
+            )
         ]
 
     def close(self) -> None:
@@ -263,7 +244,7 @@
             detail=f"{key.occurrence}.{key.step}.{key.index} run {number} stands still",
         )
 
-    def note_contact(self, agent: VmAgent) -> None:
+    def note_contact(self) -> None:
         """Take note that a VM was heard."""
         self._wake.set()
 
@@ -345,9 +326,12 @@
             self._board.note_failure(end.key, vm_id)
         if agent is not None and end.kind is EndKind.DONE:
             agent.health.note_success()
-        elif agent is not None and end.kind is EndKind.FAILED:
-            if agent.health.note_failure(job_id, self._clock.monotonic()):
-                self._emit(EventName.VM_AVOIDED, vm=vm_id, detail="fails several jobs")
+        elif (
+            agent is not None
+            and end.kind is EndKind.FAILED
+            and agent.health.note_failure(job_id, self._clock.monotonic())
+        ):
+            self._emit(EventName.VM_AVOIDED, vm=vm_id, detail="fails several jobs")
         status = job.status.value if job is not None else "forgotten"
         self._emit(
             EventName.RUN_ENDED,
@@ -382,10 +366,8 @@
             leading=self,
             orders=self._orders,
             clock=self._clock,
-            cfg=self._agent_cfg,
-            lease_cfg=self._lease_cfg,
-            health_cfg=self._health_cfg,
-            progress_cfg=self._progress_cfg,
+            events=self._events,
+            cfg=self._cfg.vms,
         )
         self.agents[vm.vm_id] = agent
         agent.begin()
@@ -393,137 +375,34 @@
     async def _place_forever(self) -> None:
         while True:
             try:
-                async with asyncio.timeout(self._cfg.round_interval.total_seconds()):
+                async with asyncio.timeout(
+                    self._cfg.scheduling.round_interval.total_seconds()
+                ):
                     await self._wake.wait()
             except TimeoutError:
                 pass
             self._wake.clear()
             if not self.is_leading():
                 continue
-            starts = self._decide()
+            starts = self._rounds.decide(self.now_ms())
             if starts:
                 command = StartRuns(starts=starts, now_ms=self.now_ms())
                 await self._propose_or_log(command)
 
-    def _decide(self) -> tuple[RunStart, ...]:
-        """Return the starts of one round."""
-        usage = self._board.usage()
-        jobs = self._board.waiting(self.now_ms(), self._is_doubtful)
-        self._backlog.clear()
-        if not jobs:
-            return ()
-        limits = {c.name: c.limit for c in self._state.plan.customers}
-        placer = Placer(pools=self._rooms(), usage=usage, limits=limits)
-        starts: list[RunStart] = []
-        for urgency, tasks in jobs:
-            starts.extend(self._place_job(placer, urgency, tasks))
-        return tuple(starts)
-
-    def _is_doubtful(self, run: RunRecord) -> bool:
-        """Return whether a run's VM has not answered lately."""
-        agent = self.agents.get(run.vm_id)
-        if agent is None:
-            return True
-        return not agent.lease.is_in_contact(self._clock.monotonic())
-
-    def _place_job(
-        self, placer: Placer, urgency: Urgency, tasks: list[WaitingTask]
-    ) -> list[RunStart]:
-        starts: list[RunStart] = []
-        full_steps = set()
-        needs_advice = self._board.needs_advice(tasks[0].key.job_id)
-        if needs_advice:
-            for task in tasks:
-                task.allowed = self._advice.tickets(task.key[:3])
-        gangs: dict[tuple, list[WaitingTask]] = {}
-        for task in tasks:
-            if task.step.is_gang:
-                gangs.setdefault(task.key[:3], []).append(task)
-            elif task.key[:3] not in full_steps:
-                start = placer.place(task)
-                if start is not None:
-                    starts.append(start)
-                    continue
-                full_steps.add(task.key[:3])
-                if needs_advice:
-                    self._advice.want(task.key[:3], task.pool)
-                self._note_backlog(task, tasks)
-                if urgency.band == 0:
-                    self._make_room(task)
-        for step_key, members in gangs.items():
-            placed = placer.place_gang(members)
-            starts.extend(placed)
-            if not placed:
-                self._note_backlog(members[0], members)
-                if needs_advice:
-                    self._advice.want(step_key, members[0].pool)
-        return starts
-
-    def _note_backlog(self, task: WaitingTask, tasks: list[WaitingTask]) -> None:
-        """Add what waits of a task's step to its pool's backlog."""
-        n_tasks = sum(other.key[:3] == task.key[:3] for other in tasks)
-        backlog = self._backlog.setdefault(task.pool, PoolBacklog())
-        backlog.cpu += n_tasks * task.step.need.cpu
-        if task.step.max_per_vm or task.step.disruption_budget:
-            backlog.n_vms = max(backlog.n_vms, n_tasks)
-
-    def _make_room(self, task: WaitingTask) -> None:
-        """Stop less urgent runs where a task that must run has no place."""
-        for agent, run in choose_victims(task, self._state, self.agents, self._clock):
-            self._emit(
-                EventName.RUN_PREEMPTED,
-                request_id=run.key.job_id,
-                vm=run.vm_id,
-                detail=f"{_name(run)} for a task of {task.key.job_id}",
-            )
-            agent.stop(run.key, run.number)
-
-    def _rooms(self) -> dict[str, PoolRoom]:
-        now = self._clock.monotonic()
-        pools: dict[str, PoolRoom] = {}
-        for vm_id, agent in self.agents.items():
-            machine = agent.vm.machine
-            is_leaving = self.waves.is_cordoned(machine) or self.moves.is_moving(
-                machine
-            )
-            if is_leaving or not agent.is_ready(now):
-                continue
-            used, steps = count_steps(self._state, vm_id)
-            room = VmRoom(
-                vm_id=vm_id,
-                born_ms=agent.vm.born_ms,
-                labels=agent.vm.labels,
-                free=agent.vm.capacity - used,
-                tasks_of_step=steps,
-                data_centre=agent.vm.data_centre,
-                is_avoided=agent.health.is_avoided(now),
-                is_anchored=self._is_anchored(steps),
-            )
-            pools.setdefault(agent.vm.pool, PoolRoom([])).vms.append(room)
-        return pools
-
-    def _candidates(self, pool: str) -> tuple[str, ...]:
-        """Return the VMs of a pool that take runs, those with most room first."""
-        now = self._clock.monotonic()
-        room = {
-            vm_id: agent.vm.capacity.cpu - count_steps(self._state, vm_id)[0].cpu
-            for vm_id, agent in self.agents.items()
-            if agent.vm.pool == pool and agent.is_ready(now)
-        }
-        return tuple(sorted(room, key=lambda vm_id: (-room[vm_id], vm_id)))
-
-    def _is_anchored(self, steps: Iterable[tuple[str, int, int]]) -> bool:
-        """Return whether any of some steps runs until cancelled."""
-        return any(
-            self._state.jobs[job_id].spec.steps[number].is_long_running
-            for job_id, _, number in steps
+    def _note_preempted(self, run: ActiveRun, task: WaitingTask) -> None:
+        """Log a run that gives way."""
+        self._emit(
+            EventName.RUN_PREEMPTED,
+            request_id=run.key.job_id,
+            vm=run.vm_id,
+            detail=f"{_name(run)} for a task of {task.key.job_id}",
         )
 
     async def _forget_forever(self) -> None:
         """Drop ended jobs after the time for which they are remembered."""
-        keep_ms = self._cfg.keep_ended // MS
+        keep_ms = self._cfg.scheduling.keep_ended // MS
         while True:
-            await asyncio.sleep(self._cfg.keep_ended.total_seconds() / 20)
+            await asyncio.sleep(self._cfg.scheduling.keep_ended.total_seconds() / 20)
             horizon = self.now_ms() - keep_ms
             job_ids = tuple(
                 job_id
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -68,11 +68,15 @@
         NoQueueError
             No queue has this host and a prefix of this path.
         """
-        found = None
-        for queue in self.plan.queues:
-            if queue.host == host and path.startswith(queue.path_prefix):
-                if found is None or len(queue.path_prefix) > len(found.path_prefix):
-                    found = queue
+        found = max(
+            (
+                queue
+                for queue in self.plan.queues
+                if queue.host == host and path.startswith(queue.path_prefix)
+            ),
+            key=lambda queue: len(queue.path_prefix),
+            default=None,
+        )
         if found is None:
             raise NoQueueError(f"no queue at {host}{path}")
         return found, path[len(found.path_prefix) :]
--- a/src/redwingslip/scheduling/exceptions.py
+++ b/src/redwingslip/scheduling/exceptions.py
@@ -20,7 +20,7 @@
 
 
 class NotLeadingError(SchedulingError):
-    """This process does not lead; the command was not taken."""
+    """The process does not lead; the command was not taken."""
 
 
 class CommandLostError(SchedulingError):
--- a/tests/support_fleet.py
+++ b/tests/support_fleet.py
@@ -164,7 +164,7 @@
             return self._reply(409, reason="fence")
         cursor = doc.get("ackCursor", 0)
         until = time.monotonic() + doc.get("waitMs", 0) / 1000
-        while len(self.ends) <= cursor and time.monotonic() < until:
+        while len(self.ends) <= cursor and time.monotonic() < until:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
         return self._reply(
             running=[[name, run, "", 50] for name, run in self.running.items()],
--- a/tests/support_scheduling.py
+++ b/tests/support_scheduling.py
@@ -19,7 +19,6 @@
 )
 from redwingslip.observe import NullSink, new_metrics
 from redwingslip.scheduling import (
-    AgentSettings,
     HoldReport,
     ListedRun,
     MachineOutcome,
@@ -27,9 +26,9 @@
     StartOutcome,
     StartResult,
     VmAgent,
+    VmPolicy,
 )
 from redwingslip.settings import MetricsSettings
-from redwingslip.workers import HealthSettings, LeaseSettings, ProgressSettings
 
 PLAN = Plan(
     version=1,
@@ -174,7 +173,7 @@
         """Remember a run that is begun anew."""
         self.outcomes.append(("restart", key, number))
 
-    def note_contact(self, agent):
+    def note_contact(self):
         """Do nothing."""
 
 
@@ -213,17 +212,15 @@
         leading=leader,
         orders=endpoint,
         clock=clock or ManualClock(),
-        cfg=AgentSettings(),
-        lease_cfg=LeaseSettings(),
-        health_cfg=HealthSettings(),
-        progress_cfg=ProgressSettings(),
+        events=EVENTS,
+        cfg=VmPolicy(),
     )
 
 
 async def eventually(condition, timeout=3.0):
     """Return once a condition holds; fail after a time."""
     async with asyncio.timeout(timeout):
-        while not condition():
+        while not condition():  # noqa: ASYNC110
             await asyncio.sleep(0.002)
 
 
--- a/tests/test_daemons_fleet.py
+++ b/tests/test_daemons_fleet.py
@@ -55,7 +55,7 @@
 
     async def until(self, condition, timeout=15):
         async with asyncio.timeout(timeout):
-            while not await condition():
+            while not await condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
 
     async def wait_state(self, path, state, timeout=15):
--- a/tests/test_daemons_relay.py
+++ b/tests/test_daemons_relay.py
@@ -97,7 +97,7 @@
         await self.relay.exchange(CALL, PATIENCE)
         self.leader = ""
         async with asyncio.timeout(2):
-            while self.relay.has_leader:
+            while self.relay.has_leader:  # noqa: ASYNC110
                 await asyncio.sleep(0.005)
 
     def test_only_a_refusal_before_the_leader_says_when_to_come_back(self):
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -3,7 +3,8 @@
 import os
 import unittest
 
-from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from redwingslip.jobs import (
--- /dev/null
+++ b/tests/test_scheduling_supervise.py
@@ -0,0 +1,33 @@
+"""Tests of work that must go on though it fails."""
+
+import asyncio
+import unittest
+
+from redwingslip.scheduling._supervise import run_forever
+from tests.support_scheduling import eventually
+
+
+class TestRunForever(unittest.IsolatedAsyncioTestCase):
+    """Failures are logged and the work begins anew."""
+
+    async def asyncSetUp(self):
+        self.events = []
+        self.n_begun = 0
+
+    def emit(self, event):
+        self.events.append(event.detail)
+
+    async def work(self):
+        self.n_begun += 1
+        if self.n_begun < 3:
+            raise KeyError("gone")
+        await asyncio.Event().wait()
+
+    async def test_failed_work_begins_anew_and_is_logged(self):
+        task = asyncio.create_task(run_forever("placement", self.work, self))
+        await eventually(lambda: self.n_begun == 3)
+        self.assertEqual(len(self.events), 2)
+        self.assertIn("placement failed", self.events[0])
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -3,7 +3,8 @@
 import unittest
 from datetime import timedelta
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from redwingslip.workers import HealthSettings, LeaseSettings, VmHealth, VmLease
 
