Log each refusal of the leader; settings of the new roles in the command line

Cause: a caller that was refused by the leader left no line with its id. Change: one line with status, path, plan version and reason; check-settings and example-settings know the gateway and the controller.

--- a/src/redwingslip/cli/_tool_commands.py
+++ b/src/redwingslip/cli/_tool_commands.py
@@ -6,7 +6,12 @@
 
 import typer
 
-from ..daemons import EntryDaemonSettings, ReplicaDaemonSettings
+from ..daemons import (
+    ControllerSettings,
+    EntryDaemonSettings,
+    GatewaySettings,
+    ReplicaDaemonSettings,
+)
 from ..observe import (
     TimelineError,
     TimelineFilter,
@@ -32,9 +37,16 @@
 
     ENTRY = "entry"
     REPLICA = "replica"
+    GATEWAY = "gateway"
+    CONTROLLER = "controller"
 
 
-_SETTINGS = {Role.ENTRY: EntryDaemonSettings, Role.REPLICA: ReplicaDaemonSettings}
+_SETTINGS = {
+    Role.ENTRY: EntryDaemonSettings,
+    Role.REPLICA: ReplicaDaemonSettings,
+    Role.GATEWAY: GatewaySettings,
+    Role.CONTROLLER: ControllerSettings,
+}
 
 RoleArgument = Annotated[Role, typer.Argument(help="Role of the process.")]
 
--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -8,7 +8,7 @@
 from ..consensus import ConsensusMessage, DataFolder, Replica, found_data_folder
 from ..http import HttpServer
 from ..jobs import Command, JobsMachine
-from ..observe import EventName, EventSink
+from ..observe import Event, EventName, EventSink
 from ..peers import LeaderQuery, LeaderReport, Message, RelayedAnswer, RelayedCall
 from ..platform import (
     AdviceClient,
@@ -29,6 +29,7 @@
 
 # The discard port: refuses connections, so that calls fail at once.
 NOWHERE = "127.0.0.1:9"
+FIRST_ERROR_STATUS = 400
 
 
 class ControllerApp:
@@ -203,6 +204,18 @@
         self, sender_id: str, call: RelayedCall, service: JobService
     ) -> None:
         answer = await answer_call(service, call, own_address=self.cfg.listen.calls)
+        if answer.status >= FIRST_ERROR_STATUS:
+            version = self.machine.state.plan.version
+            self._events.emit(
+                Event(
+                    name=EventName.CALL_REFUSED,
+                    request_id=call.request_id,
+                    term=self.replica.term,
+                    status=answer.status,
+                    detail=f"{call.method} {call.path} under plan {version}: "
+                    + answer.body.decode(errors="replace"),
+                )
+            )
         self._core.send(sender_id, answer)
 
     def _spawn(self, work) -> None:
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 from pathlib import Path
+from typing import Annotated, ClassVar
 
 import msgspec
 
@@ -52,8 +53,10 @@
         Whether the system starts for the first time.
     """
 
-    secret_file: Path
-    seeds: tuple[Address, ...]
+    secret_file: Annotated[Path, msgspec.Meta(examples=["secrets/cluster"])]
+    seeds: Annotated[
+        tuple[Address, ...], msgspec.Meta(min_length=1, examples=[["127.0.0.1:8201"]])
+    ]
     is_founding: bool = False
 
 
@@ -68,7 +71,7 @@
         Where a gateway says whether it wants new connections.
     """
 
-    calls: Address
+    calls: Annotated[Address, msgspec.Meta(examples=["127.0.0.1:8201"])]
     readiness: Address | None = None
 
 
@@ -159,12 +162,19 @@
 class GatewaySettings(_FleetSettings, frozen=True, kw_only=True):
     """Settings of a gateway daemon."""
 
+    EXAMPLES: ClassVar[dict[tuple[str, str], str]] = {
+        ("process", "id"): "gateway-1",
+        ("listen", "calls"): "127.0.0.1:8301",
+    }
+
     drain: DrainSettings = DrainSettings()
 
 
 class ControllerSettings(_FleetSettings, frozen=True, kw_only=True):
     """Settings of a controller daemon."""
 
+    EXAMPLES: ClassVar[dict[tuple[str, str], str]] = {("process", "id"): "controller-1"}
+
     replica: ReplicaRoleSettings
     # A leader commits by the disks of the others while its own one hangs.
     consensus: ConsensusSettings = ConsensusSettings(
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,7 +11,12 @@
 from redwingslip.cli._app import app
 from redwingslip.cli._documents import read_documents
 from redwingslip.cli.exceptions import ExitCode
-from redwingslip.daemons import EntryDaemonSettings, ReplicaDaemonSettings
+from redwingslip.daemons import (
+    ControllerSettings,
+    EntryDaemonSettings,
+    GatewaySettings,
+    ReplicaDaemonSettings,
+)
 from redwingslip.observe import EventName
 from redwingslip.settings import (
     describe,
@@ -20,7 +25,13 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DOCS = [ROOT / "README.md", ROOT / "CHANGELOG.md", *ROOT.glob("docs/**/*.md")]
-EXAMPLES = {"entry": EntryDaemonSettings, "replica": ReplicaDaemonSettings}
+EXAMPLES = {
+    "entry": EntryDaemonSettings,
+    "replica": ReplicaDaemonSettings,
+    "gateway": GatewaySettings,
+    "controller": ControllerSettings,
+}
+LOCAL_EXAMPLES = ("entry", "replica")
 
 _FENCE = re.compile(r"^( *)```(\w+)\n(.*?)^\1```$", re.MULTILINE | re.DOTALL)
 _LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
@@ -94,7 +105,9 @@
             path = ROOT / "examples" / f"{role}.ini"
             self.assertEqual(path.read_text("utf-8"), describe(type_))
             load_settings(path, type_)
-            load_settings(ROOT / "examples" / "local" / f"{role}.ini", type_)
+        for role in LOCAL_EXAMPLES:
+            path = ROOT / "examples" / "local" / f"{role}.ini"
+            load_settings(path, EXAMPLES[role])
 
     def test_local_token_fits_the_local_entry(self):
         """The token file has the hash that the entry's settings name."""
