Withdraw starts that wait when their VM leaves; name a gateway's metrics

Ruled out: relying on the VM to refuse it. Change: the order desk withdraws starts to a VM that drains, sealed by a stop where a copy may be on its way; calls that gateways pass on have a histogram of their own.

--- a/src/redwingslip/daemons/_gateway.py
+++ b/src/redwingslip/daemons/_gateway.py
@@ -97,9 +97,9 @@
             answer = await self.relay.exchange(call, patience)
         except (NoLeaderKnownError, AnswerUnknownError) as exc:
             answer = refuse(call, exc, self._core.events)
-        self._core.metrics.record_request(
-            queue=call.method,
-            outcome=str(answer.status),
+        self._core.metrics.record_relayed_call(
+            method=call.method,
+            status=answer.status,
             duration=self._core.clock.monotonic() - began_at,
         )
         return answer
--- a/src/redwingslip/daemons/_metrics_server.py
+++ b/src/redwingslip/daemons/_metrics_server.py
@@ -33,6 +33,11 @@
             app = build_app([Route("/metrics", _answer, methods=["GET"])])
             self._server = HttpServer(app, HttpLimits(), host=host, port=int(port))
 
+    @property
+    def address(self) -> str:
+        """Return host and port, empty when nothing is served."""
+        return "" if self._server is None else self._server.address
+
     async def start(self) -> None:
         """Listen, if there is an address."""
         if self._server is not None:
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -65,6 +65,7 @@
         "_machine_orders",
         "_moves",
         "_provider",
+        "_relayed_calls",
         "_requests",
         "_run_ends",
         "_run_starts",
@@ -111,6 +112,11 @@
             unit="s",
             description="From the acceptance of a change until it is in force.",
         )
+        self._relayed_calls = meter.create_histogram(
+            "redwingslip.relayed_call.duration",
+            unit="s",
+            description="From the receipt of a call at a gateway to its answer.",
+        )
         self._start_waits = meter.create_histogram(
             "redwingslip.job.start.wait.duration",
             unit="s",
@@ -170,6 +176,16 @@
         """Count a VM that came into a pool."""
         self._moves.add(1, self._bounded({"redwingslip.pool": pool}))
 
+    def record_relayed_call(
+        self, *, method: str, status: int, duration: timedelta
+    ) -> None:
+        """Record a call that a gateway has answered."""
+        attributes = {
+            "http.request.method": method,
+            "http.response.status_code": str(status),
+        }
+        self._record(self._relayed_calls, duration, attributes)
+
     def record_start_wait(self, *, queue: str, duration: timedelta) -> None:
         """Record how long a job waited for the first start of a task."""
         self._record(self._start_waits, duration, {"redwingslip.queue": queue})
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -123,6 +123,11 @@
             return False
         return self.lease.is_in_contact(now)
 
+    def update(self, vm: VmRecord) -> None:
+        """Take over what this life reports of itself now."""
+        self.vm = vm
+        self._desk.vm = vm
+
     def start(self, run: ActiveRun, ticket: str = "") -> None:
         """Have a run started."""
         self._desk.start(run, ticket)
--- a/src/redwingslip/scheduling/_order_desk.py
+++ b/src/redwingslip/scheduling/_order_desk.py
@@ -218,6 +218,10 @@
         if not order.is_stop and not self._is_wanted(order):
             self._pending.pop(name, None)
             return
+        if not order.is_stop and self.vm.is_draining:
+            # It was placed before the VM said that it leaves.
+            self._withdraw(order)
+            return
         try:
             if order.is_stop:
                 await self._give_stop(order)
@@ -278,6 +282,16 @@
             del self._pending[name]
             self._settle_start(order, outcome, now)
 
+    def _withdraw(self, order: _Order) -> None:
+        """End a run that the VM has not begun."""
+        name = (order.key, order.number)
+        self._pending.pop(name, None)
+        if order.n_lost:
+            # An earlier copy of the order may still be on its way.
+            self.stop(*name)
+        else:
+            self.close_run(name, EndKind.REJECTED)
+
     def _settle_start(
         self, order: _Order, outcome: StartOutcome, now: timedelta
     ) -> None:
@@ -291,11 +305,7 @@
                 self.full_until = now + self._cfg.max_retry_delay
             elif outcome.result is not StartResult.NO_TICKET:
                 self.health.avoid(now)
-            if order.n_lost:
-                # An earlier copy of the order may still be on its way.
-                self.stop(*name)
-            else:
-                self.close_run(name, EndKind.REJECTED)
+            self._withdraw(order)
 
     def _spawn(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -355,7 +355,7 @@
     def _follow_vm(self, vm: VmRecord) -> None:
         agent = self.agents.get(vm.vm_id)
         if agent is not None and agent.vm.born_ms == vm.born_ms:
-            agent.vm = vm
+            agent.update(vm)
             return
         if agent is not None:
             agent.close()
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -156,7 +156,7 @@
     async def test_a_draining_vm_gets_no_new_runs(self):
         self.agent.begin()
         await eventually(lambda: self.agent.is_ready(self.clock.monotonic()))
-        self.agent.vm = make_vm(is_draining=True)
+        self.agent.update(make_vm(is_draining=True))
         self.assertFalse(self.agent.is_ready(self.clock.monotonic()))
 
     async def test_a_stop_overtakes_a_start_that_waits(self):
@@ -166,3 +166,22 @@
         self.agent.begin()
         await eventually(lambda: self.endpoint.stopped)
         self.assertEqual(self.endpoint.started, [])
+
+    async def test_a_start_that_waits_is_withdrawn_when_the_vm_leaves(self):
+        """Placed before the VM said that it leaves, and lost on its way."""
+        self.endpoint.start_answers = [OrderLostError("lost")] * 2
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: self.endpoint.started)
+        self.agent.update(make_vm(is_draining=True))
+        await eventually(lambda: self.endpoint.stopped)
+        self.clock.advance(timedelta(milliseconds=10))
+        await eventually(lambda: not self.is_open())
+        self.assertEqual(self.endpoint.runs, {})
+
+    async def test_a_start_that_was_never_sent_is_withdrawn_at_once(self):
+        self.agent.update(make_vm(is_draining=True))
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: not self.is_open())
+        self.assertEqual(self.endpoint.started, [])
