Count planned moves as on their way; keep more of a wave's time back

Ruled out: the growth formula (trial: its figure for one look is right). Change: a move counts from its plan on; switched-off machines may be asked for again after 2.5 s; a wave keeps 0.35 of its time back; tests for moves, preemption, the order of jobs, the service and changed settings.

--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -31,12 +31,15 @@
         A machine is switched off when it was idle for this long, about a move's time.
     arrival_time : timedelta
         A machine that was moved counts as on its way for at most this long.
+    off_time : timedelta
+        A machine that was switched off is not asked for again before.
     """
 
     interval: timedelta = timedelta(milliseconds=100)
     list_interval: timedelta = timedelta(seconds=1)
     rest_time: timedelta = timedelta(milliseconds=1200)
     arrival_time: timedelta = timedelta(seconds=5)
+    off_time: timedelta = timedelta(milliseconds=2500)
 
 
 class _Arrival(msgspec.Struct, frozen=True):
@@ -150,6 +153,7 @@
                     self._plan()
                 else:
                     self._planned.clear()
+                    self._arrivals.clear()
         finally:
             lister.cancel()
             for task in self._orders.values():
@@ -170,6 +174,7 @@
             del self._planned[machine]
             agent = self._agent_on(machine)
             if agent is not None and self._state.runs.get(agent.vm.vm_id):
+                self._arrivals.pop(machine, None)
                 continue
             task = asyncio.create_task(self._move(machine, pool, agent))
             self._orders[machine] = task
@@ -180,7 +185,20 @@
         self._note_arrivals(now)
         n_under_way = len(self._orders) + len(self._planned)
         for move in plan_moves(self._loads(now), n_under_way, self._sizing):
+            room = self._room_for(move.machine, move.pool)
+            duration = self._cfg.arrival_time if room else self._cfg.off_time
             self._planned[move.machine] = move.pool
+            self._arrivals[move.machine] = _Arrival(move.pool, room, now + duration)
+
+    def _room_for(self, machine: str, pool: str) -> int:
+        """Return what a machine will add to a pool, in thousandths of a core."""
+        if any(p.name == pool and p.is_standby for p in self._state.plan.pools):
+            return 0
+        agent = self._agent_on(machine)
+        if agent is not None:
+            return agent.vm.capacity.cpu
+        view = self._machines.get(machine)
+        return 0 if view is None else view.capacity.cpu
 
     def _loads(self, now: timedelta) -> tuple[PoolLoad, ...]:
         return tuple(
@@ -253,6 +271,7 @@
                 agent is not None
                 and agent.vm.pool == arrival.pool
                 and agent.is_ready(now)
+                and not self.is_moving(machine)
             )
             if has_come or now > arrival.until:
                 del self._arrivals[machine]
@@ -270,16 +289,8 @@
         self._emit(EventName.MOVE_ORDERED, machine, f"to {pool}: {outcome.value}")
         self._idle_since.pop(machine, None)
         if outcome is not MachineOutcome.DONE:
+            self._arrivals.pop(machine, None)
             return
-        now = self._clock.monotonic()
-        view = self._machines.get(machine)
-        room = view.capacity.cpu if view is not None else 0
-        is_standby = any(
-            p.name == pool and p.is_standby for p in self._state.plan.pools
-        )
-        self._arrivals[machine] = _Arrival(
-            pool, 0 if is_standby else room, now + self._cfg.arrival_time
-        )
         if agent is None:
             return
         vm = agent.vm
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -62,7 +62,7 @@
     down_timeout: timedelta = timedelta(seconds=12)
     retry_delay: timedelta = timedelta(seconds=1)
     cycle: timedelta = timedelta(seconds=5)
-    safety: float = 0.2
+    safety: float = 0.35
     pool_share: float = 0.2
 
 
--- /dev/null
+++ b/tests/test_daemons_reload.py
@@ -0,0 +1,42 @@
+"""Tests of settings files that change while a process runs."""
+
+import contextlib
+import io
+import tempfile
+import unittest
+from pathlib import Path
+
+from redwingslip.daemons import GatewaySettings
+from redwingslip.daemons._reload import SettingsWatcher
+
+EXAMPLE = Path(__file__).resolve().parent.parent / "examples" / "gateway.ini"
+
+
+class TestSettingsWatcher(unittest.TestCase):
+    """Changed, unchanged, and broken files."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "gateway.ini"
+        self.path.write_text(EXAMPLE.read_text())
+        self.taken = []
+        self.watcher = SettingsWatcher(self.path, GatewaySettings, self.taken.append)
+
+    def test_an_unchanged_file_is_not_taken_over_again(self):
+        self.watcher.check()
+        self.assertEqual(self.taken, [])
+
+    def test_new_seeds_are_taken_over(self):
+        text = self.path.read_text()
+        self.path.write_text(text.replace("127.0.0.1:8201", "127.0.0.9:8201"))
+        self.watcher.check()
+        (cfg,) = self.taken
+        self.assertEqual(cfg.seed_ids, ("127.0.0.9:7101",))
+
+    def test_a_broken_file_leaves_the_settings_as_they_are(self):
+        self.path.write_text("[process]\n")
+        with contextlib.redirect_stderr(io.StringIO()) as err:
+            self.watcher.check()
+        self.assertEqual(self.taken, [])
+        self.assertIn("not taken over", err.getvalue())
--- /dev/null
+++ b/tests/test_scheduling_board.py
@@ -0,0 +1,158 @@
+"""Tests of the order of waiting jobs; each names the load that it answers."""
+
+import unittest
+
+from redwingslip.jobs import (
+    Amounts,
+    EndKind,
+    JobSpec,
+    JobsState,
+    NoteVm,
+    Plan,
+    Pool,
+    Queue,
+    RecordEnds,
+    Repetition,
+    ReplacePlan,
+    RunEnd,
+    RunStart,
+    StartRuns,
+    StepSpec,
+    SubmitJob,
+    TaskKey,
+    VmRecord,
+)
+from redwingslip.scheduling._board import JobBoard, count_steps
+
+QUEUES = (
+    Queue(
+        name="checks",
+        host="h",
+        path_prefix="/c/",
+        pool="p",
+        priority=0,
+        stretch=2.0,
+        target_latency_ms=500,
+    ),
+    Queue(
+        name="bulk",
+        host="h",
+        path_prefix="/b/",
+        pool="p",
+        priority=1,
+        stretch=2.0,
+        target_latency_ms=500,
+    ),
+)
+STEP = StepSpec(n_tasks=1, need=Amounts(500, 10), estimate_ms=1000)
+
+
+def is_sure(run):
+    """Return that no run is doubtful."""
+    return False
+
+
+class TestJobBoard(unittest.TestCase):
+    """Overload: more is handed in than the pool can do in time."""
+
+    def setUp(self):
+        self.state = JobsState()
+        plan = Plan(version=1, queues=QUEUES, pools=(Pool(name="p"),))
+        self.state.apply(ReplacePlan(plan=plan))
+        vm = VmRecord(vm_id="v1", born_ms=1, capacity=Amounts(9000, 9000))
+        self.state.apply(NoteVm(vm=vm, now_ms=1))
+
+    def submit(self, job_id, *steps, at_ms=0, queue="checks", **options):
+        spec = JobSpec(
+            job_id=job_id, queue=queue, pool="p", steps=steps or (STEP,), **options
+        )
+        self.state.apply(SubmitJob(spec=spec, now_ms=at_ms))
+
+    def order(self, now_ms):
+        board = JobBoard(self.state)
+        waiting = board.waiting(now_ms, is_sure)
+        return [tasks[0].key.job_id for _, tasks in waiting]
+
+    def start(self, key):
+        command = StartRuns(starts=(RunStart(key, "v1", 1),), now_ms=1)
+        (run,) = self.state.apply(command)
+        return run
+
+    def test_the_one_that_is_due_first_goes_first(self):
+        self.submit("later", at_ms=900)
+        self.submit("sooner", at_ms=100)
+        self.assertEqual(self.order(1000), ["sooner", "later"])
+
+    def test_urgent_queues_go_first(self):
+        self.submit("bulk", at_ms=0, queue="bulk")
+        self.submit("check", at_ms=900)
+        self.assertEqual(self.order(1000), ["check", "bulk"])
+
+    def test_a_backlog_of_late_jobs_does_not_make_the_next_ones_late(self):
+        """At five times the mean, the oldest jobs can't be on time any more."""
+        for number in range(5):
+            self.submit(f"late{number}", at_ms=0)
+        self.submit("fresh", at_ms=3000)
+        self.assertEqual(self.order(3100)[0], "fresh")
+
+    def test_jobs_of_no_use_any_more_are_done_last(self):
+        self.submit("useless", at_ms=0)
+        self.submit("late", at_ms=6000)
+        self.submit("fresh", at_ms=9000)
+        self.assertEqual(self.order(9100), ["fresh", "late", "useless"])
+
+    def test_long_running_tasks_go_before_everything(self):
+        self.submit("check", at_ms=0)
+        lasting = StepSpec(n_tasks=1, is_long_running=True)
+        self.submit("lasting", lasting, at_ms=900, queue="bulk")
+        self.assertEqual(self.order(1000), ["lasting", "check"])
+
+    def test_a_step_waits_for_the_steps_before_it(self):
+        second = StepSpec(n_tasks=2, after=(0,))
+        self.submit("j", STEP, second)
+        board = JobBoard(self.state)
+        ((_, tasks),) = board.waiting(0, is_sure)
+        self.assertEqual([task.key.step for task in tasks], [0])
+        key = TaskKey("j", 0, 0, 0)
+        self.start(key)
+        end = RunEnd(key, 1, EndKind.DONE)
+        self.state.apply(RecordEnds(vm_id="v1", born_ms=1, ends=(end,), now_ms=2))
+        board.change_job("j")
+        ((_, tasks),) = board.waiting(0, is_sure)
+        self.assertEqual([task.key.step for task in tasks], [1, 1])
+
+    def test_an_occurrence_waits_for_its_time(self):
+        times = Repetition(first_at_ms=5000, interval_ms=2000, count=2)
+        self.submit("timed", repetition=times)
+        board = JobBoard(self.state)
+        self.assertEqual(board.waiting(4999, is_sure), [])
+        ((_, tasks),) = board.waiting(5000, is_sure)
+        self.assertEqual([task.key.occurrence for task in tasks], [0])
+        ((_, tasks),) = board.waiting(7000, is_sure)
+        self.assertEqual([task.key.occurrence for task in tasks], [0, 1])
+
+    def test_a_task_that_may_run_twice_waits_again_when_its_vm_is_silent(self):
+        step = StepSpec(n_tasks=1, is_speculative=True)
+        self.submit("twice", step)
+        self.submit("once")
+        self.start(TaskKey("twice", 0, 0, 0))
+        self.start(TaskKey("once", 0, 0, 0))
+        board = JobBoard(self.state)
+        self.assertEqual(board.waiting(1, is_sure), [])
+        ((_, tasks),) = board.waiting(1, lambda run: True)
+        self.assertEqual(tasks[0].key.job_id, "twice")
+
+    def test_jobs_that_have_begun_are_not_pending(self):
+        self.submit("a")
+        self.submit("b")
+        self.start(TaskKey("a", 0, 0, 0))
+        self.assertEqual(JobBoard(self.state).n_not_begun("checks"), 1)
+
+    def test_usage_counts_what_runs_for_a_customer(self):
+        self.submit("j", customer="forges")
+        self.start(TaskKey("j", 0, 0, 0))
+        usage = JobBoard(self.state).usage()
+        self.assertEqual(usage, {"forges": Amounts(500, 10)})
+        used, steps = count_steps(self.state, "v1")
+        self.assertEqual(used, Amounts(500, 10))
+        self.assertEqual(steps, {("j", 0, 0): 1})
--- /dev/null
+++ b/tests/test_scheduling_moves.py
@@ -0,0 +1,188 @@
+"""Tests of moves and preemption over fakes."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from redwingslip.clock import ManualClock
+from redwingslip.jobs import Amounts, RunStart, StartRuns, StepSpec, TaskKey
+from redwingslip.placement import SizingSettings, WaitingTask
+from redwingslip.scheduling import MachineState, MachineView, MoveKeeper, MoveSettings
+from redwingslip.scheduling._board import PoolBacklog
+from redwingslip.scheduling._preemption import choose_victims
+from tests.support_scheduling import (
+    EVENTS,
+    METRICS,
+    FakeEndpoint,
+    FakeLeader,
+    FakePlatform,
+    eventually,
+    make_agent,
+    make_job,
+    make_state,
+    make_vm,
+)
+
+CFG = MoveSettings(interval=timedelta(milliseconds=2))
+
+
+def standby(machine):
+    """Return a machine that is off."""
+    return MachineView(
+        machine=machine,
+        pool="off",
+        state=MachineState.UP,
+        capacity=Amounts(4000, 4000),
+    )
+
+
+class FleetTestCase(unittest.IsolatedAsyncioTestCase):
+    """VMs that are in contact, over fakes."""
+
+    def make_fleet(self, *vms, jobs=()):
+        self.clock = ManualClock()
+        self.state = make_state(*vms, jobs=jobs)
+        leader = FakeLeader(self.state)
+        self.agents = {}
+        for vm in vms:
+            agent = make_agent(self.state, vm, FakeEndpoint(), leader, self.clock)
+            agent._has_looked = True
+            self.agents[vm.vm_id] = agent
+
+    def run_task(self, job_id, vm_id, index=0):
+        key = TaskKey(job_id, 0, 0, index)
+        command = StartRuns(starts=(RunStart(key, vm_id, 1),), now_ms=1)
+        (run,) = self.state.apply(command)
+        return run
+
+    def advance(self, duration):
+        self.clock.advance(duration)
+        for agent in self.agents.values():
+            agent.lease.note_contact(self.clock.monotonic())
+
+
+class TestMoveKeeper(FleetTestCase):
+    """Pools that are asked for too much, and pools that rest."""
+
+    def begin(self, backlog=None):
+        self.platform = FakePlatform()
+        self.backlog = backlog or {}
+        self.reserved = set()
+        self.may_order = True
+
+        async def propose(command):
+            outcome = self.state.apply(command)
+            self.agents.pop(command.vm_id, None)
+            return outcome
+
+        self.keeper = MoveKeeper(
+            state=self.state,
+            agents=self.agents,
+            operations=self.platform,
+            propose=propose,
+            may_order=lambda: self.may_order,
+            is_reserved=lambda machine: machine in self.reserved,
+            backlog=self.backlog,
+            fence=3,
+            clock=self.clock,
+            events=EVENTS,
+            metrics=METRICS,
+            cfg=CFG,
+            sizing=SizingSettings(),
+        )
+        task = asyncio.create_task(self.keeper.run())
+        self.addCleanup(task.cancel)
+
+    async def test_a_backlog_switches_a_machine_on(self):
+        job = make_job(n_tasks=4)
+        self.make_fleet(make_vm("v1"), jobs=[job])
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        self.begin({"p": PoolBacklog(cpu=3000)})
+        self.platform.machines = (standby("m1"), standby("m2"))
+        await eventually(lambda: self.platform.moved)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.platform.moved), 1, "one is enough and on its way")
+
+    async def test_machines_that_rest_are_switched_off_but_the_last_ones(self):
+        self.make_fleet(*(make_vm(f"v{n}") for n in range(4)))
+        self.begin()
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.platform.moved, [])
+        self.advance(CFG.rest_time)
+        await eventually(lambda: len(self.platform.moved) == 2)
+        await asyncio.sleep(0.05)
+        self.assertEqual({pool for _, pool in self.platform.moved}, {"off"})
+        self.assertEqual(len(self.platform.moved), 2)
+
+    async def test_a_machine_that_is_to_be_maintained_stays(self):
+        self.make_fleet(*(make_vm(f"v{n}") for n in range(3)))
+        self.begin()
+        self.reserved = {"m-v0", "m-v1", "m-v2"}
+        self.advance(CFG.rest_time)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.platform.moved, [])
+
+    async def test_a_run_that_begins_meanwhile_keeps_its_machine(self):
+        self.make_fleet(*(make_vm(f"v{n}") for n in range(3)), jobs=[make_job()])
+        self.begin()
+        await asyncio.sleep(0.02)
+        self.advance(CFG.rest_time)
+        await eventually(lambda: self.keeper._planned or self.platform.moved)
+        for machine in tuple(self.keeper._planned):
+            self.run_task("j1", machine.removeprefix("m-"))
+        await asyncio.sleep(0.05)
+        moved = {machine for machine, _ in self.platform.moved}
+        (run,) = [r for runs in self.state.runs.values() for r in runs.values()]
+        self.assertNotIn(f"m-{run.vm_id}", moved)
+
+    async def test_a_leader_that_may_not_order_moves_nothing(self):
+        self.make_fleet(*(make_vm(f"v{n}") for n in range(4)))
+        self.begin()
+        self.may_order = False
+        self.advance(CFG.rest_time)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.platform.moved, [])
+
+
+class TestChooseVictims(FleetTestCase):
+    """A task that must run, in a pool that is full of short ones."""
+
+    def choose(self, **step):
+        spec = StepSpec(
+            **{
+                "n_tasks": 1,
+                "need": Amounts(2000, 10),
+                "is_long_running": True,
+                **step,
+            }
+        )
+        task = WaitingTask(TaskKey("long", 0, 0, 0), spec, customer="", pool="p")
+        return choose_victims(task, self.state, self.agents, self.clock)
+
+    async def test_as_many_short_runs_give_way_as_the_task_needs(self):
+        self.make_fleet(make_vm("v1"), jobs=[make_job(n_tasks=4)])
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        self.assertEqual(len(self.choose()), 2)
+
+    async def test_long_running_ones_never_give_way(self):
+        job = make_job(n_tasks=4, is_long_running=True)
+        self.make_fleet(make_vm("v1"), jobs=[job])
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        self.assertEqual(self.choose(), [])
+
+    async def test_one_vm_at_a_time_is_freed(self):
+        self.make_fleet(make_vm("v1"), jobs=[make_job(n_tasks=4)])
+        runs = [self.run_task("j1", "v1", index) for index in range(4)]
+        self.agents["v1"].stop(runs[0].key, runs[0].number)
+        self.assertEqual(self.choose(), [])
+
+    async def test_spread_is_kept(self):
+        jobs = [make_job(n_tasks=4), make_job("long", is_long_running=True)]
+        self.make_fleet(make_vm("v1", capacity=Amounts(5000, 4000)), jobs=jobs)
+        self.run_task("long", "v1")
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        self.assertEqual(self.choose(max_per_vm=1), [])
--- /dev/null
+++ b/tests/test_scheduling_service.py
@@ -0,0 +1,148 @@
+"""Tests of what the leader answers: reports that are late, lives that are over."""
+
+import unittest
+
+import msgspec
+
+from redwingslip.jobs import (
+    Customer,
+    JobSpec,
+    JobsState,
+    Plan,
+    Pool,
+    Queue,
+    ReplacePlan,
+    StepSpec,
+)
+from redwingslip.scheduling import (
+    JobService,
+    KeyRefusedError,
+    NoPlanError,
+    NoQueueError,
+)
+from tests.support_scheduling import EVENTS, make_vm
+
+PLAN = Plan(
+    version=3,
+    queues=(
+        Queue(name="a", host="h", path_prefix="/a/", pool="p"),
+        Queue(name="deep", host="h", path_prefix="/a/b/", pool="p", is_public=True),
+    ),
+    pools=(Pool(name="p"),),
+    customers=(Customer(name="forges", keys=("k1", "k2")),),
+)
+
+
+class FakeScheduler:
+    """Applies commands at once."""
+
+    def __init__(self, state):
+        self.state = state
+        self.forgotten = []
+        self.n_commands = 0
+
+    def now_ms(self):
+        return 5
+
+    async def propose(self, command):
+        self.n_commands += 1
+        return self.state.apply(command)
+
+    async def forget_vm(self, vm, reason):
+        self.forgotten.append(vm.vm_id)
+        self.state.vms.pop(vm.vm_id, None)
+
+
+class TestJobService(unittest.IsolatedAsyncioTestCase):
+    """Queues, keys, jobs and lives."""
+
+    def setUp(self):
+        self.state = JobsState()
+        self.state.apply(ReplacePlan(plan=PLAN))
+        self.scheduler = FakeScheduler(self.state)
+        self.service = JobService(
+            state=self.state, scheduler=self.scheduler, events=EVENTS
+        )
+
+    def test_the_longest_prefix_wins(self):
+        queue, rest = self.service.find_queue("h", "/a/b/id")
+        self.assertEqual((queue.name, rest), ("deep", "id"))
+        queue, rest = self.service.find_queue("h", "/a/id")
+        self.assertEqual((queue.name, rest), ("a", "id"))
+
+    def test_unknown_places_and_a_missing_plan(self):
+        for host, path in (("h", "/x/"), ("other", "/a/id")):
+            with self.assertRaises(NoQueueError):
+                self.service.find_queue(host, path)
+        self.state.plan = Plan()
+        with self.assertRaises(NoPlanError):
+            self.service.find_queue("h", "/a/id")
+
+    def test_keys_follow_the_plan(self):
+        keyed, public = PLAN.queues
+        self.assertEqual(self.service.find_customer(keyed, "k2"), "forges")
+        self.assertEqual(self.service.find_customer(public, ""), "")
+        newer = msgspec.structs.replace(
+            PLAN, version=4, customers=(Customer(name="forges", keys=("k2",)),)
+        )
+        self.state.apply(ReplacePlan(plan=newer))
+        with self.assertRaises(KeyRefusedError):
+            self.service.find_customer(keyed, "k1")
+
+    async def test_a_known_job_costs_no_second_command(self):
+        spec = JobSpec(job_id="j", queue="a", pool="p", steps=(StepSpec(n_tasks=1),))
+        await self.service.submit(spec)
+        await self.service.submit(spec)
+        self.assertEqual(self.scheduler.n_commands, 1)
+
+    async def test_an_unchanged_report_costs_no_command(self):
+        for sequence in (1, 2, 3):
+            await self.service.report_vm(make_vm(), sequence, 0)
+        self.assertEqual(self.scheduler.n_commands, 1)
+
+    async def test_a_report_that_was_overtaken_does_not_end_a_drain(self):
+        await self.service.report_vm(make_vm(is_draining=True), 5, 0)
+        await self.service.report_vm(make_vm(), 4, 0)
+        self.assertTrue(self.state.vms["v1"].is_draining)
+
+    async def test_a_drain_is_for_good_under_a_new_leader_too(self):
+        await self.service.report_vm(make_vm(is_draining=True), 5, 0)
+        service = JobService(state=self.state, scheduler=self.scheduler, events=EVENTS)
+        await service.report_vm(make_vm(), 4, 0)
+        self.assertTrue(self.state.vms["v1"].is_draining)
+
+    async def test_a_delayed_report_of_an_earlier_life(self):
+        await self.service.report_vm(make_vm(born_ms=9), 1, 0)
+        await self.service.report_vm(make_vm(born_ms=2), 80, 0)
+        self.assertEqual(self.state.vms["v1"].born_ms, 9)
+
+    async def test_an_address_that_went_to_another_pool(self):
+        """The earlier life there is over; its late report brings nothing back."""
+        old = make_vm("old", born_ms=1, address="x:1")
+        new = make_vm("new", born_ms=7, address="x:1", pool="q")
+        await self.service.report_vm(old, 1, 0)
+        await self.service.report_vm(new, 1, 0)
+        self.assertEqual(self.scheduler.forgotten, ["old"])
+        await self.service.report_vm(old, 2, 0)
+        self.assertEqual(list(self.state.vms), ["new"])
+
+    async def test_a_new_life_of_a_machine_ends_the_old_one(self):
+        await self.service.report_vm(make_vm("old", machine="m", born_ms=1), 1, 0)
+        await self.service.report_vm(make_vm("new", machine="m", born_ms=2), 1, 0)
+        self.assertEqual(self.scheduler.forgotten, ["old"])
+
+    async def test_a_goodbye_of_an_earlier_life_ends_nothing(self):
+        await self.service.report_vm(make_vm(born_ms=9), 1, 0)
+        await self.service.leave_vm("v1", 2)
+        self.assertIn("v1", self.state.vms)
+        await self.service.leave_vm("v1", 9)
+        self.assertNotIn("v1", self.state.vms)
+
+    async def test_waves_are_begun_once(self):
+        for _ in range(2):
+            await self.service.start_wave(
+                number=1, machines=("m",), duration_ms=1, most=1
+            )
+        self.assertEqual(self.scheduler.n_commands, 1)
+        self.assertIs(self.service.is_wave_complete(1), False)
+        self.assertIsNone(self.service.is_wave_complete(2))
