Drop a VM that is gone before its machine takes runs again

Cause: after an upkeep order was answered, the machine's claim was released before the life on it was dropped from the state, so a round of placement between the two commands could place runs on a life that was already over. Ruled out: the window is closed elsewhere: no, agents stay ready until the command applies. Change: the claim is released after the life is dropped. Before: the new test sees the life still known at the release; after: it does not.

--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -213,9 +213,9 @@
             if outcome is MachineOutcome.DONE:
                 self._begun_at[machine] = self._term.clock.monotonic()
                 await self._record(wave, begun=(machine,))
-                self._uncordon(machine)
                 if agent is not None:
                     await self._term.forget_vm(agent.vm, "is being maintained")
+                self._uncordon(machine)
             elif outcome in (
                 MachineOutcome.UNKNOWN_MACHINE,
                 MachineOutcome.NOT_OF_WAVE,
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from redwingslip.clock import ManualClock
 from redwingslip.jobs import RunStart, StartRuns, StartWave, TaskKey
@@ -132,6 +133,21 @@
         await eventually(lambda: self.state.waves[1].is_complete)
         await eventually(lambda: not self.machines.is_claimed("m-v1"))
 
+    async def test_a_vm_that_is_gone_gets_no_runs_before_it_is_dropped(self):
+        """Its machine stays claimed until then, or a round would place runs there."""
+        self.build(make_vm("v1"))
+        known_at_release = []
+        release = MachineBook.release
+
+        def watch(book, machine, claimant):
+            known_at_release.append("v1" in self.state.vms)
+            release(book, machine, claimant)
+
+        with mock.patch.object(MachineBook, "release", watch):
+            self.pass_takeover()
+            await eventually(lambda: known_at_release)
+        self.assertEqual(known_at_release, [False])
+
     async def test_a_busy_machine_is_tried_again(self):
         self.platform.answers = [MachineOutcome.BUSY]
         self.build(make_vm("v1"))
