Grow pools by what arrives, not by what waits already

Cause: a machine takes 1.5 s to serve in another pool, and pools grew only when tasks found no room; a queue that rises to five times its mean was short of machines for the first 2 s of its peak and worked off the rest late. Ruled out: too few moves at a time (12 were allowed, 1 or 2 were asked for). Change: ArrivalTrend expects, from the jobs of the last 0.5 and 1.5 s and their estimates, what a pool will be asked for after 2 s; pools grow to it, and keep what it needs.

--- a/src/redwingslip/placement/_sizing.py
+++ b/src/redwingslip/placement/_sizing.py
@@ -45,6 +45,8 @@
         Whether its machines are off; they cost nothing there.
     used, waiting : int
         What its tasks use, and what those need that wait for room.
+    expected : int
+        What will be asked for by the time at which a machine that is moved now serves.
     room : int
         What its VMs have, those on their way included.
     vm_room : int
@@ -63,6 +65,7 @@
     is_standby: bool = False
     used: int = 0
     waiting: int = 0
+    expected: int = 0
     room: int = 0
     vm_room: int = 0
     n_vms: int = 0
@@ -72,8 +75,8 @@
 
     @property
     def asked(self) -> int:
-        """Return what is asked for now."""
-        return self.used + self.waiting
+        """Return what is asked for, now or soon."""
+        return max(self.used + self.waiting, self.expected)
 
 
 class Move(msgspec.Struct, frozen=True):
@@ -131,7 +134,7 @@
     if not load.vm_room or load.asked <= cfg.grow_above * load.room:
         return load.n_missing
     # A part of what waits finds room before a machine that is moved now serves.
-    asked = load.used + cfg.waiting_part * load.waiting
+    asked = max(load.used + cfg.waiting_part * load.waiting, load.expected)
     missing = asked / cfg.aim - load.room
     return max(load.n_missing, math.ceil(missing / load.vm_room))
 
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -1,12 +1,13 @@
 """Moves of machines between pools, after what is asked of each."""
 
 import asyncio
+from collections.abc import Mapping
 from datetime import timedelta
 
 import msgspec
 
 from ..observe import EventName
-from ..placement import PoolLoad, plan_moves
+from ..placement import ArrivalTrend, PoolLoad, plan_moves
 from ._agent import VmAgent
 from ._board import PoolBacklog, count_steps
 from ._machines import MachineKeeper
@@ -25,7 +26,19 @@
 
 
 class MoveKeeper(MachineKeeper):
-    """Keeps the pools at the sizes that their load asks for."""
+    """Keeps the pools at the sizes that their load asks for.
+
+    Parameters
+    ----------
+    trend : ArrivalTrend
+        What each pool will soon be asked for.
+    **options : dict
+        Those of `MachineKeeper`.
+    """
+
+    def __init__(self, *, trend: ArrivalTrend, **options: object) -> None:
+        super().__init__(**options)
+        self._trend = trend
 
     def _build(self) -> None:
         self._listed: dict[str, MachineView] = {}
@@ -122,7 +135,7 @@
         return PoolLoad(pool=pool, is_standby=True, idle=idle)
 
     def _serving_load(self, pool: str, now: timedelta) -> PoolLoad:
-        used_cpu = room = vm_room = n_vms = 0
+        used_cpu = lasting_cpu = room = vm_room = n_vms = 0
         idle: list[str] = []
         for vm_id, agent in self._machines.agents.items():
             vm = agent.vm
@@ -131,6 +144,7 @@
                 continue
             used, steps = count_steps(self._state, vm_id)
             used_cpu += used.cpu
+            lasting_cpu += self._lasting_cpu(steps)
             room += vm.capacity.cpu
             vm_room = max(vm_room, vm.capacity.cpu)
             n_vms += 1
@@ -151,6 +165,7 @@
             pool=pool,
             used=used_cpu,
             waiting=backlog.cpu,
+            expected=lasting_cpu + self._trend.expected(pool, self._term.now_ms()),
             n_missing=max(0, backlog.n_vms - len(arriving)),
             room=room + sum(arrival.room for arrival in arriving),
             vm_room=vm_room,
@@ -163,6 +178,15 @@
             ),
         )
 
+    def _lasting_cpu(self, steps: Mapping[tuple[str, int, int], int]) -> int:
+        """Return what the tasks among some use that run until cancelled."""
+        cpu = 0
+        for (job_id, _, number), n_tasks in steps.items():
+            step = self._state.jobs[job_id].spec.steps[number]
+            if step.is_long_running and not step.is_filler:
+                cpu += n_tasks * step.need.cpu
+        return cpu
+
     def _note_arrivals(self, now: timedelta) -> None:
         """Drop the machines that have arrived or should have."""
         for machine, arrival in tuple(self._arrivals.items()):
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -13,6 +13,7 @@
     EndKind,
     ForgetJobs,
     ForgetVm,
+    JobRecord,
     NoteVm,
     RecordEnds,
     ReplacePlan,
@@ -24,6 +25,7 @@
     VmRecord,
 )
 from ..observe import EventName
+from ..placement import ArrivalTrend
 from ._advice import AdviceBook, Adviser
 from ._agent import VmAgent
 from ._board import JobBoard
@@ -89,12 +91,14 @@
         self._rounds = PlacementRounds(
             term=term, machines=machines, board=self._board, advice=self._advice
         )
+        self._trend = ArrivalTrend(cfg.arrivals)
         self._moves = MoveKeeper(
             term=term,
             machines=machines,
             operations=operations,
             backlog=self._rounds.backlog,
             cfg=cfg,
+            trend=self._trend,
         )
         self._waves = WaveKeeper(
             term=term,
@@ -111,6 +115,7 @@
         for job in self._state.jobs.values():
             if job.status not in ACTIVE_STATUSES:
                 self._stop_runs(job.spec.job_id)
+        self._note_known_arrivals()
         self._tasks = [
             asyncio.create_task(run_forever(name, work, self._term.events), name=name)
             for name, work in (
@@ -122,6 +127,19 @@
             )
         ]
 
+    def _note_known_arrivals(self) -> None:
+        """Take note of the jobs that an earlier leader accepted a moment ago."""
+        now_ms = self._term.now_ms()
+        first_ms = now_ms - self._cfg.arrivals.long_window_ms
+        jobs = [j for j in self._state.jobs.values() if first_ms < j.accepted_ms]
+        for job in sorted(jobs, key=lambda job: job.accepted_ms):
+            if job.accepted_ms <= now_ms:
+                self._note_arrival(job)
+
+    def _note_arrival(self, job: JobRecord) -> None:
+        pool = self._board.pool_of(job)
+        self._trend.note(pool, job.accepted_ms, job.spec.steps)
+
     def close(self) -> None:
         """Give no further orders."""
         for task in self._tasks:
@@ -156,8 +174,10 @@
         self._term.emit(EventName.PLAN_CHANGED, detail=f"version {outcome} in force")
 
     @_follow.register
-    def _(self, command: SubmitJob, outcome: object) -> None:
+    def _(self, command: SubmitJob, outcome: JobRecord) -> None:
         self._board.change_job(command.spec.job_id)
+        if outcome.accepted_ms == command.now_ms:
+            self._note_arrival(outcome)
 
     @_follow.register
     def _(self, command: CancelJob, outcome: object) -> None:
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..placement import SizingSettings
+from ..placement import ArrivalSettings, SizingSettings
 from ._advice import AdviceSettings
 from ._agent_settings import VmPolicy
 
@@ -100,6 +100,8 @@
         Moves between pools.
     sizing : SizingSettings
         Sizes of pools.
+    arrivals : ArrivalSettings
+        What arrivals let expect.
     advice : AdviceSettings
         Questions to advisers.
     """
@@ -109,4 +111,5 @@
     waves: WaveSettings = WaveSettings()
     moves: MoveSettings = MoveSettings()
     sizing: SizingSettings = SizingSettings()
+    arrivals: ArrivalSettings = ArrivalSettings()
     advice: AdviceSettings = AdviceSettings()
--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -6,7 +6,7 @@
 
 from redwingslip.clock import ManualClock
 from redwingslip.jobs import Amounts, RunStart, StartRuns, StepSpec, TaskKey
-from redwingslip.placement import WaitingTask
+from redwingslip.placement import ArrivalSettings, ArrivalTrend, WaitingTask
 from redwingslip.scheduling import (
     LeaderPolicy,
     MachineBook,
@@ -72,6 +72,7 @@
 
     def begin(self, backlog=None):
         self.platform = FakePlatform()
+        self.trend = ArrivalTrend(ArrivalSettings())
         self.term.on_command = lambda command: self.agents.pop(command.vm_id, None)
         self.keeper = MoveKeeper(
             term=self.term,
@@ -79,6 +80,7 @@
             operations=self.platform,
             backlog=backlog or {},
             cfg=LeaderPolicy(moves=CFG),
+            trend=self.trend,
         )
         task = asyncio.create_task(self.keeper.run())
         self.addCleanup(task.cancel)
@@ -94,6 +96,27 @@
         await asyncio.sleep(0.05)
         self.assertEqual(len(self.platform.moved), 1, "one is enough and on its way")
 
+    async def test_a_queue_that_rises_gets_machines_before_anything_waits(self):
+        """Arrivals tell of the peak a machine's way ahead of the backlog."""
+        self.make_fleet(make_vm("v1"))
+        self.begin()
+        self.platform.machines = (standby("m1"), standby("m2"), standby("m3"))
+        steps = make_job(n_tasks=2, estimate_ms=1000).steps
+        for _ in range(3):
+            self.trend.note("p", self.term.now_ms(), steps)
+        await eventually(lambda: len(self.platform.moved) == 3)
+
+    async def test_machines_that_are_expected_to_be_used_stay_on(self):
+        self.make_fleet(*(make_vm(f"v{n}") for n in range(4)))
+        self.begin()
+        await asyncio.sleep(0.02)
+        self.advance(CFG.rest_time)
+        steps = make_job(n_tasks=8, estimate_ms=1000).steps
+        for _ in range(3):
+            self.trend.note("p", self.term.now_ms(), steps)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.platform.moved, [])
+
     async def test_machines_that_rest_are_switched_off_but_the_last_ones(self):
         self.make_fleet(*(make_vm(f"v{n}") for n in range(4)))
         self.begin()
