Let a new leader order the machines that no other ordered lately

Cause: after each change of leader nothing was moved or maintained for 3 s, since two leaders must not take turns at one machine within the platform's lease time. Ruled out: slow election (0.5 s after the freeze), slow first looks (0.1 s). An order is given only if the lease of the leader still holds after the record. A test awaited an answer on a clock that it had moved meanwhile; it waits for the answer now.

--- a/src/redwingslip/jobs/_commands.py
+++ b/src/redwingslip/jobs/_commands.py
@@ -14,6 +14,7 @@
     "NoteVm",
     "RecordEnds",
     "RecordMaintenance",
+    "RecordMove",
     "ReplacePlan",
     "RunEnd",
     "RunStart",
@@ -130,6 +131,13 @@
     given_up: tuple[str, ...] = ()
 
 
+class RecordMove(_Command):
+    """Take note that a machine is about to be moved, before it is ordered."""
+
+    machine: str
+    now_ms: int
+
+
 Command = (
     ReplacePlan
     | SubmitJob
@@ -141,4 +149,5 @@
     | ForgetJobs
     | StartWave
     | RecordMaintenance
+    | RecordMove
 )
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -13,6 +13,7 @@
     NoteVm,
     RecordEnds,
     RecordMaintenance,
+    RecordMove,
     ReplacePlan,
     RunEnd,
     RunStart,
@@ -35,6 +36,10 @@
 
 __all__ = ["ActiveRun", "JobsState", "VmChange", "iter_tasks"]
 
+# How long an order for a machine is remembered: far beyond the time for which another
+# leader leaves the machine alone, however far the clocks of the two are apart.
+ORDER_MEMORY_MS = 60_000
+
 
 class ActiveRun(msgspec.Struct, frozen=True):
     """A run that may be alive, with its task."""
@@ -67,6 +72,7 @@
     jobs: tuple[JobRecord, ...]
     vms: tuple[VmRecord, ...]
     waves: tuple[WaveRecord, ...]
+    machine_orders: dict[str, int] = {}
 
 
 class JobsState:
@@ -82,17 +88,21 @@
         The newest known life of each endpoint.
     waves : dict of int to WaveRecord
         By number.
+    machine_orders : dict of str to int
+        Unix time in milliseconds of the last order for a machine, taken note of before
+        it was given; old ones are forgotten.
     runs : dict
         The runs that may be alive: by VM, then by task and run number.
     """
 
-    __slots__ = ("jobs", "plan", "runs", "vms", "waves")
+    __slots__ = ("jobs", "machine_orders", "plan", "runs", "vms", "waves")
 
     def __init__(self) -> None:
         self.plan = Plan()
         self.jobs: dict[str, JobRecord] = {}
         self.vms: dict[str, VmRecord] = {}
         self.waves: dict[int, WaveRecord] = {}
+        self.machine_orders: dict[str, int] = {}
         self.runs: dict[str, dict[tuple[TaskKey, int], ActiveRun]] = {}
 
     def apply(self, command: Command) -> object:
@@ -126,6 +136,7 @@
                 jobs=tuple(self.jobs.values()),
                 vms=tuple(self.vms.values()),
                 waves=tuple(self.waves.values()),
+                machine_orders=self.machine_orders,
             )
         )
 
@@ -136,6 +147,7 @@
         self.jobs = {job.spec.job_id: job for job in snapshot.jobs}
         self.vms = {vm.vm_id: vm for vm in snapshot.vms}
         self.waves = {wave.number: wave for wave in snapshot.waves}
+        self.machine_orders = dict(snapshot.machine_orders)
         self.runs = {}
         for job in snapshot.jobs:
             for key, task in iter_tasks(job):
@@ -245,11 +257,25 @@
             return
         for machine in command.ordered:
             wave.ordered[machine] = command.now_ms
+            self._note_order(machine, command.now_ms)
         for machine in command.given_up:
             wave.ordered.pop(machine, None)
         wave.begun.update(command.begun)
         wave.gone.update(command.gone)
 
+    @_apply.register
+    def _(self, command: RecordMove) -> None:
+        self._note_order(command.machine, command.now_ms)
+
+    def _note_order(self, machine: str, now_ms: int) -> None:
+        horizon = now_ms - ORDER_MEMORY_MS
+        self.machine_orders = {
+            name: at_ms
+            for name, at_ms in self.machine_orders.items()
+            if at_ms > horizon
+        }
+        self.machine_orders[machine] = now_ms
+
     def _gang_numbers(self, starts: tuple[RunStart, ...]) -> dict[tuple, int]:
         """Return the common next run number of each gang among the starts."""
         numbers: dict[tuple, int] = {}
--- a/src/redwingslip/scheduling/_machines.py
+++ b/src/redwingslip/scheduling/_machines.py
@@ -12,6 +12,11 @@
 
 __all__ = ["MachineBook", "MachineKeeper"]
 
+MS = timedelta(milliseconds=1)
+# How far the times of day of two leaders may be apart when one judges the age of the
+# other's orders; a larger error only makes it wait, or is older than any order counts.
+CLOCK_MARGIN = timedelta(seconds=10)
+
 
 class MachineBook:
     """Keeps moves and maintenance from meeting at one machine.
@@ -25,10 +30,11 @@
     agents : mapping of str to VmAgent
         The leader's agents.
     takeover_delay : timedelta
-        A new leader orders nothing for this long.
+        A new leader leaves a machine alone for this long for which an earlier one may
+        have given its last order a moment ago.
     """
 
-    __slots__ = ("_claims", "_takeover_delay", "_term", "agents")
+    __slots__ = ("_claims", "_inherited", "_takeover_delay", "_term", "agents")
 
     def __init__(
         self,
@@ -40,14 +46,26 @@
         self._term = term
         self._takeover_delay = takeover_delay
         self._claims: dict[str, object] = {}
+        self._inherited = self._recent_orders(takeover_delay + CLOCK_MARGIN)
         self.agents = agents
 
-    def may_order(self) -> bool:
-        """Return whether this leader may give orders to machines now."""
-        is_settled = self._term.clock.monotonic() >= (
-            self._term.since + self._takeover_delay
+    def _recent_orders(self, horizon: timedelta) -> frozenset[str]:
+        """Return the machines for which an earlier leader gave orders lately."""
+        now_ms = self._term.now_ms()
+        orders = self._term.state.machine_orders
+        return frozenset(
+            machine
+            for machine, at_ms in orders.items()
+            if abs(now_ms - at_ms) * MS < horizon
         )
-        return is_settled and self._term.is_leading()
+
+    def may_order(self, machine: str) -> bool:
+        """Return whether this leader may give orders for a machine now."""
+        if not self._term.is_leading():
+            return False
+        now = self._term.clock.monotonic()
+        is_settled = now >= self._term.since + self._takeover_delay
+        return is_settled or machine not in self._inherited
 
     def claim(self, machine: str, claimant: object) -> bool:
         """Claim a machine; return False when it is another's."""
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -6,13 +6,14 @@
 
 import msgspec
 
+from ..jobs import RecordMove
 from ..observe import EventName
 from ..placement import ArrivalTrend, PoolLoad, plan_moves
 from ._agent import VmAgent
 from ._board import PoolBacklog, count_steps
 from ._machines import MachineKeeper
 from ._ports import MachineOutcome, MachineState, MachineView
-from .exceptions import OrderLostError
+from .exceptions import CommandLostError, NotLeadingError, OrderLostError
 
 __all__ = ["MoveKeeper"]
 
@@ -52,7 +53,7 @@
         try:
             while True:
                 await asyncio.sleep(self._cfg.moves.interval.total_seconds())
-                if self._machines.may_order():
+                if self._term.is_leading():
                     self._begin_planned()
                     self._plan()
                 else:
@@ -93,9 +94,13 @@
 
     def _plan(self) -> None:
         now = self._term.clock.monotonic()
+        if now < self._term.since + self._cfg.moves.survey_time:
+            return
         self._note_arrivals(now)
         n_under_way = len(self._orders) + len(self._planned)
         for move in plan_moves(self._loads(now), n_under_way, self._cfg.sizing):
+            if not self._machines.may_order(move.machine):
+                continue
             if not self._machines.claim(move.machine, self):
                 continue
             room = self._room_for(move.machine, move.pool)
@@ -131,6 +136,7 @@
             and view.state is MachineState.UP
             and view.machine not in self._arrivals
             and not self._machines.is_claimed(view.machine)
+            and self._machines.may_order(view.machine)
         )
         return PoolLoad(pool=pool, is_standby=True, idle=idle)
 
@@ -152,7 +158,7 @@
                 self._idle_since.pop(vm.machine, None)
                 continue
             self._idle_since.setdefault(vm.machine, now)
-            if vm.machine:
+            if vm.machine and self._machines.may_order(vm.machine):
                 idle.append(vm.machine)
         backlog = self._backlog.get(pool, PoolBacklog())
         if not vm_room:
@@ -200,8 +206,24 @@
             if has_come or now > arrival.until:
                 del self._arrivals[machine]
 
+    async def _record(self, machine: str) -> bool:
+        """Have a move recorded; return whether it may be ordered now.
+
+        A later leader leaves the machine alone for a time, and orders others at once.
+        """
+        command = RecordMove(machine=machine, now_ms=self._term.now_ms())
+        try:
+            await self._term.propose(command)
+        except (NotLeadingError, CommandLostError) as exc:
+            self._term.emit(EventName.WARNING, vm=machine, detail=str(exc))
+            return False
+        return self._term.is_leading()
+
     async def _move(self, machine: str, pool: str, agent: VmAgent | None) -> None:
         """Order one move and take note that its VM is gone."""
+        if not await self._record(machine):
+            self._arrivals.pop(machine, None)
+            return
         outcome = await self._operations.move(machine, pool, fence=self._term.fence)
         self._note_outcome("move", outcome)
         self._term.emit(
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -21,8 +21,9 @@
     keep_ended : timedelta
         How long an ended job is remembered.
     takeover_delay : timedelta
-        A new leader gives no orders to machines for this long, so that two leaders
-        never take turns at one (platform contract: its lease time).
+        A new leader leaves a machine alone for this long for which an earlier one may
+        have given its last order a moment ago, so that two leaders never take turns
+        at one (platform contract: its lease time).
     """
 
     round_interval: timedelta = timedelta(milliseconds=100)
@@ -74,6 +75,8 @@
         A machine is switched off when it was idle for this long, about a move's time.
     arrival_time : timedelta
         A machine that was moved counts as on its way for at most this long.
+    survey_time : timedelta
+        A new leader moves nothing before its VMs have had this time to answer.
     off_time : timedelta
         A machine that was switched off is not asked for again before.
     """
@@ -82,6 +85,7 @@
     list_interval: timedelta = timedelta(seconds=1)
     rest_time: timedelta = timedelta(milliseconds=1200)
     arrival_time: timedelta = timedelta(seconds=5)
+    survey_time: timedelta = timedelta(seconds=1)
     off_time: timedelta = timedelta(milliseconds=2500)
 
 
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -36,7 +36,7 @@
         try:
             while True:
                 await asyncio.sleep(self._cfg.waves.interval.total_seconds())
-                if not self._machines.may_order():
+                if not self._term.is_leading():
                     continue
                 now = self._term.clock.monotonic()
                 for wave in tuple(self._state.waves.values()):
@@ -74,7 +74,11 @@
         )
         most = max(1, wave.max_at_once)
         n_needed = min(most, self._n_needed(wave, len(left)))
-        candidates = [machine for machine in left if machine not in self._cordoned]
+        candidates = [
+            machine
+            for machine in left
+            if machine not in self._cordoned and self._machines.may_order(machine)
+        ]
         candidates.sort(key=lambda machine: (*self._cost(machine), machine))
         for machine in candidates:
             if n_away >= most:
@@ -119,6 +123,8 @@
         """Return whether a machine can be maintained now."""
         if machine in self._orders or now < self._retry_at.get(machine, now):
             return False
+        if not self._machines.may_order(machine):
+            return False
         since = self._cordoned.get(machine)
         if since is None:
             return False
@@ -199,6 +205,8 @@
         """Order the maintenance of one machine, and take note of its beginning."""
         try:
             await self._record(wave, ordered=(machine,))
+            if not self._term.is_leading():
+                return
             agent = self._machines.agent_on(machine)
             outcome = await self._operations.maintain(
                 machine, wave.number, fence=self._term.fence
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -24,6 +24,7 @@
     Queue,
     RecordEnds,
     RecordMaintenance,
+    RecordMove,
     ReplacePlan,
     RunEnd,
     RunStart,
@@ -227,6 +228,22 @@
         state.apply(RecordMaintenance(number=4, now_ms=2, gone=("b",)))
         self.assertTrue(wave.is_complete)
 
+    def test_orders_for_machines_are_remembered_for_a_time(self):
+        """A snapshot keeps them, since the next leader asks for them."""
+        state = make_state()
+        wave = StartWave(
+            number=4, machines=("a",), duration_ms=1, max_at_once=1, now_ms=1
+        )
+        state.apply(wave)
+        state.apply(RecordMaintenance(number=4, now_ms=1_000, ordered=("a",)))
+        state.apply(RecordMaintenance(number=4, now_ms=1_000, given_up=("a",)))
+        state.apply(RecordMove(machine="b", now_ms=2_000))
+        restored = JobsState()
+        restored.restore(state.snapshot())
+        self.assertEqual(restored.machine_orders, {"a": 1_000, "b": 2_000})
+        restored.apply(RecordMove(machine="c", now_ms=61_500))
+        self.assertEqual(restored.machine_orders, {"b": 2_000, "c": 61_500})
+
     def test_an_active_job_is_not_forgotten(self):
         state = make_state(make_job())
         state.apply(ForgetJobs(job_ids=("j1", "unknown")))
--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from redwingslip.clock import ManualClock
-from redwingslip.jobs import Amounts, RunStart, StartRuns, StepSpec, TaskKey
+from redwingslip.jobs import Amounts, RecordMove, RunStart, StartRuns, StepSpec, TaskKey
 from redwingslip.placement import ArrivalSettings, ArrivalTrend, WaitingTask
 from redwingslip.scheduling import (
     LeaderPolicy,
@@ -28,7 +28,7 @@
     make_vm,
 )
 
-CFG = MoveSettings(interval=timedelta(milliseconds=2))
+CFG = MoveSettings(interval=timedelta(milliseconds=2), survey_time=timedelta(0))
 
 
 def standby(machine):
@@ -70,16 +70,18 @@
 class TestMoveKeeper(FleetTestCase):
     """Pools that are asked for too much, and pools that rest."""
 
-    def begin(self, backlog=None):
+    def begin(self, backlog=None, cfg=CFG):
         self.platform = FakePlatform()
         self.trend = ArrivalTrend(ArrivalSettings())
-        self.term.on_command = lambda command: self.agents.pop(command.vm_id, None)
+        self.term.on_command = lambda command: self.agents.pop(
+            getattr(command, "vm_id", None), None
+        )
         self.keeper = MoveKeeper(
             term=self.term,
             machines=self.machines,
             operations=self.platform,
             backlog=backlog or {},
-            cfg=LeaderPolicy(moves=CFG),
+            cfg=LeaderPolicy(moves=cfg),
             trend=self.trend,
         )
         task = asyncio.create_task(self.keeper.run())
@@ -117,6 +119,62 @@
         await asyncio.sleep(0.05)
         self.assertEqual(self.platform.moved, [])
 
+    async def test_a_move_is_recorded_before_it_is_ordered(self):
+        """A later leader must know whom it has to leave alone."""
+        self.make_fleet(make_vm("v1"), jobs=[make_job(n_tasks=4)])
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        self.begin({"p": PoolBacklog(cpu=3000)})
+        self.platform.machines = (standby("m1"),)
+        move = self.platform.move
+        known_at_order = []
+
+        async def watch(machine, pool, *, fence):
+            known_at_order.append(machine in self.state.machine_orders)
+            return await move(machine, pool, fence=fence)
+
+        self.platform.move = watch
+        await eventually(lambda: self.platform.moved)
+        self.assertEqual(known_at_order, [True])
+
+    async def test_a_leader_that_lost_its_lease_meanwhile_orders_nothing(self):
+        self.make_fleet(make_vm("v1"))
+        self.begin({"p": PoolBacklog(cpu=9000)})
+
+        def lose_leadership(command):
+            self.term.is_leader = False
+
+        self.term.on_command = lose_leadership
+        self.platform.machines = (standby("m1"),)
+        await eventually(lambda: self.state.machine_orders)
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.platform.moved, [])
+
+    async def test_a_new_leader_moves_nothing_before_its_vms_could_answer(self):
+        """All pools seem to have no room until then."""
+        self.make_fleet(make_vm("v1"))
+        cfg = MoveSettings(interval=CFG.interval, survey_time=timedelta(seconds=1))
+        self.begin({"p": PoolBacklog(cpu=9000)}, cfg=cfg)
+        self.platform.machines = (standby("m1"),)
+        await asyncio.sleep(0.03)
+        self.assertEqual(self.platform.moved, [])
+        self.advance(timedelta(seconds=1))
+        await eventually(lambda: self.platform.moved)
+
+    async def test_a_new_leader_moves_machines_at_once_that_no_other_ordered(self):
+        self.make_fleet(make_vm("v1"))
+        self.state.apply(RecordMove(machine="m1", now_ms=self.term.now_ms()))
+        self.machines = MachineBook(
+            self.term, self.agents, takeover_delay=timedelta(seconds=3)
+        )
+        self.begin({"p": PoolBacklog(cpu=20_000)})
+        self.platform.machines = (standby("m1"), standby("m2"))
+        await eventually(lambda: self.platform.moved)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.platform.moved, [("m2", "p")])
+        self.advance(timedelta(seconds=3))
+        await eventually(lambda: ("m1", "p") in self.platform.moved)
+
     async def test_machines_that_rest_are_switched_off_but_the_last_ones(self):
         self.make_fleet(*(make_vm(f"v{n}") for n in range(4)))
         self.begin()
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from redwingslip.clock import ManualClock
-from redwingslip.jobs import RunStart, StartRuns, StartWave, TaskKey
+from redwingslip.jobs import RecordMove, RunStart, StartRuns, StartWave, TaskKey
 from redwingslip.scheduling import (
     LeaderPolicy,
     ListedRun,
@@ -39,8 +39,11 @@
         self.clock = ManualClock()
         self.platform = FakePlatform()
 
-    def build(self, *vms, job=None, max_at_once=1, duration_ms=20_000):
-        """Make a keeper for a wave over the machines of some VMs."""
+    def build(self, *vms, job=None, max_at_once=1, duration_ms=20_000, untouched=()):
+        """Make a keeper for a wave over the machines of some VMs.
+
+        An earlier leader ordered something for each a moment ago but the untouched.
+        """
         self.state = make_state(*vms, jobs=[job] if job else [])
         term = FakeTerm(self.state, self.clock)
         self.agents = {}
@@ -64,6 +67,10 @@
                 del self.agents[vm_id]
 
         term.on_command = drop_agent
+        for vm in vms:
+            if vm.vm_id not in untouched:
+                move = RecordMove(machine=vm.machine, now_ms=term.now_ms())
+                self.state.apply(move)
         self.machines = MachineBook(term, self.agents, takeover_delay=TAKEOVER)
         keeper = WaveKeeper(
             term=term,
@@ -86,7 +93,13 @@
         for agent in self.agents.values():
             agent.lease.note_contact(self.clock.monotonic())
 
-    async def test_a_new_leader_orders_nothing_at_first(self):
+    async def test_a_new_leader_maintains_at_once_what_no_other_ordered(self):
+        self.build(make_vm("v1"), make_vm("v2"), max_at_once=2, untouched=["v2"])
+        await eventually(lambda: self.platform.maintained)
+        await asyncio.sleep(0.03)
+        self.assertEqual(self.platform.maintained, ["m-v2"])
+
+    async def test_a_new_leader_leaves_machines_alone_that_another_ordered(self):
         self.build(make_vm("v1"))
         await asyncio.sleep(0.03)
         self.assertEqual(self.platform.maintained, [])
@@ -152,7 +165,10 @@
         self.platform.answers = [MachineOutcome.BUSY]
         self.build(make_vm("v1"))
         self.pass_takeover()
-        await eventually(lambda: self.platform.maintained)
+        # The order is given up once its answer is known.
+        await eventually(
+            lambda: self.platform.maintained and not self.state.waves[1].ordered
+        )
         self.clock.advance(timedelta(seconds=1))
         await eventually(lambda: len(self.platform.maintained) == 2)
 
