Explain a job from the logs of all processes

Cause: the engineers had the lines of an id and had to find the reason themselves. Change: redwingslip explain ID FILES prints the job's lines in causal order and says in words what made it refused, late, or fail: the lost leader behind a refusal, waits with what was moved or maintained meanwhile, lost and stopped runs, jobs that can't succeed and VMs at fault. Measured: not; nothing that a deployment runs is changed.

--- a/src/redwingslip/cli/_tool_commands.py
+++ b/src/redwingslip/cli/_tool_commands.py
@@ -15,6 +15,7 @@
 from ..observe import (
     TimelineError,
     TimelineFilter,
+    explain,
     merge_timeline,
     render_picture,
     render_text,
@@ -57,6 +58,7 @@
     app.command()(example_settings)
     app.command()(hash_token)
     app.command()(timeline)
+    app.command(name="explain")(explain_job)
 
 
 def check_settings(
@@ -145,6 +147,26 @@
         typer.echo(render_text(events), nl=False)
 
 
+def explain_job(
+    ctx: typer.Context,
+    job_id: Annotated[str, typer.Argument(help="The job.", metavar="ID")],
+    files: Annotated[list[Path], typer.Argument(help="Event logs of processes.")],
+) -> None:
+    """Tell from the logs why a job was refused, came late or failed."""
+    cfg: CommandContext = ctx.obj
+    try:
+        events = merge_timeline(_with_older_halves(files))
+    except TimelineError as exc:
+        fail(ctx, InvalidInputError(str(exc)))
+    explanation = explain(events, job_id)
+    if cfg.is_json:
+        print_json(explanation)
+        return
+    typer.echo(render_text(explanation.events), nl=False)
+    for cause in explanation.causes:
+        typer.echo(f"=> {cause}")
+
+
 def _with_older_halves(files: list[Path]) -> list[Path]:
     """Return logs and what they were renamed to when they reached their limit."""
     older = [path.with_name(f"{path.name}.1") for path in files]
--- a/src/redwingslip/observe/__init__.py
+++ b/src/redwingslip/observe/__init__.py
@@ -1,6 +1,7 @@
 """What the system does: event logs, their time line, and metrics."""
 
 from ._events import Event, EventName, EventSink, NullSink
+from ._explain import Explanation, explain
 from ._log import EventLog
 from ._metrics import Metrics, metrics_text, new_metrics
 from ._render import render_picture, render_text
@@ -13,11 +14,13 @@
     "EventLog",
     "EventName",
     "EventSink",
+    "Explanation",
     "Metrics",
     "NullSink",
     "TimelineError",
     "TimelineEvent",
     "TimelineFilter",
+    "explain",
     "merge_timeline",
     "metrics_text",
     "new_metrics",
