Pack long-running tasks; take them off a machine one at a time

Cause: tasks of a step with a disruption budget were spread one a VM, so that a stop of a machine stayed within the budget; five to seven VMs of each pool were on for 15 to 20 cores of long-running work. Ruled out: spread for the sake of crashes: losing half of a step half as often is the same. Change: a step's tasks go to VMs that run such tasks already, half of a step at most where another VM has room, and away from machines that a wave still wants. Evacuation stops a task only while the budget has room, counting tasks that are away, starting, told to stop or on a machine under an order, and only if another VM has a place; else a VM is asked for.

--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -9,7 +9,7 @@
 from ..consensus import ConsensusSettings
 from ..http import HttpLimits
 from ..peers import PeerSettings
-from ..placement import SizingSettings
+from ..placement import ArrivalSettings, SizingSettings
 from ..relay import RelaySettings
 from ..scheduling import (
     AdviceSettings,
@@ -167,6 +167,7 @@
     waves: WaveSettings = WaveSettings()
     moves: MoveSettings = MoveSettings()
     sizing: SizingSettings = SizingSettings()
+    arrivals: ArrivalSettings = ArrivalSettings()
     advice: AdviceSettings = AdviceSettings()
     drain: DrainSettings = DrainSettings()
 
@@ -184,5 +185,6 @@
             waves=self.waves,
             moves=self.moves,
             sizing=self.sizing,
+            arrivals=self.arrivals,
             advice=self.advice,
         )
--- a/src/redwingslip/jobs/_plan.py
+++ b/src/redwingslip/jobs/_plan.py
@@ -42,6 +42,12 @@
             self.accelerators + other.accelerators,
         )
 
+    def times(self, count: int) -> "Amounts":
+        """Return the sum of `count` of these."""
+        return Amounts(
+            self.cpu * count, self.memory_mb * count, self.accelerators * count
+        )
+
     def __sub__(self, other: "Amounts") -> "Amounts":
         """Return the difference, which may be negative."""
         return Amounts(
--- a/src/redwingslip/jobs/_records.py
+++ b/src/redwingslip/jobs/_records.py
@@ -165,4 +165,8 @@
     @property
     def is_complete(self) -> bool:
         """Return whether every machine that is still there has begun."""
-        return all(m in self.begun or m in self.gone for m in self.machines)
+        return not self.left()
+
+    def left(self) -> list[str]:
+        """Return the machines that are still to be maintained."""
+        return [m for m in self.machines if m not in self.begun and m not in self.gone]
--- a/src/redwingslip/jobs/_spec.py
+++ b/src/redwingslip/jobs/_spec.py
@@ -78,6 +78,13 @@
     is_filler: bool = False
     disruption_budget: int = 0
 
+    @property
+    def reserved(self) -> Amounts:
+        """Return what a task takes of a VM's capacity."""
+        if self.is_filler:
+            return Amounts(0, self.need.memory_mb, self.need.accelerators)
+        return self.need
+
 
 class Repetition(msgspec.Struct, frozen=True, kw_only=True):
     """When a job's occurrences are due, by the time of day.
--- a/src/redwingslip/placement/_arrivals.py
+++ b/src/redwingslip/placement/_arrivals.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Sequence
+from datetime import timedelta
 
 import msgspec
 
@@ -9,27 +10,29 @@
 
 __all__ = ["ArrivalSettings", "ArrivalTrend"]
 
+MS = timedelta(milliseconds=1)
+
 
 class ArrivalSettings(msgspec.Struct, frozen=True, kw_only=True):
     """How arrivals become an expectation.
 
     Attributes
     ----------
-    lead_ms : int
+    lead : timedelta
         How far ahead is looked: a machine that is ordered now serves after this time
         (platform contract: 1.5 s for a move, and its first report).
-    short_window_ms : int
+    short_window : timedelta
         Arrivals are counted over this time while a queue rises.
     short_window_jobs : int
         Jobs from which on the short window says something.
-    long_window_ms : int
+    long_window : timedelta
         Arrivals are counted over this time in any case.
     """
 
-    lead_ms: int = 2000
-    short_window_ms: int = 500
+    lead: timedelta = timedelta(seconds=2)
+    short_window: timedelta = timedelta(milliseconds=500)
     short_window_jobs: int = 3
-    long_window_ms: int = 1500
+    long_window: timedelta = timedelta(milliseconds=1500)
 
 
 class _Arrival(msgspec.Struct, frozen=True):
@@ -57,7 +60,7 @@
     def note(self, pool: str, at_ms: int, steps: Sequence[StepSpec]) -> None:
         """Take note of a job that was accepted at a Unix time in milliseconds."""
         arrivals = self._arrivals.setdefault(pool, deque())
-        arrivals.append(_Arrival(at_ms, _load_ahead(steps, self._cfg.lead_ms)))
+        arrivals.append(_Arrival(at_ms, _load_ahead(steps, self._cfg.lead // MS)))
         self._drop_old(arrivals, at_ms)
 
     def expected(self, pool: str, now_ms: int) -> int:
@@ -70,14 +73,17 @@
             return 0
         self._drop_old(arrivals, now_ms)
         cfg = self._cfg
-        recent = [a.load for a in arrivals if a.at_ms > now_ms - cfg.short_window_ms]
-        expected = sum(a.load for a in arrivals) * 1000 / cfg.long_window_ms
+        since_ms = now_ms - cfg.short_window // MS
+        recent = [a.load for a in arrivals if a.at_ms > since_ms]
+        expected = sum(a.load for a in arrivals) / cfg.long_window.total_seconds()
         if len(recent) >= cfg.short_window_jobs:
-            expected = max(expected, sum(recent) * 1000 / cfg.short_window_ms)
+            rising = sum(recent) / cfg.short_window.total_seconds()
+            expected = max(expected, rising)
         return int(expected)
 
     def _drop_old(self, arrivals: deque[_Arrival], now_ms: int) -> None:
-        while arrivals and arrivals[0].at_ms <= now_ms - self._cfg.long_window_ms:
+        horizon_ms = now_ms - self._cfg.long_window // MS
+        while arrivals and arrivals[0].at_ms <= horizon_ms:
             arrivals.popleft()
 
 
--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -1,12 +1,16 @@
 """Choosing VMs for tasks that wait, in the order of their urgency."""
 
+import math
 from collections.abc import Mapping, Sequence
 
-from ..jobs import NO_AMOUNTS, Amounts, RunStart, StepSpec
+from ..jobs import NO_AMOUNTS, Amounts, RunStart
 from ._view import VmRoom, WaitingTask, is_allowed
 
 __all__ = ["Placer"]
 
+# Long-running tasks of a step are spread over so many VMs where there is room.
+MIN_VMS_OF_STEP = 2
+
 
 class Placer:
     """One round of placement over the room that is left.
@@ -66,7 +70,7 @@
         )
 
     def _choose(self, task: WaitingTask) -> VmRoom | None:
-        need = _reserved(task.step)
+        need = task.step.reserved
         step_key = task.key[:3]
         best = None
         best_rank = None
@@ -83,34 +87,32 @@
         return best
 
     def _take(self, task: WaitingTask, vm: VmRoom) -> RunStart:
-        vm.free = vm.free - _reserved(task.step)
+        vm.free = vm.free - task.step.reserved
         vm.tasks_of_step[task.key[:3]] += 1
+        vm.is_anchored = vm.is_anchored or task.step.is_long_running
         used = self._usage.get(task.customer, NO_AMOUNTS)
         self._usage[task.customer] = used + task.step.need
         return RunStart(task.key, vm.vm_id, vm.born_ms, task.checkpoint)
 
     def _give_back(self, task: WaitingTask, vm: VmRoom) -> None:
-        vm.free = vm.free + _reserved(task.step)
+        vm.free = vm.free + task.step.reserved
         vm.tasks_of_step[task.key[:3]] -= 1
         self._usage[task.customer] = self._usage[task.customer] - task.step.need
 
 
-def _reserved(step: StepSpec) -> Amounts:
-    """Return what a task takes of a VM's capacity."""
-    if step.is_filler:
-        return Amounts(0, step.need.memory_mb, step.need.accelerators)
-    return step.need
-
-
 def _rank(vm: VmRoom, task: WaitingTask, step_key: tuple) -> tuple:
     """Return the sort key of a VM for a task, the lowest first."""
     step = task.step
     is_far = bool(step.data_rack) and step.data_rack not in vm.labels
     n_there = vm.tasks_of_step.get(step_key, 0) if step.is_long_running else 0
+    # Losing a VM should leave half of a step at work; more VMs would have to stay on.
+    has_its_part = n_there >= math.ceil(step.n_tasks / MIN_VMS_OF_STEP)
     return (
         vm.is_avoided or vm.vm_id in task.avoided,
         is_far,
-        n_there,
+        # A task that must not be interrupted would soon have to leave again.
+        step.is_long_running and vm.is_due,
+        step.is_long_running and has_its_part,
         # The others stay idle as far as possible, and can be moved or switched off.
         not vm.is_anchored,
         -vm.free.cpu,
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -83,6 +83,8 @@
         Whether it is used only where no other VM will do.
     is_anchored : bool
         Whether it runs long-running tasks, and so stays where it is.
+    is_due : bool
+        Whether its machine is still to be maintained in a wave.
     """
 
     __slots__ = (
@@ -90,6 +92,7 @@
         "free",
         "is_anchored",
         "is_avoided",
+        "is_due",
         "labels",
         "tasks_of_step",
         "vm_id",
@@ -105,6 +108,7 @@
         tasks_of_step: Counter[tuple],
         is_avoided: bool = False,
         is_anchored: bool = False,
+        is_due: bool = False,
     ) -> None:
         self.vm_id = vm_id
         self.born_ms = born_ms
@@ -113,6 +117,7 @@
         self.tasks_of_step = tasks_of_step
         self.is_avoided = is_avoided
         self.is_anchored = is_anchored
+        self.is_due = is_due
 
 
 def is_allowed(
@@ -134,9 +139,4 @@
     if step.label and step.label not in labels:
         return False
     n_there = tasks_of_step.get(step_key, 0)
-    if step.max_per_vm and n_there >= step.max_per_vm:
-        return False
-    if step.is_long_running and step.disruption_budget:
-        # One stop of the VM must not take more tasks away than the budget allows.
-        return n_there < step.disruption_budget
-    return True
+    return not step.max_per_vm or n_there < step.max_per_vm
--- a/src/redwingslip/scheduling/_board.py
+++ b/src/redwingslip/scheduling/_board.py
@@ -1,7 +1,7 @@
 """Which tasks wait, in which order: the leader's index over the replicated jobs."""
 
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 import msgspec
 
@@ -17,7 +17,7 @@
 )
 from ..placement import Urgency, WaitingTask
 
-__all__ = ["LASTING", "JobBoard", "PoolBacklog", "count_steps"]
+__all__ = ["LASTING", "JobBoard", "PoolBacklog", "count_steps", "lasting_need"]
 
 LASTING, TIMELY, LATE, USELESS = 0, 1, 2, 3
 # A job is of no use to its caller after this many times its objective (platform
@@ -249,11 +249,31 @@
         job = state.jobs.get(run.key.job_id)
         if job is None:
             continue
-        step = job.spec.steps[run.key.step]
-        cpu += 0 if step.is_filler else step.need.cpu
-        memory_mb += step.need.memory_mb
-        accelerators += step.need.accelerators
+        need = job.spec.steps[run.key.step].reserved
+        cpu += need.cpu
+        memory_mb += need.memory_mb
+        accelerators += need.accelerators
         steps[run.key[:3]] += 1
     if not cpu and not memory_mb and not accelerators:
         return NO_AMOUNTS, steps
     return Amounts(cpu, memory_mb, accelerators), steps
+
+
+def lasting_need(
+    state: JobsState, steps: Mapping[tuple[str, int, int], int]
+) -> Amounts:
+    """Return what the tasks among some need that no short task may displace.
+
+    Parameters
+    ----------
+    state : JobsState
+        The replicated state.
+    steps : mapping of tuple to int
+        How many tasks of which job, occurrence and step there are.
+    """
+    total = NO_AMOUNTS
+    for (job_id, _, number), n_tasks in steps.items():
+        step = state.jobs[job_id].spec.steps[number]
+        if step.is_long_running or step.is_gang:
+            total = total + step.reserved.times(n_tasks)
+    return total
--- /dev/null
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -0,0 +1,151 @@
+"""Taking tasks off a machine one by one, within the budgets of their steps."""
+
+from collections.abc import Container, Iterable
+
+from ..jobs import ActiveRun, TaskKey, iter_tasks
+from ..observe import EventName
+from ..placement import is_allowed
+from ._agent import VmAgent
+from ._board import count_steps, lasting_need
+from ._machines import MachineBook
+from ._term import Term
+
+__all__ = ["Evacuation"]
+
+AT_WORK_PERCENT = 100
+
+StepKey = tuple[str, int, int]
+
+
+class Evacuation:
+    """Stops tasks that a stop of their machine would take beyond a budget.
+
+    A task is stopped once all others of its step are at work, as far as the budget
+    asks for it, and once another VM has a place for it.
+
+    Parameters
+    ----------
+    term : Term
+        The leadership.
+    machines : MachineBook
+        The machines.
+    ordered : container of str
+        Machines for which an order is under way.
+    """
+
+    __slots__ = ("_machines", "_ordered", "_state", "_term")
+
+    def __init__(
+        self, *, term: Term, machines: MachineBook, ordered: Container[str]
+    ) -> None:
+        self._term = term
+        self._state = term.state
+        self._machines = machines
+        self._ordered = ordered
+
+    def keeps_budgets(self, runs: Iterable[ActiveRun]) -> bool:
+        """Return whether ending some runs of one VM takes no step beyond its budget."""
+        return all(
+            self._n_away(step_runs) + len(step_runs) <= budget
+            for step_runs, budget in self._budgeted(runs)
+        )
+
+    def n_stops(self, machine: str) -> int:
+        """Return how many tasks have to leave a machine before it can be stopped."""
+        agent = self._machines.agent_on(machine)
+        if agent is None:
+            return 0
+        return sum(
+            max(0, len(step_runs) - budget)
+            for step_runs, budget in self._budgeted(self._runs_on(agent))
+        )
+
+    def advance(self, machine: str) -> None:
+        """Stop the next task of each step that has too many on a machine."""
+        agent = self._machines.agent_on(machine)
+        if agent is None:
+            return
+        for step_runs, budget in self._budgeted(self._runs_on(agent)):
+            n_away = self._n_away(step_runs)
+            if n_away + len(step_runs) <= budget:
+                continue
+            staying = [r for r in step_runs if not agent.is_stopping(r.key, r.number)]
+            if n_away + len(step_runs) - len(staying) < budget:
+                self._move_one(agent, staying[0], n_away)
+
+    def _move_one(self, agent: VmAgent, run: ActiveRun, n_away: int) -> None:
+        """Stop a run, if another VM has a place for its task."""
+        if not self._has_place(agent, run):
+            self._machines.wanted[agent.vm.pool] += 1
+            return
+        self._term.emit(
+            EventName.RUN_PREEMPTED,
+            request_id=run.key.job_id,
+            vm=run.vm_id,
+            detail=f"{run.key.label(run.number)} leaves before maintenance, "
+            f"{n_away} of its step away",
+        )
+        agent.stop(run.key, run.number)
+
+    def _runs_on(self, agent: VmAgent) -> tuple[ActiveRun, ...]:
+        return self._state.runs_of(agent.vm.vm_id, agent.vm.born_ms)
+
+    def _budgeted(self, runs: Iterable[ActiveRun]) -> list[tuple[list[ActiveRun], int]]:
+        """Return the runs of each step that has a budget, with the budget."""
+        by_step: dict[StepKey, list[ActiveRun]] = {}
+        for run in runs:
+            if self._state.step(run.key).disruption_budget:
+                by_step.setdefault(run.key[:3], []).append(run)
+        return [
+            (step_runs, self._state.step(step_runs[0].key).disruption_budget)
+            for step_runs in by_step.values()
+        ]
+
+    def _n_away(self, step_runs: list[ActiveRun]) -> int:
+        """Return how many tasks of a step, but those of some runs, are not at work."""
+        step_key = step_runs[0].key[:3]
+        here = {run.key for run in step_runs}
+        job = self._state.jobs[step_key[0]]
+        return sum(
+            not any(self._is_at_work(key, r.number, r.vm_id) for r in task.runs)
+            for key, task in iter_tasks(job)
+            if key[:3] == step_key and key not in here
+        )
+
+    def _is_at_work(self, key: TaskKey, number: int, vm_id: str) -> bool:
+        agent = self._machines.agents.get(vm_id)
+        if agent is None or not agent.lease.is_in_contact(self._term.clock.monotonic()):
+            return False
+        if self._is_being_ordered(agent.vm.machine) or agent.is_stopping(key, number):
+            return False
+        listed = agent.listed.get((key, number))
+        return listed is not None and listed.percent >= AT_WORK_PERCENT
+
+    def _is_being_ordered(self, machine: str) -> bool:
+        """Return whether an order may end everything on a machine at any moment."""
+        if machine in self._ordered:
+            return True
+        return any(
+            machine in wave.ordered and machine not in wave.begun
+            for wave in self._state.waves.values()
+        )
+
+    def _has_place(self, agent: VmAgent, run: ActiveRun) -> bool:
+        """Return whether another VM of the pool takes a task, if need be at once.
+
+        Short tasks give way to one that runs until it is cancelled.
+        """
+        step = self._state.step(run.key)
+        now = self._term.clock.monotonic()
+        for vm_id, other in self._machines.agents.items():
+            vm = other.vm
+            if other is agent or vm.pool != agent.vm.pool or not other.is_ready(now):
+                continue
+            if self._machines.is_claimed(vm.machine):
+                continue
+            _, steps = count_steps(self._state, vm_id)
+            if not is_allowed(step, run.key[:3], vm.labels, steps):
+                continue
+            if step.reserved.fits(vm.capacity - lasting_need(self._state, steps)):
+                return True
+        return False
--- a/src/redwingslip/scheduling/_machines.py
+++ b/src/redwingslip/scheduling/_machines.py
@@ -1,6 +1,7 @@
 """The machines under the VMs, who may order something for one, and how."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Coroutine, Mapping
 from datetime import timedelta
 
@@ -32,9 +33,21 @@
     takeover_delay : timedelta
         A new leader leaves a machine alone for this long for which an earlier one may
         have given its last order a moment ago.
+
+    Attributes
+    ----------
+    wanted : Counter
+        VMs by pool that are missing for tasks which have to leave theirs.
     """
 
-    __slots__ = ("_claims", "_inherited", "_takeover_delay", "_term", "agents")
+    __slots__ = (
+        "_claims",
+        "_inherited",
+        "_takeover_delay",
+        "_term",
+        "agents",
+        "wanted",
+    )
 
     def __init__(
         self,
@@ -48,6 +61,7 @@
         self._claims: dict[str, object] = {}
         self._inherited = self._recent_orders(takeover_delay + CLOCK_MARGIN)
         self.agents = agents
+        self.wanted: Counter[str] = Counter()
 
     def _recent_orders(self, horizon: timedelta) -> frozenset[str]:
         """Return the machines for which an earlier leader gave orders lately."""
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -1,7 +1,6 @@
 """Moves of machines between pools, after what is asked of each."""
 
 import asyncio
-from collections.abc import Mapping
 from datetime import timedelta
 
 import msgspec
@@ -10,7 +9,7 @@
 from ..observe import EventName
 from ..placement import ArrivalTrend, PoolLoad, plan_moves
 from ._agent import VmAgent
-from ._board import PoolBacklog, count_steps
+from ._board import PoolBacklog, count_steps, lasting_need
 from ._machines import MachineKeeper
 from ._ports import MachineOutcome, MachineState, MachineView
 from .exceptions import CommandLostError, NotLeadingError, OrderLostError
@@ -150,7 +149,7 @@
                 continue
             used, steps = count_steps(self._state, vm_id)
             used_cpu += used.cpu
-            lasting_cpu += self._lasting_cpu(steps)
+            lasting_cpu += lasting_need(self._state, steps).cpu
             room += vm.capacity.cpu
             vm_room = max(vm_room, vm.capacity.cpu)
             n_vms += 1
@@ -172,7 +171,9 @@
             used=used_cpu,
             waiting=backlog.cpu,
             expected=lasting_cpu + self._trend.expected(pool, self._term.now_ms()),
-            n_missing=max(0, backlog.n_vms - len(arriving)),
+            n_missing=max(
+                0, max(backlog.n_vms, self._machines.wanted[pool]) - len(arriving)
+            ),
             room=room + sum(arrival.room for arrival in arriving),
             vm_room=vm_room,
             n_vms=n_vms + len(arriving),
@@ -184,15 +185,6 @@
             ),
         )
 
-    def _lasting_cpu(self, steps: Mapping[tuple[str, int, int], int]) -> int:
-        """Return what the tasks among some use that run until cancelled."""
-        cpu = 0
-        for (job_id, _, number), n_tasks in steps.items():
-            step = self._state.jobs[job_id].spec.steps[number]
-            if step.is_long_running and not step.is_filler:
-                cpu += n_tasks * step.need.cpu
-        return cpu
-
     def _note_arrivals(self, now: timedelta) -> None:
         """Drop the machines that have arrived or should have."""
         for machine, arrival in tuple(self._arrivals.items()):
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -1,5 +1,6 @@
 """Rounds of placement over what the leader knows."""
 
+import math
 from collections.abc import Iterable
 
 from ..jobs import RunRecord, RunStart
@@ -100,8 +101,9 @@
         task = tasks[0]
         backlog = self.backlog.setdefault(task.pool, PoolBacklog())
         backlog.cpu += len(tasks) * task.step.need.cpu
-        if task.step.max_per_vm or task.step.disruption_budget:
-            backlog.n_vms = max(backlog.n_vms, len(tasks))
+        if task.step.max_per_vm:
+            n_vms = math.ceil(len(tasks) / task.step.max_per_vm)
+            backlog.n_vms = max(backlog.n_vms, n_vms)
         if needs_advice:
             self._advice.want(task.key[:3], task.pool)
         if urgency.band == LASTING and not task.step.is_gang:
@@ -121,6 +123,7 @@
 
     def _rooms(self) -> dict[str, list[VmRoom]]:
         now = self._term.clock.monotonic()
+        due = {m for wave in self._state.waves.values() for m in wave.left()}
         pools: dict[str, list[VmRoom]] = {}
         for vm_id, agent in self._machines.agents.items():
             is_leaving = self._machines.is_claimed(agent.vm.machine)
@@ -135,6 +138,7 @@
                 tasks_of_step=steps,
                 is_avoided=agent.health.is_avoided(now),
                 is_anchored=self._is_anchored(steps),
+                is_due=agent.vm.machine in due,
             )
             pools.setdefault(agent.vm.pool, []).append(room)
         return pools
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -130,7 +130,7 @@
     def _note_known_arrivals(self) -> None:
         """Take note of the jobs that an earlier leader accepted a moment ago."""
         now_ms = self._term.now_ms()
-        first_ms = now_ms - self._cfg.arrivals.long_window_ms
+        first_ms = now_ms - self._cfg.arrivals.long_window // MS
         jobs = [j for j in self._state.jobs.values() if first_ms < j.accepted_ms]
         for job in sorted(jobs, key=lambda job: job.accepted_ms):
             if job.accepted_ms <= now_ms:
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -47,6 +47,9 @@
     cycle : timedelta
         What one machine takes from the beginning of its drain until it serves again,
         for the pace of a wave.
+    evacuation : timedelta
+        What one task takes from its stop until it is known to be at work elsewhere,
+        for the pace of a wave.
     safety : float
         Part of a wave's time that is kept back for orders that are not carried out.
     pool_share : float
@@ -58,6 +61,7 @@
     down_timeout: timedelta = timedelta(seconds=12)
     retry_delay: timedelta = timedelta(seconds=1)
     cycle: timedelta = timedelta(seconds=5)
+    evacuation: timedelta = timedelta(milliseconds=2500)
     safety: float = 0.35
     pool_share: float = 0.2
 
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -2,17 +2,12 @@
 
 import asyncio
 import math
-from collections import Counter
 from datetime import timedelta
 
-from ..jobs import (
-    ActiveRun,
-    RecordMaintenance,
-    WaveRecord,
-    iter_tasks,
-)
+from ..jobs import RecordMaintenance, WaveRecord
 from ..observe import EventName
 from ._board import PoolBacklog
+from ._evacuation import Evacuation
 from ._machines import MachineKeeper
 from ._ports import MachineOutcome
 from .exceptions import CommandLostError, NotLeadingError
@@ -20,7 +15,6 @@
 __all__ = ["WaveKeeper"]
 
 MS = timedelta(milliseconds=1)
-AT_WORK_PERCENT = 100
 
 
 class WaveKeeper(MachineKeeper):
@@ -30,6 +24,9 @@
         self._cordoned: dict[str, timedelta] = {}
         self._begun_at: dict[str, timedelta] = {}
         self._retry_at: dict[str, timedelta] = {}
+        self._evacuation = Evacuation(
+            term=self._term, machines=self._machines, ordered=self._orders
+        )
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
@@ -39,6 +36,7 @@
                 if not self._term.is_leading():
                     continue
                 now = self._term.clock.monotonic()
+                self._machines.wanted.clear()
                 for wave in tuple(self._state.waves.values()):
                     if not wave.is_complete:
                         self._advance(wave, now)
@@ -47,13 +45,12 @@
 
     def _advance(self, wave: WaveRecord, now: timedelta) -> None:
         """Cordon the next machines and order the maintenance of drained ones."""
-        left = [
-            machine
-            for machine in wave.machines
-            if machine not in wave.begun and machine not in wave.gone
-        ]
+        left = wave.left()
         n_down = sum(self._is_down(wave, machine, now) for machine in wave.machines)
         self._cordon(wave, left, now)
+        for machine in left:
+            if machine in self._cordoned:
+                self._evacuation.advance(machine)
         for machine in left:
             if n_down >= max(1, wave.max_at_once):
                 return
@@ -73,7 +70,7 @@
             if machine not in self._cordoned
         )
         most = max(1, wave.max_at_once)
-        n_needed = min(most, self._n_needed(wave, len(left)))
+        n_needed = min(most, self._n_needed(wave, left))
         candidates = [
             machine
             for machine in left
@@ -88,11 +85,15 @@
                 self._cordoned[machine] = now
                 n_away += 1
 
-    def _n_needed(self, wave: WaveRecord, n_left: int) -> int:
+    def _n_needed(self, wave: WaveRecord, left: list[str]) -> int:
         """Return how many machines must be away at once for the wave to be in time."""
         kept_ms = self._cfg.waves.safety * wave.duration_ms
         left_ms = max(1, wave.due_ms - kept_ms - self._term.now_ms())
-        return math.ceil(n_left * (self._cfg.waves.cycle / MS) / left_ms)
+        cfg = self._cfg.waves
+        work = len(left) * cfg.cycle + cfg.evacuation * sum(
+            self._evacuation.n_stops(machine) for machine in left
+        )
+        return math.ceil(work / MS / left_ms)
 
     def _cost(self, machine: str) -> tuple[int, int]:
         """Return what its pool and its runs lose by a machine's absence."""
@@ -132,55 +133,11 @@
         if agent is None:
             return True
         runs = self._state.runs_of(agent.vm.vm_id, agent.vm.born_ms)
-        if not self._keeps_budgets(runs):
+        if not self._evacuation.keeps_budgets(runs):
             return False
         is_drained = all(self._state.step(r.key).is_long_running for r in runs)
         return is_drained or now >= since + self._cfg.waves.max_drain
 
-    def _keeps_budgets(self, runs: tuple[ActiveRun, ...]) -> bool:
-        """Return whether ending some runs takes no step beyond its budget."""
-        taken = Counter(run.key[:3] for run in runs)
-        for run in runs:
-            step = self._state.step(run.key)
-            if not step.disruption_budget:
-                continue
-            n_away = self._n_away(run) + taken[run.key[:3]]
-            if n_away > step.disruption_budget:
-                return False
-        return True
-
-    def _n_away(self, run: ActiveRun) -> int:
-        """Return how many tasks of a run's step, on other VMs, are not at work."""
-        job = self._state.jobs[run.key.job_id]
-        n_away = 0
-        for key, task in iter_tasks(job):
-            if key[:3] != run.key[:3]:
-                continue
-            is_elsewhere = all(r.vm_id != run.vm_id for r in task.runs)
-            if is_elsewhere and not any(
-                self._is_at_work(key, r.number, r.vm_id) for r in task.runs
-            ):
-                n_away += 1
-        return n_away
-
-    def _is_at_work(self, key: tuple, number: int, vm_id: str) -> bool:
-        agent = self._machines.agents.get(vm_id)
-        if agent is None or not agent.lease.is_in_contact(self._term.clock.monotonic()):
-            return False
-        if self._is_being_ordered(agent.vm.machine):
-            return False
-        listed = agent.listed.get((key, number))
-        return listed is not None and listed.percent >= AT_WORK_PERCENT
-
-    def _is_being_ordered(self, machine: str) -> bool:
-        """Return whether an order may end everything on a machine at any moment."""
-        if machine in self._orders:
-            return True
-        return any(
-            machine in wave.ordered and machine not in wave.begun
-            for wave in self._state.waves.values()
-        )
-
     def _is_down(self, wave: WaveRecord, machine: str, now: timedelta) -> bool:
         """Return whether a machine may be down for its maintenance."""
         if machine in self._orders:
