Serve the product's own interface for jobs, with commands

Cause: jobs could be handed in by the platform's calls only; the product had no interface of its own for them, and its command line knew none. Change: package submitters (documents in the product's words with fields that errors name, calls answered by the leader's job service, problem documents), served by gateways where [listen] submitters is set; redwingslip job submit, get, list and cancel. The check of a job's steps and the way from an HTTP request to a call for the leader stand once, for both interfaces. Ruled out: a second store or path for jobs: both interfaces are doors to the same service. Tests: documents and every refusal; the whole path over sockets by HTTP and by command line.

--- a/src/redwingslip/cli/_app.py
+++ b/src/redwingslip/cli/_app.py
@@ -7,6 +7,7 @@
 import typer
 
 from . import (
+    _job_commands,
     _key_commands,
     _load_commands,
     _resource_commands,
@@ -79,6 +80,7 @@
 _resource_commands.register(app)
 _wave_commands.register(app)
 _key_commands.register(app)
+_job_commands.register(app)
 _tool_commands.register(app)
 _load_commands.register(app)
 for _role, _words in ROLES.items():
--- a/src/redwingslip/cli/_client.py
+++ b/src/redwingslip/cli/_client.py
@@ -30,7 +30,14 @@
     UnknownOutcomeError,
 )
 
-__all__ = ["ClientSettings", "Document", "Listing", "OperatorClient", "WatchLine"]
+__all__ = [
+    "Call",
+    "ClientSettings",
+    "Document",
+    "Listing",
+    "OperatorClient",
+    "WatchLine",
+]
 
 RETRY_PAUSE = timedelta(milliseconds=200)
 MAX_RETRY_PAUSE = timedelta(seconds=2)
@@ -106,7 +113,7 @@
     in_force: int = 0
 
 
-class _Call(msgspec.Struct, frozen=True, kw_only=True):
+class Call(msgspec.Struct, frozen=True, kw_only=True):
     """A request to whichever server answers."""
 
     method: str
@@ -138,22 +145,22 @@
 
     async def get(self, kind: Kind, name: str) -> Document:
         """Return a resource."""
-        answer = await self._ask(_Call(method="GET", path=f"/v1/{kind}/{name}"))
+        answer = await self.ask(Call(method="GET", path=f"/v1/{kind}/{name}"))
         return _decode(answer, Document)
 
     async def list(self, kind: Kind) -> Listing:
         """Return all resources of a kind."""
-        answer = await self._ask(_Call(method="GET", path=f"/v1/{kind}"))
+        answer = await self.ask(Call(method="GET", path=f"/v1/{kind}"))
         return _decode(answer, Listing)
 
     async def status(self) -> dict[str, Any]:
         """Return what a server knows of itself and of the leader."""
-        answer = await self._ask(_Call(method="GET", path="/v1/status"))
+        answer = await self.ask(Call(method="GET", path="/v1/status"))
         return _decode(answer, dict[str, Any])
 
     async def replicas(self) -> dict[str, Any]:
         """Return how the replicas are, as the leader sees them."""
-        answer = await self._ask(_Call(method="GET", path="/v1/replicas"))
+        answer = await self.ask(Call(method="GET", path="/v1/replicas"))
         return _decode(answer, dict[str, Any])
 
     async def put(
@@ -171,7 +178,7 @@
             The same for a resend by hand; empty for a new operation.
         """
         body = msgspec.json.encode({"spec": document.spec})
-        call = _Call(
+        call = Call(
             method="PUT",
             path=f"/v1/{document.kind}/{document.name}",
             headers={
@@ -181,7 +188,7 @@
             },
             body=body,
         )
-        answer = await self._ask(call)
+        answer = await self.ask(call)
         return _decode(answer, Document)
 
     async def delete(
@@ -202,7 +209,7 @@
         """
         if not operation_id:
             await self.get(kind, name)
-        call = _Call(
+        call = Call(
             method="DELETE",
             path=f"/v1/{kind}/{name}",
             headers={
@@ -210,7 +217,7 @@
                 "Idempotency-Key": operation_id or new_operation_id(),
             },
         )
-        answer = await self._ask(call)
+        answer = await self.ask(call)
         return _decode(answer, Document)
 
     async def watch(self, kind: Kind, revision: int) -> AsyncIterator[WatchLine]:
@@ -239,7 +246,7 @@
             await asyncio.sleep(RETRY_PAUSE.total_seconds())
 
     async def _watch_once(self, path: str) -> AsyncIterator[WatchLine]:
-        req = self._request(_Call(method="GET", path=path), WATCH_SILENCE)
+        req = self._request(Call(method="GET", path=path), WATCH_SILENCE)
         async for line in stream_lines(req):
             try:
                 yield msgspec.json.decode(line, type=WatchLine)
@@ -266,8 +273,18 @@
                 )
             await asyncio.sleep(RETRY_PAUSE.total_seconds())
 
-    async def _ask(self, call: _Call) -> HttpAnswer:
-        """Ask one server after the other until one answers."""
+    async def ask(self, call: Call) -> HttpAnswer:
+        """Ask one server after the other until one answers, and return its answer.
+
+        Raises
+        ------
+        CommandError
+            The server refused.
+        NotReachedError
+            No server was reached; nothing was done.
+        UnknownOutcomeError
+            Every answer was lost of a call that has an idempotency key.
+        """
         end = self._clock.monotonic() + self._cfg.timeout
         is_sent = False
         reasons: dict[str, str] = {}
@@ -297,7 +314,7 @@
             await asyncio.sleep(pause.total_seconds())
 
     def _failure(
-        self, call: _Call, reasons: dict[str, str], is_sent: bool
+        self, call: Call, reasons: dict[str, str], is_sent: bool
     ) -> NotReachedError | UnknownOutcomeError:
         words = "; ".join(reasons.values())
         operation_id = call.headers.get("Idempotency-Key")
@@ -315,7 +332,7 @@
     def _server(self) -> str:
         return self._cfg.servers[self._next % len(self._cfg.servers)]
 
-    def _request(self, call: _Call, timeout: timedelta) -> HttpRequest:
+    def _request(self, call: Call, timeout: timedelta) -> HttpRequest:
         headers = {**call.headers, "Authorization": f"Bearer {self._cfg.token}"}
         return HttpRequest(
             method=call.method,
--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -2,6 +2,7 @@
 
 import random
 
+from .. import submitters
 from ..consensus import ConsensusMessage, DataFolder, Replica, found_data_folder
 from ..jobs import Command, JobsMachine
 from ..observe import EventName
@@ -159,10 +160,15 @@
         self, sender_id: str, call: RelayedCall, service: JobService
     ) -> None:
         try:
-            answer = await answer_call(service, call, own_address=self.cfg.listen.calls)
+            if call.source is CallSource.SUBMITTERS:
+                answer = await submitters.answer_submitter(service, call)
+            else:
+                own_address = self.cfg.listen.calls
+                answer = await answer_call(service, call, own_address=own_address)
         except Exception as exc:
             # A fault of this program must not leave the caller without an answer.
-            answer = refusal(call, exc)
+            is_own = call.source is CallSource.SUBMITTERS
+            answer = (submitters.refusal if is_own else refusal)(call, exc)
             self._core.emit(EventName.WARNING, detail=f"{call.path}: {exc!r}")
         if answer.status >= FIRST_ERROR_STATUS:
             version = self.machine.state.plan.version
--- a/src/redwingslip/daemons/_fleet_app.py
+++ b/src/redwingslip/daemons/_fleet_app.py
@@ -6,10 +6,10 @@
 
 from starlette.applications import Starlette
 
+from .. import platform, submitters
 from ..http import HttpServer
 from ..observe import Event, EventName
 from ..peers import CallSource, LeaderReport, Message, RelayedAnswer, RelayedCall
-from ..platform import relay_app, unanswered
 from ..relay import LeaderRelay, RelayError
 from ._fleet_settings import FleetSettings
 from ._metrics_server import MetricsServer
@@ -38,7 +38,7 @@
 
     def _call_server(self, source: CallSource, patience: timedelta) -> HttpServer:
         """Return the server that takes calls from outside."""
-        app = relay_app(source, self._exchange, self.cfg.http, patience)
+        app = platform.relay_app(source, self._exchange, self.cfg.http, patience)
         return self._new_server(app, self.cfg.listen.calls)
 
     def _new_server(self, app: Starlette, address: str) -> HttpServer:
@@ -73,7 +73,7 @@
         try:
             answer = await self.relay.exchange(call, patience)
         except RelayError as exc:
-            answer = unanswered(call, exc)
+            answer = _unanswered(call, exc)
             self._log_refusal(call, answer, str(exc))
         self._core.metrics.record_relayed_call(
             method=call.method,
@@ -103,3 +103,10 @@
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _unanswered(call: RelayedCall, exc: RelayError) -> RelayedAnswer:
+    """Return the answer to a call that no leader answered, in its caller's format."""
+    if call.source is CallSource.SUBMITTERS:
+        return submitters.unanswered(call, exc)
+    return platform.unanswered(call, exc)
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -70,10 +70,13 @@
         IP number and port for callers, or for endpoints and operators.
     readiness : str or None
         Where a gateway says whether it wants new connections.
+    submitters : str or None
+        Where a gateway serves the product's own interface for jobs.
     """
 
     calls: Annotated[Address, msgspec.Meta(examples=["127.0.0.1:8201"])]
     readiness: Address | None = None
+    submitters: Address | None = None
 
 
 class CloudSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/redwingslip/daemons/_gateway.py
+++ b/src/redwingslip/daemons/_gateway.py
@@ -1,9 +1,12 @@
 """The gateway daemon: takes callers' calls and passes them on to the leader."""
 
+import asyncio
 from datetime import timedelta
 
+from ..http import HttpServer
 from ..peers import CallSource
 from ..platform import readiness_app
+from ..submitters import submitter_app
 from ._fleet_app import FleetApp
 from ._fleet_settings import GatewaySettings
 
@@ -24,6 +27,18 @@
             readiness_app(self.is_ready), self.cfg.listen.readiness
         )
 
+        self._submitters = self._submitter_server()
+
+    def _submitter_server(self) -> HttpServer | None:
+        """Return the server of the product's own interface, None where it is off."""
+        address = self.cfg.listen.submitters
+        if address is None:
+            return None
+        app = submitter_app(
+            self._exchange, self.cfg.http, self.cfg.relay.caller_patience
+        )
+        return self._new_server(app, address)
+
     def is_ready(self) -> bool:
         """Return whether new connections are wanted."""
         return self.relay.has_leader and not self._is_stopping
@@ -33,11 +48,14 @@
         await self._start_core()
         await self._server.start()
         await self._readiness.start()
+        if self._submitters is not None:
+            await self._submitters.start()
         self._core.report_start("")
 
     async def stop(self) -> None:
         """Say that no connections are wanted, finish what has begun, and stop."""
         self._is_stopping = True
-        await self._server.stop(self.cfg.drain.grace)
+        servers = [s for s in (self._server, self._submitters) if s is not None]
+        await asyncio.gather(*(s.stop(self.cfg.drain.grace) for s in servers))
         await self._readiness.stop(timedelta(0))
         await self._stop_core()
--- a/src/redwingslip/jobs/__init__.py
+++ b/src/redwingslip/jobs/__init__.py
@@ -17,9 +17,9 @@
     VmRecord,
     WaveRecord,
 )
-from ._spec import JobSpec, Repetition, StepSpec, TaskKey
+from ._spec import JobSpec, Repetition, StepSpec, TaskKey, check_steps
 from ._state import ActiveRun, JobsState, VmChange, iter_tasks
-from .exceptions import InvalidPlanError, JobsError
+from .exceptions import InvalidJobError, InvalidPlanError, JobsError
 
 __all__ = [
     "ACTIVE_STATUSES",
@@ -28,6 +28,7 @@
     "Amounts",
     "Customer",
     "EndKind",
+    "InvalidJobError",
     "InvalidPlanError",
     "JobRecord",
     "JobSpec",
@@ -47,6 +48,7 @@
     "VmRecord",
     "WaveRecord",
     "check_plan",
+    "check_steps",
     "encode_command",
     "iter_tasks",
     *_commands_all,
--- a/src/redwingslip/jobs/_spec.py
+++ b/src/redwingslip/jobs/_spec.py
@@ -1,12 +1,14 @@
 """What a caller hands in: a graph of steps, each of like tasks."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import msgspec
 
 from ._plan import Amounts
+from .exceptions import InvalidJobError
 
-__all__ = ["JobSpec", "Repetition", "StepSpec", "TaskKey"]
+__all__ = ["JobSpec", "Repetition", "StepSpec", "TaskKey", "check_steps"]
 
 
 class TaskKey(NamedTuple):
@@ -122,3 +124,10 @@
     payload: str = ""
     steps: tuple[StepSpec, ...] = ()
     repetition: Repetition | None = None
+
+
+def check_steps(steps: Sequence[StepSpec]) -> None:
+    """Raise `InvalidJobError` if a step waits for another than an earlier one."""
+    for number, step in enumerate(steps):
+        if step.n_tasks < 0 or any(not 0 <= i < number for i in step.after):
+            raise InvalidJobError(f"steps.{number}.after", "must name earlier steps")
--- a/src/redwingslip/peers/_relay_messages.py
+++ b/src/redwingslip/peers/_relay_messages.py
@@ -19,6 +19,7 @@
 
     CALLERS = "callers"
     CONTROL = "control"
+    SUBMITTERS = "submitters"
 
 
 class RelayedCall(PeerMessage):
--- a/src/redwingslip/platform/_documents.py
+++ b/src/redwingslip/platform/_documents.py
@@ -5,6 +5,7 @@
 from ..jobs import (
     Amounts,
     Customer,
+    InvalidJobError,
     InvalidPlanError,
     JobSpec,
     Plan,
@@ -14,6 +15,7 @@
     StepSpec,
     VmRecord,
     check_plan,
+    check_steps,
 )
 from .exceptions import DocumentError
 
@@ -220,9 +222,11 @@
     doc = _decode(_JOB, body)
     if len(doc.spec.encode()) > MAX_PAYLOAD_BYTES:
         raise DocumentError(f"spec: at most {MAX_PAYLOAD_BYTES} bytes are accepted")
-    for number, step in enumerate(doc.steps):
-        if step.count < 0 or any(not 0 <= i < number for i in step.after):
-            raise DocumentError(f"steps.{number}.after: must name earlier steps")
+    steps = tuple(_decode_step(step) for step in doc.steps)
+    try:
+        check_steps(steps)
+    except InvalidJobError as exc:
+        raise DocumentError(str(exc)) from exc
     repetition = None
     if doc.repeat_count > 0:
         repetition = Repetition(
@@ -236,7 +240,7 @@
         pool=queue.pool,
         customer=customer,
         payload=doc.spec,
-        steps=tuple(_decode_step(step) for step in doc.steps),
+        steps=steps,
         repetition=repetition,
     )
 
--- a/src/redwingslip/relay/__init__.py
+++ b/src/redwingslip/relay/__init__.py
@@ -1,13 +1,17 @@
 """Relay: the way of calls from outside to the leader, wherever it is."""
 
+from ._http import Exchange, decode_call, retry_headers
 from ._relay import LeaderRelay
 from ._settings import RelaySettings
 from .exceptions import AnswerUnknownError, NoLeaderKnownError, RelayError
 
 __all__ = [
     "AnswerUnknownError",
+    "Exchange",
     "LeaderRelay",
     "NoLeaderKnownError",
     "RelayError",
     "RelaySettings",
+    "decode_call",
+    "retry_headers",
 ]
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -77,6 +77,22 @@
             raise NoQueueError(f"no queue at {host}{path}")
         return found, path[len(found.path_prefix) :]
 
+    def queue_named(self, name: str) -> Queue:
+        """Return a queue by its name; see `find_queue` for errors."""
+        queue = next((q for q in self.plan.queues if q.name == name), None)
+        if queue is None:
+            raise NoQueueError(f"no queue is named {name}")
+        return queue
+
+    def jobs_of(self, queue: Queue, customer: str) -> list[JobRecord]:
+        """Return the jobs that a customer handed in to a queue, the newest first."""
+        jobs = [
+            job
+            for job in self._state.jobs.values()
+            if job.spec.queue == queue.name and job.spec.customer == customer
+        ]
+        return sorted(jobs, key=lambda job: (-job.accepted_ms, job.spec.job_id))
+
     def find_customer(self, queue: Queue, key: str) -> str:
         """Return whose key came with a call; empty for a public queue without one.
 
--- /dev/null
+++ b/src/redwingslip/submitters/_documents.py
@@ -0,0 +1,151 @@
+"""The documents of jobs, as submitters write and read them."""
+
+from datetime import UTC, datetime, timedelta
+from typing import Annotated
+
+import msgspec
+
+from ..http import FieldError, decode_json, strict_convert
+from ..jobs import (
+    Amounts,
+    InvalidJobError,
+    JobRecord,
+    JobSpec,
+    JobStatus,
+    Queue,
+    Repetition,
+    StepSpec,
+    check_steps,
+)
+from .exceptions import InvalidJobDocumentError
+
+__all__ = ["JobList", "JobView", "decode_job", "view_job"]
+
+MS = timedelta(milliseconds=1)
+EPOCH = datetime.fromtimestamp(0, UTC)
+
+_Amount = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _Need(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What a task uses; `cpu` in thousandths of a core."""
+
+    cpu: _Amount = 0
+    memory_mb: _Amount = 0
+    accelerators: _Amount = 0
+
+
+class _Step(StepSpec, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A step, whose fields are those of `StepSpec`."""
+
+    n_tasks: Annotated[int, msgspec.Meta(ge=1)]
+    need: _Need = _Need()
+
+    def decode(self) -> StepSpec:
+        need = Amounts(self.need.cpu, self.need.memory_mb, self.need.accelerators)
+        fields = {name: getattr(self, name) for name in StepSpec.__struct_fields__}
+        return StepSpec(**{**fields, "need": need})
+
+
+class _Repeat(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """When the steps run again."""
+
+    first_at: datetime
+    interval: timedelta
+    count: Annotated[int, msgspec.Meta(ge=1)]
+
+    def decode(self) -> Repetition:
+        if self.first_at.tzinfo is None:
+            raise InvalidJobDocumentError("repeat.first_at", "needs a time zone")
+        return Repetition(
+            first_at_ms=(self.first_at - EPOCH) // MS,
+            interval_ms=self.interval // MS,
+            count=self.count,
+        )
+
+
+class _Job(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A job as it is handed in."""
+
+    steps: Annotated[tuple[_Step, ...], msgspec.Meta(min_length=1)]
+    payload: Annotated[str, msgspec.Meta(max_length=4000)] = ""
+    repeat: _Repeat | None = None
+
+
+class StepView(msgspec.Struct, frozen=True, kw_only=True):
+    """How far a step is, over all of its occurrences."""
+
+    n_tasks: int
+    n_done: int
+    n_running: int
+    n_failures: int
+
+
+class JobView(msgspec.Struct, frozen=True, kw_only=True):
+    """How far a job is.
+
+    Attributes
+    ----------
+    ended_at : datetime or None
+        None while it is active.
+    """
+
+    id: str
+    queue: str
+    status: JobStatus
+    accepted_at: datetime
+    ended_at: datetime | None
+    steps: tuple[StepView, ...]
+
+
+class JobList(msgspec.Struct, frozen=True, kw_only=True):
+    """Jobs of a queue."""
+
+    items: tuple[JobView, ...]
+
+
+def decode_job(body: bytes, *, job_id: str, queue: Queue, customer: str) -> JobSpec:
+    """Return the job in a body.
+
+    Raises
+    ------
+    InvalidJobDocumentError
+        The body is no job.
+    """
+    try:
+        doc = strict_convert(decode_json(body), _Job)
+        steps = tuple(step.decode() for step in doc.steps)
+        check_steps(steps)
+    except (FieldError, InvalidJobError) as exc:
+        raise InvalidJobDocumentError(exc.field, exc.detail) from exc
+    return JobSpec(
+        job_id=job_id,
+        queue=queue.name,
+        pool=queue.pool,
+        customer=customer,
+        payload=doc.payload,
+        steps=steps,
+        repetition=doc.repeat.decode() if doc.repeat else None,
+    )
+
+
+def view_job(job: JobRecord) -> JobView:
+    """Return how far a job is."""
+    return JobView(
+        id=job.spec.job_id,
+        queue=job.spec.queue,
+        status=job.status,
+        accepted_at=EPOCH + job.accepted_ms * MS,
+        ended_at=EPOCH + job.ended_ms * MS if job.ended_ms else None,
+        steps=tuple(_view_step(job, number) for number in range(len(job.spec.steps))),
+    )
+
+
+def _view_step(job: JobRecord, number: int) -> StepView:
+    tasks = [task for steps in job.tasks for task in steps[number]]
+    return StepView(
+        n_tasks=len(tasks),
+        n_done=sum(task.is_done for task in tasks),
+        n_running=sum(bool(task.runs) for task in tasks),
+        n_failures=sum(task.n_failures for task in tasks),
+    )
--- /dev/null
+++ b/src/redwingslip/submitters/_problems.py
@@ -0,0 +1,97 @@
+"""Problem documents for calls that the leader refused or did not answer."""
+
+from functools import singledispatch
+
+import msgspec
+
+from ..http import NOT_RUN, UNKNOWN, Problem
+from ..peers import RelayedAnswer, RelayedCall
+from ..relay import AnswerUnknownError, RelayError
+from ..scheduling import (
+    CommandLostError,
+    KeyRefusedError,
+    NoPlanError,
+    NoQueueError,
+    NotLeadingError,
+)
+from .exceptions import InvalidJobDocumentError, NoJobError
+
+__all__ = ["refusal", "unanswered"]
+
+# The shortest that Retry-After can say; an election takes less.
+RETRY_AFTER_S = 1
+UNAVAILABLE = 503
+
+_RESEND = "send it again with the same id: it stays one job"
+
+
+def refusal(call: RelayedCall, exc: Exception) -> RelayedAnswer:
+    """Return the leader's answer to a call that failed."""
+    return _answer(call, _describe(exc))
+
+
+def unanswered(call: RelayedCall, exc: RelayError) -> RelayedAnswer:
+    """Return the answer to a call that the leader did not answer."""
+    return _answer(call, _describe(exc))
+
+
+def _answer(call: RelayedCall, problem: Problem) -> RelayedAnswer:
+    return RelayedAnswer(
+        number=call.number,
+        status=problem.status,
+        body=msgspec.json.encode(problem),
+        retry_after_s=RETRY_AFTER_S if problem.status == UNAVAILABLE else 0,
+    )
+
+
+@singledispatch
+def _describe(exc: Exception) -> Problem:
+    return Problem(status=500, title="fault of the server", outcome=UNKNOWN)
+
+
+@_describe.register
+def _(exc: InvalidJobDocumentError) -> Problem:
+    return Problem(
+        status=422,
+        title="invalid job",
+        field=exc.field,
+        detail=exc.detail,
+        outcome=NOT_RUN,
+    )
+
+
+@_describe.register
+def _(exc: KeyRefusedError) -> Problem:
+    return Problem(
+        status=401,
+        title="key not accepted",
+        field="Authorization",
+        detail="send a customer's key as 'Authorization: Bearer KEY'",
+        outcome=NOT_RUN,
+    )
+
+
+@_describe.register
+def _(exc: NoQueueError) -> Problem:
+    return Problem(status=404, title="no such queue", detail=str(exc), outcome=NOT_RUN)
+
+
+@_describe.register
+def _(exc: NoJobError) -> Problem:
+    return Problem(status=404, title="no such job", detail=str(exc))
+
+
+@_describe.register(NotLeadingError)
+@_describe.register(NoPlanError)
+@_describe.register(RelayError)
+def _(exc: Exception) -> Problem:
+    return Problem(
+        status=UNAVAILABLE, title="not run", detail=str(exc), outcome=NOT_RUN
+    )
+
+
+@_describe.register(CommandLostError)
+@_describe.register(AnswerUnknownError)
+def _(exc: Exception) -> Problem:
+    detail = f"{exc}; {_RESEND}"
+    return Problem(status=504, title="outcome unknown", detail=detail, outcome=UNKNOWN)
--- /dev/null
+++ b/src/redwingslip/submitters/_server.py
@@ -0,0 +1,54 @@
+"""The HTTP server for submitters, in front of the way to the leader."""
+
+from datetime import timedelta
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from ..http import PROBLEM_TYPE, HttpLimits, build_app
+from ..peers import CallSource
+from ..relay import Exchange, decode_call, retry_headers
+
+__all__ = ["submitter_app"]
+
+JSON = "application/json"
+FIRST_ERROR_STATUS = 400
+
+
+def submitter_app(
+    exchange: Exchange, limits: HttpLimits, patience: timedelta
+) -> Starlette:
+    """Return the application that passes submitters' calls to the leader.
+
+    Parameters
+    ----------
+    exchange : callable
+        Asks the leader.
+    limits : HttpLimits
+        Limits of bodies.
+    patience : timedelta
+        Longest wait for the leader's answer.
+    """
+
+    async def answer(req: Request) -> Response:
+        call = await decode_call(req, CallSource.SUBMITTERS, limits)
+        answer = await exchange(call, patience)
+        is_problem = answer.status >= FIRST_ERROR_STATUS
+        return Response(
+            answer.body,
+            status_code=answer.status,
+            headers=retry_headers(answer),
+            media_type=PROBLEM_TYPE if is_problem else JSON,
+        )
+
+    routes = [
+        Route("/v1/queues/{queue}/jobs", answer, methods=["GET"]),
+        Route(
+            "/v1/queues/{queue}/jobs/{job_id}",
+            answer,
+            methods=["GET", "POST", "DELETE"],
+        ),
+    ]
+    return build_app(routes)
--- a/tests/support_fleet.py
+++ b/tests/support_fleet.py
@@ -186,6 +186,7 @@
     def __init__(self, folder: Path, ports: int):
         self.folder = folder
         self.ports = ports
+        self.submitters = f"127.0.0.14:{ports + 1}"
         self.controllers = {}
         self.gateway = None
         self.client = ClientPool(ClientLimits())
@@ -217,6 +218,7 @@
         """Start every process."""
         text = self._text(14, calls=self.ports + 2)
         text += f"readiness = 127.0.0.14:{self.ports + 3}\n"
+        text += f"submitters = {self.submitters}\n"
         for n in (11, 12, 13):
             await self.start_controller(n)
         cfg = parse_settings(text, GatewaySettings)
@@ -250,6 +252,13 @@
         address = f"127.0.0.14:{self.ports + 2}"
         return await self._exchange(address, method, path, doc, headers)
 
+    async def submitter(self, method, path, doc=None, *, key=KEY):
+        """Call the product's own interface for jobs; return status and body."""
+        headers = {"Content-Type": "application/json"}
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        return await self._exchange(self.submitters, method, path, doc, headers)
+
     async def control(self, method, path, doc=None, *, at=11):
         """Call a controller; return status and body."""
         address = f"127.0.0.{at}:{self.ports + 1}"
--- a/tests/test_daemons_fleet.py
+++ b/tests/test_daemons_fleet.py
@@ -7,7 +7,11 @@
 from pathlib import Path
 from unittest import mock
 
-from tests.support_fleet import Fleet, StandInWorker, plan
+import msgspec
+from typer.testing import CliRunner
+
+from redwingslip.cli._app import app
+from tests.support_fleet import KEY, Fleet, StandInWorker, plan
 
 JOB = {
     "spec": "x",
@@ -92,6 +96,75 @@
         status, _ = await self.fleet.call("POST", "/open/0000000000000003", JOB, key="")
         self.assertEqual(status, 200)
 
+    async def test_the_products_own_interface_hands_in_and_follows_a_job(self):
+        path = "/v1/queues/keyed/jobs/00000000000000aa"
+        doc = {"steps": [{"n_tasks": 2, "need": {"cpu": 500}, "estimate_ms": 50}]}
+        for _ in range(2):
+            status, job = await self.fleet.submitter("POST", path, doc)
+            self.assertEqual((status, job["id"]), (201, "00000000000000aa"))
+
+        async def is_completed():
+            _, job = await self.fleet.submitter("GET", path)
+            return job["status"] == "completed" and job["steps"][0]["n_done"] == 2
+
+        await self.until(is_completed)
+        self.assertEqual(len(self.worker.started), 2)
+        status, listing = await self.fleet.submitter("GET", "/v1/queues/keyed/jobs")
+        self.assertEqual([job["id"] for job in listing["items"]], ["00000000000000aa"])
+        # The platform's interface is another door to the same jobs.
+        status, doc = await self.fleet.call("GET", "/keyed/00000000000000aa")
+        self.assertEqual((status, doc["state"]), (200, "completed"))
+
+    async def test_the_products_own_interface_cancels_a_job(self):
+        self.worker.work_s = 30
+        path = "/v1/queues/keyed/jobs/00000000000000ab"
+        doc = {"steps": [{"n_tasks": 1, "need": {"cpu": 500}}]}
+        await self.fleet.submitter("POST", path, doc)
+        status, job = await self.fleet.submitter("DELETE", path)
+        self.assertEqual((status, job["status"]), (200, "cancelled"))
+
+    async def test_refusals_of_the_products_own_interface_name_field_and_fix(self):
+        doc = {"steps": [{"n_tasks": 1}]}
+        path = "/v1/queues/keyed/jobs/00000000000000ac"
+        other = "/v1/queues/open/jobs/00000000000000ad"
+        await self.fleet.submitter("POST", other, doc, key="")
+        cases = [
+            ("POST", path, doc, "", 401, "Authorization"),
+            ("POST", "/v1/queues/none/jobs/00000000000000ac", doc, KEY, 404, ""),
+            ("POST", "/v1/queues/keyed/jobs/no-id", doc, KEY, 422, "id"),
+            ("POST", path, {"steps": [{"tasks": 1}]}, KEY, 422, "steps"),
+            ("GET", path, None, KEY, 404, ""),
+            ("GET", "/v1/queues/keyed/jobs/00000000000000ad", None, KEY, 404, ""),
+            ("POST", "/v1/queues/keyed/jobs/00000000000000ad", doc, KEY, 404, ""),
+        ]
+        for method, path, body, key, wanted, field in cases:
+            with self.subTest(method=method, path=path):
+                status, problem = await self.fleet.submitter(
+                    method, path, body, key=key
+                )
+                self.assertEqual(status, wanted, problem)
+                self.assertIn(field, problem.get("field", ""))
+
+    async def test_the_command_line_hands_in_and_follows_a_job(self):
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        job = folder / "job.json"
+        job.write_text('{"steps": [{"n_tasks": 2, "need": {"cpu": 500}}]}')
+        key = folder / "key"
+        key.write_text(KEY)
+        options = ["--server", f"http://{self.fleet.submitters}"]
+        options += ["--token-file", str(key), "--output", "json", "job"]
+
+        async def redwingslip(*args):
+            proc = await asyncio.to_thread(CliRunner().invoke, app, [*options, *args])
+            self.assertEqual(proc.exit_code, 0, proc.output)
+            return msgspec.json.decode(proc.stdout)
+
+        done = await redwingslip("submit", "keyed", str(job), "--wait")
+        self.assertEqual(done["status"], "completed")
+        self.assertEqual(await redwingslip("get", "keyed", done["id"]), done)
+        self.assertEqual(await redwingslip("list", "keyed"), done)
+        self.assertEqual(await redwingslip("cancel", "keyed", done["id"]), done)
+
     async def test_a_fault_of_the_leader_is_an_answer(self):
         broken = mock.AsyncMock(side_effect=RuntimeError("broken"))
         with mock.patch("redwingslip.daemons._controller.answer_call", broken):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -17,11 +17,13 @@
     GatewaySettings,
     ReplicaDaemonSettings,
 )
+from redwingslip.jobs import Queue
 from redwingslip.observe import EventName
 from redwingslip.settings import (
     describe,
     load_settings,
 )
+from redwingslip.submitters._documents import decode_job
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DOCS = [ROOT / "README.md", ROOT / "CHANGELOG.md", *ROOT.glob("docs/**/*.md")]
@@ -75,7 +77,7 @@
                 while words and words[0].startswith("--"):
                     self.assertIn(words[0], help_of())
                     words = words[2:]
-                n_words = 2 if words[:1] in (["wave"], ["key"]) else 1
+                n_words = 2 if words[:1] in (["wave"], ["key"], ["job"]) else 1
                 text = help_of(*words[:n_words])
                 for option in _OPTION.findall(" ".join(words[n_words:])):
                     self.assertIn(option, text)
@@ -88,10 +90,15 @@
             with self.subTest(path.name):
                 exec(compile(text, str(path), "exec"), {})
 
-    def test_json_examples_are_resources(self):
-        """Each JSON example is valid input of apply, and so is the example file."""
+    def test_json_examples_are_valid(self):
+        """Each is valid input of apply, or a job; so is the example file."""
+        queue = Queue(name="q", host="h", path_prefix="/", pool="p")
         for path, text in fenced("json"):
             with self.subTest(path.name):
+                if '"steps"' in text:
+                    body = text.encode()
+                    decode_job(body, job_id="0" * 16, queue=queue, customer="")
+                    continue
                 file = pathlib.Path(
                     self.enterContext(tempfile.TemporaryDirectory()), "example.json"
                 )
--- /dev/null
+++ b/tests/test_submitters_documents.py
@@ -0,0 +1,89 @@
+"""Tests of the submitters' documents: what is read, and which field is refused."""
+
+import unittest
+from datetime import UTC, datetime
+
+import msgspec
+
+from redwingslip.jobs import Amounts, JobsState, Queue, SubmitJob
+from redwingslip.submitters import InvalidJobDocumentError
+from redwingslip.submitters._documents import decode_job, view_job
+
+QUEUE = Queue(name="q", host="h", path_prefix="/q/", pool="p")
+STEP = {"n_tasks": 2, "need": {"cpu": 500, "memory_mb": 10}}
+
+
+def decode(**fields):
+    """Return the job of a document with one step."""
+    body = msgspec.json.encode({"steps": [STEP], **fields})
+    return decode_job(body, job_id="0" * 16, queue=QUEUE, customer="forges")
+
+
+class TestDecodeJob(unittest.TestCase):
+    """A document is taken as it is meant, or not at all."""
+
+    def test_a_step_is_what_the_scheduling_knows(self):
+        spec = decode(
+            payload="x", steps=[STEP, {**STEP, "after": [0], "is_speculative": True}]
+        )
+        self.assertEqual(spec.steps[0].need, Amounts(500, 10, 0))
+        self.assertEqual(spec.steps[1].after, (0,))
+        self.assertTrue(spec.steps[1].is_speculative)
+        self.assertEqual((spec.queue, spec.pool, spec.customer), ("q", "p", "forges"))
+
+    def test_occurrences_are_due_by_the_time_of_day(self):
+        repeat = {"first_at": "2026-01-01T00:00:00Z", "interval": "PT5S", "count": 3}
+        repetition = decode(repeat=repeat).repetition
+        first_ms = datetime(2026, 1, 1, tzinfo=UTC).timestamp() * 1000
+        self.assertEqual(repetition.first_at_ms, first_ms)
+        self.assertEqual((repetition.interval_ms, repetition.count), (5000, 3))
+
+    def test_each_mistake_names_its_field(self):
+        cases = [
+            ({"steps": []}, "steps"),
+            ({"steps": [{"n_tasks": 0}]}, "steps"),
+            ({"steps": [{"n_tasks": "x"}]}, "steps"),
+            ({"steps": [{**STEP, "need": {"cpu": -1}}]}, "steps"),
+            ({"steps": [{**STEP, "after": [0]}]}, "steps.0.after"),
+            ({"steps": [{**STEP, "longRunning": True}]}, "steps"),
+            ({"payload": "x" * 4001}, "payload"),
+            ({"color": "red"}, "color"),
+            (
+                {
+                    "repeat": {
+                        "first_at": "2026-01-01T00:00:00",
+                        "interval": "PT5S",
+                        "count": 3,
+                    }
+                },
+                "repeat.first_at",
+            ),
+        ]
+        for fields, wanted in cases:
+            with (
+                self.subTest(fields=str(fields)[:80]),
+                self.assertRaises(InvalidJobDocumentError) as caught,
+            ):
+                decode(**fields)
+            self.assertIn(wanted, str(caught.exception))
+
+    def test_what_is_not_json_is_refused(self):
+        for body in (b"{", b"[]", b"\xff"):
+            with self.assertRaises(InvalidJobDocumentError):
+                decode_job(body, job_id="0" * 16, queue=QUEUE, customer="")
+
+
+class TestViewJob(unittest.TestCase):
+    """What a submitter sees of a job."""
+
+    def test_progress_is_told_by_step(self):
+        state = JobsState()
+        job = state.apply(SubmitJob(spec=decode(), now_ms=2_000))
+        view = view_job(job)
+        self.assertEqual(view.accepted_at, datetime.fromtimestamp(2, UTC))
+        self.assertIsNone(view.ended_at)
+        self.assertEqual((view.steps[0].n_tasks, view.steps[0].n_done), (2, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
