Tell the age of orders by the log's own time; keep off machines free for rising queues

Ruled out: the survey of VMs (answered within 0.4 s), the platform (every call answered). Change: the state keeps a steady time, which follows the leaders' clocks by at most 0.5 s from one command to the next; an order binds the next leader until its lease time is over by that time, plus 1 s. The survey ends when nine tenths of the VMs have answered. While a pool is short, machines that are off are neither spare for a wave nor its cheapest; the pace of a wave counts them with the time that they take.

--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -21,6 +21,7 @@
     StartWave,
     SubmitJob,
 )
+from ._machine_orders import MachineOrders
 from ._plan import Plan
 from ._records import (
     ACTIVE_STATUSES,
@@ -36,10 +37,6 @@
 
 __all__ = ["ActiveRun", "JobsState", "VmChange", "iter_tasks"]
 
-# How long an order for a machine is remembered: far beyond the time for which another
-# leader leaves the machine alone, however far the clocks of the two are apart.
-ORDER_MEMORY_MS = 60_000
-
 
 class ActiveRun(msgspec.Struct, frozen=True):
     """A run that may be alive, with its task."""
@@ -72,7 +69,7 @@
     jobs: tuple[JobRecord, ...]
     vms: tuple[VmRecord, ...]
     waves: tuple[WaveRecord, ...]
-    machine_orders: dict[str, int] = {}
+    machine_orders: MachineOrders = msgspec.field(default_factory=MachineOrders)
 
 
 class JobsState:
@@ -88,9 +85,8 @@
         The newest known life of each endpoint.
     waves : dict of int to WaveRecord
         By number.
-    machine_orders : dict of str to int
-        Unix time in milliseconds of the last order for a machine, taken note of before
-        it was given; old ones are forgotten.
+    machine_orders : MachineOrders
+        When machines were last ordered.
     runs : dict
         The runs that may be alive: by VM, then by task and run number.
     """
@@ -102,11 +98,13 @@
         self.jobs: dict[str, JobRecord] = {}
         self.vms: dict[str, VmRecord] = {}
         self.waves: dict[int, WaveRecord] = {}
-        self.machine_orders: dict[str, int] = {}
+        self.machine_orders = MachineOrders()
         self.runs: dict[str, dict[tuple[TaskKey, int], ActiveRun]] = {}
 
     def apply(self, command: Command) -> object:
         """Apply a command and return what its proposer wants to know."""
+        if (now_ms := getattr(command, "now_ms", None)) is not None:
+            self.machine_orders.pass_time(now_ms)
         return self._apply(command)
 
     def task(self, key: TaskKey) -> TaskRecord | None:
@@ -147,7 +145,7 @@
         self.jobs = {job.spec.job_id: job for job in snapshot.jobs}
         self.vms = {vm.vm_id: vm for vm in snapshot.vms}
         self.waves = {wave.number: wave for wave in snapshot.waves}
-        self.machine_orders = dict(snapshot.machine_orders)
+        self.machine_orders = snapshot.machine_orders
         self.runs = {}
         for job in snapshot.jobs:
             for key, task in iter_tasks(job):
@@ -257,7 +255,7 @@
             return
         for machine in command.ordered:
             wave.ordered[machine] = command.now_ms
-            self._note_order(machine, command.now_ms)
+            self.machine_orders.note(machine)
         for machine in command.given_up:
             wave.ordered.pop(machine, None)
         wave.begun.update(command.begun)
@@ -265,16 +263,7 @@
 
     @_apply.register
     def _(self, command: RecordMove) -> None:
-        self._note_order(command.machine, command.now_ms)
-
-    def _note_order(self, machine: str, now_ms: int) -> None:
-        horizon = now_ms - ORDER_MEMORY_MS
-        self.machine_orders = {
-            name: at_ms
-            for name, at_ms in self.machine_orders.items()
-            if at_ms > horizon
-        }
-        self.machine_orders[machine] = now_ms
+        self.machine_orders.note(command.machine)
 
     def _gang_numbers(self, starts: tuple[RunStart, ...]) -> dict[tuple, int]:
         """Return the common next run number of each gang among the starts."""
--- a/src/redwingslip/placement/_sizing.py
+++ b/src/redwingslip/placement/_sizing.py
@@ -73,6 +73,10 @@
     idle: tuple[str, ...] = ()
     resting: tuple[str, ...] = ()
 
+    def is_short(self, cfg: SizingSettings) -> bool:
+        """Return whether it should get machines."""
+        return bool(self.n_missing) or self.asked > cfg.grow_above * self.room
+
     @property
     def asked(self) -> int:
         """Return what is asked for, now or soon."""
--- a/src/redwingslip/scheduling/_machines.py
+++ b/src/redwingslip/scheduling/_machines.py
@@ -14,9 +14,9 @@
 __all__ = ["MachineBook", "MachineKeeper"]
 
 MS = timedelta(milliseconds=1)
-# How far the times of day of two leaders may be apart when one judges the age of the
-# other's orders; a larger error only makes it wait, or is older than any order counts.
-CLOCK_MARGIN = timedelta(seconds=10)
+# How much older than it is an order may seem: two changes of leader, each of which can
+# move the steady time of the log by `MAX_STEP_MS`.
+AGE_MARGIN = timedelta(seconds=1)
 
 
 class MachineBook:
@@ -38,6 +38,8 @@
     ----------
     wanted : Counter
         VMs by pool that are missing for tasks which have to leave theirs.
+    is_short : bool
+        Whether a pool needs more machines than it has.
     """
 
     __slots__ = (
@@ -46,6 +48,7 @@
         "_takeover_delay",
         "_term",
         "agents",
+        "is_short",
         "wanted",
     )
 
@@ -59,27 +62,26 @@
         self._term = term
         self._takeover_delay = takeover_delay
         self._claims: dict[str, object] = {}
-        self._inherited = self._recent_orders(takeover_delay + CLOCK_MARGIN)
+        self._inherited = self._inherited_orders()
         self.agents = agents
         self.wanted: Counter[str] = Counter()
+        self.is_short = False
 
-    def _recent_orders(self, horizon: timedelta) -> frozenset[str]:
-        """Return the machines for which an earlier leader gave orders lately."""
-        now_ms = self._term.now_ms()
-        orders = self._term.state.machine_orders
-        return frozenset(
-            machine
-            for machine, at_ms in orders.items()
-            if abs(now_ms - at_ms) * MS < horizon
-        )
+    def _inherited_orders(self) -> dict[str, timedelta]:
+        """Return when the machines are free for which others gave orders lately."""
+        free_at = {}
+        for machine, age_ms in self._term.state.machine_orders.ages_ms():
+            age = max(timedelta(0), age_ms * MS - AGE_MARGIN)
+            if age < self._takeover_delay:
+                free_at[machine] = self._term.since + self._takeover_delay - age
+        return free_at
 
     def may_order(self, machine: str) -> bool:
         """Return whether this leader may give orders for a machine now."""
         if not self._term.is_leading():
             return False
-        now = self._term.clock.monotonic()
-        is_settled = now >= self._term.since + self._takeover_delay
-        return is_settled or machine not in self._inherited
+        free_at = self._inherited.get(machine)
+        return free_at is None or self._term.clock.monotonic() >= free_at
 
     def claim(self, machine: str, claimant: object) -> bool:
         """Claim a machine; return False when it is another's."""
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -93,11 +93,15 @@
 
     def _plan(self) -> None:
         now = self._term.clock.monotonic()
-        if now < self._term.since + self._cfg.moves.survey_time:
+        if not self._has_surveyed(now):
             return
         self._note_arrivals(now)
         n_under_way = len(self._orders) + len(self._planned)
-        for move in plan_moves(self._loads(now), n_under_way, self._cfg.sizing):
+        loads = self._loads(now)
+        self._machines.is_short = any(
+            load.is_short(self._cfg.sizing) for load in loads if not load.is_standby
+        )
+        for move in plan_moves(loads, n_under_way, self._cfg.sizing):
             if not self._machines.may_order(move.machine):
                 continue
             if not self._machines.claim(move.machine, self):
@@ -109,6 +113,14 @@
             self._planned[move.machine] = move.pool
             self._arrivals[move.machine] = _Arrival(move.pool, room, now + duration)
 
+    def _has_surveyed(self, now: timedelta) -> bool:
+        """Return whether enough VMs have answered to tell what the pools have."""
+        if now >= self._term.since + self._cfg.moves.survey_time:
+            return True
+        agents = self._machines.agents.values()
+        n_heard = sum(a.is_ready(now) or a.vm.is_draining for a in agents)
+        return n_heard > 0 and n_heard >= self._cfg.moves.survey_part * len(agents)
+
     def _room_for(self, machine: str, pool: str) -> int:
         """Return what a machine will add to a pool, in thousandths of a core."""
         if any(p.name == pool and p.is_standby for p in self._state.plan.pools):
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -47,6 +47,8 @@
     cycle : timedelta
         What one machine takes from the beginning of its drain until it serves again,
         for the pace of a wave.
+    off_cycle : timedelta
+        The same of a machine that is off, and so needs no drain.
     evacuation : timedelta
         What one task takes from its stop until it is known to be at work elsewhere,
         for the pace of a wave.
@@ -61,6 +63,7 @@
     down_timeout: timedelta = timedelta(seconds=12)
     retry_delay: timedelta = timedelta(seconds=1)
     cycle: timedelta = timedelta(seconds=5)
+    off_cycle: timedelta = timedelta(milliseconds=2500)
     evacuation: timedelta = timedelta(milliseconds=2500)
     safety: float = 0.35
     pool_share: float = 0.2
@@ -80,7 +83,10 @@
     arrival_time : timedelta
         A machine that was moved counts as on its way for at most this long.
     survey_time : timedelta
-        A new leader moves nothing before its VMs have had this time to answer.
+        A new leader moves nothing before its VMs have had this time to answer, or
+        before most have answered.
+    survey_part : float
+        Part of the VMs that are most.
     off_time : timedelta
         A machine that was switched off is not asked for again before.
     """
@@ -90,6 +96,7 @@
     rest_time: timedelta = timedelta(milliseconds=1200)
     arrival_time: timedelta = timedelta(seconds=5)
     survey_time: timedelta = timedelta(seconds=1)
+    survey_part: float = 0.9
     off_time: timedelta = timedelta(milliseconds=2500)
 
 
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -90,16 +90,19 @@
         kept_ms = self._cfg.waves.safety * wave.duration_ms
         left_ms = max(1, wave.due_ms - kept_ms - self._term.now_ms())
         cfg = self._cfg.waves
-        work = len(left) * cfg.cycle + cfg.evacuation * sum(
-            self._evacuation.n_stops(machine) for machine in left
-        )
+        work = timedelta(0)
+        for machine in left:
+            is_off = self._machines.agent_on(machine) is None
+            work += cfg.off_cycle if is_off else cfg.cycle
+            work += cfg.evacuation * self._evacuation.n_stops(machine)
         return math.ceil(work / MS / left_ms)
 
     def _cost(self, machine: str) -> tuple[int, int]:
         """Return what its pool and its runs lose by a machine's absence."""
         agent = self._machines.agent_on(machine)
         if agent is None:
-            return (0, 0)
+            # A pool that is short of room would get it at once.
+            return (1, 0) if self._machines.is_short else (0, 0)
         backlog = self._backlog.get(agent.vm.pool, PoolBacklog())
         return (backlog.cpu, self._n_runs(machine))
 
@@ -107,7 +110,7 @@
         """Return whether nobody misses a machine now."""
         agent = self._machines.agent_on(machine)
         if agent is None:
-            return True
+            return not self._machines.is_short
         vm = agent.vm
         runs = self._state.runs_of(vm.vm_id, vm.born_ms)
         if vm.pool in self._backlog:
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -228,21 +228,22 @@
         state.apply(RecordMaintenance(number=4, now_ms=2, gone=("b",)))
         self.assertTrue(wave.is_complete)
 
-    def test_orders_for_machines_are_remembered_for_a_time(self):
+    def test_orders_for_machines_are_part_of_the_state(self):
         """A snapshot keeps them, since the next leader asks for them."""
         state = make_state()
         wave = StartWave(
             number=4, machines=("a",), duration_ms=1, max_at_once=1, now_ms=1
         )
         state.apply(wave)
-        state.apply(RecordMaintenance(number=4, now_ms=1_000, ordered=("a",)))
-        state.apply(RecordMaintenance(number=4, now_ms=1_000, given_up=("a",)))
-        state.apply(RecordMove(machine="b", now_ms=2_000))
+        state.apply(RecordMaintenance(number=4, now_ms=300, ordered=("a",)))
+        state.apply(RecordMaintenance(number=4, now_ms=300, given_up=("a",)))
+        state.apply(RecordMove(machine="b", now_ms=700))
         restored = JobsState()
         restored.restore(state.snapshot())
-        self.assertEqual(restored.machine_orders, {"a": 1_000, "b": 2_000})
-        restored.apply(RecordMove(machine="c", now_ms=61_500))
-        self.assertEqual(restored.machine_orders, {"b": 2_000, "c": 61_500})
+        self.assertEqual(dict(restored.machine_orders.ages_ms()), {"a": 400, "b": 0})
+        restored.apply(RecordMove(machine="c", now_ms=800))
+        ages_ms = dict(restored.machine_orders.ages_ms())
+        self.assertEqual(ages_ms, {"a": 500, "b": 100, "c": 0})
 
     def test_an_active_job_is_not_forgotten(self):
         state = make_state(make_job())
--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -139,7 +139,7 @@
         known_at_order = []
 
         async def watch(machine, pool, *, fence):
-            known_at_order.append(machine in self.state.machine_orders)
+            known_at_order.append(machine in self.state.machine_orders.given)
             return await move(machine, pool, fence=fence)
 
         self.platform.move = watch
@@ -155,13 +155,14 @@
 
         self.term.on_command = lose_leadership
         self.platform.machines = (standby("m1"),)
-        await eventually(lambda: self.state.machine_orders)
+        await eventually(lambda: self.state.machine_orders.given)
         await asyncio.sleep(0.02)
         self.assertEqual(self.platform.moved, [])
 
     async def test_a_new_leader_moves_nothing_before_its_vms_could_answer(self):
         """All pools seem to have no room until then."""
         self.make_fleet(make_vm("v1"))
+        self.agents["v1"]._has_looked = False
         cfg = MoveSettings(interval=CFG.interval, survey_time=timedelta(seconds=1))
         self.begin({"p": PoolBacklog(cpu=9000)}, cfg=cfg)
         self.platform.machines = (standby("m1"),)
@@ -170,6 +171,27 @@
         self.advance(timedelta(seconds=1))
         await eventually(lambda: self.platform.moved)
 
+    async def test_the_survey_ends_when_most_vms_have_answered(self):
+        self.make_fleet(*(make_vm(f"v{number}") for number in range(10)))
+        for number in range(2):
+            self.agents[f"v{number}"]._has_looked = False
+        cfg = MoveSettings(interval=CFG.interval, survey_time=timedelta(hours=1))
+        self.begin({"p": PoolBacklog(cpu=90_000)}, cfg=cfg)
+        self.platform.machines = (standby("m1"),)
+        await asyncio.sleep(0.03)
+        self.assertEqual(self.platform.moved, [])
+        self.agents["v0"]._has_looked = True
+        await eventually(lambda: self.platform.moved)
+
+    async def test_an_order_that_is_old_enough_binds_nobody(self):
+        self.make_fleet(make_vm("v1"))
+        for now_ms in (0, 500, 1_000, 1_500, 2_000, 2_500, 3_000, 3_500, 4_000):
+            machine = "m1" if not now_ms else "other"
+            self.state.apply(RecordMove(machine=machine, now_ms=now_ms))
+        book = MachineBook(self.term, {}, takeover_delay=timedelta(seconds=3))
+        self.assertTrue(book.may_order("m1"))
+        self.assertFalse(book.may_order("other"))
+
     async def test_a_new_leader_moves_machines_at_once_that_no_other_ordered(self):
         self.make_fleet(make_vm("v1"))
         self.state.apply(RecordMove(machine="m1", now_ms=self.term.now_ms()))
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -45,7 +45,7 @@
         An earlier leader ordered something for each a moment ago but the untouched.
         """
         self.state = make_state(*vms, jobs=[job] if job else [])
-        term = FakeTerm(self.state, self.clock)
+        self.term = term = FakeTerm(self.state, self.clock)
         self.agents = {}
         for vm in vms:
             agent = make_agent(vm, FakeEndpoint(), term)
@@ -106,6 +106,23 @@
         self.pass_takeover()
         await eventually(lambda: self.platform.maintained == ["m-v1"])
 
+    async def test_machines_that_are_off_wait_while_a_pool_is_short_of_them(self):
+        """A queue that rises would get them; those of a calm pool go first."""
+        self.build(make_vm("v1"), untouched=["v1"], duration_ms=20_000)
+        self.state.apply(
+            StartWave(
+                number=2,
+                machines=("m-off", "m-v1"),
+                duration_ms=20_000,
+                max_at_once=1,
+                now_ms=1,
+            )
+        )
+        self.state.waves[1].gone.add("m-v1")
+        self.machines.is_short = True
+        await eventually(lambda: self.platform.maintained)
+        self.assertEqual(self.platform.maintained, ["m-v1"])
+
     async def test_a_wave_ends_when_every_machine_has_begun(self):
         self.build(make_vm("v1"), make_vm("v2"), max_at_once=2, duration_ms=4_000)
         self.pass_takeover()
@@ -132,6 +149,29 @@
         await asyncio.sleep(0.05)
         self.assertEqual(len(self.platform.maintained), 1)
 
+    async def test_a_cordoned_machine_is_evacuated_before_its_maintenance(self):
+        job = make_job(n_tasks=2, is_long_running=True, disruption_budget=1)
+        self.build(make_vm("v1"), make_vm("v2"), job=job, duration_ms=4_000)
+        self.state.waves[1].gone.add("m-v2")
+        for index in range(2):
+            self.run_task(index, "v1")
+        self.pass_takeover()
+        stopping = self.agents["v1"].is_stopping
+        await eventually(lambda: stopping(TaskKey("j1", 0, 0, 0), 1))
+        self.assertFalse(stopping(TaskKey("j1", 0, 0, 1), 1))
+        self.assertEqual(self.platform.maintained, [])
+
+    async def test_a_leader_that_lost_its_lease_meanwhile_maintains_nothing(self):
+        self.build(make_vm("v1"), untouched=["v1"])
+
+        def lose_leadership(command):
+            self.term.is_leader = False
+
+        self.term.on_command = lose_leadership
+        await eventually(lambda: self.state.waves[1].ordered)
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.platform.maintained, [])
+
     async def test_a_task_that_is_away_holds_the_next_machine_back(self):
         job = make_job(n_tasks=2, is_long_running=True, disruption_budget=1)
         self.build(make_vm("v1"), job=job, duration_ms=4_000)
