Put the halves of a long-running step on two racks

Ruled out: detection (runs are given up as their lease lapses, as before). Change: the half that one VM may take is counted by rack.

--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -1,6 +1,7 @@
 """Choosing VMs for tasks that wait, in the order of their urgency."""
 
 import math
+from collections import Counter
 from collections.abc import Mapping, Sequence
 
 from ..jobs import NO_AMOUNTS, Amounts, RunStart
@@ -8,8 +9,9 @@
 
 __all__ = ["Placer"]
 
-# Long-running tasks of a step are spread over so many VMs where there is room.
-MIN_VMS_OF_STEP = 2
+# Long-running tasks of a step are spread over so many racks, and so VMs, where there is
+# room: losing one leaves the others at work, and more VMs would have to stay on.
+MIN_RACKS_OF_STEP = 2
 
 
 class Placer:
@@ -72,6 +74,7 @@
     def _choose(self, task: WaitingTask) -> VmRoom | None:
         need = task.step.reserved
         step_key = task.key[:3]
+        in_rack = self._count_by_rack(task)
         best = None
         best_rank = None
         for vm in self._pools.get(task.pool, ()):
@@ -81,11 +84,22 @@
                 continue
             if task.allowed is not None and vm.vm_id not in task.allowed:
                 continue
-            rank = _rank(vm, task, step_key)
+            rank = _rank(vm, task, in_rack[vm.labels])
             if best_rank is None or rank < best_rank:
                 best, best_rank = vm, rank
         return best
 
+    def _count_by_rack(self, task: WaitingTask) -> Counter[tuple[str, ...]]:
+        """Return how many tasks of a long-running step each rack has.
+
+        VMs with the same labels are in one rack.
+        """
+        in_rack: Counter[tuple[str, ...]] = Counter()
+        if task.step.is_long_running:
+            for vm in self._pools.get(task.pool, ()):
+                in_rack[vm.labels] += vm.tasks_of_step.get(task.key[:3], 0)
+        return in_rack
+
     def _take(self, task: WaitingTask, vm: VmRoom) -> RunStart:
         vm.free = vm.free - task.step.reserved
         vm.tasks_of_step[task.key[:3]] += 1
@@ -100,13 +114,11 @@
         self._usage[task.customer] = self._usage[task.customer] - task.step.need
 
 
-def _rank(vm: VmRoom, task: WaitingTask, step_key: tuple) -> tuple:
+def _rank(vm: VmRoom, task: WaitingTask, n_in_rack: int) -> tuple:
     """Return the sort key of a VM for a task, the lowest first."""
     step = task.step
     is_far = bool(step.data_rack) and step.data_rack not in vm.labels
-    n_there = vm.tasks_of_step.get(step_key, 0) if step.is_long_running else 0
-    # Losing a VM should leave half of a step at work; more VMs would have to stay on.
-    has_its_part = n_there >= math.ceil(step.n_tasks / MIN_VMS_OF_STEP)
+    has_its_part = n_in_rack >= math.ceil(step.n_tasks / MIN_RACKS_OF_STEP)
     return (
         vm.is_avoided or vm.vm_id in task.avoided,
         is_far,
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -68,11 +68,26 @@
         self.assertEqual(found, ["v1", "v2", None])
 
     def test_long_running_tasks_share_two_vms_so_that_others_can_be_off(self):
-        """Losing one leaves half at work; maintenance takes them off one by one."""
-        vms = [make_vm(f"v{number}", cpu=9000) for number in range(4)]
+        """Losing a rack leaves half at work; maintenance takes them off one by one."""
+        vms = [
+            make_vm(f"v{number}", cpu=9000, labels=("a", f"r{number // 2}"))
+            for number in range(6)
+        ]
         tasks = make_tasks(5, is_long_running=True, disruption_budget=1)
         found = Counter(self.place(make_placer(*vms), tasks))
         self.assertEqual(sorted(found.values()), [2, 3])
+        racks = {vm.labels for vm in vms if vm.vm_id in found}
+        self.assertEqual(len(racks), 2)
+
+    def test_a_rack_that_has_its_part_gets_more_only_where_there_is_no_other(self):
+        vms = [
+            make_vm("v1", cpu=9000, is_anchored=True),
+            make_vm("v2", cpu=9000, is_anchored=True),
+            make_vm("v3", cpu=400, labels=("a", "r2")),
+        ]
+        tasks = make_tasks(4, is_long_running=True)
+        found = Counter(self.place(make_placer(*vms), tasks))
+        self.assertEqual(found, {"v1": 2, "v2": 1, "v3": 1})
 
     def test_long_running_tasks_go_where_others_of_their_kind_are(self):
         placer = make_placer(
