Let two racks go before machines that are due for maintenance

Ruled out: avoiding due machines altogether wrong: it stays the next wish. Change: the two wishes change places in the order of VMs.

--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -122,9 +122,9 @@
     return (
         vm.is_avoided or vm.vm_id in task.avoided,
         is_far,
+        step.is_long_running and has_its_part,
         # A task that must not be interrupted would soon have to leave again.
         step.is_long_running and vm.is_due,
-        step.is_long_running and has_its_part,
         # The others stay idle as far as possible, and can be moved or switched off.
         not vm.is_anchored,
         -vm.free.cpu,
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -101,6 +101,15 @@
         found = self.place(make_placer(make_vm("v1", cpu=9000)), tasks)
         self.assertEqual(found, ["v1", "v1", "v1"])
 
+    def test_two_racks_go_before_vms_that_are_not_due(self):
+        """A rack that is lost during a wave must not take a whole step with it."""
+        vms = [
+            make_vm("v1", cpu=9000),
+            make_vm("v2", cpu=9000, labels=("a", "r2"), is_due=True),
+        ]
+        found = self.place(make_placer(*vms), make_tasks(4, is_long_running=True))
+        self.assertEqual(Counter(found), {"v1": 2, "v2": 2})
+
     def test_long_running_tasks_avoid_vms_that_are_due_for_maintenance(self):
         placer = make_placer(
             make_vm("v1", cpu=9000, is_anchored=True, is_due=True), make_vm("v2")
