--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -368,6 +368,15 @@
     def cancel(self, job):
         self.apply(CancelJob(job_id=f"j{job}", now_ms=9))
 
+    @rule(machine=st.integers(0, 2), now_ms=st.integers(0, 200_000))
+    def record_move(self, machine, now_ms):
+        """Clocks of leaders jump; the age of an order must hardly follow."""
+        before_ms = self.state.machine_orders.steady_ms
+        self.apply(RecordMove(machine=f"m{machine}", now_ms=now_ms))
+        passed_ms = self.state.machine_orders.steady_ms - before_ms
+        assert 0 <= passed_ms <= 500, "an order aged by a jump"
+        assert dict(self.state.machine_orders.ages_ms())[f"m{machine}"] == 0
+
     @rule()
     def restore(self):
         self.copy = JobsMachine()
