Spread long-running tasks with a budget over VMs again

A task was stopped for an evacuation while another of its step, stopped for the same reason before, was away. Not ruled out: a VM that fell silent less than 2.2 s before, whose tasks still counted as at work. Evacuation stays for what is on a VM beyond a budget.

--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -139,4 +139,9 @@
     if step.label and step.label not in labels:
         return False
     n_there = tasks_of_step.get(step_key, 0)
-    return not step.max_per_vm or n_there < step.max_per_vm
+    if step.max_per_vm and n_there >= step.max_per_vm:
+        return False
+    if step.is_long_running and step.disruption_budget:
+        # One stop of the VM must not take more tasks away than the budget allows.
+        return n_there < step.disruption_budget
+    return True
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -1,6 +1,5 @@
 """Rounds of placement over what the leader knows."""
 
-import math
 from collections.abc import Iterable
 
 from ..jobs import RunRecord, RunStart
@@ -101,9 +100,8 @@
         task = tasks[0]
         backlog = self.backlog.setdefault(task.pool, PoolBacklog())
         backlog.cpu += len(tasks) * task.step.need.cpu
-        if task.step.max_per_vm:
-            n_vms = math.ceil(len(tasks) / task.step.max_per_vm)
-            backlog.n_vms = max(backlog.n_vms, n_vms)
+        if task.step.max_per_vm or task.step.disruption_budget:
+            backlog.n_vms = max(backlog.n_vms, len(tasks))
         if needs_advice:
             self._advice.want(task.key[:3], task.pool)
         if urgency.band == LASTING and not task.step.is_gang:
