--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -1,9 +1,7 @@
 """A world of endpoints and leaders that fail, around the real scheduling.
 
-Endpoints keep leases, fences and run numbers as the platform's page says. Orders get
-lost, or are carried out seconds later, also after newer ones. Leaders are replaced at
-any moment, with proposals on their way. Promises are checked where they can be seen: at
-the endpoints.
+Leaders are replaced at any moment, with proposals on their way. Promises are checked
+where they can be seen: at the endpoints.
 """
 
 import asyncio
@@ -11,226 +9,29 @@
 from datetime import timedelta
 
 from redwingslip.jobs import (
-    ActiveRun,
-    Amounts,
     EndKind,
     ForgetVm,
     JobStatus,
     NoteVm,
     RecordEnds,
     SubmitJob,
-    VmRecord,
     iter_tasks,
 )
 from redwingslip.observe import NullSink, new_metrics
 from redwingslip.scheduling import (
     CommandLostError,
-    HoldReport,
     LeaderPolicy,
-    ListedEnd,
-    ListedRun,
     NotLeadingError,
-    OrderLostError,
-    OrderNotSentError,
     Scheduler,
-    StartOutcome,
-    StartResult,
 )
 from redwingslip.settings import MetricsSettings
+from tests.scheduling_endpoints import Endpoint, Network
 
 MS = timedelta(milliseconds=1)
 COMMIT_S = 0.005
-CALL_S = 0.002
-CALL_TIMEOUT_S = 1.0
-STOP_S = 0.2
-MAX_LEASE_MS = 6_000
-CAPACITY = Amounts(4_000, 4_000)
 METRICS = new_metrics(MetricsSettings(), process_id="world")
 
 
-class _Run:
-    def __init__(self, key, number, ends_at):
-        self.key = key
-        self.number = number
-        self.ends_at = ends_at
-
-
-class Endpoint:
-    """One life of a VM, with its lease, fence, runs and ends."""
-
-    def __init__(self, world, vm_id, rate):
-        self.world = world
-        self.vm_id = vm_id
-        self.born_ms = next(world.births)
-        self.rate = rate
-        self.began_at = world.now()
-        self.fence = 0
-        self.until_ms = 0
-        self.runs = {}
-        self.closed = {}
-        self.ends = []
-        self.ended_at = {}
-        # Ends up to this number were not taken note of before the lease lapsed.
-        self.n_void = 0
-        self.is_up = True
-        self.is_cut = False
-        self.is_draining = False
-
-    def clock_ms(self):
-        """Return its own steady clock, which may be slow."""
-        return int((self.world.now() - self.began_at) * 1000 * self.rate)
-
-    def record(self):
-        """Return what it reports of itself."""
-        return VmRecord(
-            vm_id=self.vm_id,
-            born_ms=self.born_ms,
-            machine=f"m-{self.vm_id}",
-            pool="p",
-            address=f"{self.vm_id}:1",
-            capacity=CAPACITY,
-            labels=("a", "r1"),
-            is_draining=self.is_draining,
-        )
-
-    def work(self):
-        """End what has finished or whose lease is over."""
-        if not self.is_up:
-            return
-        is_over = self.clock_ms() >= self.until_ms
-        if is_over:
-            self.n_void = len(self.ends)
-        for run in list(self.runs.values()):
-            if is_over:
-                self._end(run, EndKind.LAPSED)
-            elif self.world.now() >= run.ends_at:
-                fails = self.world.rng.random() < self.world.failing
-                self._end(run, EndKind.FAILED if fails else EndKind.DONE)
-
-    def renew(self, until_ms):
-        """Extend the lease as far as it may be."""
-        most = self.clock_ms() + MAX_LEASE_MS
-        self.until_ms = max(self.until_ms, min(until_ms, most))
-
-    def start(self, run: ActiveRun, fence, until_ms):
-        """Carry out the order to start a run."""
-        self.work()
-        if fence < self.fence:
-            return StartResult.SUPERSEDED
-        self.fence = fence
-        if until_ms < self.clock_ms():
-            return StartResult.LATE
-        self.renew(until_ms)
-        current = self.runs.get(run.key)
-        if current is not None and current.number == run.number:
-            return StartResult.ACCEPTED
-        if current is not None or run.number <= self.closed.get(run.key, 0):
-            return StartResult.OLD
-        step = self.world.state.step(run.key)
-        used = sum(self.world.state.step(key).need.cpu for key in self.runs)
-        if used + step.need.cpu > CAPACITY.cpu:
-            return StartResult.NO_ROOM
-        self.world.check_start(self, run)
-        duration = step.estimate_ms / 1000 * self.world.rng.uniform(0.5, 1.5)
-        if step.is_long_running:
-            duration = 1e9
-        ends_at = self.world.now() + duration
-        self.runs[run.key] = _Run(run.key, run.number, ends_at)
-        return StartResult.ACCEPTED
-
-    def stop(self, key, number, fence):
-        """Carry out the order to stop a run."""
-        self.work()
-        if fence < self.fence:
-            return
-        self.fence = fence
-        self.closed[key] = max(self.closed.get(key, 0), number)
-        run = self.runs.get(key)
-        if run is not None and run.number <= number:
-            self._end(run, EndKind.STOPPED)
-
-    def hold(self, fence, cursor, until_ms):
-        """Renew the lease and return the lists."""
-        self.work()
-        if fence >= self.fence:
-            self.fence = fence
-            self.world.note_cursor(self, cursor)
-            if until_ms is not None:
-                self.renew(until_ms)
-        return HoldReport(
-            clock_ms=self.clock_ms(),
-            born_ms=self.born_ms,
-            runs=tuple(
-                ListedRun(run.key, run.number, "", self.world.percent(run))
-                for run in self.runs.values()
-            ),
-            ends=tuple(end for end in self.ends if end.cursor > cursor),
-        )
-
-    def _end(self, run, kind):
-        del self.runs[run.key]
-        self.closed[run.key] = max(self.closed.get(run.key, 0), run.number)
-        end = ListedEnd(len(self.ends) + 1, run.key, run.number, kind)
-        self.ends.append(end)
-        self.ended_at[end.cursor] = self.world.now()
-
-
-class Network:
-    """The orders' way to the endpoints."""
-
-    def __init__(self, world):
-        self.world = world
-
-    async def hold(self, vm, *, fence, cursor, until_ms, wait_ms):
-        """Look, and wait for an end if nothing else is there to tell."""
-        endpoint = await self._reach(vm, lambda e: e.hold(fence, cursor, until_ms))
-        n_ends = len(endpoint.ends)
-        until = self.world.now() + wait_ms / 1000
-        while self.world.now() < until and len(endpoint.ends) == n_ends:
-            await asyncio.sleep(0.05)
-            endpoint.work()
-        if not endpoint.is_up or endpoint.is_cut:
-            raise OrderLostError("no answer")
-        return endpoint.hold(fence, cursor, until_ms)
-
-    async def start(self, vm, run, *, payload, ticket, fence, until_ms):
-        """Order a start."""
-        results = []
-        endpoint = await self._reach(
-            vm, lambda e: results.append(e.start(run, fence, until_ms))
-        )
-        return StartOutcome(results[0], endpoint.clock_ms())
-
-    async def stop(self, vm, key, number, *, fence):
-        """Order a stop."""
-        await self._reach(vm, lambda e: e.stop(key, number, fence))
-
-    async def _reach(self, vm, order):
-        """Have an order carried out, or lose it or its answer."""
-        await asyncio.sleep(CALL_S)
-        endpoint = self.world.endpoints.get(vm.vm_id)
-        if endpoint is None or not endpoint.is_up:
-            raise OrderNotSentError("refused")
-        rng = self.world.rng
-        if endpoint.is_cut:
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            raise OrderLostError("no answer")
-        if rng.random() < self.world.losing:
-            if rng.random() < 0.7:
-                delay = rng.choice((0, rng.uniform(2, 12)))
-                asyncio.get_running_loop().call_later(
-                    delay, self._carry_out_late, endpoint, order
-                )
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            raise OrderLostError("no answer")
-        order(endpoint)
-        return endpoint
-
-    def _carry_out_late(self, endpoint, order):
-        if endpoint.is_up:
-            order(endpoint)
-
-
 class WorldTerm:
     """One leadership over the world's state."""
 
--- /dev/null
+++ b/tests/test_jobs_fuzz.py
@@ -0,0 +1,188 @@
+"""Stateful fuzzing of the replicated state of jobs against a small oracle."""
+
+import os
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from redwingslip.jobs import (
+    CancelJob,
+    EndKind,
+    ForgetVm,
+    JobsMachine,
+    JobStatus,
+    NoteVm,
+    RecordMove,
+    ReplacePlan,
+    RunStart,
+    StartRuns,
+    VmRecord,
+    encode_command,
+    iter_tasks,
+)
+from tests.test_jobs_state import MAX_ATTEMPTS, PLAN, end, make_job
+
+
+class JobsMachineFuzz(RuleBasedStateMachine):
+    """Random commands on two copies, one of which is restored from snapshots."""
+
+    def __init__(self):
+        super().__init__()
+        self.machine = JobsMachine()
+        self.copy = JobsMachine()
+        self.done = set()
+        self.failures = {}
+        self.last_number = {}
+        self.lives = {}
+        self.apply(ReplacePlan(plan=PLAN))
+        for job in range(3):
+            self.submit_job(job, 2, is_long_running=job == 2)
+        for vm in range(3):
+            self.lives[vm] = 1
+            self.apply(NoteVm(vm=VmRecord(vm_id=f"v{vm}", born_ms=1), now_ms=1))
+
+    def submit_job(self, job, n_tasks, *, is_long_running):
+        """Hand a job in."""
+        self.apply(
+            make_job(f"j{job}", n_tasks=n_tasks, is_long_running=is_long_running)
+        )
+
+    def apply(self, command):
+        """Apply a command to both copies, which must agree."""
+        data = encode_command(command)
+        outcome = self.machine.apply(1, data)
+        self.copy.apply(1, data)
+        return outcome
+
+    @property
+    def state(self):
+        """Return the state under test."""
+        return self.machine.state
+
+    @rule(
+        job=st.integers(0, 4),
+        n_tasks=st.integers(1, 3),
+        is_long_running=st.booleans(),
+    )
+    def submit(self, job, n_tasks, is_long_running):
+        self.submit_job(job, n_tasks, is_long_running=is_long_running)
+
+    @rule(vm=st.integers(0, 2), is_new=st.booleans())
+    def note_vm(self, vm, is_new):
+        self.lives[vm] += is_new
+        record = VmRecord(vm_id=f"v{vm}", born_ms=self.lives[vm])
+        self.apply(NoteVm(vm=record, now_ms=1))
+
+    @rule(vm=st.integers(0, 2), age=st.integers(0, 2))
+    def forget_vm(self, vm, age):
+        life = self.lives[vm] - age
+        self.apply(ForgetVm(vm_id=f"v{vm}", born_ms=life, now_ms=1))
+
+    @rule(
+        picks=st.lists(
+            st.tuples(st.integers(0, 99), st.integers(0, 2), st.integers(0, 1)),
+            min_size=1,
+            max_size=6,
+        )
+    )
+    def start_some(self, picks):
+        keys = [key for job in self.state.jobs.values() for key, _ in iter_tasks(job)]
+        starts = tuple(
+            RunStart(keys[pick % len(keys)], f"v{vm}", self.lives[vm] - age)
+            for pick, vm, age in picks
+        )
+        self.check_runs(self.apply(StartRuns(starts=starts, now_ms=2)))
+
+    def check_runs(self, runs):
+        """Check what the oracle knows of each task."""
+        for run in runs:
+            assert run.key not in self.done, "started after its end"
+            assert self.failures.get(run.key, 0) < MAX_ATTEMPTS or (
+                self.state.step(run.key).is_long_running
+            ), "started beyond its attempts"
+            assert run.number > self.last_number.get(run.key, 0), "number fell"
+            self.last_number[run.key] = run.number
+            life = self.lives[int(run.vm_id[1:])]
+            assert run.born_ms == life, "started on a life that is over"
+
+    @precondition(lambda self: any(self.state.runs.values()))
+    @rule(
+        ends=st.lists(
+            st.tuples(st.integers(0, 99), st.sampled_from(EndKind)),
+            min_size=1,
+            max_size=4,
+        ),
+        age=st.integers(0, 1),
+    )
+    def end_some(self, ends, age):
+        for pick, kind in ends:
+            runs = [r for runs in self.state.runs.values() for r in runs.values()]
+            if runs:
+                self.end_run(runs[pick % len(runs)], kind, age)
+
+    def end_run(self, run, kind, age):
+        """Record an end twice: of this life, or late of one before."""
+        is_long_running = self.state.step(run.key).is_long_running
+        command = end(
+            kind, run.key, run.number, vm_id=run.vm_id, born_ms=run.born_ms - age
+        )
+        for _ in range(2):
+            self.apply(command)
+        if age:
+            runs = self.state.runs[run.vm_id]
+            assert (run.key, run.number) in runs, "ended by another life"
+        elif kind is EndKind.DONE and not is_long_running:
+            self.done.add(run.key)
+        elif kind is EndKind.FAILED:
+            self.failures[run.key] = self.failures.get(run.key, 0) + 1
+
+    @rule(job=st.integers(0, 4))
+    def cancel(self, job):
+        self.apply(CancelJob(job_id=f"j{job}", now_ms=9))
+
+    @rule(machine=st.integers(0, 2), now_ms=st.integers(0, 200_000))
+    def record_move(self, machine, now_ms):
+        """Clocks of leaders jump; the age of an order must hardly follow."""
+        before_ms = self.state.machine_orders.steady_ms
+        self.apply(RecordMove(machine=f"m{machine}", now_ms=now_ms))
+        passed_ms = self.state.machine_orders.steady_ms - before_ms
+        assert 0 <= passed_ms <= 500, "an order aged by a jump"
+        assert dict(self.state.machine_orders.ages_ms())[f"m{machine}"] == 0
+
+    @rule()
+    def restore(self):
+        self.copy = JobsMachine()
+        self.copy.restore(1, self.machine.snapshot())
+
+    @invariant()
+    def copies_agree(self):
+        assert self.machine.snapshot() == self.copy.snapshot()
+        assert _runs(self.machine) == _runs(self.copy)
+
+    @invariant()
+    def one_run_a_task(self):
+        seen = [run.key for runs in self.state.runs.values() for run in runs.values()]
+        assert len(seen) == len(set(seen)), "two runs of one task"
+
+    @invariant()
+    def completed_jobs_are_done(self):
+        for job in self.state.jobs.values():
+            if job.status is JobStatus.COMPLETED:
+                assert all(key in self.done for key, _ in iter_tasks(job))
+
+
+def _runs(machine):
+    runs = machine.state.runs.values()
+    return {run for vm_runs in runs for run in vm_runs.values()}
+
+
+N_CASES = 2000 if "REDWINGSLIP_FUZZ_SEED" in os.environ else 150
+JobsMachineFuzz.TestCase.settings = settings(
+    max_examples=N_CASES,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize="REDWINGSLIP_FUZZ_SEED" not in os.environ,
+    suppress_health_check=list(HealthCheck),
+)
+TestJobsFuzz = JobsMachineFuzz.TestCase
