Bound connects without losing a cancellation or a timeout

Cause: the HTTP library bounds a connect with asyncio.wait_for. In Python 3.11 that call returns its result, and drops the cancellation, if the task is cancelled or its timeout fires after the connection was made and before the task was woken. The request then waits for an answer without any limit, and a stop waits for the request.

Ruled out: RebootRunner and ClientPool themselves; both use asyncio.timeout and re-raise cancellations. The library's other waits have no time limit set, and then wait_for awaits directly (traced: 4 calls a request, one with a limit, which is the connect).

Change: the library gets no time limits; BoundedConnection bounds its own connect with asyncio.timeout, for the client and for the command line. A client that fails before it has a connection can be closed. The test suite ends itself after 30 minutes and prints the test and the stacks of threads and tasks.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -7,13 +7,60 @@
 """
 
 import argparse
+import asyncio
+import faulthandler
+import gc
 import os
 import pathlib
 import sys
+import threading
 import unittest
+from datetime import timedelta
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+SUITE_TIMEOUT = timedelta(minutes=30)
+FUZZ_TIMEOUT = timedelta(hours=12)
+TIMED_OUT_STATUS = 3
+
+
+class HangGuard:
+    """Ends a run of tests that takes too long, and prints where it waits.
+
+    Parameters
+    ----------
+    timeout : timedelta
+        Longest time that the run may take.
+    """
+
+    def __init__(self, timeout: timedelta) -> None:
+        self._timeout = timeout
+        self._timer = threading.Timer(timeout.total_seconds(), self._end_run)
+        self._timer.daemon = True
+        self._test: unittest.TestCase | None = None
+
+    def start(self) -> None:
+        """Start to measure the time."""
+        self._timer.start()
+
+    def stop(self) -> None:
+        """Let the run take any further time."""
+        self._timer.cancel()
+
+    def note_test(self, test: unittest.TestCase) -> None:
+        """Record the test that runs now."""
+        self._test = test
+
+    def _end_run(self) -> None:
+        """Print the stacks of all threads and tasks, and exit."""
+        test_id = self._test.id() if self._test is not None else "no test"
+        print(f"\nno end after {self._timeout}; now in {test_id}", file=sys.stderr)
+        faulthandler.dump_traceback()
+        for task in [obj for obj in gc.get_objects() if isinstance(obj, asyncio.Task)]:
+            if not task.done():
+                task.print_stack(file=sys.stderr)
+        sys.stderr.flush()
+        os._exit(TIMED_OUT_STATUS)
 
 
 def read_known_red() -> dict[str, str]:
@@ -49,6 +96,17 @@
     return ok
 
 
+def new_result_class(guard: HangGuard) -> type[unittest.TextTestResult]:
+    """Return a class of results that tells the guard which test runs."""
+
+    class GuardedResult(unittest.TextTestResult):
+        def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+            guard.note_test(test)
+            super().startTest(test)
+
+    return GuardedResult
+
+
 def main() -> int:
     """Run the tests and return the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -67,12 +125,16 @@
     known_red = [test for test in tests if test.id() in entries]
     missing = set(entries) - {test.id() for test in tests}
     others = unittest.TestSuite(test for test in tests if test.id() not in entries)
-    result = unittest.TextTestRunner(verbosity=1).run(others)
+    guard = HangGuard(FUZZ_TIMEOUT if args.fuzz else SUITE_TIMEOUT)
+    guard.start()
+    runner = unittest.TextTestRunner(verbosity=1, resultclass=new_result_class(guard))
+    result = runner.run(others)
     n_failed = len(result.failures) + len(result.errors)
     n_failed += len(result.unexpectedSuccesses)
     n_skipped = len(result.skipped)
     n_passed = result.testsRun - n_failed - n_skipped
     ok = result.wasSuccessful() and run_known_red(known_red, entries)
+    guard.stop()
     if missing and args.pattern == "test_*.py":
         print(f"KNOWN-RED.txt names tests that do not exist: {sorted(missing)}")
         ok = False
--- a/src/redwingslip/cli/_exchange.py
+++ b/src/redwingslip/cli/_exchange.py
@@ -15,9 +15,9 @@
 import msgspec
 from aiosonic.connection import Connection
 from aiosonic.exceptions import ConnectTimeout
-from aiosonic.timeout import Timeouts
 
 from ..exceptions import RedwingslipError
+from ..http import NO_LIBRARY_TIMEOUTS, BoundedConnection
 
 __all__ = [
     "AnswerLostError",
@@ -146,16 +146,13 @@
     connections: list[Connection] = []
 
     def connect(pool) -> Connection:
-        conn = Connection(pool)
+        conn = BoundedConnection(pool, connect_timeout=CONNECT_TIMEOUT)
         connections.append(conn)
         return conn
 
-    timeouts = Timeouts(
-        sock_connect=CONNECT_TIMEOUT.total_seconds(),
-        sock_read=None,
-        request_timeout=None,
+    connector = aiosonic.TCPConnector(
+        timeouts=NO_LIBRARY_TIMEOUTS, connection_cls=connect
     )
-    connector = aiosonic.TCPConnector(timeouts=timeouts, connection_cls=connect)
     client = aiosonic.HTTPClient(connector=connector)
     try:
         yield await client.request(
--- a/src/redwingslip/http/__init__.py
+++ b/src/redwingslip/http/__init__.py
@@ -9,6 +9,7 @@
     strict_convert,
 )
 from ._client import ClientAnswer, ClientPool, ClientRequest
+from ._connections import NO_LIBRARY_TIMEOUTS, BoundedConnection
 from ._limits import ClientLimits, HttpLimits, TlsFiles
 from ._problems import (
     NOT_RUN,
@@ -29,6 +30,7 @@
 __all__ = [
     "AnswerLostError",
     "BodyTooLargeError",
+    "BoundedConnection",
     "ClientAnswer",
     "ClientLimits",
     "ClientPool",
@@ -38,6 +40,7 @@
     "HttpLimits",
     "HttpServer",
     "NOT_RUN",
+    "NO_LIBRARY_TIMEOUTS",
     "NotConnectedError",
     "PROBLEM_TYPE",
     "Problem",
--- a/src/redwingslip/http/_client.py
+++ b/src/redwingslip/http/_client.py
@@ -14,11 +14,10 @@
 
 import aiosonic
 import msgspec
-from aiosonic.connection import Connection
 from aiosonic.exceptions import ConnectionDisconnected, HttpParsingError
 from aiosonic.pools import PoolConfig
-from aiosonic.timeout import Timeouts
 
+from ._connections import NO_LIBRARY_TIMEOUTS, BoundedConnection
 from ._limits import ClientLimits
 from .exceptions import AnswerLostError, HttpError, NotConnectedError
 
@@ -67,7 +66,7 @@
         """Do nothing; the resolver holds no resources."""
 
 
-class _WatchedConnection(Connection):
+class _WatchedConnection(BoundedConnection):
     """A connection that detects unsolicited input and truncated answers.
 
     It records whether anything of a request has been sent. A line or chunk that is
@@ -76,8 +75,8 @@
     request, or is closed by the server, is never used again.
     """
 
-    def __init__(self, pool) -> None:
-        super().__init__(pool)
+    def __init__(self, pool, *, connect_timeout: timedelta) -> None:
+        super().__init__(pool, connect_timeout=connect_timeout)
         self.has_sent = False
         self._is_in_head = False
         self._first_byte: asyncio.Task | None = None
@@ -171,23 +170,19 @@
     `timer` closes the connection when it has been idle for too long.
     """
 
-    __slots__ = ("conn", "http", "timer")
+    __slots__ = ("_connect_timeout", "conn", "http", "timer")
 
     def __init__(self, cfg: ClientLimits) -> None:
         self.conn: _WatchedConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
-        timeouts = Timeouts(
-            sock_connect=cfg.connect_timeout.total_seconds(),
-            sock_read=None,
-            request_timeout=None,
-        )
+        self._connect_timeout = cfg.connect_timeout
         connector = aiosonic.TCPConnector(
             pool_configs={
                 ":default": PoolConfig(
                     size=1, max_conn_requests=None, max_conn_idle_ms=None
                 )
             },
-            timeouts=timeouts,
+            timeouts=NO_LIBRARY_TIMEOUTS,
             connection_cls=self._connect,
             resolver=_NumericResolver(),
             use_dns_cache=False,
@@ -197,7 +192,7 @@
         )
 
     def _connect(self, pool) -> _WatchedConnection:
-        self.conn = _WatchedConnection(pool)
+        self.conn = _WatchedConnection(pool, connect_timeout=self._connect_timeout)
         return self.conn
 
     def close(self) -> None:
@@ -205,7 +200,8 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        self.conn.close()
+        if self.conn is not None:
+            self.conn.close()
 
 
 class ClientPool:
