Judge slow runs by learned run times, not by callers' estimates

Cause: a run was stopped and restarted on another VM once its projected time passed six times the caller's estimate. Estimates are off by large factors, so sound runs were stopped, half of them within 0.4 s of their start; each stop cost up to 0.9 s and the work done, up to three times per task, and the VM was avoided for 3 s.

Change: RunTimeModel keeps the run times of finished runs. A run is compared with the median of its step on other VMs, else with the longest usual time of its queue, a line fitted to the logarithms of run times over estimates; without either it is never slow. It restarts only if that is sooner, the platform's time to stop included. A VM with an outlier is avoided. The log says why a run was stopped.

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -6,7 +6,7 @@
 
 from ..jobs import ActiveRun, EndKind, RunEnd, TaskKey, VmRecord
 from ..observe import EventName
-from ..workers import RunProgress, VmHealth, VmLease
+from ..workers import RunProgress, RunTimeModel, StepKey, VmHealth, VmLease
 from ._agent_settings import VmPolicy
 from ._order_sender import OrderSender, RunId
 from ._ports import HoldReport, ListedRun, VmOrders
@@ -16,6 +16,8 @@
 
 __all__ = ["AgentListener", "VmAgent"]
 
+MS = timedelta(milliseconds=1)
+
 
 class AgentListener(Protocol):
     """Receiver of what an agent finds out about its VM."""
@@ -43,6 +45,8 @@
         Client of the endpoints.
     listener : AgentListener
         Receives contacts and restarts.
+    run_times : RunTimeModel
+        Run times on all VMs, which the runs of this one are compared with.
     cfg : VmPolicy
         The settings.
 
@@ -58,6 +62,7 @@
         "_listener",
         "_orders",
         "_progress",
+        "_run_times",
         "_sender",
         "_task",
         "_term",
@@ -74,12 +79,14 @@
         term: Term,
         orders: VmOrders,
         listener: AgentListener,
+        run_times: RunTimeModel,
         cfg: VmPolicy,
     ) -> None:
         self.vm = vm
         self._term = term
         self._orders = orders
         self._listener = listener
+        self._run_times = run_times
         self._cfg = cfg
         self.lease = VmLease(cfg.leases, term.clock.monotonic())
         self.health = VmHealth(cfg.health)
@@ -163,7 +170,7 @@
             fence=self._term.fence,
             cursor=self._cursor(),
             until_ms=until_ms,
-            wait_ms=wait // timedelta(milliseconds=1),
+            wait_ms=wait // MS,
         )
         if report.born_ms and report.born_ms != self.vm.born_ms:
             raise VmReplacedError(f"incarnation {report.born_ms} answers")
@@ -171,7 +178,7 @@
         self.lease.note_clock(report.clock_ms, now)
         self.lease.note_contact(now)
         self._sender.is_unresponsive = False
-        await self._record_ends(report)
+        await self._record_ends(report, now)
         self.listed_runs = {(run.key, run.number): run for run in report.runs}
         self._reconcile(sent_at)
         self._stop_stalled_runs(now)
@@ -185,11 +192,14 @@
             return 0
         return vm.end_cursor
 
-    async def _record_ends(self, report: HoldReport) -> None:
+    async def _record_ends(self, report: HoldReport, now: timedelta) -> None:
         cursor = self._cursor()
         new_ends = [end for end in report.ends if end.cursor > cursor]
         if not new_ends:
             return
+        for end in new_ends:
+            if end.kind is EndKind.DONE:
+                self._learn_run_time((end.key, end.number), now)
         ends = tuple(
             RunEnd(end.key, end.number, end.kind, end.checkpoint) for end in new_ends
         )
@@ -213,8 +223,24 @@
                 self._sender.confirmed_at.setdefault(run_id, sent_at)
             elif not self._sender.is_pending(run_id):
                 self._handle_missing_run(run_id, run, sent_at)
-        for run_id in self._sender.confirmed_at.keys() - active.keys():
-            del self._sender.confirmed_at[run_id]
+        for by_run in (self._sender.confirmed_at, self._sender.started_at):
+            for run_id in by_run.keys() - active.keys():
+                del by_run[run_id]
+
+    def _learn_run_time(self, run_id: RunId, now: timedelta) -> None:
+        """Record how long a run took that this leader started from the beginning."""
+        started_at = self._sender.started_at.pop(run_id, None)
+        job = self._term.state.jobs.get(run_id[0].job_id)
+        if started_at is None or job is None:
+            return
+        step = self._term.state.step(run_id[0])
+        self._run_times.record(
+            StepKey(*run_id[0][:3]),
+            queue=job.spec.queue,
+            vm_id=self.vm.vm_id,
+            estimate=timedelta(milliseconds=step.estimate_ms),
+            run_time=now - started_at,
+        )
 
     def _stop_stalled_runs(self, now: timedelta) -> None:
         """Stop runs that are stalled or slow, so that they restart on another VM."""
@@ -227,40 +253,55 @@
                 self._progress[run_id] = RunProgress(now, listed.percent)
                 continue
             progress.update(now, listed.percent)
-            if not self.is_stopping(*run_id) and self._should_restart(
-                run_id, progress, now
-            ):
-                self._report_restart(run_id)
+            if self.is_stopping(*run_id):
+                continue
+            reason = self._restart_reason(run_id, progress, now)
+            if reason:
+                self._report_restart(run_id, reason)
                 self.health.avoid(now)
                 self.stop(*run_id)
 
-    def _report_restart(self, run_id: RunId) -> None:
+    def _report_restart(self, run_id: RunId, reason: str) -> None:
         """Log that a run is stopped for lack of progress, and notify the listener."""
         key, number = run_id
+        percent = self.listed_runs[run_id].percent
         self._term.emit(
             EventName.RUN_PREEMPTED,
             request_id=key.job_id,
             vm=self.vm.vm_id,
-            detail=f"{key.label(number)} stands still",
+            detail=f"{key.label(number)} stands still at {percent} %: {reason}",
         )
         self._listener.note_restart(key, self.vm.vm_id)
 
-    def _should_restart(
+    def _restart_reason(
         self, run_id: RunId, progress: RunProgress, now: timedelta
-    ) -> bool:
+    ) -> str:
+        """Return why a run is to restart on another VM, empty if it is to go on."""
         cfg = self._cfg.progress
         key, number = run_id
-        if self._term.state.task(key) is None:
-            return False
+        job = self._term.state.jobs.get(key.job_id)
+        if job is None or self._term.state.task(key) is None:
+            return ""
         step = self._term.state.step(key)
         if step.is_gang or number > cfg.max_runs:
-            return False
+            return ""
         if progress.is_stalled(now, cfg):
-            return True
+            return f"no progress for {cfg.stall_time / MS:.0f} ms"
         if step.is_long_running or step.data_rack or step.is_rack_bound:
-            return False
-        estimate = timedelta(milliseconds=step.estimate_ms)
-        return progress.is_slow(now, estimate, cfg)
+            return ""
+        usual = self._run_times.longest_usual(
+            StepKey(*key[:3]),
+            queue=job.spec.queue,
+            vm_id=self.vm.vm_id,
+            estimate=timedelta(milliseconds=step.estimate_ms),
+        )
+        if usual is None or not progress.is_outlier(now, usual, cfg):
+            return ""
+        # New runs avoid a VM with an outlier, also if that run itself is to go on.
+        self.health.avoid(now)
+        if not progress.is_slow(now, usual, cfg):
+            return ""
+        return f"usually done after {usual / MS:.0f} ms"
 
     def _handle_missing_run(
         self, run_id: RunId, run: ActiveRun, sent_at: timedelta
--- a/src/redwingslip/scheduling/_agent_settings.py
+++ b/src/redwingslip/scheduling/_agent_settings.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from ..workers import HealthSettings, LeaseSettings, ProgressSettings
+from ..workers import (
+    HealthSettings,
+    LeaseSettings,
+    ProgressSettings,
+    RunTimeSettings,
+)
 
 __all__ = ["AgentSettings", "VmPolicy"]
 
@@ -44,9 +49,12 @@
         When a VM is avoided by placement.
     progress : ProgressSettings
         When a run is restarted on another VM.
+    run_times : RunTimeSettings
+        Run times learned from finished runs.
     """
 
     agents: AgentSettings = AgentSettings()
     leases: LeaseSettings = LeaseSettings()
     health: HealthSettings = HealthSettings()
     progress: ProgressSettings = ProgressSettings()
+    run_times: RunTimeSettings = RunTimeSettings()
--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -66,6 +66,9 @@
     confirmed_at : dict
         Monotonic time at which an order for a run was answered or the run was first
         listed; only a poll that is sent later can prove that the run is lost.
+    started_at : dict
+        Monotonic time at which the endpoint accepted a run that began anew, for the
+        runs that this sender started.
     stop_answered_at : dict
         Monotonic time at which the stop order for a run was answered.
     """
@@ -83,6 +86,7 @@
         "health",
         "is_unresponsive",
         "lease",
+        "started_at",
         "stop_answered_at",
         "vm",
     )
@@ -106,6 +110,7 @@
         self.full_until: timedelta | None = None
         self.is_unresponsive = False
         self.confirmed_at: dict[RunId, timedelta] = {}
+        self.started_at: dict[RunId, timedelta] = {}
         self.stop_answered_at: dict[RunId, timedelta] = {}
         self._queue: deque[_Order] = deque()
         self._pending: dict[RunId, _Order] = {}
@@ -292,6 +297,8 @@
         run_id = (order.key, order.number)
         if outcome.result in (StartResult.ACCEPTED, StartResult.OLD):
             self.confirmed_at[run_id] = now
+            if not order.run.checkpoint and not order.n_lost:
+                self.started_at[run_id] = now
         elif outcome.result is StartResult.LATE:
             self._enqueue(order)
         elif outcome.result is not StartResult.SUPERSEDED:
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -26,6 +26,7 @@
 )
 from ..observe import EventName
 from ..placement import ArrivalTrend
+from ..workers import RunTimeModel
 from ._advice import AdviceCache, Adviser
 from ._agent import VmAgent
 from ._job_index import JobIndex
@@ -78,6 +79,7 @@
         self._state = term.state
         self._orders = orders
         self._cfg = cfg
+        self._run_times = RunTimeModel(cfg.vms.run_times)
         self._job_index = JobIndex(term.state)
         self._wake = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
@@ -219,6 +221,7 @@
     def _(self, command: ForgetJobs, outcome: None) -> None:
         for job_id in command.job_ids:
             self._job_index.forget_job(job_id)
+            self._run_times.forget_job(job_id)
             self._advice.forget_job(job_id)
 
     def _handle_ends(self, vm_id: str, ends: Iterable[RunEnd]) -> None:
@@ -276,6 +279,7 @@
             term=self._term,
             orders=self._orders,
             listener=self,
+            run_times=self._run_times,
             cfg=self._cfg.vms,
         )
         self.agents[vm.vm_id] = agent
--- a/src/redwingslip/workers/_progress.py
+++ b/src/redwingslip/workers/_progress.py
@@ -17,14 +17,18 @@
     stall_time : timedelta
         A run whose percentage does not change for this long is stalled.
     slow_factor : float
-        A run is slow if its projected run time exceeds its estimate by this factor. The
-        estimate itself may be half of the true run time (platform contract).
+        A run is an outlier if its projected run time exceeds the longest usual run time
+        by this factor.
+    restart_cost : timedelta
+        Time that a restart takes beside the run itself: the platform gives a run almost
+        a second to stop (platform contract), and the new run waits for its order.
     max_runs : int
         Highest run number of a task that is still restarted for lack of progress.
     """
 
     stall_time: timedelta = timedelta(milliseconds=1800)
-    slow_factor: float = 6.0
+    slow_factor: float = 2.5
+    restart_cost: timedelta = timedelta(seconds=1)
     max_runs: int = 4
 
 
@@ -58,14 +62,40 @@
         is_finished = self._percent >= DONE_PERCENT
         return not is_finished and now - self._changed_at >= cfg.stall_time
 
-    def is_slow(
-        self, now: timedelta, estimate: timedelta, cfg: ProgressSettings
+    def is_outlier(
+        self, now: timedelta, usual: timedelta, cfg: ProgressSettings
     ) -> bool:
-        """Return whether the run would finish sooner if restarted on another VM."""
-        progress = self._percent - self._first_percent
-        elapsed = now - self._first_at
-        if not estimate or progress <= 0 or elapsed < 2 * estimate:
+        """Return whether the run takes far longer than runs elsewhere.
+
+        Parameters
+        ----------
+        now : timedelta
+            Monotonic time of the last poll that listed the run.
+        usual : timedelta
+            Longest usual run time of such a run.
+        cfg : ProgressSettings
+            The settings.
+        """
+        if now - self._first_at < usual:
+            return False
+        return self._projected(now, DONE_PERCENT) > cfg.slow_factor * usual
+
+    def is_slow(self, now: timedelta, usual: timedelta, cfg: ProgressSettings) -> bool:
+        """Return whether an outlier would end sooner if restarted on another VM.
+
+        The parameters are those of `is_outlier`.
+        """
+        if not self.is_outlier(now, usual, cfg):
             return False
-        total = elapsed * (DONE_PERCENT / progress)
-        remaining = elapsed * ((DONE_PERCENT - self._percent) / progress)
-        return total > cfg.slow_factor * estimate and remaining > 2 * estimate
+        remaining = self._projected(now, DONE_PERCENT - self._percent)
+        return remaining > usual + cfg.restart_cost
+
+    def _projected(self, now: timedelta, percent: float) -> timedelta:
+        """Return the time that a part of the run takes at its pace so far.
+
+        A run without progress is left to `is_stalled`.
+        """
+        progress = self._percent - self._first_percent
+        if progress <= 0:
+            return timedelta(0)
+        return (now - self._first_at) * (percent / progress)
--- /dev/null
+++ b/src/redwingslip/workers/_run_times.py
@@ -0,0 +1,171 @@
+"""Run times learned from finished runs, and the detection of runs that are outliers."""
+
+import math
+import statistics
+from collections import deque
+from datetime import timedelta
+from typing import NamedTuple
+
+import msgspec
+
+__all__ = ["RunTimeSettings", "RunTimeModel", "StepKey"]
+
+MS = timedelta(milliseconds=1)
+
+
+class RunTimeSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of the learned run times.
+
+    Attributes
+    ----------
+    n_samples : int
+        Number of finished runs of a queue that are remembered.
+    min_samples : int
+        Number of finished runs of a queue from which its run times are known.
+    min_siblings : int
+        Number of finished runs of a step on other VMs from which the run time of the
+        step is known.
+    prior_weight : float
+        Weight of the callers' estimates against the finished runs, as the variance of
+        the logarithm of an estimate that is added to the observed variance.
+    n_deviations : float
+        Number of standard deviations between the expected and the longest usual run
+        time of a queue.
+    """
+
+    n_samples: int = 64
+    min_samples: int = 8
+    min_siblings: int = 2
+    prior_weight: float = 0.02
+    n_deviations: float = 2.0
+
+
+class StepKey(NamedTuple):
+    """A step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
+class _Fit(NamedTuple):
+    """A line through the logarithms of run times over those of the estimates."""
+
+    mean_estimate: float
+    mean_run_time: float
+    slope: float
+    deviation: float
+
+    def expected(self, estimate_ms: float) -> float:
+        """Return the logarithm of the expected run time."""
+        return self.mean_run_time + self.slope * (estimate_ms - self.mean_estimate)
+
+
+class RunTimeModel:
+    """Run times of finished runs, by queue and by step.
+
+    Callers' estimates may be wrong by a large factor. The expected run time of a queue
+    is a line fitted to the logarithms of its run times over those of the estimates: its
+    slope is near 1 where estimates are good, and near 0 where they say nothing.
+
+    Parameters
+    ----------
+    cfg : RunTimeSettings
+        The settings.
+    """
+
+    __slots__ = ("_cfg", "_fits", "_samples", "_siblings")
+
+    def __init__(self, cfg: RunTimeSettings) -> None:
+        self._cfg = cfg
+        self._samples: dict[str, deque[tuple[float, float]]] = {}
+        self._fits: dict[str, _Fit | None] = {}
+        self._siblings: dict[str, dict[StepKey, list[tuple[str, timedelta]]]] = {}
+
+    def record(
+        self,
+        step_key: StepKey,
+        *,
+        queue: str,
+        vm_id: str,
+        estimate: timedelta,
+        run_time: timedelta,
+    ) -> None:
+        """Record a run that was carried out completely.
+
+        Parameters
+        ----------
+        step_key : StepKey
+            The step that the run belongs to.
+        queue : str
+            The queue of its job.
+        vm_id : str
+            The VM that carried it out.
+        estimate : timedelta
+            The caller's estimate of the run time; zero for none.
+        run_time : timedelta
+            Time from the start of the run to its end.
+        """
+        steps = self._siblings.setdefault(step_key.job_id, {})
+        steps.setdefault(step_key, []).append((vm_id, run_time))
+        if estimate > timedelta(0) and run_time > timedelta(0):
+            samples = self._samples.setdefault(queue, deque(maxlen=self._cfg.n_samples))
+            samples.append((math.log(estimate / MS), math.log(run_time / MS)))
+            self._fits.pop(queue, None)
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop the run times of the steps of a job."""
+        self._siblings.pop(job_id, None)
+
+    def expected(self, queue: str, estimate: timedelta) -> timedelta:
+        """Return the run time to expect, the estimate itself while none is known."""
+        fit = self._fit(queue)
+        if fit is None or estimate <= timedelta(0):
+            return estimate
+        return math.exp(fit.expected(math.log(estimate / MS))) * MS
+
+    def longest_usual(
+        self, step_key: StepKey, *, queue: str, vm_id: str, estimate: timedelta
+    ) -> timedelta | None:
+        """Return how long a run on a sound VM takes at most, as a rule.
+
+        It is the median of the finished runs of the same step on other VMs. Before
+        there are enough of these, it follows from the finished runs of the queue.
+
+        Returns
+        -------
+        timedelta or None
+            None if too few runs have finished to know.
+        """
+        siblings = self._siblings.get(step_key.job_id, {}).get(step_key, ())
+        elsewhere = [run_time for other, run_time in siblings if other != vm_id]
+        if len(elsewhere) >= self._cfg.min_siblings:
+            return statistics.median(elsewhere)
+        fit = self._fit(queue)
+        if fit is None or estimate <= timedelta(0):
+            return None
+        upper = (
+            fit.expected(math.log(estimate / MS))
+            + self._cfg.n_deviations * fit.deviation
+        )
+        return math.exp(upper) * MS
+
+    def _fit(self, queue: str) -> _Fit | None:
+        """Return the fitted line of a queue, or None while too few runs finished."""
+        if queue not in self._fits:
+            samples = self._samples.get(queue, ())
+            has_enough = len(samples) >= self._cfg.min_samples
+            self._fits[queue] = self._new_fit(samples) if has_enough else None
+        return self._fits[queue]
+
+    def _new_fit(self, samples: deque[tuple[float, float]]) -> _Fit:
+        n = len(samples)
+        mean_x = sum(x for x, _ in samples) / n
+        mean_y = sum(y for _, y in samples) / n
+        var_x = sum((x - mean_x) ** 2 for x, _ in samples) / n
+        cov = sum((x - mean_x) * (y - mean_y) for x, y in samples) / n
+        prior = self._cfg.prior_weight
+        slope = min(1.0, max(0.0, (cov + prior) / (var_x + prior)))
+        residuals = (y - mean_y - slope * (x - mean_x) for x, y in samples)
+        deviation = math.sqrt(sum(r * r for r in residuals) / n)
+        return _Fit(mean_x, mean_y, slope, deviation)
--- a/tests/support_scheduling.py
+++ b/tests/support_scheduling.py
@@ -31,6 +31,7 @@
     VmPolicy,
 )
 from redwingslip.settings import MetricsSettings
+from redwingslip.workers import RunTimeModel
 
 PLAN = Plan(
     version=1,
@@ -79,6 +80,8 @@
         Results of the next start orders; an exception is raised instead.
     runs : dict
         Progress of its runs in percent, by task and run number.
+    first_percent : int
+        Progress of a run that has just started.
     ends : list
         Ends of runs that it lists.
     is_unresponsive : bool
@@ -95,6 +98,7 @@
         self.is_unresponsive = False
         self.born_ms = 1
         self.clock_ms = 10_000
+        self.first_percent = 100
 
     async def hold(self, vm, *, fence, cursor, until_ms, wait_ms):
         """Answer a poll with the runs and ends."""
@@ -123,7 +127,7 @@
             if isinstance(answer, Exception):
                 raise answer
             return StartOutcome(answer, self.clock_ms)
-        self.runs[(run.key, run.number)] = 100
+        self.runs[(run.key, run.number)] = self.first_percent
         return StartOutcome(StartResult.ACCEPTED, self.clock_ms)
 
     async def stop(self, vm, key, number, *, fence):
@@ -238,9 +242,17 @@
         return self.answers.pop(0) if self.answers else MachineOutcome.DONE
 
 
-def make_agent(vm, endpoint, term):
+def make_agent(vm, endpoint, term, run_times=None):
     """Return an agent over a fake endpoint and term."""
-    return VmAgent(vm, term=term, orders=endpoint, listener=term, cfg=VmPolicy())
+    cfg = VmPolicy()
+    return VmAgent(
+        vm,
+        term=term,
+        orders=endpoint,
+        listener=term,
+        run_times=run_times or RunTimeModel(cfg.run_times),
+        cfg=cfg,
+    )
 
 
 async def eventually(condition, timeout=3.0):
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -12,6 +12,7 @@
     StartResult,
     VmReplacedError,
 )
+from redwingslip.workers import RunTimeModel, RunTimeSettings, StepKey
 from tests.support_scheduling import (
     FakeEndpoint,
     FakeTerm,
@@ -30,11 +31,12 @@
 
     async def asyncSetUp(self):
         self.vm = make_vm()
-        self.state = make_state(self.vm, jobs=[make_job()])
+        self.state = make_state(self.vm, jobs=[make_job(estimate_ms=50)])
         self.endpoint = FakeEndpoint()
         self.clock = ManualClock()
         self.term = FakeTerm(self.state, self.clock)
-        self.agent = make_agent(self.vm, self.endpoint, self.term)
+        self.run_times = RunTimeModel(RunTimeSettings())
+        self.agent = make_agent(self.vm, self.endpoint, self.term, self.run_times)
 
     async def asyncTearDown(self):
         self.agent.close()
@@ -164,6 +166,65 @@
         self.assertEqual(self.term.restarted, [KEY])
         self.assertTrue(self.agent.health.is_avoided(self.clock.monotonic()))
 
+    async def run_to(self, percent, seconds):
+        """Let the started run report a progress, at once 0 and then the given one."""
+        self.endpoint.first_percent = 0
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: any(r.percent == 0 for r in self.listed()))
+        self.clock.advance(timedelta(seconds=seconds))
+        self.endpoint.runs[(KEY, 1)] = percent
+        await eventually(lambda: any(r.percent == percent for r in self.listed()))
+
+    async def test_a_run_far_beyond_its_estimate_goes_on(self):
+        """The caller's estimate is wrong; no other run shows that the VM is slow."""
+        await self.run_to(30, seconds=1)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.endpoint.stopped, [])
+        self.assertFalse(self.agent.health.is_avoided(self.clock.monotonic()))
+
+    async def test_a_run_far_slower_than_its_siblings_restarts_elsewhere(self):
+        for _ in range(3):
+            self.learn(timedelta(milliseconds=400))
+        await self.run_to(30, seconds=1)
+        await eventually(lambda: self.endpoint.stopped)
+        self.assertEqual(self.term.restarted, [KEY])
+
+    async def test_a_slow_run_near_its_end_goes_on_and_its_vm_is_avoided(self):
+        for _ in range(3):
+            self.learn(timedelta(milliseconds=400))
+        await self.run_to(80, seconds=1.5)
+        now = self.clock.monotonic()
+        await eventually(lambda: self.agent.health.is_avoided(now))
+        self.assertEqual(self.endpoint.stopped, [])
+
+    async def test_a_finished_run_is_learned(self):
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: self.endpoint.runs)
+        self.endpoint.runs.clear()
+        self.endpoint.ends.append(ListedEnd(1, KEY, 1, EndKind.DONE))
+        await eventually(lambda: not self.has_open_run())
+        usual = self.run_times.longest_usual(
+            StepKey(*KEY[:3]), queue="q", vm_id="v2", estimate=timedelta(0)
+        )
+        self.assertIsNone(usual)
+        self.learn(timedelta(milliseconds=400))
+        usual = self.run_times.longest_usual(
+            StepKey(*KEY[:3]), queue="q", vm_id="v3", estimate=timedelta(0)
+        )
+        self.assertIsNotNone(usual)
+
+    def learn(self, run_time):
+        """Record the run time of a run of the same step on another VM."""
+        self.run_times.record(
+            StepKey(*KEY[:3]),
+            queue="q",
+            vm_id="v2",
+            estimate=timedelta(milliseconds=50),
+            run_time=run_time,
+        )
+
     def listed(self):
         return self.agent.listed_runs.values()
 
