Eject VMs on which runs fail instead of using them last

Cause: a VM that fails all that it starts was only ranked last, and only once two jobs had failed on it. In a pool that is full it went on to get runs, each of which used up an attempt.

Ruled out: jobs that can't succeed (their tasks failed on four different VMs each), and the first failures themselves (each VM fails one or two runs before it can be known).

Change: VmHealth tells avoiding (slow, refused orders) from ejecting (failures). Two jobs in a row, or three tasks of a job that fails on no other VM, eject a VM for 3 s, doubled each time up to 12 s. It gets no runs and its room does not count, so the pool grows. If more than a third of a pool would be ejected, nothing is: then the jobs are suspect.

--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -96,6 +96,13 @@
         """Record that a task failed or stalled on a VM; it then prefers other VMs."""
         self._failed_on.setdefault(key, set()).add(vm_id)
 
+    def has_failed_elsewhere(self, job_id: str, vm_id: str) -> bool:
+        """Return whether a task of a job failed or stalled on another VM."""
+        return any(
+            key.job_id == job_id and vms - {vm_id}
+            for key, vms in self._failed_on.items()
+        )
+
     def pool_of(self, job: JobRecord) -> str:
         """Return the pool that runs a job's tasks under the current plan."""
         queue = self._queues.get(job.spec.queue)
--- a/src/redwingslip/scheduling/_machines.py
+++ b/src/redwingslip/scheduling/_machines.py
@@ -5,7 +5,9 @@
 from collections.abc import Coroutine, Mapping
 from datetime import timedelta
 
+from ..workers import HealthSettings
 from ._agent import VmAgent
+from ._ejections import ejected_vms
 from ._job_index import PoolBacklog
 from ._ports import MachineOperations, MachineOutcome
 from ._settings import LeaderPolicy
@@ -34,6 +36,8 @@
     takeover_delay : timedelta
         This leader gives no order for a machine until this long after the last order
         of an earlier leader for it.
+    max_ejected_share : float
+        Largest share of a pool's VMs that may be ejected.
 
     Attributes
     ----------
@@ -47,6 +51,7 @@
     __slots__ = (
         "_claims",
         "_held_until",
+        "_max_ejected_share",
         "_takeover_delay",
         "_term",
         "agents",
@@ -60,9 +65,11 @@
         agents: Mapping[str, VmAgent],
         *,
         takeover_delay: timedelta,
+        max_ejected_share: float = HealthSettings().max_ejected_share,
     ) -> None:
         self._term = term
         self._takeover_delay = takeover_delay
+        self._max_ejected_share = max_ejected_share
         self._claims: dict[str, object] = {}
         self._held_until = self._inherited_holds()
         self.agents = agents
@@ -98,6 +105,10 @@
         """Return whether a machine is to be moved or maintained."""
         return machine in self._claims
 
+    def ejected_vms(self, now: timedelta) -> frozenset[str]:
+        """Return the VMs that get no new runs since their runs fail."""
+        return ejected_vms(self.agents, now, max_share=self._max_ejected_share)
+
     def agent_on(self, machine: str) -> VmAgent | None:
         """Return the agent of the newest incarnation on a machine, or None."""
         agents = [a for a in self.agents.values() if a.vm.machine == machine]
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -175,11 +175,15 @@
     def _serving_load(self, pool: str, now: timedelta) -> PoolLoad:
         used_cpu = non_preemptible_cpu = total_cpu = max_vm_cpu = n_vms = 0
         idle: list[str] = []
+        ejected = self._machines.ejected_vms(now)
         for vm_id, agent in self._machines.agents.items():
             vm = agent.vm
             is_claimed = self._machines.is_claimed(vm.machine)
             if vm.pool != pool or is_claimed or not agent.is_ready(now):
                 continue
+            if vm_id in ejected:
+                # Its room is replaced until it takes runs again.
+                continue
             used, steps = vm_usage(self._state, vm_id)
             used_cpu += used.cpu
             non_preemptible_cpu += non_preemptible_need(self._state, steps).cpu
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -126,10 +126,11 @@
         machines_to_maintain = {
             m for wave in self._state.waves.values() for m in wave.remaining()
         }
+        ejected = self._machines.ejected_vms(now)
         pools: dict[str, list[CandidateVm]] = {}
         for vm_id, agent in self._machines.agents.items():
             is_claimed = self._machines.is_claimed(agent.vm.machine)
-            if is_claimed or not agent.is_ready(now):
+            if is_claimed or vm_id in ejected or not agent.is_ready(now):
                 continue
             used, steps = vm_usage(self._state, vm_id)
             candidate = CandidateVm(
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -85,7 +85,12 @@
         self._tasks: list[asyncio.Task] = []
         self.agents: dict[str, VmAgent] = {}
         delay = cfg.scheduling.takeover_delay
-        machines = MachineRegistry(term, self.agents, takeover_delay=delay)
+        machines = MachineRegistry(
+            term,
+            self.agents,
+            takeover_delay=delay,
+            max_ejected_share=cfg.vms.health.max_ejected_share,
+        )
         self._advice = AdviceCache(
             adviser=adviser,
             candidates=lambda pool: self._rounds.candidates(pool),
@@ -255,8 +260,12 @@
             agent.health.note_success()
         elif end.kind is EndKind.FAILED:
             now = self._term.clock.monotonic()
-            if agent.health.note_failure(end.key.job_id, now):
-                detail = "fails several jobs"
+            job_id = end.key.job_id
+            fails_elsewhere = self._job_index.has_failed_elsewhere(job_id, vm_id)
+            if agent.health.note_failure(
+                job_id, end.key, now, fails_elsewhere=fails_elsewhere
+            ):
+                detail = f"ejected: runs fail, the last of {job_id}"
                 self._term.emit(EventName.VM_AVOIDED, vm=vm_id, detail=detail)
 
     def _stop_runs(self, job_id: str) -> None:
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -66,24 +66,55 @@
         self.health = VmHealth(HealthSettings())
         self.now = timedelta(seconds=5)
 
-    def test_repeated_failures_of_one_job_do_not_count(self):
+    def fail(self, job, task=0, *, elsewhere=False):
+        """Record a failed run; return whether the VM is ejected because of it."""
+        return self.health.note_failure(job, task, self.now, fails_elsewhere=elsewhere)
+
+    def is_ejected(self, seconds=0.0):
+        """Return whether the VM is ejected some seconds later."""
+        return self.health.is_ejected(self.now + timedelta(seconds=seconds))
+
+    def test_repeated_failures_of_one_task_do_not_count(self):
         for _ in range(5):
-            self.assertFalse(self.health.note_failure("poison", self.now))
+            self.assertFalse(self.fail("poison"))
         self.assertFalse(self.health.is_avoided(self.now))
 
-    def test_a_vm_is_avoided_after_failures_of_several_jobs(self):
-        self.health.note_failure("j1", self.now)
-        self.assertTrue(self.health.note_failure("j2", self.now))
-        self.assertTrue(self.health.is_avoided(self.now + timedelta(seconds=2)))
-        self.assertFalse(self.health.is_avoided(self.now + timedelta(seconds=4)))
+    def test_a_job_that_fails_on_other_vms_too_does_not_count(self):
+        for task in range(5):
+            self.assertFalse(self.fail("poison", task, elsewhere=True))
+
+    def test_tasks_of_a_job_that_fails_only_here_eject_the_vm(self):
+        self.assertFalse(self.fail("j1", 0))
+        self.assertFalse(self.fail("j1", 1))
+        self.assertTrue(self.fail("j1", 2))
+        self.assertTrue(self.is_ejected())
+
+    def test_a_vm_is_ejected_after_failures_of_several_jobs(self):
+        self.fail("j1")
+        self.assertTrue(self.fail("j2", elsewhere=True))
+        self.assertTrue(self.health.is_avoided(self.now))
+        self.assertTrue(self.is_ejected(2))
+        self.assertFalse(self.is_ejected(4))
 
     def test_a_success_resets_the_count(self):
-        self.health.note_failure("j1", self.now)
+        self.fail("j1")
         self.health.note_success()
-        self.assertFalse(self.health.note_failure("j2", self.now))
+        self.assertFalse(self.fail("j2"))
+
+    def test_failures_during_an_ejection_do_not_prolong_it(self):
+        for number in range(8):
+            self.fail(f"j{number}")
+        self.assertFalse(self.is_ejected(4))
 
-    def test_the_avoid_time_doubles_up_to_its_maximum(self):
+    def test_the_ejection_doubles_up_to_its_maximum(self):
         for number in range(8):
-            self.health.note_failure(f"j{number}", self.now)
-        self.assertTrue(self.health.is_avoided(self.now + timedelta(seconds=11)))
-        self.assertFalse(self.health.is_avoided(self.now + timedelta(seconds=13)))
+            self.fail(f"j{number}")
+            self.now += timedelta(seconds=20)
+        self.now -= timedelta(seconds=20)
+        self.assertTrue(self.is_ejected(11))
+        self.assertFalse(self.is_ejected(13))
+
+    def test_an_avoided_vm_is_not_ejected(self):
+        self.health.avoid(self.now)
+        self.assertTrue(self.health.is_avoided(self.now))
+        self.assertFalse(self.is_ejected())
