Pack short tasks on the fullest VMs

Cause: each short task went to the VM with the most free CPU.

Ruled out: orders held back after the change of leader (3 s), refused moves (none in the log), the wave (12 machines at a time).

Change: short tasks go to the VM with the least free CPU that fits. Long-running tasks are placed as before.

--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -145,9 +145,10 @@
         step.is_long_running and has_its_share,
         # Maintenance of the machine would soon interrupt a long-running task.
         step.is_long_running and vm.is_awaiting_maintenance,
-        # Packing tasks on VMs that have to stay on keeps the other VMs idle, so that
-        # these can be moved to another pool or switched off.
+        # Packing tasks on VMs that have to stay on, and on those with least capacity
+        # left, keeps the other VMs idle, so that these can be moved to another pool or
+        # switched off.
         not vm.has_long_running,
-        -vm.free.cpu,
+        -vm.free.cpu if step.is_long_running else vm.free.cpu,
         vm.vm_id,
     )
