Share machines between pools that are short, and move more at a time in a large fleet

Change: up to 30 % of the machines are moved at a time, 12 in a small fleet. Machines go one by one to the pool whose demand is highest in relation to its capacity. A pool gives away idle machines up to three quarters of use, before half. If that does not do, a pool whose demand in relation to its capacity is 1.5 times lower gives up machines that run only short tasks: they get no new ones and move once they are empty, or stay if that takes more than 4 s. Nothing is stopped for it; long-running tasks and gangs are not touched.

--- a/src/redwingslip/placement/_sizing.py
+++ b/src/redwingslip/placement/_sizing.py
@@ -23,18 +23,29 @@
     shrink_below : float
         A pool may give up a machine if its demand is at most this fraction of the
         capacity that remains.
+    donate_below : float
+        A pool gives an idle machine to a pool that lacks capacity if its demand is at
+        most this fraction of the capacity that remains.
+    reclaim_factor : float
+        A pool gives up a machine that is in use, once its tasks have ended, to a pool
+        whose demand in relation to its capacity is this many times as high.
     min_vms : int
         Number of VMs that a pool always keeps, so that some survive a failure.
     max_moves : int
-        Maximum number of moves in progress at a time.
+        Number of moves that may be in progress at a time in a fleet of any size.
+    max_moves_share : float
+        Share of the machines that may be moved at a time in a large fleet.
     """
 
     grow_above: float = 0.85
     aim: float = 0.9
     waiting_part: float = 0.6
     shrink_below: float = 0.5
+    donate_below: float = 0.75
+    reclaim_factor: float = 1.5
     min_vms: int = 2
     max_moves: int = 12
+    max_moves_share: float = 0.3
 
 
 class PoolLoad(msgspec.Struct, frozen=True, kw_only=True):
@@ -61,6 +72,8 @@
         Machines without running tasks, the longest idle first.
     resting : tuple of str
         The idle machines that have been idle long enough to be switched off.
+    reclaimable : tuple of str
+        Machines that run short tasks only, those with the fewest first.
     """
 
     pool: str
@@ -74,6 +87,7 @@
     n_missing: int = 0
     idle: tuple[str, ...] = ()
     resting: tuple[str, ...] = ()
+    reclaimable: tuple[str, ...] = ()
 
     def is_short(self, cfg: SizingSettings) -> bool:
         """Return whether the pool needs more machines."""
@@ -111,7 +125,10 @@
     """
     serving = [load for load in loads if not load.is_standby]
     standby = [load for load in loads if load.is_standby]
-    n_allowed = max(0, cfg.max_moves - n_in_progress)
+    n_machines = sum(len(load.idle) for load in standby)
+    n_machines += sum(load.n_vms for load in serving)
+    max_moves = max(cfg.max_moves, int(cfg.max_moves_share * n_machines))
+    n_allowed = max(0, max_moves - n_in_progress)
     moves = _grow(serving, standby, cfg)[:n_allowed]
     if standby:
         moved = {move.machine for move in moves}
@@ -119,7 +136,7 @@
         moves += [
             Move(machine, standby_pool)
             for load in serving
-            for machine in _spare(load, load.resting, cfg)
+            for machine in _spare(load, load.resting, cfg.shrink_below, cfg)
             if machine not in moved
         ]
     return tuple(moves[:n_allowed])
@@ -130,19 +147,83 @@
 ) -> list[Move]:
     """Return the moves to pools that lack capacity, the worst shortage first."""
     donated = deque(machine for load in standby for machine in load.idle)
-    donated.extend(m for load in serving for m in _spare(load, load.idle, cfg))
+    n_kept = {}
+    for load in serving:
+        spare = _spare(load, load.idle, cfg.donate_below, cfg)
+        donated.extend(spare)
+        n_kept[load.pool] = load.n_vms - len(spare)
+    n_to_add = {load.pool: _n_to_add(load, cfg) for load in serving}
+    n_added = dict.fromkeys(n_to_add, 0)
+    # One machine at a time: while there are too few, pools that lack capacity at the
+    # same time become equally short.
+    short = [load for load in serving if n_to_add[load.pool]]
     moves = []
-    for load in sorted(serving, key=_shortage, reverse=True):
-        for _ in range(_n_to_add(load, cfg)):
-            # A pool that lacks capacity has no spare machines, so each donated
-            # machine comes from another pool.
-            if donated:
-                moves.append(Move(donated.popleft(), load.pool))
+    while short:
+        worst = max(short, key=lambda load: _shortage(load, n_added[load.pool]))
+        if donated:
+            # A pool that lacks capacity has no spare machines, so each donated machine
+            # comes from another pool.
+            machine = donated.popleft()
+        else:
+            machine = _reclaim(worst, serving, n_added, n_kept, cfg)
+        if machine is None:
+            break
+        moves.append(Move(machine, worst.pool))
+        n_added[worst.pool] += 1
+        if n_added[worst.pool] == n_to_add[worst.pool]:
+            short.remove(worst)
     return moves
 
 
-def _shortage(load: PoolLoad) -> float:
-    return load.n_missing + load.demand / max(1, load.room)
+def _reclaim(
+    worst: PoolLoad,
+    serving: list[PoolLoad],
+    n_added: dict[str, int],
+    n_kept: dict[str, int],
+    cfg: SizingSettings,
+) -> str | None:
+    """Return a machine in use that another pool gives up, and count it as given up.
+
+    Parameters
+    ----------
+    worst : PoolLoad
+        The pool that lacks most capacity.
+    serving : list of PoolLoad
+        All pools that serve.
+    n_added : dict of str to int
+        Machines that each pool has got; negative if it has given up machines in use.
+    n_kept : dict of str to int
+        Machines that each pool has without its idle ones that are given up.
+    cfg : SizingSettings
+        The settings.
+    """
+    max_shortage = _shortage(worst, n_added[worst.pool]) / cfg.reclaim_factor
+    donors = []
+    for load in serving:
+        n_given = max(0, -n_added[load.pool])
+        if (
+            load is worst
+            or load.n_missing
+            or n_added[load.pool] > 0
+            or n_given == len(load.reclaimable)
+            or n_kept[load.pool] - n_given - 1 < cfg.min_vms
+        ):
+            continue
+        shortage = _shortage(load, n_added[load.pool] - 1)
+        if shortage <= max_shortage:
+            donors.append((shortage, load.pool, load))
+    if not donors:
+        return None
+    donor = min(donors, key=lambda entry: entry[:2])[2]
+    n_added[donor.pool] -= 1
+    return donor.reclaimable[-n_added[donor.pool] - 1]
+
+
+def _shortage(load: PoolLoad, n_added: int) -> float:
+    """Return how short a pool is once it has got or given up some machines."""
+    room = load.room + n_added * load.vm_room
+    n_missing = max(0, load.n_missing - max(0, n_added))
+    return n_missing + load.demand / max(1, room)
 
 
 def _n_to_add(load: PoolLoad, cfg: SizingSettings) -> int:
@@ -157,16 +238,19 @@
 
 
 def _spare(
-    load: PoolLoad, machines: tuple[str, ...], cfg: SizingSettings
+    load: PoolLoad, machines: tuple[str, ...], max_load: float, cfg: SizingSettings
 ) -> tuple[str, ...]:
-    """Return those of the given machines that a pool can give up."""
+    """Return those of the given machines that a pool can give up.
+
+    Its demand then is at most the fraction `max_load` of the capacity that remains.
+    """
     n_spare = 0
     if load.n_missing:
         return ()
     while n_spare < len(machines):
         n_kept = load.n_vms - n_spare - 1
         remaining = load.room - (n_spare + 1) * load.vm_room
-        if n_kept < cfg.min_vms or load.demand > cfg.shrink_below * remaining:
+        if n_kept < cfg.min_vms or load.demand > max_load * remaining:
             break
         n_spare += 1
     return machines[:n_spare]
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -40,8 +40,9 @@
 class MoveManager(MachineManager):
     """Moves machines so that the size of each pool follows its load.
 
-    A move is ordered one interval after it was planned, and only if no run was placed
-    on the machine in between.
+    A move of an idle machine is ordered one interval after it was planned, and only if
+    no run was placed on the machine in between. A machine in use gets no new runs, and
+    moves once its runs have ended.
 
     Parameters
     ----------
@@ -59,6 +60,7 @@
         self._machine_views: dict[str, MachineView] = {}
         self._idle_since: dict[str, timedelta] = {}
         self._planned_pools: dict[str, str] = {}
+        self._draining_until: dict[str, timedelta] = {}
         self._arrivals: dict[str, _Arrival] = {}
 
     async def run(self) -> None:
@@ -89,18 +91,27 @@
             await asyncio.sleep(self._cfg.moves.list_interval.total_seconds())
 
     def _begin_planned_moves(self) -> None:
-        """Order the planned moves; cancel those of machines that got runs since."""
+        """Order the planned moves of machines without runs.
+
+        The moves of idle machines that got runs since are cancelled, and so are those
+        of machines in use whose runs last too long.
+        """
+        now = self._term.clock.monotonic()
         for machine, pool in tuple(self._planned_pools.items()):
             agent = self._machines.agent_on(machine)
             if agent is not None and self._state.runs.get(agent.vm.vm_id):
-                self._cancel_planned_move(machine)
+                drain_end = self._draining_until.get(machine)
+                if drain_end is None or now >= drain_end:
+                    self._cancel_planned_move(machine)
                 continue
             del self._planned_pools[machine]
+            self._draining_until.pop(machine, None)
             self._begin_order(machine, self._move(machine, pool, agent))
 
     def _cancel_planned_move(self, machine: str) -> None:
         """Cancel the planned move of a machine and release its claim."""
         self._planned_pools.pop(machine, None)
+        self._draining_until.pop(machine, None)
         self._arrivals.pop(machine, None)
         self._machines.release(machine, self)
 
@@ -127,6 +138,10 @@
             duration = (
                 self._cfg.moves.arrival_time if added_cpu else self._cfg.moves.off_time
             )
+            agent = self._machines.agent_on(move.machine)
+            if agent is not None and self._state.runs.get(agent.vm.vm_id):
+                self._draining_until[move.machine] = now + self._cfg.moves.max_drain
+                duration += self._cfg.moves.max_drain
             self._planned_pools[move.machine] = move.pool
             self._arrivals[move.machine] = _Arrival(
                 move.pool, added_cpu, now + duration
@@ -175,6 +190,7 @@
     def _serving_load(self, pool: str, now: timedelta) -> PoolLoad:
         used_cpu = non_preemptible_cpu = total_cpu = max_vm_cpu = n_vms = 0
         idle: list[str] = []
+        n_runs_by_machine: dict[str, int] = {}
         ejected = self._machines.ejected_vms(now)
         for vm_id, agent in self._machines.agents.items():
             vm = agent.vm
@@ -185,13 +201,16 @@
                 # Its room is replaced until it takes runs again.
                 continue
             used, steps = vm_usage(self._state, vm_id)
+            non_preemptible = non_preemptible_need(self._state, steps).cpu
             used_cpu += used.cpu
-            non_preemptible_cpu += non_preemptible_need(self._state, steps).cpu
+            non_preemptible_cpu += non_preemptible
             total_cpu += vm.capacity.cpu
             max_vm_cpu = max(max_vm_cpu, vm.capacity.cpu)
             n_vms += 1
             if steps:
                 self._idle_since.pop(vm.machine, None)
+                if not non_preemptible and self._machines.may_order(vm.machine):
+                    n_runs_by_machine[vm.machine] = steps.total()
                 continue
             self._idle_since.setdefault(vm.machine, now)
             if vm.machine and self._machines.may_order(vm.machine):
@@ -221,6 +240,7 @@
                 for machine in idle
                 if now - self._idle_since[machine] >= self._cfg.moves.rest_time
             ),
+            reclaimable=tuple(sorted(n_runs_by_machine, key=n_runs_by_machine.get)),
         )
 
     def _drop_finished_arrivals(self, now: timedelta) -> None:
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -92,6 +92,9 @@
         until `survey_part` of them have answered.
     survey_part : float
         Share of the VMs whose answers end the survey early.
+    max_drain : timedelta
+        A machine in use that is to move stays in its pool if its runs have not ended
+        after this long.
     off_time : timedelta
         A machine that was switched off is not switched on again before this time has
         passed.
@@ -103,6 +106,7 @@
     arrival_time: timedelta = timedelta(seconds=5)
     survey_time: timedelta = timedelta(seconds=1)
     survey_part: float = 0.9
+    max_drain: timedelta = timedelta(seconds=4)
     off_time: timedelta = timedelta(milliseconds=2500)
 
 
--- a/tests/test_placement_sizing.py
+++ b/tests/test_placement_sizing.py
@@ -8,7 +8,17 @@
 VM = 1000
 
 
-def load(pool, *, n_vms=4, used=0, waiting=0, idle=(), resting=(), n_missing=0):
+def load(
+    pool,
+    *,
+    n_vms=4,
+    used=0,
+    waiting=0,
+    idle=(),
+    resting=(),
+    n_missing=0,
+    reclaimable=(),
+):
     """Return the load of a pool of VMs with one core each."""
     return PoolLoad(
         pool=pool,
@@ -20,6 +30,7 @@
         idle=idle,
         resting=resting,
         n_missing=n_missing,
+        reclaimable=reclaimable,
     )
 
 
@@ -89,6 +100,77 @@
         self.assertEqual(len(plan_moves(loads, 0, CFG)), CFG.max_moves)
         self.assertEqual(plan_moves(loads, CFG.max_moves, CFG), ())
 
+    def test_a_large_fleet_moves_more_machines_at_a_time(self):
+        """A queue of a fleet of hundreds needs dozens of machines within seconds."""
+        machines = tuple(f"m{n}" for n in range(196))
+        loads = (load("peak", used=4000, waiting=900_000), standby(*machines))
+        self.assertEqual(len(plan_moves(loads, 0, CFG)), 60)
+
+    def test_two_pools_that_rise_together_share_the_machines(self):
+        loads = (
+            load("a", used=4000, waiting=40_000),
+            load("b", used=4000, waiting=40_000),
+            standby(*(f"m{n}" for n in range(8))),
+        )
+        moves = plan_moves(loads, 0, CFG)
+        self.assertEqual([move.pool for move in moves].count("a"), 4)
+        self.assertEqual([move.pool for move in moves].count("b"), 4)
+
+    def test_queues_that_rise_by_turns_hand_machines_on(self):
+        """The earlier peak has passed, but its pool is still more than half used."""
+        idle = tuple(f"c{n}" for n in range(12))
+        loads = (
+            load("earlier", n_vms=40, used=22_000, idle=idle),
+            load("rising", used=4000, waiting=8_000),
+            standby(),
+        )
+        moves = plan_moves(loads, 0, CFG)
+        self.assertGreaterEqual(len(moves), 5)
+        self.assertEqual({move.pool for move in moves}, {"rising"})
+
+    def test_a_queue_that_rises_while_another_holds_the_fleet_gets_its_part(self):
+        """The earlier queue's overload keeps all of its machines busy."""
+        busy = tuple(f"b{n}" for n in range(36))
+        loads = (
+            load("earlier", n_vms=40, used=40_000, waiting=8_000, reclaimable=busy),
+            load("rising", used=4_000, waiting=16_000),
+            standby(),
+        )
+        moves = plan_moves(loads, 0, CFG)
+        self.assertEqual({move.pool for move in moves}, {"rising"})
+        # Its demand is 5 times its capacity; the other pool's is 1.2 times.
+        self.assertGreaterEqual(len(moves), 5)
+        n_moved = len(moves)
+        self.assertGreater(
+            20_000 / (4_000 + n_moved * VM), 48_000 / (40_000 - n_moved * VM)
+        )
+
+    def test_equally_short_pools_take_nothing_from_each_other(self):
+        loads = (
+            load("a", used=4_000, waiting=4_000, reclaimable=("a1", "a2", "a3")),
+            load("b", used=4_000, waiting=5_000, reclaimable=("b1", "b2", "b3")),
+            standby(),
+        )
+        self.assertEqual(plan_moves(loads, 0, CFG), ())
+
+    def test_a_pool_keeps_its_minimum_size_when_it_gives_up_all_it_can(self):
+        loads = (
+            load("calm", used=10, idle=("c1", "c2"), reclaimable=("c3", "c4")),
+            load("rising", used=4_000, waiting=90_000),
+            standby(),
+        )
+        moves = plan_moves(loads, 0, CFG)
+        self.assertEqual([move.machine for move in moves], ["c1", "c2"])
+
+    def test_idle_machines_are_taken_before_those_in_use(self):
+        loads = (
+            load("other", n_vms=9, used=3_000, idle=("c1",), reclaimable=("c2", "c3")),
+            load("rising", used=4_000, waiting=16_000),
+            standby("m1"),
+        )
+        moves = plan_moves(loads, 0, CFG)
+        self.assertEqual([move.machine for move in moves], ["m1", "c1", "c2", "c3"])
+
     def test_no_machine_is_moved_twice(self):
         loads = (
             load("a", used=4000, waiting=3000),
--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -4,8 +4,22 @@
 import unittest
 from datetime import timedelta
 
+from msgspec.structs import replace
+
 from redwingslip.clock import ManualClock
-from redwingslip.jobs import Amounts, RecordMove, RunStart, StartRuns, StepSpec, TaskKey
+from redwingslip.jobs import (
+    Amounts,
+    EndKind,
+    Pool,
+    RecordEnds,
+    RecordMove,
+    ReplacePlan,
+    RunEnd,
+    RunStart,
+    StartRuns,
+    StepSpec,
+    TaskKey,
+)
 from redwingslip.placement import ArrivalSettings, ArrivalTrend, WaitingTask
 from redwingslip.scheduling import (
     LeaderPolicy,
@@ -18,6 +32,7 @@
 from redwingslip.scheduling._job_index import PoolBacklog
 from redwingslip.scheduling._preemption import choose_victims
 from tests.support_scheduling import (
+    PLAN,
     FakeEndpoint,
     FakePlatform,
     FakeTerm,
@@ -110,6 +125,44 @@
             self.trend.record_job("p", self.term.now_ms(), steps)
         await eventually(lambda: len(self.platform.moved) == 3)
 
+    async def begin_with_a_full_fleet(self, *, is_long_running=False):
+        """Begin with a calm pool in use, and a rising one that lacks capacity."""
+        calm = [make_vm(f"c{n}", pool="calm") for n in range(4)]
+        job = make_job(n_tasks=4, is_long_running=is_long_running)
+        self.make_fleet(make_vm("v1"), *calm, jobs=[job])
+        plan = replace(PLAN, version=2, pools=(*PLAN.pools, Pool(name="calm")))
+        self.state.apply(ReplacePlan(plan=plan))
+        self.run_task("j1", "c0", 0)
+        self.run_task("j1", "c1", 1)
+        self.run_task("j1", "c2", 2)
+        self.run_task("j1", "c3", 3)
+        self.begin({"p": PoolBacklog(cpu=20_000)})
+
+    async def test_a_machine_in_use_moves_once_its_runs_have_ended(self):
+        await self.begin_with_a_full_fleet()
+        await eventually(lambda: self.machines.is_claimed("m-c0"))
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.platform.moved, [])
+        end = RunEnd(TaskKey("j1", 0, 0, 0), 1, EndKind.DONE)
+        self.state.apply(RecordEnds(vm_id="c0", born_ms=1, ends=(end,), now_ms=2))
+        await eventually(lambda: ("m-c0", "p") in self.platform.moved)
+
+    async def test_a_machine_whose_runs_last_too_long_stays(self):
+        await self.begin_with_a_full_fleet()
+        await eventually(lambda: self.machines.is_claimed("m-c0"))
+        drained = {m for m in ("m-c0", "m-c1") if self.machines.is_claimed(m)}
+        self.assertTrue(drained)
+        self.advance(CFG.max_drain + timedelta(seconds=1))
+        # The next plan may choose the machine again; nothing was moved or stopped.
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.platform.moved, [])
+        self.assertEqual(len(self.state.runs_of("c0")), 1)
+
+    async def test_machines_with_long_running_tasks_are_not_reclaimed(self):
+        await self.begin_with_a_full_fleet(is_long_running=True)
+        await asyncio.sleep(0.1)
+        self.assertFalse(any(self.machines.is_claimed(f"m-c{n}") for n in range(4)))
+
     async def test_machines_that_are_expected_to_be_used_stay_on(self):
         self.make_fleet(*(make_vm(f"v{n}") for n in range(4)))
         self.begin()
