--- a/src/redwingslip/observe/_explain.py
+++ b/src/redwingslip/observe/_explain.py
@@ -150,7 +150,7 @@
 
 
 def _find_failures(timeline: _JobTimeline) -> Iterator[str]:
-    """Yield sentences for the failed runs, and for VMs that also fail other jobs."""
+    """Yield sentences for the failed runs, and for VMs that were ejected."""
     failures = [
         end
         for end in timeline.select(EventName.RUN_ENDED)
@@ -167,7 +167,7 @@
         )
     avoided = {e.event.vm for e in timeline.all if e.event.name is EventName.VM_AVOIDED}
     for vm in sorted(avoided.intersection(vms)):
-        yield f"{vm} fails several jobs: the VM is at fault."
+        yield f"{vm} was ejected, since it fails runs: the VM is at fault."
 
 
 def _find_cancellation(timeline: _JobTimeline) -> Iterator[str]:
