Reclaim no VM whose machine is unknown

Cause: found in reading the change. A status report may lack its machine; the VM's machine is then empty, and the plan could name it for a move. Idle machines are checked for that, machines in use were not.

Change: the same check for machines in use. A test that fails without it.

One test is reformatted.

--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -209,7 +209,8 @@
             n_vms += 1
             if steps:
                 self._idle_since.pop(vm.machine, None)
-                if not non_preemptible and self._machines.may_order(vm.machine):
+                is_short_only = vm.machine and not non_preemptible
+                if is_short_only and self._machines.may_order(vm.machine):
                     n_runs_by_machine[vm.machine] = steps.total()
                 continue
             self._idle_since.setdefault(vm.machine, now)
--- a/tests/test_observe_explain.py
+++ b/tests/test_observe_explain.py
@@ -109,7 +109,9 @@
         )
         self.assertIn("on different VMs: it can't succeed", self.causes())
         self.add_event(3, EventName.VM_AVOIDED, vm="v2", job_id="")
-        self.assertIn("v2 was ejected, since it fails runs: the VM is at fault", self.causes())
+        self.assertIn(
+            "v2 was ejected, since it fails runs: the VM is at fault", self.causes()
+        )
 
     def test_a_run_that_stalled(self):
         self.add_event(1, EventName.RUN_PREEMPTED, vm="v1", detail="0.0.0 stands still")
--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -158,6 +158,15 @@
         self.assertEqual(self.platform.moved, [])
         self.assertEqual(len(self.state.runs_of("c0")), 1)
 
+    async def test_vms_of_unknown_machines_are_not_reclaimed(self):
+        """A report may lack the machine; there is nothing to move then."""
+        await self.begin_with_a_full_fleet()
+        now = self.clock.monotonic()
+        for number in range(4):
+            agent = self.agents[f"c{number}"]
+            agent.vm = replace(agent.vm, machine="")
+        self.assertEqual(self.manager._serving_load("calm", now).reclaimable, ())
+
     async def test_machines_with_long_running_tasks_are_not_reclaimed(self):
         await self.begin_with_a_full_fleet(is_long_running=True)
         await asyncio.sleep(0.1)
