--- /dev/null
+++ b/tests/test_http_connections.py
@@ -0,0 +1,96 @@
+"""Tests of events that coincide with the end of a connect."""
+
+import asyncio
+import time
+import unittest
+from datetime import timedelta
+from unittest import mock
+
+from redwingslip.http import ClientLimits, ClientPool, HttpError, NotConnectedError
+from tests.support_http import LONG, HttpTestCase, RawServer
+
+HOUR = timedelta(hours=1)
+SHORT = timedelta(milliseconds=250)
+
+
+class ConnectingLoop:
+    """Patches the running loop, so that a test acts at the end of each connect.
+
+    `at_end` is called in the step of the loop in which a connection was made, before
+    the task that waits for the connection is woken.
+    """
+
+    def __init__(self, at_end):
+        self._at_end = at_end
+
+    def __enter__(self):
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def create_connection(*args, **options):
+            connection = await connect(*args, **options)
+            self._at_end()
+            return connection
+
+        self._patch = mock.patch.object(loop, "create_connection", create_connection)
+        self._patch.start()
+
+    def __exit__(self, *exc_info):
+        self._patch.stop()
+
+
+class TestEndOfConnect(HttpTestCase):
+    """Cancellations and timeouts that fire just as a connection has been made."""
+
+    async def asyncSetUp(self):
+        """Start a server that never answers."""
+        await super().asyncSetUp()
+
+        async def unresponsive(server, reader, writer):
+            await asyncio.Event().wait()
+
+        server = await self.enterAsyncContext(RawServer(unresponsive))
+        self.address = server.address
+
+    async def wait_for_end(self, task):
+        """Wait for a task, which must end long before its own timeout."""
+        done, _ = await asyncio.wait({task}, timeout=LONG.total_seconds())
+        if not done:
+            # The task ends with this cancellation, which comes at another moment.
+            task.cancel()
+        self.assertTrue(done, "the request still waits")
+
+    async def test_cancellation_is_kept(self):
+        """A request that is cancelled at the end of its connect does not go on."""
+        loop = asyncio.get_running_loop()
+        task = asyncio.create_task(self.send("POST", "/", timeout=HOUR))
+        with ConnectingLoop(lambda: loop.call_soon(task.cancel)):
+            await self.wait_for_end(task)
+        self.assertTrue(task.cancelled())
+
+    async def test_timeout_is_kept(self):
+        """A timeout that passes at the end of the connect ends the request."""
+        task = asyncio.create_task(self.send("POST", "/", timeout=SHORT))
+        # A step of the loop that outlasts the timeout: it fires in the next one.
+        with ConnectingLoop(lambda: time.sleep(2 * SHORT.total_seconds())):
+            await self.wait_for_end(task)
+        self.assertIsInstance(task.exception(), HttpError)
+
+    async def test_connect_timeout_ends_a_connect(self):
+        """A connect that takes too long ends with `NotConnectedError`."""
+        loop = asyncio.get_running_loop()
+
+        async def create_connection(*args, **options):
+            await asyncio.Event().wait()
+
+        pool = ClientPool(ClientLimits(connect_timeout=SHORT))
+        self.addAsyncCleanup(pool.close)
+        self.pool = pool
+        with mock.patch.object(loop, "create_connection", create_connection):
+            task = asyncio.create_task(self.send("POST", "/", timeout=HOUR))
+            await self.wait_for_end(task)
+        self.assertIsInstance(task.exception(), NotConnectedError)
+
+
+if __name__ == "__main__":
+    unittest.main()
