Measure how much time the leader's rounds of placement take

Change: a histogram of the duration of a round, and a warning once a second while the rounds take more than a quarter of the leader's time. No logic is changed.

--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -101,6 +101,12 @@
         "s",
         "From the acceptance of a job to the first start of a task.",
     ),
+    _Instrument(
+        "histogram",
+        "placement.round.duration",
+        "s",
+        "Time that the leader takes for a round of placement.",
+    ),
     _Instrument(
         "counter",
         "run.starts",
@@ -202,6 +208,10 @@
         """Record how long a job waited for the first start of a task."""
         self._record("job.start.wait.duration", duration, {"redwingslip.queue": queue})
 
+    def record_placement_round(self, *, duration: timedelta) -> None:
+        """Record how long a round of placement took."""
+        self._record("placement.round.duration", duration, {})
+
     def add_run_start(self, *, outcome: str) -> None:
         """Count an order to start a run, by its outcome."""
         self._instruments["run.starts"].add(
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -33,6 +33,7 @@
 from ._machines import MachineRegistry
 from ._moves import MoveManager
 from ._ports import MachineOperations, VmOrders
+from ._round_load import RoundLoad
 from ._rounds import PlacementRounds
 from ._settings import LeaderPolicy
 from ._supervise import run_forever
@@ -102,6 +103,7 @@
         self._rounds = PlacementRounds(
             term=term, machines=machines, job_index=self._job_index, advice=self._advice
         )
+        self._round_load = RoundLoad(term)
         self._trend = ArrivalTrend(cfg.arrivals)
         self._moves = MoveManager(
             term=term,
@@ -306,7 +308,9 @@
             self._wake.clear()
             if not self._term.is_leading():
                 continue
+            began_at = self._term.clock.monotonic()
             starts = self._rounds.decide()
+            self._round_load.record(began_at, self._term.clock.monotonic())
             if starts:
                 command = StartRuns(starts=starts, now_ms=self._term.now_ms())
                 await self._term.propose_or_log(command)
--- a/tests/test_observe_metrics.py
+++ b/tests/test_observe_metrics.py
@@ -24,6 +24,7 @@
     metrics.set_slots(pool="p", n_used=3, n_serving=8)
     metrics.add_move(pool="p")
     metrics.add_dropped_events(2)
+    metrics.record_placement_round(duration=second)
 
 
 class TestNewMetrics(unittest.TestCase):
@@ -54,6 +55,7 @@
                 "redwingslip.call.duration": "s",
                 "redwingslip.permit.wait.duration": "s",
                 "redwingslip.log.commit.duration": "s",
+                "redwingslip.placement.round.duration": "s",
                 "redwingslip.config.in_force.duration": "s",
                 "redwingslip.slot.usage": "{slot}",
                 "redwingslip.slot.limit": "{slot}",
