Keep the usage of VMs up to date instead of counting all runs in each round

Cause: part of a busy leader. It places tasks after each answer of a VM and each commit. Each round counted the runs of all VMs and customers, for all pools, and searched a full pool again for each waiting job, so that rounds cost most when the fleet is fullest.

Ruled out: a lack of room.

Change: the state keeps the sums by VM and by customer with each start and end; a round looks at VMs of pools with waiting tasks only, and remembers within the round which size found no VM.

Conclusion: a round no longer costs more as more tasks run.

--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -34,6 +34,7 @@
     WaveRecord,
 )
 from ._spec import StepSpec, TaskKey
+from ._usage import RunUsage
 
 __all__ = ["ActiveRun", "JobsState", "VmChange", "iter_tasks"]
 
@@ -89,9 +90,11 @@
         Times of the last orders for machines.
     runs : dict
         Runs that may be alive, by VM and then by task and run number.
+    usage : RunUsage
+        Resources that these runs use.
     """
 
-    __slots__ = ("jobs", "machine_orders", "plan", "runs", "vms", "waves")
+    __slots__ = ("jobs", "machine_orders", "plan", "runs", "usage", "vms", "waves")
 
     def __init__(self) -> None:
         self.plan = Plan()
@@ -100,6 +103,7 @@
         self.waves: dict[int, WaveRecord] = {}
         self.machine_orders = MachineOrders()
         self.runs: dict[str, dict[tuple[TaskKey, int], ActiveRun]] = {}
+        self.usage = RunUsage()
 
     def apply(self, command: Command) -> object:
         """Apply a command and return its result for the proposer."""
@@ -147,6 +151,7 @@
         self.waves = {wave.number: wave for wave in snapshot.waves}
         self.machine_orders = snapshot.machine_orders
         self.runs = {}
+        self.usage = RunUsage()
         for job in snapshot.jobs:
             for key, task in iter_tasks(job):
                 for run in task.runs:
@@ -314,6 +319,7 @@
             run.started_ms,
         )
         self.runs.setdefault(run.vm_id, {})[(key, run.number)] = active
+        self.usage.add(run.vm_id, key, self.jobs[key.job_id].spec)
         return active
 
     def _close_run(self, command: RecordEnds, end: RunEnd) -> None:
@@ -323,9 +329,8 @@
         if active is None or active.born_ms != command.born_ms:
             return
         del vm_runs[(end.key, end.number)]
+        self.usage.remove(active.vm_id, end.key, self.jobs[end.key.job_id].spec)
         task = self.task(end.key)
-        if task is None:
-            return
         task.runs = [r for r in task.runs if r.number != end.number]
         job = self.jobs[end.key.job_id]
         step = self.step(end.key)
--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Mapping, Sequence
 
-from ..jobs import NO_AMOUNTS, Amounts, RunStart
+from ..jobs import NO_AMOUNTS, Amounts, RunStart, StepSpec
 from ._view import CandidateVm, WaitingTask, is_allowed
 
 __all__ = ["Placer"]
@@ -31,7 +31,7 @@
         Upper limit of each customer; an amount of 0 means no limit.
     """
 
-    __slots__ = ("_limits", "_pools", "_usage")
+    __slots__ = ("_limits", "_pools", "_unplaced_needs", "_usage")
 
     def __init__(
         self,
@@ -43,6 +43,8 @@
         self._pools = pools
         self._usage = dict(usage)
         self._limits = limits
+        # By pool, what tasks without further conditions needed that no VM had free.
+        self._unplaced_needs: dict[str, set[Amounts]] = {}
 
     def place_step(self, tasks: Sequence[WaitingTask]) -> tuple[RunStart, ...]:
         """Place the tasks of a step in order, up to the first that finds no VM.
@@ -65,6 +67,7 @@
         if len(placed) < len(tasks) and tasks[0].step.is_gang:
             for _, task, vm in placed:
                 self._release(task, vm)
+            self._unplaced_needs.clear()
             return ()
         return tuple(start for start, _, _ in placed)
 
@@ -82,6 +85,9 @@
 
     def _choose_vm(self, task: WaitingTask) -> CandidateVm | None:
         need = task.step.reserved
+        unplaced = self._unplaced_needs.setdefault(task.pool, set())
+        if any(other.fits(need) for other in unplaced):
+            return None
         step_key = task.key[:3]
         n_by_rack = self._count_by_rack(task)
         best = None
@@ -96,6 +102,8 @@
             rank = _rank(vm, task, n_by_rack[vm.labels])
             if best_rank is None or rank < best_rank:
                 best, best_rank = vm, rank
+        if best is None and task.allowed is None and not _has_conditions(task.step):
+            unplaced.add(need)
         return best
 
     def _count_by_rack(self, task: WaitingTask) -> Counter[tuple[str, ...]]:
@@ -124,6 +132,11 @@
         self._usage[task.customer] = self._usage[task.customer] - task.step.need
 
 
+def _has_conditions(step: StepSpec) -> bool:
+    """Return whether a step may exclude a VM for a reason other than its capacity."""
+    return bool(step.label or step.max_per_vm or step.disruption_budget)
+
+
 def _rank(vm: CandidateVm, task: WaitingTask, n_in_rack: int) -> tuple:
     """Return the sort key of a VM for a task; the VM with the lowest key is chosen.
 
--- a/src/redwingslip/scheduling/_ejections.py
+++ b/src/redwingslip/scheduling/_ejections.py
@@ -25,13 +25,17 @@
     max_share : float
         If more than this share of a pool's VMs is to be ejected, none of them is.
     """
-    n_ready: Counter[str] = Counter()
     ejected: dict[str, list[str]] = {}
     for vm_id, agent in agents.items():
-        if agent.is_ready(now):
-            n_ready[agent.vm.pool] += 1
-            if agent.health.is_ejected(now):
-                ejected.setdefault(agent.vm.pool, []).append(vm_id)
+        if agent.health.is_ejected(now) and agent.is_ready(now):
+            ejected.setdefault(agent.vm.pool, []).append(vm_id)
+    if not ejected:
+        return frozenset()
+    n_ready = Counter(
+        agent.vm.pool
+        for agent in agents.values()
+        if agent.vm.pool in ejected and agent.is_ready(now)
+    )
     return frozenset(
         vm_id
         for pool, vm_ids in ejected.items()
--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -6,7 +6,7 @@
 from ..observe import EventName
 from ..placement import is_allowed
 from ._agent import VmAgent
-from ._job_index import non_preemptible_need, vm_usage
+from ._job_index import non_preemptible_need
 from ._machines import MachineRegistry
 from ._term import Term
 
@@ -148,7 +148,7 @@
                 continue
             if self._machines.is_claimed(vm.machine):
                 continue
-            _, steps = vm_usage(self._state, vm_id)
+            _, steps = self._state.usage.of_vm(vm_id)
             if not is_allowed(step, run.key[:3], vm.labels, steps):
                 continue
             if step.reserved.fits(
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -1,6 +1,5 @@
 """The leader's index of waiting tasks, in the order in which they are placed."""
 
-from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 
 import msgspec
@@ -22,7 +21,6 @@
     "JobIndex",
     "PoolBacklog",
     "non_preemptible_need",
-    "vm_usage",
 ]
 
 LONG_RUNNING_BAND, ON_TIME_BAND, LATE_BAND, USELESS_BAND = 0, 1, 2, 3
@@ -65,8 +63,9 @@
     def __init__(self, state: JobsState) -> None:
         self._state = state
         self._queues = {queue.name: queue for queue in state.plan.queues}
-        self._active: set[str] = {
-            job_id
+        # Active jobs, and whether any of their steps is speculative.
+        self._active: dict[str, bool] = {
+            job_id: _is_speculative(job)
             for job_id, job in state.jobs.items()
             if job.status in ACTIVE_STATUSES
         }
@@ -82,9 +81,9 @@
         self._waiting.pop(job_id, None)
         job = self._state.jobs.get(job_id)
         if job is not None and job.status in ACTIVE_STATUSES:
-            self._active.add(job_id)
+            self._active[job_id] = _is_speculative(job)
         else:
-            self._active.discard(job_id)
+            self._active.pop(job_id, None)
 
     def forget_job(self, job_id: str) -> None:
         """Drop all entries of a job that was removed from the state."""
@@ -122,21 +121,6 @@
             if jobs[job_id].spec.queue == queue and not _has_begun(jobs[job_id])
         )
 
-    def usage(self) -> dict[str, Amounts]:
-        """Return the amounts that the runs of each customer use."""
-        totals: dict[str, list[int]] = {}
-        for runs in self._state.runs.values():
-            for run in runs.values():
-                job = self._state.jobs.get(run.key.job_id)
-                if job is None or not job.spec.customer:
-                    continue
-                need = job.spec.steps[run.key.step].need
-                total = totals.setdefault(job.spec.customer, [0, 0, 0])
-                total[0] += need.cpu
-                total[1] += need.memory_mb
-                total[2] += need.accelerators
-        return {name: Amounts(*total) for name, total in totals.items()}
-
     def waiting(
         self, now_ms: int, is_suspect: Callable[[RunRecord], bool]
     ) -> list[tuple[Urgency, list[WaitingTask]]]:
@@ -146,12 +130,14 @@
         suspect.
         """
         waiting = []
-        for job_id in self._active:
+        for job_id, is_speculative in self._active.items():
             job = self._state.jobs[job_id]
-            keys = [
-                *self._waiting_keys(job_id, job),
-                *_speculative_keys(job, is_suspect),
-            ]
+            keys = self._waiting.get(job_id)
+            if keys is None:
+                keys = list(_ready_keys(job))
+                self._waiting[job_id] = keys
+            if is_speculative:
+                keys = [*keys, *_speculative_keys(job, is_suspect)]
             if not keys:
                 continue
             tasks = [
@@ -164,13 +150,6 @@
         waiting.sort(key=lambda entry: entry[:2])
         return [(urgency, tasks) for urgency, _, tasks in waiting]
 
-    def _waiting_keys(self, job_id: str, job: JobRecord) -> list[TaskKey]:
-        keys = self._waiting.get(job_id)
-        if keys is None:
-            keys = list(_ready_keys(job))
-            self._waiting[job_id] = keys
-        return keys
-
     def _waiting_task(self, job: JobRecord, key: TaskKey) -> WaitingTask:
         task = self._state.task(key)
         return WaitingTask(
@@ -257,26 +236,12 @@
                     yield TaskKey(job.spec.job_id, occurrence, number, index)
 
 
-def _is_waiting(task: TaskRecord) -> bool:
-    return not task.is_done and not task.runs
+def _is_speculative(job: JobRecord) -> bool:
+    return any(step.is_speculative and not step.is_gang for step in job.spec.steps)
 
 
-def vm_usage(state: JobsState, vm_id: str) -> tuple[Amounts, Counter]:
-    """Return the capacity that the runs of a VM reserve, and their number by step."""
-    cpu = memory_mb = accelerators = 0
-    steps: Counter = Counter()
-    for run in state.runs.get(vm_id, {}).values():
-        job = state.jobs.get(run.key.job_id)
-        if job is None:
-            continue
-        need = job.spec.steps[run.key.step].reserved
-        cpu += need.cpu
-        memory_mb += need.memory_mb
-        accelerators += need.accelerators
-        steps[run.key[:3]] += 1
-    if not cpu and not memory_mb and not accelerators:
-        return NO_AMOUNTS, steps
-    return Amounts(cpu, memory_mb, accelerators), steps
+def _is_waiting(task: TaskRecord) -> bool:
+    return not task.is_done and not task.runs
 
 
 def non_preemptible_need(
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -9,7 +9,7 @@
 from ..observe import EventName
 from ..placement import ArrivalTrend, PoolLoad, plan_moves
 from ._agent import VmAgent
-from ._job_index import PoolBacklog, non_preemptible_need, vm_usage
+from ._job_index import PoolBacklog, non_preemptible_need
 from ._machines import MachineManager
 from ._ports import MachineOutcome, MachineState, MachineView
 from .exceptions import (
@@ -194,13 +194,14 @@
         ejected = self._machines.ejected_vms(now)
         for vm_id, agent in self._machines.agents.items():
             vm = agent.vm
-            is_claimed = self._machines.is_claimed(vm.machine)
-            if vm.pool != pool or is_claimed or not agent.is_ready(now):
+            if vm.pool != pool or self._machines.is_claimed(vm.machine):
+                continue
+            if not agent.is_ready(now):
                 continue
             if vm_id in ejected:
                 # Its room is replaced until it takes runs again.
                 continue
-            used, steps = vm_usage(self._state, vm_id)
+            used, steps = self._state.usage.of_vm(vm_id)
             non_preemptible = non_preemptible_need(self._state, steps).cpu
             used_cpu += used.cpu
             non_preemptible_cpu += non_preemptible
--- a/src/redwingslip/scheduling/_preemption.py
+++ b/src/redwingslip/scheduling/_preemption.py
@@ -5,7 +5,6 @@
 from ..jobs import ActiveRun, JobsState
 from ..placement import WaitingTask, is_allowed
 from ._agent import VmAgent
-from ._job_index import vm_usage
 from ._machines import MachineRegistry
 
 __all__ = ["choose_victims"]
@@ -50,7 +49,7 @@
 ) -> list[ActiveRun]:
     """Return the newest runs whose end frees enough capacity; none if not possible."""
     vm = agent.vm
-    used, steps = vm_usage(state, vm.vm_id)
+    used, steps = state.usage.of_vm(vm.vm_id)
     if not is_allowed(task.step, task.key[:3], vm.labels, steps):
         return []
     if task.allowed is not None and vm.vm_id not in task.allowed:
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -6,7 +6,7 @@
 from ..observe import EventName
 from ..placement import CandidateVm, Placer, Urgency, WaitingTask
 from ._advice import AdviceCache
-from ._job_index import LONG_RUNNING_BAND, JobIndex, PoolBacklog, vm_usage
+from ._job_index import LONG_RUNNING_BAND, JobIndex, PoolBacklog
 from ._machines import MachineRegistry
 from ._preemption import choose_victims
 from ._term import Term
@@ -53,13 +53,17 @@
 
     def decide(self) -> tuple[RunStart, ...]:
         """Run one round and return the runs to start."""
-        usage = self._job_index.usage()
         jobs = self._job_index.waiting(self._term.now_ms(), self._is_suspect)
         self.backlog.clear()
         if not jobs:
             return ()
         limits = {c.name: c.limit for c in self._state.plan.customers}
-        placer = Placer(pools=self._candidate_vms(), usage=usage, limits=limits)
+        pools = {tasks[0].pool for _, tasks in jobs}
+        placer = Placer(
+            pools=self._candidate_vms(pools),
+            usage=self._state.usage.of_customers(),
+            limits=limits,
+        )
         starts: list[RunStart] = []
         for urgency, tasks in jobs:
             starts.extend(self._place_job(placer, urgency, tasks))
@@ -121,7 +125,8 @@
             )
             agent.stop(run.key, run.number)
 
-    def _candidate_vms(self) -> dict[str, list[CandidateVm]]:
+    def _candidate_vms(self, names: set[str]) -> dict[str, list[CandidateVm]]:
+        """Return the VMs of the named pools that accept runs, by pool."""
         now = self._term.clock.monotonic()
         machines_to_maintain = {
             m for wave in self._state.waves.values() for m in wave.remaining()
@@ -129,10 +134,12 @@
         ejected = self._machines.ejected_vms(now)
         pools: dict[str, list[CandidateVm]] = {}
         for vm_id, agent in self._machines.agents.items():
+            if agent.vm.pool not in names:
+                continue
             is_claimed = self._machines.is_claimed(agent.vm.machine)
             if is_claimed or vm_id in ejected or not agent.is_ready(now):
                 continue
-            used, steps = vm_usage(self._state, vm_id)
+            used, steps = self._state.usage.of_vm(vm_id)
             candidate = CandidateVm(
                 vm_id=vm_id,
                 born_ms=agent.vm.born_ms,
@@ -150,7 +157,7 @@
         """Return the VMs of a pool that accept runs, those with most free CPU first."""
         now = self._term.clock.monotonic()
         free_cpu = {
-            vm_id: agent.vm.capacity.cpu - vm_usage(self._state, vm_id)[0].cpu
+            vm_id: agent.vm.capacity.cpu - self._state.usage.of_vm(vm_id)[0].cpu
             for vm_id, agent in self._machines.agents.items()
             if agent.vm.pool == pool and agent.is_ready(now)
         }
--- a/tests/test_jobs_fuzz.py
+++ b/tests/test_jobs_fuzz.py
@@ -1,6 +1,7 @@
 """Stateful fuzzing of the replicated state of jobs against an oracle."""
 
 import os
+from collections import Counter
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -173,6 +174,14 @@
         seen = [run.key for runs in self.state.runs.values() for run in runs.values()]
         assert len(seen) == len(set(seen)), "two runs of one task"
 
+    @invariant()
+    def usage_is_the_sum_of_the_runs(self):
+        for copy in (self.machine.state, self.copy.state):
+            for vm_id, runs in copy.runs.items():
+                used, steps = copy.usage.of_vm(vm_id)
+                assert steps == Counter(key[:3] for key, _ in runs)
+                assert used.cpu == sum(copy.step(key).need.cpu for key, _ in runs)
+
     @invariant()
     def completed_jobs_are_done(self):
         for job in self.state.jobs.values():
--- a/tests/test_scheduling_job_index.py
+++ b/tests/test_scheduling_job_index.py
@@ -22,7 +22,7 @@
     TaskKey,
     VmRecord,
 )
-from redwingslip.scheduling._job_index import JobIndex, vm_usage
+from redwingslip.scheduling._job_index import JobIndex
 
 QUEUES = (
     Queue(
@@ -151,8 +151,8 @@
     def test_usage_sums_the_runs_of_a_customer(self):
         self.submit("j", customer="forges")
         self.start(TaskKey("j", 0, 0, 0))
-        usage = JobIndex(self.state).usage()
+        usage = self.state.usage.of_customers()
         self.assertEqual(usage, {"forges": Amounts(500, 10)})
-        used, steps = vm_usage(self.state, "v1")
+        used, steps = self.state.usage.of_vm("v1")
         self.assertEqual(used, Amounts(500, 10))
         self.assertEqual(steps, {("j", 0, 0): 1})
