Stop a refused run that an earlier leader may have ordered before it is placed again

What callers could see: a task that runs twice at a time after a change of leader.

Cause: a new leader sends the start orders of runs that an earlier leader has placed, since these may not have been sent. It handled such an order as its first copy. When the VM refused it or was draining, the run was recorded as never started, while an order of the earlier leader may arrive 2 to 12 s late.

Change: such an order counts as sent once before, so that a stop closes the run first.

Figures: the test fails before (the stop never comes) and passes after.

Conclusion: a run is recorded as never started only by the leader that placed it.

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -313,7 +313,7 @@
         confirmed_at = self._sender.confirmed_at.get(run_id)
         if confirmed_at is None:
             # An earlier leader placed the run, but may not have sent its start order.
-            self.start(run)
+            self._sender.resume_start(run)
         elif confirmed_at < sent_at:
             self._sender.record_end(run_id, EndKind.LOST)
 
--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -27,7 +27,8 @@
     Attributes
     ----------
     n_lost : int
-        Calls whose outcome is unknown, so that a copy may still be in flight.
+        Calls whose outcome is unknown, so that a copy may still be in flight. A call
+        that an earlier leader may have sent counts as one.
     """
 
     key: TaskKey
@@ -148,10 +149,14 @@
         self._spawn(self._term.record_ends(self.vm, (end,), 0))
 
     def start(self, run: ActiveRun, ticket: str = "") -> None:
-        """Queue the order to start a run."""
+        """Queue the order to start a run that this leader has placed."""
         order = _Order(run.key, run.number, is_stop=False, run=run, ticket=ticket)
         self._enqueue(order)
 
+    def resume_start(self, run: ActiveRun) -> None:
+        """Queue the order to start a run that an earlier leader has placed."""
+        self._enqueue(_Order(run.key, run.number, is_stop=False, run=run, n_lost=1))
+
     def stop(self, key: TaskKey, number: int) -> None:
         """Queue the order to stop a run, ahead of queued starts."""
         pending = self._pending.get((key, number))
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -106,6 +106,16 @@
         self.clock.advance(timedelta(milliseconds=10))
         await eventually(lambda: not self.has_open_run())
 
+    async def test_a_refusal_of_a_run_of_an_earlier_leader_is_followed_by_a_stop(self):
+        """Guards against a second run while the earlier leader's order is in flight."""
+        self.decide()
+        self.endpoint.start_responses = [StartResult.NO_ROOM]
+        self.agent.begin()
+        await eventually(lambda: self.endpoint.stopped)
+        self.assertTrue(self.has_open_run(), "open until a poll proves its end")
+        self.clock.advance(timedelta(milliseconds=10))
+        await eventually(lambda: not self.has_open_run())
+
     async def test_an_unknown_run_is_stopped(self):
         self.endpoint.runs[(TaskKey("other", 0, 0, 0), 4)] = 10
         self.agent.begin()
