Place no runs on a VM that left a poll unanswered

What callers saw: after a VM had crashed, up to 15 of about 20 lost runs had never started. They had been placed on it after the crash, or waited in its queue of orders, and their tasks waited about 3 s more, until a new VM reported from the same place.

Cause: a VM counts as in contact for 2.2 s after its last answer, also when it leaves a later poll unanswered. Orders that wait for such a VM were retried until it was replaced or its lease had ended.

Ruled out: ejection, which counts failed runs only; a refused connection as proof of a crash, since only a new incarnation or the end of the lease is one.

Change: placement passes over a VM whose last poll has no answer. A start order that was never sent to it is withdrawn, and its task is placed again. Orders that may have arrived, and those of gangs, wait as before. The size of the pool still counts the VM, so that one lost answer moves no machine.

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -125,6 +125,11 @@
             return False
         return self.lease.is_in_contact(now)
 
+    @property
+    def is_responsive(self) -> bool:
+        """Return whether the VM answered the last poll."""
+        return not self._sender.is_unresponsive
+
     def update(self, vm: VmRecord) -> None:
         """Replace the record of this incarnation by a newer one."""
         self.vm = vm
--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -199,8 +199,12 @@
             self._pending.pop(run_id, None)
             return
         if not order.is_stop and self.is_unresponsive:
-            # Another incarnation may be at the address; the next poll shows that.
-            await self._retry(order)
+            # Another incarnation may be at the address; the next poll shows that. A
+            # gang starts as a whole, so that its runs wait for the poll.
+            if order.n_lost or self._term.state.step(order.key).is_gang:
+                await self._retry(order)
+            else:
+                self._withdraw(order)
             return
         if not order.is_stop and self.vm.is_draining:
             # The run was placed before the VM reported that it is draining.
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -137,7 +137,9 @@
             if agent.vm.pool not in names:
                 continue
             is_claimed = self._machines.is_claimed(agent.vm.machine)
-            if is_claimed or vm_id in ejected or not agent.is_ready(now):
+            if is_claimed or vm_id in ejected:
+                continue
+            if not agent.is_ready(now) or not agent.is_responsive:
                 continue
             used, steps = self._state.usage.of_vm(vm_id)
             candidate = CandidateVm(
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -165,6 +165,27 @@
         await eventually(lambda: self.term.forgotten)
         self.assertEqual(self.endpoint.started, [])
 
+    async def test_runs_not_sent_to_an_unresponsive_vm_end_immediately(self):
+        """Guards against tasks that wait for the end of the lease of a crashed VM."""
+        self.agent.begin()
+        await eventually(lambda: self.agent.is_ready(self.clock.monotonic()))
+        self.endpoint.is_unresponsive = True
+        await eventually(lambda: self.agent._sender.is_unresponsive)
+        self.agent.start(self.decide())
+        await eventually(lambda: not self.has_open_run())
+        self.assertEqual(self.endpoint.started, [])
+
+    async def test_a_start_without_an_answer_keeps_the_run_of_an_unresponsive_vm(self):
+        """Guards against a second run of a task that may have started."""
+        self.endpoint.start_responses = [OrderOutcomeUnknownError("lost")] * 9
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: self.endpoint.started)
+        self.endpoint.is_unresponsive = True
+        await eventually(lambda: self.agent._sender.is_unresponsive)
+        await asyncio.sleep(0.25)
+        self.assertTrue(self.has_open_run())
+
     async def test_a_stalled_run_is_stopped_and_restarted_elsewhere(self):
         self.agent.begin()
         self.agent.start(self.decide())
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -103,6 +103,12 @@
         self.assertEqual(len(self.decide()), 4)
         self.assertEqual(self.rounds.backlog["p"].cpu, 3000)
 
+    def test_a_vm_that_left_a_poll_unanswered_gets_no_runs(self):
+        """Guards against runs that are lost with a VM that had crashed before."""
+        self.agent._sender.is_unresponsive = True
+        self.submit("j")
+        self.assertEqual(self.decide(), ())
+
     def test_a_claimed_machine_gets_no_runs(self):
         self.machines.claim("m-v1", "a wave")
         self.submit("j")
