Isolate a task that has crashed two VMs, and give up its job after four

Cause: a run that is lost with its VM counted for nothing. Neither the attempts of the task nor the choice of its next VM took note of it (class of fault: a poison message that is redelivered without a limit). The logs show the same task on VM after VM, each of which crashed within 10 ms of its start.

Ruled out: failing VMs, as each crash was of another one; failed runs, as none of the task was listed as failed.

Change: the state counts a crash under each run that began at most 10 s before its VM ended without notice: replaced by another incarnation, or silent until its lease had expired. A VM that was draining, moved or maintained does not count. All runs on a VM are suspected alike, so that no verdict rests on a crash that others shared: after two crashes a task shares a VM only with its own job, and a part of the VMs is kept free for such tasks where none is empty; a task is given up after four crashes, at least two of them alone. Suspects are placed where a crash takes the fewest runs with it, other tasks avoid their VMs, and no second run of a suspect is started. The end of the run says how many VMs have crashed under the task; `explain` says why the job was given up.

Conclusion: a task crashes four VMs at most, the last two of them without runs of others.

--- a/src/redwingslip/jobs/__init__.py
+++ b/src/redwingslip/jobs/__init__.py
@@ -6,6 +6,7 @@
 
 from ._commands import *  # noqa: F403
 from ._commands import __all__ as _commands_all
+from ._crashes import CRASH_WINDOW_MS, is_isolated
 from ._machine import JobsMachine, encode_command
 from ._plan import NO_AMOUNTS, Amounts, Customer, Plan, Pool, Queue, check_plan
 from ._records import (
@@ -24,6 +25,7 @@
 
 __all__ = [
     "ACTIVE_STATUSES",
+    "CRASH_WINDOW_MS",
     "NO_AMOUNTS",
     "ActiveRun",
     "Amounts",
@@ -51,6 +53,7 @@
     "check_plan",
     "check_steps",
     "encode_command",
+    "is_isolated",
     "iter_tasks",
     *_commands_all,
 ]
--- a/src/redwingslip/jobs/_commands.py
+++ b/src/redwingslip/jobs/_commands.py
@@ -103,6 +103,8 @@
     cursor : int
         Number that the VM gave to the last of these ends in its list of ends; 0 if the
         ends do not come from that list.
+    has_crashed : bool
+        Whether these are all runs of a VM that is silent and may have crashed.
     """
 
     vm_id: str
@@ -110,6 +112,7 @@
     ends: tuple[RunEnd, ...]
     now_ms: int
     cursor: int = 0
+    has_crashed: bool = False
 
 
 class NoteVm(_Command):
@@ -123,11 +126,18 @@
 
 
 class ForgetVm(_Command):
-    """Remove an incarnation of a VM; its runs end as lost."""
+    """Remove an incarnation of a VM; its runs end as lost.
+
+    Attributes
+    ----------
+    has_crashed : bool
+        Whether the incarnation ended without an order and without notice.
+    """
 
     vm_id: str
     born_ms: int
     now_ms: int
+    has_crashed: bool = False
 
 
 class ForgetJobs(_Command):
--- /dev/null
+++ b/src/redwingslip/jobs/_crashes.py
@@ -0,0 +1,23 @@
+"""When a task is suspected of crashing the VMs that start it, and given up."""
+
+from ._records import TaskRecord
+from ._spec import StepSpec
+
+__all__ = ["CRASH_WINDOW_MS", "MAX_CRASHES", "is_isolated"]
+
+# A run that began longer before the end of its VM was recorded is not suspected. A
+# silent VM counts as ended once its lease has expired, after up to 7 s.
+CRASH_WINDOW_MS = 10_000
+# After two crashes a task may be given up (platform contract). Runs of other tasks on
+# these VMs are lost with them, so that each later run is alone on its VM until two more
+# VMs have crashed under it.
+N_CRASHES_TO_ISOLATE = 2
+MAX_CRASHES = 4
+
+
+def is_isolated(step: StepSpec, task: TaskRecord) -> bool:
+    """Return whether a task may share a VM only with other tasks of its job.
+
+    The tasks of a gang need many VMs at the same time and are never isolated.
+    """
+    return task.n_crashes >= N_CRASHES_TO_ISOLATE and not step.is_gang
--- a/src/redwingslip/jobs/_records.py
+++ b/src/redwingslip/jobs/_records.py
@@ -87,6 +87,8 @@
         Last known checkpoint; empty for none.
     runs : list of RunRecord
         Runs that may be alive.
+    n_crashes : int
+        Number of VMs that ended without notice shortly after the start of a run.
     """
 
     n_runs: int = 0
@@ -94,6 +96,7 @@
     is_done: bool = False
     checkpoint: str = ""
     runs: list[RunRecord] = msgspec.field(default_factory=list)
+    n_crashes: int = 0
 
 
 class JobRecord(msgspec.Struct, array_like=True):
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -21,6 +21,7 @@
     StartWave,
     SubmitJob,
 )
+from ._crashes import CRASH_WINDOW_MS, MAX_CRASHES
 from ._machine_orders import MachineOrders
 from ._plan import Plan
 from ._records import (
@@ -90,11 +91,23 @@
         Times of the last orders for machines.
     runs : dict
         Runs that may be alive, by VM and then by task and run number.
+    suspect_runs : dict
+        Those of these runs whose task has crashed a VM before, by VM and then by task
+        and run number.
     usage : RunUsage
-        Resources that these runs use.
+        Resources that the runs use.
     """
 
-    __slots__ = ("jobs", "machine_orders", "plan", "runs", "usage", "vms", "waves")
+    __slots__ = (
+        "jobs",
+        "machine_orders",
+        "plan",
+        "runs",
+        "suspect_runs",
+        "usage",
+        "vms",
+        "waves",
+    )
 
     def __init__(self) -> None:
         self.plan = Plan()
@@ -103,6 +116,7 @@
         self.waves: dict[int, WaveRecord] = {}
         self.machine_orders = MachineOrders()
         self.runs: dict[str, dict[tuple[TaskKey, int], ActiveRun]] = {}
+        self.suspect_runs: dict[str, dict[tuple[TaskKey, int], ActiveRun]] = {}
         self.usage = RunUsage()
 
     def apply(self, command: Command) -> object:
@@ -151,6 +165,7 @@
         self.waves = {wave.number: wave for wave in snapshot.waves}
         self.machine_orders = snapshot.machine_orders
         self.runs = {}
+        self.suspect_runs = {}
         self.usage = RunUsage()
         for job in snapshot.jobs:
             for key, task in iter_tasks(job):
@@ -205,6 +220,8 @@
 
     @_apply.register
     def _(self, command: RecordEnds) -> None:
+        if command.has_crashed:
+            self._count_crash(command.vm_id, command.born_ms, command.now_ms)
         for end in command.ends:
             self._close_run(command, end)
         vm = self.vms.get(command.vm_id)
@@ -223,6 +240,7 @@
         if known is not None and known.born_ms == vm.born_ms:
             vm = msgspec.structs.replace(vm, end_cursor=known.end_cursor)
         elif known is not None:
+            self._count_crash(known.vm_id, known.born_ms, command.now_ms)
             lost = self._close_lost_runs(known.vm_id, known.born_ms, command.now_ms)
         self.vms[vm.vm_id] = vm
         return VmChange(vm, lost)
@@ -231,6 +249,8 @@
     def _(self, command: ForgetVm) -> VmChange:
         """Return the incarnation that is still known, and the lost runs."""
         vm = self.vms.get(command.vm_id)
+        if command.has_crashed:
+            self._count_crash(command.vm_id, command.born_ms, command.now_ms)
         if vm is not None and vm.born_ms == command.born_ms:
             del self.vms[command.vm_id]
             vm = None
@@ -320,8 +340,13 @@
         )
         self.runs.setdefault(run.vm_id, {})[(key, run.number)] = active
         self.usage.add(run.vm_id, key, self.jobs[key.job_id].spec)
+        if self.task(key).n_crashes:
+            self._add_suspect_run(active)
         return active
 
+    def _add_suspect_run(self, run: ActiveRun) -> None:
+        self.suspect_runs.setdefault(run.vm_id, {})[(run.key, run.number)] = run
+
     def _close_run(self, command: RecordEnds, end: RunEnd) -> None:
         """Close a run if it is active on the command's incarnation of the VM."""
         vm_runs = self.runs.get(command.vm_id, {})
@@ -330,6 +355,9 @@
             return
         del vm_runs[(end.key, end.number)]
         self.usage.remove(active.vm_id, end.key, self.jobs[end.key.job_id].spec)
+        suspects = self.suspect_runs.get(command.vm_id, {})
+        if suspects.pop((end.key, end.number), None) and not suspects:
+            del self.suspect_runs[command.vm_id]
         task = self.task(end.key)
         task.runs = [r for r in task.runs if r.number != end.number]
         job = self.jobs[end.key.job_id]
@@ -365,6 +393,27 @@
         if all(task.is_done for _, task in iter_tasks(job)):
             job.status, job.ended_ms = JobStatus.COMPLETED, now_ms
 
+    def _count_crash(self, vm_id: str, born_ms: int, now_ms: int) -> None:
+        """Count a crash under each task that a VM started shortly before its end.
+
+        A job with a task under which too many VMs have crashed fails. A VM that was
+        draining has ended as it had announced.
+        """
+        vm = self.vms.get(vm_id)
+        if vm is not None and vm.born_ms == born_ms and vm.is_draining:
+            return
+        for run in self.runs_of(vm_id, born_ms):
+            if now_ms - run.started_ms > CRASH_WINDOW_MS:
+                continue
+            task = self.task(run.key)
+            task.n_crashes += 1
+            for other in task.runs:
+                active = self.runs[other.vm_id][(run.key, other.number)]
+                self._add_suspect_run(active)
+            job = self.jobs[run.key.job_id]
+            if task.n_crashes >= MAX_CRASHES and job.status in ACTIVE_STATUSES:
+                job.status, job.ended_ms = JobStatus.FAILED, now_ms
+
     def _close_lost_runs(
         self, vm_id: str, born_ms: int, now_ms: int
     ) -> tuple[RunEnd, ...]:
--- a/src/redwingslip/observe/_explain.py
+++ b/src/redwingslip/observe/_explain.py
@@ -149,6 +149,15 @@
         yield f"A run on {stop.event.vm} was stopped: {stop.event.detail}."
 
 
+def _find_crashes(timeline: _JobTimeline) -> Iterator[str]:
+    """Yield a sentence for a job that failed since its task crashed VMs."""
+    for end in timeline.select(EventName.RUN_ENDED):
+        run_end, *rest = end.event.detail.split("; ")
+        if run_end.endswith(" lost") and rest[:1] == ["job failed"] and rest[1:]:
+            yield f"The job was given up, as it crashes VMs; {rest[1]}."
+            return
+
+
 def _find_failures(timeline: _JobTimeline) -> Iterator[str]:
     """Yield sentences for the failed runs, and for VMs that were ejected."""
     failures = [
@@ -179,6 +188,7 @@
     _find_refusals,
     _find_waits,
     _find_lost_runs,
+    _find_crashes,
     _find_failures,
     _find_cancellation,
 )
--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Mapping, Sequence
 
-from ..jobs import NO_AMOUNTS, Amounts, RunStart, StepSpec
+from ..jobs import NO_AMOUNTS, Amounts, RunStart
 from ._view import CandidateVm, WaitingTask, is_allowed
 
 __all__ = ["Placer"]
@@ -13,6 +13,9 @@
 # if the capacity allows it, so that the loss of one rack leaves the rest running. More
 # racks would keep more VMs switched on.
 MIN_RACKS_OF_STEP = 2
+# Isolated tasks that find no VM without runs may keep this share of a pool's VMs from
+# all other tasks, and one VM in any case.
+MAX_ISOLATED_SHARE = 0.25
 
 
 class Placer:
@@ -71,6 +74,35 @@
             return ()
         return tuple(start for start, _, _ in placed)
 
+    def reserve_vm(self, task: WaitingTask) -> None:
+        """Keep new runs from a VM, so that an isolated task finds it without runs.
+
+        The VM with the fewest runs is chosen. A part of the VMs of a pool may be
+        reserved or used by isolated tasks at a time.
+
+        Parameters
+        ----------
+        task : WaitingTask
+            An isolated task that found no VM.
+        """
+        vms = self._pools.get(task.pool, ())
+        if any(vm.isolated_job == task.key.job_id for vm in vms):
+            return
+        n_isolated = sum(bool(vm.isolated_job) for vm in vms)
+        if n_isolated >= max(1, int(MAX_ISOLATED_SHARE * len(vms))):
+            return
+        options = [
+            vm
+            for vm in vms
+            if not vm.isolated_job
+            and not vm.has_long_running
+            and is_allowed(task.step, task.key[:3], vm.labels, vm.tasks_of_step)
+            and (task.allowed is None or vm.vm_id in task.allowed)
+        ]
+        if options:
+            best = min(options, key=lambda vm: (vm.n_runs, vm.vm_id))
+            best.isolated_job = task.key.job_id
+
     def is_within_limit(self, customer: str, need: Amounts) -> bool:
         """Return whether a customer stays within its limit with `need` added."""
         limit = self._limits.get(customer)
@@ -99,10 +131,14 @@
                 continue
             if task.allowed is not None and vm.vm_id not in task.allowed:
                 continue
+            if vm.isolated_job and vm.isolated_job != task.key.job_id:
+                continue
+            if task.is_isolated and not vm.may_isolate(task.key.job_id):
+                continue
             rank = _rank(vm, task, n_by_rack[vm.labels])
             if best_rank is None or rank < best_rank:
                 best, best_rank = vm, rank
-        if best is None and task.allowed is None and not _has_conditions(task.step):
+        if best is None and not _has_conditions(task):
             unplaced.add(need)
         return best
 
@@ -122,6 +158,9 @@
         vm.free = vm.free - task.step.reserved
         vm.tasks_of_step[task.key[:3]] += 1
         vm.has_long_running = vm.has_long_running or task.step.is_long_running
+        vm.has_suspects = vm.has_suspects or task.is_suspect
+        if task.is_isolated:
+            vm.isolated_job = task.key.job_id
         used = self._usage.get(task.customer, NO_AMOUNTS)
         self._usage[task.customer] = used + task.step.need
         return RunStart(task.key, vm.vm_id, vm.born_ms, task.checkpoint)
@@ -132,9 +171,14 @@
         self._usage[task.customer] = self._usage[task.customer] - task.step.need
 
 
-def _has_conditions(step: StepSpec) -> bool:
-    """Return whether a step may exclude a VM for a reason other than its capacity."""
-    return bool(step.label or step.max_per_vm or step.disruption_budget)
+def _has_conditions(task: WaitingTask) -> bool:
+    """Return whether a task may exclude a VM for a reason other than its capacity."""
+    step = task.step
+    return (
+        task.allowed is not None
+        or task.is_isolated
+        or bool(step.label or step.max_per_vm or step.disruption_budget)
+    )
 
 
 def _rank(vm: CandidateVm, task: WaitingTask, n_in_rack: int) -> tuple:
@@ -154,6 +198,9 @@
     has_its_share = n_in_rack >= math.ceil(step.n_tasks / MIN_RACKS_OF_STEP)
     return (
         vm.is_avoided or vm.vm_id in task.avoided,
+        # A VM that crashes takes its other runs with it: suspects go where few are.
+        vm.has_suspects,
+        vm.n_runs if task.is_suspect else 0,
         is_far,
         step.is_long_running and has_its_share,
         # Maintenance of the machine would soon interrupt a long-running task.
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -46,6 +46,10 @@
         Checkpoint that the task resumes from; empty for none.
     avoided : frozenset of str
         VMs on which the task failed before.
+    is_suspect : bool
+        Whether a VM has crashed shortly after it started the task.
+    is_isolated : bool
+        Whether the task may share a VM only with other tasks of its job.
 
     Attributes
     ----------
@@ -53,7 +57,17 @@
         VMs that may run the task; None for any VM of the pool.
     """
 
-    __slots__ = ("allowed", "avoided", "checkpoint", "customer", "key", "pool", "step")
+    __slots__ = (
+        "allowed",
+        "avoided",
+        "checkpoint",
+        "customer",
+        "is_isolated",
+        "is_suspect",
+        "key",
+        "pool",
+        "step",
+    )
 
     def __init__(
         self,
@@ -64,6 +78,8 @@
         pool: str,
         checkpoint: str = "",
         avoided: frozenset[str] = frozenset(),
+        is_suspect: bool = False,
+        is_isolated: bool = False,
     ) -> None:
         self.key = key
         self.step = step
@@ -71,6 +87,8 @@
         self.pool = pool
         self.checkpoint = checkpoint
         self.avoided = avoided
+        self.is_suspect = is_suspect
+        self.is_isolated = is_isolated
         self.allowed: Collection[str] | None = None
 
 
@@ -90,14 +108,20 @@
         switched on.
     is_awaiting_maintenance : bool
         Whether a wave has yet to maintain its machine.
+    has_suspects : bool
+        Whether it runs a task that may have crashed a VM.
+    isolated_job : str
+        The job whose tasks alone may run on it; empty for any.
     """
 
     __slots__ = (
         "born_ms",
         "free",
         "has_long_running",
+        "has_suspects",
         "is_avoided",
         "is_awaiting_maintenance",
+        "isolated_job",
         "labels",
         "tasks_of_step",
         "vm_id",
@@ -114,6 +138,8 @@
         is_avoided: bool = False,
         has_long_running: bool = False,
         is_awaiting_maintenance: bool = False,
+        has_suspects: bool = False,
+        isolated_job: str = "",
     ) -> None:
         self.vm_id = vm_id
         self.born_ms = born_ms
@@ -123,6 +149,17 @@
         self.is_avoided = is_avoided
         self.has_long_running = has_long_running
         self.is_awaiting_maintenance = is_awaiting_maintenance
+        self.has_suspects = has_suspects
+        self.isolated_job = isolated_job
+
+    @property
+    def n_runs(self) -> int:
+        """Return the number of its runs."""
+        return self.tasks_of_step.total()
+
+    def may_isolate(self, job_id: str) -> bool:
+        """Return whether it runs no task of any other job."""
+        return all(key[0] == job_id for key, n in self.tasks_of_step.items() if n)
 
 
 def is_allowed(
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -157,7 +157,7 @@
                 await self._poll()
                 delay = self._cfg.agents.retry_delay
             except VmReplacedError as exc:
-                await self._term.forget_vm(self.vm, str(exc))
+                await self._term.forget_vm(self.vm, str(exc), has_crashed=True)
                 return
             except (OrderNotSentError, OrderOutcomeUnknownError):
                 await self._handle_no_response()
@@ -331,6 +331,6 @@
         runs = self._term.state.runs_of(self.vm.vm_id, self.vm.born_ms)
         if runs:
             ends = tuple(RunEnd(run.key, run.number, EndKind.LOST) for run in runs)
-            await self._term.record_ends(self.vm, ends, 0)
+            await self._term.record_ends(self.vm, ends, 0, has_crashed=True)
         if now - self.lease.contact_at > self._cfg.agents.gone_after:
             await self._term.forget_vm(self.vm, "unresponsive for too long")
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -13,6 +13,7 @@
     RunRecord,
     TaskKey,
     TaskRecord,
+    is_isolated,
 )
 from ..placement import Urgency, WaitingTask
 
@@ -127,7 +128,8 @@
         """Return the waiting tasks by job, the most urgent job first.
 
         A task of a speculative step also waits for a second run when its only run is
-        suspect.
+        suspect. The isolated tasks of a job go before all others, since they need VMs
+        without runs.
         """
         waiting = []
         for job_id, is_speculative in self._active.items():
@@ -146,9 +148,16 @@
                 if _is_due(job, key, now_ms)
             ]
             if tasks:
-                waiting.append((self._urgency(job, now_ms), job_id, tasks))
-        waiting.sort(key=lambda entry: entry[:2])
-        return [(urgency, tasks) for urgency, _, tasks in waiting]
+                urgency = self._urgency(job, now_ms)
+                isolated = [task for task in tasks if task.is_isolated]
+                others = [task for task in tasks if not task.is_isolated]
+                waiting += [
+                    (turn, urgency, job_id, group)
+                    for turn, group in enumerate((isolated, others))
+                    if group
+                ]
+        waiting.sort(key=lambda entry: entry[:3])
+        return [(urgency, tasks) for _, urgency, _, tasks in waiting]
 
     def _waiting_task(self, job: JobRecord, key: TaskKey) -> WaitingTask:
         task = self._state.task(key)
@@ -159,6 +168,8 @@
             pool=self.pool_of(job),
             checkpoint=task.checkpoint,
             avoided=frozenset(self._failed_on.get(key, ())),
+            is_suspect=task.n_crashes > 0,
+            is_isolated=is_isolated(job.spec.steps[key.step], task),
         )
 
     def _urgency(self, job: JobRecord, now_ms: int) -> Urgency:
@@ -231,8 +242,10 @@
             continue
         for occurrence, steps in enumerate(job.tasks):
             for index, task in enumerate(steps[number]):
-                is_alone = not task.is_done and len(task.runs) == 1
-                if is_alone and is_suspect(task.runs[0]):
+                if task.is_done or len(task.runs) != 1:
+                    continue
+                # A second run of a task that crashes VMs would crash one more.
+                if not task.n_crashes and is_suspect(task.runs[0]):
                     yield TaskKey(job.spec.job_id, occurrence, number, index)
 
 
--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -216,7 +216,7 @@
             else:
                 await self._send_start(order)
         except VmReplacedError as exc:
-            await self._term.forget_vm(self.vm, str(exc))
+            await self._term.forget_vm(self.vm, str(exc), has_crashed=True)
         except OrderNotSentError:
             await self._retry(order)
         except OrderOutcomeUnknownError:
--- a/src/redwingslip/scheduling/_preemption.py
+++ b/src/redwingslip/scheduling/_preemption.py
@@ -37,6 +37,8 @@
             return []
         if machines.is_claimed(agent.vm.machine) or agent.health.is_avoided(now):
             continue
+        if vm_id in state.suspect_runs:
+            continue
         victims = _victims_on(task, agent, runs, state)
         if victims:
             cost = sum(_lost_work(run, state, agent) for run in victims)
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ..jobs import RunRecord, RunStart
+from ..jobs import CRASH_WINDOW_MS, RunRecord, RunStart, is_isolated
 from ..observe import EventName
 from ..placement import CandidateVm, Placer, Urgency, WaitingTask
 from ._advice import AdviceCache
@@ -92,6 +92,11 @@
             placed = placer.place_step(step_tasks)
             starts.extend(placed)
             unplaced = step_tasks[len(placed) :]
+            if unplaced and unplaced[0].is_isolated:
+                placer.reserve_vm(unplaced[0])
+                backlog = self.backlog.setdefault(unplaced[0].pool, PoolBacklog())
+                backlog.n_vms = max(backlog.n_vms, 1)
+                continue
             # Neither capacity nor preemption helps a customer that is at its limit.
             if unplaced and placer.is_within_limit(
                 unplaced[0].customer, unplaced[0].step.need
@@ -151,10 +156,26 @@
                 is_avoided=agent.health.is_avoided(now),
                 has_long_running=self._has_long_running(steps),
                 is_awaiting_maintenance=agent.vm.machine in machines_to_maintain,
+                has_suspects=vm_id in self._state.suspect_runs,
+                isolated_job=self._isolated_job(vm_id),
             )
             pools.setdefault(agent.vm.pool, []).append(candidate)
         return pools
 
+    def _isolated_job(self, vm_id: str) -> str:
+        """Return the job of an isolated task that a VM has started; empty for none.
+
+        A task that has run for the whole crash window does not crash its VM.
+        """
+        first_ms = self._term.now_ms() - CRASH_WINDOW_MS
+        for run in self._state.suspect_runs.get(vm_id, {}).values():
+            is_recent = run.started_ms >= first_ms
+            if is_recent and is_isolated(
+                self._state.step(run.key), self._state.task(run.key)
+            ):
+                return run.key.job_id
+        return ""
+
     def candidates(self, pool: str) -> tuple[str, ...]:
         """Return the VMs of a pool that accept runs, those with most free CPU first."""
         now = self._term.clock.monotonic()
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -246,12 +246,11 @@
             self._job_index.note_failure(end.key, vm_id)
         self._update_health(vm_id, end)
         status = job.status.value if job is not None else "forgotten"
-        self._term.emit(
-            EventName.RUN_ENDED,
-            request_id=job_id,
-            vm=vm_id,
-            detail=f"{end.key.label(end.number)} {end.kind.value}; job {status}",
-        )
+        detail = f"{end.key.label(end.number)} {end.kind.value}; job {status}"
+        task = self._state.task(end.key)
+        if end.kind is EndKind.LOST and task is not None and task.n_crashes:
+            detail += f"; crashed VMs of the task: {task.n_crashes}"
+        self._term.emit(EventName.RUN_ENDED, request_id=job_id, vm=vm_id, detail=detail)
 
     def _update_health(self, vm_id: str, end: RunEnd) -> None:
         """Update the health of a VM after the end of a run."""
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -274,7 +274,9 @@
         for other in tuple(self._state.vms.values()):
             is_earlier = other.vm_id != vm.vm_id and other.born_ms < vm.born_ms
             if is_earlier and _share_place(other, vm):
-                await self._term.forget_vm(other, f"replaced by {vm.vm_id}")
+                await self._term.forget_vm(
+                    other, f"replaced by {vm.vm_id}", has_crashed=True
+                )
 
 
 def _share_place(vm: VmRecord, other: VmRecord) -> bool:
--- a/src/redwingslip/scheduling/_term.py
+++ b/src/redwingslip/scheduling/_term.py
@@ -113,7 +113,12 @@
             return None
 
     async def record_ends(
-        self, vm: VmRecord, ends: tuple[RunEnd, ...], cursor: int
+        self,
+        vm: VmRecord,
+        ends: tuple[RunEnd, ...],
+        cursor: int,
+        *,
+        has_crashed: bool = False,
     ) -> None:
         """Commit ends of runs; return once committed or once leadership has ended."""
         command = RecordEnds(
@@ -122,13 +127,21 @@
             ends=ends,
             now_ms=self.now_ms(),
             cursor=cursor,
+            has_crashed=has_crashed,
         )
         await self.propose_or_log(command)
 
-    async def forget_vm(self, vm: VmRecord, reason: str) -> None:
+    async def forget_vm(
+        self, vm: VmRecord, reason: str, *, has_crashed: bool = False
+    ) -> None:
         """Remove an ended incarnation of a VM from the state, and log the reason."""
         self.emit(EventName.VM_LOST, vm=vm.vm_id, detail=reason)
-        command = ForgetVm(vm_id=vm.vm_id, born_ms=vm.born_ms, now_ms=self.now_ms())
+        command = ForgetVm(
+            vm_id=vm.vm_id,
+            born_ms=vm.born_ms,
+            now_ms=self.now_ms(),
+            has_crashed=has_crashed,
+        )
         await self.propose_or_log(command)
 
     def emit(
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -69,7 +69,7 @@
         except (NotLeadingError, CommandOutcomeUnknownError):
             return None
 
-    async def record_ends(self, vm, ends, cursor):
+    async def record_ends(self, vm, ends, cursor, *, has_crashed=False):
         """Commit ends of runs."""
         await self.propose_or_log(
             RecordEnds(
@@ -78,13 +78,19 @@
                 ends=ends,
                 now_ms=self.now_ms(),
                 cursor=cursor,
+                has_crashed=has_crashed,
             )
         )
 
-    async def forget_vm(self, vm, reason):
+    async def forget_vm(self, vm, reason, *, has_crashed=False):
         """Remove an incarnation of a VM."""
         await self.propose_or_log(
-            ForgetVm(vm_id=vm.vm_id, born_ms=vm.born_ms, now_ms=self.now_ms())
+            ForgetVm(
+                vm_id=vm.vm_id,
+                born_ms=vm.born_ms,
+                now_ms=self.now_ms(),
+                has_crashed=has_crashed,
+            )
         )
 
     def emit(self, name, **fields):
@@ -114,6 +120,8 @@
         Tasks whose success a leader has acknowledged.
     starts : dict
         Start times of the runs of each task.
+    on_start : callable
+        Called with the endpoint and the run at each start.
     """
 
     def __init__(self, loop, rng, clock, state, *, n_vms=4):
@@ -127,6 +135,7 @@
         self.problems = []
         self.done = set()
         self.starts = {}
+        self.on_start = lambda endpoint, run: None
         self.fence = 0
         self.term = None
         self.scheduler = None
@@ -220,6 +229,7 @@
                 self._report(f"{label} starts before the end of step {number}")
         if run.key not in self._tasks(job):
             self._report(f"{label} starts for a task of no job")
+        self.on_start(endpoint, run)
 
     def _tasks(self, job):
         return {key for key, _ in iter_tasks(job)}
--- a/tests/support_virtual_time.py
+++ b/tests/support_virtual_time.py
@@ -58,5 +58,6 @@
         pending = asyncio.all_tasks(loop)
         for task in pending:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+        if pending:
+            loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
         loop.close()
--- /dev/null
+++ b/tests/test_jobs_crashes.py
@@ -0,0 +1,126 @@
+"""Tests of tasks under which VMs crash, in the replicated state."""
+
+import unittest
+
+from redwingslip.jobs import (
+    EndKind,
+    ForgetVm,
+    JobsState,
+    JobStatus,
+    NoteVm,
+    RecordEnds,
+    RunEnd,
+    RunStart,
+    StartRuns,
+    StepSpec,
+    TaskKey,
+    VmRecord,
+    is_isolated,
+)
+from redwingslip.jobs._crashes import CRASH_WINDOW_MS, MAX_CRASHES
+from tests.test_jobs_state import KEY, make_job, make_state
+
+OTHER = TaskKey("j2", 0, 0, 0)
+
+
+class TestCrashes(unittest.TestCase):
+    """What counts as a crash under a task, and what follows from it."""
+
+    def setUp(self):
+        self.state = make_state(make_job(), make_job("j2"))
+        self.born_ms = 1
+
+    def start(self, key=KEY, now_ms=100):
+        """Start a task on the newest incarnation of the VM."""
+        starts = (RunStart(key, "v1", self.born_ms),)
+        self.state.apply(StartRuns(starts=starts, now_ms=now_ms))
+
+    def restart_vm(self, now_ms=200):
+        """Report a new incarnation of the VM."""
+        self.born_ms += 1
+        vm = VmRecord(vm_id="v1", born_ms=self.born_ms)
+        self.state.apply(NoteVm(vm=vm, now_ms=now_ms))
+
+    def n_crashes(self, key=KEY):
+        """Return the number of crashes under a task."""
+        return self.state.task(key).n_crashes
+
+    def test_a_new_incarnation_counts_under_all_runs_of_the_last_one(self):
+        self.start()
+        self.start(OTHER)
+        self.restart_vm()
+        self.assertEqual([self.n_crashes(), self.n_crashes(OTHER)], [1, 1])
+
+    def test_a_vm_that_was_replaced_counts(self):
+        self.start()
+        self.state.apply(ForgetVm(vm_id="v1", born_ms=1, now_ms=200, has_crashed=True))
+        self.assertEqual(self.n_crashes(), 1)
+
+    def test_a_vm_that_was_moved_does_not_count(self):
+        """Guards against tasks that are suspected for the leader's own orders."""
+        self.start()
+        self.state.apply(ForgetVm(vm_id="v1", born_ms=1, now_ms=200))
+        self.assertEqual(self.n_crashes(), 0)
+
+    def test_a_vm_that_had_announced_its_end_does_not_count(self):
+        self.start()
+        draining = VmRecord(vm_id="v1", born_ms=1, is_draining=True)
+        self.state.apply(NoteVm(vm=draining, now_ms=150))
+        self.restart_vm()
+        self.assertEqual(self.n_crashes(), 0)
+
+    def test_a_silent_vm_counts_once(self):
+        """Guards against two crashes for one VM: at the end of its lease and later."""
+        self.start()
+        ends = (RunEnd(KEY, 1, EndKind.LOST),)
+        self.state.apply(
+            RecordEnds(vm_id="v1", born_ms=1, ends=ends, now_ms=200, has_crashed=True)
+        )
+        self.restart_vm()
+        self.assertEqual(self.n_crashes(), 1)
+
+    def test_a_task_that_has_run_for_long_is_not_suspected(self):
+        self.start(now_ms=100)
+        self.restart_vm(now_ms=101 + CRASH_WINDOW_MS)
+        self.assertEqual(self.n_crashes(), 0)
+
+    def test_job_fails_after_too_many_crashes(self):
+        """Guards against a task that is started again on VM after VM."""
+        for _ in range(MAX_CRASHES):
+            self.assertEqual(self.state.jobs["j2"].status, JobStatus.QUEUED)
+            self.start()
+            self.restart_vm()
+        self.assertEqual(self.state.jobs["j1"].status, JobStatus.FAILED)
+        self.assertEqual(self.state.jobs["j1"].ended_ms, 200)
+
+    def test_crashes_are_in_the_snapshot(self):
+        """Guards against a new leader that starts a suspect among other tasks."""
+        self.start()
+        self.restart_vm()
+        self.start()
+        copy = JobsState()
+        copy.restore(self.state.snapshot())
+        self.assertEqual(copy.task(KEY).n_crashes, 1)
+        self.assertEqual(copy.suspect_runs, self.state.suspect_runs)
+        self.assertEqual(list(copy.suspect_runs), ["v1"])
+
+    def test_ended_runs_are_no_suspects(self):
+        self.start()
+        self.restart_vm()
+        self.start()
+        self.restart_vm()
+        self.assertEqual(self.state.suspect_runs, {})
+
+    def test_tasks_are_isolated_after_two_crashes_except_gangs(self):
+        self.start()
+        self.restart_vm()
+        task = self.state.task(KEY)
+        self.assertFalse(is_isolated(StepSpec(n_tasks=1), task))
+        self.start()
+        self.restart_vm()
+        self.assertTrue(is_isolated(StepSpec(n_tasks=1), task))
+        self.assertFalse(is_isolated(StepSpec(n_tasks=2, is_gang=True), task))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_observe_explain.py
+++ b/tests/test_observe_explain.py
@@ -96,6 +96,19 @@
         )
         self.assertIn("A run on v1 did not end by itself", self.causes())
 
+    def test_a_job_that_was_given_up_after_crashes(self):
+        self.add_event(0, EventName.JOB_ACCEPTED)
+        self.add_event(
+            7,
+            EventName.RUN_ENDED,
+            vm="v1",
+            detail="0.0.0 run 4 lost; job failed; crashed VMs of the task: 4",
+        )
+        self.assertIn(
+            "given up, as it crashes VMs; crashed VMs of the task: 4",
+            self.causes(),
+        )
+
     def test_a_job_that_can_not_succeed_is_distinguished_from_a_faulty_vm(self):
         self.add_event(0, EventName.JOB_ACCEPTED)
         self.add_event(
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -180,6 +180,58 @@
         self.assertEqual(vm.free, Amounts(1000, 1000))
         self.assertEqual(len(placer.place_step(make_tasks(3, is_gang=True))), 3)
 
+    def isolated_tasks(self, **step):
+        """Return tasks under which two VMs have crashed."""
+        tasks = make_tasks(**step)
+        for task in tasks:
+            task.is_suspect = task.is_isolated = True
+        return tasks
+
+    def test_an_isolated_task_shares_no_vm_with_other_jobs(self):
+        """A task that crashes its VMs, among VMs with runs of other jobs."""
+        busy = make_vm("v1", tasks_of_step=Counter({("other", 0, 0): 1}))
+        placer = make_placer(busy, make_vm("v2"))
+        self.assertEqual(self.place(placer, self.isolated_tasks(n_tasks=2)), ["v2"] * 2)
+
+    def test_other_jobs_do_not_join_an_isolated_task(self):
+        placer = make_placer(make_vm("v1"), make_vm("v2", isolated_job="other"))
+        vm_ids = self.place(placer, make_tasks(4))
+        self.assertEqual(vm_ids, ["v1"] * 3 + [None])
+
+    def test_a_vm_is_kept_free_for_an_isolated_task(self):
+        """A task that crashes its VMs, in a pool that is always in use."""
+        vms = [
+            make_vm("v1", tasks_of_step=Counter({("other", 0, 0): 2})),
+            make_vm("v2", tasks_of_step=Counter({("other", 0, 0): 1})),
+        ]
+        placer = make_placer(*vms)
+        tasks = self.isolated_tasks()
+        self.assertEqual(self.place(placer, tasks), [None])
+        placer.reserve_vm(tasks[0])
+        self.assertEqual([vm.isolated_job for vm in vms], ["", "j"])
+
+    def test_isolated_tasks_keep_a_part_of_the_vms_at_most(self):
+        """Guards against a pool that waits for many suspects of few crashes."""
+        busy = Counter({("other", 0, 0): 1})
+        vms = [make_vm(f"v{n}", tasks_of_step=Counter(busy)) for n in range(8)]
+        placer = make_placer(*vms)
+        (task,) = self.isolated_tasks()
+        for number in range(6):
+            task.key = TaskKey(f"j{number}", 0, 0, 0)
+            placer.reserve_vm(task)
+        self.assertEqual(sum(bool(vm.isolated_job) for vm in vms), 2)
+
+    def test_a_suspect_goes_where_a_crash_takes_the_fewest_runs_with_it(self):
+        busy = make_vm("v1", cpu=500, tasks_of_step=Counter({("other", 0, 0): 1}))
+        placer = make_placer(busy, make_vm("v2"))
+        (task,) = make_tasks()
+        task.is_suspect = True
+        self.assertEqual(self.place(placer, [task]), ["v2"])
+
+    def test_sound_tasks_prefer_vms_without_suspects(self):
+        placer = make_placer(make_vm("v1", cpu=500, has_suspects=True), make_vm("v2"))
+        self.assertEqual(self.place(placer, make_tasks()), ["v2"])
+
     def test_only_vms_allowed_by_an_adviser_are_used(self):
         placer = make_placer(make_vm("v1", cpu=9000), make_vm("v2"))
         tasks = make_tasks(2)
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -152,6 +152,15 @@
         self.agent.begin()
         await eventually(lambda: self.term.forgotten == ["v1"])
 
+    async def test_an_incarnation_that_was_replaced_has_crashed_under_its_runs(self):
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: self.endpoint.runs)
+        self.endpoint.born_ms = 7
+        await eventually(lambda: self.term.forgotten == ["v1"])
+        await eventually(lambda: not self.has_open_run())
+        self.assertEqual(self.state.task(KEY).n_crashes, 1)
+
     async def test_an_unresponsive_vm_gets_no_start_orders(self):
         """It may have crashed and restarted as another incarnation with the same id."""
         self.agent.begin()
--- a/tests/test_scheduling_service.py
+++ b/tests/test_scheduling_service.py
@@ -12,7 +12,10 @@
     Pool,
     Queue,
     ReplacePlan,
+    RunStart,
+    StartRuns,
     StepSpec,
+    TaskKey,
 )
 from redwingslip.scheduling import (
     JobService,
@@ -114,6 +117,17 @@
         await self.service.report_vm(make_vm("new", machine="m", born_ms=2), 1, 0)
         self.assertEqual(self.term.forgotten, ["old"])
 
+    async def test_a_replaced_vm_has_crashed_under_its_runs(self):
+        """Guards against tasks that crash VM after VM, each with a new name."""
+        await self.service.report_vm(make_vm("old", machine="m", born_ms=1), 1, 0)
+        spec = JobSpec(job_id="j", queue="a", pool="p", steps=(StepSpec(n_tasks=1),))
+        await self.service.submit(spec)
+        key = TaskKey("j", 0, 0, 0)
+        starts = (RunStart(key, "old", 1),)
+        await self.term.propose(StartRuns(starts=starts, now_ms=1))
+        await self.service.report_vm(make_vm("new", machine="m", born_ms=2), 1, 0)
+        self.assertEqual(self.state.task(key).n_crashes, 1)
+
     async def test_the_end_of_an_earlier_incarnation_removes_nothing(self):
         await self.service.report_vm(make_vm(born_ms=9), 1, 0)
         await self.service.remove_vm("v1", 2)
