Repeat the removal of an ended VM until it is confirmed

What callers could see: a job with room for its tasks that does not go on (LOST), until the next change of leader.

Cause: the agent of a VM ended its work after it had asked for the removal of its incarnation, also when the commit was not confirmed, for example since the disks of a majority stood still for a moment. The record stayed, nobody polled the VM or watched its lease any more, and its runs counted as alive (class of fault: the end of a task of a process is taken for the success of its work).

Change: the agent goes on until the state has neither the incarnation nor runs on it.

Conclusion: one lost confirmation no longer leaves runs behind.

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -158,7 +158,10 @@
                 delay = self._cfg.agents.retry_delay
             except VmReplacedError as exc:
                 await self._term.forget_vm(self.vm, str(exc), has_crashed=True)
-                return
+                if not self._is_known():
+                    return
+                # The removal was not confirmed; the leader may have lost its lease.
+                await asyncio.sleep(self._cfg.agents.retry_delay.total_seconds())
             except (OrderNotSentError, OrderOutcomeUnknownError):
                 await self._handle_no_response()
                 await asyncio.sleep(delay.total_seconds())
@@ -191,6 +194,13 @@
             self._has_renewed_lease = True
         self._listener.note_contact()
 
+    def _is_known(self) -> bool:
+        """Return whether the state has this incarnation, or runs on it."""
+        vm = self._term.state.vms.get(self.vm.vm_id)
+        if vm is not None and vm.born_ms == self.vm.born_ms:
+            return True
+        return bool(self._term.state.runs_of(self.vm.vm_id, self.vm.born_ms))
+
     def _cursor(self) -> int:
         vm = self._term.state.vms.get(self.vm.vm_id)
         if vm is None or vm.born_ms != self.vm.born_ms:
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -152,6 +152,20 @@
         self.agent.begin()
         await eventually(lambda: self.term.forgotten == ["v1"])
 
+    async def test_a_removal_that_was_not_confirmed_is_repeated(self):
+        """Guards against tasks that wait forever for a run on an ended incarnation."""
+        forget_vm = self.term.forget_vm
+
+        async def lose_first(vm, reason, **options):
+            self.term.forget_vm = forget_vm
+
+        self.term.forget_vm = lose_first
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: self.endpoint.runs)
+        self.endpoint.born_ms = 7
+        await eventually(lambda: not self.has_open_run())
+
     async def test_an_incarnation_that_was_replaced_has_crashed_under_its_runs(self):
         self.agent.begin()
         self.agent.start(self.decide())
