--- a/tests/test_scheduling_crashing_tasks.py
+++ b/tests/test_scheduling_crashing_tasks.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import random
 import unittest
 
@@ -198,6 +199,25 @@
         """Guards against a long-running task that crashes its VMs for good."""
         self.play(6, deadly_step={"is_long_running": True, "max_per_vm": 1})
 
+    def test_seeded_histories(self):
+        """Guards against what several of these causes do together."""
+        first, n_seeds = 1, 3
+        if "REDWINGSLIP_FUZZ_SEED" in os.environ:
+            first, n_seeds = 1_000 * int(os.environ["REDWINGSLIP_FUZZ_SEED"]), 50
+        for seed in range(first, first + n_seeds):
+            rng = random.Random(seed)
+            options = {
+                "n_deadly": rng.randint(1, 4),
+                "restart_s": rng.choice((RESTART_S, 6, 9)),
+                "leader_changes": rng.random() < 0.5,
+                "deadly_step": {
+                    "is_speculative": rng.random() < 0.5,
+                    "n_tasks": rng.choice((1, 2, 6)),
+                },
+            }
+            with self.subTest(seed=seed, **options):
+                self.play(seed, **options)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -109,6 +109,16 @@
         self.submit("j")
         self.assertEqual(self.decide(), ())
 
+    def test_capacity_that_shrinks_and_grows_while_a_vm_runs(self):
+        """Guards against a VM that gets more runs than it has room for by then."""
+        self.fill()
+        self.submit("j")
+        for cpu, n_starts in ((2000, 0), (6000, 2)):
+            vm = make_vm("v1", capacity=Amounts(cpu, 4000))
+            self.state.apply(NoteVm(vm=vm, now_ms=2))
+            self.agent.update(self.state.vms["v1"])
+            self.assertEqual(len(self.decide()), n_starts)
+
     def test_a_claimed_machine_gets_no_runs(self):
         self.machines.claim("m-v1", "a wave")
         self.submit("j")
