Keep a VM free only for an isolated task that can use it

What callers could see: a VM without new runs although tasks wait for it.

Cause: the VM that is kept free for an isolated task was the one with the fewest runs, also when it is too small for the task, and also when the customer of the task is at its limit.

Change: only VMs with the capacity for the task are considered, and none while the limit binds.

Conclusion: what is kept free is used as soon as the last run on it has ended.

--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -96,6 +96,7 @@
             for vm in vms
             if not vm.isolated_job
             and not vm.has_long_running
+            and task.step.reserved.fits(vm.capacity)
             and is_allowed(task.step, task.key[:3], vm.labels, vm.tasks_of_step)
             and (task.allowed is None or vm.vm_id in task.allowed)
         ]
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -97,8 +97,8 @@
 
     Attributes
     ----------
-    free : Amounts
-        Capacity that its runs leave free.
+    capacity, free : Amounts
+        Its whole capacity, and the part that its runs leave free.
     tasks_of_step : Counter
         Number of its runs by job, occurrence and step.
     is_avoided : bool
@@ -116,6 +116,7 @@
 
     __slots__ = (
         "born_ms",
+        "capacity",
         "free",
         "has_long_running",
         "has_suspects",
@@ -133,6 +134,7 @@
         vm_id: str,
         born_ms: int,
         labels: tuple[str, ...],
+        capacity: Amounts,
         free: Amounts,
         tasks_of_step: Counter[tuple],
         is_avoided: bool = False,
@@ -144,6 +146,7 @@
         self.vm_id = vm_id
         self.born_ms = born_ms
         self.labels = labels
+        self.capacity = capacity
         self.free = free
         self.tasks_of_step = tasks_of_step
         self.is_avoided = is_avoided
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -92,15 +92,12 @@
             placed = placer.place_step(step_tasks)
             starts.extend(placed)
             unplaced = step_tasks[len(placed) :]
-            if unplaced and unplaced[0].is_isolated:
-                placer.reserve_vm(unplaced[0])
-                backlog = self.backlog.setdefault(unplaced[0].pool, PoolBacklog())
-                backlog.n_vms = max(backlog.n_vms, 1)
-                continue
             # Neither capacity nor preemption helps a customer that is at its limit.
             if unplaced and placer.is_within_limit(
                 unplaced[0].customer, unplaced[0].step.need
             ):
+                if unplaced[0].is_isolated:
+                    placer.reserve_vm(unplaced[0])
                 self._handle_unplaced(unplaced, urgency, needs_advice=needs_advice)
         return starts
 
@@ -115,6 +112,10 @@
             backlog.n_vms = max(backlog.n_vms, len(tasks))
         if needs_advice:
             self._advice.request(task.key[:3], task.pool)
+        if task.is_isolated:
+            # Stopping some runs does not help a task that needs a VM without any.
+            backlog.n_vms = max(backlog.n_vms, 1)
+            return
         if urgency.band == LONG_RUNNING_BAND and not task.step.is_gang:
             self._preempt_runs_for(task)
 
@@ -151,6 +152,7 @@
                 vm_id=vm_id,
                 born_ms=agent.vm.born_ms,
                 labels=agent.vm.labels,
+                capacity=agent.vm.capacity,
                 free=agent.vm.capacity - used,
                 tasks_of_step=steps,
                 is_avoided=agent.health.is_avoided(now),
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -9,7 +9,12 @@
 
 def make_vm(vm_id, cpu=1000, **options):
     """Return a VM with `cpu` thousandths of a core free."""
-    fields = {"labels": ("a", "r1"), "tasks_of_step": Counter(), **options}
+    fields = {
+        "labels": ("a", "r1"),
+        "tasks_of_step": Counter(),
+        "capacity": Amounts(1000, 1000),
+        **options,
+    }
     return CandidateVm(vm_id=vm_id, born_ms=1, free=Amounts(cpu, 1000), **fields)
 
 
@@ -210,6 +215,17 @@
         placer.reserve_vm(tasks[0])
         self.assertEqual([vm.isolated_job for vm in vms], ["", "j"])
 
+    def test_only_a_vm_that_can_hold_the_task_is_kept_free(self):
+        """Guards against a small VM that is kept free for a task of a larger size."""
+        busy = Counter({("other", 0, 0): 1})
+        vms = [
+            make_vm("v1", capacity=Amounts(200, 1000), tasks_of_step=Counter(busy)),
+            make_vm("v2", tasks_of_step=Counter({("other", 0, 0): 3})),
+        ]
+        (task,) = self.isolated_tasks()
+        make_placer(*vms).reserve_vm(task)
+        self.assertEqual([vm.isolated_job for vm in vms], ["", "j"])
+
     def test_isolated_tasks_keep_a_part_of_the_vms_at_most(self):
         """Guards against a pool that waits for many suspects of few crashes."""
         busy = Counter({("other", 0, 0): 1})
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -119,6 +119,16 @@
             self.agent.update(self.state.vms["v1"])
             self.assertEqual(len(self.decide()), n_starts)
 
+    def test_no_vm_is_kept_free_for_a_customer_at_its_limit(self):
+        """Guards against capacity that nobody uses, for a task that must wait."""
+        self.submit("running", customer="small", n_tasks=1)
+        starts = (RunStart(TaskKey("running", 0, 0, 0), "v1", 1),)
+        self.state.apply(StartRuns(starts=starts, now_ms=1))
+        self.submit("suspect", customer="small", n_tasks=1)
+        self.state.task(TaskKey("suspect", 0, 0, 0)).n_crashes = 2
+        self.submit("other", n_tasks=1)
+        self.assertEqual([start.key.job_id for start in self.decide()], ["other"])
+
     def test_a_claimed_machine_gets_no_runs(self):
         self.machines.claim("m-v1", "a wave")
         self.submit("j")
