Try an isolated task on machines that have not crashed under it

What callers could see: a sound job that fails, since it was near a machine that crashes again and again.

Cause: a task under which two VMs have crashed needs a VM without runs. A machine that crashes again and again has one most of the time, so that it drew these tasks, and each of its crashes counted against them. The count alone did not say whether the task or the machine is at fault.

Ruled out: suspicion from shared crashes alone.

Change: the state keeps the machines that have crashed under a task. An isolated task goes to one of them only if its pool has no other machine to offer; a task with one crash prefers others. A crash no longer counts under a task that is done already, which could have failed a completed step of a speculative job. Runs on VMs that do not answer are called silent in the job index, since suspects are tasks now.

Conclusion: two of the four crashes that count came on machines of their own, with no other job's run, wherever the pool has them.

--- a/src/redwingslip/jobs/_crashes.py
+++ b/src/redwingslip/jobs/_crashes.py
@@ -8,9 +8,8 @@
 # A run that began longer before the end of its VM was recorded is not suspected. A
 # silent VM counts as ended once its lease has expired, after up to 7 s.
 CRASH_WINDOW_MS = 10_000
-# After two crashes a task may be given up (platform contract). Runs of other tasks on
-# these VMs are lost with them, so that each later run is alone on its VM until two more
-# VMs have crashed under it.
+# After two crashes a task may be given up (platform contract). Other runs on these VMs
+# are suspected alike, so that each later run is alone on its VM, for two more crashes.
 N_CRASHES_TO_ISOLATE = 2
 MAX_CRASHES = 4
 
--- a/src/redwingslip/jobs/_records.py
+++ b/src/redwingslip/jobs/_records.py
@@ -87,8 +87,9 @@
         Last known checkpoint; empty for none.
     runs : list of RunRecord
         Runs that may be alive.
-    n_crashes : int
-        Number of VMs that ended without notice shortly after the start of a run.
+    crashed_machines : list of str
+        The machine of each VM that ended without notice shortly after the start of a
+        run. A machine may occur several times.
     """
 
     n_runs: int = 0
@@ -96,7 +97,12 @@
     is_done: bool = False
     checkpoint: str = ""
     runs: list[RunRecord] = msgspec.field(default_factory=list)
-    n_crashes: int = 0
+    crashed_machines: list[str] = msgspec.field(default_factory=list)
+
+    @property
+    def n_crashes(self) -> int:
+        """Return how many VMs have crashed under the task."""
+        return len(self.crashed_machines)
 
 
 class JobRecord(msgspec.Struct, array_like=True):
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -402,11 +402,14 @@
         vm = self.vms.get(vm_id)
         if vm is not None and vm.born_ms == born_ms and vm.is_draining:
             return
+        machine = vm.machine if vm is not None else vm_id
         for run in self.runs_of(vm_id, born_ms):
             if now_ms - run.started_ms > CRASH_WINDOW_MS:
                 continue
             task = self.task(run.key)
-            task.n_crashes += 1
+            if task.is_done:
+                continue
+            task.crashed_machines.append(machine)
             for other in task.runs:
                 active = self.runs[other.vm_id][(run.key, other.number)]
                 self._add_suspect_run(active)
--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -95,6 +95,7 @@
             vm
             for vm in vms
             if not vm.isolated_job
+            and self._is_unused_machine(vm, task)
             and not vm.has_long_running
             and task.step.reserved.fits(vm.capacity)
             and is_allowed(task.step, task.key[:3], vm.labels, vm.tasks_of_step)
@@ -134,7 +135,7 @@
                 continue
             if vm.isolated_job and vm.isolated_job != task.key.job_id:
                 continue
-            if task.is_isolated and not vm.may_isolate(task.key.job_id):
+            if task.is_isolated and not self._may_isolate(vm, task):
                 continue
             rank = _rank(vm, task, n_by_rack[vm.labels])
             if best_rank is None or rank < best_rank:
@@ -143,6 +144,24 @@
             unplaced.add(need)
         return best
 
+    def _may_isolate(self, vm: CandidateVm, task: WaitingTask) -> bool:
+        """Return whether an isolated task may run on a VM."""
+        return vm.may_isolate(task.key.job_id) and self._is_unused_machine(vm, task)
+
+    def _is_unused_machine(self, vm: CandidateVm, task: WaitingTask) -> bool:
+        """Return whether a crash of a VM would speak against a task, not its machine.
+
+        This is so on a machine on which it has crashed no VM yet, or if its pool has
+        no other machine without long-running tasks.
+        """
+        if vm.machine not in task.crashed_machines:
+            return True
+        vms = self._pools.get(task.pool, ())
+        return all(
+            other.machine in task.crashed_machines or other.has_long_running
+            for other in vms
+        )
+
     def _count_by_rack(self, task: WaitingTask) -> Counter[tuple[str, ...]]:
         """Count the tasks of a long-running step by rack.
 
@@ -199,6 +218,7 @@
     has_its_share = n_in_rack >= math.ceil(step.n_tasks / MIN_RACKS_OF_STEP)
     return (
         vm.is_avoided or vm.vm_id in task.avoided,
+        vm.machine in task.crashed_machines,
         # A VM that crashes takes its other runs with it: suspects go where few are.
         vm.has_suspects,
         vm.n_runs if task.is_suspect else 0,
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -46,8 +46,8 @@
         Checkpoint that the task resumes from; empty for none.
     avoided : frozenset of str
         VMs on which the task failed before.
-    is_suspect : bool
-        Whether a VM has crashed shortly after it started the task.
+    crashed_machines : frozenset of str
+        Machines of the VMs that crashed shortly after they started the task.
     is_isolated : bool
         Whether the task may share a VM only with other tasks of its job.
 
@@ -61,9 +61,9 @@
         "allowed",
         "avoided",
         "checkpoint",
+        "crashed_machines",
         "customer",
         "is_isolated",
-        "is_suspect",
         "key",
         "pool",
         "step",
@@ -78,7 +78,7 @@
         pool: str,
         checkpoint: str = "",
         avoided: frozenset[str] = frozenset(),
-        is_suspect: bool = False,
+        crashed_machines: frozenset[str] = frozenset(),
         is_isolated: bool = False,
     ) -> None:
         self.key = key
@@ -87,16 +87,23 @@
         self.pool = pool
         self.checkpoint = checkpoint
         self.avoided = avoided
-        self.is_suspect = is_suspect
+        self.crashed_machines = crashed_machines
         self.is_isolated = is_isolated
         self.allowed: Collection[str] | None = None
 
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether a VM has crashed shortly after it started the task."""
+        return bool(self.crashed_machines)
+
 
 class CandidateVm:
     """A VM that accepts new runs, with its free capacity.
 
     Attributes
     ----------
+    machine : str
+        The machine that it runs on.
     capacity, free : Amounts
         Its whole capacity, and the part that its runs leave free.
     tasks_of_step : Counter
@@ -124,6 +131,7 @@
         "is_awaiting_maintenance",
         "isolated_job",
         "labels",
+        "machine",
         "tasks_of_step",
         "vm_id",
     )
@@ -133,6 +141,7 @@
         *,
         vm_id: str,
         born_ms: int,
+        machine: str,
         labels: tuple[str, ...],
         capacity: Amounts,
         free: Amounts,
@@ -145,6 +154,7 @@
     ) -> None:
         self.vm_id = vm_id
         self.born_ms = born_ms
+        self.machine = machine
         self.labels = labels
         self.capacity = capacity
         self.free = free
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -123,12 +123,12 @@
         )
 
     def waiting(
-        self, now_ms: int, is_suspect: Callable[[RunRecord], bool]
+        self, now_ms: int, is_silent: Callable[[RunRecord], bool]
     ) -> list[tuple[Urgency, list[WaitingTask]]]:
         """Return the waiting tasks by job, the most urgent job first.
 
-        A task of a speculative step also waits for a second run when its only run is
-        suspect. The isolated tasks of a job go before all others, since they need VMs
+        A task of a speculative step also waits for a second run when the VM of its
+        only run is silent. Isolated tasks go before all others, since they need VMs
         without runs.
         """
         waiting = []
@@ -139,7 +139,7 @@
                 keys = list(_ready_keys(job))
                 self._waiting[job_id] = keys
             if is_speculative:
-                keys = [*keys, *_speculative_keys(job, is_suspect)]
+                keys = [*keys, *_speculative_keys(job, is_silent)]
             if not keys:
                 continue
             tasks = [
@@ -168,7 +168,7 @@
             pool=self.pool_of(job),
             checkpoint=task.checkpoint,
             avoided=frozenset(self._failed_on.get(key, ())),
-            is_suspect=task.n_crashes > 0,
+            crashed_machines=frozenset(task.crashed_machines),
             is_isolated=is_isolated(job.spec.steps[key.step], task),
         )
 
@@ -234,9 +234,9 @@
 
 
 def _speculative_keys(
-    job: JobRecord, is_suspect: Callable[[RunRecord], bool]
+    job: JobRecord, is_silent: Callable[[RunRecord], bool]
 ) -> Iterator[TaskKey]:
-    """Yield the tasks of speculative steps whose only run is suspect."""
+    """Yield the tasks of speculative steps whose only run is on a silent VM."""
     for number, step in enumerate(job.spec.steps):
         if not step.is_speculative or step.is_gang:
             continue
@@ -245,7 +245,7 @@
                 if task.is_done or len(task.runs) != 1:
                     continue
                 # A second run of a task that crashes VMs would crash one more.
-                if not task.n_crashes and is_suspect(task.runs[0]):
+                if not task.n_crashes and is_silent(task.runs[0]):
                     yield TaskKey(job.spec.job_id, occurrence, number, index)
 
 
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -53,7 +53,7 @@
 
     def decide(self) -> tuple[RunStart, ...]:
         """Run one round and return the runs to start."""
-        jobs = self._job_index.waiting(self._term.now_ms(), self._is_suspect)
+        jobs = self._job_index.waiting(self._term.now_ms(), self._is_silent)
         self.backlog.clear()
         if not jobs:
             return ()
@@ -69,7 +69,7 @@
             starts.extend(self._place_job(placer, urgency, tasks))
         return tuple(starts)
 
-    def _is_suspect(self, run: RunRecord) -> bool:
+    def _is_silent(self, run: RunRecord) -> bool:
         """Return whether a run's VM is unknown or has not answered recently."""
         agent = self._machines.agents.get(run.vm_id)
         if agent is None:
@@ -151,6 +151,7 @@
             candidate = CandidateVm(
                 vm_id=vm_id,
                 born_ms=agent.vm.born_ms,
+                machine=agent.vm.machine,
                 labels=agent.vm.labels,
                 capacity=agent.vm.capacity,
                 free=agent.vm.capacity - used,
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -13,6 +13,7 @@
         "labels": ("a", "r1"),
         "tasks_of_step": Counter(),
         "capacity": Amounts(1000, 1000),
+        "machine": f"m-{vm_id}",
         **options,
     }
     return CandidateVm(vm_id=vm_id, born_ms=1, free=Amounts(cpu, 1000), **fields)
@@ -189,7 +190,8 @@
         """Return tasks under which two VMs have crashed."""
         tasks = make_tasks(**step)
         for task in tasks:
-            task.is_suspect = task.is_isolated = True
+            task.crashed_machines = frozenset({"m8", "m9"})
+            task.is_isolated = True
         return tasks
 
     def test_an_isolated_task_shares_no_vm_with_other_jobs(self):
@@ -226,6 +228,21 @@
         make_placer(*vms).reserve_vm(task)
         self.assertEqual([vm.isolated_job for vm in vms], ["", "j"])
 
+    def test_an_isolated_task_waits_for_a_machine_that_has_not_crashed(self):
+        """Guards against a sound task that is given up for the fault of a machine."""
+        busy = make_vm("v2", tasks_of_step=Counter({("other", 0, 0): 1}))
+        placer = make_placer(make_vm("v1", machine="m9"), busy)
+        tasks = self.isolated_tasks()
+        self.assertEqual(self.place(placer, tasks), [None])
+        placer.reserve_vm(tasks[0])
+        self.assertEqual(busy.isolated_job, "j")
+
+    def test_an_isolated_task_uses_a_crashed_machine_if_there_is_no_other(self):
+        placer = make_placer(
+            make_vm("v1", machine="m9"), make_vm("v2", cpu=100, has_long_running=True)
+        )
+        self.assertEqual(self.place(placer, self.isolated_tasks()), ["v1"])
+
     def test_isolated_tasks_keep_a_part_of_the_vms_at_most(self):
         """Guards against a pool that waits for many suspects of few crashes."""
         busy = Counter({("other", 0, 0): 1})
@@ -241,7 +258,7 @@
         busy = make_vm("v1", cpu=500, tasks_of_step=Counter({("other", 0, 0): 1}))
         placer = make_placer(busy, make_vm("v2"))
         (task,) = make_tasks()
-        task.is_suspect = True
+        task.crashed_machines = frozenset({"m9"})
         self.assertEqual(self.place(placer, [task]), ["v2"])
 
     def test_sound_tasks_prefer_vms_without_suspects(self):
--- a/tests/test_scheduling_crashing_tasks.py
+++ b/tests/test_scheduling_crashing_tasks.py
@@ -48,6 +48,8 @@
         Options of the step of those jobs.
     leader_changes : bool
         Whether the leader is replaced every few seconds.
+    crash_interval_s : float
+        Time from the start of one VM to its crash, whatever it runs; 0 if it is sound.
     """
 
     def __init__(
@@ -58,12 +60,14 @@
         restart_s=RESTART_S,
         deadly_step=None,
         leader_changes=False,
+        crash_interval_s=0,
     ):
         self.rng = random.Random(seed)
         self.deadly = {f"deadly{n}" for n in range(n_deadly)}
         self.restart_s = restart_s
         self.deadly_step = deadly_step or {}
         self.leader_changes = leader_changes
+        self.crash_interval_s = crash_interval_s
         self.n_crashes = 0
         self.n_lost_runs = 0
 
@@ -81,6 +85,8 @@
         ]
         if self.leader_changes:
             tasks.append(asyncio.create_task(self.change_leaders()))
+        if self.crash_interval_s:
+            tasks.append(asyncio.create_task(self.crash_one_vm("v0")))
         await asyncio.sleep(HISTORY_S)
         for task in tasks:
             task.cancel()
@@ -93,6 +99,15 @@
         if run.key.job_id in self.deadly and run.key.index == 0:
             asyncio.get_running_loop().call_later(CRASH_DELAY_S, self.crash, endpoint)
 
+    async def crash_one_vm(self, vm_id):
+        """Crash one VM each time that it has been up for a while."""
+        while True:
+            endpoint = self.world.endpoints[vm_id]
+            if endpoint.is_up:
+                await asyncio.sleep(self.crash_interval_s)
+                self.crash(endpoint)
+            await asyncio.sleep(0.1)
+
     def crash(self, endpoint):
         """Crash an endpoint; a new VM starts at its place later."""
         if endpoint.is_up:
@@ -199,6 +214,12 @@
         """Guards against a long-running task that crashes its VMs for good."""
         self.play(6, deadly_step={"is_long_running": True, "max_per_vm": 1})
 
+    def test_vm_that_crashes_again_and_again(self):
+        """Guards against sound jobs that are given up for the fault of a VM."""
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                self.play(seed, n_deadly=2, crash_interval_s=1.0)
+
     def test_seeded_histories(self):
         """Guards against what several of these causes do together."""
         first, n_seeds = 1, 3
--- a/tests/test_scheduling_job_index.py
+++ b/tests/test_scheduling_job_index.py
@@ -47,8 +47,8 @@
 STEP = StepSpec(n_tasks=1, need=Amounts(500, 10), estimate_ms=1000)
 
 
-def never_suspect(run):
-    """Return that a run is not suspect."""
+def never_silent(run):
+    """Return that the VM of a run answers."""
     return False
 
 
@@ -70,7 +70,7 @@
 
     def order(self, now_ms):
         job_index = JobIndex(self.state)
-        waiting = job_index.waiting(now_ms, never_suspect)
+        waiting = job_index.waiting(now_ms, never_silent)
         return [tasks[0].key.job_id for _, tasks in waiting]
 
     def start(self, key):
@@ -111,24 +111,24 @@
         second = StepSpec(n_tasks=2, after=(0,))
         self.submit("j", STEP, second)
         job_index = JobIndex(self.state)
-        ((_, tasks),) = job_index.waiting(0, never_suspect)
+        ((_, tasks),) = job_index.waiting(0, never_silent)
         self.assertEqual([task.key.step for task in tasks], [0])
         key = TaskKey("j", 0, 0, 0)
         self.start(key)
         end = RunEnd(key, 1, EndKind.DONE)
         self.state.apply(RecordEnds(vm_id="v1", born_ms=1, ends=(end,), now_ms=2))
         job_index.refresh_job("j")
-        ((_, tasks),) = job_index.waiting(0, never_suspect)
+        ((_, tasks),) = job_index.waiting(0, never_silent)
         self.assertEqual([task.key.step for task in tasks], [1, 1])
 
     def test_an_occurrence_waits_for_its_due_time(self):
         times = Repetition(first_at_ms=5000, interval_ms=2000, count=2)
         self.submit("timed", repetition=times)
         job_index = JobIndex(self.state)
-        self.assertEqual(job_index.waiting(4999, never_suspect), [])
-        ((_, tasks),) = job_index.waiting(5000, never_suspect)
+        self.assertEqual(job_index.waiting(4999, never_silent), [])
+        ((_, tasks),) = job_index.waiting(5000, never_silent)
         self.assertEqual([task.key.occurrence for task in tasks], [0])
-        ((_, tasks),) = job_index.waiting(7000, never_suspect)
+        ((_, tasks),) = job_index.waiting(7000, never_silent)
         self.assertEqual([task.key.occurrence for task in tasks], [0, 1])
 
     def test_a_speculative_task_waits_again_when_its_run_is_suspect(self):
@@ -138,7 +138,7 @@
         self.start(TaskKey("twice", 0, 0, 0))
         self.start(TaskKey("once", 0, 0, 0))
         job_index = JobIndex(self.state)
-        self.assertEqual(job_index.waiting(1, never_suspect), [])
+        self.assertEqual(job_index.waiting(1, never_silent), [])
         ((_, tasks),) = job_index.waiting(1, lambda run: True)
         self.assertEqual(tasks[0].key.job_id, "twice")
 
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -125,7 +125,8 @@
         starts = (RunStart(TaskKey("running", 0, 0, 0), "v1", 1),)
         self.state.apply(StartRuns(starts=starts, now_ms=1))
         self.submit("suspect", customer="small", n_tasks=1)
-        self.state.task(TaskKey("suspect", 0, 0, 0)).n_crashes = 2
+        task = self.state.task(TaskKey("suspect", 0, 0, 0))
+        task.crashed_machines = ["m8", "m9"]
         self.submit("other", n_tasks=1)
         self.assertEqual([start.key.job_id for start in self.decide()], ["other"])
 
