Start no run while its end is being committed

What callers could see: a task that runs twice at a time (TWICE).

Cause: a run that is withdrawn from a VM that does not answer is neither queued nor closed until the commit of its end. A poll that the VM answered in this time found a run in the state that the VM does not list, and ordered its start; the commit then let the task start elsewhere.

Ruled out: an order that was sent and taken for one that was not. `NotConnectedError` is raised before anything is written.

Change: a run counts as pending until the commit of its end has an outcome.

Conclusion: the test shows the race.

--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -76,6 +76,7 @@
 
     __slots__ = (
         "_cfg",
+        "_ending",
         "_orders",
         "_pending",
         "_queue",
@@ -115,6 +116,8 @@
         self.stop_answered_at: dict[RunId, timedelta] = {}
         self._queue: deque[_Order] = deque()
         self._pending: dict[RunId, _Order] = {}
+        # Runs whose end is being committed; they must not be started meanwhile.
+        self._ending: set[RunId] = set()
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
 
@@ -129,8 +132,8 @@
             task.cancel()
 
     def is_pending(self, run_id: RunId) -> bool:
-        """Return whether an order for a run is queued or in flight."""
-        return run_id in self._pending
+        """Return whether an order for a run is queued or in flight, or it is ending."""
+        return run_id in self._pending or run_id in self._ending
 
     def lease_end_ms(self, now: timedelta) -> int:
         """Return the end of the lease to send, in ms of the VM's clock.
@@ -145,8 +148,14 @@
 
     def record_end(self, run_id: RunId, kind: EndKind) -> None:
         """Commit, in the background, the end of a run that the VM does not list."""
-        end = RunEnd(run_id[0], run_id[1], kind)
-        self._spawn(self._term.record_ends(self.vm, (end,), 0))
+        self._ending.add(run_id)
+        self._spawn(self._commit_end(RunEnd(run_id[0], run_id[1], kind)))
+
+    async def _commit_end(self, end: RunEnd) -> None:
+        try:
+            await self._term.record_ends(self.vm, (end,), 0)
+        finally:
+            self._ending.discard((end.key, end.number))
 
     def start(self, run: ActiveRun, ticket: str = "") -> None:
         """Queue the order to start a run that this leader has placed."""
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -198,6 +198,29 @@
         await eventually(lambda: not self.has_open_run())
         self.assertEqual(self.endpoint.started, [])
 
+    async def test_a_withdrawn_run_is_not_started_while_its_end_is_committed(self):
+        """Guards against a task that runs twice after its VM answers again."""
+        is_committed = asyncio.Event()
+        record_ends = self.term.record_ends
+
+        async def record_late(*args, **options):
+            await is_committed.wait()
+            await record_ends(*args, **options)
+
+        self.term.record_ends = record_late
+        self.agent.begin()
+        await eventually(lambda: self.agent.is_ready(self.clock.monotonic()))
+        self.endpoint.is_unresponsive = True
+        await eventually(lambda: self.agent._sender.is_unresponsive)
+        self.agent.start(self.decide())
+        await asyncio.sleep(0.05)
+        self.endpoint.is_unresponsive = False
+        n_polls = len(self.endpoint.cursors)
+        await eventually(lambda: len(self.endpoint.cursors) > n_polls + 3)
+        is_committed.set()
+        await eventually(lambda: not self.has_open_run())
+        self.assertEqual(self.endpoint.started, [])
+
     async def test_a_start_without_an_answer_keeps_the_run_of_an_unresponsive_vm(self):
         """Guards against a second run of a task that may have started."""
         self.endpoint.start_responses = [OrderOutcomeUnknownError("lost")] * 9
