Let an isolated task use crashed machines if no other can run it

What callers could see: a job that never goes on after two VMs have crashed under one of its tasks, although the VMs that could run it are back and free (LOST).

Cause: a task under which two VMs have crashed goes back to their machines only if its pool has no other. Machines that can't run it at all counted as others: those without its label, too small ones, and those for which the adviser gives no ticket (class of fault: a preference that is treated as a condition).

Change: only machines that could run the task once their runs have ended count. Keeping a VM free uses the same condition.

Figures: the three cases of the test fail before and pass after.

Conclusion: isolation never excludes the last machines of a task.

--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -95,11 +95,8 @@
             vm
             for vm in vms
             if not vm.isolated_job
+            and _can_be_freed_for(vm, task)
             and self._is_unused_machine(vm, task)
-            and not vm.has_long_running
-            and task.step.reserved.fits(vm.capacity)
-            and is_allowed(task.step, task.key[:3], vm.labels, vm.tasks_of_step)
-            and (task.allowed is None or vm.vm_id in task.allowed)
         ]
         if options:
             best = min(options, key=lambda vm: (vm.n_runs, vm.vm_id))
@@ -151,14 +148,14 @@
     def _is_unused_machine(self, vm: CandidateVm, task: WaitingTask) -> bool:
         """Return whether a crash of a VM would speak against a task, not its machine.
 
-        This is so on a machine on which it has crashed no VM yet, or if its pool has
-        no other machine without long-running tasks.
+        This is so on a machine on which it has crashed no VM yet, or if its pool has no
+        other machine for it.
         """
         if vm.machine not in task.crashed_machines:
             return True
         vms = self._pools.get(task.pool, ())
         return all(
-            other.machine in task.crashed_machines or other.has_long_running
+            other.machine in task.crashed_machines or not _can_be_freed_for(other, task)
             for other in vms
         )
 
@@ -191,6 +188,16 @@
         self._usage[task.customer] = self._usage[task.customer] - task.step.need
 
 
+def _can_be_freed_for(vm: CandidateVm, task: WaitingTask) -> bool:
+    """Return whether a VM could run a task alone once its present runs have ended."""
+    return (
+        not vm.has_long_running
+        and task.step.reserved.fits(vm.capacity)
+        and is_allowed(task.step, task.key[:3], vm.labels, vm.tasks_of_step)
+        and (task.allowed is None or vm.vm_id in task.allowed)
+    )
+
+
 def _has_conditions(task: WaitingTask) -> bool:
     """Return whether a task may exclude a VM for a reason other than its capacity."""
     step = task.step
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -243,6 +243,27 @@
         )
         self.assertEqual(self.place(placer, self.isolated_tasks()), ["v1"])
 
+    def test_crashed_machines_are_used_if_no_other_can_run_the_task(self):
+        """Guards against a task that never starts again after two of its VMs crashed.
+
+        The pool has other machines, but not for this task.
+        """
+        crashed = {"machine": "m9", "labels": ("b", "r1")}
+        label = {"step": {"label": "b"}, "other": {}}
+        size = {
+            "step": {"need": Amounts(800, 100)},
+            "other": {"cpu": 500, "capacity": Amounts(500, 1000)},
+        }
+        advice = {"step": {}, "other": {}, "allowed": {"v1": "ticket"}}
+        for name, case in {"label": label, "size": size, "advice": advice}.items():
+            with self.subTest(name):
+                placer = make_placer(
+                    make_vm("v1", **crashed), make_vm("v2", **case["other"])
+                )
+                tasks = self.isolated_tasks(**case["step"])
+                tasks[0].allowed = case.get("allowed")
+                self.assertEqual(self.place(placer, tasks), ["v1"])
+
     def test_isolated_tasks_keep_a_part_of_the_vms_at_most(self):
         """Guards against a pool that waits for many suspects of few crashes."""
         busy = Counter({("other", 0, 0): 1})
