Bound the time for which an isolated task waits for a VM without runs

What callers could see: a job that never goes on after two VMs have crashed under one of its tasks, in a pool with room for it (LOST).

Cause: such a task gets a VM only if that runs nothing of other jobs. If each VM of its pool runs a long-running task and no idle machine can join, there is none, for good; behind long runs it waits as long as these take (class of fault: a wait without a bound).

Change: after 2.5 s, by when an idle machine would have joined, the task is placed like any other suspect, on the VM with the fewest runs. A task that is not long-running waits on while more than half of its pool is in use, since a crash would then take many runs with it.

Conclusion: isolation delays a task by 2.5 s at most where there is room for it.

--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -102,6 +102,13 @@
             best = min(options, key=lambda vm: (vm.n_runs, vm.vm_id))
             best.isolated_job = task.key.job_id
 
+    def is_underused(self, pool: str) -> bool:
+        """Return whether at least half of each resource of a pool's VMs is free."""
+        vms = self._pools.get(pool, ())
+        free = sum((vm.free for vm in vms), NO_AMOUNTS)
+        capacity = sum((vm.capacity for vm in vms), NO_AMOUNTS)
+        return capacity.fits(free + free)
+
     def is_within_limit(self, customer: str, need: Amounts) -> bool:
         """Return whether a customer stays within its limit with `need` added."""
         limit = self._limits.get(customer)
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -1,8 +1,9 @@
 """Rounds of placement: which waiting tasks start on which VMs."""
 
 from collections.abc import Iterable
+from datetime import timedelta
 
-from ..jobs import CRASH_WINDOW_MS, RunRecord, RunStart, is_isolated
+from ..jobs import CRASH_WINDOW_MS, RunRecord, RunStart, TaskKey, is_isolated
 from ..observe import EventName
 from ..placement import CandidateVm, Placer, Urgency, WaitingTask
 from ._advice import AdviceCache
@@ -11,7 +12,12 @@
 from ._preemption import choose_victims
 from ._term import Term
 
-__all__ = ["PlacementRounds"]
+__all__ = ["MAX_ISOLATION_WAIT", "PlacementRounds"]
+
+# An idle machine joins a pool within this time, so that a task waits longer only if
+# there is none. Callers count work as lost that does not start for 3 s while there is
+# room for it (platform contract).
+MAX_ISOLATION_WAIT = timedelta(milliseconds=2500)
 
 
 class PlacementRounds:
@@ -34,7 +40,15 @@
         Tasks that found no VM in the last round, by pool.
     """
 
-    __slots__ = ("_advice", "_job_index", "_machines", "_state", "_term", "backlog")
+    __slots__ = (
+        "_advice",
+        "_isolated_since",
+        "_job_index",
+        "_machines",
+        "_state",
+        "_term",
+        "backlog",
+    )
 
     def __init__(
         self,
@@ -49,12 +63,15 @@
         self._machines = machines
         self._job_index = job_index
         self._advice = advice
+        # Monotonic times since which isolated tasks wait.
+        self._isolated_since: dict[TaskKey, timedelta] = {}
         self.backlog: dict[str, PoolBacklog] = {}
 
     def decide(self) -> tuple[RunStart, ...]:
         """Run one round and return the runs to start."""
         jobs = self._job_index.waiting(self._term.now_ms(), self._is_silent)
         self.backlog.clear()
+        self._note_isolated(task for _, tasks in jobs for task in tasks)
         if not jobs:
             return ()
         limits = {c.name: c.limit for c in self._state.plan.customers}
@@ -69,6 +86,26 @@
             starts.extend(self._place_job(placer, urgency, tasks))
         return tuple(starts)
 
+    def _note_isolated(self, tasks: Iterable[WaitingTask]) -> None:
+        """Keep the times since which the isolated ones of the waiting tasks wait."""
+        now = self._term.clock.monotonic()
+        self._isolated_since = {
+            task.key: self._isolated_since.get(task.key, now)
+            for task in tasks
+            if task.is_isolated
+        }
+
+    def _may_end_isolation(self, placer: Placer, task: WaitingTask) -> bool:
+        """Return whether an isolated task may share a VM with other jobs.
+
+        It need not wait any longer for a VM without runs if most of its pool is free,
+        or if it is long-running and away from its users meanwhile.
+        """
+        waited = self._term.clock.monotonic() - self._isolated_since[task.key]
+        if waited < MAX_ISOLATION_WAIT:
+            return False
+        return task.step.is_long_running or placer.is_underused(task.pool)
+
     def _is_silent(self, run: RunRecord) -> bool:
         """Return whether a run's VM is unknown or has not answered recently."""
         agent = self._machines.agents.get(run.vm_id)
@@ -89,6 +126,9 @@
                 tickets = self._advice.tickets(step_key)
                 for task in step_tasks:
                     task.allowed = tickets
+            for task in step_tasks:
+                if task.is_isolated and self._may_end_isolation(placer, task):
+                    task.is_isolated = False
             placed = placer.place_step(step_tasks)
             starts.extend(placed)
             unplaced = step_tasks[len(placed) :]
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -22,7 +22,7 @@
 )
 from redwingslip.scheduling import MachineRegistry
 from redwingslip.scheduling._job_index import JobIndex
-from redwingslip.scheduling._rounds import PlacementRounds
+from redwingslip.scheduling._rounds import MAX_ISOLATION_WAIT, PlacementRounds
 from tests.support_scheduling import FakeEndpoint, FakeTerm, make_agent, make_vm
 
 PLAN = Plan(
@@ -130,6 +130,52 @@
         self.submit("other", n_tasks=1)
         self.assertEqual([start.key.job_id for start in self.decide()], ["other"])
 
+    def suspect_beside_long_running(self, **step):
+        """Have a task that crashed two VMs wait beside a long-running one."""
+        self.submit("long", n_tasks=1, is_long_running=True)
+        starts = (RunStart(TaskKey("long", 0, 0, 0), "v1", 1),)
+        self.state.apply(StartRuns(starts=starts, now_ms=1))
+        self.submit("suspect", **{"n_tasks": 1, **step})
+        task = self.state.task(TaskKey("suspect", 0, 0, 0))
+        task.crashed_machines = ["m8", "m9"]
+        self.assertEqual(self.decide(), ())
+        self.assertEqual(self.rounds.backlog["p"].n_vms, 1)
+
+    def wait(self, wait):
+        """Let time pass in which the VM answers, and run one more round."""
+        self.term.clock.advance(wait)
+        self.agent.lease.note_contact(self.term.clock.monotonic())
+        return [start.key.job_id for start in self.rounds.decide()]
+
+    def test_an_isolated_task_does_not_wait_for_a_vm_without_runs_for_good(self):
+        """Guards against a task that never starts again after two of its VMs crashed.
+
+        Each VM of the pool runs a long-running task, and no machine joins.
+        """
+        self.suspect_beside_long_running()
+        self.assertEqual(self.wait(MAX_ISOLATION_WAIT - timedelta(seconds=1)), [])
+        self.assertEqual(self.wait(timedelta(seconds=1)), ["suspect"])
+
+    def test_an_isolated_task_waits_while_its_pool_is_in_use(self):
+        """Guards against the loss of other callers' runs while there is no room."""
+        self.submit("short", n_tasks=2)
+        starts = tuple(
+            RunStart(TaskKey("short", 0, 0, index), "v1", 1) for index in range(2)
+        )
+        self.state.apply(StartRuns(starts=starts, now_ms=1))
+        self.suspect_beside_long_running()
+        self.assertEqual(self.wait(2 * MAX_ISOLATION_WAIT), [])
+
+    def test_a_long_running_task_is_isolated_for_a_bounded_time(self):
+        """Guards against a service that stays away while its pool is in use."""
+        self.submit("short", n_tasks=2)
+        starts = tuple(
+            RunStart(TaskKey("short", 0, 0, index), "v1", 1) for index in range(2)
+        )
+        self.state.apply(StartRuns(starts=starts, now_ms=1))
+        self.suspect_beside_long_running(is_long_running=True)
+        self.assertEqual(self.wait(MAX_ISOLATION_WAIT), ["suspect"])
+
     def test_a_claimed_machine_gets_no_runs(self):
         self.machines.claim("m-v1", "a wave")
         self.submit("j")
