Start no run on a VM whose capacity has shrunk below what is placed there

What callers could see: runs that a VM without a check of its own takes beyond its capacity (LIMIT).

Cause: the capacity is compared when a run is placed. An order that is sent later, such as one without an answer that is repeated, or one of a gang that waits for a silent VM, was sent whatever the VM had reported meanwhile (class of fault: a check and its use at different times).

Ruled out: placement, which passed the test of capacity that shrinks and grows before.

Change: a start order is withdrawn, as for a VM that drains, if the runs on the VM need more than it has.

Figures: the test fails before (the run is started) and passes after.

--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -215,8 +215,9 @@
             else:
                 self._withdraw(order)
             return
-        if not order.is_stop and self.vm.is_draining:
-            # The run was placed before the VM reported that it is draining.
+        if not order.is_stop and (self.vm.is_draining or self._exceeds_capacity()):
+            # The run was placed before the VM reported that it is draining, or that its
+            # capacity has shrunk.
             self._withdraw(order)
             return
         try:
@@ -237,6 +238,11 @@
         runs = self._term.state.runs.get(self.vm.vm_id, {})
         return (order.key, order.number) in runs
 
+    def _exceeds_capacity(self) -> bool:
+        """Return whether the runs placed on the VM need more than it has."""
+        used, _ = self._term.state.usage.of_vm(self.vm.vm_id)
+        return not used.fits(self.vm.capacity)
+
     async def _retry(self, order: _Order) -> None:
         await asyncio.sleep(self._cfg.retry_delay.total_seconds())
         if self._pending.get((order.key, order.number)) is order:
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from redwingslip.clock import ManualClock
-from redwingslip.jobs import EndKind, RunStart, StartRuns, TaskKey
+from redwingslip.jobs import Amounts, EndKind, RunStart, StartRuns, TaskKey
 from redwingslip.scheduling import (
     ListedEnd,
     OrderOutcomeUnknownError,
@@ -325,6 +325,23 @@
         self.agent.update(make_vm(is_draining=True))
         self.assertFalse(self.agent.is_ready(self.clock.monotonic()))
 
+    async def test_a_vm_whose_capacity_has_shrunk_gets_no_runs_beyond_it(self):
+        """Guards against a start that was placed before the VM reported less capacity.
+
+        The need of the task is 1,000 thousandths of a core.
+        """
+        for cpu, n_started in ((900, 0), (1000, 1)):
+            with self.subTest(cpu=cpu):
+                self.agent.update(make_vm(capacity=Amounts(cpu, 4000)))
+                self.agent.start(self.decide())
+                self.agent.begin()
+                await eventually(
+                    lambda: self.endpoint.started or not self.has_open_run()
+                )
+                self.assertEqual(len(self.endpoint.started), n_started)
+                self.agent.close()
+                self.agent = make_agent(self.vm, self.endpoint, self.term)
+
     async def test_a_stop_overtakes_a_queued_start(self):
         run = self.decide()
         self.agent.start(run)
