Find the remaining runs of an ended job by its tasks instead of all runs

What callers saw: ends of runs, and so the completion of jobs, late on a busy leader.

Each end of a run of a job that has ended, also the last one of a completed job, read the runs on all VMs; a new leader did so for each job that had ended in the last 150 s (class of fault: work for each event that grows with the fleet).

Ruled out: nothing.

Change: the runs are those of the job's own tasks.

Conclusion: what an end costs depends on its own job.

--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -23,6 +23,7 @@
     TaskKey,
     VmChange,
     VmRecord,
+    iter_tasks,
 )
 from ..observe import EventName
 from ..placement import ArrivalTrend
@@ -271,11 +272,14 @@
 
     def _stop_runs(self, job_id: str) -> None:
         """Queue stop orders for the remaining runs of a job that has ended."""
-        for vm_id, runs in self._state.runs.items():
-            agent = self.agents.get(vm_id)
-            for key, number in runs:
-                if key.job_id == job_id and agent is not None:
-                    agent.stop(key, number)
+        job = self._state.jobs.get(job_id)
+        if job is None:
+            return
+        for key, task in iter_tasks(job):
+            for run in task.runs:
+                agent = self.agents.get(run.vm_id)
+                if agent is not None:
+                    agent.stop(key, run.number)
 
     def _update_agent(self, vm: VmRecord) -> None:
         agent = self.agents.get(vm.vm_id)
--- a/tests/test_scheduling_round_cost.py
+++ b/tests/test_scheduling_round_cost.py
@@ -1,4 +1,4 @@
-"""Tests of what a round of placement costs the leader.
+"""Tests of what a round of placement and an end of a run cost the leader.
 
 The pattern is a queue that rises while the pools of all other queues are full of short
 tasks: the leader places it in rounds, each after an answer of one of hundreds of VMs.
@@ -11,18 +11,24 @@
 from redwingslip.clock import ManualClock
 from redwingslip.jobs import (
     Amounts,
+    EndKind,
     JobSpec,
+    JobStatus,
+    RecordEnds,
+    RunEnd,
     RunStart,
     StartRuns,
     StepSpec,
     SubmitJob,
     TaskKey,
 )
+from redwingslip.scheduling import LeaderPolicy, Scheduler
 from redwingslip.scheduling._job_index import JobIndex
 from redwingslip.scheduling._machines import MachineRegistry
 from redwingslip.scheduling._rounds import PlacementRounds
 from tests.support_scheduling import (
     FakeEndpoint,
+    FakePlatform,
     FakeTerm,
     make_agent,
     make_state,
@@ -55,6 +61,18 @@
     return n_calls
 
 
+def fill(state, vm, n_runs):
+    """Let a job of `n_runs` tasks run on a VM."""
+    step = StepSpec(n_tasks=n_runs, need=Amounts(1_000, 1))
+    spec = JobSpec(job_id=vm.vm_id, queue="q", pool=vm.pool, steps=(step,))
+    state.apply(SubmitJob(spec=spec, now_ms=1))
+    starts = tuple(
+        RunStart(TaskKey(vm.vm_id, 0, 0, index), vm.vm_id, vm.born_ms)
+        for index in range(n_runs)
+    )
+    state.apply(StartRuns(starts=starts, now_ms=1))
+
+
 class TestRoundCost(unittest.IsolatedAsyncioTestCase):
     """What the cost of a round depends on."""
 
@@ -80,7 +98,7 @@
         ]
         state = make_state(*vms)
         for vm in vms:
-            self.fill(state, vm, runs_per_vm)
+            fill(state, vm, runs_per_vm)
         clock = ManualClock()
         clock.advance(timedelta(seconds=10))
         term = FakeTerm(state, clock)
@@ -101,17 +119,6 @@
         rounds.decide()
         return count_calls(rounds.decide)
 
-    def fill(self, state, vm, n_runs):
-        """Let a job of `n_runs` tasks run on a VM."""
-        step = StepSpec(n_tasks=n_runs, need=Amounts(1_000, 1))
-        spec = JobSpec(job_id=vm.vm_id, queue="q", pool=vm.pool, steps=(step,))
-        state.apply(SubmitJob(spec=spec, now_ms=1))
-        starts = tuple(
-            RunStart(TaskKey(vm.vm_id, 0, 0, index), vm.vm_id, vm.born_ms)
-            for index in range(n_runs)
-        )
-        state.apply(StartRuns(starts=starts, now_ms=1))
-
     def test_rounds_of_a_full_fleet_cost_the_same_as_of_an_empty_one(self):
         """Guards against starts that are late since the leader counts all runs anew."""
         few = self.count_calls_of_round(runs_per_vm=1)
@@ -133,5 +140,49 @@
         self.assertLess(per_job, 100)
 
 
+class CountedRuns(dict):
+    """The runs of a VM, which counts how often they are read."""
+
+    n_read = 0
+
+    def __iter__(self):
+        """Yield the runs."""
+        for run_id in super().__iter__():
+            CountedRuns.n_read += 1
+            yield run_id
+
+
+class TestEndCost(unittest.IsolatedAsyncioTestCase):
+    """What the cost of an end of a run depends on."""
+
+    async def test_the_end_of_a_job_does_not_read_the_runs_of_others(self):
+        """Guards against ends that are late since hundreds of VMs have many runs.
+
+        The pattern is a peak in which jobs are completed hundreds of times a second.
+        """
+        vms = [make_vm(f"v{number}", capacity=CAPACITY) for number in range(20)]
+        state = make_state(*vms)
+        for vm in vms:
+            fill(state, vm, 8)
+        term = FakeTerm(state)
+        scheduler = Scheduler(
+            term=term,
+            orders=FakeEndpoint(),
+            operations=FakePlatform(),
+            adviser=None,
+            cfg=LeaderPolicy(),
+        )
+        term.on_command = lambda command: scheduler.applied(command, None)
+        for vm_id, runs in state.runs.items():
+            state.runs[vm_id] = CountedRuns(runs)
+        CountedRuns.n_read = 0
+        ends = tuple(
+            RunEnd(TaskKey("v0", 0, 0, index), 1, EndKind.DONE) for index in range(8)
+        )
+        await term.propose(RecordEnds(vm_id="v0", born_ms=1, ends=ends, now_ms=2))
+        self.assertEqual(state.jobs["v0"].status, JobStatus.COMPLETED)
+        self.assertEqual(CountedRuns.n_read, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
