Log an error in the reaction to a command instead of ending the controller

What callers could see: no leader. A command whose handling fails on the leader ended its process, and the next command of that kind ended the next leader.

Cause: the scheduling is called by the state machine of the log, and any error in it was taken for a failure of the replica (class of fault: one request that crashes server after server, as with the tasks of the incident).

Ruled out: background work, which is supervised and restarted.

Change: the error is logged as a warning with the kind of command. What was missed is found by the next poll, which starts runs that no VM lists.

Conclusion: an error of the scheduling ends no controller. One in the replicated state still does, on all of them, since their states would differ otherwise.

--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -174,8 +174,16 @@
         self._wake.set()
 
     def applied(self, command: Command, outcome: object) -> None:
-        """React to a command that was applied to the state."""
-        self._handle(command, outcome)
+        """React to a command that was applied to the state.
+
+        An error ends neither this process nor, since each leader reacts alike, one
+        leader after the other: polls find out what was missed.
+        """
+        try:
+            self._handle(command, outcome)
+        except Exception as exc:
+            detail = f"reaction to {type(command).__name__} failed: {exc!r}"
+            self._term.emit(EventName.WARNING, detail=detail)
         self._wake.set()
 
     @singledispatchmethod
