Place other jobs when the placement of one fails with an error

What callers could see: no task starts any more, for all callers, on leader after leader.

Cause: an error in the placement of one job ended the whole round.

Change: the error is logged with the job's id, once a job, and the round goes on.

Figures: the test fails before (the error leaves the round) and passes after.

Conclusion: such a job waits alone.

--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -42,6 +42,7 @@
 
     __slots__ = (
         "_advice",
+        "_failed_jobs",
         "_isolated_since",
         "_job_index",
         "_machines",
@@ -63,6 +64,8 @@
         self._machines = machines
         self._job_index = job_index
         self._advice = advice
+        # Jobs whose placement failed with an error that was logged.
+        self._failed_jobs: set[str] = set()
         # Monotonic times since which isolated tasks wait.
         self._isolated_since: dict[TaskKey, timedelta] = {}
         self.backlog: dict[str, PoolBacklog] = {}
@@ -83,9 +86,19 @@
         )
         starts: list[RunStart] = []
         for urgency, tasks in jobs:
-            starts.extend(self._place_job(placer, urgency, tasks))
+            try:
+                starts.extend(self._place_job(placer, urgency, tasks))
+            except Exception as exc:
+                self._report_failure(tasks[0].key.job_id, exc)
         return tuple(starts)
 
+    def _report_failure(self, job_id: str, exc: Exception) -> None:
+        """Log, once for each job, that the placement of its tasks fails."""
+        if job_id not in self._failed_jobs:
+            self._failed_jobs.add(job_id)
+            detail = f"the job can't be placed: {exc!r}"
+            self._term.emit(EventName.WARNING, request_id=job_id, detail=detail)
+
     def _note_isolated(self, tasks: Iterable[WaitingTask]) -> None:
         """Keep the times since which the isolated ones of the waiting tasks wait."""
         now = self._term.clock.monotonic()
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -2,6 +2,7 @@
 
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from redwingslip.clock import ManualClock
 from redwingslip.jobs import (
@@ -20,6 +21,7 @@
     SubmitJob,
     TaskKey,
 )
+from redwingslip.placement import Placer
 from redwingslip.scheduling import MachineRegistry
 from redwingslip.scheduling._job_index import JobIndex
 from redwingslip.scheduling._rounds import MAX_ISOLATION_WAIT, PlacementRounds
@@ -176,6 +178,26 @@
         self.suspect_beside_long_running(is_long_running=True)
         self.assertEqual(self.wait(MAX_ISOLATION_WAIT), ["suspect"])
 
+    def test_a_job_that_fails_a_round_does_not_keep_others_waiting(self):
+        """Guards against one task for which the leader places nothing any more."""
+        self.submit("bad", n_tasks=1)
+        self.submit("good", n_tasks=1)
+        warnings = []
+        self.term.emit = lambda name, **fields: warnings.append(fields)
+        place = Placer.place_step
+
+        def fail(placer, tasks):
+            if tasks[0].key.job_id == "bad":
+                raise ValueError("bad task")
+            return place(placer, tasks)
+
+        with mock.patch.object(Placer, "place_step", fail):
+            starts = self.decide()
+            self.rounds.decide()
+        self.assertEqual([start.key.job_id for start in starts], ["good"])
+        detail = "the job can't be placed: ValueError('bad task')"
+        self.assertEqual(warnings, [{"request_id": "bad", "detail": detail}])
+
     def test_a_claimed_machine_gets_no_runs(self):
         self.machines.claim("m-v1", "a wave")
         self.submit("j")
