--- a/tests/scheduling_endpoints.py
+++ b/tests/scheduling_endpoints.py
@@ -20,6 +20,9 @@
 CALL_TIMEOUT_S = 1.0
 MAX_LEASE_MS = 6_000
 CAPACITY = Amounts(4_000, 4_000)
+# Platform contract: a capacity that has shrunk counts for the contact time and one
+# report longer.
+SHRINK_GRACE_S = 3.0 + 0.2
 
 
 class _Run:
@@ -30,7 +33,16 @@
 
 
 class Endpoint:
-    """One incarnation of a VM, with its lease, fence, runs and ends."""
+    """One incarnation of a VM, with its lease, fence, runs and ends.
+
+    Attributes
+    ----------
+    capacity : Amounts
+        Its capacity, which may change while it runs.
+    guards_capacity : bool
+        Whether it refuses runs beyond its capacity; otherwise they are breaches of a
+        guarantee.
+    """
 
     def __init__(self, world, vm_id, rate):
         self.world = world
@@ -46,6 +58,10 @@
         self.ended_at = {}
         # Ends up to this number were not acknowledged before the lease expired.
         self.n_discarded = 0
+        self.capacity = CAPACITY
+        self.guards_capacity = True
+        self.is_order_late = False
+        self._capacities = [(self.began_at, CAPACITY.cpu)]
         self.is_up = True
         self.is_partitioned = False
         self.is_draining = False
@@ -62,11 +78,26 @@
             machine=f"m-{self.vm_id}",
             pool="p",
             address=f"{self.vm_id}:1",
-            capacity=CAPACITY,
+            capacity=self.capacity,
             labels=("a", "r1"),
             is_draining=self.is_draining,
         )
 
+    def resize(self, cpu):
+        """Change the capacity to `cpu` thousandths of a core."""
+        self.capacity = Amounts(cpu, CAPACITY.memory_mb)
+        self._capacities.append((self.world.now(), cpu))
+
+    def _known_cpu(self):
+        """Return the largest CPU that a leader may still believe the endpoint has."""
+        now = self.world.now()
+        ends = [at for at, _ in self._capacities[1:]] + [now]
+        return max(
+            cpu
+            for (_, cpu), until in zip(self._capacities, ends, strict=True)
+            if until >= now - SHRINK_GRACE_S
+        )
+
     def update(self):
         """End the runs that have finished, or all if the lease has expired."""
         if not self.is_up:
@@ -102,9 +133,14 @@
             return StartResult.OLD
         step = self.world.state.step(run.key)
         used_cpu = sum(self.world.state.step(key).need.cpu for key in self.runs)
-        if used_cpu + step.need.cpu > CAPACITY.cpu:
+        if self.guards_capacity and used_cpu + step.need.cpu > self.capacity.cpu:
             return StartResult.NO_ROOM
         self.world.check_start(self, run)
+        is_over = used_cpu + step.need.cpu > self._known_cpu()
+        if is_over and not self.is_order_late:
+            self.world.report_problem(
+                f"{run.key.label(run.number)} exceeds the capacity of {self.vm_id}"
+            )
         duration = step.estimate_ms / 1000 * self.world.rng.uniform(0.5, 1.5)
         if step.is_long_running:
             duration = 1e9
@@ -204,4 +240,6 @@
 
     def _deliver_late(self, endpoint, order):
         if endpoint.is_up:
+            endpoint.is_order_late = True
             order(endpoint)
+            endpoint.is_order_late = False
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -189,7 +189,8 @@
         vm = endpoint.record()
         known = self.state.vms.get(vm.vm_id)
         is_known = known is not None and known.born_ms == vm.born_ms
-        if is_known and known.is_draining == vm.is_draining:
+        is_changed = is_known and known.capacity != vm.capacity
+        if is_known and known.is_draining == vm.is_draining and not is_changed:
             return
         await self.term.propose_or_log(NoteVm(vm=vm, now_ms=self.term.now_ms()))
 
@@ -209,7 +210,9 @@
             ended_at = endpoint.ended_at[end.cursor]
             is_late = any(at > ended_at for at in self.starts[end.key])
             if is_late and not self.state.step(end.key).is_speculative:
-                self._report(f"{end.key.label(end.number)} was done before a start")
+                self.report_problem(
+                    f"{end.key.label(end.number)} was done before a start"
+                )
 
     def check_start(self, endpoint, run):
         """Check the guarantees at the start of a run."""
@@ -219,22 +222,25 @@
             other.update()
             is_running = other.is_up and other is not endpoint and run.key in other.runs
             if is_running and not step.is_speculative:
-                self._report(f"{label} runs twice: {endpoint.vm_id}, {other.vm_id}")
+                self.report_problem(
+                    f"{label} runs twice: {endpoint.vm_id}, {other.vm_id}"
+                )
         if run.key in self.done and not step.is_speculative:
-            self._report(f"{label} starts after it was done")
+            self.report_problem(f"{label} starts after it was done")
         self.starts.setdefault(run.key, []).append(self.now())
         job = self.state.jobs[run.key.job_id]
         for number in step.after:
             if not all(t.is_done for t in job.tasks[run.key.occurrence][number]):
-                self._report(f"{label} starts before the end of step {number}")
+                self.report_problem(f"{label} starts before the end of step {number}")
         if run.key not in self._tasks(job):
-            self._report(f"{label} starts for a task of no job")
+            self.report_problem(f"{label} starts for a task of no job")
         self.on_start(endpoint, run)
 
     def _tasks(self, job):
         return {key for key, _ in iter_tasks(job)}
 
-    def _report(self, problem):
+    def report_problem(self, problem):
+        """Record a breach of a guarantee."""
         self.problems.append(f"{self.now():.2f} s, leader {self.fence}: {problem}")
 
     def unfinished(self):
