Measure how late the event loop of the leader is

Cause: for a class that comes near its floor, logs and metrics do not tell a leader without processor time from pools without room. The wait for the first start is long in both cases, and the duration of rounds shows a part of the leader's work only.

Ruled out: the duration of commits and of exchanges, which contain the waits of others.

No logic is changed.

--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -107,6 +107,12 @@
         "s",
         "Time that the leader takes for a round of placement.",
     ),
+    _Instrument(
+        "histogram",
+        "event.loop.lag.duration",
+        "s",
+        "How late the timers of the leader fire.",
+    ),
     _Instrument(
         "counter",
         "run.starts",
@@ -212,6 +218,10 @@
         """Record how long a round of placement took."""
         self._record("placement.round.duration", duration, {})
 
+    def record_loop_lag(self, *, duration: timedelta) -> None:
+        """Record how late a timer of the leader has fired."""
+        self._record("event.loop.lag.duration", duration, {})
+
     def add_run_start(self, *, outcome: str) -> None:
         """Count an order to start a run, by its outcome."""
         self._instruments["run.starts"].add(
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -31,6 +31,7 @@
 from ._advice import AdviceCache, Adviser
 from ._agent import VmAgent
 from ._job_index import JobIndex
+from ._loop_lag import LoopLag
 from ._machines import MachineRegistry
 from ._moves import MoveManager
 from ._ports import MachineOperations, VmOrders
@@ -134,6 +135,7 @@
             asyncio.create_task(run_forever(name, work, self._term.events), name=name)
             for name, work in (
                 ("placement", self._place_forever),
+                ("loop lag", LoopLag(self._term).run),
                 ("waves", self._waves.run),
                 ("moves", self._moves.run),
                 ("advice", self._advice.run),
--- a/tests/test_observe_metrics.py
+++ b/tests/test_observe_metrics.py
@@ -25,6 +25,7 @@
     metrics.add_move(pool="p")
     metrics.add_dropped_events(2)
     metrics.record_placement_round(duration=second)
+    metrics.record_loop_lag(duration=second)
 
 
 class TestNewMetrics(unittest.TestCase):
@@ -56,6 +57,7 @@
                 "redwingslip.permit.wait.duration": "s",
                 "redwingslip.log.commit.duration": "s",
                 "redwingslip.placement.round.duration": "s",
+                "redwingslip.event.loop.lag.duration": "s",
                 "redwingslip.config.in_force.duration": "s",
                 "redwingslip.slot.usage": "{slot}",
                 "redwingslip.slot.limit": "{slot}",
