Seeded histories of a leader whose commits are slow

The histories with changes of leader commit in 5 ms each, which hides it.

Commits may take longer now, in their order. Seeds 1102 and 1176 are part of the suite, with 12 others.

--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import random
 from datetime import timedelta
 
 from redwingslip.jobs import (
@@ -57,7 +58,7 @@
         """Commit a command; one that is in flight when the term ends is not applied."""
         if self.is_over:
             raise NotLeadingError("the term has ended")
-        await asyncio.sleep(COMMIT_S)
+        await self.world.wait_for_commit()
         if self.is_over:
             raise CommandOutcomeUnknownError("the term has ended")
         return self.world.apply(command)
@@ -122,6 +123,8 @@
         Start times of the runs of each task.
     on_start : callable
         Called with the endpoint and the run at each start.
+    max_commit_s : float
+        Longest duration of a commit; each one is drawn.
     """
 
     def __init__(self, loop, rng, clock, state, *, n_vms=4):
@@ -130,6 +133,9 @@
         self.state = state
         self._loop = loop
         self.incarnations = itertools.count(1)
+        self.max_commit_s = COMMIT_S
+        self._commits_rng = random.Random(0)
+        self._last_commit_at = 0.0
         self.loss_rate = 0.0
         self.failure_rate = 0.0
         self.problems = []
@@ -147,6 +153,13 @@
         """Return the time in seconds."""
         return self._loop.time()
 
+    async def wait_for_commit(self):
+        """Wait for the time that a commit takes; commits end in their order."""
+        duration_s = self._commits_rng.uniform(COMMIT_S, self.max_commit_s)
+        ends_at = max(self.now() + duration_s, self._last_commit_at + 1e-6)
+        self._last_commit_at = ends_at
+        await asyncio.sleep(ends_at - self.now())
+
     def percent(self, run):
         """Return the progress of a run; it changes, so that no run is stalled."""
         if self.state.step(run.key).is_long_running:
--- a/tests/test_scheduling_leaders.py
+++ b/tests/test_scheduling_leaders.py
@@ -19,7 +19,7 @@
     ReplacePlan,
     StepSpec,
 )
-from tests.scheduling_world import World
+from tests.scheduling_world import COMMIT_S, World
 from tests.support_scheduling import PLAN
 from tests.support_virtual_time import LoopClock, run_virtually
 
@@ -29,13 +29,28 @@
 N_SEEDS = 12
 # Seeds that have found a fault stay here, each with a line on its cause.
 REGRESSIONS = ()
+SLOW_COMMIT_REGRESSIONS = (
+    # A withdrawn run was started by a poll while its end was being committed.
+    1102,
+    1176,
+)
 
 
 class Case:
-    """One history of faults and jobs, drawn from a seed."""
+    """One history of faults and jobs, drawn from a seed.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the history.
+    max_commit_s, max_partition_s : float
+        Longest duration of a commit, and of the partition of an endpoint.
+    """
 
-    def __init__(self, seed):
+    def __init__(self, seed, *, max_commit_s=COMMIT_S, max_partition_s=10):
         self.rng = random.Random(seed)
+        self.max_commit_s = max_commit_s
+        self.max_partition_s = max_partition_s
         self.world = None
         self.faults = set()
 
@@ -47,6 +62,7 @@
         self.world = World(loop, self.rng, LoopClock(loop), state)
         self.world.loss_rate = self.rng.choice((0.0, 0.05, 0.2))
         self.world.failure_rate = self.rng.choice((0.0, 0.05))
+        self.world.max_commit_s = self.max_commit_s
         self.world.start_leader()
         tasks = [
             asyncio.create_task(work)
@@ -118,7 +134,7 @@
     async def partition(self, endpoint):
         """Disconnect an endpoint for a time; its runs continue."""
         endpoint.is_partitioned = True
-        await asyncio.sleep(self.rng.uniform(0.5, 10))
+        await asyncio.sleep(self.rng.uniform(0.5, self.max_partition_s))
         endpoint.is_partitioned = False
 
     async def submit(self):
@@ -147,6 +163,7 @@
 
     def end_faults(self):
         """End the phase with faults; ensure that there is a leader."""
+        self.world.max_commit_s = COMMIT_S
         self.world.loss_rate = 0.0
         self.world.failure_rate = 0.0
         if self.world.term.is_over:
@@ -156,22 +173,32 @@
 class TestLeaders(unittest.TestCase):
     """No history breaks a guarantee, and all jobs end after the faults have ended."""
 
-    def check(self, seed):
-        world = run_virtually(Case(seed).run)
+    def check(self, seed, **options):
+        world = run_virtually(Case(seed, **options).run)
         self.assertEqual(world.problems, [])
         self.assertEqual(world.unfinished(), [])
         self.assertEqual(len(world.state.jobs), N_JOBS)
 
-    def test_seeded_histories(self):
+    def seeds(self):
+        """Return the seeds of the suite, or those chosen by the environment."""
         first = 1
         n_seeds = N_SEEDS
         if "REDWINGSLIP_FUZZ_SEED" in os.environ:
             first = 1_000 * int(os.environ["REDWINGSLIP_FUZZ_SEED"])
             n_seeds = 1_000
-        for seed in (*REGRESSIONS, *range(first, first + n_seeds)):
+        return range(first, first + n_seeds)
+
+    def test_seeded_histories(self):
+        for seed in (*REGRESSIONS, *self.seeds()):
             with self.subTest(seed=seed):
                 self.check(seed)
 
+    def test_seeded_histories_with_slow_commits(self):
+        """Guards against a second run while the end of the first is being committed."""
+        for seed in (*SLOW_COMMIT_REGRESSIONS, *self.seeds()):
+            with self.subTest(seed=seed):
+                self.check(seed, max_commit_s=0.6, max_partition_s=2)
+
 
 if __name__ == "__main__":
     unittest.main()
