Start no copy of a task after another run of it was done

What callers could see: a task that runs again seconds after its success was recorded (TWICE), and capacity spent on it.

Cause: an order to start a run is sent as long as the run is in the state. The second run of a speculative task stays there when the first one is done, and its order may wait: orders to a VM are sent one at a time, each lost answer holds up the next ones for 0.8 s, and a new leader sends the orders that it finds unsent. Nothing looked again at whether the task still needed the run (class of fault: a queued order that is carried out after its reason has gone).

Ruled out: an order that the VM carried out late; the leader logged the answer.

Change: an order to start a run of a task that is done is withdrawn: the run ends as rejected if no copy of the order was sent, else a stop makes the VM refuse it.

Figures: the test of the agent fails before in both cases, and passes after.

Conclusion: the check is made for each order as it is sent, so that queueing, retries and changes of leader are all covered.

--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -207,6 +207,10 @@
         if not order.is_stop and not self._is_run_active(order):
             self._pending.pop(run_id, None)
             return
+        if not order.is_stop and self._term.state.task(order.key).is_done:
+            # Another run of the task was done while this order waited.
+            self._withdraw(order)
+            return
         if not order.is_stop and self.is_unresponsive:
             # Another incarnation may be at the address; the next poll shows that. A
             # gang starts as a whole, so that its runs wait for the poll.
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -30,6 +30,8 @@
 
 MS = timedelta(milliseconds=1)
 COMMIT_S = 0.005
+# Platform contract: a copy may still start this long after another run was done.
+COPY_GRACE_S = 1.0
 METRICS = new_metrics(MetricsSettings(), process_id="world")
 
 
@@ -117,8 +119,8 @@
         Probability that a run fails.
     problems : list of str
         Breaches of a guarantee.
-    done : set of TaskKey
-        Tasks whose success a leader has acknowledged.
+    done : dict of TaskKey to float
+        Times at which a leader first acknowledged the success of a task.
     starts : dict
         Start times of the runs of each task.
     on_start : callable
@@ -139,7 +141,7 @@
         self.loss_rate = 0.0
         self.failure_rate = 0.0
         self.problems = []
-        self.done = set()
+        self.done = {}
         self.starts = {}
         self.on_start = lambda endpoint, run: None
         self.fence = 0
@@ -219,7 +221,7 @@
         for end in endpoint.ends[endpoint.n_discarded : cursor]:
             if end.kind is not EndKind.DONE or end.key in self.done:
                 continue
-            self.done.add(end.key)
+            self.done[end.key] = self.now()
             ended_at = endpoint.ended_at[end.cursor]
             is_late = any(at > ended_at for at in self.starts[end.key])
             if is_late and not self.state.step(end.key).is_speculative:
@@ -238,8 +240,7 @@
                 self.report_problem(
                     f"{label} runs twice: {endpoint.vm_id}, {other.vm_id}"
                 )
-        if run.key in self.done and not step.is_speculative:
-            self.report_problem(f"{label} starts after it was done")
+        self._check_not_done(endpoint, run)
         self.starts.setdefault(run.key, []).append(self.now())
         job = self.state.jobs[run.key.job_id]
         for number in step.after:
@@ -249,6 +250,20 @@
             self.report_problem(f"{label} starts for a task of no job")
         self.on_start(endpoint, run)
 
+    def _check_not_done(self, endpoint, run):
+        """Check that a task does not start again after it was done.
+
+        A copy of a speculative task may start within the grace period, or by an order
+        that was delivered late.
+        """
+        done_at = self.done.get(run.key)
+        if done_at is None:
+            return
+        is_copy = self.state.step(run.key).is_speculative
+        is_recent = self.now() - done_at <= COPY_GRACE_S
+        if not is_copy or not (is_recent or endpoint.is_order_late):
+            self.report_problem(f"{run.key.label(run.number)} starts after it was done")
+
     def _tasks(self, job):
         return {key for key, _ in iter_tasks(job)}
 
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from redwingslip.clock import ManualClock
-from redwingslip.jobs import Amounts, EndKind, RunStart, StartRuns, TaskKey
+from redwingslip.jobs import Amounts, EndKind, RunEnd, RunStart, StartRuns, TaskKey
 from redwingslip.scheduling import (
     ListedEnd,
     OrderOutcomeUnknownError,
@@ -362,6 +362,38 @@
         await eventually(lambda: not self.has_open_run())
         self.assertEqual(self.endpoint.runs, {})
 
+    async def test_a_copy_is_not_started_after_another_run_is_done(self):
+        """Guards against a task that starts again seconds after it was done.
+
+        The start order of its second run waited, or its answer was lost, meanwhile.
+        """
+        lost = OrderOutcomeUnknownError("lost")
+        for responses in ([], [lost] * 100):
+            with self.subTest(n_lost=len(responses)):
+                self.state = make_state(
+                    self.vm, make_vm("v2"), jobs=[make_job(is_speculative=True)]
+                )
+                self.term.state = self.state
+                first = RunStart(KEY, "v2", 1)
+                self.state.apply(StartRuns(starts=(first,), now_ms=1))
+                self.endpoint.start_responses = responses
+                self.agent = make_agent(self.vm, self.endpoint, self.term)
+                self.agent.start(self.decide())
+                if responses:
+                    self.agent.begin()
+                    await eventually(lambda: self.endpoint.started)
+                done = (RunEnd(KEY, 1, EndKind.DONE),)
+                await self.term.record_ends(make_vm("v2"), done, 1)
+                self.endpoint.start_responses = []
+                if not responses:
+                    self.agent.begin()
+                await asyncio.sleep(0.3)
+                self.clock.advance(timedelta(milliseconds=10))
+                await eventually(lambda: not self.has_open_run())
+                self.assertEqual(self.endpoint.runs, {})
+                self.assertEqual(bool(self.endpoint.stopped), bool(responses))
+                self.agent.close()
+
     async def test_a_start_that_was_never_sent_is_withdrawn_without_a_stop(self):
         self.agent.update(make_vm(is_draining=True))
         self.agent.begin()
--- a/tests/test_scheduling_leaders.py
+++ b/tests/test_scheduling_leaders.py
@@ -28,8 +28,16 @@
 N_JOBS = 25
 N_SEEDS = 12
 # Seeds that have found a fault stay here, each with a line on its cause.
-REGRESSIONS = ()
+REGRESSIONS = (
+    # The start order of a copy waited until another run of the task was done.
+    1032,
+    1061,
+    1085,
+    1108,
+)
 SLOW_COMMIT_REGRESSIONS = (
+    # As above.
+    1025,
     # A withdrawn run was started by a poll while its end was being committed.
     1102,
     1176,
