Stop the copies of a task once one of its runs is done

What callers could see: tasks that wait for capacity held by copies whose result nobody needs.

Cause: only the end of a whole job stopped its remaining runs.

Ruled out: gangs, whose runs end together, and long-running tasks, which are never done.

Change: the end of a run that makes its task done stops the task's other runs; a new leader stops those that it finds.

--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -21,6 +21,7 @@
     StartRuns,
     SubmitJob,
     TaskKey,
+    TaskRecord,
     VmChange,
     VmRecord,
     iter_tasks,
@@ -128,8 +129,10 @@
         for vm in self._state.vms.values():
             self._update_agent(vm)
         for job in self._state.jobs.values():
-            if job.status not in ACTIVE_STATUSES:
-                self._stop_runs(job.spec.job_id)
+            has_ended = job.status not in ACTIVE_STATUSES
+            for key, task in iter_tasks(job):
+                if has_ended or task.is_done:
+                    self._stop_runs_of_task(key, task)
         self._restore_arrivals()
         self._tasks = [
             asyncio.create_task(run_forever(name, work, self._term.events), name=name)
@@ -253,12 +256,14 @@
         job = self._state.jobs.get(job_id)
         if job is not None and job.status not in ACTIVE_STATUSES:
             self._stop_runs(job_id)
+        task = self._state.task(end.key)
+        if task is not None and task.is_done:
+            self._stop_runs_of_task(end.key, task)
         if end.kind is EndKind.FAILED:
             self._job_index.note_failure(end.key, vm_id)
         self._update_health(vm_id, end)
         status = job.status.value if job is not None else "forgotten"
         detail = f"{end.key.label(end.number)} {end.kind.value}; job {status}"
-        task = self._state.task(end.key)
         if end.kind is EndKind.LOST and task is not None and task.n_crashes:
             detail += f"; crashed VMs of the task: {task.n_crashes}"
         self._term.emit(EventName.RUN_ENDED, request_id=job_id, vm=vm_id, detail=detail)
@@ -286,10 +291,14 @@
         if job is None:
             return
         for key, task in iter_tasks(job):
-            for run in task.runs:
-                agent = self.agents.get(run.vm_id)
-                if agent is not None:
-                    agent.stop(key, run.number)
+            self._stop_runs_of_task(key, task)
+
+    def _stop_runs_of_task(self, key: TaskKey, task: TaskRecord) -> None:
+        """Queue stop orders for the remaining runs of a task."""
+        for run in task.runs:
+            agent = self.agents.get(run.vm_id)
+            if agent is not None:
+                agent.stop(key, run.number)
 
     def _update_agent(self, vm: VmRecord) -> None:
         agent = self.agents.get(vm.vm_id)
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -4,7 +4,14 @@
 import unittest
 from unittest import mock
 
-from redwingslip.jobs import RunStart, StartRuns, TaskKey
+from redwingslip.jobs import (
+    EndKind,
+    RecordEnds,
+    RunEnd,
+    RunStart,
+    StartRuns,
+    TaskKey,
+)
 from redwingslip.observe import EventName
 from redwingslip.scheduling import LeaderPolicy, Scheduler, VmAgent
 from tests.support_scheduling import (
@@ -20,21 +27,26 @@
 KEY = TaskKey("j1", 0, 0, 0)
 
 
+def make_scheduler(term, endpoint):
+    """Return the scheduling of a term, over one fake endpoint."""
+    return Scheduler(
+        term=term,
+        orders=endpoint,
+        operations=FakePlatform(),
+        adviser=None,
+        cfg=LeaderPolicy(),
+    )
+
+
 class TestScheduler(unittest.IsolatedAsyncioTestCase):
-    """Commands whose handling fails."""
+    """Commands whose handling fails, and runs that are no longer needed."""
 
     async def asyncSetUp(self):
         self.term = FakeTerm(make_state(make_vm(), jobs=[make_job()]))
         self.warnings = []
         self.term.emit = self.emit
         self.endpoint = FakeEndpoint()
-        self.scheduler = Scheduler(
-            term=self.term,
-            orders=self.endpoint,
-            operations=FakePlatform(),
-            adviser=None,
-            cfg=LeaderPolicy(),
-        )
+        self.scheduler = make_scheduler(self.term, self.endpoint)
 
     async def asyncTearDown(self):
         self.scheduler.close()
@@ -57,6 +69,50 @@
         # The next poll finds that the run was never started.
         await eventually(lambda: self.endpoint.started == [(KEY, 1)])
 
+    def start_copies(self):
+        """Start two runs of a speculative task on two VMs, and stop no run yet."""
+        state = make_state(
+            make_vm(), make_vm("v2"), jobs=[make_job(n_tasks=2, is_speculative=True)]
+        )
+        for vm_id in ("v1", "v2"):
+            start = RunStart(KEY, vm_id, 1)
+            state.apply(StartRuns(starts=(start,), now_ms=2))
+        self.term.state = state
+        self.scheduler = make_scheduler(self.term, self.endpoint)
+        self.stopped = []
+        for method, replacement in (
+            ("begin", lambda agent: None),
+            ("stop", lambda agent, *run: self.stopped.append((agent.vm.vm_id, *run))),
+        ):
+            patch = mock.patch.object(VmAgent, method, replacement)
+            patch.start()
+            self.addCleanup(patch.stop)
+        return state
+
+    async def test_a_copy_is_stopped_when_another_run_is_done(self):
+        """Guards against copies that hold capacity after their task is done."""
+        state = self.start_copies()
+        self.scheduler.begin()
+        done = (RunEnd(KEY, 1, EndKind.DONE),)
+        command = RecordEnds(vm_id="v1", born_ms=1, ends=done, now_ms=3)
+        self.scheduler.applied(command, state.apply(command))
+        self.assertEqual(self.stopped, [("v2", KEY, 2)])
+
+    async def test_a_new_leader_stops_the_copies_of_done_tasks(self):
+        state = self.start_copies()
+        done = (RunEnd(KEY, 1, EndKind.DONE),)
+        state.apply(RecordEnds(vm_id="v1", born_ms=1, ends=done, now_ms=3))
+        self.scheduler.begin()
+        self.assertEqual(self.stopped, [("v2", KEY, 2)])
+
+    async def test_a_copy_goes_on_when_another_run_has_failed(self):
+        state = self.start_copies()
+        self.scheduler.begin()
+        failed = (RunEnd(KEY, 1, EndKind.FAILED),)
+        command = RecordEnds(vm_id="v1", born_ms=1, ends=failed, now_ms=3)
+        self.scheduler.applied(command, state.apply(command))
+        self.assertEqual(self.stopped, [])
+
 
 if __name__ == "__main__":
     unittest.main()
