Send a member further log entries once it has acknowledged the earlier ones

Cause: part of a busy leader. It sent each command to each follower in a message of its own, as soon as it was proposed, and read one reply for each. A follower saves one message after the other, so that the earlier sending gained nothing (class of fault: many small messages where the receiver works them off in batches anyway).

Ruled out: calls of gateways (10 to 49 a second) and reports of VMs (0 to 7). Queries for the leader are 220 to 280 a second each way, and are left.

Change: a member gets its next message with entries when it has acknowledged the last one.

Figures: with 100 commands during one save of a follower the test counts 100 messages before, 2 after.

--- a/src/redwingslip/consensus/_leadership.py
+++ b/src/redwingslip/consensus/_leadership.py
@@ -323,19 +323,24 @@
             self._send_append(replica_id, progress, ())
 
     def _send_entries(self, replica_id: str, progress: Progress) -> None:
+        """Send the next entries, unless earlier ones await their acknowledgement.
+
+        A member saves what it receives one message after the other, so that a second
+        message would not be saved earlier. The entries that come meanwhile share one.
+        """
         cfg = self._core.cfg
         log = self._core.log
-        if progress.snapshot_index:
+        if progress.snapshot_index or progress.is_awaiting_ack:
             return
         if progress.next_index <= log.start.index:
             self._start_snapshot(replica_id, progress)
             return
         window_end = progress.window_start + cfg.max_inflight_entries
         last = min(log.last_index, window_end)
-        while progress.next_index <= last:
+        if progress.next_index <= last:
             entries = self._next_batch(progress.next_index, last)
             self._send_append(replica_id, progress, entries)
-            progress.next_index += len(entries)
+            progress.note_sent(len(entries))
 
     def _next_batch(self, first: int, last: int) -> tuple[LogEntry, ...]:
         cfg = self._core.cfg
--- a/src/redwingslip/consensus/_progress.py
+++ b/src/redwingslip/consensus/_progress.py
@@ -11,8 +11,9 @@
     Attributes
     ----------
     next_index : int
-        Index of the next entry to send. Entries are sent without waiting for replies
-        to earlier ones.
+        Index of the next entry to send.
+    sent_index : int
+        Index of the last entry sent to the member since the last mismatch, 0 for none.
     match_index : int
         The member has every entry up to this index on its disk.
     contact_at : timedelta or None
@@ -33,6 +34,7 @@
         "match_index",
         "mismatch_round",
         "next_index",
+        "sent_index",
         "snapshot_index",
         "snapshot_offset",
         "window_start",
@@ -42,12 +44,18 @@
         self.incarnation = incarnation
         self.next_index = next_index
         self.match_index = 0
+        self.sent_index = 0
         self.mismatch_round = 0
         self.window_start = next_index - 1
         self.contact_at: timedelta | None = None
         self.snapshot_index = 0
         self.snapshot_offset = 0
 
+    @property
+    def is_awaiting_ack(self) -> bool:
+        """Return whether entries were sent that the member has not acknowledged."""
+        return self.sent_index > self.match_index
+
     def note_contact(self, sent_at: timedelta | None) -> None:
         """Record when an answered heartbeat was sent, None if that is unknown."""
         if sent_at is None:
@@ -65,6 +73,12 @@
         """Restart sending after the index that the member gave as a hint."""
         self.window_start = max(self.match_index, hint)
         self.next_index = self.window_start + 1
+        self.sent_index = 0
+
+    def note_sent(self, n_entries: int) -> None:
+        """Record that the next entries were sent."""
+        self.next_index += n_entries
+        self.sent_index = self.next_index - 1
 
     def start_snapshot(self, index: int) -> None:
         """Start to send a snapshot from its first chunk."""
@@ -76,6 +90,7 @@
         self.note_match(self.snapshot_index)
         self.window_start = self.match_index
         self.next_index = self.match_index + 1
+        self.sent_index = 0
         self.snapshot_index = 0
 
 
--- a/tests/test_consensus_leadership.py
+++ b/tests/test_consensus_leadership.py
@@ -95,6 +95,61 @@
         self.assertEqual(len(message.entries), 6)
 
 
+class TestReplicationLoad(NodeTestCase):
+    """A leader to which many commands are proposed one by one."""
+
+    def setUp(self):
+        self.make_node()
+        self.elect()
+        for sender in ("b", "c"):
+            self.ack(sender, 1)
+        self.finish_saves()
+
+    def propose(self, n_commands):
+        """Propose commands, each in a step of its own; return the messages to `b`."""
+        sent = []
+        for _ in range(n_commands):
+            self.node.propose(b"x")
+            sent += self.messages_to_b()
+        return sent
+
+    def messages_to_b(self):
+        """Return the messages that the node sends to `b`."""
+        return [m.message for m in self.finish_saves() if m.receiver_id == "b"]
+
+    def test_commands_share_a_message_while_a_follower_saves(self):
+        """Guards against a leader that is busy sending one message per command.
+
+        Pattern: many small commands arrive while a follower saves the first one.
+        """
+        (first,) = self.propose(100)
+        self.assertEqual(len(first.entries), 1)
+        self.ack("b", 2)
+        (second,) = self.messages_to_b()
+        self.assertEqual(len(second.entries), 99)
+        self.assertEqual(self.node.commit_index, 2)
+        self.ack("b", 101)
+        self.assertEqual(self.node.commit_index, 101)
+
+    def test_a_lost_message_is_sent_again_after_the_next_heartbeat(self):
+        """Guards against a leader that waits for the reply to a lost message."""
+        self.propose(2)
+        self.pass_time(CFG.heartbeat_interval)
+        (heartbeat,) = self.messages_to_b()
+        self.assertEqual((heartbeat.prev_index, heartbeat.entries), (2, ()))
+        self.ack("b", 1, round_=heartbeat.round, success=False)
+        (again,) = self.messages_to_b()
+        self.assertEqual([e.index for e in again.entries], [2, 3])
+
+    def test_a_heartbeat_makes_up_for_a_lost_reply(self):
+        self.propose(2)
+        self.pass_time(CFG.heartbeat_interval)
+        (heartbeat,) = self.messages_to_b()
+        self.ack("b", 2, round_=heartbeat.round)
+        (message,) = self.messages_to_b()
+        self.assertEqual([e.index for e in message.entries], [3])
+
+
 class TestJoiner(NodeTestCase):
     """A member that joins again after the loss of its disk."""
 
