Let only the slow requests of the pairing test time out

The trace shows the connect: the client's default limit for it is 1 s, while the test gives these requests 20 s and expects only the slow ones to time out.

Ruled out: an answer that reached the wrong request; nothing was sent.

Change: the client of this test has 20 s for a connect as well. The assertions are as before.

Conclusion: a limit of the test's own client, not of the code under test.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -133,10 +133,13 @@
         """Each of many concurrent requests gets its own answer, or times out."""
         server = await self.serve_raw(echo)
         loop = asyncio.get_running_loop()
+        max_wait = timedelta(seconds=20)
+        self.pool = ClientPool(ClientLimits(connect_timeout=max_wait))
+        self.addAsyncCleanup(self.pool.close)
 
         async def send_and_check(number):
             body = b"slow" if number % 5 == 0 else b"%d" % number
-            timeout = SHORT if body == b"slow" else timedelta(seconds=20)
+            timeout = SHORT if body == b"slow" else max_wait
             try:
                 answer = await self.send("POST", "/", body=body, timeout=timeout)
             except (AnswerLostError, NotConnectedError):
