Repeat an order for maintenance without an answer also at the limit of a wave

What callers could see: a wave that never ends, and a machine that stays out of use, after one answer of the platform was lost or the leader changed during an order.

Cause: a machine whose order had no known outcome counts as down, also against itself. With as many such machines as the wave may have down, none of them was ordered again, nor any other (class of fault: a resource that is held until an event which only its holder can cause).

Change: a machine does not count against its own order, and is cordoned again by a new leader.

Figures: the test (one machine at a time, first answer lost) fails before and passes after.

Conclusion: the limit counts the other machines as before.

--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -57,10 +57,12 @@
             if machine in self._cordoned_at:
                 self._evacuation.advance(machine)
         for machine in remaining:
-            if n_down >= max(1, wave.max_at_once):
-                return
+            # A machine whose order had no answer may be down for it already.
+            is_counted = self._is_down(wave, machine, now)
+            if n_down - is_counted >= max(1, wave.max_at_once):
+                continue
             if self._can_maintain(machine, wave, now):
-                n_down += 1
+                n_down += not is_counted
                 self._begin_order(machine, self._maintain(wave, machine))
 
     def _cordon_machines(
@@ -85,12 +87,14 @@
         ]
         candidates.sort(key=lambda machine: (*self._absence_cost(machine), machine))
         for machine in candidates:
-            if n_away >= limit:
-                return
-            is_chosen = n_away < n_needed or self._is_spare(machine)
+            is_counted = self._is_down(wave, machine, now)
+            n_others = n_away - is_counted
+            if n_others >= limit:
+                continue
+            is_chosen = n_others < n_needed or self._is_spare(machine)
             if is_chosen and self._machines.claim(machine, self):
                 self._cordoned_at[machine] = now
-                n_away += 1
+                n_away += not is_counted
 
     def _n_needed_at_once(self, wave: WaveRecord, remaining: list[str]) -> int:
         """Return how many machines must be away at a time to end the wave in time."""
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -102,6 +102,15 @@
         await asyncio.sleep(0.03)
         self.assertEqual(self.platform.maintained, ["m-v2"])
 
+    async def test_an_order_without_an_answer_is_repeated_at_the_limit(self):
+        """Guards against a wave that waits for good for the outcome of its orders."""
+        self.platform.answers = [MachineOutcome.NO_ANSWER]
+        self.build(make_vm("v1"), make_vm("v2"))
+        self.wait_for_takeover()
+        await eventually(lambda: self.platform.maintained == ["m-v1"])
+        self.clock.advance(CFG.retry_delay)
+        await eventually(lambda: self.platform.maintained == ["m-v1", "m-v1"])
+
     async def test_a_new_leader_waits_for_machines_with_a_recent_order(self):
         self.build(make_vm("v1"))
         await asyncio.sleep(0.03)
