Keep a VM whose machine may have been maintained by an earlier order

What callers could see: tasks that start elsewhere while they run (TWICE).

Cause: the platform answers an order that it has carried out before as it does a new one. A new leader repeats the orders whose outcome it does not know; if one had been carried out, the VM that came back runs tasks meanwhile, and was removed from the state with them (class of fault: an answer that says "done" taken for "done now").

Evidence: by reading.

Change: after a repeated order the VM is removed when polls show its end. Its machine counts as down until it has answered again, so that the limit of the wave holds.

Figures: two tests fail before and pass after.

Conclusion: if the repeated order was the first to be carried out, the tasks of the VM wait about 2 s longer for their restart.

--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -169,7 +169,9 @@
         if now > maintained_at + self._cfg.waves.down_timeout:
             return False
         agent = self._machines.agent_on(machine)
-        return agent is None or not agent.is_ready(now)
+        if agent is None or not agent.is_ready(now):
+            return True
+        return agent.lease.contact_at <= maintained_at
 
     def _count_runs(self, machine: str) -> int:
         agent = self._machines.agent_on(machine)
@@ -178,7 +180,13 @@
         return len(self._state.runs.get(agent.vm.vm_id, ()))
 
     async def _maintain(self, wave: WaveRecord, machine: str) -> None:
-        """Record and order the maintenance of one machine, and record the outcome."""
+        """Record and order the maintenance of one machine, and record the outcome.
+
+        The order ends the VM on the machine, unless an earlier order, whose answer this
+        leader does not know, was carried out. Its VM is then removed only when polls
+        show that it has ended.
+        """
+        is_repeated = machine in wave.ordered
         try:
             await self._record_maintenance(wave, ordered=(machine,))
             if not self._term.is_leading():
@@ -197,7 +205,7 @@
             if outcome is MachineOutcome.DONE:
                 self._maintained_at[machine] = self._term.clock.monotonic()
                 await self._record_maintenance(wave, begun=(machine,))
-                if agent is not None:
+                if agent is not None and not is_repeated:
                     await self._term.forget_vm(
                         agent.vm, "its machine is being maintained"
                     )
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -6,7 +6,14 @@
 from unittest import mock
 
 from redwingslip.clock import ManualClock
-from redwingslip.jobs import RecordMove, RunStart, StartRuns, StartWave, TaskKey
+from redwingslip.jobs import (
+    RecordMaintenance,
+    RecordMove,
+    RunStart,
+    StartRuns,
+    StartWave,
+    TaskKey,
+)
 from redwingslip.scheduling import (
     LeaderPolicy,
     ListedRun,
@@ -102,6 +109,27 @@
         await asyncio.sleep(0.03)
         self.assertEqual(self.platform.maintained, ["m-v2"])
 
+    async def test_a_vm_is_kept_if_an_earlier_order_may_have_been_carried_out(self):
+        """Guards against tasks that start elsewhere while they run on a VM.
+
+        The platform answers an order that it has carried out before as it does a new
+        one, and the VM that came back goes on.
+        """
+        for is_ordered in (False, True):
+            with self.subTest(is_ordered=is_ordered):
+                self.platform = FakePlatform()
+                job = make_job(is_long_running=True, disruption_budget=1)
+                self.build(make_vm("v1"), job=job, max_at_once=2)
+                if is_ordered:
+                    command = RecordMaintenance(number=1, ordered=("m-v1",), now_ms=1)
+                    self.state.apply(command)
+                self.run_task(0, "v1")
+                self.wait_for_takeover()
+                await eventually(lambda: self.state.waves[1].is_complete)
+                await asyncio.sleep(0.02)
+                self.assertEqual(self.platform.maintained, ["m-v1"])
+                self.assertEqual(bool(self.state.runs_of("v1")), is_ordered)
+
     async def test_an_order_without_an_answer_is_repeated_at_the_limit(self):
         """Guards against a wave that waits for good for the outcome of its orders."""
         self.platform.answers = [MachineOutcome.NO_ANSWER]
@@ -111,6 +139,18 @@
         self.clock.advance(CFG.retry_delay)
         await eventually(lambda: self.platform.maintained == ["m-v1", "m-v1"])
 
+    async def test_a_machine_is_down_until_its_kept_vm_answers_again(self):
+        """Guards against more machines in maintenance at a time than allowed."""
+        self.build(make_vm("v1"), make_vm("v2"))
+        self.state.apply(RecordMaintenance(number=1, ordered=("m-v1",), now_ms=1))
+        self.wait_for_takeover()
+        await eventually(lambda: self.platform.maintained)
+        self.clock.advance(timedelta(milliseconds=10))
+        await asyncio.sleep(0.03)
+        self.assertEqual(self.platform.maintained, ["m-v1"])
+        self.agents["v1"].lease.note_contact(self.clock.monotonic())
+        await eventually(lambda: self.platform.maintained == ["m-v1", "m-v2"])
+
     async def test_a_new_leader_waits_for_machines_with_a_recent_order(self):
         self.build(make_vm("v1"))
         await asyncio.sleep(0.03)
