Keep a VM whose machine is moved to the pool that it is in

What callers could see: tasks that start elsewhere while they run (TWICE).

The leader's list of machines may be older than the arrival of a VM. A machine that it shows as switched off was then ordered to the pool that its VM was in already, the platform answered that this is done, and the VM was removed, with runs whose commit was under way.

Change: a VM in the target pool is kept.

Figures: the test fails before and passes after.

Conclusion: a move to another pool ends the VM, and removes it, as before.

--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -273,7 +273,10 @@
         return self._term.is_leading()
 
     async def _move(self, machine: str, pool: str, agent: VmAgent | None) -> None:
-        """Record and order one move, and remove the VM of the machine."""
+        """Record and order one move, and remove the VM that it ends.
+
+        A VM in the target pool goes on: its machine is there already.
+        """
         if not await self._record_move(machine):
             self._arrivals.pop(machine, None)
             return
@@ -285,5 +288,5 @@
         self._idle_since.pop(machine, None)
         if outcome is not MachineOutcome.DONE:
             self._arrivals.pop(machine, None)
-        elif agent is not None:
+        elif agent is not None and agent.vm.pool != pool:
             await self._term.forget_vm(agent.vm, f"its machine moves to {pool}")
--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -115,6 +115,18 @@
         await asyncio.sleep(0.05)
         self.assertEqual(len(self.platform.moved), 1, "one is enough and is arriving")
 
+    async def test_a_vm_is_kept_if_its_machine_is_in_the_pool_already(self):
+        """Guards against the removal of a VM that the platform did not end.
+
+        The list of machines is older than the arrival of the VM.
+        """
+        self.make_fleet(make_vm("v1", machine="m1"))
+        self.begin({"p": PoolBacklog(cpu=9000)})
+        self.platform.machines = (standby("m1"),)
+        await eventually(lambda: self.platform.moved == [("m1", "p")])
+        await asyncio.sleep(0.02)
+        self.assertIn("v1", self.state.vms)
+
     async def test_rising_arrivals_switch_machines_on_before_anything_waits(self):
         """Arrivals announce a peak earlier than the backlog, by about a move's time."""
         self.make_fleet(make_vm("v1"))
