--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -171,6 +171,7 @@
         agent = self._machines.agent_on(machine)
         if agent is None or not agent.is_ready(now):
             return True
+        # A VM kept after a repeated order may have ended since its last answer.
         return agent.lease.contact_at <= maintained_at
 
     def _count_runs(self, machine: str) -> int:
