Log the ends of runs that were closed before

Cause: an end that a VM reports for a run that the state has closed, for instance as lost, changes nothing, and its log line is that of any other end. Hypothesis A of the tasks that were started again (docs/incidents/started-after-done.md) could not be told from the others.

Change: the state returns the ends that matched no active run, and the leader logs those that a VM has reported as run.end_unmatched, with the incarnation and whether the task is done.

Evidence: the new test failed before (no line). No logic changes.

--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -219,15 +219,18 @@
         return tuple(runs)
 
     @_apply.register
-    def _(self, command: RecordEnds) -> None:
+    def _(self, command: RecordEnds) -> tuple[RunEnd, ...]:
+        """Return the ends of runs that were not active on the incarnation."""
         if command.has_crashed:
             self._count_crash(command.vm_id, command.born_ms, command.now_ms)
-        for end in command.ends:
-            self._close_run(command, end)
+        unmatched = tuple(
+            end for end in command.ends if not self._close_run(command, end)
+        )
         vm = self.vms.get(command.vm_id)
         is_current = vm is not None and vm.born_ms == command.born_ms
         if is_current and command.cursor > vm.end_cursor:
             self.vms[vm.vm_id] = msgspec.structs.replace(vm, end_cursor=command.cursor)
+        return unmatched
 
     @_apply.register
     def _(self, command: NoteVm) -> VmChange:
@@ -347,12 +350,15 @@
     def _add_suspect_run(self, run: ActiveRun) -> None:
         self.suspect_runs.setdefault(run.vm_id, {})[(run.key, run.number)] = run
 
-    def _close_run(self, command: RecordEnds, end: RunEnd) -> None:
-        """Close a run if it is active on the command's incarnation of the VM."""
+    def _close_run(self, command: RecordEnds, end: RunEnd) -> bool:
+        """Close a run if it is active on the command's incarnation of the VM.
+
+        Return whether it was active.
+        """
         vm_runs = self.runs.get(command.vm_id, {})
         active = vm_runs.get((end.key, end.number))
         if active is None or active.born_ms != command.born_ms:
-            return
+            return False
         del vm_runs[(end.key, end.number)]
         self.usage.remove(active.vm_id, end.key, self.jobs[end.key.job_id].spec)
         suspects = self.suspect_runs.get(command.vm_id, {})
@@ -369,6 +375,7 @@
             self._fail_if_out_of_attempts(job, step, task, command.now_ms)
         elif end.kind is EndKind.DONE and not step.is_long_running:
             self._complete_task(job, step, end.key, command.now_ms)
+        return True
 
     def _fail_if_out_of_attempts(
         self, job: JobRecord, step: StepSpec, task: TaskRecord, now_ms: int
--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -40,6 +40,7 @@
     CALL_REFUSED = "call.refused"
     RUN_ORDERED = "run.ordered"
     RUN_ENDED = "run.ended"
+    RUN_END_UNMATCHED = "run.end_unmatched"
     RUN_PREEMPTED = "run.preempted"
     PLAN_CHANGED = "plan.changed"
     VM_NOTED = "vm.noted"
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -222,8 +222,11 @@
                 agent.start(run, ticket)
 
     @_handle.register
-    def _(self, command: RecordEnds, outcome: None) -> None:
+    def _(self, command: RecordEnds, outcome: tuple[RunEnd, ...]) -> None:
         self._handle_ends(command.vm_id, command.ends)
+        if command.cursor:
+            for end in outcome:
+                self._report_unmatched_end(command, end)
 
     @_handle.register
     def _(self, command: NoteVm, outcome: VmChange) -> None:
@@ -268,6 +271,21 @@
             detail += f"; crashed VMs of the task: {task.n_crashes}"
         self._term.emit(EventName.RUN_ENDED, request_id=job_id, vm=vm_id, detail=detail)
 
+    def _report_unmatched_end(self, command: RecordEnds, end: RunEnd) -> None:
+        """Log that a VM has reported the end of a run that was closed before."""
+        task = self._state.task(end.key)
+        if task is None:
+            status = "task unknown"
+        else:
+            status = "task done" if task.is_done else "task not done"
+        self._term.emit(
+            EventName.RUN_END_UNMATCHED,
+            request_id=end.key.job_id,
+            vm=command.vm_id,
+            detail=f"{end.key.label(end.number)} {end.kind.value} "
+            f"on incarnation {command.born_ms}; {status}",
+        )
+
     def _update_health(self, vm_id: str, end: RunEnd) -> None:
         """Update the health of a VM after the end of a run."""
         agent = self.agents.get(vm_id)
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -44,6 +44,7 @@
     async def asyncSetUp(self):
         self.term = FakeTerm(make_state(make_vm(), jobs=[make_job()]))
         self.warnings = []
+        self.unmatched = []
         self.term.emit = self.emit
         self.endpoint = FakeEndpoint()
         self.scheduler = make_scheduler(self.term, self.endpoint)
@@ -53,9 +54,11 @@
         await asyncio.sleep(0)
 
     def emit(self, name, *, detail="", **fields):
-        """Record the warnings."""
+        """Record the warnings and the unmatched ends."""
         if name is EventName.WARNING:
             self.warnings.append(detail)
+        elif name is EventName.RUN_END_UNMATCHED:
+            self.unmatched.append(detail)
 
     async def test_a_reaction_that_fails_ends_no_leader(self):
         """Guards against one task whose start ends controller after controller."""
@@ -69,6 +72,22 @@
         # The next poll finds that the run was never started.
         await eventually(lambda: self.endpoint.started == [(KEY, 1)])
 
+    async def test_an_end_of_a_run_that_was_closed_before_is_logged(self):
+        """Guards against ends that are acknowledged without a trace in the log."""
+        state = self.term.state
+        state.apply(StartRuns(starts=(RunStart(KEY, "v1", 1),), now_ms=2))
+        for kind, cursor in ((EndKind.LOST, 0), (EndKind.LOST, 0), (EndKind.DONE, 1)):
+            command = RecordEnds(
+                vm_id="v1",
+                born_ms=1,
+                ends=(RunEnd(KEY, 1, kind),),
+                now_ms=3,
+                cursor=cursor,
+            )
+            self.scheduler.applied(command, state.apply(command))
+        (line,) = self.unmatched
+        self.assertTrue(line.startswith("0.0.0 run 1 done on incarnation 1"), line)
+
     def start_copies(self):
         """Start two runs of a speculative task on two VMs, and stop no run yet."""
         state = make_state(
