Send orders only to the incarnation that they are meant for

What callers saw: a task started again after a run of it had ended as done (TWICE).

Cause: a VM that crashes may be back at once under its name and address. The call to start a run names the VM only, so the next incarnation carried out an order for the previous one. The state then closed the run as lost with the previous incarnation; the next one ran it to its end, the end matched no active run, and the task was started again.

Ruled out: that a poll shows the change in time. The poll in flight waits for up to its timeout when a VM falls silent, and orders go out on another connection meanwhile. The VM's clock in the answer comes too late.

Change: a connection belongs to one process for as long as it lives. Orders go out on connections that are kept apart by incarnation, and a new connection is first used for a poll, whose answer names the incarnation. A connection of the HTTP client is never made a second time behind the caller's back.

Cost: one more poll for each new connection for orders.

--- a/src/redwingslip/http/__init__.py
+++ b/src/redwingslip/http/__init__.py
@@ -8,7 +8,7 @@
     read_body,
     strict_convert,
 )
-from ._client import ClientAnswer, ClientPool, ClientRequest
+from ._client import ClientAnswer, ClientPool, ClientRequest, Identify
 from ._connections import NO_LIBRARY_TIMEOUTS, BoundedConnection
 from ._limits import ClientLimits, HttpLimits, TlsFiles
 from ._problems import (
@@ -25,6 +25,7 @@
     BodyTooLargeError,
     HttpError,
     NotConnectedError,
+    WrongPeerError,
 )
 
 __all__ = [
@@ -39,6 +40,7 @@
     "HttpError",
     "HttpLimits",
     "HttpServer",
+    "Identify",
     "NOT_RUN",
     "NO_LIBRARY_TIMEOUTS",
     "NotConnectedError",
@@ -46,6 +48,7 @@
     "Problem",
     "TlsFiles",
     "UNKNOWN",
+    "WrongPeerError",
     "build_app",
     "decode_json",
     "expected_body_bytes",
--- a/src/redwingslip/http/_client.py
+++ b/src/redwingslip/http/_client.py
@@ -8,16 +8,15 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 from functools import partial
 
 import aiosonic
 import msgspec
-from aiosonic.exceptions import ConnectionDisconnected, HttpParsingError
 from aiosonic.pools import PoolConfig
 
-from ._connections import NO_LIBRARY_TIMEOUTS, BoundedConnection
+from ._connections import NO_LIBRARY_TIMEOUTS, WatchedConnection
 from ._limits import ClientLimits
 from .exceptions import AnswerLostError, HttpError, NotConnectedError
 
@@ -25,9 +24,19 @@
 
 
 class ClientRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A request; `address` is the host and port of the server."""
+    """A request.
+
+    Attributes
+    ----------
+    address : str
+        Host and port of the server.
+    peer : str
+        Names one of the processes that serve the address one after the other. A
+        connection is reused only for requests with the same name.
+    """
 
     address: str
+    peer: str = ""
     method: str
     path: str
     headers: Mapping[str, str]
@@ -43,6 +52,13 @@
     body: bytes
 
 
+Identify = Callable[
+    [Callable[[ClientRequest], Awaitable[ClientAnswer]]], Awaitable[None]
+]
+# Address and peer, see `ClientRequest`.
+_IdleKey = tuple[str, str]
+
+
 class _NumericResolver:
     """A resolver for hosts that are IP addresses, which need no DNS look-up."""
 
@@ -66,114 +82,18 @@
         """Do nothing; the resolver holds no resources."""
 
 
-class _WatchedConnection(BoundedConnection):
-    """A connection that detects unsolicited input and truncated answers.
-
-    It records whether anything of a request has been sent. A line or chunk that is
-    truncated raises an error. While the connection is idle, a task reads the first
-    byte of the next answer, so that a connection that receives input without a
-    request, or is closed by the server, is never used again.
-    """
-
-    def __init__(self, pool, *, connect_timeout: timedelta) -> None:
-        super().__init__(pool, connect_timeout=connect_timeout)
-        self.has_sent = False
-        self._is_in_head = False
-        self._first_byte: asyncio.Task | None = None
-        self._is_watching = False
-        self._on_input: Callable[[], None] | None = None
-
-    @property
-    def reused(self) -> bool:
-        """Return False, since aiosonic resends requests on reused connections."""
-        return False
-
-    @reused.setter
-    def reused(self, value: bool) -> None:
-        pass
-
-    def write(self, data: bytes) -> None:
-        """Write data, and record that something was sent."""
-        self.has_sent = True
-        super().write(data)
-
-    async def readline(self) -> bytes:
-        """Read a complete line; within the head, it must be a header."""
-        line = await super().readline()
-        if not line.endswith(b"\n"):
-            raise ConnectionDisconnected("the connection was closed within a line")
-        is_end = line in (b"\r\n", b"\n")
-        if self._is_in_head and not is_end and b":" not in line:
-            raise HttpParsingError("a line of the head is not a header")
-        if is_end:
-            self._is_in_head = False
-        return line
-
-    async def readexactly(self, size: int) -> bytes:
-        """Read a chunk and the end of line that must follow it."""
-        chunk = await super().readexactly(size)
-        if size and not chunk.endswith(b"\r\n"):
-            raise HttpParsingError("a chunk is longer than its declared size")
-        return chunk
-
-    async def readuntil(self, separator: bytes = b"\n") -> bytes:
-        """Read the status line, whose first byte the idle watch may have read."""
-        self._is_in_head = True
-        if self._first_byte is None:
-            return await super().readuntil(separator)
-        first = await self._first_byte
-        self._first_byte = None
-        if not first:
-            raise ConnectionDisconnected("the connection was closed without an answer")
-        return first + await super().readuntil(separator)
-
-    def watch(self, on_input: Callable[[], None]) -> None:
-        """Start to watch the idle connection.
-
-        Calls `on_input` if the connection receives input, or is closed by the server,
-        before `is_clean` ends the watch.
-        """
-        self.has_sent = False
-        self._is_watching = False
-        self._on_input = on_input
-        self._first_byte = asyncio.create_task(self._read_first_byte())
-
-    async def _read_first_byte(self) -> bytes:
-        self._is_watching = True
-        try:
-            first = await self.reader.read(1)
-        except OSError:
-            first = b""
-        if self._on_input is not None:
-            self._on_input()
-        return first
-
-    async def is_clean(self) -> bool:
-        """End the watch; return whether the connection is open and got no input."""
-        if not self._is_watching:
-            # Lets the watch start, so that it sees input that has already arrived.
-            await asyncio.sleep(0)
-        self._on_input = None
-        return self.is_connected
-
-    def close(self) -> None:
-        """Close the socket immediately."""
-        if self._first_byte is not None:
-            self._first_byte.cancel()
-            self._first_byte = None
-        super().close()
-
-
 class _Client:
     """An aiosonic client with a single connection.
 
-    `timer` closes the connection when it has been idle for too long.
+    `timer` closes the connection when it has been idle for too long. `is_identified`
+    tells whether a request may be sent on it, see `ClientPool.exchange`.
     """
 
-    __slots__ = ("_connect_timeout", "conn", "http", "timer")
+    __slots__ = ("_connect_timeout", "conn", "http", "is_identified", "timer")
 
     def __init__(self, cfg: ClientLimits) -> None:
-        self.conn: _WatchedConnection | None = None
+        self.conn: WatchedConnection | None = None
+        self.is_identified = False
         self.timer: asyncio.TimerHandle | None = None
         self._connect_timeout = cfg.connect_timeout
         connector = aiosonic.TCPConnector(
@@ -191,8 +111,8 @@
             connector=connector, max_decompressed_size=cfg.max_answer_bytes
         )
 
-    def _connect(self, pool) -> _WatchedConnection:
-        self.conn = _WatchedConnection(pool, connect_timeout=self._connect_timeout)
+    def _connect(self, pool) -> WatchedConnection:
+        self.conn = WatchedConnection(pool, connect_timeout=self._connect_timeout)
         return self.conn
 
     def close(self) -> None:
@@ -217,7 +137,7 @@
 
     def __init__(self, cfg: ClientLimits) -> None:
         self._cfg = cfg
-        self._idle: dict[str, deque[_Client]] = {}
+        self._idle: dict[_IdleKey, deque[_Client]] = {}
         self._busy: set[_Client] = set()
         self._is_closed = False
 
@@ -226,21 +146,37 @@
         """Return the number of idle connections."""
         return sum(len(clients) for clients in self._idle.values())
 
-    async def exchange(self, req: ClientRequest) -> ClientAnswer:
+    async def exchange(
+        self, req: ClientRequest, *, identify: Identify | None = None
+    ) -> ClientAnswer:
         """Send a request once and return its complete answer.
 
+        Parameters
+        ----------
+        req : ClientRequest
+            The request.
+        identify : callable or None
+            Awaited on a new connection before the request is sent, with a function that
+            sends other requests on that connection. It raises `WrongPeerError` if they
+            show that another process than `req.peer` answers.
+
         Raises
         ------
         NotConnectedError
-            Nothing was sent.
+            Nothing of the request was sent.
         AnswerLostError
             The request was sent, at least in part, and no complete answer arrived.
+        WrongPeerError
+            Another process answers at the address; nothing of the request was sent.
         """
-        client = await self._acquire(req.address)
+        key = (req.address, req.peer)
+        client = await self._acquire(key)
         self._busy.add(client)
         is_complete = False
         try:
             async with asyncio.timeout(req.timeout.total_seconds()):
+                if not client.is_identified:
+                    await self._identify(client, identify)
                 answer, is_reusable = await self._send(client, req)
             is_complete = True
         except HttpError:
@@ -252,7 +188,7 @@
             if not is_complete:
                 client.close()
         if is_reusable:
-            self._release(req.address, client)
+            self._release(key, client)
         else:
             client.close()
         return answer
@@ -267,9 +203,21 @@
         for client in self._busy:
             client.close()
 
-    async def _acquire(self, address: str) -> _Client:
+    async def _identify(self, client: _Client, identify: Identify | None) -> None:
+        """Identify the process at the other end of a new connection."""
+        if identify is not None:
+
+            async def send(req: ClientRequest) -> ClientAnswer:
+                answer, _ = await self._send(client, req)
+                return answer
+
+            await identify(send)
+            client.conn.has_sent = False
+        client.is_identified = True
+
+    async def _acquire(self, key: _IdleKey) -> _Client:
         """Return an idle client whose connection is clean, or a new client."""
-        clients = self._idle.get(address)
+        clients = self._idle.get(key)
         while clients:
             client = clients.pop()
             try:
@@ -281,8 +229,8 @@
                 client.timer.cancel()
                 return client
             client.close()
-        if clients is not None and self._idle.get(address) is clients:
-            del self._idle[address]
+        if clients is not None and self._idle.get(key) is clients:
+            del self._idle[key]
         return _Client(self._cfg)
 
     async def _send(
@@ -315,26 +263,26 @@
         )
         return answer, client.conn.keep
 
-    def _release(self, address: str, client: _Client) -> None:
+    def _release(self, key: _IdleKey, client: _Client) -> None:
         """Keep a connection for reuse, within the limit of idle connections."""
-        clients = self._idle.setdefault(address, deque())
+        clients = self._idle.setdefault(key, deque())
         if self._is_closed or len(clients) >= self._cfg.max_idle_per_peer:
             client.close()
             return
-        close_idle = partial(self._close_idle, address, client)
+        close_idle = partial(self._close_idle, key, client)
         client.conn.watch(close_idle)
         clients.append(client)
         client.timer = asyncio.get_running_loop().call_later(
             self._cfg.idle_timeout.total_seconds(), close_idle
         )
 
-    def _close_idle(self, address: str, client: _Client) -> None:
+    def _close_idle(self, key: _IdleKey, client: _Client) -> None:
         """Close an idle connection and remove it from the pool."""
-        clients = self._idle.get(address, deque())
+        clients = self._idle.get(key, deque())
         if client in clients:
             clients.remove(client)
         if not clients:
-            self._idle.pop(address, None)
+            self._idle.pop(key, None)
         client.close()
 
 
@@ -359,6 +307,7 @@
     """Return the error that tells whether anything of the request was sent."""
     reason = str(exc) or type(exc).__name__
     text = f"{req.method} {req.address}{req.path}: {reason}"
-    if client.conn is None or not client.conn.has_sent:
+    is_sent = client.conn is not None and client.conn.has_sent
+    if not client.is_identified or not is_sent:
         return NotConnectedError(text)
     return AnswerLostError(text)
--- a/src/redwingslip/http/_connections.py
+++ b/src/redwingslip/http/_connections.py
@@ -1,13 +1,19 @@
-"""Connections to HTTP servers whose establishment is bounded without a lost event."""
+"""Connections to HTTP servers, with bounded establishment and checked answers."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
+from urllib.parse import ParseResult
 
 from aiosonic.connection import Connection
-from aiosonic.exceptions import ConnectTimeout
+from aiosonic.exceptions import (
+    ConnectionDisconnected,
+    ConnectTimeout,
+    HttpParsingError,
+)
 from aiosonic.timeout import Timeouts
 
-__all__ = ["NO_LIBRARY_TIMEOUTS", "BoundedConnection"]
+__all__ = ["NO_LIBRARY_TIMEOUTS", "BoundedConnection", "WatchedConnection"]
 
 # The library applies its timeouts with `asyncio.wait_for`, which in Python 3.11 drops a
 # cancellation that arrives just as the awaited operation ends.
@@ -44,3 +50,117 @@
                 await super().connect(*args, **options)
         except TimeoutError as exc:
             raise ConnectTimeout("the connection was not established in time") from exc
+
+
+class WatchedConnection(BoundedConnection):
+    """A connection that detects unsolicited input and truncated answers.
+
+    It records whether anything of a request has been sent. A line or chunk that is
+    truncated raises an error. While the connection is idle, a task reads the first
+    byte of the next answer, so that a connection that receives input without a
+    request, or is closed by the server, is never used again.
+    """
+
+    def __init__(self, pool, *, connect_timeout: timedelta) -> None:
+        super().__init__(pool, connect_timeout=connect_timeout)
+        self.has_sent = False
+        self._is_in_head = False
+        self._first_byte: asyncio.Task | None = None
+        self._is_watching = False
+        self._on_input: Callable[[], None] | None = None
+        self._was_connected = False
+
+    async def connect(
+        self, urlparsed: ParseResult, dns_info: dict, verify: bool, *args: object
+    ) -> None:
+        """Establish the connection, at most once.
+
+        Raises
+        ------
+        ConnectionDisconnected
+            The connection was closed; another process may serve the address now.
+        """
+        if self._was_connected and not self.reuse(urlparsed, verify):
+            raise ConnectionDisconnected("the connection was closed before its use")
+        await super().connect(urlparsed, dns_info, verify, *args)
+        self._was_connected = True
+
+    @property
+    def reused(self) -> bool:
+        """Return False, since aiosonic resends requests on reused connections."""
+        return False
+
+    @reused.setter
+    def reused(self, value: bool) -> None:
+        pass
+
+    def write(self, data: bytes) -> None:
+        """Write data, and record that something was sent."""
+        self.has_sent = True
+        super().write(data)
+
+    async def readline(self) -> bytes:
+        """Read a complete line; within the head, it must be a header."""
+        line = await super().readline()
+        if not line.endswith(b"\n"):
+            raise ConnectionDisconnected("the connection was closed within a line")
+        is_end = line in (b"\r\n", b"\n")
+        if self._is_in_head and not is_end and b":" not in line:
+            raise HttpParsingError("a line of the head is not a header")
+        if is_end:
+            self._is_in_head = False
+        return line
+
+    async def readexactly(self, size: int) -> bytes:
+        """Read a chunk and the end of line that must follow it."""
+        chunk = await super().readexactly(size)
+        if size and not chunk.endswith(b"\r\n"):
+            raise HttpParsingError("a chunk is longer than its declared size")
+        return chunk
+
+    async def readuntil(self, separator: bytes = b"\n") -> bytes:
+        """Read the status line, whose first byte the idle watch may have read."""
+        self._is_in_head = True
+        if self._first_byte is None:
+            return await super().readuntil(separator)
+        first = await self._first_byte
+        self._first_byte = None
+        if not first:
+            raise ConnectionDisconnected("the connection was closed without an answer")
+        return first + await super().readuntil(separator)
+
+    def watch(self, on_input: Callable[[], None]) -> None:
+        """Start to watch the idle connection.
+
+        Calls `on_input` if the connection receives input, or is closed by the server,
+        before `is_clean` ends the watch.
+        """
+        self.has_sent = False
+        self._is_watching = False
+        self._on_input = on_input
+        self._first_byte = asyncio.create_task(self._read_first_byte())
+
+    async def _read_first_byte(self) -> bytes:
+        self._is_watching = True
+        try:
+            first = await self.reader.read(1)
+        except OSError:
+            first = b""
+        if self._on_input is not None:
+            self._on_input()
+        return first
+
+    async def is_clean(self) -> bool:
+        """End the watch; return whether the connection is open and got no input."""
+        if not self._is_watching:
+            # Lets the watch start, so that it sees input that has already arrived.
+            await asyncio.sleep(0)
+        self._on_input = None
+        return self.is_connected
+
+    def close(self) -> None:
+        """Close the socket immediately."""
+        if self._first_byte is not None:
+            self._first_byte.cancel()
+            self._first_byte = None
+        super().close()
--- a/src/redwingslip/http/exceptions.py
+++ b/src/redwingslip/http/exceptions.py
@@ -2,7 +2,13 @@
 
 from ..exceptions import RedwingslipError
 
-__all__ = ["AnswerLostError", "BodyTooLargeError", "HttpError", "NotConnectedError"]
+__all__ = [
+    "AnswerLostError",
+    "BodyTooLargeError",
+    "HttpError",
+    "NotConnectedError",
+    "WrongPeerError",
+]
 
 
 class HttpError(RedwingslipError):
@@ -13,6 +19,10 @@
     """No connection could be made: nothing of the request was sent."""
 
 
+class WrongPeerError(HttpError):
+    """Another process answers at the address: nothing of the request was sent."""
+
+
 class AnswerLostError(HttpError):
     """The request was sent, at least in part, and no complete answer arrived."""
 
--- a/src/redwingslip/platform/_orders.py
+++ b/src/redwingslip/platform/_orders.py
@@ -1,5 +1,6 @@
 """Client of the platform's workers, for orders to them."""
 
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
 
@@ -12,7 +13,9 @@
     ClientPool,
     ClientRequest,
     HttpError,
+    Identify,
     NotConnectedError,
+    WrongPeerError,
 )
 from ..jobs import ActiveRun, EndKind, TaskKey, VmRecord
 from ..scheduling import (
@@ -32,6 +35,8 @@
 # that a worker may need to answer.
 ORDER_TIMEOUT = timedelta(milliseconds=800)
 N_TASK_ID_PARTS = 4
+# Answers of a worker that has done nothing, or of another worker.
+_REFUSAL_STATUSES = frozenset({409, 421, 429, 503})
 
 _RESULTS_BY_REASON = {
     "fence": StartResult.SUPERSEDED,
@@ -84,6 +89,14 @@
 _LISTS_DECODER = msgspec.json.Decoder(_ListsDoc)
 
 
+class _HoldRefusedError(HttpError):
+    """A worker refused the hold that was to identify it."""
+
+    def __init__(self, answer: ClientAnswer) -> None:
+        super().__init__(f"a hold was refused with {answer.status}")
+        self.answer = answer
+
+
 class WorkerClient:
     """Implements `redwingslip.scheduling.VmOrders` over HTTP."""
 
@@ -115,7 +128,7 @@
             wait_ms=wait_ms,
         )
         timeout = ORDER_TIMEOUT + timedelta(milliseconds=wait_ms)
-        answer = await self._post(vm, "/hold", doc, timeout)
+        answer = await self._post(_request(vm, "/hold", doc, timeout))
         if answer.status != 200:
             raise OrderOutcomeUnknownError(
                 f"{vm.vm_id} answered a hold with {answer.status}"
@@ -153,7 +166,7 @@
             checkpoint=run.checkpoint,
             ticket=ticket,
         )
-        answer = await self._post(vm, "/run-start", doc, ORDER_TIMEOUT)
+        answer = await self._order(vm, "/run-start", doc, fence)
         if answer.status in (429, 503):
             return StartOutcome(StartResult.UNHEALTHY)
         if answer.status >= 500:
@@ -171,7 +184,7 @@
     ) -> None:
         """Have a VM stop a run; after this order the run can't start there either."""
         doc = _StopDoc(task=_format_task_id(key), run_id=number, fencing_token=fence)
-        answer = await self._post(vm, "/run-stop", doc, ORDER_TIMEOUT)
+        answer = await self._order(vm, "/run-stop", doc, fence)
         if answer.status not in (200, 404, 410):
             raise OrderOutcomeUnknownError(
                 f"{vm.vm_id} answered a stop with {answer.status}"
@@ -181,29 +194,83 @@
         """Close all connections."""
         await self._pool.close()
 
+    async def _order(
+        self, vm: VmRecord, path: str, doc: msgspec.Struct, fence: int
+    ) -> ClientAnswer:
+        """Send an order that no other incarnation than `vm` may carry out.
+
+        The worker's id in the order does not suffice, since the next incarnation may
+        have the same one. Therefore orders are sent only on connections on which the
+        incarnation has answered a hold.
+        """
+        hold = _request(vm, "/hold", _HoldDoc(fencing_token=fence, ack_cursor=0))
+
+        async def identify(
+            send: Callable[[ClientRequest], Awaitable[ClientAnswer]],
+        ) -> None:
+            answer = await send(hold)
+            if answer.status in _REFUSAL_STATUSES:
+                raise _HoldRefusedError(answer)
+            born_ms = _decode_born(answer)
+            if born_ms and born_ms != vm.born_ms:
+                raise WrongPeerError(f"incarnation {born_ms} answers")
+
+        req = _request(vm, path, doc, peer=f"{vm.vm_id}/{vm.born_ms}")
+        try:
+            return await self._post(req, identify)
+        except _HoldRefusedError as exc:
+            # The order would have been refused as well.
+            return _check_target(exc.answer, vm.address)
+
     async def _post(
-        self, vm: VmRecord, path: str, doc: msgspec.Struct, timeout: timedelta
+        self, req: ClientRequest, identify: Identify | None = None
     ) -> ClientAnswer:
-        req = ClientRequest(
-            address=vm.address,
-            method="POST",
-            path=path,
-            headers={
-                "Content-Type": "application/json",
-                "Target-Instance": vm.vm_id,
-            },
-            body=msgspec.json.encode(doc),
-            timeout=timeout,
-        )
         try:
-            answer = await self._pool.exchange(req)
+            answer = await self._pool.exchange(req, identify=identify)
+        except _HoldRefusedError:
+            raise
+        except WrongPeerError as exc:
+            raise VmReplacedError(str(exc)) from exc
         except NotConnectedError as exc:
             raise OrderNotSentError(str(exc)) from exc
         except (AnswerLostError, HttpError) as exc:
             raise OrderOutcomeUnknownError(str(exc)) from exc
-        if answer.status == 421:
-            raise VmReplacedError(f"another incarnation answers at {vm.address}")
-        return answer
+        return _check_target(answer, req.address)
+
+
+def _check_target(answer: ClientAnswer, address: str) -> ClientAnswer:
+    if answer.status == 421:
+        raise VmReplacedError(f"another incarnation answers at {address}")
+    return answer
+
+
+def _decode_born(answer: ClientAnswer) -> int:
+    """Return the start time in the answer to a hold; 0 if not given."""
+    if answer.status != 200:
+        raise NotConnectedError(f"a hold was answered with {answer.status}")
+    try:
+        return _LISTS_DECODER.decode(answer.body).born
+    except msgspec.DecodeError as exc:
+        raise NotConnectedError(f"invalid lists: {exc}") from exc
+
+
+def _request(
+    vm: VmRecord,
+    path: str,
+    doc: msgspec.Struct,
+    timeout: timedelta = ORDER_TIMEOUT,
+    *,
+    peer: str = "",
+) -> ClientRequest:
+    return ClientRequest(
+        address=vm.address,
+        peer=peer,
+        method="POST",
+        path=path,
+        headers={"Content-Type": "application/json", "Target-Instance": vm.vm_id},
+        body=msgspec.json.encode(doc),
+        timeout=timeout,
+    )
 
 
 def _decode_answer(answer: ClientAnswer) -> _AnswerDoc:
--- a/src/redwingslip/scheduling/_ports.py
+++ b/src/redwingslip/scheduling/_ports.py
@@ -101,7 +101,8 @@
     """Client of the endpoints on the VMs.
 
     Every call may raise `OrderNotSentError`, `OrderOutcomeUnknownError` or
-    `VmReplacedError`.
+    `VmReplacedError`. Starts and stops are carried out by no other incarnation than the
+    one that the call names.
     """
 
     async def hold(
--- a/tests/scheduling_endpoints.py
+++ b/tests/scheduling_endpoints.py
@@ -14,6 +14,7 @@
     OrderOutcomeUnknownError,
     StartOutcome,
     StartResult,
+    VmReplacedError,
 )
 
 CALL_S = 0.002
@@ -208,14 +209,24 @@
     async def start(self, vm, run, *, payload, ticket, fence, until_ms):
         """Send the order to start a run."""
         results = []
-        endpoint = await self._deliver(
+        endpoint = await self._deliver_order(
             vm, lambda e: results.append(e.start(run, fence, until_ms))
         )
         return StartOutcome(results[0], endpoint.clock_ms())
 
     async def stop(self, vm, key, number, *, fence):
         """Send the order to stop a run."""
-        await self._deliver(vm, lambda e: e.stop(key, number, fence))
+        await self._deliver_order(vm, lambda e: e.stop(key, number, fence))
+
+    async def _deliver_order(self, vm, order):
+        """Deliver an order, which only the incarnation that it names carries out."""
+
+        def check_incarnation(endpoint):
+            if endpoint.born_ms != vm.born_ms:
+                raise VmReplacedError(f"incarnation {endpoint.born_ms} answers")
+            order(endpoint)
+
+        return await self._deliver(vm, check_incarnation)
 
     async def _deliver(self, vm, order):
         """Deliver an order, or lose the order or its answer."""
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -1,4 +1,4 @@
-"""Tests of events that coincide with the end of a connect."""
+"""Tests of events at the end of a connect, and of connections kept apart by peer."""
 
 import asyncio
 import time
@@ -6,8 +6,15 @@
 from datetime import timedelta
 from unittest import mock
 
-from redwingslip.http import ClientLimits, ClientPool, HttpError, NotConnectedError
+from redwingslip.http import (
+    ClientLimits,
+    ClientPool,
+    ClientRequest,
+    HttpError,
+    NotConnectedError,
+)
 from tests.support_http import LONG, HttpTestCase, RawServer
+from tests.test_http_client import answer_once, echo
 
 HOUR = timedelta(hours=1)
 SHORT = timedelta(milliseconds=250)
@@ -92,5 +99,74 @@
         self.assertIsInstance(task.exception(), NotConnectedError)
 
 
+class TestIdentifiedPeer(unittest.IsolatedAsyncioTestCase):
+    """Tests that a request goes only to the process that was identified."""
+
+    async def asyncSetUp(self):
+        self.n_connections = 0
+        self.pool = ClientPool(ClientLimits())
+        self.addAsyncCleanup(self.pool.close)
+
+    async def serve(self, script):
+        """Start a scripted server; return the address."""
+
+        async def counted(server, reader, writer):
+            self.n_connections += 1
+            await script(server, reader, writer)
+
+        server = await self.enterAsyncContext(RawServer(counted))
+        server.released = asyncio.Event()
+        return server.address
+
+    def request(self, address, body, peer="one"):
+        return ClientRequest(
+            address=address,
+            peer=peer,
+            method="POST",
+            path="/",
+            headers={},
+            body=body,
+            timeout=LONG,
+        )
+
+    async def test_a_request_is_not_sent_on_another_connection(self):
+        """Guards against a request to the process that serves the address next."""
+        address = await self.serve(echo)
+
+        async def identify(send):
+            await send(self.request(address, b"who"))
+            (client,) = self.pool._busy
+            client.conn.close()
+
+        with self.assertRaises(NotConnectedError):
+            await self.pool.exchange(self.request(address, b"order"), identify=identify)
+        self.assertEqual(self.n_connections, 1)
+
+    async def test_a_failed_identification_sends_nothing_of_the_request(self):
+        address = await self.serve(answer_once(b"HTTP/1.1 200 OK\r\nContent-"))
+
+        async def identify(send):
+            await send(self.request(address, b"who"))
+
+        with self.assertRaises(NotConnectedError):
+            await self.pool.exchange(self.request(address, b"order"), identify=identify)
+
+    async def test_connections_are_kept_apart_by_peer(self):
+        address = await self.serve(echo)
+        identified = []
+        for peer in ("one", "two", "one", "two"):
+
+            async def identify(send, peer=peer):
+                identified.append(peer)
+                await send(self.request(address, b"who"))
+
+            answer = await self.pool.exchange(
+                self.request(address, b"order", peer), identify=identify
+            )
+            self.assertEqual(answer.body, b"order")
+        self.assertEqual(identified, ["one", "two"])
+        self.assertEqual(self.n_connections, 2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -39,13 +39,46 @@
         return self.answer
 
 
+class _Worker(_Remote):
+    """A worker, one incarnation after the other at one address.
+
+    Attributes
+    ----------
+    born : int
+        Start time of the present incarnation.
+    lists : Response or None
+        Answer to a hold; one without runs by default.
+    orders : list
+        Paths of the calls, with the incarnation that received each.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.born = 1
+        self.lists = None
+        self.orders = []
+
+    async def handle(self, req):
+        answer = await super().handle(req)
+        self.orders.append((self.path, self.born))
+        if self.path != "/hold":
+            return answer
+        return self.lists or JSONResponse({"clockMs": 1, "born": self.born})
+
+
 class RemoteTestCase(unittest.IsolatedAsyncioTestCase):
     """A test with a remote server on loopback."""
 
+    new_remote = _Remote
+
     async def asyncSetUp(self):
-        self.remote = _Remote()
+        self.remote = self.new_remote()
+        await self.start_server()
+
+    async def start_server(self, port=0):
+        """Start the remote server."""
         route = Route("/{path:path}", self.remote.handle, methods=["GET", "POST"])
-        self.server = HttpServer(build_app([route]), HttpLimits())
+        self.server = HttpServer(build_app([route]), HttpLimits(), port=port)
         await self.server.start()
 
     async def asyncTearDown(self):
@@ -59,6 +92,8 @@
 class TestWorkerClient(RemoteTestCase):
     """Holds, starts and stops."""
 
+    new_remote = _Worker
+
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.client = WorkerClient()
@@ -74,8 +109,71 @@
             self.vm, RUN, payload="(text)", ticket="", fence=7, until_ms=486000
         )
 
+    async def stop(self):
+        await self.client.stop(self.vm, KEY, 2, fence=7)
+
+    def list(self, doc):
+        """Set the answer to holds."""
+        self.remote.lists = JSONResponse(doc)
+
+    async def restart_worker(self):
+        """Replace the worker by its next incarnation at the same address."""
+        port = int(self.server.address.rpartition(":")[2])
+        await self.server.stop(timedelta(0))
+        self.remote.born += 1
+        self.remote.orders.clear()
+        await self.start_server(port)
+
+    async def test_an_order_reaches_no_later_incarnation(self):
+        """Guards against a run that the next VM of the same name carries out."""
+        self.reply({"clockMs": 5})
+        for order in (self.start, self.stop):
+            with self.subTest(order=order.__name__):
+                await order()
+                await self.restart_worker()
+                with self.assertRaises(VmReplacedError):
+                    await order()
+                self.assertEqual(self.remote.orders, [("/hold", self.remote.born)])
+                self.vm = make_vm(address=self.vm.address, born_ms=self.remote.born)
+
+    async def test_a_connection_is_identified_once(self):
+        """Guards against a hold before each order, which doubles the calls."""
+        self.reply({"clockMs": 5})
+        for _ in range(3):
+            await self.start()
+            await self.hold()
+        paths = [path for path, _ in self.remote.orders if path != "/run-start"]
+        self.assertEqual(paths, ["/hold"] * 4)
+
+    async def test_a_refused_hold_refuses_the_order(self):
+        """Guards against tasks that wait for a VM that is unhealthy."""
+        for status, reason, result in (
+            (409, "fence", StartResult.SUPERSEDED),
+            (429, "", StartResult.UNHEALTHY),
+            (503, "", StartResult.UNHEALTHY),
+        ):
+            self.remote.lists = JSONResponse(
+                {"clockMs": 1, "reason": reason}, status_code=status
+            )
+            with self.subTest(status=status):
+                self.assertEqual((await self.start()).result, result)
+        self.remote.lists = JSONResponse({}, status_code=421)
+        with self.assertRaises(VmReplacedError):
+            await self.start()
+        self.assertNotIn("/run-start", [path for path, _ in self.remote.orders])
+
+    async def test_an_order_to_a_vm_that_cannot_be_identified_is_not_sent(self):
+        for answer in (
+            JSONResponse({"clockMs": 1}, status_code=500),
+            JSONResponse({"running": []}),
+        ):
+            self.remote.lists = answer
+            with self.subTest(answer=answer.body), self.assertRaises(OrderNotSentError):
+                await self.start()
+        self.assertNotIn("/run-start", [path for path, _ in self.remote.orders])
+
     async def test_a_hold_decodes_both_lists(self):
-        self.reply(
+        self.list(
             {
                 "clockMs": 482113,
                 "born": 9,
@@ -99,7 +197,7 @@
             {"running": []},
             [],
         ):
-            self.reply(lists)
+            self.list(lists)
             with self.subTest(lists=lists), self.assertRaises(OrderOutcomeUnknownError):
                 await self.hold()
 
@@ -151,7 +249,7 @@
 
     async def test_a_stop_of_an_unknown_run_succeeds(self):
         self.reply({}, 404)
-        await self.client.stop(self.vm, KEY, 2, fence=7)
+        await self.stop()
 
 
 class TestAdviceClient(RemoteTestCase):
--- a/tests/test_scheduling_leaders.py
+++ b/tests/test_scheduling_leaders.py
@@ -42,6 +42,13 @@
     1102,
     1176,
 )
+QUICK_RESTART_REGRESSIONS = (
+    # The next incarnation of a VM carried out a start order for the previous one.
+    254,
+    319,
+    322,
+    497,
+)
 
 
 class Case:
@@ -53,12 +60,26 @@
         Seed of the history.
     max_commit_s, max_partition_s : float
         Longest duration of a commit, and of the partition of an endpoint.
+    down_s : tuple of float
+        Shortest and longest time until a VM that has crashed is back.
+    same_name_share : float
+        Share of these that come back under the same name.
     """
 
-    def __init__(self, seed, *, max_commit_s=COMMIT_S, max_partition_s=10):
+    def __init__(
+        self,
+        seed,
+        *,
+        max_commit_s=COMMIT_S,
+        max_partition_s=10,
+        down_s=(1.5, 6),
+        same_name_share=0.5,
+    ):
         self.rng = random.Random(seed)
         self.max_commit_s = max_commit_s
         self.max_partition_s = max_partition_s
+        self.down_s = down_s
+        self.same_name_share = same_name_share
         self.world = None
         self.faults = set()
 
@@ -131,10 +152,10 @@
         if not endpoint.is_up:
             return
         endpoint.is_up = False
-        await asyncio.sleep(self.rng.uniform(1.5, 6))
+        await asyncio.sleep(self.rng.uniform(*self.down_s))
         if self.world.endpoints.get(vm_id) is not endpoint:
             return
-        name = vm_id if self.rng.random() < 0.5 else f"{vm_id}x"
+        name = vm_id if self.rng.random() < self.same_name_share else f"{vm_id}x"
         if name != vm_id:
             del self.world.endpoints[vm_id]
         self.world.start_endpoint(name)
@@ -207,6 +228,12 @@
             with self.subTest(seed=seed):
                 self.check(seed, max_commit_s=0.6, max_partition_s=2)
 
+    def test_seeded_histories_with_quick_restarts(self):
+        """Guards against a task that starts again after its VM's successor did it."""
+        for seed in (*QUICK_RESTART_REGRESSIONS, *self.seeds()):
+            with self.subTest(seed=seed):
+                self.check(seed, down_s=(0.05, 2.0), same_name_share=0.8)
+
 
 if __name__ == "__main__":
     unittest.main()
