Do not take runs for lost while their ends are not recorded

Cause: after an unconfirmed commit of the ends that a VM lists, the same poll went on to compare its runs with the state. A run that had ended was neither listed nor recorded, and was recorded as lost; the next poll recorded its end as done, without effect, and acknowledged it.

Ruled out: that the commit fails for good when it is not confirmed. With the outcome unknown, the leadership may return to the same process, and its later commands are committed.

Change: runs are compared only once the state holds all ends that the poll lists.

Evidence: the new test failed before: done, lost, done were recorded instead of done, done.

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -186,9 +186,11 @@
         self.lease.note_clock(report.clock_ms, now)
         self.lease.note_contact(now)
         self._sender.is_unresponsive = False
-        await self._record_ends(report, now)
+        has_recorded = await self._record_ends(report, now)
         self.listed_runs = {(run.key, run.number): run for run in report.runs}
-        self._reconcile(sent_at)
+        if has_recorded:
+            # A run whose end is not recorded would be taken for lost.
+            self._reconcile(sent_at)
         self._stop_stalled_runs(now)
         if until_ms is not None:
             self._has_renewed_lease = True
@@ -207,11 +209,12 @@
             return 0
         return vm.end_cursor
 
-    async def _record_ends(self, report: HoldReport, now: timedelta) -> None:
+    async def _record_ends(self, report: HoldReport, now: timedelta) -> bool:
+        """Record the ends that a VM lists; return whether the state holds them all."""
         cursor = self._cursor()
         new_ends = [end for end in report.ends if end.cursor > cursor]
         if not new_ends:
-            return
+            return True
         for end in new_ends:
             if end.kind is EndKind.DONE:
                 self._learn_run_time((end.key, end.number), now)
@@ -220,6 +223,7 @@
         )
         last_cursor = max(end.cursor for end in new_ends)
         await self._term.record_ends(self.vm, ends, last_cursor)
+        return self._cursor() >= last_cursor
 
     def _reconcile(self, sent_at: timedelta) -> None:
         """Compare the runs that the VM lists with the runs in the state.
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -79,6 +79,29 @@
         recorded.set()
         await eventually(lambda: 5 in self.endpoint.cursors)
 
+    async def test_a_run_whose_end_is_not_confirmed_is_not_lost(self):
+        """Guards against a done task that restarts as its run is no longer listed."""
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: self.endpoint.runs)
+        kinds = []
+        record_ends = self.term.record_ends
+
+        async def lose_first(vm, ends, cursor):
+            kinds.extend(end.kind for end in ends)
+            if len(kinds) > 1:
+                await record_ends(vm, ends, cursor)
+
+        self.term.record_ends = lose_first
+        self.clock.advance(timedelta(milliseconds=10))
+        n_polls = len(self.endpoint.cursors)
+        await eventually(lambda: len(self.endpoint.cursors) > n_polls + 1)
+        self.endpoint.runs.clear()
+        self.endpoint.ends.append(ListedEnd(1, KEY, 1, EndKind.DONE))
+        await eventually(lambda: 1 in self.endpoint.cursors)
+        self.assertEqual(kinds, [EndKind.DONE] * 2)
+        self.assertTrue(self.state.task(KEY).is_done)
+
     async def test_a_start_without_an_answer_is_retried_with_its_number(self):
         self.endpoint.start_responses = [OrderOutcomeUnknownError("lost")]
         self.agent.begin()
