Count the end of a run that was closed before its VM reported it

Cause: a leader may close a run that goes on, or has ended, on its VM: the VM was replaced in the state, an order was refused while another copy of it was on its way, or a commit was not confirmed. The end that the VM reports later found no active run; it was dropped, its cursor was stored and acknowledged, and the VM forgot it. Whatever closes a run too early, this turned it into finished work that is done again. Class: an event acknowledged although it had no effect.

Ruled out: not acknowledging such ends. The VM would list them for good, and finished work would still be done again.

Change: a task keeps the numbers of the runs that a leader has closed and whose end is not reported. The report of such an end counts once, for done and for failed, and removes the number. Other runs of a task that is done are stopped, as before.

Evidence: test_an_end_counts_after_its_run_was_closed (lost, rejected, stopped) and test_a_failure_counts_once_after_its_run_was_closed failed before.

--- a/src/redwingslip/jobs/_records.py
+++ b/src/redwingslip/jobs/_records.py
@@ -90,6 +90,9 @@
     crashed_machines : list of str
         The machine of each VM that ended without notice shortly after the start of a
         run. A machine may occur several times.
+    unreported : list of int
+        Numbers of runs that a leader has closed, and whose end the VM may still report.
+        It is empty for long-running tasks, whose ends change nothing.
     """
 
     n_runs: int = 0
@@ -98,6 +101,7 @@
     checkpoint: str = ""
     runs: list[RunRecord] = msgspec.field(default_factory=list)
     crashed_machines: list[str] = msgspec.field(default_factory=list)
+    unreported: list[int] = msgspec.field(default_factory=list)
 
     @property
     def n_crashes(self) -> int:
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -353,11 +353,16 @@
     def _close_run(self, command: RecordEnds, end: RunEnd) -> bool:
         """Close a run if it is active on the command's incarnation of the VM.
 
-        Return whether it was active.
+        Return whether it was active. A report of the VM that comes after a leader has
+        closed the run still counts: it tells how the run ended.
         """
         vm_runs = self.runs.get(command.vm_id, {})
         active = vm_runs.get((end.key, end.number))
         if active is None or active.born_ms != command.born_ms:
+            task = self.task(end.key)
+            if command.cursor and task is not None and end.number in task.unreported:
+                task.unreported.remove(end.number)
+                self._count_end(end, command.now_ms)
             return False
         del vm_runs[(end.key, end.number)]
         self.usage.remove(active.vm_id, end.key, self.jobs[end.key.job_id].spec)
@@ -366,16 +371,23 @@
             del self.suspect_runs[command.vm_id]
         task = self.task(end.key)
         task.runs = [r for r in task.runs if r.number != end.number]
-        job = self.jobs[end.key.job_id]
-        step = self.step(end.key)
+        if not command.cursor and not self.step(end.key).is_long_running:
+            task.unreported.append(end.number)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
+        self._count_end(end, command.now_ms)
+        return True
+
+    def _count_end(self, end: RunEnd, now_ms: int) -> None:
+        """Count the success or failure of a run for its task and job."""
+        job = self.jobs[end.key.job_id]
+        step = self.step(end.key)
         if end.kind is EndKind.FAILED:
+            task = self.task(end.key)
             task.n_failures += 1
-            self._fail_if_out_of_attempts(job, step, task, command.now_ms)
+            self._fail_if_out_of_attempts(job, step, task, now_ms)
         elif end.kind is EndKind.DONE and not step.is_long_running:
-            self._complete_task(job, step, end.key, command.now_ms)
-        return True
+            self._complete_task(job, step, end.key, now_ms)
 
     def _fail_if_out_of_attempts(
         self, job: JobRecord, step: StepSpec, task: TaskRecord, now_ms: int
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -112,6 +112,53 @@
         self.assertEqual(state.jobs["j1"].status, JobStatus.COMPLETED)
         self.assertEqual(state.apply(start()), ())
 
+    def test_an_end_counts_after_its_run_was_closed(self):
+        """Guards against a task that starts again although its VM reports it done.
+
+        A leader may close a run that goes on, or has ended, on its VM.
+        """
+        for kind in (EndKind.LOST, EndKind.REJECTED, EndKind.STOPPED):
+            with self.subTest(kind=kind):
+                state = make_state(make_job())
+                state.apply(start())
+                state.apply(end(kind))
+                state.apply(start())
+                unmatched = state.apply(end(EndKind.DONE, cursor=5))
+                self.assertEqual(len(unmatched), 1)
+                self.assertEqual(state.vms["v1"].end_cursor, 5)
+                self.assertEqual(state.jobs["j1"].status, JobStatus.COMPLETED)
+                state.apply(end(EndKind.STOPPED, number=2, cursor=6))
+                self.assertEqual(state.apply(start()), ())
+
+    def test_a_failure_counts_once_after_its_run_was_closed(self):
+        """Guards against attempts beyond the limit, and against too few of them."""
+        state = make_state(make_job())
+        state.apply(start())
+        state.apply(end(EndKind.LOST))
+        for cursor in (1, 2):
+            state.apply(end(EndKind.FAILED, cursor=cursor))
+            self.assertEqual(state.task(KEY).n_failures, 1)
+        state.apply(start())
+        state.apply(end(EndKind.FAILED, number=2, cursor=3))
+        self.assertEqual(state.jobs["j1"].status, JobStatus.FAILED)
+
+    def test_an_end_of_a_run_that_was_never_placed_changes_nothing(self):
+        state = make_state(make_job())
+        state.apply(start())
+        state.apply(end(EndKind.LOST))
+        for number, key in ((2, KEY), (1, TaskKey("j2", 0, 0, 0))):
+            state.apply(end(EndKind.DONE, key, number, cursor=1))
+        self.assertFalse(state.task(KEY).is_done)
+
+    def test_a_late_end_counts_after_a_snapshot(self):
+        state = make_state(make_job())
+        state.apply(start())
+        state.apply(end(EndKind.LOST))
+        restored = JobsState()
+        restored.restore(state.snapshot())
+        restored.apply(end(EndKind.DONE, cursor=1))
+        self.assertTrue(restored.task(KEY).is_done)
+
     def test_a_job_fails_after_its_attempts(self):
         state = make_state(make_job())
         for number in (1, 2):
