Propose nothing on behalf of an earlier term

What callers would see: orders and commands that rest on an outdated view.

Cause: a term checked only whether its replica leads. A call that was in progress when the leadership ended went on once the same replica led again, in a later term.

Ruled out: that ending the scheduling suffices. The calls of customers, operators and VMs are not cancelled with it, and go on after any of their steps.

Change: a term leads, and proposes, only while the replica knows no later term.

In the simulated network, a late order for an earlier incarnation is dropped rather than raised in a timer.

--- a/src/redwingslip/scheduling/_term.py
+++ b/src/redwingslip/scheduling/_term.py
@@ -76,8 +76,12 @@
         self._wall_offset_ms = wall_ms - self.started_at // MS
 
     def is_leading(self) -> bool:
-        """Return whether this replica holds the lease that rules out another leader."""
-        return self._replica.has_quorum_lease()
+        """Return whether this replica leads in this term and no other can."""
+        return self._is_current() and self._replica.has_quorum_lease()
+
+    def _is_current(self) -> bool:
+        """Return whether no later term is known; the replica may lead again in one."""
+        return self._replica.term == self.fence
 
     def now_ms(self) -> int:
         """Return Unix time at the start of the term plus monotonic time since then."""
@@ -93,6 +97,8 @@
         CommandOutcomeUnknownError
             The command may be committed or not.
         """
+        if not self._is_current():
+            raise NotLeadingError("a later term has begun")
         began_at = self.clock.monotonic()
         try:
             outcome = await self._replica.propose(encode_command(command))
--- a/tests/scheduling_endpoints.py
+++ b/tests/scheduling_endpoints.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 
 from redwingslip.jobs import ActiveRun, Amounts, EndKind, VmRecord
 from redwingslip.scheduling import (
@@ -252,5 +253,6 @@
     def _deliver_late(self, endpoint, order):
         if endpoint.is_up:
             endpoint.is_order_late = True
-            order(endpoint)
+            with contextlib.suppress(VmReplacedError):
+                order(endpoint)
             endpoint.is_order_late = False
