Refuse a document that is nested too deeply like any other that can't be decoded

What operators of such systems saw: after one entry that was nested very deeply, processes that ended again and again, or that no longer followed their list of workers.

What callers could see here: no process ends. A report, plan, submission, wave or leave that is nested 200,000 deep got status 500 instead of 400. An answer of that kind to a poll made the agent of the VM start over every 200 ms without ever noticing that the VM is unresponsive, so that its runs were never recorded as lost; an answer of that kind to a start order left the order pending for good; one in the list of machines ended the reading of the list for the rest of the leader's term.

Cause: the decoder raises `RecursionError`, and the readers knew its errors of format only (class of fault: a reader that names the errors that it has seen).

Ruled out: the log and the links between processes. They carry bodies as bytes, and commands whose types have a bounded depth.

Change: one function decodes what other programs write, and has one error. The documents and clients of the platform, bodies of requests, the client of reboots and the client of endpoints use it.

Conclusion: the command line, the load runner and the stand-ins read answers of this system itself and are left.

--- a/src/redwingslip/endpoints/_client.py
+++ b/src/redwingslip/endpoints/_client.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..decoding import UndecodableError, decode_document
 from ..http import (
     NOT_RUN,
     PROBLEM_TYPE,
@@ -27,6 +28,8 @@
 
 REFUSAL_STATUSES = frozenset({409, 412, 503})
 
+_PROBLEM_DECODER = msgspec.json.Decoder(Problem)
+
 
 class EndpointClient:
     """Calls endpoints, and sends each call at most once.
@@ -94,8 +97,8 @@
     if media_type != PROBLEM_TYPE:
         return
     try:
-        problem = msgspec.json.decode(answer.body, type=Problem)
-    except msgspec.DecodeError:
+        problem = decode_document(_PROBLEM_DECODER, answer.body)
+    except UndecodableError:
         return
     if problem.outcome == NOT_RUN:
         raise EndpointRefusedError(problem.detail or problem.title)
--- a/src/redwingslip/http/_bodies.py
+++ b/src/redwingslip/http/_bodies.py
@@ -8,6 +8,7 @@
 import msgspec
 from starlette.requests import ClientDisconnect, Request
 
+from ..decoding import UndecodableError, decode_document
 from ._limits import HttpLimits
 from .exceptions import BodyTooLargeError, HttpError
 
@@ -21,6 +22,8 @@
 
 _PATH_PATTERN = re.compile(r" - at `\$?\.?(?P<path>[^`]*)`$")
 
+_DECODER = msgspec.json.Decoder()
+
 
 class FieldError(HttpError):
     """A part of a request is invalid; `field` is its name."""
@@ -73,8 +76,8 @@
 def decode_json(body: bytes) -> object:
     """Return the decoded JSON body; raise `FieldError` if it is not JSON."""
     try:
-        return msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return decode_document(_DECODER, body)
+    except UndecodableError as exc:
         raise FieldError("body", f"not JSON: {exc}") from exc
 
 
--- a/src/redwingslip/platform/_advice.py
+++ b/src/redwingslip/platform/_advice.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..decoding import UndecodableError, decode_document
 from ..http import ClientLimits, ClientPool, ClientRequest, HttpError
 from ..scheduling import Advice, OrderOutcomeUnknownError
 
@@ -24,6 +25,9 @@
     validity_ms: int = 0
 
 
+_DECODER = msgspec.json.Decoder(_AdviceDoc)
+
+
 class AdviceClient:
     """Implements `redwingslip.scheduling.Adviser` over HTTP.
 
@@ -61,8 +65,8 @@
                 raise OrderOutcomeUnknownError(
                     f"the advice service answered {answer.status}"
                 )
-            doc = msgspec.json.decode(answer.body, type=_AdviceDoc)
-        except (HttpError, msgspec.DecodeError) as exc:
+            doc = decode_document(_DECODER, answer.body)
+        except (HttpError, UndecodableError) as exc:
             raise OrderOutcomeUnknownError(
                 f"advice on {step_id} was not received: {exc}"
             ) from exc
--- a/src/redwingslip/platform/_documents.py
+++ b/src/redwingslip/platform/_documents.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..decoding import UndecodableError, decode_document
 from ..jobs import (
     Amounts,
     Customer,
@@ -189,8 +190,8 @@
 
 def _decode(decoder: msgspec.json.Decoder, body: bytes):
     try:
-        return decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return decode_document(decoder, body)
+    except UndecodableError as exc:
         raise DocumentError(str(exc)) from exc
 
 
--- a/src/redwingslip/platform/_machines.py
+++ b/src/redwingslip/platform/_machines.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..decoding import UndecodableError, decode_document
 from ..http import ClientAnswer, ClientLimits, ClientPool, ClientRequest, HttpError
 from ..jobs import Amounts
 from ..scheduling import (
@@ -62,6 +63,10 @@
     pool: str
 
 
+_PAGE_DECODER = msgspec.json.Decoder(_PageDoc)
+_REASON_DECODER = msgspec.json.Decoder(_ReasonDoc)
+
+
 class MachineClient:
     """Implements `redwingslip.scheduling.MachineOperations` over HTTP.
 
@@ -92,8 +97,8 @@
             path = f"/machines?pageToken={token}" if token else "/machines"
             try:
                 answer = await self._exchange("GET", path, b"", {})
-                page = msgspec.json.decode(answer.body, type=_PageDoc)
-            except (HttpError, msgspec.DecodeError) as exc:
+                page = decode_document(_PAGE_DECODER, answer.body)
+            except (HttpError, UndecodableError) as exc:
                 raise OrderOutcomeUnknownError(
                     f"machines could not be listed: {exc}"
                 ) from exc
@@ -155,8 +160,8 @@
 
 def _decode_reason(answer: ClientAnswer) -> str:
     try:
-        return msgspec.json.decode(answer.body, type=_ReasonDoc).reason
-    except msgspec.DecodeError:
+        return decode_document(_REASON_DECODER, answer.body).reason
+    except UndecodableError:
         return ""
 
 
--- a/src/redwingslip/platform/_orders.py
+++ b/src/redwingslip/platform/_orders.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..decoding import UndecodableError, decode_document
 from ..http import (
     AnswerLostError,
     ClientAnswer,
@@ -121,14 +122,14 @@
                 f"{vm.vm_id} answered a hold with {answer.status}"
             )
         try:
-            lists = _LISTS_DECODER.decode(answer.body)
+            lists = decode_document(_LISTS_DECODER, answer.body)
             return HoldReport(
                 clock_ms=lists.clock_ms,
                 born_ms=lists.born,
                 runs=tuple(_decode_run(row) for row in lists.running),
                 ends=tuple(_decode_end(row) for row in lists.ended_runs),
             )
-        except (msgspec.DecodeError, ValueError, IndexError, TypeError) as exc:
+        except (UndecodableError, ValueError, IndexError, TypeError) as exc:
             raise OrderOutcomeUnknownError(
                 f"{vm.vm_id} sent invalid lists: {exc}"
             ) from exc
@@ -208,8 +209,8 @@
 
 def _decode_answer(answer: ClientAnswer) -> _AnswerDoc:
     try:
-        return _ANSWER_DECODER.decode(answer.body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_document(_ANSWER_DECODER, answer.body)
+    except UndecodableError:
         return _AnswerDoc()
 
 
--- a/src/redwingslip/reboots/_client.py
+++ b/src/redwingslip/reboots/_client.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..decoding import UndecodableError, decode_document
 from ..http import (
     ClientAnswer,
     ClientLimits,
@@ -66,6 +67,10 @@
     operation_id: str
 
 
+_STATE_DECODER = msgspec.json.Decoder(VmState)
+_PROBLEM_DECODER = msgspec.json.Decoder(Problem)
+
+
 class PlatformClient:
     """Requests reboots and VM states from the platform.
 
@@ -130,15 +135,15 @@
     if answer.status >= 300:
         raise PlatformRefusedError(_describe_refusal(answer))
     try:
-        return msgspec.json.decode(answer.body, type=VmState)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return decode_document(_STATE_DECODER, answer.body)
+    except UndecodableError as exc:
         text = f"the platform's answer can't be decoded: {exc}"
         raise PlatformUnavailableError(text) from exc
 
 
 def _describe_refusal(answer: ClientAnswer) -> str:
     try:
-        problem = msgspec.json.decode(answer.body, type=Problem)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        problem = decode_document(_PROBLEM_DECODER, answer.body)
+    except UndecodableError:
         return f"the platform answered {answer.status}"
     return f"the platform answered {answer.status}: {problem.detail or problem.title}"
--- /dev/null
+++ b/tests/support_odd.py
@@ -0,0 +1,11 @@
+"""Odd data of another writer, for tests of everything that reads documents."""
+
+# Deeper than a decoder follows.
+N_LEVELS = 200_000
+DEEP_LIST = b"[" * N_LEVELS + b"]" * N_LEVELS
+DEEP_BODY = b'{"odd":' + DEEP_LIST + b"}"
+
+
+def with_deep_field(body):
+    """Return an encoded object with one more field, which is nested very deeply."""
+    return body[:-1] + b',"odd":' + DEEP_LIST + b"}"
--- a/tests/test_endpoints_client.py
+++ b/tests/test_endpoints_client.py
@@ -11,6 +11,7 @@
 from redwingslip.http import ClientLimits
 from tests.support_endpoints import make_call
 from tests.support_http import RawServer, http_answer
+from tests.support_odd import with_deep_field
 
 PROBLEM = "Content-Type: application/problem+json"
 NOT_RUN = b'{"status":409,"title":"x","outcome":"not-run"}'
@@ -81,6 +82,14 @@
             got, _ = await self.answer_to(answer)
             self.assertIsInstance(got, EndpointRefusedError)
 
+    async def test_refusal_nested_too_deeply_is_an_answer(self):
+        """Guards against a call that ends by a body which can't be decoded."""
+        body = with_deep_field(NOT_RUN)
+        answer, _ = await self.answer_to(
+            http_answer(body, status=409, headers=[PROBLEM])
+        )
+        self.assertEqual((answer.status, answer.body), (409, body))
+
     async def test_answer_under_another_permit(self):
         """An answer that names another permit is not returned."""
         answer = http_answer(b"ok", headers=["Redwingslip-Permit: p2"])
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -13,6 +13,7 @@
     decode_report,
     decode_wave,
 )
+from tests.support_odd import DEEP_BODY, with_deep_field
 
 ROUTE = {
     "name": "r1",
@@ -180,6 +181,29 @@
                 self.decode(doc)
 
 
+class TestDeepNesting(unittest.TestCase):
+    """Documents that are nested more deeply than a decoder follows."""
+
+    def test_every_document_is_refused(self):
+        """Guards against a reader that ends by the depth of one document."""
+        for name, decode in (
+            ("config", decode_plan),
+            ("wave", decode_wave),
+            ("leave", decode_deregistration),
+            ("report", lambda body: decode_report(body, vm_id="i-1")),
+            (
+                "job",
+                lambda body: decode_job(body, job_id="0", queue=QUEUE, customer=""),
+            ),
+        ):
+            with self.subTest(name=name), self.assertRaises(DocumentError):
+                decode(DEEP_BODY)
+
+    def test_an_unknown_field_is_no_exception(self):
+        with self.assertRaises(DocumentError):
+            decode_report(with_deep_field(encode(REPORT)), vm_id="i-1")
+
+
 class TestOtherDocuments(unittest.TestCase):
     """Reports, waves and deregistrations."""
 
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -18,6 +18,7 @@
     StartResult,
     VmReplacedError,
 )
+from tests.support_odd import with_deep_field
 from tests.support_scheduling import make_vm
 
 KEY = TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
@@ -55,6 +56,11 @@
     def reply(self, doc, status=200):
         self.remote.answer = JSONResponse(doc, status_code=status)
 
+    def reply_deeply(self, doc, status=200):
+        """Answer with a document that is nested more deeply than a decoder follows."""
+        body = with_deep_field(msgspec.json.encode(doc))
+        self.remote.answer = Response(body, status, media_type="application/json")
+
 
 class TestWorkerClient(RemoteTestCase):
     """Holds, starts and stops."""
@@ -103,6 +109,19 @@
             with self.subTest(lists=lists), self.assertRaises(OrderOutcomeUnknownError):
                 await self.hold()
 
+    async def test_after_lists_nested_too_deeply_the_outcome_is_unknown(self):
+        """Guards against an agent whose polls fail again and again by one answer."""
+        self.reply_deeply({"clockMs": 1, "running": []})
+        with self.assertRaises(OrderOutcomeUnknownError):
+            await self.hold()
+
+    async def test_an_answer_nested_too_deeply_leaves_its_status(self):
+        """Guards against a start order that is neither answered nor repeated."""
+        for status, result in ((200, StartResult.ACCEPTED), (409, StartResult.REFUSED)):
+            self.reply_deeply({"clockMs": 5}, status)
+            with self.subTest(status=status):
+                self.assertEqual((await self.start()).result, result)
+
     async def test_a_start_sends_all_fields(self):
         self.reply({"clockMs": 5})
         outcome = await self.start()
@@ -176,6 +195,12 @@
         with self.assertRaises(OrderOutcomeUnknownError):
             await self.client.request_advice(("5c0e7a21d94b36f8", 0, 1), ("v1",))
 
+    async def test_an_answer_nested_too_deeply_gives_no_advice(self):
+        """Guards against requests for advice that end by one answer."""
+        self.reply_deeply({"good": []})
+        with self.assertRaises(OrderOutcomeUnknownError):
+            await self.client.request_advice(("5c0e7a21d94b36f8", 0, 1), ("v1",))
+
 
 class TestMachineClient(RemoteTestCase):
     """The list of machines, moves and maintenance."""
@@ -210,6 +235,18 @@
         with self.assertRaises(OrderOutcomeUnknownError):
             await self.client.list_machines()
 
+    async def test_list_of_machines_nested_too_deeply(self):
+        """Guards against a leader that never reads the list again."""
+        self.reply_deeply({"machines": []})
+        with self.assertRaises(OrderOutcomeUnknownError):
+            await self.client.list_machines()
+
+    async def test_a_reason_nested_too_deeply_is_none(self):
+        """Guards against an order for a machine whose outcome is dropped."""
+        self.reply_deeply({"reason": "fence"}, 409)
+        outcome = await self.client.move("m", "p", fence=1)
+        self.assertEqual(outcome, MachineOutcome.BUSY)
+
     async def test_orders_send_lease_holder_and_fencing_token(self):
         self.reply({})
         outcome = await self.client.maintain("m1", 4, fence=12)
--- a/tests/test_reboots_client.py
+++ b/tests/test_reboots_client.py
@@ -10,6 +10,7 @@
     PlatformUnavailableError,
 )
 from tests.support_http import RawServer, http_answer
+from tests.support_odd import DEEP_BODY
 
 SHORT = timedelta(milliseconds=200)
 
@@ -18,7 +19,7 @@
     """PlatformClient against a platform that fails."""
 
     async def test_unusable_answer_means_unavailable(self):
-        """No answer, a truncated one, a server error and no JSON: all unavailable."""
+        """No answer, a truncated one, an error, no JSON or too deep: unavailable."""
 
         def script(answer):
             async def run(server, reader, writer):
@@ -35,11 +36,15 @@
             complete[:-2],
             http_answer(b"", status=503),
             http_answer(b"x"),
+            http_answer(DEEP_BODY),
         ):
             async with RawServer(script(answer)) as server:
                 cfg = PlatformSettings(address=server.address, timeout=SHORT)
                 client = PlatformClient(cfg)
-                with self.subTest(answer), self.assertRaises(PlatformUnavailableError):
+                with (
+                    self.subTest(answer[:80]),
+                    self.assertRaises(PlatformUnavailableError),
+                ):
                     await client.reboot("v1", "o1")
                 await client.close()
                 self.assertEqual(len(server.requests), 1)
--- a/tests/test_submitters_documents.py
+++ b/tests/test_submitters_documents.py
@@ -8,6 +8,7 @@
 from redwingslip.jobs import Amounts, JobsState, Queue, SubmitJob
 from redwingslip.submitters import InvalidJobDocumentError
 from redwingslip.submitters._documents import decode_job, view_job
+from tests.support_odd import DEEP_BODY
 
 QUEUE = Queue(name="q", host="h", path_prefix="/q/", pool="p")
 STEP = {"n_tasks": 2, "need": {"cpu": 500, "memory_mb": 10}}
@@ -68,7 +69,7 @@
             self.assertIn(field_at_fault, str(caught.exception))
 
     def test_body_that_is_no_json_object_is_refused(self):
-        for body in (b"{", b"[]", b"\xff"):
+        for body in (b"{", b"[]", b"\xff", DEEP_BODY):
             with self.assertRaises(InvalidJobDocumentError):
                 decode_job(body, job_id="0" * 16, queue=QUEUE, customer="")
 
