Refuse a command that no replica can decode before it enters the log

What operators could see: all controllers end, one after the other, and end again after each restart, with "Expected `str`, got `null`" as the reason. The system is down for good.

Cause: the encoder of the log writes whatever a command holds, and the decoder checks types. A VM that lists the end of a run with null or a number in place of the checkpoint got a command committed that no replica can apply (class of fault: a writer that is less strict than its reader).

Ruled out: numbers beyond 64 bits. The encoder refuses them, so that they ended the one call only, as `OverflowError`.

Change: a command is decoded once before it is proposed, and refused by an error of its own.

Conclusion: an unknown fault of this class costs the command that has it, not the replicas.

--- a/src/redwingslip/jobs/__init__.py
+++ b/src/redwingslip/jobs/__init__.py
@@ -21,7 +21,12 @@
 )
 from ._spec import JobSpec, Repetition, StepSpec, TaskKey, check_steps
 from ._state import ActiveRun, JobsState, VmChange, iter_tasks
-from .exceptions import InvalidJobError, InvalidPlanError, JobsError
+from .exceptions import (
+    InvalidCommandError,
+    InvalidJobError,
+    InvalidPlanError,
+    JobsError,
+)
 
 __all__ = [
     "ACTIVE_STATUSES",
@@ -30,6 +35,7 @@
     "Amounts",
     "Customer",
     "EndKind",
+    "InvalidCommandError",
     "InvalidJobError",
     "InvalidPlanError",
     "JobRecord",
--- a/src/redwingslip/jobs/_machine.py
+++ b/src/redwingslip/jobs/_machine.py
@@ -6,6 +6,7 @@
 
 from ._commands import Command
 from ._state import JobsState
+from .exceptions import InvalidCommandError
 
 __all__ = ["JobsMachine", "encode_command"]
 
@@ -14,8 +15,21 @@
 
 
 def encode_command(command: Command) -> bytes:
-    """Return a command in the encoding of the log."""
-    return _ENCODER.encode(command)
+    """Return a command in the encoding of the log.
+
+    Raises
+    ------
+    InvalidCommandError
+        A value has a type or size that the log does not hold. Such an entry would end
+        every replica that applies it, again after each restart.
+    """
+    try:
+        data = _ENCODER.encode(command)
+        _DECODER.decode(data)
+    except (msgspec.DecodeError, OverflowError, UnicodeError) as exc:
+        name = type(command).__name__
+        raise InvalidCommandError(f"{name} can't be replicated: {exc}") from exc
+    return data
 
 
 class JobsMachine:
--- a/src/redwingslip/jobs/exceptions.py
+++ b/src/redwingslip/jobs/exceptions.py
@@ -2,13 +2,17 @@
 
 from ..exceptions import RedwingslipError
 
-__all__ = ["InvalidJobError", "InvalidPlanError", "JobsError"]
+__all__ = ["InvalidCommandError", "InvalidJobError", "InvalidPlanError", "JobsError"]
 
 
 class JobsError(RedwingslipError):
     """Base class of errors in a job or in the plan that it runs under."""
 
 
+class InvalidCommandError(JobsError):
+    """A command can't be applied by the replicas, and must not enter the log."""
+
+
 class _FieldError(JobsError):
     """A document is inconsistent.
 
