Check the rows of a VM's lists of runs before they are used

With an index or number beyond 64 bits, or a number in place of a task's name, the polls of that VM failed from then on, each time by an error that is not taken for a missing answer: the VM was neither followed nor given up, and its runs were never recorded as lost.

Cause: rows were decoded as lists of anything and converted by `int` and `float`, which also accept "5", "nan", 1.9 and numbers of any size, and raise `OverflowError` or `AttributeError`, which nobody expects (class of fault: conversion taken for a check).

Ruled out: skipping the odd row. A run that is left out looks lost and would be started again while it runs, and an end that is left out is acknowledged with the next one. So the whole answer counts as none, as before for the errors that were known; the lease of the VM ends its runs.

Change: rows have types and bounds; ends that only the leader records, lost and rejected, are refused; so are readings of the VM's clock and starts of an incarnation beyond 53 bits or below 0.

Conclusion: an odd clock in the answer to a start leaves the outcome of the start.

--- a/src/redwingslip/decoding.py
+++ b/src/redwingslip/decoding.py
@@ -1,12 +1,18 @@
 """Decoding of what other programs write, which may be anything."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
 from .exceptions import RedwingslipError
 
-__all__ = ["UndecodableError", "decode_document"]
+__all__ = ["MAX_WHOLE", "UndecodableError", "Whole", "decode_document"]
+
+# The largest number up to which every JSON library holds all whole numbers exactly. The
+# log holds 64 bits, so that sums of such numbers fit too.
+MAX_WHOLE = 2**53 - 1
+
+Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
 
 
 class UndecodableError(RedwingslipError):
--- a/src/redwingslip/platform/_orders.py
+++ b/src/redwingslip/platform/_orders.py
@@ -1,11 +1,12 @@
 """Client of the platform's workers, for orders to them."""
 
+import re
 from datetime import timedelta
-from typing import Any
+from typing import Annotated, Literal
 
 import msgspec
 
-from ..decoding import UndecodableError, decode_document
+from ..decoding import MAX_WHOLE, UndecodableError, Whole, decode_document
 from ..http import (
     AnswerLostError,
     ClientAnswer,
@@ -32,7 +33,8 @@
 # Twice the round trip that the platform's links may take under load, plus the time
 # that a worker may need to answer.
 ORDER_TIMEOUT = timedelta(milliseconds=800)
-N_TASK_ID_PARTS = 4
+
+_TASK_ID = re.compile(r"([^.]+)\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})")
 
 _RESULTS_BY_REASON = {
     "fence": StartResult.SUPERSEDED,
@@ -68,17 +70,34 @@
 
 
 class _AnswerDoc(msgspec.Struct, frozen=True, rename="camel"):
-    clock_ms: int | None = None
+    clock_ms: Whole | None = None
     reason: str = ""
 
 
+_Figure = Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE)]
+
+
+class _RunRow(msgspec.Struct, frozen=True, array_like=True):
+    task: str
+    number: Whole
+    checkpoint: str
+    percent: _Figure
+    load: _Figure = 0.0
+
+
+class _EndRow(msgspec.Struct, frozen=True, array_like=True):
+    cursor: Whole
+    task: str
+    number: Whole
+    kind: Literal["done", "failed", "stopped", "lapsed", "broken", "alone"]
+    checkpoint: str
+
+
 class _ListsDoc(msgspec.Struct, frozen=True, rename="camel"):
-    clock_ms: int
-    # Rows of task id, run number, checkpoint, percent and load; load may be missing.
-    running: tuple[list[Any], ...] = ()
-    # Rows of end number, task id, run number, kind of end and checkpoint.
-    ended_runs: tuple[list[Any], ...] = ()
-    born: int = 0
+    clock_ms: Whole
+    running: tuple[_RunRow, ...] = ()
+    ended_runs: tuple[_EndRow, ...] = ()
+    born: Whole = 0
 
 
 _ANSWER_DECODER = msgspec.json.Decoder(_AnswerDoc)
@@ -129,7 +148,7 @@
                 runs=tuple(_decode_run(row) for row in lists.running),
                 ends=tuple(_decode_end(row) for row in lists.ended_runs),
             )
-        except (UndecodableError, ValueError, IndexError, TypeError) as exc:
+        except (UndecodableError, ValueError) as exc:
             raise OrderOutcomeUnknownError(
                 f"{vm.vm_id} sent invalid lists: {exc}"
             ) from exc
@@ -219,18 +238,23 @@
 
 
 def _parse_task_id(text: str) -> TaskKey:
-    parts = text.split(".")
-    if len(parts) != N_TASK_ID_PARTS:
+    match = _TASK_ID.fullmatch(text)
+    if match is None:
         raise ValueError(f"{text!r} is not a task id")
-    return TaskKey(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    return TaskKey(match[1], int(match[2]), int(match[3]), int(match[4]))
 
 
-def _decode_run(row: list[Any]) -> ListedRun:
-    load = float(row[4]) if len(row) > 4 else 0.0
-    return ListedRun(_parse_task_id(row[0]), int(row[1]), row[2], float(row[3]), load)
+def _decode_run(row: _RunRow) -> ListedRun:
+    return ListedRun(
+        _parse_task_id(row.task), row.number, row.checkpoint, row.percent, row.load
+    )
 
 
-def _decode_end(row: list[Any]) -> ListedEnd:
+def _decode_end(row: _EndRow) -> ListedEnd:
     return ListedEnd(
-        int(row[0]), _parse_task_id(row[1]), int(row[2]), EndKind(row[3]), row[4]
+        row.cursor,
+        _parse_task_id(row.task),
+        row.number,
+        EndKind(row.kind),
+        row.checkpoint,
     )
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -109,6 +109,68 @@
             with self.subTest(lists=lists), self.assertRaises(OrderOutcomeUnknownError):
                 await self.hold()
 
+    async def test_after_an_odd_row_the_outcome_is_unknown(self):
+        """Guards against an odd row that ends replicas, or every later poll of a VM."""
+        run = ["a.0.0.0", 1, "", 50, 9]
+        end = [1, "a.0.0.0", 1, "done", ""]
+        huge = 10**30
+        runs = (
+            ["a.0.0", *run[1:]],
+            ["a.-1.0.0", *run[1:]],
+            [f"a.0.0.{huge}", *run[1:]],
+            [5, *run[1:]],
+            [None, *run[1:]],
+            ["a.0.0.0", "1", "", 50],
+            ["a.0.0.0", 1.5, "", 50],
+            ["a.0.0.0", -1, "", 50],
+            ["a.0.0.0", huge, "", 50],
+            ["a.0.0.0", 1, None, 50],
+            ["a.0.0.0", 1, "", "nan"],
+            ["a.0.0.0", 1, "", -1],
+            ["a.0.0.0", 1, "", huge],
+            ["a.0.0.0", 1, "", 50, "inf"],
+            ["a.0.0.0", 1, "", 50, huge],
+            ["a.0.0.0", 1, ""],
+            5,
+        )
+        ends = (
+            [huge, *end[1:]],
+            [-1, *end[1:]],
+            ["1", *end[1:]],
+            [1, 5, 1, "done", ""],
+            [1, f"a.0.{huge}.0", 1, "done", ""],
+            [1, "a.0.0.0", huge, "done", ""],
+            [1, "a.0.0.0", 1, ["done"], ""],
+            [1, "a.0.0.0", 1, "lost", ""],
+            [1, "a.0.0.0", 1, "rejected", ""],
+            [1, "a.0.0.0", 1, "done", None],
+            [1, "a.0.0.0", 1, "done", 5],
+            [1, "a.0.0.0", 1, "done"],
+            {},
+        )
+        for field, good, rows in (("running", run, runs), ("endedRuns", end, ends)):
+            for row in rows:
+                self.reply({"clockMs": 1, field: [good, row]})
+                with (
+                    self.subTest(field=field, row=row),
+                    self.assertRaises(OrderOutcomeUnknownError),
+                ):
+                    await self.hold()
+
+    async def test_after_an_odd_clock_the_outcome_is_unknown(self):
+        """Guards against a reading after which all true ones count as delayed."""
+        for odd in ({"clockMs": 2**64}, {"clockMs": -1}, {"clockMs": 1, "born": 2**63}):
+            self.reply(odd)
+            with self.subTest(odd=odd), self.assertRaises(OrderOutcomeUnknownError):
+                await self.hold()
+
+    async def test_a_start_with_an_odd_clock_gives_no_clock(self):
+        """Guards against a reading after which all true ones count as delayed."""
+        self.reply({"clockMs": 2**64})
+        outcome = await self.start()
+        self.assertEqual(outcome.result, StartResult.ACCEPTED)
+        self.assertIsNone(outcome.clock_ms)
+
     async def test_after_lists_nested_too_deeply_the_outcome_is_unknown(self):
         """Guards against an agent whose polls fail again and again by one answer."""
         self.reply_deeply({"clockMs": 1, "running": []})
