Refuse numbers in the platform's documents that the log can't hold or that count nothing

callers could see: status 500 instead of 400 for other numbers beyond 64 bits; a job with negative needs, which frees room by running and lets its customer exceed the limit. An advice valid for 10^30 ms ended the request for advice by an error that nobody expects.

Cause: fields were checked for their type, not for their size (class of fault: unbounded input).

Ruled out: floats that are no number. JSON has none, and 1e400 is refused by the decoder. Bounds on the records of the log: entries that are there must stay readable.

Change: numbers of documents are between 0 and 2^53 - 1, resources of one worker or task at most 10^9 (a million cores, a petabyte), durations of waves at most a hundred years. Errors name the field.

Conclusion: `remainingMs` is not used and stays unbounded; true workers may overrun.

--- a/src/redwingslip/decoding.py
+++ b/src/redwingslip/decoding.py
@@ -6,13 +6,25 @@
 
 from .exceptions import RedwingslipError
 
-__all__ = ["MAX_WHOLE", "UndecodableError", "Whole", "decode_document"]
+__all__ = [
+    "MAX_WHOLE",
+    "Amount",
+    "Figure",
+    "UndecodableError",
+    "Whole",
+    "decode_document",
+]
 
 # The largest number up to which every JSON library holds all whole numbers exactly. The
 # log holds 64 bits, so that sums of such numbers fit too.
 MAX_WHOLE = 2**53 - 1
+# More than any machine has: a million cores, or a petabyte of memory.
+MAX_AMOUNT = 1_000_000_000
 
 Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
+Figure = Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE)]
+# Resources of one machine, or of one task.
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 
 
 class UndecodableError(RedwingslipError):
--- a/src/redwingslip/platform/_advice.py
+++ b/src/redwingslip/platform/_advice.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..decoding import UndecodableError, decode_document
+from ..decoding import UndecodableError, Whole, decode_document
 from ..http import ClientLimits, ClientPool, ClientRequest, HttpError
 from ..scheduling import Advice, OrderOutcomeUnknownError
 
@@ -22,7 +22,7 @@
 class _AdviceDoc(msgspec.Struct, frozen=True, rename="camel"):
     # Workers that may run the step, each as its id and its ticket.
     good: tuple[tuple[str, str], ...]
-    validity_ms: int = 0
+    validity_ms: Whole = 0
 
 
 _DECODER = msgspec.json.Decoder(_AdviceDoc)
--- a/src/redwingslip/platform/_documents.py
+++ b/src/redwingslip/platform/_documents.py
@@ -1,8 +1,17 @@
 """The platform's documents, and their decoding into the product's types."""
 
+from typing import Annotated
+
 import msgspec
 
-from ..decoding import UndecodableError, decode_document
+from ..decoding import (
+    MAX_WHOLE,
+    Amount,
+    Figure,
+    UndecodableError,
+    Whole,
+    decode_document,
+)
 from ..jobs import (
     Amounts,
     Customer,
@@ -31,6 +40,8 @@
 ]
 
 MAX_PAYLOAD_BYTES = 4_000
+# A hundred years, which the log can add to any time.
+MAX_WAVE_S = 100 * 366 * 24 * 60 * 60
 READY, DRAINING = "ready", "draining"
 
 
@@ -39,16 +50,29 @@
 
 
 class _AmountsDoc(_Document):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    """Resources of one worker."""
+
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+
+    def decode(self) -> Amounts:
+        return Amounts(self.cpu, self.mem_mb, self.gpu)
+
+
+class _LimitDoc(_Document):
+    """Resources of many workers; 0 means no limit."""
+
+    cpu: Whole = 0
+    mem_mb: Whole = 0
+    gpu: Whole = 0
 
     def decode(self) -> Amounts:
         return Amounts(self.cpu, self.mem_mb, self.gpu)
 
 
 class _AdviceDoc(_Document):
-    decision_ms: int = 0
+    decision_ms: Whole = 0
 
 
 class _RouteDoc(_Document):
@@ -56,11 +80,11 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int
-    target_latency_ms: int = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    timeout_ms: Whole
+    target_latency_ms: Whole = 0
+    priority: Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)] = 0
+    max_attempts: Whole = 1
+    stretch: Figure = 1.0
     public: bool = False
     advice: _AdviceDoc | None = None
 
@@ -73,25 +97,25 @@
 class _TenantDoc(_Document):
     name: str
     api_keys: tuple[str, ...]
-    weight: float
+    weight: Figure
     # In spite of its name not a count, but the resources that the tenant's running
     # tasks may use together.
-    max_count: _AmountsDoc = _AmountsDoc()
+    max_count: _LimitDoc = _LimitDoc()
 
 
 class _ConfigDoc(_Document):
-    version: int
+    version: Whole
     routes: tuple[_RouteDoc, ...]
     services: tuple[_ServiceDoc, ...]
     tenants: tuple[_TenantDoc, ...] = ()
 
 
 class _StepDoc(_Document, omit_defaults=True):
-    count: int = 0
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
+    count: Whole = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+    estimate_ms: Whole = 0
     after: tuple[int, ...] = ()
     checkpointing: bool = False
     gang: bool = False
@@ -99,21 +123,21 @@
     # A single label that the VM must have, in spite of the plural.
     constraints: str = ""
     data_rack: str = ""
-    anti_affinity: int = 0
+    anti_affinity: Whole = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: int = 0
+    target_ms: Whole = 0
     fills: bool = False
-    miss_budget: int = 0
+    miss_budget: Whole = 0
 
 
 class _JobDoc(_Document):
     spec: str = ""
     steps: tuple[_StepDoc, ...] = ()
-    repeat_count: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    repeat_count: Whole = 0
+    start_at_ms: Whole = 0
+    interval_ms: Whole = 0
 
 
 class _ReportDoc(_Document):
@@ -121,25 +145,25 @@
     address: str
     zone: str
     state: str
-    sequence: int
+    sequence: Whole
     capacity: _AmountsDoc
     labels: tuple[str, ...] = ()
-    clock_ms: int = 0
+    clock_ms: Whole = 0
     machine: str = ""
-    born: int = 0
+    born: Whole = 0
     remaining_ms: int = 0
 
 
 class _LeaveDoc(_Document):
-    born: int = 0
+    born: Whole = 0
 
 
 class _WaveDoc(_Document):
-    wave: int
+    wave: Whole
     machines: tuple[str, ...]
-    duration_s: float
+    duration_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_WAVE_S)]
     # Maximum number of machines that may be down at a time.
-    max_count: int
+    max_count: Whole
 
 
 class WorkerReport(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/redwingslip/platform/_orders.py
+++ b/src/redwingslip/platform/_orders.py
@@ -2,11 +2,11 @@
 
 import re
 from datetime import timedelta
-from typing import Annotated, Literal
+from typing import Literal
 
 import msgspec
 
-from ..decoding import MAX_WHOLE, UndecodableError, Whole, decode_document
+from ..decoding import Figure, UndecodableError, Whole, decode_document
 from ..http import (
     AnswerLostError,
     ClientAnswer,
@@ -74,15 +74,12 @@
     reason: str = ""
 
 
-_Figure = Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE)]
-
-
 class _RunRow(msgspec.Struct, frozen=True, array_like=True):
     task: str
     number: Whole
     checkpoint: str
-    percent: _Figure
-    load: _Figure = 0.0
+    percent: Figure
+    load: Figure = 0.0
 
 
 class _EndRow(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/support_odd.py
+++ b/tests/support_odd.py
@@ -5,6 +5,9 @@
 DEEP_LIST = b"[" * N_LEVELS + b"]" * N_LEVELS
 DEEP_BODY = b'{"odd":' + DEEP_LIST + b"}"
 
+# Too large for the log, or below what a number of something can be.
+ODD_NUMBERS = (10**30, 2**64, 2**63, 2**53, -1, -(2**64))
+
 
 def with_deep_field(body):
     """Return an encoded object with one more field, which is nested very deeply."""
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -4,16 +4,25 @@
 
 import msgspec
 
-from redwingslip.jobs import Amounts, Queue, Repetition
+from redwingslip.decoding import MAX_WHOLE
+from redwingslip.jobs import (
+    Amounts,
+    JobsMachine,
+    Queue,
+    Repetition,
+    StartWave,
+    encode_command,
+)
 from redwingslip.platform import DocumentError
 from redwingslip.platform._documents import (
+    MAX_WAVE_S,
     decode_deregistration,
     decode_job,
     decode_plan,
     decode_report,
     decode_wave,
 )
-from tests.support_odd import DEEP_BODY, with_deep_field
+from tests.support_odd import DEEP_BODY, ODD_NUMBERS, with_deep_field
 
 ROUTE = {
     "name": "r1",
@@ -204,6 +213,112 @@
             decode_report(with_deep_field(encode(REPORT)), vm_id="i-1")
 
 
+class TestOddNumbers(unittest.TestCase):
+    """Numbers that the log can't hold, or that count nothing."""
+
+    def assert_refused(self, field, decode, body):
+        """Decode a document and expect an error that names the field."""
+        with self.subTest(field=field, body=body[-80:]):
+            with self.assertRaises(DocumentError) as caught:
+                decode(body)
+            self.assertIn(field, str(caught.exception))
+
+    def test_reports(self):
+        """Guards against a report that fails in the log or outweighs all later ones."""
+
+        def decode(body):
+            return decode_report(body, vm_id="i-1")
+
+        for odd in ODD_NUMBERS:
+            for name in ("sequence", "born", "clockMs"):
+                self.assert_refused(name, decode, encode(REPORT, **{name: odd}))
+            for name in ("cpu", "memMb", "gpu"):
+                body = encode(REPORT, capacity={**REPORT["capacity"], name: odd})
+                self.assert_refused(f"capacity.{name}", decode, body)
+
+    def test_capacity_that_no_machine_has(self):
+        """Guards against a VM that seems to have room for everything."""
+        body = encode(REPORT, capacity={"cpu": 10**12})
+        self.assert_refused(
+            "capacity.cpu", lambda body: decode_report(body, vm_id="i-1"), body
+        )
+
+    def test_deregistrations(self):
+        for odd in ODD_NUMBERS:
+            self.assert_refused("born", decode_deregistration, encode({"born": odd}))
+
+    def test_jobs(self):
+        """Guards against a job that fails in the log, or frees room by running."""
+
+        def decode(body):
+            return decode_job(body, job_id="0", queue=QUEUE, customer="")
+
+        for odd in ODD_NUMBERS:
+            for name in ("repeatCount", "startAtMs", "intervalMs"):
+                self.assert_refused(name, decode, encode({name: odd}))
+            for name in (
+                "count",
+                "cpu",
+                "memMb",
+                "gpu",
+                "estimateMs",
+                "antiAffinity",
+                "targetMs",
+                "missBudget",
+            ):
+                self.assert_refused(name, decode, encode({"steps": [{name: odd}]}))
+
+    def test_configurations(self):
+        """Guards against a plan that fails in the log."""
+        for odd in ODD_NUMBERS:
+            self.assert_refused("version", decode_plan, encode(CONFIG, version=odd))
+            for name in ("timeoutMs", "targetLatencyMs", "maxAttempts"):
+                body = encode(CONFIG, routes=[{**ROUTE, name: odd}])
+                self.assert_refused(name, decode_plan, body)
+            body = encode(CONFIG, tenants=[{**TENANT, "maxCount": {"cpu": odd}}])
+            self.assert_refused("maxCount.cpu", decode_plan, body)
+        for odd in (10**30, -(10**30)):
+            body = encode(CONFIG, routes=[{**ROUTE, "priority": odd}])
+            self.assert_refused("priority", decode_plan, body)
+
+    def test_waves(self):
+        """Guards against a wave whose end no snapshot can hold."""
+        wave = {"wave": 1, "machines": ["m1"], "durationS": 20, "maxCount": 2}
+        for odd in (*ODD_NUMBERS, 1e300, 2**64 // 1000):
+            for name in ("wave", "durationS", "maxCount"):
+                self.assert_refused(name, decode_wave, encode(wave, **{name: odd}))
+        self.assert_refused(
+            "durationS",
+            decode_wave,
+            encode(wave, durationS=0).replace(b":0", b":1e400"),
+        )
+
+    def test_the_largest_accepted_wave_fits_into_a_snapshot(self):
+        """Guards against replicas that all end at their next snapshot."""
+        wave = {"wave": MAX_WHOLE, "machines": ["m1"], "maxCount": MAX_WHOLE}
+        order = decode_wave(encode(wave, durationS=MAX_WAVE_S))
+        machine = JobsMachine()
+        command = StartWave(
+            number=order.number,
+            machines=order.machines,
+            duration_ms=order.duration_ms,
+            max_at_once=order.max_at_once,
+            now_ms=MAX_WHOLE,
+        )
+        machine.apply(1, encode_command(command))
+        copy = JobsMachine()
+        copy.restore(1, machine.snapshot())
+        self.assertEqual(copy.state.waves, machine.state.waves)
+
+    def test_numbers_of_true_documents_are_accepted(self):
+        report = decode_report(
+            encode(REPORT, born=1_700_000_000_000, remainingMs=-1), vm_id="i-1"
+        )
+        self.assertEqual(report.vm.born_ms, 1_700_000_000_000)
+        plan = decode_plan(encode(CONFIG, routes=[{**ROUTE, "priority": -1}]))
+        self.assertEqual(plan.queues[0].priority, -1)
+
+
 class TestOtherDocuments(unittest.TestCase):
     """Reports, waves and deregistrations."""
 
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -257,6 +257,19 @@
         with self.assertRaises(OrderOutcomeUnknownError):
             await self.client.request_advice(("5c0e7a21d94b36f8", 0, 1), ("v1",))
 
+    async def test_an_odd_answer_gives_no_advice(self):
+        """Guards against requests for advice that end by one answer."""
+        for odd in (
+            {"good": [], "validityMs": 10**30},
+            {"good": [], "validityMs": -1},
+            {"good": [["v1"]]},
+            {"good": [["v1", 5]]},
+            {"good": None},
+        ):
+            self.reply(odd)
+            with self.subTest(odd=odd), self.assertRaises(OrderOutcomeUnknownError):
+                await self.client.request_advice(("5c0e7a21d94b36f8", 0, 1), ("v1",))
+
     async def test_an_answer_nested_too_deeply_gives_no_advice(self):
         """Guards against requests for advice that end by one answer."""
         self.reply_deeply({"good": []})
