Refuse numbers of submitters that the log can't hold, and an interval into the past

What callers could see: status 500 and "outcome unknown" for a job with an estimate, limit or number beyond 64 bits, which never runs, instead of 422 with the name of the field.

Ruled out: the operators' resources, whose numbers have bounds.

An interval below zero, which makes later occurrences due earlier, is refused too.

--- a/src/redwingslip/submitters/_documents.py
+++ b/src/redwingslip/submitters/_documents.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..decoding import MAX_WHOLE, Amount, Whole
 from ..http import FieldError, decode_json, strict_convert
 from ..jobs import (
     Amounts,
@@ -24,22 +25,26 @@
 MS = timedelta(milliseconds=1)
 EPOCH = datetime.fromtimestamp(0, UTC)
 
-_Amount = Annotated[int, msgspec.Meta(ge=0)]
+_Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_WHOLE)]
 
 
 class _Need(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Resources that a task uses; `cpu` is in thousandths of a core."""
 
-    cpu: _Amount = 0
-    memory_mb: _Amount = 0
-    accelerators: _Amount = 0
+    cpu: Amount = 0
+    memory_mb: Amount = 0
+    accelerators: Amount = 0
 
 
 class _Step(StepSpec, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A step; its fields are those of `StepSpec`."""
 
-    n_tasks: Annotated[int, msgspec.Meta(ge=1)]
+    n_tasks: _Positive
     need: _Need = _Need()
+    estimate_ms: Whole = 0
+    max_per_vm: Whole = 0
+    target_ms: Whole = 0
+    disruption_budget: Whole = 0
 
     def decode(self) -> StepSpec:
         need = Amounts(self.need.cpu, self.need.memory_mb, self.need.accelerators)
@@ -52,11 +57,13 @@
 
     first_at: datetime
     interval: timedelta
-    count: Annotated[int, msgspec.Meta(ge=1)]
+    count: _Positive
 
     def decode(self) -> Repetition:
         if self.first_at.tzinfo is None:
             raise InvalidJobDocumentError("repeat.first_at", "needs a time zone")
+        if self.interval < timedelta(0):
+            raise InvalidJobDocumentError("repeat.interval", "must not be negative")
         return Repetition(
             first_at_ms=(self.first_at - EPOCH) // MS,
             interval_ms=self.interval // MS,
--- a/tests/test_submitters_documents.py
+++ b/tests/test_submitters_documents.py
@@ -8,9 +8,10 @@
 from redwingslip.jobs import Amounts, JobsState, Queue, SubmitJob
 from redwingslip.submitters import InvalidJobDocumentError
 from redwingslip.submitters._documents import decode_job, view_job
-from tests.support_odd import DEEP_BODY
+from tests.support_odd import DEEP_BODY, ODD_NUMBERS
 
 QUEUE = Queue(name="q", host="h", path_prefix="/q/", pool="p")
+REPEAT = {"first_at": "2026-01-01T00:00:00Z", "interval": "PT5S", "count": 3}
 STEP = {"n_tasks": 2, "need": {"cpu": 500, "memory_mb": 10}}
 
 
@@ -33,8 +34,7 @@
         self.assertEqual((spec.queue, spec.pool, spec.customer), ("q", "p", "forges"))
 
     def test_schedule_of_occurrences_is_converted_to_ms(self):
-        repeat = {"first_at": "2026-01-01T00:00:00Z", "interval": "PT5S", "count": 3}
-        repetition = decode(repeat=repeat).repetition
+        repetition = decode(repeat=REPEAT).repetition
         first_ms = datetime(2026, 1, 1, tzinfo=UTC).timestamp() * 1000
         self.assertEqual(repetition.first_at_ms, first_ms)
         self.assertEqual((repetition.interval_ms, repetition.count), (5000, 3))
@@ -68,6 +68,28 @@
                 decode(**fields)
             self.assertIn(field_at_fault, str(caught.exception))
 
+    def test_odd_numbers_are_refused(self):
+        """Guards against a job that fails in the log."""
+        for odd in ODD_NUMBERS:
+            for field, fields in (
+                ("n_tasks", {"steps": [{**STEP, "n_tasks": odd}]}),
+                ("estimate_ms", {"steps": [{**STEP, "estimate_ms": odd}]}),
+                ("max_per_vm", {"steps": [{**STEP, "max_per_vm": odd}]}),
+                ("target_ms", {"steps": [{**STEP, "target_ms": odd}]}),
+                ("disruption_budget", {"steps": [{**STEP, "disruption_budget": odd}]}),
+                ("need.cpu", {"steps": [{**STEP, "need": {"cpu": odd}}]}),
+                ("repeat.count", {"repeat": {**REPEAT, "count": odd}}),
+            ):
+                with self.subTest(fields=fields):
+                    with self.assertRaises(InvalidJobDocumentError) as caught:
+                        decode(**fields)
+                    self.assertIn(field, caught.exception.field)
+
+    def test_interval_into_the_past_is_refused(self):
+        with self.assertRaises(InvalidJobDocumentError) as caught:
+            decode(repeat={**REPEAT, "interval": "-PT5S"})
+        self.assertEqual(caught.exception.field, "repeat.interval")
+
     def test_body_that_is_no_json_object_is_refused(self):
         for body in (b"{", b"[]", b"\xff", DEEP_BODY):
             with self.assertRaises(InvalidJobDocumentError):
