Refuse a job with more tasks than the replicas can keep

What operators could see: one submission with a count of 10^9 takes all memory of each controller, again after each restart, since it is in the log.

Cause: a record is created for each task of each occurrence when the submission is applied, and the count had no bound (class of fault: work in proportion to a number that anybody may write).

Ruled out: the size of the body, which is bounded and says nothing about the count.

Change: at most 100,000 tasks in all occurrences, at both interfaces; steps and occurrences without tasks count too, as they take memory.

Conclusion: larger jobs are sent as several. The number of accepted jobs has no bound.

--- a/src/redwingslip/jobs/__init__.py
+++ b/src/redwingslip/jobs/__init__.py
@@ -19,7 +19,7 @@
     VmRecord,
     WaveRecord,
 )
-from ._spec import JobSpec, Repetition, StepSpec, TaskKey, check_steps
+from ._spec import MAX_TASKS, JobSpec, Repetition, StepSpec, TaskKey, check_steps
 from ._state import ActiveRun, JobsState, VmChange, iter_tasks
 from .exceptions import (
     InvalidCommandError,
@@ -30,6 +30,7 @@
 
 __all__ = [
     "ACTIVE_STATUSES",
+    "MAX_TASKS",
     "NO_AMOUNTS",
     "ActiveRun",
     "Amounts",
--- a/src/redwingslip/jobs/_spec.py
+++ b/src/redwingslip/jobs/_spec.py
@@ -8,7 +8,17 @@
 from ._plan import Amounts
 from .exceptions import InvalidJobError
 
-__all__ = ["JobSpec", "Repetition", "StepSpec", "TaskKey", "check_steps"]
+__all__ = [
+    "MAX_TASKS",
+    "JobSpec",
+    "Repetition",
+    "StepSpec",
+    "TaskKey",
+    "check_steps",
+]
+
+# Every replica keeps a record of each task of a job, and creates them all at once.
+MAX_TASKS = 100_000
 
 
 class TaskKey(NamedTuple):
@@ -149,17 +159,24 @@
     repetition: Repetition | None = None
 
 
-def check_steps(steps: Sequence[StepSpec]) -> None:
-    """Check the graph of a job's steps.
+def check_steps(steps: Sequence[StepSpec], *, n_occurrences: int = 1) -> None:
+    """Check the graph of a job's steps, and the number of its tasks.
 
     Raises
     ------
     InvalidJobError
         If a step names a step in `after` that does not precede it, or has a negative
-        number of tasks.
+        number of tasks, or if there are more than `MAX_TASKS` tasks in all
+        occurrences.
     """
     for number, step in enumerate(steps):
         if step.n_tasks < 0 or any(not 0 <= i < number for i in step.after):
             raise InvalidJobError(
                 f"steps.{number}.after", "must contain numbers of earlier steps only"
             )
+    # A step or an occurrence without tasks takes memory too.
+    n_per_occurrence = max(1, sum(max(1, step.n_tasks) for step in steps))
+    if n_per_occurrence * n_occurrences > MAX_TASKS:
+        raise InvalidJobError(
+            "steps", f"at most {MAX_TASKS} tasks are accepted in all occurrences"
+        )
--- a/src/redwingslip/platform/_documents.py
+++ b/src/redwingslip/platform/_documents.py
@@ -272,7 +272,7 @@
         raise DocumentError(f"spec: at most {MAX_PAYLOAD_BYTES} bytes are accepted")
     steps = tuple(_decode_step(step) for step in doc.steps)
     try:
-        check_steps(steps)
+        check_steps(steps, n_occurrences=max(1, doc.repeat_count))
     except InvalidJobError as exc:
         raise DocumentError(str(exc)) from exc
     repetition = None
--- a/src/redwingslip/submitters/_documents.py
+++ b/src/redwingslip/submitters/_documents.py
@@ -126,7 +126,8 @@
     try:
         doc = strict_convert(decode_json(body), _Job)
         steps = tuple(step.decode() for step in doc.steps)
-        check_steps(steps)
+        n_occurrences = doc.repeat.count if doc.repeat else 1
+        check_steps(steps, n_occurrences=n_occurrences)
     except (FieldError, InvalidJobError) as exc:
         raise InvalidJobDocumentError(exc.field, exc.detail) from exc
     return JobSpec(
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -185,6 +185,9 @@
             {"steps": [{"count": 1, "after": [0]}]},
             {"steps": [{"count": -1}]},
             {"steps": [{"count": "1"}]},
+            {"steps": [{"count": 10**9}]},
+            {"steps": [{"count": 1}], "repeatCount": 10**9},
+            {"repeatCount": 10**9},
         ):
             with self.subTest(doc=doc), self.assertRaises(DocumentError):
                 self.decode(doc)
--- a/tests/test_submitters_documents.py
+++ b/tests/test_submitters_documents.py
@@ -47,6 +47,8 @@
             ({"steps": [{**STEP, "need": {"cpu": -1}}]}, "steps"),
             ({"steps": [{**STEP, "after": [0]}]}, "steps.0.after"),
             ({"steps": [{**STEP, "longRunning": True}]}, "steps"),
+            ({"steps": [{"n_tasks": 10**9}]}, "steps"),
+            ({"repeat": {**REPEAT, "count": 10**9}}, "steps"),
             ({"payload": "x" * 4001}, "payload"),
             ({"color": "red"}, "color"),
             (
