Refuse a report whose address no client can call

What operators of such systems saw: processes that end by an entry whose port is out of range.

What callers could see here: no process ends. The client raises its own error for such a port, nothing is sent, and the agent treats the VM as one that can't be reached. But a report of that kind with the id of a true VM took the place of its address, and the VM got no orders until its next report. An address with a path or a user in it was called at the wrong place.

Cause: the address was taken as any text, and at the interface of endpoints as any digits after the colon, those of other scripts and a final newline included.

Ruled out: the client, which a test now shows to be safe with ports that are no numbers or out of range; that test passes before too.

Change: an address is a name, an IPv4 address or an IPv6 address in brackets, a colon and a port from 1 to 65535. At the interface of endpoints fencing tokens have a bound as well.

Conclusion: an address that is well formed and wrong can only be found out by calling it.

--- a/src/redwingslip/endpoints/_routes.py
+++ b/src/redwingslip/endpoints/_routes.py
@@ -10,10 +10,13 @@
 from starlette.routing import Route
 
 from ..callers import has_known_token
+from ..decoding import Whole
 from ..http import (
+    FieldError,
     HttpLimits,
     Problem,
     decode_json,
+    is_address,
     problem_response,
     read_body,
     strict_convert,
@@ -57,7 +60,7 @@
     slots: Annotated[int, msgspec.Meta(ge=0, le=100_000)]
     state: Literal["serving", "leaving"]
     clock_s: Annotated[float, msgspec.Meta(ge=0, le=1e9)]
-    fencing_token: Annotated[int, msgspec.Meta(ge=0)] = 0
+    fencing_token: Whole = 0
     running: tuple[RunningRecord, ...] = ()
 
 
@@ -90,6 +93,8 @@
             return unauthorized_response("the endpoints'")
         body = decode_json(await read_body(req, cfg))
         announcement = strict_convert(body, Announcement)
+        if not is_address(announcement.address):
+            raise FieldError("address", "the port must be between 1 and 65535")
         report = _endpoint_report(req.path_params["endpoint_id"], announcement)
         try:
             reply = announcements.announce(report)
--- a/src/redwingslip/http/__init__.py
+++ b/src/redwingslip/http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP servers and clients with limits, and problem documents."""
 
+from ._addresses import is_address
 from ._app import build_app
 from ._bodies import (
     FieldError,
@@ -49,6 +50,7 @@
     "build_app",
     "decode_json",
     "expected_body_bytes",
+    "is_address",
     "problem_response",
     "read_body",
     "strict_convert",
--- a/src/redwingslip/platform/_documents.py
+++ b/src/redwingslip/platform/_documents.py
@@ -12,6 +12,7 @@
     Whole,
     decode_document,
 )
+from ..http import is_address
 from ..jobs import (
     Amounts,
     Customer,
@@ -319,6 +320,10 @@
     doc = _decode(_REPORT_DECODER, body)
     if doc.state not in (READY, DRAINING):
         raise DocumentError(f"state: {doc.state!r} is not known")
+    if not is_address(doc.address):
+        raise DocumentError(
+            "address: must be host:port with a port between 1 and 65535"
+        )
     vm = VmRecord(
         vm_id=vm_id,
         born_ms=doc.born,
--- a/tests/test_endpoints_routes.py
+++ b/tests/test_endpoints_routes.py
@@ -8,6 +8,7 @@
 from redwingslip.peers import RunningTask
 from tests.support_endpoints import FakeAnnouncementHandler
 from tests.support_http import HttpTestCase, json_of
+from tests.support_odd import ODD_ADDRESSES
 
 ANNOUNCEMENT = {
     "incarnation": "i1",
@@ -60,6 +61,8 @@
             ({"slots": "8"}, "slots"),
             ({"state": "gone"}, "state"),
             ({"address": "host:80"}, "address"),
+            *(({"address": odd}, "address") for odd in ODD_ADDRESSES),
+            ({"fencing_token": 2**64}, "fencing_token"),
             ({"clock_s": -1.0}, "clock_s"),
             ({"running": [{"permit_id": ""}]}, "running[0].permit_id"),
             ({"slot": 8}, "slot"),
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -22,7 +22,12 @@
     decode_report,
     decode_wave,
 )
-from tests.support_odd import DEEP_BODY, ODD_NUMBERS, with_deep_field
+from tests.support_odd import (
+    DEEP_BODY,
+    ODD_ADDRESSES,
+    ODD_NUMBERS,
+    with_deep_field,
+)
 
 ROUTE = {
     "name": "r1",
@@ -345,6 +350,14 @@
             with self.subTest(changes=changes), self.assertRaises(DocumentError):
                 decode_report(encode(REPORT, **changes), vm_id="i-1")
 
+    def test_a_report_with_an_odd_address_is_refused(self):
+        """Guards against a VM that no call can reach in place of a true one."""
+        for address in ODD_ADDRESSES:
+            with self.subTest(address=address):
+                with self.assertRaises(DocumentError) as caught:
+                    decode_report(encode(REPORT, address=address), vm_id="i-1")
+                self.assertIn("address: ", str(caught.exception))
+
     def test_draining(self):
         report = decode_report(encode(REPORT, state="draining"), vm_id="i-1")
         self.assertTrue(report.vm.is_draining)
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -230,6 +230,16 @@
         with self.assertRaises(OrderNotSentError):
             await self.start()
 
+    async def test_an_odd_address_is_never_connected(self):
+        """Guards against a polling that ends by an address that can't be called."""
+        for port in ("99999", "-1", "http", "9" * 5000):
+            self.vm = make_vm(address=f"127.0.0.1:{port}")
+            with self.subTest(port=port):
+                with self.assertRaises(OrderNotSentError):
+                    await self.hold()
+                with self.assertRaises(OrderNotSentError):
+                    await self.start()
+
     async def test_a_stop_of_an_unknown_run_succeeds(self):
         self.reply({}, 404)
         await self.client.stop(self.vm, KEY, 2, fence=7)
