Leave out an odd entry of the list of machines, and use the others

What operators could see: machines that are switched off and never used, as long as the list of machines holds one entry of another writer. With an entry that was nested very deeply the list was not read again for the rest of the leader's term.

Cause: the list was decoded as a whole, so that one entry with a missing field, a field of another type or bytes that can't be read made all of it undecodable. An entry with a state that is not known counted as a machine that is down, in place of the true entry of that machine if it came later (class of fault: all or nothing where the parts are independent).

Ruled out: loss of machines by a list that is shorter. The list says only which machines are switched off and how much CPU they have; nothing is given up because it is missing there.

Change: entries are decoded one by one; one that can't be decoded, has an amount out of bounds or a state that is not known names no machine. In a list that is nested too deeply such entries are found by a search of its brackets, up to 1 MiB, since the search holds up the process.

Conclusion: an entry that is well formed and false can't be told from a true one.

--- a/src/redwingslip/platform/_machines.py
+++ b/src/redwingslip/platform/_machines.py
@@ -1,10 +1,13 @@
 """Client of the platform's interface for machines."""
 
+import contextlib
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
+from typing import Literal
 
 import msgspec
 
-from ..decoding import UndecodableError, decode_document
+from ..decoding import Amount, UndecodableError, decode_document, decode_page
 from ..http import ClientAnswer, ClientLimits, ClientPool, ClientRequest, HttpError
 from ..jobs import Amounts
 from ..scheduling import (
@@ -28,15 +31,15 @@
 
 
 class _AmountsDoc(msgspec.Struct, frozen=True, rename="camel"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class _MachineDoc(msgspec.Struct, frozen=True, rename="camel"):
     machine: str
     pool: str
-    state: str
+    state: Literal["up", "moving", "upkeep", "down"]
     zone: str = ""
     # Id of the VM that runs on the machine; None while the machine is not up.
     id: str | None = None
@@ -45,7 +48,8 @@
 
 
 class _PageDoc(msgspec.Struct, frozen=True, rename="camel"):
-    machines: tuple[_MachineDoc, ...]
+    # Decoded one by one, so that an odd entry leaves the others.
+    machines: tuple[msgspec.Raw, ...]
     next_page_token: str | None = None
 
 
@@ -63,6 +67,7 @@
     pool: str
 
 
+_MACHINE_DECODER = msgspec.json.Decoder(_MachineDoc)
 _PAGE_DECODER = msgspec.json.Decoder(_PageDoc)
 _REASON_DECODER = msgspec.json.Decoder(_ReasonDoc)
 
@@ -86,7 +91,7 @@
         self._pool = ClientPool(ClientLimits(connect_timeout=CALL_TIMEOUT))
 
     async def list_machines(self) -> tuple[MachineView, ...]:
-        """Return all machines.
+        """Return all machines; entries that can't be decoded are left out.
 
         `OrderOutcomeUnknownError` is raised if a page was not received or can't be
         decoded.
@@ -97,12 +102,12 @@
             path = f"/machines?pageToken={token}" if token else "/machines"
             try:
                 answer = await self._exchange("GET", path, b"", {})
-                page = decode_document(_PAGE_DECODER, answer.body)
+                page = decode_page(_PAGE_DECODER, answer.body)
             except (HttpError, UndecodableError) as exc:
                 raise OrderOutcomeUnknownError(
                     f"machines could not be listed: {exc}"
                 ) from exc
-            machines.extend(_decode_machine(doc) for doc in page.machines)
+            machines.extend(_decode_machines(page.machines))
             token = page.next_page_token
             if not token:
                 return tuple(machines)
@@ -165,12 +170,19 @@
         return ""
 
 
+def _decode_machines(entries: Iterable[msgspec.Raw]) -> Iterator[MachineView]:
+    """Yield the machines in the entries that can be decoded."""
+    for entry in entries:
+        with contextlib.suppress(UndecodableError):
+            yield _decode_machine(decode_document(_MACHINE_DECODER, bytes(entry)))
+
+
 def _decode_machine(doc: _MachineDoc) -> MachineView:
     capacity = doc.capacity
     return MachineView(
         machine=doc.machine,
         pool=doc.pool,
-        state=_STATES.get(doc.state, MachineState.DOWN),
+        state=_STATES[doc.state],
         vm_id=doc.id or "",
         data_centre=doc.zone,
         capacity=Amounts(capacity.cpu, capacity.mem_mb, capacity.gpu),
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from redwingslip.decoding import UndecodableError, decode_document
-from tests.support_odd import DEEP_LIST
+from redwingslip.decoding import UndecodableError, decode_document, decode_page
+from tests.support_odd import DEEP_LIST, N_LEVELS
 
 
 class TestDecodeDocument(unittest.TestCase):
@@ -21,3 +21,36 @@
         for data in (b"", b"{", b"\xff", b'{"\xff":1}', b"[]", b"null", DEEP_LIST):
             with self.subTest(data=data[:9]), self.assertRaises(UndecodableError):
                 decode_document(decoder, data)
+
+
+class TestDecodePage(unittest.TestCase):
+    """Lists of entries, some of them nested very deeply."""
+
+    decoder = msgspec.json.Decoder(dict[str, list[msgspec.Raw]])
+
+    def decode(self, data):
+        page = decode_page(self.decoder, data)
+        return {name: [bytes(raw) for raw in raws] for name, raws in page.items()}
+
+    def test_entries_nested_too_deeply_become_null(self):
+        """Guards against a list that can't be read for one of its entries."""
+        deep = b'{"a":"]","b":' + DEEP_LIST + b"}"
+        data = b'{"odd":[1,%b,{"x":"}]\\""},%b],"good":[[[2]]]}' % (deep, deep)
+        page = self.decode(data)
+        self.assertEqual(page["odd"], [b"1", b"null", b'{"x":"}]\\""}', b"null"])
+        self.assertEqual(page["good"], [b"[[2]]"])
+
+    def test_what_is_no_page_is_undecodable(self):
+        for data in (
+            b"",
+            b"[]",
+            b'{"a":1}',
+            DEEP_LIST,
+            b'{"a":' + DEEP_LIST,
+            b'{"a":[' + DEEP_LIST + b',"\\"',
+            b'{"a":[' + b"[" * N_LEVELS,
+            b"]" * N_LEVELS,
+            b'{"a":[' + DEEP_LIST * 3 + b"]}",
+        ):
+            with self.subTest(data=data[:9]), self.assertRaises(UndecodableError):
+                self.decode(data)
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -18,7 +18,7 @@
     StartResult,
     VmReplacedError,
 )
-from tests.support_odd import with_deep_field
+from tests.support_odd import N_LEVELS, ODD_NUMBERS, with_deep_field
 from tests.support_scheduling import make_vm
 
 KEY = TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
@@ -322,7 +322,8 @@
 
     async def test_list_of_machines_nested_too_deeply(self):
         """Guards against a leader that never reads the list again."""
-        self.reply_deeply({"machines": []})
+        body = b'{"machines":' + b"[" * N_LEVELS
+        self.remote.answer = Response(body, media_type="application/json")
         with self.assertRaises(OrderOutcomeUnknownError):
             await self.client.list_machines()
 
@@ -332,6 +333,38 @@
         outcome = await self.client.move("m", "p", fence=1)
         self.assertEqual(outcome, MachineOutcome.BUSY)
 
+    async def test_a_deep_field_beside_the_machines_leaves_them(self):
+        self.reply_deeply({"machines": [{"machine": "m", "pool": "p", "state": "up"}]})
+        (view,) = await self.client.list_machines()
+        self.assertEqual(view.machine, "m")
+
+    async def test_odd_entries_leave_the_others(self):
+        """Guards against a list that can't be used for one entry of another writer."""
+        good = {"machine": "m1", "pool": "s1", "state": "up"}
+        odd = [
+            {},
+            5,
+            None,
+            [good],
+            {**good, "machine": None},
+            {**good, "machine": 5},
+            {**good, "state": "sleeping"},
+            {**good, "state": 1},
+            {**good, "labels": "a"},
+            {**good, "id": 5},
+            *({**good, "capacity": {"cpu": number}} for number in ODD_NUMBERS),
+        ]
+        encoded = [msgspec.json.encode(entry) for entry in odd]
+        encoded.append(msgspec.json.encode(good).replace(b"s1", b"\xff"))
+        encoded.append(with_deep_field(msgspec.json.encode(good)))
+        last = msgspec.json.encode({**good, "machine": "m2"})
+        for entry in encoded:
+            with self.subTest(entry=entry[:80]):
+                body = b'{"machines":[' + entry + b"," + last + b"]}"
+                self.remote.answer = Response(body, media_type="application/json")
+                views = await self.client.list_machines()
+                self.assertEqual([view.machine for view in views], ["m2"])
+
     async def test_orders_send_lease_holder_and_fencing_token(self):
         self.reply({})
         outcome = await self.client.maintain("m1", 4, fence=12)
