Read the list of machines again after any error

What operators could see: machines that are switched off and never used, until the next change of leader. Nothing says why before the process ends.

Cause: the list is read in a task of its own, which ended by any error but the one that it expects, and nobody waited for it.

Ruled out: the other background work of a leader, which is restarted after an error already.

Change: the reading is restarted in the same way, with a warning.

Figures: the test fails before (nothing is moved within 3 s) and passes after.

--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -12,6 +12,7 @@
 from ._job_index import PoolBacklog, non_preemptible_need
 from ._machines import MachineManager
 from ._ports import MachineOutcome, MachineState, MachineView
+from ._supervise import run_forever
 from .exceptions import (
     CommandOutcomeUnknownError,
     NotLeadingError,
@@ -65,9 +66,9 @@
 
     async def run(self) -> None:
         """Check the pools until cancelled."""
-        list_task = asyncio.create_task(
-            self._list_machines_forever(), name="machine list"
-        )
+        name = "machine list"
+        work = run_forever(name, self._list_machines_forever, self._term.events)
+        list_task = asyncio.create_task(work, name=name)
         try:
             while True:
                 await asyncio.sleep(self._cfg.moves.interval.total_seconds())
--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -115,6 +115,16 @@
         await asyncio.sleep(0.05)
         self.assertEqual(len(self.platform.moved), 1, "one is enough and is arriving")
 
+    async def test_the_list_is_read_again_after_any_error(self):
+        """Guards against a leader that stops reading the list of machines."""
+        self.make_fleet(make_vm("v1"))
+        self.begin({"p": PoolBacklog(cpu=9000)})
+        # No list, so that reading it fails.
+        self.platform.machines = None
+        await asyncio.sleep(0.02)
+        self.platform.machines = (standby("m1"),)
+        await eventually(lambda: self.platform.moved)
+
     async def test_a_vm_is_kept_if_its_machine_is_in_the_pool_already(self):
         """Guards against the removal of a VM that the platform did not end.
 
