Send an order to a VM again after any error

What callers could see: a task that is neither started nor given up until the next change of leader (LOST).

Cause: an order is taken from the queue before it is sent. An error that nobody expects restarted the sending without the order, which stayed pending; a pending run is neither resumed nor recorded as lost (class of fault: a queue that forgets what it has handed out). The deep nesting of one answer to a start was such an error.

Ruled out: the errors of calls without an answer, after which orders were repeated before.

Change: the order is queued again, as one that may have been carried out, and the sending is restarted with a warning as before.

Conclusion: an order that fails in this way each time is repeated until the leader changes, with a warning for each time.

--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -195,8 +195,15 @@
                 else:
                     await self._wake.wait()
             order = self._queue.popleft()
-            if self._pending.get((order.key, order.number)) is order:
+            if self._pending.get((order.key, order.number)) is not order:
+                continue
+            try:
                 await self._send(order)
+            except Exception:
+                # The sending is restarted; the order may have been carried out.
+                order.n_lost += 1
+                self._requeue(order)
+                raise
 
     async def _send(self, order: _Order) -> None:
         run_id = (order.key, order.number)
@@ -249,6 +256,10 @@
 
     async def _retry(self, order: _Order) -> None:
         await asyncio.sleep(self._cfg.retry_delay.total_seconds())
+        self._requeue(order)
+
+    def _requeue(self, order: _Order) -> None:
+        """Queue an order again, unless it was replaced or is no longer needed."""
         if self._pending.get((order.key, order.number)) is order:
             if order.is_stop:
                 self._queue.appendleft(order)
