Refuse the report of a VM that starts in the future

What callers could see: tasks that are started again while they run (TWICE), or given up though their VM is up (LOST), after one report of another writer.

Cause: the later start wins, whatever it is. A report with a true id, address or machine and a start of 2^53 - 1 ms replaced the VM that is up, closed its runs as lost, and made all its later reports those of an earlier incarnation, for good (class of fault: a greatest value wins that nobody bounds).

Ruled out: a check where the report is decoded, which has no clock. A bound on the start alone: each time before it would still win.

Change: an incarnation that is not known and starts more than ten minutes after the leader's time is refused, with 400 at the platform's interface, before it removes or replaces anything. A known incarnation is not checked again, so that a leader with a slow clock misses no drain.

Conclusion: a false start within the ten minutes still wins, as that of a VM whose clock is fast must. A leader whose clock is slow by more takes no new VMs during its term.

--- a/src/redwingslip/platform/_calls.py
+++ b/src/redwingslip/platform/_calls.py
@@ -3,7 +3,7 @@
 import re
 
 from ..peers import CallSource, RelayedAnswer, RelayedCall
-from ..scheduling import JobService, SchedulingError
+from ..scheduling import FutureStartError, JobService, SchedulingError
 from ._answers import error_answer, json_answer
 from ._documents import (
     decode_deregistration,
@@ -89,7 +89,10 @@
             await service.remove_vm(match["id"], decode_deregistration(call.body))
             return json_answer(call, 200, {})
         report = decode_report(call.body, vm_id=match["id"])
-        await service.report_vm(report.vm, report.sequence, report.clock_ms)
+        try:
+            await service.report_vm(report.vm, report.sequence, report.clock_ms)
+        except FutureStartError as exc:
+            raise DocumentError(f"born: {exc}") from exc
         return json_answer(call, 200, {"heartbeatAddress": own_address})
     if match := _WAVE_PATH.fullmatch(path):
         is_complete = service.is_wave_complete(int(match["number"]))
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -29,6 +29,7 @@
 from ._waves import WaveManager
 from .exceptions import (
     CommandOutcomeUnknownError,
+    FutureStartError,
     KeyRefusedError,
     NoPlanError,
     NoQueueError,
@@ -47,6 +48,7 @@
     "AgentListener",
     "AgentSettings",
     "CommandOutcomeUnknownError",
+    "FutureStartError",
     "HoldReport",
     "JobService",
     "KeyRefusedError",
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -1,6 +1,7 @@
 """The leader's interface to callers, operators and endpoints."""
 
 from collections.abc import Mapping
+from datetime import timedelta
 
 import msgspec
 
@@ -21,10 +22,19 @@
 from ..observe import EventName
 from ._scheduler import Scheduler
 from ._term import Term
-from .exceptions import KeyRefusedError, NoPlanError, NoQueueError
+from .exceptions import (
+    FutureStartError,
+    KeyRefusedError,
+    NoPlanError,
+    NoQueueError,
+)
 
 __all__ = ["JobService"]
 
+MS = timedelta(milliseconds=1)
+# Time by which the clock of a VM may be ahead of the leader's.
+MAX_CLOCK_LEAD = timedelta(minutes=10)
+
 
 class JobService:
     """The leader's operations on queues, jobs, VMs, plans and waves.
@@ -192,6 +202,12 @@
         one, or if a later report of the same incarnation was received before it, or if
         a VM that started later has the same address or machine. A VM that has reported
         a drain stays draining for the rest of its incarnation.
+
+        Raises
+        ------
+        FutureStartError
+            The incarnation starts in the future. Such a report would make all true ones
+            of its VM outdated, and remove the VM at its address or machine.
         """
         incarnation = (vm.vm_id, vm.born_ms)
         if sequence < self._last_sequences.get(incarnation, -1):
@@ -200,14 +216,16 @@
         known = self._state.vms.get(vm.vm_id)
         if known is not None and known.born_ms > vm.born_ms:
             return
-        if known is not None and known.born_ms == vm.born_ms:
+        if known is None or known.born_ms != vm.born_ms:
+            self._check_start(vm)
+        else:
             is_draining = known.is_draining or vm.is_draining
             vm = msgspec.structs.replace(
                 vm, end_cursor=known.end_cursor, is_draining=is_draining
             )
-            if vm == known:
-                return
-        if self._is_superseded(vm):
+        if vm != known and self._is_superseded(vm):
+            return
+        if vm == known:
             return
         await self._forget_superseded(vm)
         command = NoteVm(vm=vm, now_ms=self._term.now_ms())
@@ -260,6 +278,14 @@
         wave = self._state.waves.get(number)
         return None if wave is None else wave.is_complete
 
+    def _check_start(self, vm: VmRecord) -> None:
+        """Raise `FutureStartError` if a VM starts later than clocks may differ."""
+        if vm.born_ms > self._term.now_ms() + MAX_CLOCK_LEAD // MS:
+            raise FutureStartError(
+                f"the start at {vm.born_ms} ms is in the future; "
+                "set the clock of its machine"
+            )
+
     def _is_superseded(self, vm: VmRecord) -> bool:
         """Return whether a later VM already has the address or machine of this one."""
         return any(
--- a/src/redwingslip/scheduling/exceptions.py
+++ b/src/redwingslip/scheduling/exceptions.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "CommandOutcomeUnknownError",
+    "FutureStartError",
     "KeyRefusedError",
     "NoPlanError",
     "NoQueueError",
@@ -39,6 +40,10 @@
     """No customer has this key."""
 
 
+class FutureStartError(SchedulingError):
+    """A report names a VM that has not started yet."""
+
+
 class OrderNotSentError(SchedulingError):
     """The order never reached the VM."""
 
--- a/tests/test_scheduling_service.py
+++ b/tests/test_scheduling_service.py
@@ -1,6 +1,7 @@
 """Tests of the leader's interface: queues, keys, jobs and reports of endpoints."""
 
 import unittest
+from datetime import timedelta
 
 import msgspec
 
@@ -18,13 +19,16 @@
     TaskKey,
 )
 from redwingslip.scheduling import (
+    FutureStartError,
     JobService,
     KeyRefusedError,
     NoPlanError,
     NoQueueError,
 )
+from redwingslip.scheduling._service import MAX_CLOCK_LEAD
 from tests.support_scheduling import FakeTerm, make_vm
 
+MS = timedelta(milliseconds=1)
 PLAN = Plan(
     version=3,
     queues=(
@@ -117,6 +121,45 @@
         await self.service.report_vm(make_vm("new", machine="m", born_ms=2), 1, 0)
         self.assertEqual(self.term.forgotten, ["old"])
 
+    async def assert_refused(self, vm):
+        """Report a VM, and expect that it is refused and the known one holds."""
+        with self.assertRaises(FutureStartError):
+            await self.service.report_vm(vm, 2, 0)
+        self.assertEqual(list(self.state.vms.values()), [make_vm(machine="m")])
+        self.assertEqual(self.term.forgotten, [])
+
+    async def test_a_start_in_the_future_replaces_no_incarnation(self):
+        """Guards against one report that makes all true ones of its VM outdated."""
+        await self.service.report_vm(make_vm(machine="m"), 1, 0)
+        for born_ms in (2**62, 2**53 - 1, MAX_CLOCK_LEAD // MS + 1):
+            await self.assert_refused(make_vm(machine="m", born_ms=born_ms))
+        await self.service.report_vm(make_vm(machine="m", is_draining=True), 2, 0)
+        self.assertTrue(self.state.vms["v1"].is_draining)
+
+    async def test_a_start_in_the_future_removes_no_vm_at_its_place(self):
+        """Guards against one report that removes the VM at an address or machine."""
+        await self.service.report_vm(make_vm(machine="m"), 1, 0)
+        await self.assert_refused(make_vm("v2", machine="m", born_ms=2**53 - 1))
+        await self.assert_refused(make_vm("v2", address="v1:1", born_ms=2**53 - 1))
+
+    async def test_clocks_may_differ(self):
+        """Guards against the refusal of true VMs with a clock that is fast."""
+        self.term.clock.advance(timedelta(hours=1))
+        born_ms = self.term.now_ms() + MAX_CLOCK_LEAD // MS
+        await self.service.report_vm(make_vm(born_ms=born_ms), 1, 0)
+        self.assertEqual(self.state.vms["v1"].born_ms, born_ms)
+
+    async def test_a_known_incarnation_may_report_under_a_leader_with_a_slow_clock(
+        self,
+    ):
+        """Guards against a drain that is missed for the clock of the leader."""
+        self.term.clock.advance(timedelta(hours=1))
+        born_ms = self.term.now_ms()
+        await self.service.report_vm(make_vm(born_ms=born_ms), 1, 0)
+        service = JobService(term=FakeTerm(self.state), scheduler=None)
+        await service.report_vm(make_vm(born_ms=born_ms, is_draining=True), 2, 0)
+        self.assertTrue(self.state.vms["v1"].is_draining)
+
     async def test_a_replaced_vm_has_crashed_under_its_runs(self):
         """Guards against tasks that crash VM after VM, each with a new name."""
         await self.service.report_vm(make_vm("old", machine="m", born_ms=1), 1, 0)
