Keep the number of a report only once the report is used

What operators could see: a VM that stays unknown or draining, or whose drain is missed, after one report of another writer with its id and a very high number.

Cause: the number was kept before anything about the report was checked, and true reports with lower numbers count as late (class of fault: a state that changes before the check).

Ruled out: keeping it after the commit. Of two reports at the same time the earlier one could then overtake the later one.

Change: it is kept after the last check and before the first wait.

Figures: the test, a VM that reports again after the one that had its place has left, fails before and passes after.

Conclusion: a false report that is plausible in everything, with a number up to 2^53 - 1, still makes true ones of that incarnation late until the leader changes.

--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -212,7 +212,6 @@
         incarnation = (vm.vm_id, vm.born_ms)
         if sequence < self._last_sequences.get(incarnation, -1):
             return
-        self._last_sequences[incarnation] = sequence
         known = self._state.vms.get(vm.vm_id)
         if known is not None and known.born_ms > vm.born_ms:
             return
@@ -225,6 +224,8 @@
             )
         if vm != known and self._is_superseded(vm):
             return
+        # A report that names no VM to use must not make later ones outdated.
+        self._last_sequences[incarnation] = sequence
         if vm == known:
             return
         await self._forget_superseded(vm)
--- a/tests/test_scheduling_service.py
+++ b/tests/test_scheduling_service.py
@@ -160,6 +160,14 @@
         await service.report_vm(make_vm(born_ms=born_ms, is_draining=True), 2, 0)
         self.assertTrue(self.state.vms["v1"].is_draining)
 
+    async def test_the_number_of_a_report_that_is_not_used_is_not_kept(self):
+        """Guards against one report after which all true ones count as late."""
+        await self.service.report_vm(make_vm("new", machine="m", born_ms=9), 1, 0)
+        await self.service.report_vm(make_vm("old", machine="m", born_ms=5), 99, 0)
+        await self.service.remove_vm("new", 9)
+        await self.service.report_vm(make_vm("old", machine="m", born_ms=5), 2, 0)
+        self.assertEqual(list(self.state.vms), ["old"])
+
     async def test_a_replaced_vm_has_crashed_under_its_runs(self):
         """Guards against tasks that crash VM after VM, each with a new name."""
         await self.service.report_vm(make_vm("old", machine="m", born_ms=1), 1, 0)
