Bound the run times that follow from estimates and from progress

What callers could see: tasks on a VM that is neither followed nor given up, as long as one run on it has an absurd estimate, or a progress of almost nothing.

Cause: the usual run time is an exponential of the estimate's logarithm, and the projected one a quotient by the progress. Beyond 2.7 million years there is no such duration, and the poll of the VM ended by `OverflowError` each time, before it had stopped or recorded anything (class of fault: arithmetic on numbers that anybody may write).

Ruled out: arrivals and urgency, which use whole numbers and floats without a bound.

Change: a usual run time is at most a hundred years, and a progress below a thousandth of a percent counts as none, which is left to the check for stalled runs.

--- a/src/redwingslip/workers/_progress.py
+++ b/src/redwingslip/workers/_progress.py
@@ -7,6 +7,8 @@
 __all__ = ["ProgressSettings", "RunProgress"]
 
 DONE_PERCENT = 100
+# A run with less progress has no pace that says anything.
+MIN_PROGRESS_PERCENT = 0.001
 
 
 class ProgressSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,9 +95,9 @@
     def _projected(self, now: timedelta, percent: float) -> timedelta:
         """Return the time that a part of the run takes at its pace so far.
 
-        A run without progress is left to `is_stalled`.
+        A run with hardly any progress is left to `is_stalled`.
         """
         progress = self._percent - self._first_percent
-        if progress <= 0:
+        if progress < MIN_PROGRESS_PERCENT:
             return timedelta(0)
         return (now - self._first_at) * (percent / progress)
--- a/src/redwingslip/workers/_run_times.py
+++ b/src/redwingslip/workers/_run_times.py
@@ -11,6 +11,9 @@
 __all__ = ["RunTimeSettings", "RunTimeModel", "StepKey"]
 
 MS = timedelta(milliseconds=1)
+# Any time that follows from estimates and finished runs is at most this long.
+MAX_RUN_TIME = timedelta(days=36_500)
+MAX_LOG_MS = math.log(MAX_RUN_TIME / MS)
 
 
 class RunTimeSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -122,7 +125,7 @@
         fit = self._fit(queue)
         if fit is None or estimate <= timedelta(0):
             return estimate
-        return math.exp(fit.expected(math.log(estimate / MS))) * MS
+        return _run_time(fit.expected(math.log(estimate / MS)))
 
     def longest_usual(
         self, step_key: StepKey, *, queue: str, vm_id: str, estimate: timedelta
@@ -148,7 +151,7 @@
             fit.expected(math.log(estimate / MS))
             + self._cfg.n_deviations * fit.deviation
         )
-        return math.exp(upper) * MS
+        return _run_time(upper)
 
     def _fit(self, queue: str) -> _Fit | None:
         """Return the fitted line of a queue, or None while too few runs finished."""
@@ -169,3 +172,8 @@
         residuals = (y - mean_y - slope * (x - mean_x) for x, y in samples)
         deviation = math.sqrt(sum(r * r for r in residuals) / n)
         return _Fit(mean_x, mean_y, slope, deviation)
+
+
+def _run_time(log_ms: float) -> timedelta:
+    """Return the run time with a logarithm, at most `MAX_RUN_TIME`."""
+    return MAX_RUN_TIME if log_ms >= MAX_LOG_MS else math.exp(log_ms) * MS
--- a/tests/test_workers_run_times.py
+++ b/tests/test_workers_run_times.py
@@ -5,6 +5,7 @@
 import unittest
 from datetime import timedelta
 
+from redwingslip.decoding import MAX_WHOLE
 from redwingslip.workers import (
     ProgressSettings,
     RunProgress,
@@ -12,6 +13,7 @@
     RunTimeSettings,
     StepKey,
 )
+from redwingslip.workers._run_times import MAX_RUN_TIME
 
 MS = timedelta(milliseconds=1)
 QUEUE = "checks"
@@ -96,6 +98,28 @@
         self.assertLess(error_of_learned, 0.7 * error_of_estimates)
 
 
+class TestExtremes(RunTimesCase):
+    """Estimates and percentages that say something absurd."""
+
+    def test_an_absurd_estimate_gives_a_long_time(self):
+        """Guards against a poll of a VM that fails each time by one of its runs."""
+        for _ in range(RunTimeSettings().min_samples):
+            self.record(1_000_000 * MS, estimate=1 * MS)
+        absurd = MAX_WHOLE * MS
+        self.assertEqual(self.times.expected(QUEUE, absurd), MAX_RUN_TIME)
+        self.assertEqual(self.usual(estimate=absurd, job=1), MAX_RUN_TIME)
+        self.assertLess(self.usual(estimate=2 * MS, job=1), MAX_RUN_TIME)
+
+    def test_a_tiny_progress_is_none(self):
+        """Guards against a poll of a VM that fails each time by one of its runs."""
+        run = RunProgress(0 * MS, 0.0)
+        for percent in (5e-324, 1e-12):
+            run.update(100_000 * MS, percent)
+            self.assertFalse(run.is_outlier(100_000 * MS, 1_000 * MS, CFG))
+        run.update(100_000 * MS, 0.01)
+        self.assertTrue(run.is_slow(100_000 * MS, 1_000 * MS, CFG))
+
+
 class TestLongestUsual(RunTimesCase):
     """The bound above which a run is an outlier."""
 
