Refuse whole numbers in paths and headers with too many digits

What callers could see: status 500 for a wave, a count of slots, a version or a revision with thousands of digits. A version beyond 64 bits, in a header or a body, was sent to the leader, and broke the link between the two processes: messages in the same batch were lost.

Cause: the length of the digits was not checked before the conversion, which has a limit of its own (class of fault: conversion taken for a check).

Ruled out: the number of a report or job, which the decoder bounds.

Change: whole numbers in paths and headers have at most 16 digits, as many as those of documents.

That a link breaks was found by reading.

Conclusion: the link itself still fails by a message that can't be encoded.

--- a/src/redwingslip/callers/_headers.py
+++ b/src/redwingslip/callers/_headers.py
@@ -6,6 +6,7 @@
 
 from starlette.requests import Request
 
+from ..decoding import is_whole
 from ._keys import bearer_token
 from ._requests import Submission
 from .exceptions import BadRequestError
@@ -120,7 +121,7 @@
     value = req.headers.get(field)
     if value is None:
         return default
-    if not value.isdecimal() or not min_value <= int(value) <= MAX_COUNT:
+    if not is_whole(value) or not min_value <= int(value) <= MAX_COUNT:
         raise HeaderError(
             field, f"must be a whole number from {min_value} to {MAX_COUNT}"
         )
--- a/src/redwingslip/decoding.py
+++ b/src/redwingslip/decoding.py
@@ -15,6 +15,7 @@
     "Whole",
     "decode_document",
     "decode_page",
+    "is_whole",
 ]
 
 # The largest number up to which every JSON library holds all whole numbers exactly. The
@@ -40,11 +41,18 @@
     rb'"(?:[^"\\]|\\.)*+(?:"|\Z)|(?P<opening>[\[{]++)|(?P<closing>[\]}]++)', re.DOTALL
 )
 
+_WHOLE = re.compile("[0-9]{1,16}")
+
 
 class UndecodableError(RedwingslipError):
     """A document can't be decoded."""
 
 
+def is_whole(text: str) -> bool:
+    """Return whether a text is a whole number of at most 16 digits."""
+    return _WHOLE.fullmatch(text) is not None
+
+
 def decode_document(decoder: msgspec.json.Decoder, data: bytes) -> Any:
     """Return a decoded document; raise `UndecodableError` for any other data."""
     try:
--- a/src/redwingslip/operators/_resources.py
+++ b/src/redwingslip/operators/_resources.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..decoding import Whole
 from ..fleet import (
     FleetView,
     KeySpec,
@@ -58,7 +59,7 @@
     spec: dict[str, Any]
     kind: str = ""
     name: str = ""
-    version: int | None = None
+    version: Whole | None = None
     status: dict[str, Any] = {}
     in_force: bool = False
 
--- a/src/redwingslip/operators/_routes.py
+++ b/src/redwingslip/operators/_routes.py
@@ -12,6 +12,7 @@
 from starlette.routing import Route
 
 from ..callers import has_known_token, hash_secret, make_secret
+from ..decoding import is_whole
 from ..fleet import (
     Command,
     DeleteResource,
@@ -271,13 +272,13 @@
             resource = self._service.view.resources[kind].get(name)
             return -1 if resource is None else resource.version
         match = _ETAG_PATTERN.fullmatch(if_match.strip())
-        if match is None:
+        if match is None or not is_whole(match[1]):
             raise FieldError("If-Match", "must be a version such as \"12\", or '*'")
         return int(match[1])
 
     async def _watch(self, req: Request, kind: Kind) -> Response:
         value = req.query_params["watch"]
-        if not value.isdecimal():
+        if not is_whole(value):
             raise FieldError("watch", "must be a revision, a whole number")
         index = int(value)
         changes = await self._service.changes_after(index, timedelta(0))
--- a/src/redwingslip/platform/_calls.py
+++ b/src/redwingslip/platform/_calls.py
@@ -18,7 +18,7 @@
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _INSTANCE_PATH = re.compile(r"/instances/(?P<id>[^/]+)/(?P<verb>heartbeat|deregister)")
-_WAVE_PATH = re.compile(r"/wave-get/(?P<number>[0-9]+)")
+_WAVE_PATH = re.compile(r"/wave-get/(?P<number>[0-9]{1,16})")
 
 
 async def answer_call(
--- a/tests/test_callers_routes.py
+++ b/tests/test_callers_routes.py
@@ -145,6 +145,7 @@
             ("Redwingslip_Expected_Run", "nan"),
             ("Redwingslip_Slots", "0"),
             ("Redwingslip_Slots", "1.5"),
+            ("Redwingslip_Slots", "9" * 5000),
             ("Redwingslip_Accelerators", "-1"),
             ("Redwingslip_Memory_MB", "1e9"),
             ("Prefer", "wait=soon"),
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from redwingslip.decoding import UndecodableError, decode_document, decode_page
+from redwingslip.decoding import (
+    UndecodableError,
+    decode_document,
+    decode_page,
+    is_whole,
+)
 from tests.support_odd import DEEP_LIST, N_LEVELS
 
 
@@ -23,6 +28,16 @@
                 decode_document(decoder, data)
 
 
+class TestIsWhole(unittest.TestCase):
+    """Texts that are whole numbers."""
+
+    def test_digits(self):
+        for text in ("0", "007", "9" * 16):
+            self.assertTrue(is_whole(text), text)
+        for text in ("", "-1", "+1", "1.5", "1e3", "\u0661", "1\n", "9" * 17):
+            self.assertFalse(is_whole(text), text)
+
+
 class TestDecodePage(unittest.TestCase):
     """Lists of entries, some of them nested very deeply."""
 
--- a/tests/test_operators_routes.py
+++ b/tests/test_operators_routes.py
@@ -14,6 +14,7 @@
 from redwingslip.http import HttpLimits
 from redwingslip.operators import NoLeaderError, ProcessStatus, operator_routes
 from tests.support_http import LONG, HttpTestCase, json_of
+from tests.support_odd import ODD_NUMBERS
 
 SHORT = timedelta(milliseconds=100)
 TOKEN = "operator-token"
@@ -131,6 +132,24 @@
         self.assertEqual(second.headers["etag"], first.headers["etag"])
         self.assertIn("3", json_of(second)["detail"])
 
+    async def test_versions_and_revisions_have_a_bound(self):
+        """Guards against a link between processes that fails by one number."""
+        for digits in ("9" * 17, "9" * 5000):
+            for method, path, headers in (
+                ("PUT", "/v1/pools/a", {"If_Match": f'"{digits}"'}),
+                ("DELETE", "/v1/pools/a", {"If_Match": digits}),
+                ("GET", f"/v1/pools?watch={digits}", {}),
+            ):
+                body = {"spec": {}} if method == "PUT" else b""
+                answer = await self.request(method, path, body, **headers)
+                self.assertEqual(answer.status, 422, (method, len(digits)))
+        for odd in ODD_NUMBERS:
+            body = {"spec": {}, "version": odd}
+            answer = await self.request("PUT", "/v1/pools/a", body)
+            self.assertEqual(
+                (answer.status, json_of(answer)["field"]), (422, "version")
+            )
+
     async def test_conditions_on_existence(self):
         """If-None-Match: * only creates, and If-Match: * only overwrites a resource."""
         body = {"spec": {}}
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -63,6 +63,12 @@
         answer = await self.call("POST", "/instances/i-1/heartbeat", doc)
         self.assertIn(b"born: ", answer.body)
 
+    async def test_the_number_of_no_wave(self):
+        """Guards against a server error by a number with very many digits."""
+        for number in ("7", "9" * 17, "9" * 5000, "-1", "x"):
+            answer = await self.call("GET", f"/wave-get/{number}")
+            self.assertEqual(answer.status, 404)
+
     async def test_odd_deregistrations_remove_nothing(self):
         for doc in (DEEP_BODY, b"\xff", *({"born": odd} for odd in ODD_NUMBERS)):
             answer = await self.call("POST", "/instances/i-1/deregister", doc)
