Leave out an odd row of an advice, and use the others

What callers could see: a step whose tasks never start, as long as the advice for it holds one row of another writer.

Change: rows are decoded one by one.

--- a/src/redwingslip/platform/_advice.py
+++ b/src/redwingslip/platform/_advice.py
@@ -1,10 +1,12 @@
 """Client of the platform's advice service, which knows the workers that suit a step."""
 
+import contextlib
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
 import msgspec
 
-from ..decoding import UndecodableError, Whole, decode_document
+from ..decoding import UndecodableError, Whole, decode_document, decode_page
 from ..http import ClientLimits, ClientPool, ClientRequest, HttpError
 from ..scheduling import Advice, OrderOutcomeUnknownError
 
@@ -20,12 +22,14 @@
 
 
 class _AdviceDoc(msgspec.Struct, frozen=True, rename="camel"):
-    # Workers that may run the step, each as its id and its ticket.
-    good: tuple[tuple[str, str], ...]
+    # Workers that may run the step, each as a row of its id and its ticket. They are
+    # decoded one by one, so that an odd row leaves the others.
+    good: tuple[msgspec.Raw, ...]
     validity_ms: Whole = 0
 
 
 _DECODER = msgspec.json.Decoder(_AdviceDoc)
+_ROW_DECODER = msgspec.json.Decoder(tuple[str, str])
 
 
 class AdviceClient:
@@ -48,7 +52,8 @@
     ) -> Advice:
         """Return which of the given VMs may run a step.
 
-        `OrderOutcomeUnknownError` is raised if the service gave no advice.
+        Rows that can't be decoded are left out. `OrderOutcomeUnknownError` is raised
+        if the service gave no advice.
         """
         step_id = ".".join(str(part) for part in step)
         req = ClientRequest(
@@ -65,15 +70,23 @@
                 raise OrderOutcomeUnknownError(
                     f"the advice service answered {answer.status}"
                 )
-            doc = decode_document(_DECODER, answer.body)
+            doc = decode_page(_DECODER, answer.body)
         except (HttpError, UndecodableError) as exc:
             raise OrderOutcomeUnknownError(
                 f"advice on {step_id} was not received: {exc}"
             ) from exc
         return Advice(
-            tickets=dict(doc.good), validity=timedelta(milliseconds=doc.validity_ms)
+            tickets=dict(_decode_rows(doc.good)),
+            validity=timedelta(milliseconds=doc.validity_ms),
         )
 
     async def close(self) -> None:
         """Close all connections."""
         await self._pool.close()
+
+
+def _decode_rows(rows: Iterable[msgspec.Raw]) -> Iterator[tuple[str, str]]:
+    """Yield the rows that can be decoded."""
+    for row in rows:
+        with contextlib.suppress(UndecodableError):
+            yield decode_document(_ROW_DECODER, bytes(row))
