Refuse a report that names a pool which the plan doesn't have

What callers could see: a VM that gets no new tasks, or whose runs end as lost, after one report of another writer with its id or place and a service that nobody has named.

Cause: the service of a report was taken as any text. Its pool replaced the true one, or its VM the true VM (class of fault: a name that is not looked up).

Ruled out: refusal before the first plan, and of a known incarnation whose pool was removed: both are true VMs, and are taken as before.

Change: any other report of an unknown pool is refused, with 400 at the platform's interface, and changes nothing.

The plan of the tests got a second pool, as one of them reports a VM of it.

Conclusion: a VM of a pool that the next plan adds is taken with its first report after that plan.

--- a/src/redwingslip/platform/_calls.py
+++ b/src/redwingslip/platform/_calls.py
@@ -3,7 +3,12 @@
 import re
 
 from ..peers import CallSource, RelayedAnswer, RelayedCall
-from ..scheduling import FutureStartError, JobService, SchedulingError
+from ..scheduling import (
+    FutureStartError,
+    JobService,
+    SchedulingError,
+    UnknownPoolError,
+)
 from ._answers import error_answer, json_answer
 from ._documents import (
     decode_deregistration,
@@ -93,6 +98,8 @@
             await service.report_vm(report.vm, report.sequence, report.clock_ms)
         except FutureStartError as exc:
             raise DocumentError(f"born: {exc}") from exc
+        except UnknownPoolError as exc:
+            raise DocumentError(f"service: {exc}") from exc
         return json_answer(call, 200, {"heartbeatAddress": own_address})
     if match := _WAVE_PATH.fullmatch(path):
         is_complete = service.is_wave_complete(int(match["number"]))
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -37,6 +37,7 @@
     OrderNotSentError,
     OrderOutcomeUnknownError,
     SchedulingError,
+    UnknownPoolError,
     VmReplacedError,
 )
 
@@ -73,6 +74,7 @@
     "StartOutcome",
     "StartResult",
     "Term",
+    "UnknownPoolError",
     "VmAgent",
     "VmOrders",
     "VmPolicy",
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -27,6 +27,7 @@
     KeyRefusedError,
     NoPlanError,
     NoQueueError,
+    UnknownPoolError,
 )
 
 __all__ = ["JobService"]
@@ -208,6 +209,8 @@
         FutureStartError
             The incarnation starts in the future. Such a report would make all true ones
             of its VM outdated, and remove the VM at its address or machine.
+        UnknownPoolError
+            The plan does not have the pool, and the incarnation was not known in it.
         """
         incarnation = (vm.vm_id, vm.born_ms)
         if sequence < self._last_sequences.get(incarnation, -1):
@@ -217,7 +220,10 @@
             return
         if known is None or known.born_ms != vm.born_ms:
             self._check_start(vm)
+            self._check_pool(vm)
         else:
+            if vm.pool != known.pool:
+                self._check_pool(vm)
             is_draining = known.is_draining or vm.is_draining
             vm = msgspec.structs.replace(
                 vm, end_cursor=known.end_cursor, is_draining=is_draining
@@ -287,6 +293,12 @@
                 "set the clock of its machine"
             )
 
+    def _check_pool(self, vm: VmRecord) -> None:
+        """Raise `UnknownPoolError` if there is a plan without the pool of a VM."""
+        plan = self._state.plan
+        if plan.version and all(pool.name != vm.pool for pool in plan.pools):
+            raise UnknownPoolError(f"plan {plan.version} has no {vm.pool!r}")
+
     def _is_superseded(self, vm: VmRecord) -> bool:
         """Return whether a later VM already has the address or machine of this one."""
         return any(
--- a/src/redwingslip/scheduling/exceptions.py
+++ b/src/redwingslip/scheduling/exceptions.py
@@ -12,6 +12,7 @@
     "OrderNotSentError",
     "OrderOutcomeUnknownError",
     "SchedulingError",
+    "UnknownPoolError",
     "VmReplacedError",
 ]
 
@@ -44,6 +45,10 @@
     """A report names a VM that has not started yet."""
 
 
+class UnknownPoolError(SchedulingError):
+    """A report names a pool that the plan does not have."""
+
+
 class OrderNotSentError(SchedulingError):
     """The order never reached the VM."""
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -63,6 +63,16 @@
         answer = await self.call("POST", "/instances/i-1/heartbeat", doc)
         self.assertIn(b"born: ", answer.body)
 
+    async def test_a_service_that_is_not_known_is_named(self):
+        service = {"name": "s1", "standby": False}
+        config = {"version": 1, "routes": [], "services": [service]}
+        answer = await self.call("POST", "/config/replace", config)
+        self.assertEqual(answer.status, 200)
+        doc = {**REPORT, "service": "nowhere"}
+        answer = await self.call("POST", "/instances/i-1/heartbeat", doc)
+        self.assertEqual(answer.status, 400)
+        self.assertIn(b"service: ", answer.body)
+
     async def test_the_number_of_no_wave(self):
         """Guards against a server error by a number with very many digits."""
         for number in ("7", "9" * 17, "9" * 5000, "-1", "x"):
--- a/tests/test_scheduling_service.py
+++ b/tests/test_scheduling_service.py
@@ -24,6 +24,7 @@
     KeyRefusedError,
     NoPlanError,
     NoQueueError,
+    UnknownPoolError,
 )
 from redwingslip.scheduling._service import MAX_CLOCK_LEAD
 from tests.support_scheduling import FakeTerm, make_vm
@@ -35,7 +36,7 @@
         Queue(name="a", host="h", path_prefix="/a/", pool="p"),
         Queue(name="deep", host="h", path_prefix="/a/b/", pool="p", is_public=True),
     ),
-    pools=(Pool(name="p"),),
+    pools=(Pool(name="p"), Pool(name="q")),
     customers=(Customer(name="forges", keys=("k1", "k2")),),
 )
 
@@ -142,6 +143,33 @@
         await self.assert_refused(make_vm("v2", machine="m", born_ms=2**53 - 1))
         await self.assert_refused(make_vm("v2", address="v1:1", born_ms=2**53 - 1))
 
+    async def test_an_unknown_pool_is_refused(self):
+        """Guards against a report of another writer in place of a true one."""
+        await self.service.report_vm(make_vm(machine="m"), 1, 0)
+        for vm in (
+            make_vm(machine="m", pool="nowhere"),
+            make_vm(machine="m", pool="nowhere", born_ms=2),
+            make_vm("v2", machine="m", pool="nowhere", born_ms=2),
+        ):
+            with self.assertRaises(UnknownPoolError):
+                await self.service.report_vm(vm, 99, 0)
+        self.assertEqual(list(self.state.vms.values()), [make_vm(machine="m")])
+        await self.service.report_vm(make_vm(machine="m", is_draining=True), 2, 0)
+        self.assertTrue(self.state.vms["v1"].is_draining)
+
+    async def test_any_pool_may_report_before_the_first_plan(self):
+        self.state.plan = Plan()
+        await self.service.report_vm(make_vm(pool="later"), 1, 0)
+        self.assertIn("v1", self.state.vms)
+
+    async def test_a_vm_of_a_pool_that_was_removed_may_report(self):
+        """Guards against a drain that is missed for a new plan."""
+        await self.service.report_vm(make_vm(), 1, 0)
+        plan = msgspec.structs.replace(PLAN, version=4, pools=(Pool(name="other"),))
+        self.state.apply(ReplacePlan(plan=plan))
+        await self.service.report_vm(make_vm(is_draining=True), 2, 0)
+        self.assertTrue(self.state.vms["v1"].is_draining)
+
     async def test_clocks_may_differ(self):
         """Guards against the refusal of true VMs with a clock that is fast."""
         self.term.clock.advance(timedelta(hours=1))
