--- a/src/redwingslip/jobs/__init__.py
+++ b/src/redwingslip/jobs/__init__.py
@@ -19,17 +19,24 @@
     VmRecord,
     WaveRecord,
 )
-from ._spec import JobSpec, Repetition, StepSpec, TaskKey, check_steps
+from ._spec import MAX_TASKS, JobSpec, Repetition, StepSpec, TaskKey, check_steps
 from ._state import ActiveRun, JobsState, VmChange, iter_tasks
-from .exceptions import InvalidJobError, InvalidPlanError, JobsError
+from .exceptions import (
+    InvalidCommandError,
+    InvalidJobError,
+    InvalidPlanError,
+    JobsError,
+)
 
 __all__ = [
     "ACTIVE_STATUSES",
+    "MAX_TASKS",
     "NO_AMOUNTS",
     "ActiveRun",
     "Amounts",
     "Customer",
     "EndKind",
+    "InvalidCommandError",
     "InvalidJobError",
     "InvalidPlanError",
     "JobRecord",
--- a/src/redwingslip/platform/_calls.py
+++ b/src/redwingslip/platform/_calls.py
@@ -3,7 +3,12 @@
 import re
 
 from ..peers import CallSource, RelayedAnswer, RelayedCall
-from ..scheduling import JobService, SchedulingError
+from ..scheduling import (
+    FutureStartError,
+    JobService,
+    SchedulingError,
+    UnknownPoolError,
+)
 from ._answers import error_answer, json_answer
 from ._documents import (
     decode_deregistration,
@@ -18,7 +23,7 @@
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _INSTANCE_PATH = re.compile(r"/instances/(?P<id>[^/]+)/(?P<verb>heartbeat|deregister)")
-_WAVE_PATH = re.compile(r"/wave-get/(?P<number>[0-9]+)")
+_WAVE_PATH = re.compile(r"/wave-get/(?P<number>[0-9]{1,16})")
 
 
 async def answer_call(
@@ -89,7 +94,12 @@
             await service.remove_vm(match["id"], decode_deregistration(call.body))
             return json_answer(call, 200, {})
         report = decode_report(call.body, vm_id=match["id"])
-        await service.report_vm(report.vm, report.sequence, report.clock_ms)
+        try:
+            await service.report_vm(report.vm, report.sequence, report.clock_ms)
+        except FutureStartError as exc:
+            raise DocumentError(f"born: {exc}") from exc
+        except UnknownPoolError as exc:
+            raise DocumentError(f"service: {exc}") from exc
         return json_answer(call, 200, {"heartbeatAddress": own_address})
     if match := _WAVE_PATH.fullmatch(path):
         is_complete = service.is_wave_complete(int(match["number"]))
--- a/src/redwingslip/platform/_orders.py
+++ b/src/redwingslip/platform/_orders.py
@@ -1,11 +1,13 @@
 """Client of the platform's workers, for orders to them."""
 
+import re
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any
+from typing import Literal
 
 import msgspec
 
+from ..decoding import Figure, UndecodableError, Whole, decode_document
 from ..http import (
     AnswerLostError,
     ClientAnswer,
@@ -34,10 +36,11 @@
 # Twice the round trip that the platform's links may take under load, plus the time
 # that a worker may need to answer.
 ORDER_TIMEOUT = timedelta(milliseconds=800)
-N_TASK_ID_PARTS = 4
 # Answers of a worker that has done nothing, or of another worker.
 _REFUSAL_STATUSES = frozenset({409, 421, 429, 503})
 
+_TASK_ID = re.compile(r"([^.]+)\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})")
+
 _RESULTS_BY_REASON = {
     "fence": StartResult.SUPERSEDED,
     "old": StartResult.OLD,
@@ -72,17 +75,31 @@
 
 
 class _AnswerDoc(msgspec.Struct, frozen=True, rename="camel"):
-    clock_ms: int | None = None
+    clock_ms: Whole | None = None
     reason: str = ""
 
 
+class _RunRow(msgspec.Struct, frozen=True, array_like=True):
+    task: str
+    number: Whole
+    checkpoint: str
+    percent: Figure
+    load: Figure = 0.0
+
+
+class _EndRow(msgspec.Struct, frozen=True, array_like=True):
+    cursor: Whole
+    task: str
+    number: Whole
+    kind: Literal["done", "failed", "stopped", "lapsed", "broken", "alone"]
+    checkpoint: str
+
+
 class _ListsDoc(msgspec.Struct, frozen=True, rename="camel"):
-    clock_ms: int
-    # Rows of task id, run number, checkpoint, percent and load; load may be missing.
-    running: tuple[list[Any], ...] = ()
-    # Rows of end number, task id, run number, kind of end and checkpoint.
-    ended_runs: tuple[list[Any], ...] = ()
-    born: int = 0
+    clock_ms: Whole
+    running: tuple[_RunRow, ...] = ()
+    ended_runs: tuple[_EndRow, ...] = ()
+    born: Whole = 0
 
 
 _ANSWER_DECODER = msgspec.json.Decoder(_AnswerDoc)
@@ -134,14 +151,14 @@
                 f"{vm.vm_id} answered a hold with {answer.status}"
             )
         try:
-            lists = _LISTS_DECODER.decode(answer.body)
+            lists = decode_document(_LISTS_DECODER, answer.body)
             return HoldReport(
                 clock_ms=lists.clock_ms,
                 born_ms=lists.born,
                 runs=tuple(_decode_run(row) for row in lists.running),
                 ends=tuple(_decode_end(row) for row in lists.ended_runs),
             )
-        except (msgspec.DecodeError, ValueError, IndexError, TypeError) as exc:
+        except (UndecodableError, ValueError) as exc:
             raise OrderOutcomeUnknownError(
                 f"{vm.vm_id} sent invalid lists: {exc}"
             ) from exc
@@ -254,8 +271,8 @@
     if answer.status != 200:
         raise NotConnectedError(f"a hold was answered with {answer.status}")
     try:
-        return _LISTS_DECODER.decode(answer.body).born
-    except msgspec.DecodeError as exc:
+        return decode_document(_LISTS_DECODER, answer.body).born
+    except UndecodableError as exc:
         raise NotConnectedError(f"invalid lists: {exc}") from exc
 
 
@@ -280,8 +297,8 @@
 
 def _decode_answer(answer: ClientAnswer) -> _AnswerDoc:
     try:
-        return _ANSWER_DECODER.decode(answer.body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_document(_ANSWER_DECODER, answer.body)
+    except UndecodableError:
         return _AnswerDoc()
 
 
@@ -290,18 +307,23 @@
 
 
 def _parse_task_id(text: str) -> TaskKey:
-    parts = text.split(".")
-    if len(parts) != N_TASK_ID_PARTS:
+    match = _TASK_ID.fullmatch(text)
+    if match is None:
         raise ValueError(f"{text!r} is not a task id")
-    return TaskKey(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    return TaskKey(match[1], int(match[2]), int(match[3]), int(match[4]))
 
 
-def _decode_run(row: list[Any]) -> ListedRun:
-    load = float(row[4]) if len(row) > 4 else 0.0
-    return ListedRun(_parse_task_id(row[0]), int(row[1]), row[2], float(row[3]), load)
+def _decode_run(row: _RunRow) -> ListedRun:
+    return ListedRun(
+        _parse_task_id(row.task), row.number, row.checkpoint, row.percent, row.load
+    )
 
 
-def _decode_end(row: list[Any]) -> ListedEnd:
+def _decode_end(row: _EndRow) -> ListedEnd:
     return ListedEnd(
-        int(row[0]), _parse_task_id(row[1]), int(row[2]), EndKind(row[3]), row[4]
+        row.cursor,
+        _parse_task_id(row.task),
+        row.number,
+        EndKind(row.kind),
+        row.checkpoint,
     )
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -29,6 +29,7 @@
 from ._waves import WaveManager
 from .exceptions import (
     CommandOutcomeUnknownError,
+    FutureStartError,
     KeyRefusedError,
     NoPlanError,
     NoQueueError,
@@ -36,6 +37,7 @@
     OrderNotSentError,
     OrderOutcomeUnknownError,
     SchedulingError,
+    UnknownPoolError,
     VmReplacedError,
 )
 
@@ -47,6 +49,7 @@
     "AgentListener",
     "AgentSettings",
     "CommandOutcomeUnknownError",
+    "FutureStartError",
     "HoldReport",
     "JobService",
     "KeyRefusedError",
@@ -71,6 +74,7 @@
     "StartOutcome",
     "StartResult",
     "Term",
+    "UnknownPoolError",
     "VmAgent",
     "VmOrders",
     "VmPolicy",
--- a/src/redwingslip/scheduling/exceptions.py
+++ b/src/redwingslip/scheduling/exceptions.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "CommandOutcomeUnknownError",
+    "FutureStartError",
     "KeyRefusedError",
     "NoPlanError",
     "NoQueueError",
@@ -11,6 +12,7 @@
     "OrderNotSentError",
     "OrderOutcomeUnknownError",
     "SchedulingError",
+    "UnknownPoolError",
     "VmReplacedError",
 ]
 
@@ -39,6 +41,14 @@
     """No customer has this key."""
 
 
+class FutureStartError(SchedulingError):
+    """A report names a VM that has not started yet."""
+
+
+class UnknownPoolError(SchedulingError):
+    """A report names a pool that the plan does not have."""
+
+
 class OrderNotSentError(SchedulingError):
     """The order never reached the VM."""
 
--- /dev/null
+++ b/tests/test_decoding.py
@@ -0,0 +1,71 @@
+"""Tests of the decoding of what other programs write."""
+
+import unittest
+
+import msgspec
+
+from redwingslip.decoding import (
+    UndecodableError,
+    decode_document,
+    decode_page,
+    is_whole,
+)
+from tests.support_odd import DEEP_LIST, N_LEVELS
+
+
+class TestDecodeDocument(unittest.TestCase):
+    """Whatever is no document of the type ends in one error."""
+
+    def test_a_document_is_decoded(self):
+        decoder = msgspec.json.Decoder(dict[str, int])
+        self.assertEqual(decode_document(decoder, b'{"a":1}'), {"a": 1})
+
+    def test_everything_else_is_undecodable(self):
+        """Guards against readers that end by an error that they don't expect."""
+        decoder = msgspec.json.Decoder(dict[str, int])
+        for data in (b"", b"{", b"\xff", b'{"\xff":1}', b"[]", b"null", DEEP_LIST):
+            with self.subTest(data=data[:9]), self.assertRaises(UndecodableError):
+                decode_document(decoder, data)
+
+
+class TestIsWhole(unittest.TestCase):
+    """Texts that are whole numbers."""
+
+    def test_digits(self):
+        for text in ("0", "007", "9" * 16):
+            self.assertTrue(is_whole(text), text)
+        for text in ("", "-1", "+1", "1.5", "1e3", "\u0661", "1\n", "9" * 17):
+            self.assertFalse(is_whole(text), text)
+
+
+class TestDecodePage(unittest.TestCase):
+    """Lists of entries, some of them nested very deeply."""
+
+    decoder = msgspec.json.Decoder(dict[str, list[msgspec.Raw]])
+
+    def decode(self, data):
+        page = decode_page(self.decoder, data)
+        return {name: [bytes(raw) for raw in raws] for name, raws in page.items()}
+
+    def test_entries_nested_too_deeply_become_null(self):
+        """Guards against a list that can't be read for one of its entries."""
+        deep = b'{"a":"]","b":' + DEEP_LIST + b"}"
+        data = b'{"odd":[1,%b,{"x":"}]\\""},%b],"good":[[[2]]]}' % (deep, deep)
+        page = self.decode(data)
+        self.assertEqual(page["odd"], [b"1", b"null", b'{"x":"}]\\""}', b"null"])
+        self.assertEqual(page["good"], [b"[[2]]"])
+
+    def test_what_is_no_page_is_undecodable(self):
+        for data in (
+            b"",
+            b"[]",
+            b'{"a":1}',
+            DEEP_LIST,
+            b'{"a":' + DEEP_LIST,
+            b'{"a":[' + DEEP_LIST + b',"\\"',
+            b'{"a":[' + b"[" * N_LEVELS,
+            b"]" * N_LEVELS,
+            b'{"a":[' + DEEP_LIST * 3 + b"]}",
+        ):
+            with self.subTest(data=data[:9]), self.assertRaises(UndecodableError):
+                self.decode(data)
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -18,6 +18,7 @@
     StartResult,
     VmReplacedError,
 )
+from tests.support_odd import DEEP_LIST, N_LEVELS, ODD_NUMBERS, with_deep_field
 from tests.support_scheduling import make_vm
 
 KEY = TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
@@ -92,6 +93,11 @@
     def reply(self, doc, status=200):
         self.remote.answer = JSONResponse(doc, status_code=status)
 
+    def reply_deeply(self, doc, status=200):
+        """Answer with a document that is nested more deeply than a decoder follows."""
+        body = with_deep_field(msgspec.json.encode(doc))
+        self.remote.answer = Response(body, status, media_type="application/json")
+
 
 class TestWorkerClient(RemoteTestCase):
     """Holds, starts and stops."""
@@ -218,6 +224,81 @@
             with self.subTest(lists=lists), self.assertRaises(OrderOutcomeUnknownError):
                 await self.hold()
 
+    async def test_after_an_odd_row_the_outcome_is_unknown(self):
+        """Guards against an odd row that ends replicas, or every later poll of a VM."""
+        run = ["a.0.0.0", 1, "", 50, 9]
+        end = [1, "a.0.0.0", 1, "done", ""]
+        huge = 10**30
+        runs = (
+            ["a.0.0", *run[1:]],
+            ["a.-1.0.0", *run[1:]],
+            [f"a.0.0.{huge}", *run[1:]],
+            [5, *run[1:]],
+            [None, *run[1:]],
+            ["a.0.0.0", "1", "", 50],
+            ["a.0.0.0", 1.5, "", 50],
+            ["a.0.0.0", -1, "", 50],
+            ["a.0.0.0", huge, "", 50],
+            ["a.0.0.0", 1, None, 50],
+            ["a.0.0.0", 1, "", "nan"],
+            ["a.0.0.0", 1, "", -1],
+            ["a.0.0.0", 1, "", huge],
+            ["a.0.0.0", 1, "", 50, "inf"],
+            ["a.0.0.0", 1, "", 50, huge],
+            ["a.0.0.0", 1, ""],
+            5,
+        )
+        ends = (
+            [huge, *end[1:]],
+            [-1, *end[1:]],
+            ["1", *end[1:]],
+            [1, 5, 1, "done", ""],
+            [1, f"a.0.{huge}.0", 1, "done", ""],
+            [1, "a.0.0.0", huge, "done", ""],
+            [1, "a.0.0.0", 1, ["done"], ""],
+            [1, "a.0.0.0", 1, "lost", ""],
+            [1, "a.0.0.0", 1, "rejected", ""],
+            [1, "a.0.0.0", 1, "done", None],
+            [1, "a.0.0.0", 1, "done", 5],
+            [1, "a.0.0.0", 1, "done"],
+            {},
+        )
+        for field, good, rows in (("running", run, runs), ("endedRuns", end, ends)):
+            for row in rows:
+                self.reply({"clockMs": 1, field: [good, row]})
+                with (
+                    self.subTest(field=field, row=row),
+                    self.assertRaises(OrderOutcomeUnknownError),
+                ):
+                    await self.hold()
+
+    async def test_after_an_odd_clock_the_outcome_is_unknown(self):
+        """Guards against a reading after which all true ones count as delayed."""
+        for odd in ({"clockMs": 2**64}, {"clockMs": -1}, {"clockMs": 1, "born": 2**63}):
+            self.reply(odd)
+            with self.subTest(odd=odd), self.assertRaises(OrderOutcomeUnknownError):
+                await self.hold()
+
+    async def test_a_start_with_an_odd_clock_gives_no_clock(self):
+        """Guards against a reading after which all true ones count as delayed."""
+        self.reply({"clockMs": 2**64})
+        outcome = await self.start()
+        self.assertEqual(outcome.result, StartResult.ACCEPTED)
+        self.assertIsNone(outcome.clock_ms)
+
+    async def test_after_lists_nested_too_deeply_the_outcome_is_unknown(self):
+        """Guards against an agent whose polls fail again and again by one answer."""
+        self.reply_deeply({"clockMs": 1, "running": []})
+        with self.assertRaises(OrderOutcomeUnknownError):
+            await self.hold()
+
+    async def test_an_answer_nested_too_deeply_leaves_its_status(self):
+        """Guards against a start order that is neither answered nor repeated."""
+        for status, result in ((200, StartResult.ACCEPTED), (409, StartResult.REFUSED)):
+            self.reply_deeply({"clockMs": 5}, status)
+            with self.subTest(status=status):
+                self.assertEqual((await self.start()).result, result)
+
     async def test_a_start_sends_all_fields(self):
         self.reply({"clockMs": 5})
         outcome = await self.start()
@@ -264,6 +345,16 @@
         with self.assertRaises(OrderNotSentError):
             await self.start()
 
+    async def test_an_odd_address_is_never_connected(self):
+        """Guards against a polling that ends by an address that can't be called."""
+        for port in ("99999", "-1", "http", "9" * 5000):
+            self.vm = make_vm(address=f"127.0.0.1:{port}")
+            with self.subTest(port=port):
+                with self.assertRaises(OrderNotSentError):
+                    await self.hold()
+                with self.assertRaises(OrderNotSentError):
+                    await self.start()
+
     async def test_a_stop_of_an_unknown_run_succeeds(self):
         self.reply({}, 404)
         await self.stop()
@@ -291,6 +382,35 @@
         with self.assertRaises(OrderOutcomeUnknownError):
             await self.client.request_advice(("5c0e7a21d94b36f8", 0, 1), ("v1",))
 
+    async def test_an_odd_answer_gives_no_advice(self):
+        """Guards against requests for advice that end by one answer."""
+        for odd in (
+            {"good": [], "validityMs": 10**30},
+            {"good": [], "validityMs": -1},
+            {"good": None},
+            {"good": "v1"},
+        ):
+            self.reply(odd)
+            with self.subTest(odd=odd), self.assertRaises(OrderOutcomeUnknownError):
+                await self.client.request_advice(("5c0e7a21d94b36f8", 0, 1), ("v1",))
+
+    async def test_an_answer_nested_too_deeply_gives_no_advice(self):
+        """Guards against requests for advice that end by one answer."""
+        body = b'{"good":' + b"[" * N_LEVELS
+        self.remote.answer = Response(body, media_type="application/json")
+        with self.assertRaises(OrderOutcomeUnknownError):
+            await self.client.request_advice(("5c0e7a21d94b36f8", 0, 1), ("v1",))
+
+    async def test_odd_rows_leave_the_others(self):
+        """Guards against a step that never runs for one row of another writer."""
+        rows = (b"5", b"null", b'["v1"]', b'["v1",5]', b'["v1","\xff"]', DEEP_LIST)
+        for row in rows:
+            body = b'{"good":[' + row + b',["v2","c8"]],"validityMs":5}'
+            self.remote.answer = Response(body, media_type="application/json")
+            with self.subTest(row=row[:9]):
+                advice = await self.client.request_advice(("j", 0, 1), ("v1", "v2"))
+                self.assertEqual(advice.tickets, {"v2": "c8"})
+
 
 class TestMachineClient(RemoteTestCase):
     """The list of machines, moves and maintenance."""
@@ -325,6 +445,51 @@
         with self.assertRaises(OrderOutcomeUnknownError):
             await self.client.list_machines()
 
+    async def test_list_of_machines_nested_too_deeply(self):
+        """Guards against a leader that never reads the list again."""
+        body = b'{"machines":' + b"[" * N_LEVELS
+        self.remote.answer = Response(body, media_type="application/json")
+        with self.assertRaises(OrderOutcomeUnknownError):
+            await self.client.list_machines()
+
+    async def test_a_reason_nested_too_deeply_is_none(self):
+        """Guards against an order for a machine whose outcome is dropped."""
+        self.reply_deeply({"reason": "fence"}, 409)
+        outcome = await self.client.move("m", "p", fence=1)
+        self.assertEqual(outcome, MachineOutcome.BUSY)
+
+    async def test_a_deep_field_beside_the_machines_leaves_them(self):
+        self.reply_deeply({"machines": [{"machine": "m", "pool": "p", "state": "up"}]})
+        (view,) = await self.client.list_machines()
+        self.assertEqual(view.machine, "m")
+
+    async def test_odd_entries_leave_the_others(self):
+        """Guards against a list that can't be used for one entry of another writer."""
+        good = {"machine": "m1", "pool": "s1", "state": "up"}
+        odd = [
+            {},
+            5,
+            None,
+            [good],
+            {**good, "machine": None},
+            {**good, "machine": 5},
+            {**good, "state": "sleeping"},
+            {**good, "state": 1},
+            {**good, "labels": "a"},
+            {**good, "id": 5},
+            *({**good, "capacity": {"cpu": number}} for number in ODD_NUMBERS),
+        ]
+        encoded = [msgspec.json.encode(entry) for entry in odd]
+        encoded.append(msgspec.json.encode(good).replace(b"s1", b"\xff"))
+        encoded.append(with_deep_field(msgspec.json.encode(good)))
+        last = msgspec.json.encode({**good, "machine": "m2"})
+        for entry in encoded:
+            with self.subTest(entry=entry[:80]):
+                body = b'{"machines":[' + entry + b"," + last + b"]}"
+                self.remote.answer = Response(body, media_type="application/json")
+                views = await self.client.list_machines()
+                self.assertEqual([view.machine for view in views], ["m2"])
+
     async def test_orders_send_lease_holder_and_fencing_token(self):
         self.reply({})
         outcome = await self.client.maintain("m1", 4, fence=12)
