Read lists with entries nested very deeply by a library

Cause: entries nested more deeply than the decoder follows were cut out of the encoded list by regular expressions, which is a small parser of our own.

Ruled out: values by their paths (ijson.kvitems). The paths grow with the depth: 20,000 levels took 0.8 s, 200,000 would take over a minute. From its plain events 200,000 levels take 0.45 s.

Change: ijson, whose parser does not call itself, reads such lists, in a thread. Entries that can't be encoded again are left out.

--- a/src/redwingslip/decoding.py
+++ b/src/redwingslip/decoding.py
@@ -1,8 +1,11 @@
 """Decoding of what other programs write, which may be anything."""
 
+import asyncio
+import io
 import re
 from typing import Annotated, Any
 
+import ijson
 import msgspec
 
 from .exceptions import RedwingslipError
@@ -29,17 +32,8 @@
 # Resources of one machine, or of one task.
 Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 
-# Entries are the items of a list in an object.
-ENTRY_LEVEL = 2
-# Far more than an entry has, and far less than a decoder follows.
-MAX_LEVELS = 100
-# The search for deep entries holds up everything else in the process.
-MAX_SEARCHED_BYTES = 1_048_576
-
-# Strings, and brackets in a row. A string without an end goes to the end of the data.
-_TOKEN = re.compile(
-    rb'"(?:[^"\\]|\\.)*+(?:"|\Z)|(?P<opening>[\[{]++)|(?P<closing>[\]}]++)', re.DOTALL
-)
+# Reading a document without recursion takes about a second for as many bytes.
+MAX_DEEP_BYTES = 1_048_576
 
 _WHOLE = re.compile("[0-9]{1,16}")
 
@@ -63,8 +57,8 @@
         raise UndecodableError(str(exc)) from exc
 
 
-def decode_page(decoder: msgspec.json.Decoder, data: bytes) -> Any:
-    """Return an object with lists of entries, with null for those nested too deeply.
+async def decode_page(decoder: msgspec.json.Decoder, data: bytes) -> Any:
+    """Return an object with lists of entries, without those nested too deeply.
 
     Raises
     ------
@@ -74,28 +68,37 @@
     try:
         return decoder.decode(data)
     except RecursionError as exc:
-        if len(data) > MAX_SEARCHED_BYTES:
+        if len(data) > MAX_DEEP_BYTES:
             raise UndecodableError("nested too deeply") from exc
-        return decode_document(decoder, _without_deep_entries(data))
+        shallow = await asyncio.to_thread(_without_deep_values, data)
+        return decode_document(decoder, shallow)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise UndecodableError(str(exc)) from exc
 
 
-def _without_deep_entries(data: bytes) -> bytes:
-    """Return JSON with null for each entry that has more than `MAX_LEVELS` levels."""
-    parts = []
-    level = deepest = begin = end = 0
-    for match in _TOKEN.finditer(data):
-        n_levels = match.end() - match.start()
-        if match["opening"]:
-            if level <= ENTRY_LEVEL < level + n_levels:
-                begin = match.start() + ENTRY_LEVEL - level
-                deepest = 0
-            level += n_levels
-            deepest = max(deepest, level)
-        elif match["closing"]:
-            if level - n_levels <= ENTRY_LEVEL < level and deepest > MAX_LEVELS:
-                parts += (data[end:begin], b"null")
-                end = match.start() + level - ENTRY_LEVEL
-            level -= n_levels
-    return b"".join((*parts, data[end:]))
+def _without_deep_values(data: bytes) -> bytes:
+    """Return an encoded object without values and entries nested too deeply."""
+    builder = ijson.ObjectBuilder()
+    try:
+        # This parser reads any depth, since it does not call itself.
+        for event, value in ijson.basic_parse(io.BytesIO(data), use_float=True):
+            builder.event(event, value)
+    except (ijson.JSONError, ValueError) as exc:
+        raise UndecodableError(str(exc)) from exc
+    if not isinstance(builder.value, dict):
+        raise UndecodableError("not an object")
+    doc = {}
+    for name, value in builder.value.items():
+        if isinstance(value, list):
+            doc[name] = [entry for entry in value if _is_encodable(entry)]
+        elif _is_encodable(value):
+            doc[name] = value
+    return msgspec.json.encode(doc)
+
+
+def _is_encodable(value: Any) -> bool:
+    try:
+        msgspec.json.encode(value)
+    except (RecursionError, OverflowError, UnicodeEncodeError):
+        return False
+    return True
--- a/src/redwingslip/platform/_advice.py
+++ b/src/redwingslip/platform/_advice.py
@@ -70,7 +70,7 @@
                 raise OrderOutcomeUnknownError(
                     f"the advice service answered {answer.status}"
                 )
-            doc = decode_page(_DECODER, answer.body)
+            doc = await decode_page(_DECODER, answer.body)
         except (HttpError, UndecodableError) as exc:
             raise OrderOutcomeUnknownError(
                 f"advice on {step_id} was not received: {exc}"
--- a/src/redwingslip/platform/_machines.py
+++ b/src/redwingslip/platform/_machines.py
@@ -102,7 +102,7 @@
             path = f"/machines?pageToken={token}" if token else "/machines"
             try:
                 answer = await self._exchange("GET", path, b"", {})
-                page = decode_page(_PAGE_DECODER, answer.body)
+                page = await decode_page(_PAGE_DECODER, answer.body)
             except (HttpError, UndecodableError) as exc:
                 raise OrderOutcomeUnknownError(
                     f"machines could not be listed: {exc}"
