Treat an unexpected error of a poll as no answer

What callers would see: tasks that wait for good for a VM that no leader can follow (LOST).

Cause: an unexpected error while an answer was handled restarted the polling, but was not counted as silence. The VM stayed ready for new runs, and its runs never expired.

Ruled out: catching the known errors only.

Change: the error is still raised and logged, and the VM counts as unresponsive first.

Evidence: test_runs_are_lost_when_polls_go_on_ending_in_errors failed before (the run stayed open).

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -166,6 +166,10 @@
                 await self._handle_no_response()
                 await asyncio.sleep(delay.total_seconds())
                 delay = min(2 * delay, self._cfg.agents.max_retry_delay)
+            except Exception:
+                # The polling is restarted; its VM must be given up if this goes on.
+                await self._handle_no_response()
+                raise
 
     async def _poll(self) -> None:
         """Renew the lease and process the runs and ends that the VM lists."""
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from redwingslip.clock import ManualClock
 from redwingslip.jobs import Amounts, EndKind, RunEnd, RunStart, StartRuns, TaskKey
@@ -170,6 +171,16 @@
         self.clock.advance(timedelta(seconds=1))
         await eventually(lambda: not self.has_open_run())
 
+    async def test_runs_are_lost_when_polls_go_on_ending_in_errors(self):
+        """Guards against tasks that wait forever for a VM that can't be followed."""
+        self.agent.begin()
+        self.agent.start(self.decide())
+        await eventually(lambda: self.endpoint.runs)
+        with mock.patch.object(self.endpoint, "hold", side_effect=ValueError("odd")):
+            await eventually(lambda: not self.agent.is_responsive)
+            self.clock.advance(timedelta(seconds=7))
+            await eventually(lambda: not self.has_open_run())
+
     async def test_another_incarnation_at_the_address_removes_this_one(self):
         self.endpoint.born_ms = 7
         self.agent.begin()
