Identify slow servers, and reach those that close connections

What callers would see: a VM that answers slowly, or closes each connection, gets no polls and orders at all, and its work is lost.

Cause: the connect, the identifying call and the request shared the time of the request, and a server that does not keep its connections can't be identified on the one that it closes.

Change: the identifying call has its own time. If the server closes the connection after it, the request goes out on a new one. A lost answer to the identifying call means that nothing of the request was sent.

Evidence: test_a_server_that_closes_connections_gets_requests and test_an_identification_leaves_a_request_its_time failed before.

--- a/src/redwingslip/http/_client.py
+++ b/src/redwingslip/http/_client.py
@@ -85,15 +85,13 @@
 class _Client:
     """An aiosonic client with a single connection.
 
-    `timer` closes the connection when it has been idle for too long. `is_identified`
-    tells whether a request may be sent on it, see `ClientPool.exchange`.
+    `timer` closes the connection when it has been idle for too long.
     """
 
-    __slots__ = ("_connect_timeout", "conn", "http", "is_identified", "timer")
+    __slots__ = ("_connect_timeout", "conn", "http", "timer")
 
     def __init__(self, cfg: ClientLimits) -> None:
         self.conn: WatchedConnection | None = None
-        self.is_identified = False
         self.timer: asyncio.TimerHandle | None = None
         self._connect_timeout = cfg.connect_timeout
         connector = aiosonic.TCPConnector(
@@ -115,6 +113,11 @@
         self.conn = WatchedConnection(pool, connect_timeout=self._connect_timeout)
         return self.conn
 
+    @property
+    def was_connected(self) -> bool:
+        """Return whether the connection was ever established."""
+        return self.conn is not None and self.conn.was_connected
+
     def close(self) -> None:
         """Close the socket immediately."""
         if self.timer is not None:
@@ -157,8 +160,9 @@
             The request.
         identify : callable or None
             Awaited on a new connection before the request is sent, with a function that
-            sends other requests on that connection. It raises `WrongPeerError` if they
-            show that another process than `req.peer` answers.
+            sends other requests on that connection, within their own timeouts. It
+            raises `WrongPeerError` if they show that another process than `req.peer`
+            answers.
 
         Raises
         ------
@@ -171,12 +175,12 @@
         """
         key = (req.address, req.peer)
         client = await self._acquire(key)
+        if identify is not None and not client.was_connected:
+            client = await self._identify(client, req, identify)
         self._busy.add(client)
         is_complete = False
         try:
             async with asyncio.timeout(req.timeout.total_seconds()):
-                if not client.is_identified:
-                    await self._identify(client, identify)
                 answer, is_reusable = await self._send(client, req)
             is_complete = True
         except HttpError:
@@ -203,17 +207,38 @@
         for client in self._busy:
             client.close()
 
-    async def _identify(self, client: _Client, identify: Identify | None) -> None:
-        """Identify the process at the other end of a new connection."""
-        if identify is not None:
+    async def _identify(
+        self, client: _Client, req: ClientRequest, identify: Identify
+    ) -> _Client:
+        """Identify the process at the other end of a new connection.
+
+        Return the client for the request. It is a new one if the server does not keep
+        the connection, and the process that answers the request is not known then.
+        """
+        is_kept = is_identified = False
 
-            async def send(req: ClientRequest) -> ClientAnswer:
-                answer, _ = await self._send(client, req)
-                return answer
+        async def send(req: ClientRequest) -> ClientAnswer:
+            nonlocal is_kept
+            async with asyncio.timeout(req.timeout.total_seconds()):
+                answer, is_kept = await self._send(client, req)
+            return answer
 
+        self._busy.add(client)
+        try:
             await identify(send)
-            client.conn.has_sent = False
-        client.is_identified = True
+            is_identified = True
+        except Exception as exc:
+            if isinstance(exc, HttpError) and not isinstance(exc, AnswerLostError):
+                raise
+            raise NotConnectedError(f"{req.address}: not identified: {exc!r}") from exc
+        finally:
+            self._busy.discard(client)
+            if not (is_identified and is_kept):
+                client.close()
+        if not is_kept:
+            return _Client(self._cfg)
+        client.conn.has_sent = False
+        return client
 
     async def _acquire(self, key: _IdleKey) -> _Client:
         """Return an idle client whose connection is clean, or a new client."""
@@ -307,7 +332,6 @@
     """Return the error that tells whether anything of the request was sent."""
     reason = str(exc) or type(exc).__name__
     text = f"{req.method} {req.address}{req.path}: {reason}"
-    is_sent = client.conn is not None and client.conn.has_sent
-    if not client.is_identified or not is_sent:
+    if client.conn is None or not client.conn.has_sent:
         return NotConnectedError(text)
     return AnswerLostError(text)
--- a/src/redwingslip/http/_connections.py
+++ b/src/redwingslip/http/_connections.py
@@ -55,10 +55,10 @@
 class WatchedConnection(BoundedConnection):
     """A connection that detects unsolicited input and truncated answers.
 
-    It records whether anything of a request has been sent. A line or chunk that is
-    truncated raises an error. While the connection is idle, a task reads the first
-    byte of the next answer, so that a connection that receives input without a
-    request, or is closed by the server, is never used again.
+    It is established once, and records whether anything of a request has been sent. A
+    line or chunk that is truncated raises an error. While the connection is idle, a task
+    reads the first byte of the next answer, so that a connection that receives input
+    without a request, or is closed by the server, is never used again.
     """
 
     def __init__(self, pool, *, connect_timeout: timedelta) -> None:
@@ -68,7 +68,7 @@
         self._first_byte: asyncio.Task | None = None
         self._is_watching = False
         self._on_input: Callable[[], None] | None = None
-        self._was_connected = False
+        self.was_connected = False
 
     async def connect(
         self, urlparsed: ParseResult, dns_info: dict, verify: bool, *args: object
@@ -80,10 +80,10 @@
         ConnectionDisconnected
             The connection was closed; another process may serve the address now.
         """
-        if self._was_connected and not self.reuse(urlparsed, verify):
+        if self.was_connected and not self.reuse(urlparsed, verify):
             raise ConnectionDisconnected("the connection was closed before its use")
         await super().connect(urlparsed, dns_info, verify, *args)
-        self._was_connected = True
+        self.was_connected = True
 
     @property
     def reused(self) -> bool:
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -13,7 +13,7 @@
     HttpError,
     NotConnectedError,
 )
-from tests.support_http import LONG, HttpTestCase, RawServer
+from tests.support_http import LONG, HttpTestCase, RawServer, http_answer
 from tests.test_http_client import answer_once, echo
 
 HOUR = timedelta(hours=1)
@@ -118,7 +118,7 @@
         server.released = asyncio.Event()
         return server.address
 
-    def request(self, address, body, peer="one"):
+    def request(self, address, body, peer="one", timeout=LONG):
         return ClientRequest(
             address=address,
             peer=peer,
@@ -126,7 +126,7 @@
             path="/",
             headers={},
             body=body,
-            timeout=LONG,
+            timeout=timeout,
         )
 
     async def test_a_request_is_not_sent_on_another_connection(self):
@@ -151,6 +151,45 @@
         with self.assertRaises(NotConnectedError):
             await self.pool.exchange(self.request(address, b"order"), identify=identify)
 
+    async def test_a_server_that_closes_connections_gets_requests(self):
+        """Guards against servers that are cut off, as they can't be identified."""
+
+        async def answer_and_close(server, reader, writer):
+            body = await server.read_request(reader)
+            writer.write(http_answer(body, headers=("Connection: close",)))
+            await writer.drain()
+
+        address = await self.serve(answer_and_close)
+
+        async def identify(send):
+            await send(self.request(address, b"who"))
+
+        for n_connections in (2, 4):
+            answer = await self.pool.exchange(
+                self.request(address, b"order"), identify=identify
+            )
+            self.assertEqual(answer.body, b"order")
+            self.assertEqual(self.n_connections, n_connections)
+
+    async def test_an_identification_leaves_a_request_its_time(self):
+        """Guards against servers that are cut off, as they answer slowly."""
+
+        async def answer_slowly(server, reader, writer):
+            while True:
+                body = await server.read_request(reader)
+                await asyncio.sleep(0.6 * SHORT.total_seconds())
+                writer.write(http_answer(body))
+
+        address = await self.serve(answer_slowly)
+
+        async def identify(send):
+            await send(self.request(address, b"who", timeout=SHORT))
+
+        answer = await self.pool.exchange(
+            self.request(address, b"order", timeout=SHORT), identify=identify
+        )
+        self.assertEqual(answer.body, b"order")
+
     async def test_connections_are_kept_apart_by_peer(self):
         address = await self.serve(echo)
         identified = []
