--- a/src/redwingslip/http/_connections.py
+++ b/src/redwingslip/http/_connections.py
@@ -56,9 +56,9 @@
     """A connection that detects unsolicited input and truncated answers.
 
     It is established once, and records whether anything of a request has been sent. A
-    line or chunk that is truncated raises an error. While the connection is idle, a task
-    reads the first byte of the next answer, so that a connection that receives input
-    without a request, or is closed by the server, is never used again.
+    line or chunk that is truncated raises an error. While the connection is idle, a
+    task reads the first byte of the next answer, so that a connection that receives
+    input without a request, or is closed by the server, is never used again.
     """
 
     def __init__(self, pool, *, connect_timeout: timedelta) -> None:
