Stop a whole gang when its earlier run was done

What callers would see: members of a gang that work on alone, or wait for the others, after the gang is done.

Cause: one end stands for all members of a gang, but only the runs of that member were stopped. That was enough as long as the end was that of the gang's present run.

Change: the end of a gang stops the runs of all its members.

Evidence: test_a_gang_is_stopped_when_its_earlier_run_was_done failed before (one stop of two).

--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -261,7 +261,7 @@
             self._stop_runs(job_id)
         task = self._state.task(end.key)
         if task is not None and task.is_done:
-            self._stop_runs_of_task(end.key, task)
+            self._stop_runs_of_done(end.key, task)
         if end.kind is EndKind.FAILED:
             self._job_index.note_failure(end.key, vm_id)
         self._update_health(vm_id, end)
@@ -311,6 +311,15 @@
         for key, task in iter_tasks(job):
             self._stop_runs_of_task(key, task)
 
+    def _stop_runs_of_done(self, key: TaskKey, task: TaskRecord) -> None:
+        """Queue stop orders for the remaining runs of a done task or its gang."""
+        if not self._state.step(key).is_gang:
+            self._stop_runs_of_task(key, task)
+            return
+        members = self._state.jobs[key.job_id].tasks[key.occurrence][key.step]
+        for index, member in enumerate(members):
+            self._stop_runs_of_task(key._replace(index=index), member)
+
     def _stop_runs_of_task(self, key: TaskKey, task: TaskRecord) -> None:
         """Queue stop orders for the remaining runs of a task."""
         for run in task.runs:
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -4,12 +4,15 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from redwingslip.jobs import (
     EndKind,
     RecordEnds,
     RunEnd,
     RunStart,
     StartRuns,
+    StepSpec,
     TaskKey,
 )
 from redwingslip.observe import EventName
@@ -96,6 +99,11 @@
         for vm_id in ("v1", "v2"):
             start = RunStart(KEY, vm_id, 1)
             state.apply(StartRuns(starts=(start,), now_ms=2))
+        self.watch_stops(state)
+        return state
+
+    def watch_stops(self, state):
+        """Schedule over a state, with agents that only record the stops."""
         self.term.state = state
         self.scheduler = make_scheduler(self.term, self.endpoint)
         self.stopped = []
@@ -106,7 +114,6 @@
             patch = mock.patch.object(VmAgent, method, replacement)
             patch.start()
             self.addCleanup(patch.stop)
-        return state
 
     async def test_a_copy_is_stopped_when_another_run_is_done(self):
         """Guards against copies that hold capacity after their task is done."""
@@ -117,6 +124,36 @@
         self.scheduler.applied(command, state.apply(command))
         self.assertEqual(self.stopped, [("v2", KEY, 2)])
 
+    async def test_a_gang_is_stopped_when_its_earlier_run_was_done(self):
+        """Guards against members that work on alone after their gang is done."""
+        job = make_job(n_tasks=2, is_gang=True)
+        next_step = StepSpec(n_tasks=1, after=(0,))
+        job = msgspec.structs.replace(job, steps=(*job.steps, next_step))
+        state = make_state(make_vm(), jobs=[job])
+        keys = [KEY, KEY._replace(index=1)]
+        starts = tuple(RunStart(key, "v1", 1) for key in keys)
+        self.watch_stops(state)
+        self.scheduler.begin()
+        for command in (
+            StartRuns(starts=starts, now_ms=2),
+            RecordEnds(
+                vm_id="v1",
+                born_ms=1,
+                ends=tuple(RunEnd(key, 1, EndKind.LOST) for key in keys),
+                now_ms=3,
+            ),
+            StartRuns(starts=starts, now_ms=4),
+            RecordEnds(
+                vm_id="v1",
+                born_ms=1,
+                ends=(RunEnd(KEY, 1, EndKind.DONE),),
+                now_ms=5,
+                cursor=1,
+            ),
+        ):
+            self.scheduler.applied(command, state.apply(command))
+        self.assertEqual(self.stopped, [("v1", key, 2) for key in keys])
+
     async def test_a_new_leader_stops_the_copies_of_done_tasks(self):
         state = self.start_copies()
         done = (RunEnd(KEY, 1, EndKind.DONE),)
