Keep only the latest numbers of closed runs

Change: the latest 32 are kept.

Evidence: test_the_numbers_of_closed_runs_take_little_space failed before (100 kept).

--- a/src/redwingslip/jobs/_records.py
+++ b/src/redwingslip/jobs/_records.py
@@ -92,7 +92,8 @@
         run. A machine may occur several times.
     unreported : list of int
         Numbers of runs that a leader has closed, and whose end the VM may still report.
-        It is empty for long-running tasks, whose ends change nothing.
+        Only the latest are kept, and none for long-running tasks, whose ends change
+        nothing.
     """
 
     n_runs: int = 0
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -39,6 +39,9 @@
 
 __all__ = ["ActiveRun", "JobsState", "VmChange", "iter_tasks"]
 
+# Far more runs of one task than leaders close while a VM can still report an end.
+MAX_UNREPORTED = 32
+
 
 class ActiveRun(msgspec.Struct, frozen=True):
     """A run that may be alive, with its task; see `RunRecord`."""
@@ -372,7 +375,7 @@
         task = self.task(end.key)
         task.runs = [r for r in task.runs if r.number != end.number]
         if not command.cursor and not self.step(end.key).is_long_running:
-            task.unreported.append(end.number)
+            task.unreported = [*task.unreported, end.number][-MAX_UNREPORTED:]
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         self._count_end(end, command.now_ms)
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -142,6 +142,25 @@
         state.apply(end(EndKind.FAILED, number=2, cursor=3))
         self.assertEqual(state.jobs["j1"].status, JobStatus.FAILED)
 
+    def test_an_end_counts_after_its_run_was_closed_twice(self):
+        """Guards against a leader's second record that takes the place of a report."""
+        state = make_state(make_job())
+        state.apply(start())
+        for kind, cursor in ((EndKind.LOST, 0), (EndKind.LOST, 0), (EndKind.DONE, 1)):
+            state.apply(end(kind, cursor=cursor))
+        self.assertTrue(state.task(KEY).is_done)
+
+    def test_the_numbers_of_closed_runs_take_little_space(self):
+        """Guards against a state that grows with each run that a leader closes."""
+        state = make_state(make_job(), make_job("j2", is_long_running=True))
+        for key, n_kept in ((KEY, 32), (TaskKey("j2", 0, 0, 0), 0)):
+            for number in range(1, 101):
+                state.apply(start(key))
+                state.apply(end(EndKind.REJECTED, key, number))
+            self.assertEqual(len(state.task(key).unreported), n_kept)
+        state.apply(end(EndKind.DONE, number=100, cursor=1))
+        self.assertTrue(state.task(KEY).is_done)
+
     def test_an_end_of_a_run_that_was_never_placed_changes_nothing(self):
         state = make_state(make_job())
         state.apply(start())
