Remove a silent voter only after another replica votes

Two disks were lost while a sixth replica was there as a learner and a third voter was silent, with its disk.

Cause: a silent voter was removed first and the learner promoted in the next change. In between there are four voters. When two of them lose their disks, two are left of the three that are needed, and the removed one, back with its disk, doesn't count: its own log is too short to be elected, and the others' logs don't name it. The removal need not even be committed.

Ruled out: a lost command. All acknowledged ones were on the disks that remained.

Change: the learner is promoted first, so that there are six voters, of which two may be lost, and then the silent one is removed.

--- a/src/redwingslip/consensus/_changes.py
+++ b/src/redwingslip/consensus/_changes.py
@@ -87,8 +87,8 @@
         peers = _PeerView(progress, now)
         return (
             self._members_with_joiner()
+            or self._members_without_surplus(peers)
             or self._members_with_promotion(peers)
-            or self._members_without_unresponsive(peers)
         )
 
     def _members_with_joiner(self) -> tuple[Member, ...] | None:
@@ -108,33 +108,56 @@
 
     def _members_with_promotion(self, peers: _PeerView) -> tuple[Member, ...] | None:
         """Return the members with the first caught-up learner promoted to a voter."""
-        core = self._core
-        members = core.membership.members
-        if core.cfg.is_open and len(core.membership.voters) >= core.cfg.max_voters:
-            return None
+        members = self._core.membership.members
         for position, member in enumerate(members):
             if self._is_promotable(member, peers):
+                if not self._has_room(peers):
+                    return None
                 promoted = msgspec.structs.replace(member, voting=True)
                 return (*members[:position], promoted, *members[position + 1 :])
         return None
 
-    def _members_without_unresponsive(
-        self, peers: _PeerView
-    ) -> tuple[Member, ...] | None:
-        """Return the members without an unresponsive voter that a learner can replace.
+    def _members_without_surplus(self, peers: _PeerView) -> tuple[Member, ...] | None:
+        """Return the members without the voter that an open cluster has too many.
+
+        An unresponsive voter is removed. Once all have replied to this leader, the last
+        one becomes a learner again.
 
-        This change removes the voter, and the next one promotes the learner. Changing
-        both in one change could allow two majorities without a common member.
+        The change before this one promoted a learner. Changing both in one change could
+        allow two majorities without a common member.
         """
         core = self._core
-        if not core.cfg.is_open:
+        voters = core.membership.voters
+        if not core.cfg.is_open or len(voters) <= core.cfg.max_voters:
             return None
         members = core.membership.members
-        if not any(self._is_promotable(member, peers) for member in members):
+        unresponsive = self._unresponsive_voter(peers)
+        if unresponsive is not None:
+            return tuple(member for member in members if member is not unresponsive)
+        others = [m for m in voters if m.replica_id != core.replica_id]
+        if any(peers.progress[m.replica_id].contact_at is None for m in others):
             return None
-        for position, member in enumerate(members):
-            if member.voting and self._is_unresponsive(member, peers):
-                return (*members[:position], *members[position + 1 :])
+        learner = msgspec.structs.replace(others[-1], voting=False)
+        return tuple(learner if m is others[-1] else m for m in members)
+
+    def _has_room(self, peers: _PeerView) -> bool:
+        """Return whether another replica may vote.
+
+        An open cluster that is full has one voter too many until an unresponsive one is
+        removed. With one too few, losing two disks could end it for good.
+        """
+        core = self._core
+        n_voters = len(core.membership.voters)
+        if not core.cfg.is_open or n_voters < core.cfg.max_voters:
+            return True
+        is_full = n_voters == core.cfg.max_voters
+        return is_full and self._unresponsive_voter(peers) is not None
+
+    def _unresponsive_voter(self, peers: _PeerView) -> Member | None:
+        """Return the first voter that has exceeded `voter_silence`, or None."""
+        for member in self._core.membership.voters:
+            if self._is_unresponsive(member, peers):
+                return member
         return None
 
     def _is_promotable(self, member: Member, peers: _PeerView) -> bool:
--- a/src/redwingslip/consensus/_settings.py
+++ b/src/redwingslip/consensus/_settings.py
@@ -38,7 +38,7 @@
     max_voters : int
         Bound of the voting members of an open cluster, whose replicas find each other
         through seeds and which any replica may join. 0 for a cluster whose members are
-        listed in the settings.
+        listed in the settings. There is one more while an unresponsive one is replaced.
     voter_silence : timedelta
         In an open cluster, a voter that has not replied for this long is replaced by a
         replica that holds the whole log.
--- a/tests/test_consensus_open.py
+++ b/tests/test_consensus_open.py
@@ -148,6 +148,49 @@
         self.net.run(timedelta(seconds=5))
         self.assertTrue(self.net.leader().is_repaired(lost, f"{lost}.1"))
 
+    def test_unresponsive_voter_is_removed_only_after_another_votes(self):
+        """With four voters, the loss of two disks stopped the cluster for good.
+
+        The voter that was removed had its disk and came back, but didn't count.
+        """
+        for name in "def":
+            self.net.add(name)
+        self.net.run(timedelta(seconds=6))
+        silent = next(n for n in self.net.voters() if not self.net.nodes[n].is_leader)
+        self.net.cut.add(silent)
+        n_voters = set()
+        for _ in range(timedelta(seconds=6) // STEP):
+            self.net.now += STEP
+            for node in self.net.nodes.values():
+                node.tick(self.net.now)
+            for _ in range(4):
+                self.net.exchange()
+                n_voters.add(len(self.net.voters()))
+        self.assertEqual(min(n_voters), 5)
+        self.assertEqual(self.net.voters(), set("abcdef") - {silent})
+
+    def test_voter_that_returns_before_its_removal_leaves_five_voters(self):
+        """A sixth voter stayed when the unresponsive one replied again in between."""
+        for name in "def":
+            self.net.add(name)
+        self.net.run(timedelta(seconds=6))
+        silent, *others = (
+            n for n in sorted(self.net.voters()) if not self.net.nodes[n].is_leader
+        )
+        self.net.cut.add(silent)
+        while len(self.net.voters()) == 5:
+            self.net.exchange()
+            self.net.now += STEP
+            for node in self.net.nodes.values():
+                node.tick(self.net.now)
+        # The promotion is committed only with the reply of the one that returns.
+        self.net.cut = set(others[:2])
+        self.net.run(timedelta(seconds=1))
+        self.net.cut.clear()
+        self.net.run(timedelta(seconds=2))
+        self.assertEqual(len(self.net.voters()), 5)
+        self.assertIn(silent, self.net.voters())
+
 
 class TestBacklog(unittest.TestCase):
     """A link that delays messages for seconds and then delivers them together."""
