Let a replica with an empty or old log find a leader that it does not know

The redundancy that the others count on was missing.

Cause: a replica on an empty folder asked the seeds of its settings only. If these were emptied too, or it was the only seed, nobody knew the leader, although the leader kept addressing its earlier incarnation. A removed replica finds itself in its own log, and ignored the members that others named; a leader that joined meanwhile was never asked.

Ruled out: the challenge and the quorum; the join requests did not reach the leader.

Change: an incarnation that is not a member asks the leader that addresses it, and the members in a reply are always asked. Two equal replies to join requests are made one.

--- a/src/redwingslip/consensus/_node.py
+++ b/src/redwingslip/consensus/_node.py
@@ -311,16 +311,9 @@
     @_handle.register
     def _(self, message: JoinRequest, sender_id: str, now: timedelta) -> None:
         core = self._core
-        if message.founder:
-            reply = JoinReply(
-                term=core.term,
-                incarnation=core.incarnation,
-                members=core.membership.members,
-            )
-            core.send(sender_id, reply)
-        elif self._leadership is not None:
+        if not message.founder and self._leadership is not None:
             self._leadership.receive_join(sender_id, message)
-        elif core.cfg.is_open:
+        elif message.founder or core.cfg.is_open:
             reply = JoinReply(
                 term=core.term,
                 incarnation=core.incarnation,
@@ -332,7 +325,7 @@
     def _(self, message: JoinReply, sender_id: str, now: timedelta) -> None:
         if message.challenge:
             self._announcer.answer_challenge(sender_id, message.challenge)
-        elif self._core.cfg.is_open and not self._core.is_member:
+        elif self._core.cfg.is_open:
             self._announcer.add_peers(member.replica_id for member in message.members)
 
     def add_peers(self, replica_ids: Iterable[str]) -> None:
@@ -369,10 +362,12 @@
             self._become_follower(now)
         core.leader_id = leader_id
         self._election.note_leader_contact(now)
-        # If this incarnation is not a member, the leader addresses an earlier one.
-        # This incarnation must still announce itself.
+        # If this incarnation is not a member, the leader addresses an earlier one, and
+        # is perhaps none of the replicas in the settings.
         if core.is_member:
             self._announcer.postpone(now)
+        else:
+            self._announcer.add_peers([leader_id])
 
     def _enter_term(self, term: int, now: timedelta) -> None:
         self._core.enter_term(term)
--- a/tests/test_consensus_open.py
+++ b/tests/test_consensus_open.py
@@ -191,6 +191,34 @@
         self.assertEqual(len(self.net.voters()), 5)
         self.assertIn(silent, self.net.voters())
 
+    def test_only_seed_rejoins_after_the_loss_of_its_disk(self):
+        """A replica that knew only itself never asked the leader to join."""
+        for name in "de":
+            self.net.add(name)
+        self.net.run(timedelta(seconds=4))
+        lost = next(name for name in "abc" if not self.net.nodes[name].is_leader)
+        self.net.add(lost, peers=lost, incarnation=1)
+        self.net.run(timedelta(seconds=5))
+        self.assertTrue(self.net.leader().is_repaired(lost, f"{lost}.1"))
+
+    def test_removed_replica_finds_a_leader_that_it_does_not_know(self):
+        """A replica whose own log still named it as a member ignored new members."""
+        for name in "de":
+            self.net.add(name)
+        self.net.run(timedelta(seconds=4))
+        removed = next(n for n in "abc" if not self.net.nodes[n].is_leader)
+        self.net.cut.add(removed)
+        for name in "fg":
+            self.net.add(name, peers="".join(sorted(set("abc") - {removed})))
+            self.net.run(timedelta(seconds=6))
+        self.assertTrue(self.net.leader().transfer_leadership(self.net.now, "f"))
+        self.net.run(timedelta(seconds=2))
+        self.assertEqual(self.net.leader().replica_id, "f")
+        self.net.cut.clear()
+        self.net.run(timedelta(seconds=5))
+        members = {member.replica_id for member in self.net.leader().members}
+        self.assertIn(removed, members)
+
 
 class TestBacklog(unittest.TestCase):
     """A link that delays messages for seconds and then delivers them together."""
