--- a/tests/_consensus_cluster.py
+++ b/tests/_consensus_cluster.py
@@ -137,6 +137,10 @@
         """Return the monotonic time of a process, whose clock has a rate error."""
         return self.now * process.clock_rate
 
+    def peers_of(self, replica_id):
+        """Return the ids of the replicas that a replica knows from its settings."""
+        return frozenset(self.processes) - {replica_id}
+
     def start(self, process):
         """Start a process from the content of its disk."""
         process.folder = DataFolder(FOLDER, process.files)
@@ -152,7 +156,7 @@
             cfg=self.cfg,
             stored=stored,
             address=f"{process.replica_id}:1",
-            peers=frozenset(self.processes) - {process.replica_id},
+            peers=self.peers_of(process.replica_id),
             rng=random.Random(self.rng.random()),
             now=self.clock(process),
         )
