Take no run for lost while a VM has more ends than it lists

What callers would see: a task started again although it was done (TWICE).

Cause: a VM lists at most 500 ends in one answer. A run whose end comes after them was neither listed as running nor as ended, and was recorded as lost, one poll before its end.

Change: such an answer says that there may be more ends, and runs are compared with the list only once there are none.

--- a/src/redwingslip/platform/_orders.py
+++ b/src/redwingslip/platform/_orders.py
@@ -36,6 +36,8 @@
 # Twice the round trip that the platform's links may take under load, plus the time
 # that a worker may need to answer.
 ORDER_TIMEOUT = timedelta(milliseconds=800)
+# A worker lists at most as many ends in one answer (platform contract).
+MAX_LISTED_ENDS = 500
 # Answers of a worker that has done nothing, or of another worker.
 _REFUSAL_STATUSES = frozenset({409, 421, 429, 503})
 
@@ -157,6 +159,7 @@
                 born_ms=lists.born,
                 runs=tuple(_decode_run(row) for row in lists.running),
                 ends=tuple(_decode_end(row) for row in lists.ended_runs),
+                has_more_ends=len(lists.ended_runs) >= MAX_LISTED_ENDS,
             )
         except (UndecodableError, ValueError) as exc:
             raise OrderOutcomeUnknownError(
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -218,7 +218,7 @@
         cursor = self._cursor()
         new_ends = [end for end in report.ends if end.cursor > cursor]
         if not new_ends:
-            return True
+            return not report.has_more_ends
         for end in new_ends:
             if end.kind is EndKind.DONE:
                 self._learn_run_time((end.key, end.number), now)
@@ -227,7 +227,7 @@
         )
         last_cursor = max(end.cursor for end in new_ends)
         await self._term.record_ends(self.vm, ends, last_cursor)
-        return self._cursor() >= last_cursor
+        return self._cursor() >= last_cursor and not report.has_more_ends
 
     def _reconcile(self, sent_at: timedelta) -> None:
         """Compare the runs that the VM lists with the runs in the state.
--- a/src/redwingslip/scheduling/_ports.py
+++ b/src/redwingslip/scheduling/_ports.py
@@ -62,12 +62,15 @@
         Runs that the VM has.
     ends : tuple of ListedEnd
         Ends of runs with a cursor above the one in the request.
+    has_more_ends : bool
+        Whether there may be ends beyond those in the answer.
     """
 
     clock_ms: int
     born_ms: int = 0
     runs: tuple[ListedRun, ...] = ()
     ends: tuple[ListedEnd, ...] = ()
+    has_more_ends: bool = False
 
 
 class StartResult(enum.Enum):
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -218,7 +218,18 @@
         self.assertEqual(self.remote.body["ackCursor"], 57)
         self.assertEqual(self.remote.headers["target-instance"], "v1")
 
+    async def test_an_answer_with_as_many_ends_as_fit_may_lack_some(self):
+        """Guards against runs that seem to be lost, as their ends come in the next."""
+        for n_ends, has_more in ((499, False), (500, True)):
+            rows = [
+                [number, f"{KEY.job_id}.0.0.{number}", 1, "done", ""]
+                for number in range(1, n_ends + 1)
+            ]
+            self.list({"clockMs": 1, "born": 1, "endedRuns": rows})
+            self.assertEqual((await self.hold()).has_more_ends, has_more)
+
     async def test_after_invalid_lists_the_outcome_is_unknown(self):
+        await self.hold()
         for lists in (
             {"clockMs": 1, "running": [["no.task", 1, "", 1]]},
             {"clockMs": 1, "endedRuns": [[1, "a.0.0.0", 1, "melted", ""]]},
