--- a/tests/scheduling_endpoints.py
+++ b/tests/scheduling_endpoints.py
@@ -20,6 +20,8 @@
 CALL_TIMEOUT_S = 1.0
 MAX_LEASE_MS = 6_000
 CAPACITY = Amounts(4_000, 4_000)
+# Platform contract: more ends are listed only once these are acknowledged.
+MAX_LISTED_ENDS = 500
 # Platform contract: a capacity that has shrunk counts for the contact time and one
 # report longer.
 SHRINK_GRACE_S = 3.0 + 0.2
@@ -37,6 +39,8 @@
 
     Attributes
     ----------
+    machine, address : str
+        Its place, which a later VM may have.
     capacity : Amounts
         Its capacity, which may change while it runs.
     guards_capacity : bool
@@ -47,6 +51,9 @@
     def __init__(self, world, vm_id, rate):
         self.world = world
         self.vm_id = vm_id
+        self.machine = f"m-{vm_id}"
+        self.address = f"{vm_id}:1"
+        self.pool = "p"
         self.born_ms = next(world.incarnations)
         self.rate = rate
         self.began_at = world.now()
@@ -58,6 +65,8 @@
         self.ended_at = {}
         # Ends up to this number were not acknowledged before the lease expired.
         self.n_discarded = 0
+        # Ends up to this number were acknowledged and are no longer listed.
+        self.n_forgotten = 0
         self.capacity = CAPACITY
         self.guards_capacity = True
         self.is_order_late = False
@@ -75,9 +84,9 @@
         return VmRecord(
             vm_id=self.vm_id,
             born_ms=self.born_ms,
-            machine=f"m-{self.vm_id}",
-            pool="p",
-            address=f"{self.vm_id}:1",
+            machine=self.machine,
+            pool=self.pool,
+            address=self.address,
             capacity=self.capacity,
             labels=("a", "r1"),
             is_draining=self.is_draining,
@@ -165,6 +174,7 @@
         if fence >= self.fence:
             self.fence = fence
             self.world.record_acknowledged(self, cursor)
+            self.n_forgotten = max(self.n_forgotten, min(cursor, len(self.ends)))
             if until_ms is not None:
                 self.renew(until_ms)
         return HoldReport(
@@ -174,7 +184,7 @@
                 ListedRun(run.key, run.number, "", self.world.percent(run))
                 for run in self.runs.values()
             ),
-            ends=tuple(end for end in self.ends if end.cursor > cursor),
+            ends=tuple(self.ends[self.n_forgotten :][:MAX_LISTED_ENDS]),
         )
 
     def _end(self, run, kind):
@@ -217,12 +227,17 @@
         """Send the order to stop a run."""
         await self._deliver(vm, lambda e: e.stop(key, number, fence))
 
-    async def _deliver(self, vm, order):
-        """Deliver an order, or lose the order or its answer."""
-        await asyncio.sleep(CALL_S)
+    def find_endpoint(self, vm):
+        """Return the endpoint that a call to a VM reaches."""
         endpoint = self.world.endpoints.get(vm.vm_id)
         if endpoint is None or not endpoint.is_up:
             raise OrderNotSentError("refused")
+        return endpoint
+
+    async def _deliver(self, vm, order):
+        """Deliver an order, or lose the order or its answer."""
+        await asyncio.sleep(CALL_S)
+        endpoint = self.find_endpoint(vm)
         rng = self.world.rng
         if endpoint.is_partitioned:
             await asyncio.sleep(CALL_TIMEOUT_S)
--- /dev/null
+++ b/tests/test_scheduling_lifecycle.py
@@ -0,0 +1,141 @@
+"""Tests of VMs that leave or are replaced, and of leaders that are paused.
+
+Each history is drawn from a seed and runs in virtual time.
+"""
+
+import asyncio
+import unittest
+
+from redwingslip.jobs import JobsState, Plan, Pool, ReplacePlan
+from tests.scheduling_lifecycle import LifecycleWorld
+from tests.scheduling_world import NoPlatform
+from tests.support_scheduling import PLAN
+from tests.support_virtual_time import LoopClock, run_virtually
+from tests.test_scheduling_leaders import FAULTS_S, N_JOBS, RECOVERY_S, Case
+
+N_SEEDS = 8
+
+
+class LifecycleCase(Case):
+    """A history of VMs that leave; see `Case`.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the history.
+    faults : collection of str
+        The kinds of faults: ``leave``, ``crash``, ``partition``, ``pause``,
+        ``replace`` (of the leader).
+    late_report_rate, answer_loss_rate : float
+        Share of the reports that are late, and of the answers to deregistrations that
+        are lost.
+    """
+
+    def __init__(
+        self, seed, *, faults, late_report_rate=0.0, answer_loss_rate=0.0, **options
+    ):
+        super().__init__(seed, **options)
+        self.kinds = faults
+        self.late_report_rate = late_report_rate
+        self.answer_loss_rate = answer_loss_rate
+
+    async def run(self, loop):
+        """Run a phase with faults, then one without; return the world."""
+        state = JobsState()
+        plan = Plan(version=1, queues=PLAN.queues, pools=(Pool(name="p"),))
+        state.apply(ReplacePlan(plan=plan))
+        world = LifecycleWorld(loop, self.rng, LoopClock(loop), state)
+        self.world = world
+        world.operations = self.make_platform()
+        world.late_report_rate = self.late_report_rate
+        world.answer_loss_rate = self.answer_loss_rate
+        world.loss_rate = self.rng.choice((0.0, 0.05, 0.2))
+        world.failure_rate = self.rng.choice((0.0, 0.05))
+        world.max_commit_s = self.max_commit_s
+        world.start_leader()
+        tasks = [
+            asyncio.create_task(work)
+            for work in (self.change_leaders(), self.fail_vms())
+        ]
+        jobs = asyncio.create_task(self.submit())
+        await asyncio.sleep(FAULTS_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.end_faults()
+        await jobs
+        await asyncio.sleep(RECOVERY_S)
+        self.world.stop_leader()
+        return self.world
+
+    def make_platform(self):
+        """Return the platform of the history."""
+        return NoPlatform()
+
+    def end_faults(self):
+        """End the phase with faults; ensure that there is a leader."""
+        if self.world.term.paused_at is not None:
+            self.world.stop_leader()
+        super().end_faults()
+        self.world.late_report_rate = 0.0
+        self.world.answer_loss_rate = 0.0
+
+    async def change_leaders(self):
+        """Pause leaders, or stop them and start others."""
+        kinds = [kind for kind in ("pause", "replace") if kind in self.kinds]
+        while kinds:
+            await asyncio.sleep(self.rng.uniform(0.3, 8))
+            if self.rng.choice(kinds) == "pause":
+                await self.world.pause_leader(self.rng.uniform(0.3, 8))
+                continue
+            self.world.stop_leader()
+            await asyncio.sleep(self.rng.uniform(0.4, 2.5))
+            self.world.start_leader()
+
+    async def fail_vms(self):
+        """Let VMs crash, leave and lose their connections."""
+        kinds = [k for k in ("crash", "leave", "partition") if k in self.kinds]
+        while kinds:
+            await asyncio.sleep(self.rng.uniform(0.5, 4))
+            vm_id = self.rng.choice(sorted(self.world.endpoints))
+            endpoint = self.world.endpoints[vm_id]
+            if not endpoint.is_up or endpoint.is_draining:
+                continue
+            kind = self.rng.choice(kinds)
+            if kind == "partition":
+                self.inject(self.partition(endpoint))
+            else:
+                self.inject(self.end_vm(endpoint, leaves=kind == "leave"))
+
+    async def end_vm(self, endpoint, *, leaves):
+        """End a VM; later another starts at its place, or its next incarnation."""
+        if leaves:
+            await endpoint.leave(self.rng.uniform(0.3, 3))
+        endpoint.is_up = False
+        await asyncio.sleep(self.rng.uniform(1.5, 4))
+        if self.world.endpoints.get(endpoint.vm_id) is not endpoint:
+            return
+        del self.world.endpoints[endpoint.vm_id]
+        name = endpoint.vm_id if self.rng.random() < 0.3 else next(self.world.names)
+        address = endpoint.address if self.rng.random() < 0.5 else f"{name}:2"
+        self.world.start_endpoint(name, machine=endpoint.machine, address=address)
+
+
+class TestLifecycle(unittest.TestCase):
+    """No history breaks a guarantee, and all jobs end after the faults have ended."""
+
+    def check(self, seed, **options):
+        world = run_virtually(LifecycleCase(seed, **options).run)
+        self.assertEqual(world.problems, [])
+        self.assertEqual(world.unfinished(), [])
+        self.assertEqual(len(world.state.jobs), N_JOBS)
+
+    def test_paused_leaders(self):
+        """Guards against orders of a leader that wakes after another has begun."""
+        for seed in range(1, N_SEEDS + 1):
+            with self.subTest(seed=seed):
+                self.check(seed, faults=("pause", "crash", "partition"))
+
+
+if __name__ == "__main__":
+    unittest.main()
