--- a/tests/test_scheduling_lifecycle.py
+++ b/tests/test_scheduling_lifecycle.py
@@ -136,6 +136,17 @@
             with self.subTest(seed=seed):
                 self.check(seed, faults=("pause", "crash", "partition"))
 
+    def test_vms_that_leave(self):
+        """Guards against runs that start elsewhere while their VM still leaves."""
+        for seed in range(1, N_SEEDS + 1):
+            with self.subTest(seed=seed):
+                self.check(
+                    seed,
+                    faults=("leave", "replace"),
+                    late_report_rate=0.2,
+                    answer_loss_rate=0.3,
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_scheduling_service.py
+++ b/tests/test_scheduling_service.py
@@ -1,9 +1,13 @@
 """Tests of the leader's interface: queues, keys, jobs and reports of endpoints."""
 
+import asyncio
 import unittest
+from datetime import timedelta
+from types import SimpleNamespace
 
 import msgspec
 
+from redwingslip.clock import ManualClock
 from redwingslip.jobs import (
     Customer,
     JobSpec,
@@ -23,7 +27,13 @@
     NoPlanError,
     NoQueueError,
 )
-from tests.support_scheduling import FakeTerm, make_vm
+from tests.support_scheduling import (
+    FakeEndpoint,
+    FakeTerm,
+    eventually,
+    make_agent,
+    make_vm,
+)
 
 PLAN = Plan(
     version=3,
@@ -42,8 +52,11 @@
     def setUp(self):
         self.state = JobsState()
         self.state.apply(ReplacePlan(plan=PLAN))
-        self.term = FakeTerm(self.state)
-        self.service = JobService(term=self.term, scheduler=None)
+        self.clock = ManualClock()
+        self.term = FakeTerm(self.state, self.clock)
+        self.agents = {}
+        scheduler = SimpleNamespace(agents=self.agents)
+        self.service = JobService(term=self.term, scheduler=scheduler)
 
     def test_the_longest_prefix_wins(self):
         queue, rest = self.service.find_queue("h", "/a/b/id")
@@ -135,6 +148,55 @@
         await self.service.remove_vm("v1", 9)
         self.assertNotIn("v1", self.state.vms)
 
+    async def test_a_leaving_vm_keeps_its_runs_until_they_have_ended(self):
+        """Guards against a task that starts elsewhere while a leaving VM runs it.
+
+        The VM goes on until it receives the answer to its deregistration.
+        """
+        endpoint, key = await self.run_task_on_a_vm()
+        leaving = asyncio.create_task(self.service.remove_vm("v1", 1))
+        await eventually(lambda: leaving.done() or endpoint.stopped)
+        self.assertTrue(endpoint.stopped, "the run was closed while it was alive")
+        # Only a poll that is sent after the stop proves that the run has ended.
+        self.clock.advance(timedelta(milliseconds=1))
+        await leaving
+        self.assertFalse(endpoint.runs)
+        self.assertFalse(self.state.task(key).runs)
+        self.assertNotIn("v1", self.state.vms)
+
+    async def test_a_leaving_vm_that_does_not_answer_stays_known(self):
+        """Guards against runs that are closed before the lease of their VM lapses."""
+        endpoint, key = await self.run_task_on_a_vm()
+        endpoint.is_unresponsive = True
+        leaving = asyncio.create_task(self.service.remove_vm("v1", 1))
+        await asyncio.sleep(0.02)
+        self.clock.advance(timedelta(seconds=1))
+        await leaving
+        self.assertTrue(self.state.task(key).runs)
+        self.assertTrue(self.state.vms["v1"].is_draining)
+
+    async def test_a_late_report_does_not_make_a_vm_ready_that_has_left(self):
+        """Guards against starts on a VM that has left, but waits for the answer."""
+        await self.service.report_vm(make_vm(is_draining=True), 5, 0)
+        await self.service.remove_vm("v1", 1)
+        await self.service.report_vm(make_vm(), 4, 0)
+        self.assertNotIn("v1", self.state.vms)
+
+    async def run_task_on_a_vm(self):
+        """Run a task on a VM with an agent; return the endpoint and the task's key."""
+        vm, endpoint, key = make_vm(), FakeEndpoint(), TaskKey("j", 0, 0, 0)
+        await self.service.report_vm(vm, 1, 0)
+        spec = JobSpec(job_id="j", queue="a", pool="p", steps=(StepSpec(n_tasks=1),))
+        await self.service.submit(spec)
+        await self.term.propose(StartRuns(starts=(RunStart(key, "v1", 1),), now_ms=1))
+        endpoint.runs[(key, 1)] = 50
+        agent = make_agent(vm, endpoint, self.term)
+        self.agents["v1"] = agent
+        agent.begin()
+        self.addCleanup(agent.close)
+        await eventually(lambda: agent.listed_runs)
+        return endpoint, key
+
     async def test_a_wave_is_started_once(self):
         for _ in range(2):
             await self.service.start_wave(
