Stop the runs of a VM that leaves before it is removed

The VM goes on until it has the answer to its deregistration. Runs that do not end in time stay with its agent until they are listed as ended or the lease has lapsed.

--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -1,6 +1,8 @@
 """The leader's interface to callers, operators and endpoints."""
 
+import asyncio
 from collections.abc import Mapping
+from datetime import timedelta
 
 import msgspec
 
@@ -25,6 +27,10 @@
 
 __all__ = ["JobService"]
 
+# Shorter than the time after which a VM sends its deregistration again.
+STOP_WAIT = timedelta(milliseconds=600)
+STOP_CHECK_INTERVAL = timedelta(milliseconds=10)
+
 
 class JobService:
     """The leader's operations on queues, jobs, VMs, plans and waves.
@@ -220,7 +226,11 @@
         )
 
     async def remove_vm(self, vm_id: str, born_ms: int) -> None:
-        """Remove a VM that reports its end.
+        """Remove a VM that reports its end, once all its runs have ended.
+
+        The VM goes on until it receives the answer, or for some seconds without one.
+        Its runs are therefore stopped first. If some remain after a short wait, it
+        stays known as draining, and its agent removes it later.
 
         A `born_ms` of 0 stands for the known incarnation; a report of any other
         incarnation has no effect.
@@ -228,7 +238,11 @@
         known = self._state.vms.get(vm_id)
         if known is None or (born_ms and born_ms != known.born_ms):
             return
-        self._last_sequences.pop((vm_id, known.born_ms), None)
+        if not known.is_draining:
+            vm = msgspec.structs.replace(known, is_draining=True)
+            await self._term.propose(NoteVm(vm=vm, now_ms=self._term.now_ms()))
+        if not await self._stop_runs_of(known):
+            return
         self._term.emit(EventName.VM_LOST, vm=vm_id, detail="has left")
         command = ForgetVm(
             vm_id=vm_id, born_ms=known.born_ms, now_ms=self._term.now_ms()
@@ -260,6 +274,19 @@
         wave = self._state.waves.get(number)
         return None if wave is None else wave.is_complete
 
+    async def _stop_runs_of(self, vm: VmRecord) -> bool:
+        """Stop the runs of a VM; return whether all have ended within a short time."""
+        deadline = self._term.clock.monotonic() + STOP_WAIT
+        while runs := self._state.runs_of(vm.vm_id, vm.born_ms):
+            agent = self._scheduler.agents.get(vm.vm_id)
+            if agent is None or self._term.clock.monotonic() >= deadline:
+                return False
+            for run in runs:
+                if not agent.is_stopping(run.key, run.number):
+                    agent.stop(run.key, run.number)
+            await asyncio.sleep(STOP_CHECK_INTERVAL.total_seconds())
+        return True
+
     def _is_superseded(self, vm: VmRecord) -> bool:
         """Return whether a later VM already has the address or machine of this one."""
         return any(
