Test of a VM that is kept after a lost and a refused order of maintenance

It fails: the refusal of the repeated order removes the record of the first one, which may have been carried out, so the third order ends the VM that came back in the state.

--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -130,6 +130,30 @@
                 self.assertEqual(self.platform.maintained, ["m-v1"])
                 self.assertEqual(bool(self.state.runs_of("v1")), is_ordered)
 
+    async def test_a_vm_is_kept_if_a_repeated_order_was_refused_in_between(self):
+        """Guards against a lost order that is forgotten once a later one is refused.
+
+        The lost order was carried out, and the VM that came back goes on.
+        """
+        for refusal in (MachineOutcome.BUSY, MachineOutcome.LATER):
+            with self.subTest(refusal=refusal):
+                self.platform = FakePlatform()
+                self.platform.answers = [MachineOutcome.NO_ANSWER, refusal]
+                job = make_job(is_long_running=True, disruption_budget=1)
+                self.build(make_vm("v1"), job=job, max_at_once=2)
+                self.run_task(0, "v1")
+                self.wait_for_takeover()
+                for n_orders in (1, 2):
+                    await eventually(
+                        lambda n=n_orders: len(self.platform.maintained) == n
+                    )
+                    await asyncio.sleep(0.01)
+                    self.clock.advance(CFG.retry_delay)
+                await eventually(lambda: self.state.waves[1].is_complete)
+                await asyncio.sleep(0.02)
+                self.assertEqual(len(self.platform.maintained), 3)
+                self.assertTrue(self.state.runs_of("v1"))
+
     async def test_an_order_without_an_answer_is_repeated_at_the_limit(self):
         """Guards against a wave that waits for good for the outcome of its orders."""
         self.platform.answers = [MachineOutcome.NO_ANSWER]
