--- /dev/null
+++ b/tests/test_scheduling_agent_ends.py
@@ -0,0 +1,65 @@
+"""Tests of the ends that a VM lists in several answers."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+import msgspec
+
+from redwingslip.clock import ManualClock
+from redwingslip.jobs import EndKind, RunStart, StartRuns, TaskKey
+from redwingslip.scheduling import ListedEnd
+from tests.scheduling_endpoints import MAX_LISTED_ENDS
+from tests.support_scheduling import (
+    FakeEndpoint,
+    FakeTerm,
+    eventually,
+    make_agent,
+    make_job,
+    make_state,
+    make_vm,
+)
+
+N_TASKS = MAX_LISTED_ENDS + 1
+
+
+class _ListingEndpoint(FakeEndpoint):
+    """An endpoint that lists a limited number of ends in each answer."""
+
+    async def hold(self, vm, **options):
+        """Answer a poll with the first of the ends above the cursor."""
+        report = await super().hold(vm, **options)
+        return msgspec.structs.replace(report, ends=report.ends[:MAX_LISTED_ENDS])
+
+
+class TestManyEnds(unittest.IsolatedAsyncioTestCase):
+    """More ends at a time than one answer contains."""
+
+    async def test_a_run_whose_end_is_not_yet_listed_is_not_lost(self):
+        """Guards against tasks that start again although they were done."""
+        job = make_job(n_tasks=N_TASKS)
+        vm, endpoint, clock = make_vm(), _ListingEndpoint(), ManualClock()
+        state = make_state(vm, jobs=[job])
+        keys = [TaskKey("j1", 0, 0, index) for index in range(N_TASKS)]
+        starts = tuple(RunStart(key, "v1", 1) for key in keys)
+        state.apply(StartRuns(starts=starts, now_ms=1))
+        endpoint.runs = {(key, 1): 50 for key in keys}
+        agent = make_agent(vm, endpoint, FakeTerm(state, clock))
+        self.addCleanup(agent.close)
+        agent.begin()
+        await eventually(lambda: agent.listed_runs)
+        clock.advance(timedelta(milliseconds=1))
+        n_polls = len(endpoint.cursors)
+        await eventually(lambda: len(endpoint.cursors) > n_polls + 1)
+        endpoint.runs = {}
+        endpoint.ends = [
+            ListedEnd(number, key, 1, EndKind.DONE)
+            for number, key in enumerate(keys, start=1)
+        ]
+        await eventually(lambda: not state.runs_of("v1"))
+        await asyncio.sleep(0)
+        self.assertTrue(state.task(keys[-1]).is_done)
+
+
+if __name__ == "__main__":
+    unittest.main()
