Keep the record of an order of maintenance whose repetition was refused

The first order had no answer and may have been carried out, so that the VM on the machine is a new one. It is removed only when polls show that it has ended.

--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -221,7 +221,8 @@
                 self._retry_at[machine] = (
                     self._term.clock.monotonic() + self._cfg.waves.retry_delay
                 )
-                if outcome is not MachineOutcome.NO_ANSWER:
+                # A repeated order leaves open whether the first one was carried out.
+                if outcome is not MachineOutcome.NO_ANSWER and not is_repeated:
                     await self._record_maintenance(wave, given_up=(machine,))
         except (NotLeadingError, CommandOutcomeUnknownError) as exc:
             self._term.emit(EventName.WARNING, vm=machine, detail=str(exc))
