--- a/tests/test_scheduling_lifecycle.py
+++ b/tests/test_scheduling_lifecycle.py
@@ -4,16 +4,21 @@
 """
 
 import asyncio
+import contextlib
 import unittest
 
 from redwingslip.jobs import JobsState, Plan, Pool, ReplacePlan
+from redwingslip.scheduling import SchedulingError
 from tests.scheduling_lifecycle import LifecycleWorld
+from tests.scheduling_platform import Platform
 from tests.scheduling_world import NoPlatform
 from tests.support_scheduling import PLAN
 from tests.support_virtual_time import LoopClock, run_virtually
 from tests.test_scheduling_leaders import FAULTS_S, N_JOBS, RECOVERY_S, Case
 
 N_SEEDS = 8
+N_WAVES = 3
+WAVE_MS = 12_000
 
 
 class LifecycleCase(Case):
@@ -31,6 +36,8 @@
         are lost.
     """
 
+    pools = (Pool(name="p"),)
+
     def __init__(
         self, seed, *, faults, late_report_rate=0.0, answer_loss_rate=0.0, **options
     ):
@@ -42,7 +49,7 @@
     async def run(self, loop):
         """Run a phase with faults, then one without; return the world."""
         state = JobsState()
-        plan = Plan(version=1, queues=PLAN.queues, pools=(Pool(name="p"),))
+        plan = Plan(version=1, queues=PLAN.queues, pools=self.pools)
         state.apply(ReplacePlan(plan=plan))
         world = LifecycleWorld(loop, self.rng, LoopClock(loop), state)
         self.world = world
@@ -121,6 +128,42 @@
         self.world.start_endpoint(name, machine=endpoint.machine, address=address)
 
 
+class PlatformCase(LifecycleCase):
+    """A history with moves of machines and maintenance waves; see `LifecycleCase`."""
+
+    pools = PLAN.pools
+
+    def make_platform(self):
+        """Return a platform that loses and refuses orders."""
+        return Platform(self.world, enforces_fences=self.rng.random() < 0.5)
+
+    def end_faults(self):
+        """End the phase with faults; ensure that there is a leader."""
+        super().end_faults()
+        self.world.operations.loss_rate = 0.0
+        self.world.operations.refusal_rate = 0.0
+
+    async def submit(self):
+        """Submit jobs, and start waves over all machines meanwhile."""
+        waves = asyncio.create_task(self.start_waves())
+        await super().submit()
+        await waves
+
+    async def start_waves(self):
+        """Start a wave every few seconds."""
+        for number in range(1, N_WAVES + 1):
+            await asyncio.sleep(self.rng.uniform(2, 8))
+            while number not in self.world.state.waves:
+                with contextlib.suppress(SchedulingError):
+                    await self.world.service.start_wave(
+                        number=number,
+                        machines=tuple(self.world.operations.pools),
+                        duration_ms=WAVE_MS,
+                        max_at_once=2,
+                    )
+                await asyncio.sleep(0.2)
+
+
 class TestLifecycle(unittest.TestCase):
     """No history breaks a guarantee, and all jobs end after the faults have ended."""
 
