--- a/tests/scheduling_lifecycle.py
+++ b/tests/scheduling_lifecycle.py
@@ -120,7 +120,18 @@
         try:
             return await super()._deliver(vm, order)
         finally:
-            await self.term.wait_awake()
+            await self._delay_answer()
+
+    async def hold(self, vm, **options):
+        """Poll an endpoint; the answer may be slow."""
+        report = await super().hold(vm, **options)
+        await self._delay_answer()
+        return report
+
+    async def _delay_answer(self):
+        if self.world.rng.random() < self.world.slow_answer_rate:
+            await asyncio.sleep(self.world.rng.uniform(0.05, 0.7))
+        await self.term.wait_awake()
 
 
 class LifecycleWorld(World):
@@ -130,6 +141,12 @@
     ----------
     operations : MachineOperations
         The platform.
+    late_report_rate : float
+        Share of the reports that are seconds late.
+    answer_loss_rate : float
+        Share of the answers to deregistrations that are lost.
+    slow_answer_rate : float
+        Share of the answers to orders that take up to 0.7 s.
     """
 
     def __init__(self, *args, **options):
@@ -138,6 +155,7 @@
         self.names = iter(f"n{number}" for number in range(10_000))
         self.late_report_rate = 0.1
         self.answer_loss_rate = 0.3
+        self.slow_answer_rate = 0.0
         super().__init__(*args, **options)
 
     def start_leader(self):
@@ -209,11 +227,17 @@
 
 
 class LeavingEndpoint(Endpoint):
-    """An endpoint that reports, and that drains and deregisters when it is told to."""
+    """An endpoint that reports, and that drains and deregisters when it is told to.
+
+    Attributes
+    ----------
+    refusal : StartResult or None
+        Its answer to all start orders; None if it accepts them.
+    """
 
     def __init__(self, world, vm_id, rate):
         super().__init__(world, vm_id, rate)
-        self.is_drain_noted = False
+        self.refusal = None
         self.drained = asyncio.Event()
         self._sequence = 0
 
@@ -238,6 +262,12 @@
         if vm.is_draining:
             self.drained.set()
 
+    def start(self, run, fence, until_ms):
+        """Handle the order to start a run; refuse it while `refusal` is set."""
+        if self.refusal is not None:
+            return self.refusal
+        return super().start(run, fence, until_ms)
+
     async def leave(self, drain_s):
         """Drain, deregister and end; end without an answer seconds later."""
         self.is_draining = True
--- a/tests/test_scheduling_lifecycle.py
+++ b/tests/test_scheduling_lifecycle.py
@@ -8,7 +8,8 @@
 import unittest
 
 from redwingslip.jobs import JobsState, Plan, Pool, ReplacePlan
-from redwingslip.scheduling import SchedulingError
+from redwingslip.scheduling import SchedulingError, StartResult
+from tests.scheduling_endpoints import CAPACITY
 from tests.scheduling_lifecycle import LifecycleWorld
 from tests.scheduling_platform import Platform
 from tests.scheduling_world import NoPlatform
@@ -17,6 +18,7 @@
 from tests.test_scheduling_leaders import FAULTS_S, N_JOBS, RECOVERY_S, Case
 
 N_SEEDS = 8
+REFUSALS = (StartResult.UNHEALTHY, StartResult.NO_TICKET, StartResult.LATE)
 N_WAVES = 3
 WAVE_MS = 12_000
 
@@ -29,22 +31,29 @@
     seed : int
         Seed of the history.
     faults : collection of str
-        The kinds of faults: ``leave``, ``crash``, ``partition``, ``pause``,
-        ``replace`` (of the leader).
-    late_report_rate, answer_loss_rate : float
-        Share of the reports that are late, and of the answers to deregistrations that
-        are lost.
+        The kinds of faults: ``leave``, ``crash``, ``partition``, ``refuse`` and
+        ``resize`` (of VMs), ``pause`` and ``replace`` (of the leader).
+    late_report_rate, answer_loss_rate, slow_answer_rate : float
+        See `LifecycleWorld`.
     """
 
     pools = (Pool(name="p"),)
 
     def __init__(
-        self, seed, *, faults, late_report_rate=0.0, answer_loss_rate=0.0, **options
+        self,
+        seed,
+        *,
+        faults,
+        late_report_rate=0.0,
+        answer_loss_rate=0.0,
+        slow_answer_rate=0.0,
+        **options,
     ):
         super().__init__(seed, **options)
         self.kinds = faults
         self.late_report_rate = late_report_rate
         self.answer_loss_rate = answer_loss_rate
+        self.slow_answer_rate = slow_answer_rate
 
     async def run(self, loop):
         """Run a phase with faults, then one without; return the world."""
@@ -56,6 +65,7 @@
         world.operations = self.make_platform()
         world.late_report_rate = self.late_report_rate
         world.answer_loss_rate = self.answer_loss_rate
+        world.slow_answer_rate = self.slow_answer_rate
         world.loss_rate = self.rng.choice((0.0, 0.05, 0.2))
         world.failure_rate = self.rng.choice((0.0, 0.05))
         world.max_commit_s = self.max_commit_s
@@ -86,6 +96,9 @@
         super().end_faults()
         self.world.late_report_rate = 0.0
         self.world.answer_loss_rate = 0.0
+        self.world.slow_answer_rate = 0.0
+        for endpoint in self.world.endpoints.values():
+            endpoint.resize(CAPACITY.cpu)
 
     async def change_leaders(self):
         """Pause leaders, or stop them and start others."""
@@ -101,7 +114,8 @@
 
     async def fail_vms(self):
         """Let VMs crash, leave and lose their connections."""
-        kinds = [k for k in ("crash", "leave", "partition") if k in self.kinds]
+        all_kinds = ("crash", "leave", "partition", "refuse", "resize")
+        kinds = [kind for kind in all_kinds if kind in self.kinds]
         while kinds:
             await asyncio.sleep(self.rng.uniform(0.5, 4))
             vm_id = self.rng.choice(sorted(self.world.endpoints))
@@ -111,9 +125,19 @@
             kind = self.rng.choice(kinds)
             if kind == "partition":
                 self.inject(self.partition(endpoint))
+            elif kind == "refuse":
+                self.inject(self.refuse(endpoint))
+            elif kind == "resize":
+                endpoint.resize(self.rng.choice((1_000, 2_000, 4_000, 8_000)))
             else:
                 self.inject(self.end_vm(endpoint, leaves=kind == "leave"))
 
+    async def refuse(self, endpoint):
+        """Let an endpoint refuse all starts for a time."""
+        endpoint.refusal = self.rng.choice(REFUSALS)
+        await asyncio.sleep(self.rng.uniform(0.2, 3))
+        endpoint.refusal = None
+
     async def end_vm(self, endpoint, *, leaves):
         """End a VM; later another starts at its place, or its next incarnation."""
         if leaves:
