--- a/tests/scheduling_lifecycle.py
+++ b/tests/scheduling_lifecycle.py
@@ -26,6 +26,8 @@
 # An earlier leader acts for this long after it wakes.
 NOTICE_S = 0.02
 REPORT_S = 0.4
+# Platform contract: a VM may get new runs for this long after it has announced its end.
+DRAIN_S = 1.0
 
 
 class ReplicaTerm(WorldTerm):
@@ -176,6 +178,10 @@
         self.service = JobService(term=self.term, scheduler=self.scheduler)
         self.scheduler.begin()
 
+    def is_serving(self):
+        """Return whether there is a leader that takes calls."""
+        return self.term.is_leading() and self.term.paused_at is None
+
     def apply(self, command):
         """Apply a committed command to the state and to the leader's copy."""
         self.state.apply(command)
@@ -238,6 +244,7 @@
     def __init__(self, world, vm_id, rate):
         super().__init__(world, vm_id, rate)
         self.refusal = None
+        self.drained_at = None
         self.drained = asyncio.Event()
         self._sequence = 0
 
@@ -253,20 +260,28 @@
 
     async def _report(self, vm, sequence, delay):
         await asyncio.sleep(delay)
-        if self.is_partitioned:
+        if self.is_partitioned or not self.world.is_serving():
             return
         try:
             await self.world.service.report_vm(vm, sequence, 0)
         except SchedulingError:
             return
-        if vm.is_draining:
+        if vm.is_draining and not self.drained.is_set():
+            self.drained_at = self.world.now()
             self.drained.set()
 
     def start(self, run, fence, until_ms):
         """Handle the order to start a run; refuse it while `refusal` is set."""
         if self.refusal is not None:
             return self.refusal
-        return super().start(run, fence, until_ms)
+        n_starts = len(self.world.starts.get(run.key, ()))
+        result = super().start(run, fence, until_ms)
+        has_started = len(self.world.starts.get(run.key, ())) > n_starts
+        is_over = self.drained_at and self.world.now() > self.drained_at + DRAIN_S
+        if has_started and is_over and not self.is_order_late:
+            label = run.key.label(run.number)
+            self.world.report_problem(f"{label} starts on {self.vm_id}, which drains")
+        return result
 
     async def leave(self, drain_s):
         """Drain, deregister and end; end without an answer seconds later."""
@@ -284,7 +299,7 @@
         """Send a deregistration; return whether an answer has arrived."""
         rng = self.world.rng
         await asyncio.sleep(CALL_S)
-        if self.is_partitioned:
+        if self.is_partitioned or not self.world.is_serving():
             return False
         try:
             await self.world.service.remove_vm(self.vm_id, self.born_ms)
--- a/tests/test_scheduling_lifecycle.py
+++ b/tests/test_scheduling_lifecycle.py
@@ -191,8 +191,8 @@
 class TestLifecycle(unittest.TestCase):
     """No history breaks a guarantee, and all jobs end after the faults have ended."""
 
-    def check(self, seed, **options):
-        world = run_virtually(LifecycleCase(seed, **options).run)
+    def check(self, seed, case=LifecycleCase, **options):
+        world = run_virtually(case(seed, **options).run)
         self.assertEqual(world.problems, [])
         self.assertEqual(world.unfinished(), [])
         self.assertEqual(len(world.state.jobs), N_JOBS)
@@ -214,6 +214,22 @@
                     answer_loss_rate=0.3,
                 )
 
+    def test_refusals_and_slow_answers(self):
+        """Guards against runs that are closed while an order for them is under way."""
+        for seed in range(1, N_SEEDS + 1):
+            with self.subTest(seed=seed):
+                self.check(
+                    seed,
+                    faults=("refuse", "resize", "replace", "partition"),
+                    slow_answer_rate=0.3,
+                )
+
+    def test_moves_and_maintenance(self):
+        """Guards against the removal of a VM that came back after an order."""
+        for seed in range(1, N_SEEDS + 1):
+            with self.subTest(seed=seed):
+                self.check(seed, case=PlatformCase, faults=("replace", "pause"))
+
 
 if __name__ == "__main__":
     unittest.main()
