--- a/tests/test_scheduling_service.py
+++ b/tests/test_scheduling_service.py
@@ -182,6 +182,18 @@
         await self.service.report_vm(make_vm(), 4, 0)
         self.assertNotIn("v1", self.state.vms)
 
+    async def test_a_new_leader_knows_which_vms_have_left(self):
+        """Guards against starts on a VM that has left, after a change of leader.
+
+        A report that was sent before the drain arrives after the deregistration.
+        """
+        await self.service.report_vm(make_vm(is_draining=True), 5, 0)
+        await self.service.remove_vm("v1", 1)
+        service = JobService(term=self.term, scheduler=None)
+        await service.report_vm(make_vm(), 4, 0)
+        vm = self.state.vms.get("v1")
+        self.assertTrue(vm is None or vm.is_draining)
+
     async def run_task_on_a_vm(self):
         """Run a task on a VM with an agent; return the endpoint and the task's key."""
         vm, endpoint, key = make_vm(), FakeEndpoint(), TaskKey("j", 0, 0, 0)
