Test of the acknowledgements that polls repeat

One that the next incarnation under the same name carries out late discards ends unread, and their tasks start again.

--- a/tests/test_scheduling_agent_ends.py
+++ b/tests/test_scheduling_agent_ends.py
@@ -61,5 +61,28 @@
         self.assertTrue(state.task(keys[-1]).is_done)
 
 
+class TestAcknowledgement(unittest.IsolatedAsyncioTestCase):
+    """The number up to which polls acknowledge ends."""
+
+    async def test_a_number_is_sent_until_a_poll_with_it_was_answered(self):
+        """Guards against a late poll that acknowledges ends of the next incarnation.
+
+        A VM that starts again under its name numbers its ends anew. A poll that it
+        carries out seconds late discards them unread if it has the earlier number.
+        """
+        vm, endpoint, clock = make_vm(), FakeEndpoint(), ManualClock()
+        state = make_state(vm, jobs=[make_job()])
+        key = TaskKey("j1", 0, 0, 0)
+        state.apply(StartRuns(starts=(RunStart(key, "v1", 1),), now_ms=1))
+        endpoint.ends = [ListedEnd(1, key, 1, EndKind.DONE)]
+        agent = make_agent(vm, endpoint, FakeTerm(state, clock))
+        self.addCleanup(agent.close)
+        agent.begin()
+        await eventually(lambda: 1 in endpoint.cursors)
+        n_polls = len(endpoint.cursors)
+        await eventually(lambda: len(endpoint.cursors) > n_polls + 2)
+        self.assertEqual(set(endpoint.cursors[n_polls + 1 :]), {0})
+
+
 if __name__ == "__main__":
     unittest.main()
