--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -117,6 +117,9 @@
         Probability that an order or its answer is lost.
     failure_rate : float
         Probability that a run fails.
+    checks_incarnations : bool
+        Whether the calls of leaders reach only the incarnation that they name, as the
+        client of the endpoints guarantees.
     problems : list of str
         Breaches of a guarantee.
     done : dict of TaskKey to float
@@ -140,6 +143,7 @@
         self._last_commit_at = 0.0
         self.loss_rate = 0.0
         self.failure_rate = 0.0
+        self.checks_incarnations = True
         self.problems = []
         self.done = {}
         self.starts = {}
