Show that histories find calls to the next incarnation

Cause: the simulated network refuses calls to the next incarnation, as the client of the endpoints does now, so that the histories of quick restarts pass on the sources before that change as well. Found by a review.

Change: the network can be told to deliver such calls; two histories must fail then.

--- a/tests/test_scheduling_leaders.py
+++ b/tests/test_scheduling_leaders.py
@@ -64,6 +64,8 @@
         Shortest and longest time until a VM that has crashed is back.
     same_name_share : float
         Share of these that come back under the same name.
+    checks_incarnations : bool
+        See `World`.
     """
 
     def __init__(
@@ -74,12 +76,14 @@
         max_partition_s=10,
         down_s=(1.5, 6),
         same_name_share=0.5,
+        checks_incarnations=True,
     ):
         self.rng = random.Random(seed)
         self.max_commit_s = max_commit_s
         self.max_partition_s = max_partition_s
         self.down_s = down_s
         self.same_name_share = same_name_share
+        self.checks_incarnations = checks_incarnations
         self.world = None
         self.faults = set()
 
@@ -92,6 +96,7 @@
         self.world.loss_rate = self.rng.choice((0.0, 0.05, 0.2))
         self.world.failure_rate = self.rng.choice((0.0, 0.05))
         self.world.max_commit_s = self.max_commit_s
+        self.world.checks_incarnations = self.checks_incarnations
         self.world.start_leader()
         tasks = [
             asyncio.create_task(work)
@@ -234,6 +239,15 @@
             with self.subTest(seed=seed):
                 self.check(seed, down_s=(0.05, 2.0), same_name_share=0.8)
 
+    def test_calls_that_reach_a_successor_break_a_guarantee(self):
+        """Shows that the histories would find calls to the next incarnation."""
+        for seed in (319, 322):
+            case = Case(
+                seed, down_s=(0.05, 2.0), same_name_share=0.8, checks_incarnations=False
+            )
+            with self.subTest(seed=seed):
+                self.assertTrue(run_virtually(case.run).problems)
+
 
 if __name__ == "__main__":
     unittest.main()
