--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -1,113 +1,28 @@
-"""Tests of the calls to workers and to the platform, over HTTP against a stand-in."""
+"""Tests of the calls to workers, over HTTP against a stand-in."""
 
-import unittest
 from datetime import timedelta
 
-import msgspec
-from starlette.responses import JSONResponse, Response
-from starlette.routing import Route
+from starlette.responses import JSONResponse
 
-from redwingslip.http import HttpLimits, HttpServer, build_app
 from redwingslip.jobs import ActiveRun, EndKind, TaskKey
-from redwingslip.platform import AdviceClient, MachineClient, WorkerClient
+from redwingslip.platform import WorkerClient
 from redwingslip.scheduling import (
-    MachineOutcome,
-    MachineState,
     OrderNotSentError,
     OrderOutcomeUnknownError,
     StartResult,
     VmReplacedError,
 )
-from tests.support_odd import DEEP_LIST, N_LEVELS, ODD_NUMBERS, with_deep_field
+from tests.support_remote import RemoteTestCase, RemoteWorker, deep_response
 from tests.support_scheduling import make_vm
 
 KEY = TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
 RUN = ActiveRun(KEY, 2, "v1", 1, "00000bb8", 0)
 
 
-class _Remote:
-    """A server that gives a fixed answer and keeps the last call."""
-
-    def __init__(self):
-        self.answer = Response(status_code=200)
-        self.path = self.body = self.headers = None
-
-    async def handle(self, req):
-        self.path = str(req.url.path)
-        body = await req.body()
-        self.body = msgspec.json.decode(body) if body else None
-        self.headers = req.headers
-        return self.answer
-
-
-class _Worker(_Remote):
-    """A worker, one incarnation after the other at one address.
-
-    Attributes
-    ----------
-    born : int
-        Start time of the present incarnation.
-    lists : Response or None
-        Answer to a hold; one without runs by default.
-    orders : list
-        Paths of the calls, with the incarnation that received each.
-    cursors : list of int
-        Cursors of the holds.
-    """
-
-    def __init__(self):
-        super().__init__()
-        self.born = 1
-        self.lists = None
-        self.orders = []
-        self.cursors = []
-
-    async def handle(self, req):
-        answer = await super().handle(req)
-        self.orders.append((self.path, self.born))
-        if self.path != "/hold":
-            return answer
-        self.cursors.append(self.body["ackCursor"])
-        return self.lists or JSONResponse({"clockMs": 1, "born": self.born})
-
-
-def deep_response(doc, status=200):
-    """Return a response that is nested more deeply than a decoder follows."""
-    body = with_deep_field(msgspec.json.encode(doc))
-    return Response(body, status, media_type="application/json")
-
-
-class RemoteTestCase(unittest.IsolatedAsyncioTestCase):
-    """A test with a remote server on loopback."""
-
-    new_remote = _Remote
-
-    async def asyncSetUp(self):
-        self.remote = self.new_remote()
-        await self.start_server()
-
-    async def start_server(self, port=0):
-        """Start the remote server."""
-        route = Route("/{path:path}", self.remote.handle, methods=["GET", "POST"])
-        self.server = HttpServer(build_app([route]), HttpLimits(), port=port)
-        await self.server.start()
-
-    async def asyncTearDown(self):
-        await self.client.close()
-        await self.server.stop(timedelta(0))
-
-    def reply(self, doc, status=200):
-        self.remote.answer = JSONResponse(doc, status_code=status)
-
-    def reply_deeply(self, doc, status=200):
-        """Answer with a document that is nested more deeply than a decoder follows."""
-        self.remote.answer = deep_response(doc, status)
-
-
 class TestWorkerClient(RemoteTestCase):
     """Holds, starts and stops."""
 
-    new_remote = _Worker
+    new_remote = RemoteWorker
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -380,155 +295,3 @@
     async def test_a_stop_of_an_unknown_run_succeeds(self):
         self.reply({}, 404)
         await self.stop()
-
-
-class TestAdviceClient(RemoteTestCase):
-    """Requests for the workers that may run a step."""
-
-    async def asyncSetUp(self):
-        await super().asyncSetUp()
-        self.client = AdviceClient(self.server.address)
-
-    async def test_suitable_workers_have_tickets(self):
-        self.reply({"good": [["v1", "c81e"]], "validityMs": 3000})
-        advice = await self.client.request_advice(
-            ("5c0e7a21d94b36f8", 0, 1), ("v1", "v2")
-        )
-        self.assertEqual(advice.tickets, {"v1": "c81e"})
-        self.assertEqual(advice.validity, timedelta(seconds=3))
-        body = {"step": "5c0e7a21d94b36f8.0.1", "workers": ["v1", "v2"]}
-        self.assertEqual(self.remote.body, body)
-
-    async def test_a_busy_service_gives_no_advice(self):
-        self.reply({}, 429)
-        with self.assertRaises(OrderOutcomeUnknownError):
-            await self.client.request_advice(("5c0e7a21d94b36f8", 0, 1), ("v1",))
-
-    async def test_an_odd_answer_gives_no_advice(self):
-        """Guards against requests for advice that end by one answer."""
-        for odd in (
-            {"good": [], "validityMs": 10**30},
-            {"good": [], "validityMs": -1},
-            {"good": None},
-            {"good": "v1"},
-        ):
-            self.reply(odd)
-            with self.subTest(odd=odd), self.assertRaises(OrderOutcomeUnknownError):
-                await self.client.request_advice(("5c0e7a21d94b36f8", 0, 1), ("v1",))
-
-    async def test_an_answer_nested_too_deeply_gives_no_advice(self):
-        """Guards against requests for advice that end by one answer."""
-        body = b'{"good":' + b"[" * N_LEVELS
-        self.remote.answer = Response(body, media_type="application/json")
-        with self.assertRaises(OrderOutcomeUnknownError):
-            await self.client.request_advice(("5c0e7a21d94b36f8", 0, 1), ("v1",))
-
-    async def test_odd_rows_leave_the_others(self):
-        """Guards against a step that never runs for one row of another writer."""
-        rows = (b"5", b"null", b'["v1"]', b'["v1",5]', b'["v1","\xff"]', DEEP_LIST)
-        for row in rows:
-            body = b'{"good":[' + row + b',["v2","c8"]],"validityMs":5}'
-            self.remote.answer = Response(body, media_type="application/json")
-            with self.subTest(row=row[:9]):
-                advice = await self.client.request_advice(("j", 0, 1), ("v1", "v2"))
-                self.assertEqual(advice.tickets, {"v2": "c8"})
-
-
-class TestMachineClient(RemoteTestCase):
-    """The list of machines, moves and maintenance."""
-
-    async def asyncSetUp(self):
-        await super().asyncSetUp()
-        self.client = MachineClient(self.server.address, holder="c1")
-
-    async def test_list_of_machines(self):
-        self.reply(
-            {
-                "machines": [
-                    {
-                        "machine": "m1",
-                        "pool": "s1",
-                        "state": "upkeep",
-                        "zone": "z",
-                        "labels": ["a"],
-                        "capacity": {"cpu": 5, "memMb": 6, "gpu": 0},
-                        "id": None,
-                    }
-                ],
-                "nextPageToken": None,
-            }
-        )
-        (view,) = await self.client.list_machines()
-        self.assertEqual(view.state, MachineState.MAINTENANCE)
-        self.assertEqual((view.vm_id, view.capacity.cpu), ("", 5))
-
-    async def test_invalid_list_of_machines(self):
-        self.reply({"machines": 5})
-        with self.assertRaises(OrderOutcomeUnknownError):
-            await self.client.list_machines()
-
-    async def test_list_of_machines_nested_too_deeply(self):
-        """Guards against a leader that never reads the list again."""
-        body = b'{"machines":' + b"[" * N_LEVELS
-        self.remote.answer = Response(body, media_type="application/json")
-        with self.assertRaises(OrderOutcomeUnknownError):
-            await self.client.list_machines()
-
-    async def test_a_reason_nested_too_deeply_is_none(self):
-        """Guards against an order for a machine whose outcome is dropped."""
-        self.reply_deeply({"reason": "fence"}, 409)
-        outcome = await self.client.move("m", "p", fence=1)
-        self.assertEqual(outcome, MachineOutcome.BUSY)
-
-    async def test_a_deep_field_beside_the_machines_leaves_them(self):
-        self.reply_deeply({"machines": [{"machine": "m", "pool": "p", "state": "up"}]})
-        (view,) = await self.client.list_machines()
-        self.assertEqual(view.machine, "m")
-
-    async def test_odd_entries_leave_the_others(self):
-        """Guards against a list that can't be used for one entry of another writer."""
-        good = {"machine": "m1", "pool": "s1", "state": "up"}
-        odd = [
-            {},
-            5,
-            None,
-            [good],
-            {**good, "machine": None},
-            {**good, "machine": 5},
-            {**good, "state": "sleeping"},
-            {**good, "state": 1},
-            {**good, "labels": "a"},
-            {**good, "id": 5},
-            *({**good, "capacity": {"cpu": number}} for number in ODD_NUMBERS),
-        ]
-        encoded = [msgspec.json.encode(entry) for entry in odd]
-        encoded.append(msgspec.json.encode(good).replace(b"s1", b"\xff"))
-        encoded.append(with_deep_field(msgspec.json.encode(good)))
-        last = msgspec.json.encode({**good, "machine": "m2"})
-        for entry in encoded:
-            with self.subTest(entry=entry[:80]):
-                body = b'{"machines":[' + entry + b"," + last + b"]}"
-                self.remote.answer = Response(body, media_type="application/json")
-                views = await self.client.list_machines()
-                self.assertEqual([view.machine for view in views], ["m2"])
-
-    async def test_orders_send_lease_holder_and_fencing_token(self):
-        self.reply({})
-        outcome = await self.client.maintain("m1", 4, fence=12)
-        self.assertEqual(outcome, MachineOutcome.DONE)
-        self.assertEqual(self.remote.body, {"machine": "m1", "wave": 4})
-        self.assertEqual(self.remote.headers["lease-holder"], "c1")
-        self.assertEqual(self.remote.headers["fencing-token"], "12")
-
-    async def test_outcomes(self):
-        for status, reason, outcome in (
-            (409, "fence", MachineOutcome.SUPERSEDED),
-            (409, "busy", MachineOutcome.BUSY),
-            (409, "wave", MachineOutcome.NOT_OF_WAVE),
-            (400, "", MachineOutcome.UNKNOWN_MACHINE),
-            (429, "", MachineOutcome.LATER),
-            (500, "", MachineOutcome.NO_ANSWER),
-        ):
-            self.reply({"reason": reason}, status)
-            with self.subTest(status=status):
-                self.assertEqual(await self.client.move("m", "p", fence=1), outcome)
