Suspect no long-running task of crashes of VMs on which it was at work

What callers see: a sound lasting job with a disruption budget is failed and its other tasks are stopped (AVAIL).

Cause: each crash within 20 s after the start of a run counted as a crash under its task, whatever the run had done until then.

Ruled out: a shorter window, since the crash of a silent VM is recorded only after its lease; naming the runs at work in each command that counts a crash, since three kinds of commands from four places do, and since a new leader would know nothing; a command of its own, since earlier versions of the controllers can't decode it during an upgrade.

Change: the agent of a VM records, once for each, the long-running runs that a poll lists at work (percent 100) at least 0.5 s after their start was confirmed. Until it is recorded, also by a new leader that has not polled, and for all other runs, crashes count as before.

The random commands of test_jobs_fuzz record runs at work as well. test_jobs_crashes and test_scheduling_crashing_tasks are unchanged and pass.

--- a/src/redwingslip/jobs/_commands.py
+++ b/src/redwingslip/jobs/_commands.py
@@ -96,7 +96,7 @@
 
 
 class RecordEnds(_Command):
-    """Record ends of runs on one incarnation of a VM.
+    """Record ends of runs, or runs at work, on one incarnation of a VM.
 
     Attributes
     ----------
@@ -105,6 +105,9 @@
         ends do not come from that list.
     has_crashed : bool
         Whether these are all runs of a VM that is silent and may have crashed.
+    at_work : tuple of (TaskKey, int)
+        Tasks and run numbers of long-running runs that are at work on the incarnation.
+        An earlier version of a controller ignores them.
     """
 
     vm_id: str
@@ -113,6 +116,7 @@
     now_ms: int
     cursor: int = 0
     has_crashed: bool = False
+    at_work: tuple[tuple[TaskKey, int], ...] = ()
 
 
 class NoteVm(_Command):
--- a/src/redwingslip/jobs/_records.py
+++ b/src/redwingslip/jobs/_records.py
@@ -63,6 +63,8 @@
     started_ms : int
         Unix time of the leader's decision to start the run, for display and for
         scheduling policies.
+    is_at_work : bool
+        Whether a long-running run has been at work on its VM.
     """
 
     number: int
@@ -70,6 +72,7 @@
     born_ms: int
     checkpoint: str = ""
     started_ms: int = 0
+    is_at_work: bool = False
 
 
 class TaskRecord(msgspec.Struct, array_like=True):
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -147,6 +147,12 @@
         runs = self.runs.get(vm_id, {}).values()
         return tuple(r for r in runs if born_ms is None or r.born_ms == born_ms)
 
+    def run(self, key: TaskKey, number: int) -> RunRecord | None:
+        """Return a run that may be alive, or None if there is no such run."""
+        task = self.task(key)
+        runs = () if task is None else task.runs
+        return next((run for run in runs if run.number == number), None)
+
     def snapshot(self) -> bytes:
         """Return an encoded snapshot of the whole state."""
         return msgspec.msgpack.encode(
@@ -224,6 +230,11 @@
     @_apply.register
     def _(self, command: RecordEnds) -> tuple[RunEnd, ...]:
         """Return the ends of runs that were not active on the incarnation."""
+        for key, number in command.at_work:
+            run = self.run(key, number)
+            place = (command.vm_id, command.born_ms)
+            if run is not None and (run.vm_id, run.born_ms) == place:
+                run.is_at_work = True
         if command.has_crashed:
             self._count_crash(command.vm_id, command.born_ms, command.now_ms)
         unmatched = tuple(
@@ -419,7 +430,8 @@
         """Count a crash under each task that a VM started shortly before its end.
 
         A job with a task under which too many VMs have crashed fails. A VM that was
-        draining has ended as it had announced.
+        draining has ended as it had announced. A long-running task that was at work
+        there is not suspected: one that crashes its VMs does not get that far.
         """
         vm = self.vms.get(vm_id)
         if vm is not None and vm.born_ms == born_ms and vm.is_draining:
@@ -429,7 +441,7 @@
             if now_ms - run.started_ms > CRASH_WINDOW_MS:
                 continue
             task = self.task(run.key)
-            if task.is_done:
+            if task.is_done or self.run(run.key, run.number).is_at_work:
                 continue
             task.crashed_machines.append(machine)
             for other in task.runs:
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from ..jobs import ActiveRun, EndKind, RunEnd, TaskKey, VmRecord
+from ..jobs import ActiveRun, EndKind, RecordEnds, RunEnd, TaskKey, VmRecord
 from ..observe import EventName
 from ..workers import RunProgress, RunTimeModel, StepKey, VmHealth, VmLease
 from ._agent_settings import VmPolicy
@@ -17,6 +17,9 @@
 __all__ = ["AgentListener", "VmAgent"]
 
 MS = timedelta(milliseconds=1)
+# A run that is listed at work this long after its start does not crash its VM. A poll
+# may also be answered between the start of a run and the crash that it causes.
+MIN_AT_WORK_TIME = timedelta(milliseconds=500)
 
 
 class AgentListener(Protocol):
@@ -199,6 +202,7 @@
         if until_ms is not None:
             self._has_renewed_lease = True
         self._listener.note_contact()
+        await self._note_runs_at_work(now)
 
     def _is_known(self) -> bool:
         """Return whether the state has this incarnation, or runs on it."""
@@ -229,6 +233,33 @@
         await self._term.record_ends(self.vm, ends, last_cursor)
         return self._cursor() >= last_cursor and not report.has_more_ends
 
+    async def _note_runs_at_work(self, now: timedelta) -> None:
+        """Record, once for each, the long-running runs that are at work."""
+        at_work = tuple(
+            run_id
+            for run_id, listed in self.listed_runs.items()
+            if listed.is_at_work and self._is_newly_at_work(run_id, now)
+        )
+        if not at_work:
+            return
+        command = RecordEnds(
+            vm_id=self.vm.vm_id,
+            born_ms=self.vm.born_ms,
+            ends=(),
+            now_ms=self._term.now_ms(),
+            at_work=at_work,
+        )
+        await self._term.propose_or_log(command)
+
+    def _is_newly_at_work(self, run_id: RunId, now: timedelta) -> bool:
+        confirmed_at = self._sender.confirmed_at.get(run_id)
+        if confirmed_at is None or now - confirmed_at < MIN_AT_WORK_TIME:
+            return False
+        run = self._term.state.run(*run_id)
+        if run is None or run.is_at_work or run.vm_id != self.vm.vm_id:
+            return False
+        return self._term.state.step(run_id[0]).is_long_running
+
     def _reconcile(self, sent_at: timedelta) -> None:
         """Compare the runs that the VM lists with the runs in the state.
 
--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -12,8 +12,6 @@
 
 __all__ = ["Evacuation"]
 
-AT_WORK_PERCENT = 100
-
 StepKey = tuple[str, int, int]
 
 
@@ -123,7 +121,7 @@
         if self._has_pending_order(agent.vm.machine) or agent.is_stopping(key, number):
             return False
         listed = agent.listed_runs.get((key, number))
-        return listed is not None and listed.percent >= AT_WORK_PERCENT
+        return listed is not None and listed.is_at_work
 
     def _has_pending_order(self, machine: str) -> bool:
         """Return whether an order may end all runs on a machine at any moment."""
--- a/src/redwingslip/scheduling/_ports.py
+++ b/src/redwingslip/scheduling/_ports.py
@@ -21,6 +21,9 @@
 ]
 
 
+AT_WORK_PERCENT = 100
+
+
 class ListedRun(msgspec.Struct, frozen=True):
     """A run that a VM lists in its answer to a poll.
 
@@ -38,6 +41,11 @@
     percent: float = 0.0
     load: float = 0.0
 
+    @property
+    def is_at_work(self) -> bool:
+        """Return whether a long-running run is at work."""
+        return self.percent >= AT_WORK_PERCENT
+
 
 class ListedEnd(msgspec.Struct, frozen=True):
     """The end of a run, as a VM reports it; `cursor` numbers the ends of the VM."""
--- a/tests/test_jobs_fuzz.py
+++ b/tests/test_jobs_fuzz.py
@@ -14,6 +14,7 @@
     JobsMachine,
     JobStatus,
     NoteVm,
+    RecordEnds,
     RecordMove,
     ReplacePlan,
     RunStart,
@@ -146,6 +147,21 @@
         elif kind is EndKind.FAILED:
             self.failures[run.key] = self.failures.get(run.key, 0) + 1
 
+    @precondition(lambda self: any(self.state.runs.values()))
+    @rule(picks=st.lists(st.integers(0, 99), max_size=3), age=st.integers(0, 1))
+    def note_at_work(self, picks, age):
+        """Record runs at work, for the runs' incarnation or for an earlier one."""
+        runs = [r for runs in self.state.runs.values() for r in runs.values()]
+        for run in (runs[pick % len(runs)] for pick in picks):
+            command = RecordEnds(
+                vm_id=run.vm_id,
+                born_ms=run.born_ms - age,
+                ends=(),
+                now_ms=9,
+                at_work=((run.key, run.number),),
+            )
+            self.apply(command)
+
     @rule(job=st.integers(0, 4))
     def cancel(self, job):
         self.apply(CancelJob(job_id=f"j{job}", now_ms=9))
