--- a/tests/test_scheduling_crashes_at_work.py
+++ b/tests/test_scheduling_crashes_at_work.py
@@ -196,7 +196,7 @@
     async def crash(self):
         """Let another incarnation answer the next poll."""
         self.endpoint.born_ms = 2
-        await eventually(lambda: self.term.forgotten)
+        await eventually(lambda: not self.state.runs_of("v1"))
         return self.state.task(KEY).n_crashes
 
     async def test_run_that_was_listed_at_work_is_not_suspected(self):
