--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -16,7 +16,6 @@
 from world import Record, Worker, World
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-N_CONTROLLERS = 3
 MAX_HOLD_MS = 10_000
 LEASE_MS = 3_000
 CALL_TIMEOUT_S = 3.0
@@ -61,6 +60,11 @@
         self.system.record.note(f"{self.name} gets {signal.Signals(signum).name}")
         self.process.send_signal(signum)
 
+    def replace_settings(self, old, new):
+        """Change the settings file, as the platform does for the next start."""
+        text = self.settings_path.read_text()
+        self.settings_path.write_text(text.replace(old, new))
+
     def kill(self):
         self.send_signal(signal.SIGKILL)
         self.process.wait()
@@ -73,9 +77,9 @@
 
 
 class System:
-    """A deployment with three core machines, one frontend, and workers."""
+    """A deployment of core machines, frontends and workers; three cores are seeds."""
 
-    def __init__(self, record_path, *, n_workers, cpu=8_000, n_gateways=1):
+    def __init__(self, record_path, *, n_workers, cpu=8_000, n_gateways=1, n_controllers=3):
         self.folder = Path(tempfile.mkdtemp(prefix="redwingslip-review-"))
         self.record = Record(record_path)
         self.world = World(self.record)
@@ -90,6 +94,7 @@
         self.gateways = []
         self._n_workers = n_workers
         self._n_gateways = n_gateways
+        self._n_controllers = n_controllers
         self._cpu = cpu
         self.key = secrets.token_hex(10)
         self.host = "queue.example"
@@ -128,7 +133,13 @@
 
     async def start(self):
         """Start everything, and put the first configuration in force."""
-        ips = [f"{self._net}.{i + 1}" for i in range(N_CONTROLLERS)]
+        await self.start_programs()
+        await self.put_config(self.config(), give_up_after=25)
+        await self.start_workers()
+
+    async def start_programs(self):
+        """Start the programs and the platform."""
+        ips = [f"{self._net}.{i + 1}" for i in range(self._n_controllers)]
         self.world.controls = [f"{ip}:{self.control_port}" for ip in ips]
         await self.world.start_platform(self.platform)
         for i, ip in enumerate(ips):
@@ -145,7 +156,9 @@
             self.gateways.append(gateway)
         for program in (*self.controllers, *self.gateways):
             program.start()
-        await self.put_config(self.config(), give_up_after=25)
+
+    async def start_workers(self):
+        """Start the workers, and wait until work can be handed in."""
         for i in range(self._n_workers):
             name = f"i-{i + 1:04d}"
             ip = f"{self._net}.{100 + i}"
@@ -251,22 +264,25 @@
 
     # The consumer.
 
-    async def consume(self, method, job_id, body=None, *, gateway=0):
+    async def consume(
+        self, method, job_id, body=None, *, gateway=0, prefix="", key=""
+    ):
         """Send one call of a consumer and return the reply."""
+        path = f"{prefix or self.prefix}{job_id}"
         reply = await call(
             self.gateways[gateway].address,
             method,
-            f"{self.prefix}{job_id}",
+            path,
             body,
             headers={
                 "Host": self.host,
-                "Authorization": f"Bearer {self.key}",
+                "Authorization": f"Bearer {key or self.key}",
                 "Request-Deadline": "3000",
             },
             timeout=CALL_TIMEOUT_S,
         )
         self.record.note(
-            f"{method} {self.prefix}{job_id} -> {reply.status} "
+            f"{method} {path} -> {reply.status} "
             f"{reply.body.decode(errors='replace')}"
         )
         return reply
@@ -302,9 +318,10 @@
             return port
 
 
-def main(case, folder, **options):
+def main(case, folder, *, is_started=True, **options):
     """Run `case(system, has_trouble)`, which returns True if the rule held.
 
+    The system is started first, unless the case does it itself.
     The exit status is 0 if the rule held, 1 if it was broken, 2 if the case could not
     run.
     """
@@ -314,7 +331,8 @@
         system = System(Path(folder) / "record.txt", **options)
         try:
             async with asyncio.timeout(110):
-                await system.start()
+                if is_started:
+                    await system.start()
                 return await case(system, has_trouble)
         finally:
             if os.environ.get("KEEP_LOGS"):
