--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -329,6 +329,9 @@
 
     async def run():
         system = System(Path(folder) / "record.txt", **options)
+        # An early end must end the started processes too.
+        stop = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         try:
             async with asyncio.timeout(110):
                 if is_started:
@@ -342,7 +345,7 @@
 
     try:
         held = asyncio.run(run())
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as exc:
         print(f"the case could not run: {exc!r}")
         sys.exit(2)
     print("the rule held" if held else "the rule was broken")
