--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,55 +1,92 @@
-"""A frontend freezes with a submission unread; the consumer cancels it elsewhere."""
+"""The leader is cut off from the platform and freezes while a wave goes on."""
 
 import asyncio
 import signal
 import sys
-from pathlib import Path
+from pathlib import Path as FilePath
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "lib"))
+sys.path.insert(0, str(FilePath(__file__).resolve().parent.parent / "lib"))
 
+from loopback import call
+from path import Path
 from system import CannotRunError, main
-from world import Submission
 
+CUT_S = 5.5
 FREEZE_S = 4.0
-GIVE_UP_S = 0.3
-# `cancel_ms`
-CANCEL_S = 3.0
+N_CONTROLLERS = 3
 
 
 async def case(system, has_trouble):
-    world = system.world
-    job = Submission([{"count": 2, "cpu": 2_000, "memMb": 256, "estimateMs": 1_500}])
-    world.submissions[job.id] = job
-    frontend = system.gateways[0]
-    frozen_at = world.record.now()
-    if has_trouble:
-        frontend.send_signal(signal.SIGSTOP)
-    post = asyncio.create_task(system.consume("POST", job.id, job.body))
-    await asyncio.sleep(GIVE_UP_S)
-    if not post.done():
-        post.cancel()
-        world.record.note("the consumer has no answer, and leaves")
-    cancelled_at = None
-    for _ in range(5):
-        reply = await system.consume("DELETE", job.id, gateway=1)
-        if 200 <= reply.status < 300 or reply.status == 410:
-            cancelled_at = world.record.now()
+    world, record = system.world, system.record
+    paths = {}
+    for i in range(N_CONTROLLERS):
+        name = f"core-{i + 1}"
+        paths[name] = Path(system.address_near_platform(i), system.platform)
+        await paths[name].start()
+        system.platform_paths[name] = paths[name].address
+    await system.start()
+    order = {
+        "wave": 1,
+        "machines": [worker.machine for worker in world.workers.values()],
+        "durationS": 30,
+        "maxCount": 2,
+    }
+    for _ in range(10):
+        reply = await call(world.controls[0], "POST", "/wave-start", order, timeout=1.0)
+        if reply.status == 200:
+            break
+    else:
+        raise CannotRunError("the wave is not acknowledged")
+    record.note("the wave is acknowledged")
+    for _ in range(100):
+        if world.machine_orders:
             break
-        await asyncio.sleep(0.3)
-    if cancelled_at is None:
-        raise CannotRunError("the cancelling gets no answer")
-    await asyncio.sleep(frozen_at + FREEZE_S - world.record.now())
+        await asyncio.sleep(0.1)
+    else:
+        raise CannotRunError("no upkeep is ordered")
+    # The next upkeep is ordered once a machine is back, after `maintenanceS` (2 s).
+    await asyncio.sleep(1.5)
     if has_trouble:
-        frontend.send_signal(signal.SIGCONT)
-    await asyncio.sleep(5.0)
-    late = [start for start in world.starts if start[0] > cancelled_at + CANCEL_S]
-    await system.consume("GET", job.id, gateway=1)
-    for at, task, number, worker, _ in late:
-        print(
-            f"{task} run {number} starts on {worker} {at - cancelled_at:.1f} s "
-            "after the cancelling was acknowledged"
-        )
-    return not late
-
-
-main(case, Path(__file__).parent, n_workers=8, n_gateways=2)
+        await disturb(system, paths)
+    for _ in range(250):
+        reply = await call(world.controls[0], "GET", "/wave-get/1", timeout=1.0)
+        if reply.doc.get("state") == "completed":
+            break
+        await asyncio.sleep(0.2)
+    await asyncio.sleep(2.0)
+    highest = {}
+    broken = []
+    for at, path, machine, holder, token in world.machine_orders:
+        if token < highest.get(machine, 0):
+            broken.append(f"{path} of {machine} by {holder} with token {token}")
+        highest[machine] = max(token, highest.get(machine, 0))
+    for text in broken:
+        print(f"after a higher token: {text}")
+    for path in paths.values():
+        path.close()
+    return not broken
+
+
+async def disturb(system, paths):
+    """Cut the leader's path to the platform, and freeze it while an order is held."""
+    record = system.record
+    leader = system.leader
+    path = paths[leader.name]
+    path.cut()
+    cut_at = record.now()
+    record.note(f"{leader.name} is cut off from the platform")
+    for _ in range(40):
+        if b"/machine-upkeep" in path.held:
+            break
+        await asyncio.sleep(0.05)
+    record.note(f"held up: {path.held.count(b'/machine-upkeep')} orders")
+    frozen_at = record.now()
+    leader.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(FREEZE_S)
+    leader.send_signal(signal.SIGCONT)
+    await asyncio.sleep(max(0, cut_at + CUT_S - record.now()))
+    path.heal()
+    record.note(f"the cut has healed; the freeze began {frozen_at - cut_at:.1f} s into it")
+
+
+main(case, FilePath(__file__).parent, is_started=False, n_workers=8)
--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -1,6 +1,7 @@
 """Starts a small deployment of the project's programs on loopback addresses."""
 
 import asyncio
+import json
 import os
 import re
 import secrets
@@ -90,6 +91,8 @@
         self.front_port = _free_port(f"{self._net}.21", {self.peer_port})
         self.ready_port = _free_port(f"{self._net}.21", {self.front_port})
         self.platform = f"{self._net}.50:{_free_port(f'{self._net}.50')}"
+        # Where a process reaches the platform, if not directly.
+        self.platform_paths = {}
         self.controllers = []
         self.gateways = []
         self._n_workers = n_workers
@@ -101,6 +104,24 @@
         self.version = 0
         self.prefix = "/work/"
 
+    @property
+    def leader(self):
+        """Return the controller that was elected last."""
+        elected = [
+            (event["timestamp"], controller.name)
+            for controller in self.controllers
+            for line in controller.log_path.read_text().splitlines()
+            if "leader.elected" in line
+            for event in [json.loads(line)]
+        ]
+        name = max(elected)[1]
+        return next(c for c in self.controllers if c.name == name)
+
+    def address_near_platform(self, number):
+        """Return a free address for a proxy in front of the platform."""
+        ip = f"{self._net}.{60 + number}"
+        return f"{ip}:{_free_port(ip)}"
+
     # Settings, rendered from the templates of the deploy file.
 
     def _fields(self, name, ip, serves):
@@ -118,7 +139,7 @@
             "dataDir": str(self.folder / f"data-{name}"),
             "bounds.maxHoldMs": str(MAX_HOLD_MS),
             "bounds.leaseMs": str(LEASE_MS),
-            "cloudApi.address": self.platform,
+            "cloudApi.address": self.platform_paths.get(name, self.platform),
         }
 
     def _render(self, role, fields):
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -19,6 +19,7 @@
 CHECKPOINT_MS = 500
 RESTORE_MS = 250
 TICK_S = 0.02
+MAINTENANCE_S = 2.0
 
 
 class Record:
@@ -314,7 +315,9 @@
         self.starts = []  # (time, task, number, worker, checkpoint)
         self.ends = []  # (time, task, number, worker, how)
         self.faults = []
+        self.machine_orders = []  # (time, path, machine, holder, token)
         self._server = None
+        self._upkeeps = set()
 
     def note_fault(self, text):
         self.faults.append(text)
@@ -430,10 +433,30 @@
             ]
             return 200, {"machines": machines, "nextPageToken": None}
         if path in ("/machine-move", "/machine-upkeep"):
-            self.record.note(f"{path} {json.dumps(doc)} is refused: busy")
-            return 409, {"reason": "busy"}
+            return self._order_machine(path, headers, doc)
         return 404, {}
 
+    def _order_machine(self, path, headers, doc):
+        """Carry an upkeep out; moves are refused, as there is one pool only."""
+        holder, token = headers["lease-holder"], int(headers["fencing-token"])
+        machine = doc["machine"]
+        order = (self.record.now(), path, machine, holder, token)
+        self.machine_orders.append(order)
+        self.record.note(f"{path} of {machine} by {holder} with token {token}")
+        worker = next(w for w in self.workers.values() if w.machine == machine)
+        if path == "/machine-move":
+            return 400, {}
+        if (machine, doc["wave"]) in self._upkeeps:
+            return 200, {}
+        if not worker.is_up:
+            return 409, {"reason": "busy"}
+        self._upkeeps.add((machine, doc["wave"]))
+        self.crash(worker)
+        asyncio.get_running_loop().call_later(
+            MAINTENANCE_S, lambda: asyncio.ensure_future(worker.restart())
+        )
+        return 200, {}
+
     def close(self):
         for worker in self.workers.values():
             if worker.is_up:
