--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -102,7 +102,7 @@
         self.key = secrets.token_hex(10)
         self.host = "queue.example"
         self.version = 0
-        self.prefix = "/work/"
+        self.prefix = "/batch/"
 
     @property
     def leader(self):
