Keep the terms of a removed queue for its jobs

Cause: the state read the number of attempts from the plan in force and took 1 for a queue that the plan does not have. The same default gave the jobs of a removed queue the highest priority and an early deadline, and started them without the tickets that the queue needs.

Ruled out: that the plan ends the jobs (the job is running after it is replaced and fails with the end of its run), and that the end is counted more than once (one end in the record, n_failures 1). Not chosen: attempts copied to the job at its acceptance, since a later plan may change them, and priority, deadline and advice would each need a copy.

A job whose queue is not known at all is not failed.

Evidence: before the change, test_a_removed_queue_keeps_its_number_of_attempts, test_a_job_that_follows_the_removal_of_its_queue_keeps_its_attempts, test_a_removed_queue_keeps_its_place_in_the_order and test_a_removed_queue_still_needs_advice failed; they pass.

Conclusion: mended.

--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -23,7 +23,7 @@
 )
 from ._crashes import CRASH_WINDOW_MS, MAX_CRASHES
 from ._machine_orders import MachineOrders
-from ._plan import Plan
+from ._plan import Plan, Queue
 from ._records import (
     ACTIVE_STATUSES,
     EndKind,
@@ -75,6 +75,7 @@
     vms: tuple[VmRecord, ...]
     waves: tuple[WaveRecord, ...]
     machine_orders: MachineOrders = msgspec.field(default_factory=MachineOrders)
+    removed_queues: tuple[Queue, ...] = ()
 
 
 class JobsState:
@@ -84,6 +85,9 @@
     ----------
     plan : Plan
         Plan in force; version 0 before the first.
+    removed_queues : dict of str to Queue
+        Queues that the plan in force no longer has, as they were last declared, by
+        name. Their jobs go on under these terms.
     jobs : dict of str to JobRecord
         Jobs by id.
     vms : dict of str to VmRecord
@@ -105,6 +109,7 @@
         "jobs",
         "machine_orders",
         "plan",
+        "removed_queues",
         "runs",
         "suspect_runs",
         "usage",
@@ -114,6 +119,7 @@
 
     def __init__(self) -> None:
         self.plan = Plan()
+        self.removed_queues: dict[str, Queue] = {}
         self.jobs: dict[str, JobRecord] = {}
         self.vms: dict[str, VmRecord] = {}
         self.waves: dict[int, WaveRecord] = {}
@@ -142,6 +148,15 @@
         """Return the step of a known task."""
         return self.jobs[key.job_id].spec.steps[key.step]
 
+    def queue(self, name: str) -> Queue | None:
+        """Return a queue of the plan in force, or as it was before its removal.
+
+        None stands for a queue that no plan had, or that was removed before the latest
+        change of plan and has no jobs.
+        """
+        declared = next((q for q in self.plan.queues if q.name == name), None)
+        return declared or self.removed_queues.get(name)
+
     def runs_of(self, vm_id: str, born_ms: int | None = None) -> tuple[ActiveRun, ...]:
         """Return the runs that may be alive on a VM, or on one incarnation of it."""
         runs = self.runs.get(vm_id, {}).values()
@@ -162,6 +177,7 @@
                 vms=tuple(self.vms.values()),
                 waves=tuple(self.waves.values()),
                 machine_orders=self.machine_orders,
+                removed_queues=tuple(self.removed_queues.values()),
             )
         )
 
@@ -169,6 +185,7 @@
         """Replace the state by an encoded snapshot."""
         snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
         self.plan = snapshot.plan
+        self.removed_queues = {queue.name: queue for queue in snapshot.removed_queues}
         self.jobs = {job.spec.job_id: job for job in snapshot.jobs}
         self.vms = {vm.vm_id: vm for vm in snapshot.vms}
         self.waves = {wave.number: wave for wave in snapshot.waves}
@@ -189,6 +206,7 @@
     def _(self, command: ReplacePlan) -> int:
         """Return the version in force."""
         if command.plan.version > self.plan.version:
+            self.removed_queues = self._queues_removed_by(command.plan)
             self.plan = command.plan
         return self.plan.version
 
@@ -311,6 +329,20 @@
     def _(self, command: RecordMove) -> None:
         self.machine_orders.record(command.machine)
 
+    def _queues_removed_by(self, plan: Plan) -> dict[str, Queue]:
+        """Return the queues to keep that a new plan does not have.
+
+        A queue that the plan in force still has is kept even without jobs: one that its
+        leader accepts now may follow the new plan in the log.
+        """
+        declared = {queue.name for queue in plan.queues}
+        in_use = {job.spec.queue for job in self.jobs.values()}
+        removed = {
+            name: queue for name, queue in self.removed_queues.items() if name in in_use
+        }
+        removed |= {queue.name: queue for queue in self.plan.queues}
+        return {name: queue for name, queue in removed.items() if name not in declared}
+
     def _gang_run_numbers(self, starts: tuple[RunStart, ...]) -> dict[tuple, int]:
         """Return the next run number of each gang among the starts.
 
@@ -408,9 +440,8 @@
     ) -> None:
         if step.is_long_running or job.status not in ACTIVE_STATUSES or task.is_done:
             return
-        queue = next((q for q in self.plan.queues if q.name == job.spec.queue), None)
-        max_attempts = queue.max_attempts if queue else 1
-        if task.n_failures >= max_attempts:
+        queue = self.queue(job.spec.queue)
+        if queue is not None and task.n_failures >= queue.max_attempts:
             job.status, job.ended_ms = JobStatus.FAILED, now_ms
 
     def _complete_task(
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -63,7 +63,7 @@
 
     def __init__(self, state: JobsState) -> None:
         self._state = state
-        self._queues = {queue.name: queue for queue in state.plan.queues}
+        self.update_plan()
         # Active jobs, and whether any of their steps is speculative.
         self._active: dict[str, bool] = {
             job_id: _is_speculative(job)
@@ -74,8 +74,9 @@
         self._failed_on: dict[TaskKey, set[str]] = {}
 
     def update_plan(self) -> None:
-        """Read the queues of a new plan."""
-        self._queues = {queue.name: queue for queue in self._state.plan.queues}
+        """Read the queues of a new plan, and the removed ones."""
+        queues = (*self._state.plan.queues, *self._state.removed_queues.values())
+        self._queues = {queue.name: queue for queue in queues}
 
     def refresh_job(self, job_id: str) -> None:
         """Update the entries of a job after a change of its state."""
--- a/tests/test_jobs_fuzz.py
+++ b/tests/test_jobs_fuzz.py
@@ -14,6 +14,7 @@
     JobsMachine,
     JobStatus,
     NoteVm,
+    Plan,
     RecordEnds,
     RecordMove,
     ReplacePlan,
@@ -23,6 +24,7 @@
     encode_command,
     iter_tasks,
 )
+from redwingslip.jobs._crashes import MAX_CRASHES
 from tests.test_jobs_state import MAX_ATTEMPTS, PLAN, end, make_job
 
 
@@ -73,6 +75,15 @@
     def submit(self, job, n_tasks, is_long_running):
         self.submit_job(job, n_tasks, is_long_running=is_long_running)
 
+    @rule(has_queue=st.booleans())
+    def replace_plan(self, has_queue):
+        """Remove the queue of all jobs, or put it back."""
+        version = self.state.plan.version + 1
+        queues = PLAN.queues if has_queue else ()
+        self.apply(
+            ReplacePlan(plan=Plan(version=version, queues=queues, pools=PLAN.pools))
+        )
+
     @rule(vm=st.integers(0, 2), is_new=st.booleans())
     def note_vm(self, vm, is_new):
         self.incarnations[vm] += is_new
@@ -204,6 +215,16 @@
             if job.status is JobStatus.COMPLETED:
                 assert all(key in self.done for key, _ in iter_tasks(job))
 
+    @invariant()
+    def failed_jobs_have_no_attempts_left(self):
+        for job in self.state.jobs.values():
+            if job.status is JobStatus.FAILED:
+                assert any(
+                    self.failures.get(key, 0) >= MAX_ATTEMPTS
+                    or task.n_crashes >= MAX_CRASHES
+                    for key, task in iter_tasks(job)
+                ), "failed with attempts left"
+
 
 def _runs(machine):
     runs = machine.state.runs.values()
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from redwingslip.jobs import (
     ACTIVE_STATUSES,
     Amounts,
@@ -185,6 +187,47 @@
             state.apply(end(EndKind.FAILED, number=number))
         self.assertEqual(state.jobs["j1"].status, JobStatus.FAILED)
 
+    # LOST: a job was given up after one failed attempt while its queue was removed.
+    def test_a_removed_queue_keeps_its_number_of_attempts(self):
+        state = make_state(make_job())
+        without_queue = Plan(version=2, pools=PLAN.pools)
+        state.apply(ReplacePlan(plan=without_queue))
+        restored = JobsState()
+        restored.restore(state.snapshot())
+        for each in (state, restored):
+            each.apply(start())
+            each.apply(end(EndKind.FAILED))
+            self.assertIn(each.jobs["j1"].status, ACTIVE_STATUSES)
+            each.apply(start())
+            each.apply(end(EndKind.FAILED, number=MAX_ATTEMPTS))
+            self.assertEqual(each.jobs["j1"].status, JobStatus.FAILED)
+
+    def test_a_job_that_follows_the_removal_of_its_queue_keeps_its_attempts(self):
+        """The leader accepts the job before it has applied the new plan."""
+        state = make_state()
+        state.apply(ReplacePlan(plan=Plan(version=2, pools=PLAN.pools)))
+        state.apply(make_job())
+        state.apply(ReplacePlan(plan=Plan(version=3, pools=PLAN.pools)))
+        state.apply(start())
+        state.apply(end(EndKind.FAILED))
+        self.assertIn(state.jobs["j1"].status, ACTIVE_STATUSES)
+
+    def test_removed_queues_are_kept_only_for_known_jobs(self):
+        state = make_state()
+        for version in range(2, 5):
+            state.apply(ReplacePlan(plan=Plan(version=version, pools=PLAN.pools)))
+        self.assertIsNone(state.queue("q"))
+
+    def test_a_queue_that_comes_back_replaces_its_former_version(self):
+        state = make_state(make_job())
+        state.apply(ReplacePlan(plan=Plan(version=2, pools=PLAN.pools)))
+        (queue,) = PLAN.queues
+        queue = msgspec.structs.replace(queue, max_attempts=7)
+        state.apply(
+            ReplacePlan(plan=Plan(version=3, queues=(queue,), pools=PLAN.pools))
+        )
+        self.assertEqual(state.queue("q").max_attempts, 7)
+
     def test_lost_runs_do_not_count_as_attempts(self):
         state = make_state(make_job())
         for number in range(1, 6):
--- a/tests/test_scheduling_job_index.py
+++ b/tests/test_scheduling_job_index.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from redwingslip.jobs import (
     Amounts,
     EndKind,
@@ -88,6 +90,23 @@
         self.submit("check", at_ms=900)
         self.assertEqual(self.order(1000), ["check", "bulk"])
 
+    def test_a_removed_queue_keeps_its_place_in_the_order(self):
+        self.submit("late", at_ms=0)
+        self.submit("bulk", at_ms=9000, queue="bulk")
+        self.submit("check", at_ms=9050)
+        before = self.order(9100)
+        self.state.apply(ReplacePlan(plan=Plan(version=2, pools=(Pool(name="p"),))))
+        self.assertEqual(self.order(9100), before)
+        self.assertEqual(before, ["check", "bulk", "late"])
+
+    def test_a_removed_queue_still_needs_advice(self):
+        advised = msgspec.structs.replace(QUEUES[0], needs_advice=True)
+        plan = Plan(version=2, queues=(advised,), pools=(Pool(name="p"),))
+        self.state.apply(ReplacePlan(plan=plan))
+        self.submit("check")
+        self.state.apply(ReplacePlan(plan=Plan(version=3, pools=(Pool(name="p"),))))
+        self.assertTrue(JobIndex(self.state).needs_advice("check"))
+
     def test_a_backlog_of_late_jobs_does_not_make_the_next_ones_late(self):
         """At five times the mean load, the oldest jobs can no longer be on time."""
         for number in range(5):
