Keep the cancellation of a job that has not arrived

Cause: the leader kept no trace of the cancellation of a job that it did not know, so that a submission that came later was new to it. The gateway need not be frozen: the leader also answered 410 while the submission was being committed, and then ran the job.

Ruled out: a leader or gateway that acts on a permission that has run out (the leader was undisturbed, and the gateway read the submission only after it woke); a lost cancellation (the leader answered it). Not chosen: a gateway that looks whether its caller has left, since the submission may be held up before or after the gateway as well.

Change: the cancellation of an unknown job is committed like any other and answered after that. A later job with this id, of the same customer, is stored as cancelled and starts nothing; that of another customer is not affected. It is kept as long as ended jobs. The product's own interface had the same fault, and has the same remedy.

--- a/src/redwingslip/jobs/_commands.py
+++ b/src/redwingslip/jobs/_commands.py
@@ -42,10 +42,18 @@
 
 
 class CancelJob(_Command):
-    """Cancel a job that is still active."""
+    """Cancel a job that is still active, or one that has yet to arrive.
+
+    Attributes
+    ----------
+    customer : str
+        The customer that cancels. A later job with the id is cancelled if it is of
+        this customer.
+    """
 
     job_id: str
     now_ms: int
+    customer: str = ""
 
 
 class RunStart(msgspec.Struct, frozen=True, array_like=True):
@@ -145,9 +153,16 @@
 
 
 class ForgetJobs(_Command):
-    """Remove those of the given jobs that have ended and have no run left."""
+    """Remove those of the given jobs that have ended and have no run left.
+
+    Attributes
+    ----------
+    early_cancels : tuple of (str, str)
+        Ids and customers of the cancellations of unknown jobs to remove.
+    """
 
     job_ids: tuple[str, ...]
+    early_cancels: tuple[tuple[str, str], ...] = ()
 
 
 class StartWave(_Command):
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -76,6 +76,7 @@
     waves: tuple[WaveRecord, ...]
     machine_orders: MachineOrders = msgspec.field(default_factory=MachineOrders)
     removed_queues: tuple[Queue, ...] = ()
+    early_cancels: tuple[tuple[str, str, int], ...] = ()
 
 
 class JobsState:
@@ -90,6 +91,9 @@
         name. Their jobs go on under these terms.
     jobs : dict of str to JobRecord
         Jobs by id.
+    early_cancels : dict
+        Unix times in milliseconds of the cancellations of unknown jobs, by id and
+        customer. The job of such a submission is cancelled when it arrives.
     vms : dict of str to VmRecord
         Newest known incarnation of each VM, by name.
     waves : dict of int to WaveRecord
@@ -106,6 +110,7 @@
     """
 
     __slots__ = (
+        "early_cancels",
         "jobs",
         "machine_orders",
         "plan",
@@ -121,6 +126,7 @@
         self.plan = Plan()
         self.removed_queues: dict[str, Queue] = {}
         self.jobs: dict[str, JobRecord] = {}
+        self.early_cancels: dict[tuple[str, str], int] = {}
         self.vms: dict[str, VmRecord] = {}
         self.waves: dict[int, WaveRecord] = {}
         self.machine_orders = MachineOrders()
@@ -178,6 +184,10 @@
                 waves=tuple(self.waves.values()),
                 machine_orders=self.machine_orders,
                 removed_queues=tuple(self.removed_queues.values()),
+                early_cancels=tuple(
+                    (job_id, customer, at_ms)
+                    for (job_id, customer), at_ms in self.early_cancels.items()
+                ),
             )
         )
 
@@ -187,6 +197,10 @@
         self.plan = snapshot.plan
         self.removed_queues = {queue.name: queue for queue in snapshot.removed_queues}
         self.jobs = {job.spec.job_id: job for job in snapshot.jobs}
+        self.early_cancels = {
+            (job_id, customer): at_ms
+            for job_id, customer, at_ms in snapshot.early_cancels
+        }
         self.vms = {vm.vm_id: vm for vm in snapshot.vms}
         self.waves = {wave.number: wave for wave in snapshot.waves}
         self.machine_orders = snapshot.machine_orders
@@ -218,7 +232,10 @@
         if job is None:
             job = JobRecord(spec, command.now_ms, tasks=_new_tasks(command))
             self.jobs[spec.job_id] = job
-            if not any(step.n_tasks for step in spec.steps):
+            cancelled_ms = self.early_cancels.pop((spec.job_id, spec.customer), None)
+            if cancelled_ms is not None:
+                job.status, job.ended_ms = JobStatus.CANCELLED, command.now_ms
+            elif not any(step.n_tasks for step in spec.steps):
                 job.status, job.ended_ms = JobStatus.COMPLETED, command.now_ms
         return job
 
@@ -226,7 +243,10 @@
     def _(self, command: CancelJob) -> JobRecord | None:
         """Return the job, or None for an unknown id."""
         job = self.jobs.get(command.job_id)
-        if job is not None and job.status in ACTIVE_STATUSES:
+        if job is None:
+            key = (command.job_id, command.customer)
+            self.early_cancels.setdefault(key, command.now_ms)
+        elif job.status in ACTIVE_STATUSES:
             job.status, job.ended_ms = JobStatus.CANCELLED, command.now_ms
         return job
 
@@ -300,6 +320,8 @@
             has_ended = job is not None and job.status not in ACTIVE_STATUSES
             if has_ended and not any(task.runs for _, task in iter_tasks(job)):
                 del self.jobs[job_id]
+        for key in command.early_cancels:
+            self.early_cancels.pop(key, None)
 
     @_apply.register
     def _(self, command: StartWave) -> None:
--- a/src/redwingslip/platform/_calls.py
+++ b/src/redwingslip/platform/_calls.py
@@ -63,7 +63,7 @@
         return json_answer(call, 200, {})
     job = service.find_job(job_id)
     if call.method == "DELETE":
-        job = await service.cancel(job_id)
+        job = await service.cancel(job_id, customer=customer)
     elif call.method != "GET":
         return json_answer(call, 405, {"error": f"{call.method} is not known"})
     if job is None:
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -203,7 +203,8 @@
     @_handle.register
     def _(self, command: SubmitJob, outcome: JobRecord) -> None:
         self._job_index.refresh_job(command.spec.job_id)
-        if outcome.accepted_ms == command.now_ms:
+        is_new = outcome.accepted_ms == command.now_ms
+        if is_new and outcome.status in ACTIVE_STATUSES:
             self._note_arrival(outcome)
 
     @_handle.register
@@ -368,7 +369,7 @@
                 await self._term.propose_or_log(command)
 
     async def _forget_forever(self) -> None:
-        """Remove ended jobs from the state after `keep_ended`."""
+        """Remove ended jobs, and early cancellations, after `keep_ended`."""
         keep = self._cfg.scheduling.keep_ended
         while True:
             await asyncio.sleep(keep.total_seconds() / FORGET_PASSES_PER_KEEP_TIME)
@@ -378,5 +379,11 @@
                 for job_id, job in self._state.jobs.items()
                 if job.ended_ms and job.ended_ms < horizon_ms
             )
-            if job_ids:
-                await self._term.propose_or_log(ForgetJobs(job_ids=job_ids))
+            early_cancels = tuple(
+                key
+                for key, at_ms in self._state.early_cancels.items()
+                if at_ms < horizon_ms
+            )
+            if job_ids or early_cancels:
+                command = ForgetJobs(job_ids=job_ids, early_cancels=early_cancels)
+                await self._term.propose_or_log(command)
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..jobs import (
+    ACTIVE_STATUSES,
     CancelJob,
     ForgetVm,
     JobRecord,
@@ -148,7 +149,8 @@
     async def submit(self, spec: JobSpec) -> JobRecord:
         """Accept a job and return it once it is committed.
 
-        A job that is known already is returned as it is.
+        A job that is known already is returned as it is. One that its customer has
+        cancelled before it arrived is stored as cancelled.
 
         Raises
         ------
@@ -162,6 +164,12 @@
             return known
         command = SubmitJob(spec=spec, now_ms=self._term.now_ms())
         job = await self._term.propose(command)
+        if job.status is JobStatus.CANCELLED:
+            detail = "before its submission was committed"
+            self._term.emit(
+                EventName.JOB_CANCELLED, request_id=spec.job_id, detail=detail
+            )
+            return job
         n_tasks = sum(step.n_tasks for step in spec.steps)
         self._term.emit(
             EventName.JOB_ACCEPTED,
@@ -175,19 +183,33 @@
         """Return a job; None for an unknown one."""
         return self._state.jobs.get(job_id)
 
-    async def cancel(self, job_id: str) -> JobRecord | None:
+    async def cancel(self, job_id: str, *, customer: str) -> JobRecord | None:
         """Cancel a job and return it; None for an unknown one.
 
-        A job that has ended is returned unchanged. See `submit` for errors.
+        A job that has ended is returned unchanged. The cancellation of an unknown job
+        is committed as well, since its submission may be delayed or not committed yet.
+        See `submit` for errors.
+
+        Parameters
+        ----------
+        job_id : str
+            Id of the job.
+        customer : str
+            The customer that cancels; empty for a caller without a key.
         """
         job = self._state.jobs.get(job_id)
-        if job is None or job.status not in (JobStatus.QUEUED, JobStatus.RUNNING):
+        if job is None and (job_id, customer) in self._state.early_cancels:
+            return None
+        if job is not None and job.status not in ACTIVE_STATUSES:
             return job
-        command = CancelJob(job_id=job_id, now_ms=self._term.now_ms())
-        job = await self._term.propose(command)
-        self._term.emit(
-            EventName.JOB_CANCELLED, request_id=job_id, detail="by its caller"
+        command = CancelJob(
+            job_id=job_id, customer=customer, now_ms=self._term.now_ms()
         )
+        job = await self._term.propose(command)
+        detail = "by its caller"
+        if job is None:
+            detail += ", while it was not known"
+        self._term.emit(EventName.JOB_CANCELLED, request_id=job_id, detail=detail)
         return job
 
     def n_not_begun(self, queue: Queue) -> int:
--- a/src/redwingslip/submitters/_calls.py
+++ b/src/redwingslip/submitters/_calls.py
@@ -45,9 +45,11 @@
         spec = decode_job(call.body, job_id=job_id, queue=queue, customer=customer)
         job = await service.submit(spec)
         return _answer(call, view_job(job), status=CREATED_STATUS)
-    job = _check_owner(service.find_job(job_id), queue, customer)
-    if call.method == "DELETE":
-        job = await service.cancel(job_id) or job
+    job = service.find_job(job_id)
+    if call.method == "DELETE" and _JOB_ID.fullmatch(job_id):
+        _check_owner(job, queue, customer, is_required=False)
+        job = await service.cancel(job_id, customer=customer)
+    job = _check_owner(job, queue, customer)
     return _answer(call, view_job(job))
 
 
--- a/tests/test_jobs_fuzz.py
+++ b/tests/test_jobs_fuzz.py
@@ -39,6 +39,7 @@
         self.machine = JobsMachine()
         self.copy = JobsMachine()
         self.done = set()
+        self.cancelled = set()
         self.failures = {}
         self.last_number = {}
         self.incarnations = {}
@@ -113,6 +114,7 @@
     def check_runs(self, runs):
         """Check started runs against what the oracle knows about their tasks."""
         for run in runs:
+            assert run.key.job_id not in self.cancelled, "started a cancelled job"
             assert run.key not in self.done, "started a task that is done"
             assert self.failures.get(run.key, 0) < MAX_ATTEMPTS or (
                 self.state.step(run.key).is_long_running
@@ -175,7 +177,9 @@
 
     @rule(job=st.integers(0, 4))
     def cancel(self, job):
+        """Cancel a job, which may be submitted only later."""
         self.apply(CancelJob(job_id=f"j{job}", now_ms=9))
+        self.cancelled.add(f"j{job}")
 
     @rule(machine=st.integers(0, 2), now_ms=st.integers(0, 200_000))
     def record_move(self, machine, now_ms):
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -45,12 +45,13 @@
 KEY = TaskKey("j1", 0, 0, 0)
 
 
-def make_job(job_id="j1", **step):
+def make_job(job_id="j1", *, customer="", **step):
     """Return the command that submits a job of one step."""
     spec = JobSpec(
         job_id=job_id,
         queue="q",
         pool="p",
+        customer=customer,
         steps=(StepSpec(**{"n_tasks": 1, "need": Amounts(100, 10), **step}),),
     )
     return SubmitJob(spec=spec, now_ms=1)
@@ -249,6 +250,29 @@
         self.assertEqual(state.apply(start()), ())
         self.assertEqual(state.jobs["j1"].status, JobStatus.CANCELLED)
 
+    # UNASKED: a job ran whose cancellation had been acknowledged before it arrived.
+    def test_a_job_that_arrives_after_its_cancellation_is_cancelled(self):
+        state = make_state(CancelJob(job_id="j1", customer="c", now_ms=1))
+        restored = JobsState()
+        restored.restore(state.snapshot())
+        for each in (state, restored):
+            job = each.apply(make_job(customer="c"))
+            self.assertEqual((job.status, job.ended_ms), (JobStatus.CANCELLED, 1))
+            self.assertEqual(each.apply(start()), ())
+            self.assertIs(each.apply(make_job(customer="c")), job)
+
+    def test_a_cancellation_by_another_customer_stops_no_later_job(self):
+        state = make_state(CancelJob(job_id="j1", customer="other", now_ms=1))
+        self.assertEqual(state.apply(make_job(customer="c")).status, JobStatus.QUEUED)
+
+    def test_a_cancellation_of_an_unknown_job_is_forgotten(self):
+        state = make_state(
+            CancelJob(job_id="j1", customer="c", now_ms=1),
+            CancelJob(job_id="j2", customer="c", now_ms=1),
+        )
+        state.apply(ForgetJobs(job_ids=(), early_cancels=(("j1", "c"),)))
+        self.assertEqual(state.early_cancels, {("j2", "c"): 1})
+
     def test_a_new_incarnation_loses_the_runs_of_the_old_one(self):
         state = make_state(make_job())
         state.apply(start())
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from redwingslip.jobs import JobsState
+from redwingslip.jobs import (
+    Customer,
+    JobsState,
+    Plan,
+    Pool,
+    Queue,
+    ReplacePlan,
+)
 from redwingslip.peers import CallSource, RelayedCall
 from redwingslip.platform import answer_call
 from redwingslip.scheduling import JobService
@@ -21,6 +28,8 @@
     "machine": "m-1",
     "born": 1700,
 }
+JOB_ID = "5c0e7a21d94b36f8"
+JOB = {"spec": "payload", "steps": [{"count": 1, "cpu": 500}]}
 
 
 class TestOddCalls(unittest.IsolatedAsyncioTestCase):
@@ -84,3 +93,49 @@
             answer = await self.call("POST", "/instances/i-1/deregister", doc)
             self.assertEqual(answer.status, 400, doc)
         self.assertIn("i-1", self.state.vms)
+
+
+class TestCancelling(unittest.IsolatedAsyncioTestCase):
+    """Calls of callers whose submission arrives after they have cancelled it."""
+
+    async def asyncSetUp(self):
+        self.state = JobsState()
+        queue = Queue(name="q", host="h", path_prefix="/q/", pool="p")
+        customers = (
+            Customer(name="c1", keys=("key-1",)),
+            Customer(name="c2", keys=("key-2",)),
+        )
+        plan = Plan(
+            version=1, queues=(queue,), pools=(Pool(name="p"),), customers=customers
+        )
+        self.state.apply(ReplacePlan(plan=plan))
+        self.service = JobService(term=FakeTerm(self.state), scheduler=None)
+
+    async def call(self, method, key, doc=None):
+        """Return the status and document of the answer to a caller's call."""
+        call = RelayedCall(
+            number=1,
+            source=CallSource.CALLERS,
+            method=method,
+            host="h",
+            path=f"/q/{JOB_ID}",
+            token=key,
+            body=msgspec.json.encode(doc),
+        )
+        answer = await answer_call(self.service, call, own_address="10.0.0.1:80")
+        return answer.status, msgspec.json.decode(answer.body)
+
+    # UNASKED: a frozen gateway handed in a submission that had been cancelled.
+    async def test_a_late_submission_is_shown_as_cancelled(self):
+        status, _ = await self.call("DELETE", "key-1")
+        self.assertEqual(status, 410)
+        status, _ = await self.call("POST", "key-1", JOB)
+        self.assertEqual(status, 200)
+        answer = await self.call("GET", "key-1")
+        self.assertEqual(answer, (200, {"state": "cancelled"}))
+
+    async def test_another_customer_cancels_no_later_submission(self):
+        await self.call("DELETE", "key-2")
+        await self.call("POST", "key-1", JOB)
+        answer = await self.call("GET", "key-1")
+        self.assertEqual(answer, (200, {"state": "queued"}))
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import unittest
+from datetime import timedelta
 from unittest import mock
 
 import msgspec
 
 from redwingslip.jobs import (
+    CancelJob,
     EndKind,
     RecordEnds,
     RunEnd,
@@ -48,6 +50,7 @@
         self.term = FakeTerm(make_state(make_vm(), jobs=[make_job()]))
         self.warnings = []
         self.unmatched = []
+        self.proposed = []
         self.term.emit = self.emit
         self.endpoint = FakeEndpoint()
         self.scheduler = make_scheduler(self.term, self.endpoint)
@@ -91,6 +94,25 @@
         (line,) = self.unmatched
         self.assertTrue(line.startswith("0.0.0 run 1 done on incarnation 1"), line)
 
+    async def test_a_cancellation_of_an_unknown_job_is_forgotten_like_a_job(self):
+        """Guards against cancellations that fill the state, or go too early."""
+        state = self.term.state
+        state.apply(CancelJob(job_id="j2", now_ms=0))
+        with mock.patch("asyncio.sleep", side_effect=[None, None, StopAsyncIteration]):
+            # At the second pass, the cancellation is older than `keep_ended`.
+            moments = [timedelta(seconds=100), timedelta(seconds=151)]
+            self.term.now_ms = lambda: moments.pop(0) // timedelta(milliseconds=1)
+            self.term.propose_or_log = self.propose
+            with self.assertRaises(StopAsyncIteration):
+                await self.scheduler._forget_forever()
+        (command,) = self.proposed
+        state.apply(command)
+        self.assertEqual((command.job_ids, state.early_cancels), ((), {}))
+
+    async def propose(self, command):
+        """Record a proposed command."""
+        self.proposed.append(command)
+
     def start_copies(self):
         """Start two runs of a speculative task on two VMs, and stop no run yet."""
         state = make_state(
--- a/tests/test_scheduling_service.py
+++ b/tests/test_scheduling_service.py
@@ -12,6 +12,7 @@
     Customer,
     JobSpec,
     JobsState,
+    JobStatus,
     Plan,
     Pool,
     Queue,
@@ -93,6 +94,24 @@
         await self.service.submit(spec)
         self.assertEqual(self.term.n_commands, 1)
 
+    # UNASKED: a delayed submission ran after its cancellation had been acknowledged.
+    async def test_a_job_that_arrives_after_its_cancellation_never_runs(self):
+        spec = JobSpec(job_id="j", queue="a", pool="p", steps=(StepSpec(n_tasks=1),))
+        self.assertIsNone(await self.service.cancel("j", customer=""))
+        self.assertIsNone(await self.service.cancel("j", customer=""))
+        self.assertEqual(self.term.n_commands, 1)
+        job = await self.service.submit(spec)
+        self.assertEqual(job.status, JobStatus.CANCELLED)
+        self.assertIs(await self.service.cancel("j", customer=""), job)
+
+    # UNASKED: the same, with the submission being committed during the cancellation.
+    async def test_a_job_that_is_being_committed_can_be_cancelled(self):
+        spec = JobSpec(job_id="j", queue="a", pool="p", steps=(StepSpec(n_tasks=1),))
+        await asyncio.gather(
+            self.service.submit(spec), self.service.cancel("j", customer="")
+        )
+        self.assertEqual(self.state.jobs["j"].status, JobStatus.CANCELLED)
+
     async def test_an_unchanged_report_is_not_committed(self):
         for sequence in (1, 2, 3):
             await self.service.report_vm(make_vm(), sequence, 0)
