Keep the limit of a removed customer for its jobs

While a customer is away from the plan, its waiting tasks start without any limit, and exceed it once the customer is back.

Cause: as for removed queues, a default (no limit) stood in for a declaration that is no longer there.

Ruled out: that the jobs of a removed customer end; they go on.

Change: removed customers are kept like removed queues, in one record with them (RemovedEntries), and their limits hold in the rounds of placement.

Evidence: test_a_removed_customer_keeps_its_limit started 3 tasks where the limit allows 1, and passes.

--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -34,6 +34,7 @@
     VmRecord,
     WaveRecord,
 )
+from ._removed import RemovedEntries
 from ._spec import StepSpec, TaskKey
 from ._usage import RunUsage
 
@@ -75,7 +76,7 @@
     vms: tuple[VmRecord, ...]
     waves: tuple[WaveRecord, ...]
     machine_orders: MachineOrders = msgspec.field(default_factory=MachineOrders)
-    removed_queues: tuple[Queue, ...] = ()
+    removed: RemovedEntries = msgspec.field(default_factory=RemovedEntries)
     early_cancels: tuple[tuple[str, str, int], ...] = ()
 
 
@@ -86,9 +87,8 @@
     ----------
     plan : Plan
         Plan in force; version 0 before the first.
-    removed_queues : dict of str to Queue
-        Queues that the plan in force no longer has, as they were last declared, by
-        name. Their jobs go on under these terms.
+    removed : RemovedEntries
+        Queues and customers that the plan in force no longer has.
     jobs : dict of str to JobRecord
         Jobs by id.
     early_cancels : dict
@@ -114,7 +114,7 @@
         "jobs",
         "machine_orders",
         "plan",
-        "removed_queues",
+        "removed",
         "runs",
         "suspect_runs",
         "usage",
@@ -124,7 +124,7 @@
 
     def __init__(self) -> None:
         self.plan = Plan()
-        self.removed_queues: dict[str, Queue] = {}
+        self.removed = RemovedEntries()
         self.jobs: dict[str, JobRecord] = {}
         self.early_cancels: dict[tuple[str, str], int] = {}
         self.vms: dict[str, VmRecord] = {}
@@ -161,7 +161,7 @@
         change of plan and has no jobs.
         """
         declared = next((q for q in self.plan.queues if q.name == name), None)
-        return declared or self.removed_queues.get(name)
+        return declared or self.removed.queues.get(name)
 
     def runs_of(self, vm_id: str, born_ms: int | None = None) -> tuple[ActiveRun, ...]:
         """Return the runs that may be alive on a VM, or on one incarnation of it."""
@@ -183,7 +183,7 @@
                 vms=tuple(self.vms.values()),
                 waves=tuple(self.waves.values()),
                 machine_orders=self.machine_orders,
-                removed_queues=tuple(self.removed_queues.values()),
+                removed=self.removed,
                 early_cancels=tuple(
                     (job_id, customer, at_ms)
                     for (job_id, customer), at_ms in self.early_cancels.items()
@@ -195,7 +195,7 @@
         """Replace the state by an encoded snapshot."""
         snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
         self.plan = snapshot.plan
-        self.removed_queues = {queue.name: queue for queue in snapshot.removed_queues}
+        self.removed = snapshot.removed
         self.jobs = {job.spec.job_id: job for job in snapshot.jobs}
         self.early_cancels = {
             (job_id, customer): at_ms
@@ -220,7 +220,9 @@
     def _(self, command: ReplacePlan) -> int:
         """Return the version in force."""
         if command.plan.version > self.plan.version:
-            self.removed_queues = self._queues_removed_by(command.plan)
+            self.removed = self.removed.after_change(
+                self.plan, command.plan, self.jobs.values()
+            )
             self.plan = command.plan
         return self.plan.version
 
@@ -351,20 +353,6 @@
     def _(self, command: RecordMove) -> None:
         self.machine_orders.record(command.machine)
 
-    def _queues_removed_by(self, plan: Plan) -> dict[str, Queue]:
-        """Return the queues to keep that a new plan does not have.
-
-        A queue that the plan in force still has is kept even without jobs: one that its
-        leader accepts now may follow the new plan in the log.
-        """
-        declared = {queue.name for queue in plan.queues}
-        in_use = {job.spec.queue for job in self.jobs.values()}
-        removed = {
-            name: queue for name, queue in self.removed_queues.items() if name in in_use
-        }
-        removed |= {queue.name: queue for queue in self.plan.queues}
-        return {name: queue for name, queue in removed.items() if name not in declared}
-
     def _gang_run_numbers(self, starts: tuple[RunStart, ...]) -> dict[tuple, int]:
         """Return the next run number of each gang among the starts.
 
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -75,7 +75,7 @@
 
     def update_plan(self) -> None:
         """Read the queues of a new plan, and the removed ones."""
-        queues = (*self._state.plan.queues, *self._state.removed_queues.values())
+        queues = (*self._state.plan.queues, *self._state.removed.queues.values())
         self._queues = {queue.name: queue for queue in queues}
 
     def refresh_job(self, job_id: str) -> None:
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -84,7 +84,9 @@
         self._note_isolated(task for _, tasks in jobs for task in tasks)
         if not jobs:
             return ()
-        limits = {c.name: c.limit for c in self._state.plan.customers}
+        removed = self._state.removed.customers.values()
+        customers = (*removed, *self._state.plan.customers)
+        limits = {customer.name: customer.limit for customer in customers}
         pools = {tasks[0].pool for _, tasks in jobs}
         placer = Placer(
             pools=self._candidate_vms(pools),
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -220,6 +220,13 @@
         self.assertEqual(self.stopped(), [])
         self.assertEqual(self.rounds.backlog, {})
 
+    # QUOTA: without its declaration, a customer's running work had no limit.
+    def test_a_removed_customer_keeps_its_limit(self):
+        self.submit("j", customer="small", n_tasks=3)
+        plan = Plan(version=2, queues=PLAN.queues, pools=PLAN.pools)
+        self.state.apply(ReplacePlan(plan=plan))
+        self.assertEqual(len(self.decide()), 1)
+
     def test_a_queue_with_advice_requests_tickets_and_waits_for_them(self):
         self.submit("j", queue="advised", n_tasks=1)
         self.assertEqual(self.decide(), ())
