Log what limits the placement of a long-running step

Cause: the line of an accepted job named only its number of tasks, so that the logs could not tell whether a long-running task waits for capacity or for a VM without others of its step.

Change: job.accepted names tasks, need, maximum a VM and disruption budget of each long-running step.

Ruled out, conclusion: nothing yet; this only makes the hypotheses on lasting tasks distinguishable.

--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -1,7 +1,7 @@
 """The leader's interface to callers, operators and endpoints."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from datetime import timedelta
 
 import msgspec
@@ -175,7 +175,8 @@
             EventName.JOB_ACCEPTED,
             request_id=spec.job_id,
             detail=f"queue {spec.queue}, customer {spec.customer or 'none'}, "
-            f"plan {self._state.plan.version}, {n_tasks} tasks",
+            f"plan {self._state.plan.version}, {n_tasks} tasks"
+            + "".join(_long_running_details(spec)),
         )
         return job
 
@@ -365,6 +366,23 @@
                 )
 
 
+def _long_running_details(spec: JobSpec) -> Iterator[str]:
+    """Yield what limits the placement of each long-running step, for the log."""
+    for number, step in enumerate(spec.steps):
+        if step.is_long_running:
+            yield (
+                f"; step {number} is long-running: {step.n_tasks} tasks of "
+                f"{step.need.cpu} mcpu and {step.need.memory_mb} MB"
+                + (f", at most {step.max_per_vm} a VM" if step.max_per_vm else "")
+                + (
+                    f", budget {step.disruption_budget}"
+                    if step.disruption_budget
+                    else ""
+                )
+                + (", filler" if step.is_filler else "")
+            )
+
+
 def _share_place(vm: VmRecord, other: VmRecord) -> bool:
     """Return whether two VMs share an address or machine, so that only one can run."""
     same_machine = bool(vm.machine) and vm.machine == other.machine
