Preempt for each long-running task, whatever else is being stopped

Cause: nothing was stopped for a long-running task while any run of its pool was being stopped. Copies of done tasks, cancelled jobs and stalled runs are stopped all the time in a busy pool, and a stop takes half a second. For the same reason several lost tasks got their room one after the other.

Ruled out: that the freed room goes to others (long-running tasks are placed first).

Change: only stops that leave enough room on a VM that answers make a task wait, and that room is kept for the first task that fits in a round. Tasks that have waited get room at the same time; of those that have not, still only the first of a step, as machines may join.

Tests: TestChooseVictims moved from test_scheduling_moves to the module of its source as TestPreemption. test_one_vm_at_a_time_is_freed asserted the fault (no stop while another run stops) and is replaced by test_only_what_stopping_runs_do_not_leave_is_stopped and test_a_task_waits_for_the_room_that_stopping_runs_leave, which check the exact number of stops.

--- a/src/redwingslip/scheduling/_preemption.py
+++ b/src/redwingslip/scheduling/_preemption.py
@@ -1,26 +1,42 @@
-"""Preemption: which runs are stopped in favour of a task that must not wait."""
+"""Preemption: which runs are stopped in favour of tasks that must not wait."""
 
+from collections import Counter
 from datetime import timedelta
 
-from ..jobs import ActiveRun, JobsState
+import msgspec
+
+from ..jobs import NO_AMOUNTS, ActiveRun, Amounts, JobsState
 from ..placement import WaitingTask, is_allowed, keeps_budget
 from ._agent import VmAgent
 from ._machines import MachineRegistry
 
-__all__ = ["choose_victims"]
+__all__ = ["Preemption"]
+
+
+class _Promise(msgspec.Struct):
+    """Room of a VM that its stopping runs leave, kept for tasks of this round.
+
+    Attributes
+    ----------
+    needed : Amounts
+        Resources that the tasks need.
+    steps : Counter
+        Number of the tasks by job, occurrence and step.
+    """
+
+    needed: Amounts = NO_AMOUNTS
+    steps: Counter[tuple] = msgspec.field(default_factory=Counter)
 
 
-def choose_victims(
-    task: WaitingTask, state: JobsState, machines: MachineRegistry, now: timedelta
-) -> list[tuple[VmAgent, ActiveRun]]:
-    """Return the runs to stop on the VM of the pool on which least work is lost.
+class Preemption:
+    """Chooses, in one round of placement, the runs to stop for waiting tasks.
 
-    No runs are returned while a VM of the pool has runs that are being stopped.
+    The caller passes the tasks in the order of their urgency. Room that becomes free on
+    a VM is kept for the first task that fits, so that each of several tasks gets its
+    own without waiting for the others.
 
     Parameters
     ----------
-    task : WaitingTask
-        The task that needs capacity.
     state : JobsState
         The replicated state.
     machines : MachineRegistry
@@ -28,49 +44,90 @@
     now : timedelta
         Monotonic time.
     """
-    options = []
-    for vm_id, agent in machines.agents.items():
-        if agent.vm.pool != task.pool or not agent.is_ready(now):
-            continue
-        runs = state.runs_of(vm_id, agent.vm.born_ms)
-        if any(agent.is_stopping(run.key, run.number) for run in runs):
-            return []
-        if machines.is_claimed(agent.vm.machine) or agent.health.is_avoided(now):
-            continue
-        if vm_id in state.suspect_runs:
-            continue
-        victims = _victims_on(task, agent, runs, state)
-        if victims:
-            cost = sum(_lost_work(run, state, agent) for run in victims)
-            options.append((cost, vm_id, [(agent, run) for run in victims]))
-    return min(options, key=lambda option: option[:2], default=(0, "", []))[2]
-
-
-def _victims_on(
-    task: WaitingTask, agent: VmAgent, runs: tuple[ActiveRun, ...], state: JobsState
-) -> list[ActiveRun]:
-    """Return the newest runs whose end frees enough capacity; none if not possible."""
-    vm = agent.vm
-    used, steps = state.usage.of_vm(vm.vm_id)
-    if not is_allowed(task.step, task.key[:3], vm.labels, steps):
-        return []
-    if not task.takes_any_vm and not keeps_budget(task.step, task.key[:3], steps):
-        return []
-    if task.allowed is not None and vm.vm_id not in task.allowed:
-        return []
-    free = vm.capacity - used
-    victims: list[ActiveRun] = []
-    for run in sorted(runs, key=lambda run: -run.started_ms):
-        if task.step.need.fits(free):
-            break
-        job = state.jobs.get(run.key.job_id)
-        if job is None:
-            continue
-        step = job.spec.steps[run.key.step]
-        if not step.is_long_running and not step.is_gang:
-            free = free + step.need
-            victims.append(run)
-    return victims if task.step.need.fits(free) else []
+
+    __slots__ = ("_machines", "_now", "_promises", "_state")
+
+    def __init__(
+        self, state: JobsState, machines: MachineRegistry, now: timedelta
+    ) -> None:
+        self._state = state
+        self._machines = machines
+        self._now = now
+        self._promises: dict[str, _Promise] = {}
+
+    def victims_for(self, task: WaitingTask) -> list[tuple[VmAgent, ActiveRun]] | None:
+        """Return the runs to stop on the VM of the pool on which least work is lost.
+
+        The list is empty if stopping runs leave enough room already. None is returned
+        if no VM can get enough.
+        """
+        options = []
+        for vm_id, agent in self._machines.agents.items():
+            if agent.vm.pool != task.pool or not self._is_eligible(agent):
+                continue
+            runs = self._state.runs_of(vm_id, agent.vm.born_ms)
+            stopping = [r for r in runs if agent.is_stopping(r.key, r.number)]
+            victims = self._victims_on(task, agent, runs, stopping)
+            if victims is None:
+                continue
+            if not victims and stopping:
+                self._promise(vm_id, task)
+                return []
+            if victims:
+                cost = sum(_lost_work(run, self._state, agent) for run in victims)
+                options.append((cost, vm_id, [(agent, run) for run in victims]))
+        if not options:
+            return None
+        _, vm_id, victims = min(options, key=lambda option: option[:2])
+        self._promise(vm_id, task)
+        return victims
+
+    def _is_eligible(self, agent: VmAgent) -> bool:
+        """Return whether runs on a VM may be stopped to make room there."""
+        return (
+            agent.is_ready(self._now)
+            and agent.is_responsive
+            and not self._machines.is_claimed(agent.vm.machine)
+            and not agent.health.is_avoided(self._now)
+            and agent.vm.vm_id not in self._state.suspect_runs
+        )
+
+    def _promise(self, vm_id: str, task: WaitingTask) -> None:
+        promise = self._promises.setdefault(vm_id, _Promise())
+        promise.needed = promise.needed + task.step.need
+        promise.steps[task.key[:3]] += 1
+
+    def _victims_on(
+        self,
+        task: WaitingTask,
+        agent: VmAgent,
+        runs: tuple[ActiveRun, ...],
+        stopping: list[ActiveRun],
+    ) -> list[ActiveRun] | None:
+        """Return the newest runs whose end frees enough capacity; None if none does."""
+        vm = agent.vm
+        promise = self._promises.get(vm.vm_id, _Promise())
+        used, steps = self._state.usage.of_vm(vm.vm_id)
+        steps += promise.steps
+        step_key = task.key[:3]
+        if not is_allowed(task.step, step_key, vm.labels, steps):
+            return None
+        if not task.takes_any_vm and not keeps_budget(task.step, step_key, steps):
+            return None
+        if task.allowed is not None and vm.vm_id not in task.allowed:
+            return None
+        free = vm.capacity - used - promise.needed
+        for run in stopping:
+            free = free + self._state.step(run.key).need
+        victims: list[ActiveRun] = []
+        for run in sorted(runs, key=lambda run: -run.started_ms):
+            if task.step.need.fits(free):
+                break
+            step = self._state.step(run.key)
+            if run not in stopping and not step.is_long_running and not step.is_gang:
+                free = free + step.need
+                victims.append(run)
+        return victims if task.step.need.fits(free) else None
 
 
 def _lost_work(run: ActiveRun, state: JobsState, agent: VmAgent) -> float:
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -16,7 +16,7 @@
 from ._advice import AdviceCache
 from ._job_index import LONG_RUNNING_BAND, JobIndex, PoolBacklog
 from ._machines import MachineRegistry
-from ._preemption import choose_victims
+from ._preemption import Preemption
 from ._term import Term
 
 __all__ = [
@@ -63,6 +63,7 @@
         "_failed_jobs",
         "_job_index",
         "_machines",
+        "_preemption",
         "_state",
         "_term",
         "_waiting_since",
@@ -86,6 +87,7 @@
         self._failed_jobs: set[str] = set()
         # Monotonic times since which isolated and long-running tasks wait.
         self._waiting_since: dict[TaskKey, timedelta] = {}
+        self._preemption: Preemption | None = None
         self.backlog: dict[str, PoolBacklog] = {}
 
     def decide(self) -> tuple[RunStart, ...]:
@@ -104,6 +106,9 @@
             usage=self._state.usage.of_customers(),
             limits=limits,
         )
+        self._preemption = Preemption(
+            self._state, self._machines, self._term.clock.monotonic()
+        )
         starts: list[RunStart] = []
         for urgency, tasks in jobs:
             try:
@@ -200,12 +205,18 @@
             backlog.n_vms = max(backlog.n_vms, 1)
             return
         if urgency.band == LONG_RUNNING_BAND and not task.step.is_gang:
-            self._preempt_runs_for(task)
+            # For tasks that have not waited, machines may join the pool meanwhile.
+            for each in tasks if task.has_waited else tasks[:1]:
+                if not self._preempt_runs_for(each):
+                    break
 
-    def _preempt_runs_for(self, task: WaitingTask) -> None:
-        """Stop less urgent runs to free capacity for a long-running task."""
-        now = self._term.clock.monotonic()
-        for agent, run in choose_victims(task, self._state, self._machines, now):
+    def _preempt_runs_for(self, task: WaitingTask) -> bool:
+        """Stop less urgent runs to free capacity for a long-running task.
+
+        Return whether it will find room.
+        """
+        victims = self._preemption.victims_for(task)
+        for agent, run in victims or ():
             self._term.emit(
                 EventName.RUN_PREEMPTED,
                 request_id=run.key.job_id,
@@ -213,6 +224,7 @@
                 detail=f"{run.key.label(run.number)} for a task of {task.key.job_id}",
             )
             agent.stop(run.key, run.number)
+        return victims is not None
 
     def _candidate_vms(self, names: set[str]) -> dict[str, list[CandidateVm]]:
         """Return the VMs of the named pools that accept runs, by pool."""
--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -17,10 +17,9 @@
     RunEnd,
     RunStart,
     StartRuns,
-    StepSpec,
     TaskKey,
 )
-from redwingslip.placement import ArrivalSettings, ArrivalTrend, WaitingTask
+from redwingslip.placement import ArrivalSettings, ArrivalTrend
 from redwingslip.scheduling import (
     LeaderPolicy,
     MachineRegistry,
@@ -30,7 +29,6 @@
     MoveSettings,
 )
 from redwingslip.scheduling._job_index import PoolBacklog
-from redwingslip.scheduling._preemption import choose_victims
 from tests.support_scheduling import (
     PLAN,
     FakeEndpoint,
@@ -332,66 +330,3 @@
         self.advance(CFG.rest_time)
         await asyncio.sleep(0.05)
         self.assertEqual(self.platform.moved, [])
-
-
-class TestChooseVictims(FleetTestCase):
-    """A long-running task in a pool whose VMs are full of short runs."""
-
-    def choose(self, **step):
-        spec = StepSpec(
-            **{
-                "n_tasks": 1,
-                "need": Amounts(2000, 10),
-                "is_long_running": True,
-                **step,
-            }
-        )
-        task = WaitingTask(TaskKey("long", 0, 0, 0), spec, customer="", pool="p")
-        now = self.clock.monotonic()
-        return choose_victims(task, self.state, self.machines, now)
-
-    async def test_only_as_many_short_runs_are_stopped_as_needed(self):
-        self.make_fleet(make_vm("v1"), jobs=[make_job(n_tasks=4)])
-        for index in range(4):
-            self.run_task("j1", "v1", index)
-        self.assertEqual(len(self.choose()), 2)
-
-    async def test_long_running_runs_are_never_stopped(self):
-        job = make_job(n_tasks=4, is_long_running=True)
-        self.make_fleet(make_vm("v1"), jobs=[job])
-        for index in range(4):
-            self.run_task("j1", "v1", index)
-        self.assertEqual(self.choose(), [])
-
-    async def test_one_vm_at_a_time_is_freed(self):
-        self.make_fleet(make_vm("v1"), jobs=[make_job(n_tasks=4)])
-        runs = [self.run_task("j1", "v1", index) for index in range(4)]
-        self.agents["v1"].stop(runs[0].key, runs[0].number)
-        self.assertEqual(self.choose(), [])
-
-    async def test_the_maximum_of_tasks_per_vm_is_respected(self):
-        jobs = [make_job(n_tasks=4), make_job("long", is_long_running=True)]
-        self.make_fleet(make_vm("v1", capacity=Amounts(5000, 4000)), jobs=jobs)
-        self.run_task("long", "v1")
-        for index in range(4):
-            self.run_task("j1", "v1", index)
-        self.assertEqual(self.choose(max_per_vm=1), [])
-
-    async def test_no_runs_are_stopped_on_a_claimed_machine(self):
-        """It would not get the task, and the next round would stop more runs."""
-        self.make_fleet(make_vm("v1"), jobs=[make_job(n_tasks=4)])
-        for index in range(4):
-            self.run_task("j1", "v1", index)
-        self.machines.claim("m-v1", "a wave")
-        self.assertEqual(self.choose(), [])
-
-    async def test_the_disruption_budget_also_limits_the_tasks_per_vm(self):
-        jobs = [
-            make_job(n_tasks=4),
-            make_job("long", is_long_running=True, need=Amounts(100, 1)),
-        ]
-        self.make_fleet(make_vm("v1", capacity=Amounts(4100, 4000)), jobs=jobs)
-        self.run_task("long", "v1")
-        for index in range(4):
-            self.run_task("j1", "v1", index)
-        self.assertEqual(self.choose(max_per_vm=2, disruption_budget=1), [])
--- /dev/null
+++ b/tests/test_scheduling_preemption.py
@@ -0,0 +1,120 @@
+"""Tests of preemption: which short runs are stopped for long-running tasks."""
+
+from redwingslip.jobs import Amounts, StepSpec, TaskKey
+from redwingslip.placement import WaitingTask
+from redwingslip.scheduling._preemption import Preemption
+from tests.support_scheduling import make_job, make_vm
+from tests.test_scheduling_moves import FleetTestCase
+
+
+class TestPreemption(FleetTestCase):
+    """A long-running task in a pool whose VMs are full of short runs."""
+
+    def make_task(self, index=0, *, has_waited=False, **step):
+        """Return a waiting long-running task."""
+        spec = StepSpec(
+            **{
+                "n_tasks": 1,
+                "need": Amounts(2000, 10),
+                "is_long_running": True,
+                **step,
+            }
+        )
+        task = WaitingTask(TaskKey("long", 0, 0, index), spec, customer="", pool="p")
+        task.has_waited = has_waited
+        return task
+
+    def new_round(self):
+        """Return the preemption of one round."""
+        return Preemption(self.state, self.machines, self.clock.monotonic())
+
+    def choose(self, **options):
+        """Return the number of runs to stop for one task, None if it can't start."""
+        victims = self.new_round().victims_for(self.make_task(**options))
+        return None if victims is None else len(victims)
+
+    def fill(self, *vm_ids):
+        """Fill VMs of four cores with short runs of one core."""
+        n_tasks = 4 * len(vm_ids)
+        self.make_fleet(
+            *(make_vm(vm_id) for vm_id in vm_ids), jobs=[make_job(n_tasks=n_tasks)]
+        )
+        return [
+            self.run_task("j1", vm_ids[index // 4], index) for index in range(n_tasks)
+        ]
+
+    # LOST: stops elsewhere in the pool kept a lasting task from any room.
+    async def test_stops_that_leave_too_little_room_hold_up_nothing(self):
+        """The pattern is a pool in which copies of done tasks are often stopped."""
+        runs = self.fill("v1", "v2")
+        self.agents["v1"].stop(runs[0].key, runs[0].number)
+        self.assertEqual(self.choose(need=Amounts(1500, 10)), 1)
+
+    async def test_each_task_of_a_round_gets_room_of_its_own(self):
+        """Guards against lasting tasks that get their room one after the other."""
+        self.fill("v1", "v2")
+        preemption = self.new_round()
+        stopped = []
+        for index in range(5):
+            victims = preemption.victims_for(self.make_task(index))
+            for agent, run in victims or ():
+                agent.stop(run.key, run.number)
+                stopped.append((run.vm_id, run.key.index))
+            self.assertEqual(victims is None, index == 4)
+        self.assertEqual(len(set(stopped)), 8)
+
+    async def test_a_task_waits_for_the_room_that_stopping_runs_leave(self):
+        runs = self.fill("v1", "v2")
+        for run in runs[4:6]:
+            self.agents["v2"].stop(run.key, run.number)
+        self.assertEqual(self.choose(), 0)
+
+    async def test_stops_on_a_vm_that_does_not_answer_hold_up_nothing(self):
+        runs = self.fill("v1", "v2")
+        for run in runs[4:6]:
+            self.agents["v2"].stop(run.key, run.number)
+        self.agents["v2"]._sender.is_unresponsive = True
+        self.assertEqual(self.choose(), 2)
+
+    async def test_only_as_many_short_runs_are_stopped_as_needed(self):
+        self.fill("v1")
+        self.assertEqual(self.choose(), 2)
+
+    async def test_long_running_runs_are_never_stopped(self):
+        job = make_job(n_tasks=4, is_long_running=True)
+        self.make_fleet(make_vm("v1"), jobs=[job])
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        self.assertIsNone(self.choose())
+
+    async def test_only_what_stopping_runs_do_not_leave_is_stopped(self):
+        runs = self.fill("v1")
+        self.agents["v1"].stop(runs[0].key, runs[0].number)
+        self.assertEqual(self.choose(), 1)
+
+    async def test_the_maximum_of_tasks_per_vm_is_respected(self):
+        jobs = [make_job(n_tasks=4), make_job("long", is_long_running=True)]
+        self.make_fleet(make_vm("v1", capacity=Amounts(5000, 4000)), jobs=jobs)
+        self.run_task("long", "v1")
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        self.assertIsNone(self.choose(max_per_vm=1))
+
+    async def test_no_runs_are_stopped_on_a_claimed_machine(self):
+        """It would not get the task, and the next round would stop more runs."""
+        self.make_fleet(make_vm("v1"), jobs=[make_job(n_tasks=4)])
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        self.machines.claim("m-v1", "a wave")
+        self.assertIsNone(self.choose())
+
+    async def test_the_disruption_budget_also_limits_the_tasks_per_vm(self):
+        jobs = [
+            make_job(n_tasks=4),
+            make_job("long", is_long_running=True, need=Amounts(100, 1)),
+        ]
+        self.make_fleet(make_vm("v1", capacity=Amounts(4100, 4000)), jobs=jobs)
+        self.run_task("long", "v1")
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        self.assertIsNone(self.choose(max_per_vm=2, disruption_budget=1))
