Preempt for suspected long-running tasks, and on VMs with former suspects

Cause: a long-running task under which two VMs had crashed never preempted, so that it waited as long as its pool was full, though it may share a VM once it has waited. Besides, no run was ever stopped on a VM that runs a task with a crash behind it, however long that task had run, nor on an avoided VM; in a small pool with some crashes these are all VMs.

Ruled out: that the wait for a VM of its own ends the same way (it needs free room).

Change: an isolated long-running task preempts once it has waited. Only suspects that may still crash their VM (PROBATION_MS) protect it, as in placement; a task that has waited takes these and avoided VMs as well, but an isolated one never the VM of another suspect.

Evidence: test_a_suspected_long_running_task_preempts_once_it_has_waited, test_a_suspect_that_has_run_for_long_protects_its_vm_no_longer and test_a_task_that_has_waited_takes_the_vms_that_others_spare failed before.

--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -21,7 +21,7 @@
     StartWave,
     SubmitJob,
 )
-from ._crashes import CRASH_WINDOW_MS, MAX_CRASHES
+from ._crashes import CRASH_WINDOW_MS, MAX_CRASHES, PROBATION_MS
 from ._machine_orders import MachineOrders
 from ._plan import Plan, Queue
 from ._records import (
@@ -168,6 +168,14 @@
         runs = self.runs.get(vm_id, {}).values()
         return tuple(r for r in runs if born_ms is None or r.born_ms == born_ms)
 
+    def recent_suspects(self, vm_id: str, now_ms: int) -> list[ActiveRun]:
+        """Return the runs of suspects that may still crash their VM."""
+        runs = self.suspect_runs.get(vm_id)
+        if runs is None:
+            return []
+        first_ms = now_ms - PROBATION_MS
+        return [run for run in runs.values() if run.started_ms >= first_ms]
+
     def run(self, key: TaskKey, number: int) -> RunRecord | None:
         """Return a run that may be alive, or None if there is no such run."""
         task = self.task(key)
--- a/src/redwingslip/scheduling/_preemption.py
+++ b/src/redwingslip/scheduling/_preemption.py
@@ -43,16 +43,24 @@
         Registry of the machines and their agents.
     now : timedelta
         Monotonic time.
+    now_ms : int
+        Unix time in milliseconds.
     """
 
-    __slots__ = ("_machines", "_now", "_promises", "_state")
+    __slots__ = ("_machines", "_now", "_now_ms", "_promises", "_state")
 
     def __init__(
-        self, state: JobsState, machines: MachineRegistry, now: timedelta
+        self,
+        state: JobsState,
+        machines: MachineRegistry,
+        *,
+        now: timedelta,
+        now_ms: int,
     ) -> None:
         self._state = state
         self._machines = machines
         self._now = now
+        self._now_ms = now_ms
         self._promises: dict[str, _Promise] = {}
 
     def victims_for(self, task: WaitingTask) -> list[tuple[VmAgent, ActiveRun]] | None:
@@ -63,7 +71,7 @@
         """
         options = []
         for vm_id, agent in self._machines.agents.items():
-            if agent.vm.pool != task.pool or not self._is_eligible(agent):
+            if agent.vm.pool != task.pool or not self._is_eligible(agent, task):
                 continue
             runs = self._state.runs_of(vm_id, agent.vm.born_ms)
             stopping = [r for r in runs if agent.is_stopping(r.key, r.number)]
@@ -82,15 +90,16 @@
         self._promise(vm_id, task)
         return victims
 
-    def _is_eligible(self, agent: VmAgent) -> bool:
-        """Return whether runs on a VM may be stopped to make room there."""
-        return (
-            agent.is_ready(self._now)
-            and agent.is_responsive
-            and not self._machines.is_claimed(agent.vm.machine)
-            and not agent.health.is_avoided(self._now)
-            and agent.vm.vm_id not in self._state.suspect_runs
-        )
+    def _is_eligible(self, agent: VmAgent, task: WaitingTask) -> bool:
+        """Return whether runs on a VM may be stopped to make room for a task."""
+        if not agent.is_ready(self._now) or not agent.is_responsive:
+            return False
+        if self._machines.is_claimed(agent.vm.machine):
+            return False
+        suspects = self._state.recent_suspects(agent.vm.vm_id, self._now_ms)
+        if suspects and (task.is_isolated or not task.takes_any_vm):
+            return False
+        return task.takes_any_vm or not agent.health.is_avoided(self._now)
 
     def _promise(self, vm_id: str, task: WaitingTask) -> None:
         promise = self._promises.setdefault(vm_id, _Promise())
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -4,7 +4,6 @@
 from datetime import timedelta
 
 from ..jobs import (
-    PROBATION_MS,
     ActiveRun,
     RunRecord,
     RunStart,
@@ -107,7 +106,10 @@
             limits=limits,
         )
         self._preemption = Preemption(
-            self._state, self._machines, self._term.clock.monotonic()
+            self._state,
+            self._machines,
+            now=self._term.clock.monotonic(),
+            now_ms=self._term.now_ms(),
         )
         starts: list[RunStart] = []
         for urgency, tasks in jobs:
@@ -201,9 +203,10 @@
         if needs_advice:
             self._advice.request(task.key[:3], task.pool)
         if task.is_isolated:
-            # Stopping some runs does not help a task that needs a VM without any.
             backlog.n_vms = max(backlog.n_vms, 1)
-            return
+            if not task.takes_any_vm:
+                # Stopping some runs does not help a task that needs a VM without any.
+                return
         if urgency.band == LONG_RUNNING_BAND and not task.step.is_gang:
             # For tasks that have not waited, machines may join the pool meanwhile.
             for each in tasks if task.has_waited else tasks[:1]:
@@ -243,7 +246,7 @@
             if not agent.is_ready(now) or not agent.is_responsive:
                 continue
             used, steps = self._state.usage.of_vm(vm_id)
-            suspects = self._recent_suspects(vm_id)
+            suspects = self._state.recent_suspects(vm_id, self._term.now_ms())
             candidate = CandidateVm(
                 vm_id=vm_id,
                 born_ms=agent.vm.born_ms,
@@ -262,14 +265,6 @@
             pools.setdefault(agent.vm.pool, []).append(candidate)
         return pools
 
-    def _recent_suspects(self, vm_id: str) -> list[ActiveRun]:
-        """Return the runs of suspects that may still crash their VM."""
-        runs = self._state.suspect_runs.get(vm_id)
-        if runs is None:
-            return []
-        first_ms = self._term.now_ms() - PROBATION_MS
-        return [run for run in runs.values() if run.started_ms >= first_ms]
-
     def _isolated_job(self, suspects: list[ActiveRun]) -> str:
         """Return the job of the first isolated task among runs; empty for none."""
         for run in suspects:
--- a/tests/test_scheduling_preemption.py
+++ b/tests/test_scheduling_preemption.py
@@ -1,6 +1,17 @@
 """Tests of preemption: which short runs are stopped for long-running tasks."""
 
-from redwingslip.jobs import Amounts, StepSpec, TaskKey
+from datetime import timedelta
+
+from redwingslip.jobs import (
+    PROBATION_MS,
+    Amounts,
+    ForgetVm,
+    NoteVm,
+    RunStart,
+    StartRuns,
+    StepSpec,
+    TaskKey,
+)
 from redwingslip.placement import WaitingTask
 from redwingslip.scheduling._preemption import Preemption
 from tests.support_scheduling import make_job, make_vm
@@ -26,7 +37,12 @@
 
     def new_round(self):
         """Return the preemption of one round."""
-        return Preemption(self.state, self.machines, self.clock.monotonic())
+        return Preemption(
+            self.state,
+            self.machines,
+            now=self.clock.monotonic(),
+            now_ms=self.term.now_ms(),
+        )
 
     def choose(self, **options):
         """Return the number of runs to stop for one task, None if it can't start."""
@@ -69,6 +85,48 @@
             self.agents["v2"].stop(run.key, run.number)
         self.assertEqual(self.choose(), 0)
 
+    def suspect(self, index):
+        """Count a crash under a short task."""
+        crash = {"vm_id": "v9", "born_ms": 1, "now_ms": 1}
+        self.state.apply(NoteVm(vm=make_vm("v9"), now_ms=1))
+        start = RunStart(TaskKey("j1", 0, 0, index), "v9", 1)
+        self.state.apply(StartRuns(starts=(start,), now_ms=1))
+        self.state.apply(ForgetVm(**crash, has_crashed=True))
+
+    async def test_a_suspect_that_has_run_for_long_protects_its_vm_no_longer(self):
+        """Guards against VMs on which nothing is ever stopped for a lasting task."""
+        self.make_fleet(make_vm("v1"), jobs=[make_job(n_tasks=4)])
+        self.suspect(0)
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        self.assertIsNone(self.choose())
+        self.clock.advance(timedelta(milliseconds=PROBATION_MS + 2))
+        self.agents["v1"].lease.note_contact(self.clock.monotonic())
+        self.assertEqual(self.choose(), 2)
+
+    async def test_a_task_that_has_waited_takes_the_vms_that_others_spare(self):
+        """Guards against a lasting task that waits while all VMs are spared."""
+        self.make_fleet(make_vm("v1"), jobs=[make_job(n_tasks=4)])
+        self.suspect(0)
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        self.assertEqual(self.choose(has_waited=True), 2)
+        self.clock.advance(timedelta(milliseconds=PROBATION_MS + 2))
+        self.agents["v1"].lease.note_contact(self.clock.monotonic())
+        self.agents["v1"].health.avoid(self.clock.monotonic())
+        self.assertIsNone(self.choose())
+        self.assertEqual(self.choose(has_waited=True), 2)
+
+    async def test_an_isolated_task_gets_no_room_beside_other_suspects(self):
+        """It would not be placed there, and the next round would stop more runs."""
+        self.make_fleet(make_vm("v1"), jobs=[make_job(n_tasks=4)])
+        self.suspect(0)
+        for index in range(4):
+            self.run_task("j1", "v1", index)
+        task = self.make_task(has_waited=True)
+        task.is_isolated = True
+        self.assertIsNone(self.new_round().victims_for(task))
+
     async def test_stops_on_a_vm_that_does_not_answer_hold_up_nothing(self):
         runs = self.fill("v1", "v2")
         for run in runs[4:6]:
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -233,6 +233,17 @@
         self.assertEqual(self.decide(), ())
         self.assertEqual(self.wait(MAX_RESTART_WAIT), ["long"])
 
+    # LOST: a lasting task under suspicion waited as long as its pool was full.
+    def test_a_suspected_long_running_task_preempts_once_it_has_waited(self):
+        self.fill()
+        self.submit("long", n_tasks=1, is_long_running=True)
+        task = self.state.task(TaskKey("long", 0, 0, 0))
+        task.crashed_machines = ["m8", "m9"]
+        self.assertEqual(self.decide(), ())
+        self.assertEqual(self.stopped(), [])
+        self.wait(MAX_FIRST_START_WAIT)
+        self.assertEqual(len(self.stopped()), 1)
+
     def test_a_job_that_fails_a_round_does_not_keep_others_waiting(self):
         """Guards against one task for which the leader places nothing any more."""
         self.submit("bad", n_tasks=1)
