Count what a run reserves when room is made for a task

Cause: preemption counted the CPU that a filler needs, though fillers reserve none. A long-running filler that lacks memory got none on VMs whose CPU is in use, and short fillers were stopped for CPU that their end does not free.

Change: what tasks and runs reserve is counted.

Evidence: test_a_filler_gets_memory_on_a_vm_without_free_cpu and test_no_filler_is_stopped_for_cpu failed before.

--- a/src/redwingslip/scheduling/_preemption.py
+++ b/src/redwingslip/scheduling/_preemption.py
@@ -103,7 +103,7 @@
 
     def _promise(self, vm_id: str, task: WaitingTask) -> None:
         promise = self._promises.setdefault(vm_id, _Promise())
-        promise.needed = promise.needed + task.step.need
+        promise.needed = promise.needed + task.step.reserved
         promise.steps[task.key[:3]] += 1
 
     def _victims_on(
@@ -127,16 +127,16 @@
             return None
         free = vm.capacity - used - promise.needed
         for run in stopping:
-            free = free + self._state.step(run.key).need
+            free = free + self._state.step(run.key).reserved
         victims: list[ActiveRun] = []
         for run in sorted(runs, key=lambda run: -run.started_ms):
-            if task.step.need.fits(free):
+            if task.step.reserved.fits(free):
                 break
             step = self._state.step(run.key)
             if run not in stopping and not step.is_long_running and not step.is_gang:
-                free = free + step.need
+                free = free + step.reserved
                 victims.append(run)
-        return victims if task.step.need.fits(free) else None
+        return victims if task.step.reserved.fits(free) else None
 
 
 def _lost_work(run: ActiveRun, state: JobsState, agent: VmAgent) -> float:
--- a/tests/test_scheduling_preemption.py
+++ b/tests/test_scheduling_preemption.py
@@ -150,6 +150,29 @@
         self.agents["v1"].stop(runs[0].key, runs[0].number)
         self.assertEqual(self.choose(), 1)
 
+    async def test_a_filler_gets_memory_on_a_vm_without_free_cpu(self):
+        """Guards against a lasting filler that waits for CPU that it does not use up."""
+        jobs = [
+            make_job("cpu", is_long_running=True, need=Amounts(4000, 0)),
+            make_job("memory", need=Amounts(0, 4000)),
+        ]
+        self.make_fleet(make_vm("v1"), jobs=jobs)
+        self.run_task("cpu", "v1")
+        self.run_task("memory", "v1")
+        self.assertEqual(self.choose(is_filler=True), 1)
+
+    async def test_no_filler_is_stopped_for_cpu(self):
+        """Guards against work that is lost without room for anything."""
+        jobs = [
+            make_job("cpu", is_long_running=True, need=Amounts(3000, 0)),
+            make_job("fill", n_tasks=2, is_filler=True),
+        ]
+        self.make_fleet(make_vm("v1"), jobs=jobs)
+        self.run_task("cpu", "v1")
+        for index in range(2):
+            self.run_task("fill", "v1", index)
+        self.assertIsNone(self.choose())
+
     async def test_the_maximum_of_tasks_per_vm_is_respected(self):
         jobs = [make_job(n_tasks=4), make_job("long", is_long_running=True)]
         self.make_fleet(make_vm("v1", capacity=Amounts(5000, 4000)), jobs=jobs)
