--- a/tests/test_scheduling_preemption.py
+++ b/tests/test_scheduling_preemption.py
@@ -151,7 +151,7 @@
         self.assertEqual(self.choose(), 1)
 
     async def test_a_filler_gets_memory_on_a_vm_without_free_cpu(self):
-        """Guards against a lasting filler that waits for CPU that it does not use up."""
+        """Guards against a filler that waits for CPU which it does not reserve."""
         jobs = [
             make_job("cpu", is_long_running=True, need=Amounts(4000, 0)),
             make_job("memory", need=Amounts(0, 4000)),
