Keep a stop of a run in mind until its end is recorded

What callers saw: a lasting task that doesn't run with room for it.

Cause: a run that is stopped before it starts is never listed. Its stop was forgotten with the next answer to a poll. If that poll was sent before the stop was answered, it proved no end either, so the run stayed in the state, held its capacity, and was chosen and stopped again as soon as the next poll had been sent, which again proved nothing. Each answer to a poll starts a round of placement, so that this can go on for as long as the task waits.

Ruled out: lost stops (each was answered), and starts that were sent again (none was).

Change: a stop is forgotten once its run is neither listed nor open in the state.

Evidence: test_a_stop_during_a_poll_holds_until_the_end_is_recorded failed before.

Conclusion: mended; it can happen wherever runs are preempted under load.

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -280,6 +280,10 @@
         for by_run in (self._sender.confirmed_at, self._sender.started_at):
             for run_id in by_run.keys() - active.keys():
                 del by_run[run_id]
+        # A poll that was sent before the answer to a stop proves no end.
+        stops = self._sender.stop_answered_at
+        for run_id in stops.keys() - active.keys() - self.listed_runs.keys():
+            del stops[run_id]
 
     def _learn_run_time(self, run_id: RunId, now: timedelta) -> None:
         """Record how long a run took that this leader started from the beginning."""
@@ -298,9 +302,8 @@
 
     def _stop_stalled_runs(self, now: timedelta) -> None:
         """Stop runs that are stalled or slow, so that they restart on another VM."""
-        for by_run in (self._progress, self._sender.stop_answered_at):
-            for run_id in by_run.keys() - self.listed_runs.keys():
-                del by_run[run_id]
+        for run_id in self._progress.keys() - self.listed_runs.keys():
+            del self._progress[run_id]
         for run_id, listed in self.listed_runs.items():
             progress = self._progress.get(run_id)
             if progress is None:
--- a/tests/test_scheduling_agent_ends.py
+++ b/tests/test_scheduling_agent_ends.py
@@ -65,5 +65,41 @@
         self.assertTrue(state.task(keys[-1]).is_done)
 
 
+class TestStoppedRuns(unittest.IsolatedAsyncioTestCase):
+    """Runs that are stopped before they have started."""
+
+    async def asyncSetUp(self):
+        vm = make_vm()
+        self.state = make_state(vm, jobs=[make_job()])
+        self.clock = ManualClock()
+        self.agent = make_agent(vm, FakeEndpoint(), FakeTerm(self.state, self.clock))
+
+    async def asyncTearDown(self):
+        self.agent.close()
+        await asyncio.sleep(0)
+
+    # LOST: a run that had not started was stopped again after each poll, for good.
+    async def test_a_stop_during_a_poll_holds_until_the_end_is_recorded(self):
+        """Guards against a stopped run that is neither lost nor stopping."""
+        await self.agent._poll()
+        start = RunStart(TaskKey("j1", 0, 0, 0), "v1", 1)
+        (run,) = self.state.apply(StartRuns(starts=(start,), now_ms=1))
+        self.clock.advance(timedelta(milliseconds=1))
+        poll = asyncio.create_task(self.agent._poll())
+        await asyncio.sleep(0)
+        self.clock.advance(timedelta(milliseconds=1))
+        self.agent.stop(run.key, run.number)
+        sender = self.agent._sender
+        await sender._send(sender._queue.popleft())
+        await poll
+        self.assertTrue(self.state.runs_of("v1"))
+        self.assertTrue(self.agent.is_stopping(run.key, run.number))
+        self.clock.advance(timedelta(milliseconds=1))
+        await self.agent._poll()
+        await eventually(lambda: not self.state.runs_of("v1"))
+        await self.agent._poll()
+        self.assertFalse(self.agent.is_stopping(run.key, run.number))
+
+
 if __name__ == "__main__":
     unittest.main()
