Notice sooner that a silent VM has lost its runs

Cause: each start extended the lease of its VM, also after the VM had fallen silent and until a poll had shown it, 1.8 s later. Besides, the end of the lease was only looked at after a poll had failed, which takes 0.8 s and a pause.

Ruled out: a shorter lease, since a new leader needs the time to renew it.

Change: a start carries the end of the lease that the last poll has sent, and extends it only if less than half is left. A poll of an unresponsive VM, and the pause after it, end with the lease.

Conclusion: mended. A start that is carried out late is refused by its VM sooner, too.

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -167,7 +167,7 @@
                 await asyncio.sleep(self._cfg.agents.retry_delay.total_seconds())
             except (OrderNotSentError, OrderOutcomeUnknownError):
                 await self._handle_no_response()
-                await asyncio.sleep(delay.total_seconds())
+                await self._wait_for_retry(delay)
                 delay = min(2 * delay, self._cfg.agents.max_retry_delay)
             except Exception:
                 # The polling is restarted; its VM must be given up if this goes on.
@@ -180,13 +180,17 @@
         until_ms = self._sender.lease_end_ms(sent_at) if self.lease.has_clock else None
         has_contact = self._has_renewed_lease and not self._sender.is_unresponsive
         wait = self._cfg.agents.wait if has_contact else timedelta(0)
-        report = await self._orders.hold(
-            self.vm,
-            fence=self._term.fence,
-            cursor=self._cursor(),
-            until_ms=until_ms,
-            wait_ms=wait // MS,
-        )
+        try:
+            async with asyncio.timeout(self._longest_poll_s(sent_at)):
+                report = await self._orders.hold(
+                    self.vm,
+                    fence=self._term.fence,
+                    cursor=self._cursor(),
+                    until_ms=until_ms,
+                    wait_ms=wait // MS,
+                )
+        except TimeoutError as exc:
+            raise OrderOutcomeUnknownError("the lease of the VM has expired") from exc
         if report.born_ms and report.born_ms != self.vm.born_ms:
             raise VmReplacedError(f"incarnation {report.born_ms} answers")
         now = self._term.clock.monotonic()
@@ -204,6 +208,25 @@
         self._listener.note_contact()
         await self._note_runs_at_work(now)
 
+    def _longest_poll_s(self, now: timedelta) -> float | None:
+        """Return the longest duration of a poll in seconds, None for no bound.
+
+        A poll of a VM that did not answer the last one ends with the VM's lease.
+        """
+        remaining = self.lease.time_to_expiry(now)
+        if not self._sender.is_unresponsive or not remaining:
+            return None
+        return remaining.total_seconds()
+
+    async def _wait_for_retry(self, delay: timedelta) -> None:
+        """Wait before the next poll, and give up the runs if the lease expires."""
+        remaining = self.lease.time_to_expiry(self._term.clock.monotonic())
+        if not timedelta(0) < remaining < delay:
+            await asyncio.sleep(delay.total_seconds())
+            return
+        await asyncio.sleep(remaining.total_seconds())
+        await self._handle_no_response()
+
     def _is_known(self) -> bool:
         """Return whether the state has this incarnation, or runs on it."""
         vm = self._term.state.vms.get(self.vm.vm_id)
--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -283,7 +283,12 @@
         job = self._term.state.jobs.get(order.key.job_id)
         if job is None:
             return
-        until_ms = self.lease_end_ms(self._term.clock.monotonic())
+        now = self._term.clock.monotonic()
+        until_ms = (
+            self.lease.last_end_ms(now)
+            if self.is_unresponsive
+            else self.lease.end_for_start(now)
+        )
         outcome = await self._orders.start(
             self.vm,
             order.run,
--- a/src/redwingslip/workers/_lease.py
+++ b/src/redwingslip/workers/_lease.py
@@ -7,6 +7,8 @@
 __all__ = ["LeaseSettings", "VmLease"]
 
 MS = timedelta(milliseconds=1)
+# Part of a lease that must be left at the start of a run.
+MIN_START_SHARE = 0.5
 
 
 class LeaseSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -129,6 +131,22 @@
         """
         return self._last_end_ms or self.extend(now)
 
+    def end_for_start(self, now: timedelta) -> int:
+        """Return the end of the lease to send with the start of a run.
+
+        Polls extend the lease. A start does so only if little of it is left: the runs
+        of a VM that falls silent could be restarted only later.
+        """
+        elapsed = now - self._clock_at
+        remaining = (self._last_end_ms - self._clock_ms) * MS - elapsed
+        if remaining >= self._cfg.duration * MIN_START_SHARE:
+            return self._last_end_ms
+        return self.extend(now)
+
+    def time_to_expiry(self, now: timedelta) -> timedelta:
+        """Return the time until `has_expired`, zero if it has."""
+        return max(timedelta(0), self._expires_at - now)
+
     def has_expired(self, now: timedelta) -> bool:
         """Return whether no run that was started under this lease can be alive."""
         return now >= self._expires_at
--- a/tests/test_scheduling_long_running.py
+++ b/tests/test_scheduling_long_running.py
@@ -36,19 +36,29 @@
 # step, with room on the others.
 REGRESSIONS = (35, 50, 68, 112, 121, 148, 205, 215, 216)
 SEEDS = (*range(6), *REGRESSIONS)
+# The same for VMs that fall silent: their leases expired too late.
+SILENT_SEEDS = (*range(3), 43, 44, 107)
 
 
 class LossyPool:
     """A history of one pool, whose size, work and faults are drawn by its seed.
 
+    Parameters
+    ----------
+    seed : int
+        Seed of the history.
+    falls_silent : bool
+        Whether VMs that crash leave calls without an answer, and don't come back.
+
     Attributes
     ----------
     lost : dict of TaskKey to str
         What is known of the tasks that were lost.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, *, falls_silent=False):
         self.rng = random.Random(seed)
+        self.falls_silent = falls_silent
         self.n_vms = self.rng.randint(3, 7)
         self.load = self.rng.choice((0.3, 0.9, 2.0))
         self.crash_interval_s = self.rng.choice((3, 9))
@@ -80,6 +90,14 @@
         self.world.stop_leader()
         return self.world
 
+    def sound_endpoints(self):
+        """Return the endpoints that are up and answer."""
+        return [
+            endpoint
+            for endpoint in self.world.endpoints.values()
+            if endpoint.is_up and not endpoint.is_partitioned
+        ]
+
     async def submit_long_running(self, job_id):
         """Submit a job with up to one task for each VM."""
         step = StepSpec(
@@ -111,20 +129,23 @@
     async def report(self):
         """Send the reports of the endpoints."""
         while True:
-            for endpoint in tuple(self.world.endpoints.values()):
-                if endpoint.is_up:
-                    await self.world.report(endpoint)
+            for endpoint in self.sound_endpoints():
+                await self.world.report(endpoint)
             await asyncio.sleep(REPORT_INTERVAL_S)
 
     async def crash(self):
         """Crash VMs while more than two are up."""
         while self.world.now() < LAST_FAULT_S:
             await asyncio.sleep(self.rng.uniform(0.5, 2) * self.crash_interval_s)
-            up = [e for e in self.world.endpoints.values() if e.is_up]
+            up = self.sound_endpoints()
             if len(up) > 2:
                 endpoint = self.rng.choice(up)
-                endpoint.is_up = False
                 self._disturbed_at = self.world.now()
+                if self.falls_silent:
+                    endpoint.is_partitioned = True
+                    endpoint.runs.clear()
+                    continue
+                endpoint.is_up = False
                 if self.restart_s:
                     loop = asyncio.get_running_loop()
                     loop.call_later(self.restart_s, self._restart, endpoint.vm_id)
@@ -137,7 +158,7 @@
         """Look for long-running tasks that don't run although there is room."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            endpoints = [e for e in self.world.endpoints.values() if e.is_up]
+            endpoints = self.sound_endpoints()
             for endpoint in endpoints:
                 endpoint.update()
             running = {key for endpoint in endpoints for key in endpoint.runs}
@@ -182,10 +203,19 @@
         """Guards against tasks that wait for VMs which the pool no longer has."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                history = LossyPool(seed)
-                world = run_virtually(history.run)
-                self.assertEqual(world.problems, [])
-                self.assertEqual(history.lost, {})
+                self.check(LossyPool(seed))
+
+    def test_seeded_histories_of_vms_that_fall_silent(self):
+        """Guards against runs that are given up long after their lease has expired."""
+        for seed in SILENT_SEEDS:
+            with self.subTest(seed=seed):
+                self.check(LossyPool(seed, falls_silent=True))
+
+    def check(self, history):
+        """Play a history, and check that it lost no task."""
+        world = run_virtually(history.run)
+        self.assertEqual(world.problems, [])
+        self.assertEqual(history.lost, {})
 
 
 if __name__ == "__main__":
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -26,6 +26,23 @@
         self.assertEqual(lease.extend(timedelta(seconds=1)), 56_000)
         self.assertEqual(lease.extend(timedelta(seconds=2)), 57_000)
 
+    def test_a_start_extends_a_lease_only_if_little_is_left(self):
+        """Guards against silent VMs whose runs can be restarted only late."""
+        lease = VmLease(CFG, timedelta(0))
+        lease.note_clock(50_000, timedelta(seconds=1))
+        lease.extend(timedelta(seconds=1))
+        expiry = lease.time_to_expiry(timedelta(0))
+        self.assertEqual(lease.end_for_start(timedelta(seconds=4)), 56_000)
+        self.assertEqual(lease.time_to_expiry(timedelta(0)), expiry)
+        self.assertEqual(lease.end_for_start(timedelta(seconds=4.5)), 59_500)
+        self.assertTrue(lease.has_expired(timedelta(seconds=4.5) + expiry))
+        self.assertEqual(lease.time_to_expiry(timedelta(seconds=20)), timedelta(0))
+
+    def test_the_first_start_extends_the_lease(self):
+        lease = VmLease(CFG, timedelta(0))
+        lease.note_clock(50_000, timedelta(seconds=1))
+        self.assertEqual(lease.end_for_start(timedelta(seconds=1)), 56_000)
+
     @given(
         rate=st.floats(0.98, 1.0),
         delays=st.lists(st.integers(0, 2_000), min_size=1, max_size=12),
