--- a/src/redwingslip/jobs/_removed.py
+++ b/src/redwingslip/jobs/_removed.py
@@ -1,6 +1,6 @@
 """Queues and customers that the plan in force no longer has."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import msgspec
 
@@ -41,13 +41,13 @@
             customers_in_use.add(job.spec.customer)
         return RemovedEntries(
             queues=_removed(
-                self.queues, before.queues, after.queues, queues_in_use.__contains__
+                self.queues, before.queues, after.queues, in_use=queues_in_use
             ),
             customers=_removed(
                 self.customers,
                 before.customers,
                 after.customers,
-                customers_in_use.__contains__,
+                in_use=customers_in_use,
             ),
         )
 
@@ -56,10 +56,11 @@
     former: dict,
     before: Iterable[Queue | Customer],
     after: Iterable[Queue | Customer],
-    is_in_use: Callable[[str], bool],
+    *,
+    in_use: set[str],
 ) -> dict:
     """Return the removed entries of one kind, by name."""
-    kept = {name: entry for name, entry in former.items() if is_in_use(name)}
+    kept = {name: entry for name, entry in former.items() if name in in_use}
     kept |= {entry.name: entry for entry in before}
     for entry in after:
         kept.pop(entry.name, None)
