Extend a lease at a start only while the VM answers

What callers saw: none reported. While a core without power or leader holds up all polls, the runs of busy VMs now had up to a second less left.

Change: a start extends the lease if its VM has answered within the last 0.5 s, or if less than half of the lease is left.

Evidence: test_a_start_extends_a_lease_after_an_answer fails on the code before (56000, expected 58400). The histories of test_scheduling_long_running pass as they are.

--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -134,8 +134,10 @@
     def _choose_vm(self, task: WaitingTask) -> CandidateVm | None:
         need = task.step.reserved
         unplaced = self._unplaced_needs.setdefault(task.pool, set())
-        if not task.takes_any_vm and any(other.fits(need) for other in unplaced):
+        takes_any_vm = task.takes_any_vm
+        if not takes_any_vm and any(other.fits(need) for other in unplaced):
             return None
+        has_budget = task.step.is_long_running and task.step.disruption_budget > 0
         step_key = task.key[:3]
         n_by_rack = self._count_by_rack(task)
         best = None
@@ -147,11 +149,17 @@
                 continue
             if task.allowed is not None and vm.vm_id not in task.allowed:
                 continue
-            if not task.takes_any_vm and not _suits(vm, task):
+            breaks_budget = has_budget and not keeps_budget(
+                task.step, step_key, vm.tasks_of_step
+            )
+            is_kept = vm.isolated_job not in ("", task.key.job_id)
+            if (breaks_budget or is_kept or vm.is_ejected) and not takes_any_vm:
                 continue
             if task.is_isolated and not self._may_isolate(vm, task):
                 continue
             rank = _rank(vm, task, n_by_rack[vm.labels])
+            if takes_any_vm:
+                rank = (breaks_budget, is_kept, vm.is_ejected, *rank)
             if best_rank is None or rank < best_rank:
                 best, best_rank = vm, rank
         if best is None and not _has_conditions(task):
@@ -211,20 +219,6 @@
         self._usage[task.customer] = self._usage[task.customer] - task.step.need
 
 
-def _suits(vm: CandidateVm, task: WaitingTask) -> bool:
-    """Return whether a task need not wait for a better VM than this one."""
-    return (
-        not vm.is_ejected
-        and not _is_kept_from(vm, task)
-        and keeps_budget(task.step, task.key[:3], vm.tasks_of_step)
-    )
-
-
-def _is_kept_from(vm: CandidateVm, task: WaitingTask) -> bool:
-    """Return whether a VM is kept for an isolated task of another job."""
-    return bool(vm.isolated_job) and vm.isolated_job != task.key.job_id
-
-
 def _can_be_freed_for(vm: CandidateVm, task: WaitingTask) -> bool:
     """Return whether a VM could run a task alone once its present runs have ended."""
     return (
@@ -261,9 +255,6 @@
     is_far = bool(step.data_rack) and step.data_rack not in vm.labels
     has_its_share = n_in_rack >= math.ceil(step.n_tasks / MIN_RACKS_OF_STEP)
     return (
-        not keeps_budget(step, task.key[:3], vm.tasks_of_step),
-        _is_kept_from(vm, task),
-        vm.is_ejected,
         vm.is_avoided or vm.vm_id in task.avoided,
         vm.machine in task.crashed_machines,
         # A VM that crashes takes its other runs with it: suspects go where few are.
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -1,6 +1,7 @@
 """The leader's agent for one incarnation of a VM: polls, lease and ends of runs."""
 
 import asyncio
+from collections.abc import Awaitable
 from datetime import timedelta
 from typing import Protocol
 
@@ -180,17 +181,17 @@
         until_ms = self._sender.lease_end_ms(sent_at) if self.lease.has_clock else None
         has_contact = self._has_renewed_lease and not self._sender.is_unresponsive
         wait = self._cfg.agents.wait if has_contact else timedelta(0)
-        try:
-            async with asyncio.timeout(self._longest_poll_s(sent_at)):
-                report = await self._orders.hold(
-                    self.vm,
-                    fence=self._term.fence,
-                    cursor=self._cursor(),
-                    until_ms=until_ms,
-                    wait_ms=wait // MS,
-                )
-        except TimeoutError as exc:
-            raise OrderOutcomeUnknownError("the lease of the VM has expired") from exc
+        hold = self._orders.hold(
+            self.vm,
+            fence=self._term.fence,
+            cursor=self._cursor(),
+            until_ms=until_ms,
+            wait_ms=wait // MS,
+        )
+        if self._sender.is_unresponsive:
+            report = await self._within_lease(hold, sent_at)
+        else:
+            report = await hold
         if report.born_ms and report.born_ms != self.vm.born_ms:
             raise VmReplacedError(f"incarnation {report.born_ms} answers")
         now = self._term.clock.monotonic()
@@ -208,15 +209,19 @@
         self._listener.note_contact()
         await self._note_runs_at_work(now)
 
-    def _longest_poll_s(self, now: timedelta) -> float | None:
-        """Return the longest duration of a poll in seconds, None for no bound.
+    async def _within_lease(
+        self, hold: Awaitable[HoldReport], now: timedelta
+    ) -> HoldReport:
+        """Wait for the answer of an unresponsive VM until its lease expires.
 
-        A poll of a VM that did not answer the last one ends with the VM's lease.
+        Once it has expired, there is no such bound.
         """
         remaining = self.lease.time_to_expiry(now)
-        if not self._sender.is_unresponsive or not remaining:
-            return None
-        return remaining.total_seconds()
+        try:
+            async with asyncio.timeout(remaining.total_seconds() or None):
+                return await hold
+        except TimeoutError as exc:
+            raise OrderOutcomeUnknownError("the lease of the VM has expired") from exc
 
     async def _wait_for_retry(self, delay: timedelta) -> None:
         """Wait before the next poll, and give up the runs if the lease expires."""
--- a/src/redwingslip/workers/_lease.py
+++ b/src/redwingslip/workers/_lease.py
@@ -7,6 +7,8 @@
 __all__ = ["LeaseSettings", "VmLease"]
 
 MS = timedelta(milliseconds=1)
+# A VM that has answered this recently is not silent.
+RECENT_CONTACT = timedelta(milliseconds=500)
 # Part of a lease that must be left at the start of a run.
 MIN_START_SHARE = 0.5
 
@@ -134,9 +136,12 @@
     def end_for_start(self, now: timedelta) -> int:
         """Return the end of the lease to send with the start of a run.
 
-        Polls extend the lease. A start does so only if little of it is left: the runs
-        of a VM that falls silent could be restarted only later.
+        A start extends the lease if the VM has just answered, or if little of it is
+        left. Else the VM may have fallen silent, and its runs could be restarted only
+        later.
         """
+        if now - self.contact_at < RECENT_CONTACT:
+            return self.extend(now)
         elapsed = now - self._clock_at
         remaining = (self._last_end_ms - self._clock_ms) * MS - elapsed
         if remaining >= self._cfg.duration * MIN_START_SHARE:
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -26,6 +26,14 @@
         self.assertEqual(lease.extend(timedelta(seconds=1)), 56_000)
         self.assertEqual(lease.extend(timedelta(seconds=2)), 57_000)
 
+    def test_a_start_extends_a_lease_after_an_answer(self):
+        """Guards against runs that lapse while one leader follows the other."""
+        lease = VmLease(CFG, timedelta(0))
+        lease.note_clock(50_000, timedelta(seconds=1))
+        lease.extend(timedelta(seconds=1))
+        lease.note_contact(timedelta(seconds=3))
+        self.assertEqual(lease.end_for_start(timedelta(seconds=3.4)), 58_400)
+
     def test_a_start_extends_a_lease_only_if_little_is_left(self):
         """Guards against silent VMs whose runs can be restarted only late."""
         lease = VmLease(CFG, timedelta(0))
