Count no task as at work on a VM that may have ended

Cause, from a replay with logs: a repeated maintenance order was answered as done at 8.96 s. The VM on that machine is then kept until polls show its end, and its three tasks counted as at work for up to 2.2 s after its last answer, so that at 10.71 s the maintenance of another machine ended two more.

Ruled out: tasks that share a VM beyond their budget (two and three were on a VM, of a budget of 3).

Change: the tasks of a VM whose maintenance the platform has confirmed are unavailable until the VM answers again.

Evidence: test_tasks_on_a_vm_that_may_have_ended_are_unavailable failed before.

--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -1,6 +1,7 @@
 """Evacuation of a machine, task by task, within the disruption budgets of steps."""
 
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Mapping
+from datetime import timedelta
 
 from ..jobs import ActiveRun, TaskKey, iter_tasks
 from ..observe import EventName
@@ -29,17 +30,25 @@
         Registry of the machines.
     ordered : container of str
         Machines for which a maintenance order is in progress.
+    maintained_at : mapping of str to timedelta
+        Monotonic times at which the platform confirmed the maintenance of machines.
     """
 
-    __slots__ = ("_machines", "_ordered", "_state", "_term")
+    __slots__ = ("_machines", "_maintained_at", "_ordered", "_state", "_term")
 
     def __init__(
-        self, *, term: Term, machines: MachineRegistry, ordered: Container[str]
+        self,
+        *,
+        term: Term,
+        machines: MachineRegistry,
+        ordered: Container[str],
+        maintained_at: Mapping[str, timedelta],
     ) -> None:
         self._term = term
         self._state = term.state
         self._machines = machines
         self._ordered = ordered
+        self._maintained_at = maintained_at
 
     def keeps_budgets(self, runs: Iterable[ActiveRun]) -> bool:
         """Return whether all steps stay within budget if runs of one VM end."""
@@ -120,6 +129,10 @@
             return False
         if self._has_pending_order(agent.vm.machine) or agent.is_stopping(key, number):
             return False
+        # A VM that is kept after a repeated order may have ended since its last answer.
+        maintained_at = self._maintained_at.get(agent.vm.machine)
+        if maintained_at is not None and agent.lease.contact_at <= maintained_at:
+            return False
         listed = agent.listed_runs.get((key, number))
         return listed is not None and listed.is_at_work
 
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -30,7 +30,10 @@
         self._maintained_at: dict[str, timedelta] = {}
         self._retry_at: dict[str, timedelta] = {}
         self._evacuation = Evacuation(
-            term=self._term, machines=self._machines, ordered=self._order_tasks
+            term=self._term,
+            machines=self._machines,
+            ordered=self._order_tasks,
+            maintained_at=self._maintained_at,
         )
 
     async def run(self) -> None:
--- a/tests/test_scheduling_evacuation.py
+++ b/tests/test_scheduling_evacuation.py
@@ -53,8 +53,12 @@
             term, self.agents, takeover_delay=TAKEOVER_DELAY
         )
         self.ordered = set()
+        self.maintained_at = {}
         self.evacuation = Evacuation(
-            term=term, machines=self.machines, ordered=self.ordered
+            term=term,
+            machines=self.machines,
+            ordered=self.ordered,
+            maintained_at=self.maintained_at,
         )
 
     def run_task(self, index, vm_id, percent=100) -> ActiveRun:
@@ -82,6 +86,19 @@
     def may_stop_machine(self, vm_id):
         return self.evacuation.keeps_budgets(self.state.runs_of(vm_id, 1))
 
+    # AVAIL: an order that was repeated had ended a VM, whose tasks counted as at work.
+    async def test_tasks_on_a_vm_that_may_have_ended_are_unavailable(self):
+        """Guards against two machines of one step that are maintained at a time."""
+        self.build(make_vm("v1"), make_vm("v2"), n_tasks=2)
+        for index, vm_id in enumerate(("v1", "v2")):
+            self.run_task(index, vm_id)
+        self.assertTrue(self.may_stop_machine("v1"))
+        self.maintained_at["m-v2"] = self.clock.monotonic()
+        self.assertFalse(self.may_stop_machine("v1"))
+        self.clock.advance(timedelta(milliseconds=1))
+        self.agents["v2"].lease.note_contact(self.clock.monotonic())
+        self.assertTrue(self.may_stop_machine("v1"))
+
     async def test_tasks_leave_one_at_a_time(self):
         self.build(make_vm("v1"), make_vm("v2"), n_tasks=3)
         runs = [self.run_task(index, "v1") for index in range(3)]
