Have other controllers call the VMs for the leader

Cause: one process, the leader, makes all calls of VMs. With 0.69 to 0.90 of a core it ends at 700 to 750 starts a second where a peak asks for 1,800, and is then late with all that it does (class of fault: work that grows with the fleet in one process, without a way to pass it on).

Change: the leader decides as before; the exchange itself is made by the other controllers. DelegatedOrders implements VmOrders on the leader, OrderDelegate carries single orders out under a lease that counts from its request and lies within the leader's quorum lease. A delegate that is silent is dropped at once, one that is late rests. A leader that resigns recalls the leases first.

--- a/src/redwingslip/consensus/_leadership.py
+++ b/src/redwingslip/consensus/_leadership.py
@@ -107,14 +107,17 @@
         self._propose_member_change()
         return True
 
-    def has_quorum_lease(self, now: timedelta) -> bool:
-        """Return whether recent contact with a quorum rules out another leader."""
+    def lease_remaining(self, now: timedelta) -> timedelta:
+        """Return for how much longer contact with a quorum rules out another leader.
+
+        It is zero when there is no such contact, or when leadership is transferred.
+        """
         if self.is_transferring:
-            return False
+            return timedelta(0)
         contact_at = self._quorum_contact_at(now)
         if contact_at is None:
-            return False
-        return now < contact_at + self._core.cfg.lease_duration
+            return timedelta(0)
+        return max(timedelta(0), contact_at + self._core.cfg.lease_duration - now)
 
     def replicate(self) -> None:
         """Send every member the entries that it has not been sent yet."""
--- a/src/redwingslip/consensus/_node.py
+++ b/src/redwingslip/consensus/_node.py
@@ -148,7 +148,16 @@
 
     def has_quorum_lease(self, now: timedelta) -> bool:
         """Return whether this replica leads and no other leader can exist."""
-        return self._leadership is not None and self._leadership.has_quorum_lease(now)
+        return self.lease_remaining(now) > timedelta(0)
+
+    def lease_remaining(self, now: timedelta) -> timedelta:
+        """Return for how much longer this replica leads and no other leader can exist.
+
+        It is zero on a replica that does not lead.
+        """
+        if self._leadership is None:
+            return timedelta(0)
+        return self._leadership.lease_remaining(now)
 
     def is_repaired(self, replica_id: str, incarnation: str) -> bool:
         """Return whether the leader knows that a replica is fully repaired.
@@ -335,7 +344,7 @@
     def _is_withholding_vote(self, now: timedelta) -> bool:
         """Return whether a leader's lease may rely on this replica not to vote."""
         if self._leadership is not None:
-            return self._leadership.has_quorum_lease(now)
+            return self.has_quorum_lease(now)
         return self._election.is_withholding_vote(now)
 
     def _is_reply_to_leader(
--- a/src/redwingslip/consensus/_replica.py
+++ b/src/redwingslip/consensus/_replica.py
@@ -172,6 +172,15 @@
             return False
         return self._node.has_quorum_lease(self._clock.monotonic())
 
+    def lease_remaining(self) -> timedelta:
+        """Return for how much longer this replica leads and no other leader can exist.
+
+        It is zero on a replica that does not lead.
+        """
+        if self._node is None:
+            return timedelta(0)
+        return self._node.lease_remaining(self._clock.monotonic())
+
     def is_repaired(self, replica_id: str, incarnation: str) -> bool:
         """Return, on a leader with a lease, whether a replica is fully repaired.
 
--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -4,13 +4,21 @@
 
 from .. import submitters
 from ..consensus import ConsensusMessage, DataFolder, Replica, bootstrap_data_folder
+from ..delegation import DelegatedOrders, OrderDelegate
 from ..jobs import Command, JobsMachine
 from ..observe import EventName
 from ..peers import (
     CallSource,
+    DelegateLease,
+    DelegateLeaseRecall,
+    DelegateLeaseRequest,
+    DelegateLeaseReturn,
     LeaderQuery,
     LeaderReport,
     Message,
+    OrderBatch,
+    OrderMessage,
+    OrderReplies,
     RelayedAnswer,
     RelayedCall,
 )
@@ -61,6 +69,16 @@
             cfg.cloud.address or UNREACHABLE_ADDRESS, holder=cfg.process.id
         )
         self._advice_client = AdviceClient(cfg.cloud.advice or UNREACHABLE_ADDRESS)
+        self._delegate = OrderDelegate(
+            own_id=self._replica_id,
+            orders=self._worker_client,
+            leader_id=lambda: self.replica.leader_id,
+            current_term=lambda: self.replica.term,
+            send=self._core.send,
+            clock=self._clock,
+            cfg=cfg.delegation,
+        )
+        self._orders: DelegatedOrders | None = None
         self._scheduler: Scheduler | None = None
         self._service: JobService | None = None
         self._call_server = self._new_call_server(
@@ -79,6 +97,7 @@
         await self._start_core()
         await self.replica.start()
         await self._call_server.start()
+        self._spawn(self._delegate.run())
         self._core.report_start(self.replica.incarnation)
 
     def _bootstrap_data_folder(self) -> None:
@@ -95,7 +114,10 @@
 
     async def stop(self) -> None:
         """Hand leadership over, finish the calls in progress, and stop."""
+        if self._orders is not None:
+            await self._orders.withdraw()
         await self.replica.stop()
+        self._delegate.close()
         await self._call_server.stop(self.cfg.drain.grace)
         await self._worker_client.close()
         await self._machine_client.close()
@@ -110,7 +132,9 @@
         """Start a scheduler when a term as leader begins, close it when one ends."""
         if self._scheduler is not None:
             self._scheduler.close()
+            self._orders.close()
             self._scheduler = None
+            self._orders = None
             self._service = None
         if not is_leader:
             return
@@ -121,9 +145,22 @@
             events=self._events,
             metrics=self._core.metrics,
         )
+        self._orders = DelegatedOrders(
+            own_id=self._replica_id,
+            own=self._worker_client,
+            fence=term.fence,
+            lease_remaining=self.replica.lease_remaining,
+            n_delegates=lambda: len(self.replica.members) - 1,
+            send=self._core.send,
+            clock=self._clock,
+            events=self._events,
+            metrics=self._core.metrics,
+            cfg=self.cfg.delegation,
+        )
+        self._orders.begin()
         self._scheduler = Scheduler(
             term=term,
-            orders=self._worker_client,
+            orders=self._orders,
             operations=self._machine_client,
             adviser=self._advice_client,
             cfg=self.cfg.leader,
@@ -138,6 +175,8 @@
     def _on_message(self, sender_id: str, msg: Message) -> None:
         if isinstance(msg, ConsensusMessage):
             self.replica.receive(sender_id, msg)
+        elif isinstance(msg, OrderMessage):
+            self._on_order_message(sender_id, msg)
         elif isinstance(msg, RelayedCall):
             self._handle_call(sender_id, msg)
         elif isinstance(msg, LeaderQuery):
@@ -145,11 +184,31 @@
                 leader_id=self.replica.leader_id,
                 has_lease=self._is_serving(),
                 members=tuple(m.replica_id for m in self.replica.members),
+                takes_delegates=True,
             )
             self._core.send(sender_id, report)
         else:
+            if isinstance(msg, LeaderReport):
+                takes_delegates = msg.takes_delegates
+                self._delegate.note_version(sender_id, takes_delegates=takes_delegates)
             super()._on_message(sender_id, msg)
 
+    def _on_order_message(self, sender_id: str, msg: OrderMessage) -> None:
+        """Pass a message of the delegation to the delegate or to the leader's side."""
+        match msg:
+            case OrderBatch():
+                self._delegate.receive_orders(sender_id, msg)
+            case DelegateLease():
+                self._delegate.receive_lease(sender_id, msg)
+            case DelegateLeaseRecall():
+                self._delegate.receive_recall(sender_id, msg)
+            case OrderReplies() if self._orders is not None:
+                self._orders.receive_replies(sender_id, msg)
+            case DelegateLeaseRequest() if self._orders is not None:
+                self._orders.receive_request(sender_id, msg)
+            case DelegateLeaseReturn() if self._orders is not None:
+                self._orders.receive_return(sender_id, msg)
+
     def _is_serving(self) -> bool:
         """Return whether this process leads and may answer calls."""
         return self._service is not None and self.replica.has_quorum_lease()
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..consensus import ConsensusSettings
+from ..delegation import DelegationSettings
 from ..http import HttpLimits
 from ..peers import PeerSettings
 from ..placement import ArrivalSettings, SizingSettings
@@ -168,6 +169,7 @@
     cloud: CloudSettings = CloudSettings()
     scheduling: SchedulingSettings = SchedulingSettings()
     agents: AgentSettings = AgentSettings()
+    delegation: DelegationSettings = DelegationSettings()
     leases: LeaseSettings = LeaseSettings()
     health: HealthSettings = HealthSettings()
     progress: ProgressSettings = ProgressSettings()
--- /dev/null
+++ b/src/redwingslip/delegation/_delegate.py
@@ -0,0 +1,247 @@
+"""A controller's side of the delegation: it carries out orders of the leader."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from functools import partial, singledispatchmethod
+
+from ..clock import Clock
+from ..peers import (
+    DelegateLease,
+    DelegateLeaseRecall,
+    DelegateLeaseRequest,
+    DelegateLeaseReturn,
+    HoldOrder,
+    Message,
+    OrderBatch,
+    OrderReplies,
+    OrderReply,
+    OrderResult,
+    StartOrder,
+    StopOrder,
+    VmOrder,
+)
+from ..scheduling import (
+    OrderNotSentError,
+    OrderOutcomeUnknownError,
+    VmOrders,
+    VmReplacedError,
+)
+from ._outbox import Outbox
+from ._settings import DelegationSettings
+
+__all__ = ["OrderDelegate"]
+
+
+class OrderDelegate:
+    """Carries out the leader's orders while it holds a lease of the leader.
+
+    The lease counts from the time at which this process requested it. After a pause of
+    the process it has therefore ended before any order is read that arrived meanwhile.
+
+    Parameters
+    ----------
+    own_id : str
+        Id of this process.
+    orders : VmOrders
+        Client of the endpoints.
+    leader_id : callable
+        Returns the id of the leader that this process knows, empty for none.
+    current_term : callable
+        Returns the highest term that this process knows.
+    send : callable
+        Called with a process id and a message; the message may be lost.
+    clock : Clock
+        The process's clock.
+    cfg : DelegationSettings
+        The settings.
+    """
+
+    __slots__ = (
+        "_cfg",
+        "_clock",
+        "_current_term",
+        "_fence",
+        "_granted_by",
+        "_last_number",
+        "_leader_id",
+        "_lease_end",
+        "_orders",
+        "_outboxes",
+        "_own_id",
+        "_recalled_fence",
+        "_requested_at",
+        "_send",
+        "_tasks",
+        "_willing",
+    )
+
+    def __init__(
+        self,
+        *,
+        own_id: str,
+        orders: VmOrders,
+        leader_id: Callable[[], str],
+        current_term: Callable[[], int],
+        send: Callable[[str, Message], None],
+        clock: Clock,
+        cfg: DelegationSettings,
+    ) -> None:
+        self._own_id = own_id
+        self._orders = orders
+        self._leader_id = leader_id
+        self._current_term = current_term
+        self._send = send
+        self._clock = clock
+        self._cfg = cfg
+        self._fence = 0
+        self._recalled_fence = 0
+        self._granted_by = ""
+        self._lease_end = clock.monotonic()
+        self._last_number = 0
+        self._requested_at: dict[int, timedelta] = {}
+        self._outboxes: dict[tuple[str, int], Outbox] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._willing: set[str] = set()
+
+    async def run(self) -> None:
+        """Renew the lease until cancelled."""
+        interval = self._cfg.renew_interval
+        lag = timedelta(0)
+        while True:
+            self.renew(lag)
+            due_at = self._clock.monotonic() + interval
+            await asyncio.sleep(interval.total_seconds())
+            lag = max(timedelta(0), self._clock.monotonic() - due_at)
+
+    def renew(self, lag: timedelta = timedelta(0)) -> None:
+        """Request a lease of the known leader, if it is another and takes delegates."""
+        now = self._clock.monotonic()
+        horizon = now - self._cfg.silence
+        for number, at in list(self._requested_at.items()):
+            if at < horizon:
+                del self._requested_at[number]
+        leader_id = self._leader_id()
+        if leader_id == self._own_id or leader_id not in self._willing:
+            return
+        self._last_number += 1
+        self._requested_at[self._last_number] = now
+        request = DelegateLeaseRequest(number=self._last_number, lag=lag)
+        self._send(leader_id, request)
+
+    def note_version(self, peer_id: str, *, takes_delegates: bool) -> None:
+        """Record whether a controller understands requests for a lease."""
+        if takes_delegates:
+            self._willing.add(peer_id)
+        else:
+            self._willing.discard(peer_id)
+
+    def close(self) -> None:
+        """Give up the orders in progress."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        for outbox in self._outboxes.values():
+            outbox.close()
+
+    def receive_lease(self, sender_id: str, msg: DelegateLease) -> None:
+        """Handle a lease that the leader has granted."""
+        requested_at = self._requested_at.pop(msg.number, None)
+        if requested_at is None or msg.fence < self._fence:
+            return
+        if msg.fence <= self._recalled_fence:
+            return
+        if msg.fence > self._fence:
+            self._lease_end = requested_at
+            self._outboxes.clear()
+        self._fence = msg.fence
+        self._granted_by = sender_id
+        self._lease_end = max(self._lease_end, requested_at + msg.duration)
+
+    def receive_recall(self, sender_id: str, msg: DelegateLeaseRecall) -> None:
+        """End the lease of a term for good, and confirm that."""
+        self._recalled_fence = max(self._recalled_fence, msg.fence)
+        if self._fence <= msg.fence:
+            self._lease_end = self._clock.monotonic()
+        self._send(sender_id, DelegateLeaseReturn(fence=msg.fence))
+
+    def receive_orders(self, sender_id: str, msg: OrderBatch) -> None:
+        """Start to carry out orders; what must not be sent is refused at once."""
+        outbox = self._outbox(sender_id, msg.fence)
+        for order in msg.orders:
+            if not self._holds_lease(sender_id, msg.fence):
+                outbox.add(OrderReply(order.number, OrderResult.NO_LEASE))
+            elif len(self._tasks) >= self._cfg.max_in_flight:
+                detail = "too many orders in progress"
+                outbox.add(
+                    OrderReply(order.number, OrderResult.NOT_SENT, detail=detail)
+                )
+            else:
+                task = asyncio.create_task(self._carry_out(order, msg.fence, outbox))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    def _holds_lease(self, leader_id: str, fence: int) -> bool:
+        return (
+            self._granted_by == leader_id
+            and self._fence == fence
+            and self._current_term() <= fence
+            and self._clock.monotonic() < self._lease_end
+        )
+
+    def _outbox(self, leader_id: str, fence: int) -> Outbox:
+        outbox = self._outboxes.get((leader_id, fence))
+        if outbox is None:
+            send = partial(self._send_replies, leader_id, fence)
+            outbox = Outbox(self._cfg.batch_delay, send)
+            self._outboxes[(leader_id, fence)] = outbox
+        return outbox
+
+    def _send_replies(
+        self, leader_id: str, fence: int, replies: tuple[OrderReply, ...]
+    ) -> None:
+        self._send(leader_id, OrderReplies(fence=fence, replies=replies))
+
+    async def _carry_out(self, order: VmOrder, fence: int, outbox: Outbox) -> None:
+        try:
+            reply = await self._call(order, fence)
+        except OrderNotSentError as exc:
+            reply = OrderReply(order.number, OrderResult.NOT_SENT, detail=str(exc))
+        except VmReplacedError as exc:
+            reply = OrderReply(order.number, OrderResult.REPLACED, detail=str(exc))
+        except OrderOutcomeUnknownError as exc:
+            reply = OrderReply(order.number, OrderResult.UNKNOWN, detail=str(exc))
+        except Exception as exc:
+            reply = OrderReply(order.number, OrderResult.UNKNOWN, detail=repr(exc))
+        outbox.add(reply)
+
+    @singledispatchmethod
+    async def _call(self, order: VmOrder, fence: int) -> OrderReply:
+        raise TypeError(f"{type(order).__name__} is no order")
+
+    @_call.register
+    async def _(self, order: HoldOrder, fence: int) -> OrderReply:
+        report = await self._orders.hold(
+            order.vm,
+            fence=fence,
+            cursor=order.cursor,
+            until_ms=order.until_ms,
+            wait_ms=order.wait_ms,
+        )
+        return OrderReply(order.number, OrderResult.ANSWERED, hold=report)
+
+    @_call.register
+    async def _(self, order: StartOrder, fence: int) -> OrderReply:
+        outcome = await self._orders.start(
+            order.vm,
+            order.run,
+            payload=order.payload,
+            ticket=order.ticket,
+            fence=fence,
+            until_ms=order.until_ms,
+        )
+        return OrderReply(order.number, OrderResult.ANSWERED, start=outcome)
+
+    @_call.register
+    async def _(self, order: StopOrder, fence: int) -> OrderReply:
+        await self._orders.stop(order.vm, order.key, order.run_number, fence=fence)
+        return OrderReply(order.number, OrderResult.ANSWERED)
--- /dev/null
+++ b/src/redwingslip/delegation/_settings.py
@@ -0,0 +1,40 @@
+"""Settings of the delegation of calls."""
+
+from datetime import timedelta
+
+import msgspec
+
+__all__ = ["DelegationSettings"]
+
+
+class DelegationSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How the leader has other controllers call VMs for it.
+
+    Attributes
+    ----------
+    renew_interval : timedelta
+        Interval at which a delegate renews its lease.
+    silence : timedelta
+        The leader drops a delegate that has not renewed its lease for this time.
+    max_lag, rest_time : timedelta
+        A delegate whose event loop is later than `max_lag` gets no orders for
+        `rest_time`, while there are others.
+    settle_time : timedelta
+        A new leader waits at most this long for delegates before it calls VMs itself.
+    reply_timeout : timedelta
+        An order counts as lost if no reply arrives within this time after the VM had
+        to answer.
+    batch_delay : timedelta
+        Orders, and replies, are collected for this time and sent together.
+    max_in_flight : int
+        Orders that a delegate carries out at the same time; it refuses more.
+    """
+
+    renew_interval: timedelta = timedelta(milliseconds=100)
+    silence: timedelta = timedelta(milliseconds=450)
+    max_lag: timedelta = timedelta(milliseconds=100)
+    rest_time: timedelta = timedelta(seconds=2)
+    settle_time: timedelta = timedelta(milliseconds=200)
+    reply_timeout: timedelta = timedelta(milliseconds=1200)
+    batch_delay: timedelta = timedelta(milliseconds=2)
+    max_in_flight: int = 4000
--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -51,6 +51,8 @@
     MOVE_ORDERED = "move.ordered"
     LEADER_FOUND = "leader.found"
     LEADER_SILENT = "leader.silent"
+    DELEGATE_JOINED = "delegate.joined"
+    DELEGATE_LOST = "delegate.lost"
     LINK_UP = "link.up"
     LINK_DOWN = "link.down"
     WARNING = "warning"
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -126,6 +126,12 @@
         "{order}",
         "Moves and maintenances that were ordered, by outcome.",
     ),
+    _Instrument(
+        "counter",
+        "vm.calls",
+        "{call}",
+        "Calls of VMs, by whether the leader or a delegate makes them.",
+    ),
     _Instrument(
         "counter", "event.dropped", "{event}", "Events that the log could not take."
     ),
@@ -239,6 +245,11 @@
         attributes = {"redwingslip.order": kind, "redwingslip.outcome": outcome}
         self._instruments["machine.orders"].add(1, self._limit_values(attributes))
 
+    def add_vm_calls(self, count: int, *, caller: str) -> None:
+        """Count calls of VMs that the leader or its delegates make."""
+        if count:
+            self._instruments["vm.calls"].add(count, {"redwingslip.caller": caller})
+
     def add_dropped_events(self, count: int) -> None:
         """Count events that the log dropped."""
         self._instruments["event.dropped"].add(count)
--- a/src/redwingslip/peers/_messages.py
+++ b/src/redwingslip/peers/_messages.py
@@ -5,11 +5,13 @@
 """
 
 from ..consensus._messages import ConsensusMessage
-from . import _dispatch_messages, _leader_messages, _relay_messages
+from . import _dispatch_messages, _leader_messages, _order_messages, _relay_messages
 from ._dispatch_messages import *  # noqa: F403
 from ._dispatch_messages import DispatchMessage
 from ._leader_messages import *  # noqa: F403
 from ._leader_messages import LeaderMessage
+from ._order_messages import *  # noqa: F403
+from ._order_messages import OrderMessage
 from ._relay_messages import *  # noqa: F403
 from ._relay_messages import RelayMessage
 
@@ -17,7 +19,10 @@
     "Message",
     *_dispatch_messages.__all__,
     *_leader_messages.__all__,
+    *_order_messages.__all__,
     *_relay_messages.__all__,
 ]
 
-Message = ConsensusMessage | LeaderMessage | DispatchMessage | RelayMessage
+Message = (
+    ConsensusMessage | LeaderMessage | DispatchMessage | OrderMessage | RelayMessage
+)
--- a/src/redwingslip/peers/_relay_messages.py
+++ b/src/redwingslip/peers/_relay_messages.py
@@ -81,11 +81,15 @@
         Whether the sender leads under a lease, so that no other replica can lead.
     members : tuple of str
         Ids of the replicas; each id is the address of the replica's process.
+    takes_delegates : bool
+        Whether the sender understands requests for a lease as a delegate. Processes of
+        earlier versions do not.
     """
 
     leader_id: str
     has_lease: bool
     members: tuple[str, ...] = ()
+    takes_delegates: bool = False
 
 
 RelayMessage = RelayedCall | RelayedAnswer | LeaderQuery | LeaderReport
