Wait for the leases that leaders make, not for the longest possible

What callers saw: a long-running task was away for 15.5 s with room for it (LOST).

Cause: a new leader doesn't know when the lease of a silent VM ends, and took the longest lease that an endpoint allows, counted from its own election. Leaders request a shorter one (6 s against 10 s there). Class of fault: a bound taken from what others permit, where a tighter one of our own holds.

Change: a new leader takes earlier leases to last for at most the duration that leaders request, and allows for a reading of a slow clock that is as old as the contact timeout. `former_duration` covers a change of the setting on one controller after the other.

Evidence: test_workers, test_a_new_leader_waits_no_longer_than_leaders_make_leases failed on the code before (not expired after 6.5 s), and the bound is checked against the last lease of an earlier leader for slow clocks, late answers and silent VMs.

Several changes of leader in a row still count anew each time.

--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -20,6 +20,50 @@
         self.assertFalse(lease.has_expired(timedelta(seconds=16)))
         self.assertTrue(lease.has_expired(timedelta(seconds=16.5)))
 
+    # Guards against LOST: runs on a VM that is gone were away for the longest lease that
+    # an endpoint allows, counted anew by each new leader, though none was as long.
+    def test_a_new_leader_waits_no_longer_than_leaders_make_leases(self):
+        cfg = LeaseSettings(
+            duration=timedelta(seconds=6), max_duration=timedelta(seconds=10)
+        )
+        lease = VmLease(cfg, timedelta(0))
+        self.assertFalse(lease.has_expired(timedelta(seconds=6.1)))
+        self.assertTrue(lease.has_expired(timedelta(seconds=6.5)))
+
+    def test_a_new_leader_allows_for_a_duration_that_is_being_changed(self):
+        cfg = LeaseSettings(
+            duration=timedelta(seconds=6),
+            former_duration=timedelta(seconds=8),
+            max_duration=timedelta(seconds=10),
+        )
+        lease = VmLease(cfg, timedelta(0))
+        self.assertFalse(lease.has_expired(timedelta(seconds=8.1)))
+        self.assertTrue(lease.has_expired(timedelta(seconds=8.5)))
+
+    @given(
+        rate=st.floats(0.98, 1.0),
+        duration_s=st.floats(1, 60),
+        delay_ms=st.integers(0, 2_000),
+        silence_ms=st.integers(0, 2_200),
+    )
+    @settings(deadline=None, derandomize=True)
+    def test_a_new_leader_outwaits_the_last_lease_of_the_one_before(
+        self, rate, duration_s, delay_ms, silence_ms
+    ):
+        """The earlier leader extends the lease in the last moment of its term."""
+        cfg = LeaseSettings(
+            duration=timedelta(seconds=duration_s),
+            max_duration=timedelta(seconds=100),
+            margin=timedelta(0),
+        )
+        earlier = VmLease(cfg, timedelta(0))
+        now = timedelta(seconds=100)
+        earlier.note_clock(int(now / MS * rate), now + delay_ms * MS)
+        now += (delay_ms + silence_ms) * MS
+        end_ms = earlier.extend(now)
+        expires_at = end_ms / rate * MS
+        self.assertFalse(VmLease(cfg, now).has_expired(expires_at - 2 * MS))
+
     def test_a_renewal_requests_the_duration_on_the_vms_clock(self):
         lease = VmLease(CFG, timedelta(0))
         lease.note_clock(50_000, timedelta(seconds=1))
