--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -20,8 +20,8 @@
         self.assertFalse(lease.has_expired(timedelta(seconds=16)))
         self.assertTrue(lease.has_expired(timedelta(seconds=16.5)))
 
-    # Guards against LOST: runs on a VM that is gone were away for the longest lease that
-    # an endpoint allows, counted anew by each new leader, though none was as long.
+    # Guards against LOST: runs on a lost VM were away for the longest lease that an
+    # endpoint allows, counted by each new leader, though none was as long.
     def test_a_new_leader_waits_no_longer_than_leaders_make_leases(self):
         cfg = LeaseSettings(
             duration=timedelta(seconds=6), max_duration=timedelta(seconds=10)
