--- a/tests/scheduling_lifecycle.py
+++ b/tests/scheduling_lifecycle.py
@@ -220,10 +220,14 @@
         term.is_over = True
         scheduler.close()
 
+    def make_endpoint(self, vm_id, rate):
+        """Return a new incarnation of a VM."""
+        return LeavingEndpoint(self, vm_id, rate)
+
     def start_endpoint(self, vm_id, *, machine="", address="", pool="p"):
         """Start a new incarnation of a VM, which reports itself until it ends."""
         rate = self.rng.choice((1.0, 0.99, 0.98))
-        endpoint = LeavingEndpoint(self, vm_id, rate)
+        endpoint = self.make_endpoint(vm_id, rate)
         endpoint.machine = machine or endpoint.machine
         endpoint.address = address or endpoint.address
         endpoint.pool = pool
--- a/tests/support_delegation.py
+++ b/tests/support_delegation.py
@@ -17,20 +17,85 @@
 from tests.support_scheduling import METRICS
 
 LINK_S = 0.001
+# Time between the arrivals of two messages on one link.
+TICK_S = 1e-6
 LEASE = timedelta(milliseconds=400)
 
 
-class DelegationNet:
-    """Links between a leader and its delegates.
+class Links:
+    """Links between processes that read and send nothing while they are frozen.
+
+    The messages from one process to another arrive in their order.
 
     Attributes
     ----------
     cut : set of tuple
         Pairs of sender and receiver between which messages are lost.
+    delays_s : dict
+        Delays in seconds of the links that are slow, by sender and receiver.
     frozen : set of str
-        Processes that read nothing; what arrives is read when they go on.
+        Processes that read and send nothing; messages wait until they go on.
     batches : list of OrderBatch
         Batches that were sent.
+    """
+
+    def __init__(self):
+        self.cut = set()
+        self.delays_s = {}
+        self.frozen = set()
+        self.unread = []
+        self.unsent = []
+        self.batches = []
+        self._last_arrivals = {}
+
+    def send(self, sender, receiver, msg):
+        """Deliver a message after the delay of the link, unless it is cut."""
+        if sender in self.frozen:
+            self.unsent.append((sender, receiver, msg))
+            return
+        if isinstance(msg, OrderBatch):
+            self.batches.append(msg)
+        link = (sender, receiver)
+        if link in self.cut:
+            return
+        loop = asyncio.get_running_loop()
+        arrives_at = loop.time() + self.delays_s.get(link, LINK_S)
+        arrives_at = max(arrives_at, self._last_arrivals.get(link, 0.0) + TICK_S)
+        self._last_arrivals[link] = arrives_at
+        loop.call_at(arrives_at, self._deliver, sender, receiver, msg)
+
+    def thaw(self, name):
+        """Have a frozen process send and read what has waited, and go on."""
+        self.frozen.discard(name)
+        unsent, self.unsent = self.unsent, []
+        for item in unsent:
+            self.send(*item)
+        unread, self.unread = self.unread, []
+        for item in unread:
+            self._deliver(*item)
+
+    def forget(self, name):
+        """Discard what waits in a process that has ended."""
+        self.frozen.discard(name)
+        self.unsent = [item for item in self.unsent if item[0] != name]
+        self.unread = [item for item in self.unread if item[1] != name]
+
+    def _deliver(self, sender, receiver, msg):
+        if receiver in self.frozen:
+            self.unread.append((sender, receiver, msg))
+        else:
+            self.receive(sender, receiver, msg)
+
+    def receive(self, sender, receiver, msg):
+        """Handle a message that a process reads."""
+        raise NotImplementedError
+
+
+class DelegationNet(Links):
+    """Links between a leader and its delegates.
+
+    Attributes
+    ----------
     leader_id : str
         The leader that all delegates know.
     lease : timedelta
@@ -38,12 +103,9 @@
     """
 
     def __init__(self, clock, cfg=None):
+        super().__init__()
         self.clock = clock
         self.cfg = cfg or DelegationSettings()
-        self.cut = set()
-        self.frozen = set()
-        self.unread = []
-        self.batches = []
         self.leader_id = ""
         self.term = 0
         self.lease = LEASE
@@ -113,27 +175,9 @@
         for process in (*self.leaders.values(), *self.delegates.values()):
             process.close()
 
-    def send(self, sender, receiver, msg):
-        """Deliver a message after the delay of the link, unless it is cut."""
-        if isinstance(msg, OrderBatch):
-            self.batches.append(msg)
-        if (sender, receiver) in self.cut:
-            return
-        loop = asyncio.get_running_loop()
-        loop.call_later(LINK_S, self._deliver, sender, receiver, msg)
-
-    def thaw(self, name):
-        """Have a frozen process read what has arrived, and go on."""
-        self.frozen.discard(name)
-        unread, self.unread = self.unread, []
-        for sender, receiver, msg in unread:
-            self._deliver(sender, receiver, msg)
-
-    def _deliver(self, sender, receiver, msg):
-        if receiver in self.frozen:
-            self.unread.append((sender, receiver, msg))
-        else:
-            self._receive(msg, sender, receiver)
+    def receive(self, sender, receiver, msg):
+        """Handle a message that a process reads."""
+        self._receive(msg, sender, receiver)
 
     @singledispatchmethod
     def _receive(self, msg, sender, receiver):
