Drop a delegate at once when it no longer holds a lease

Callers saw (in the test only): polls and starts that were in progress at a controller that ended and was back within 0.45 s waited for replies that could not come.

Cause: the new process renews the lease, so that the leader did not drop the delegate.

Ruled out: ends of the link as a sign, which the leader does not learn of.

Change: a request without a lease from a process that held one drops it; its orders are unknown at once, and it joins again with its next lease.

Conclusion: fixed.

--- a/src/redwingslip/delegation/_orders.py
+++ b/src/redwingslip/delegation/_orders.py
@@ -196,6 +196,8 @@
         self._send(sender_id, lease)
         if msg.fence == self._fence:
             self._note_renewal(sender_id, now)
+        elif sender_id in self._delegates:
+            self._drop(sender_id, "it holds no lease")
 
     def _note_renewal(self, sender_id: str, now: timedelta) -> None:
         delegate = self._delegates.get(sender_id)
--- a/tests/test_delegation_orders.py
+++ b/tests/test_delegation_orders.py
@@ -253,6 +253,24 @@
 
         self.run_case(case)
 
+    # Guards against SHORT: starts waited for the replies of a process that had ended.
+    def test_the_orders_of_a_delegate_that_restarts_are_unknown_at_once(self):
+        async def case():
+            await self.hold()
+            delegate = self.caller()
+            self.clients[delegate].hold = lambda vm, **fields: asyncio.sleep(10)
+            poll = asyncio.create_task(self.hold(wait_ms=1000))
+            await asyncio.sleep(0.01)
+            self.net.delegates[delegate].close()
+            self.net.start_delegate(delegate, self.clients[delegate])
+            began_at = self.loop.time()
+            self.net.run_delegates()
+            with self.assertRaises(OrderOutcomeUnknownError):
+                await poll
+            self.assertLess(self.loop.time() - began_at, 0.2)
+
+        self.run_case(case)
+
     def test_an_order_whose_reply_is_lost_is_unknown_after_the_timeout(self):
         async def case():
             await self.hold()
