Ignore leases that an earlier process of a delegate requested

Found by reading: a controller numbered its requests from 1. A lease for request 1 of a process that had just ended, still queued on the link, matched request 1 of the next one, and counted from that later request, so that it outlasted the leader's lease by the time of the restart.

Ruled out: that links lose such messages; what is queued for a peer is sent when it is back.

Change: the numbers begin with the Unix time in ms at the start of the process.

Conclusion: fixed; a clock that is set back to the same ms is not covered.

--- a/src/redwingslip/delegation/_delegate.py
+++ b/src/redwingslip/delegation/_delegate.py
@@ -32,6 +32,8 @@
 
 __all__ = ["OrderDelegate"]
 
+MS_PER_SECOND = 1000
+
 
 class OrderDelegate:
     """Carries out the leader's orders while it holds a lease of the leader.
@@ -98,7 +100,8 @@
         self._recalled_fence = 0
         self._granted_by = ""
         self._lease_end = clock.monotonic()
-        self._last_number = 0
+        # A lease that an earlier process requested must not match a request of this one.
+        self._last_number = int(clock.utcnow().timestamp() * MS_PER_SECOND)
         self._requested_at: dict[int, timedelta] = {}
         self._outboxes: dict[tuple[str, int], Outbox] = {}
         self._tasks: set[asyncio.Task] = set()
--- a/src/redwingslip/peers/_order_messages.py
+++ b/src/redwingslip/peers/_order_messages.py
@@ -32,7 +32,8 @@
     Attributes
     ----------
     number : int
-        Number of the request within the sending process; the lease repeats it.
+        Number of the request, higher than those of earlier processes of the sender; the
+        lease repeats it.
     fence : int
         Term of the lease that the sender holds, 0 for none.
     lag : timedelta
--- a/tests/test_delegation_delegate.py
+++ b/tests/test_delegation_delegate.py
@@ -143,6 +143,17 @@
         self.delegate.receive_lease("lead", lease)
         self.assertEqual(await self.order(), [OrderResult.NO_LEASE])
 
+    # Guards against ONE: the lease of an ended process counted from a later request.
+    async def test_a_lease_that_an_earlier_process_requested_is_ignored(self):
+        self.delegate.renew()
+        self.clock.advance(LEASE)
+        self.delegate = self.new_delegate()
+        earlier = self.sent.pop()[1]
+        self.delegate.renew()
+        lease = DelegateLease(number=earlier.number, fence=FENCE, duration=LEASE)
+        self.delegate.receive_lease("lead", lease)
+        self.assertEqual(await self.order(), [OrderResult.NO_LEASE])
+
     async def test_a_leader_requests_no_lease(self):
         for leader_id in ("", "d1"):
             self.leader_id = leader_id
