Mend what a review and histories found in the delegated calls

Cause: silence, deadlines and detours were counted without regard to the leader's own pauses and lease (class of fault: what one process doesn't know of another is taken for the worst).

Change: a pause of the leader counts as no silence for its length only, and deadlines go on; calls wait for delegates for a moment after the leader has lost its lease, and are not sent without one; detours end by time and are kept by name, so that a change of the delegates moves only the VMs of the one that left; a resigning leader sends nothing; a delegate that stops returns its lease and finishes its orders; leases are checked again when a call begins; the word that a peer understands requests ends by time.

--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -1,6 +1,7 @@
 """The controller daemon: a replica of the log that schedules jobs while it leads."""
 
 import random
+from datetime import timedelta
 
 from .. import submitters
 from ..consensus import ConsensusMessage, DataFolder, Replica, bootstrap_data_folder
@@ -38,6 +39,8 @@
 # Nothing listens on the discard port, so calls without a configured service are refused
 # immediately.
 UNREACHABLE_ADDRESS = "127.0.0.1:9"
+# Polls that are in progress are answered within about a second.
+DELEGATE_PATIENCE = timedelta(milliseconds=1200)
 
 
 class ControllerApp(FleetApp):
@@ -116,6 +119,7 @@
         """Hand leadership over, finish the calls in progress, and stop."""
         if self._orders is not None:
             await self._orders.withdraw()
+        await self._delegate.resign(DELEGATE_PATIENCE)
         await self.replica.stop()
         self._delegate.close()
         await self._call_server.stop(self.cfg.drain.grace)
@@ -151,6 +155,7 @@
             fence=term.fence,
             lease_remaining=self.replica.lease_remaining,
             n_delegates=lambda: len(self.replica.members) - 1,
+            n_vms=lambda: len(self.machine.state.vms),
             send=self._core.send,
             clock=self._clock,
             events=self._events,
--- a/src/redwingslip/delegation/_delegate.py
+++ b/src/redwingslip/delegation/_delegate.py
@@ -23,7 +23,6 @@
 )
 from ..scheduling import (
     OrderNotSentError,
-    OrderOutcomeUnknownError,
     VmOrders,
     VmReplacedError,
 )
@@ -33,6 +32,15 @@
 __all__ = ["OrderDelegate"]
 
 MS_PER_SECOND = 1000
+# A controller's word that it takes requests counts for this long; the process at its
+# address may since have been replaced by an earlier version.
+VERSION_LIFETIME = timedelta(seconds=10)
+
+
+_RESULTS = {
+    OrderNotSentError: OrderResult.NOT_SENT,
+    VmReplacedError: OrderResult.REPLACED,
+}
 
 
 class OrderDelegate:
@@ -65,6 +73,7 @@
         "_current_term",
         "_fence",
         "_granted_by",
+        "_is_resigned",
         "_last_number",
         "_leader_id",
         "_lease_end",
@@ -100,12 +109,14 @@
         self._recalled_fence = 0
         self._granted_by = ""
         self._lease_end = clock.monotonic()
-        # A lease that an earlier process requested must not match a request of this one.
+        # A lease that an earlier process requested must match no request of this one.
         self._last_number = int(clock.utcnow().timestamp() * MS_PER_SECOND)
         self._requested_at: dict[int, timedelta] = {}
         self._outboxes: dict[tuple[str, int], Outbox] = {}
         self._tasks: set[asyncio.Task] = set()
-        self._willing: set[str] = set()
+        # Controllers that take requests for a lease, with the time of their last word.
+        self._willing: dict[str, timedelta] = {}
+        self._is_resigned = False
 
     async def run(self) -> None:
         """Renew the lease until cancelled."""
@@ -125,7 +136,10 @@
             if at < horizon:
                 del self._requested_at[number]
         leader_id = self._leader_id()
-        if leader_id == self._own_id or leader_id not in self._willing:
+        if leader_id == self._own_id or self._is_resigned:
+            return
+        willing_at = self._willing.get(leader_id)
+        if willing_at is None or now - willing_at > VERSION_LIFETIME:
             return
         self._last_number += 1
         self._requested_at[self._last_number] = now
@@ -137,9 +151,21 @@
     def note_version(self, peer_id: str, *, takes_delegates: bool) -> None:
         """Record whether a controller understands requests for a lease."""
         if takes_delegates:
-            self._willing.add(peer_id)
+            self._willing[peer_id] = self._clock.monotonic()
         else:
-            self._willing.discard(peer_id)
+            self._willing.pop(peer_id, None)
+
+    async def resign(self, patience: timedelta) -> None:
+        """Return the lease, and finish the orders in progress within `patience`."""
+        self._is_resigned = True
+        self._lease_end = self._clock.monotonic()
+        if self._granted_by:
+            lease_return = DelegateLeaseReturn(fence=self._fence)
+            self._send(self._granted_by, lease_return)
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=patience.total_seconds())
+            # The last replies are sent with a delay.
+            await asyncio.sleep(2 * self._cfg.batch_delay.total_seconds())
 
     def close(self) -> None:
         """Give up the orders in progress."""
@@ -195,7 +221,8 @@
 
     def _holds_lease(self, leader_id: str, fence: int) -> bool:
         return (
-            self._granted_by == leader_id
+            not self._is_resigned
+            and self._granted_by == leader_id
             and self._fence == fence
             and self._current_term() <= fence
             and self._clock.monotonic() < self._lease_end
@@ -215,16 +242,17 @@
         self._send(leader_id, OrderReplies(fence=fence, replies=replies))
 
     async def _carry_out(self, order: VmOrder, fence: int, outbox: Outbox) -> None:
+        if not self._holds_lease(self._granted_by, fence):
+            # It was recalled, or has ended, since the order was received.
+            outbox.add(OrderReply(order.number, OrderResult.NO_LEASE))
+            return
         try:
             reply = await self._call(order, fence)
-        except OrderNotSentError as exc:
-            reply = OrderReply(order.number, OrderResult.NOT_SENT, detail=str(exc))
-        except VmReplacedError as exc:
-            reply = OrderReply(order.number, OrderResult.REPLACED, detail=str(exc))
-        except OrderOutcomeUnknownError as exc:
-            reply = OrderReply(order.number, OrderResult.UNKNOWN, detail=str(exc))
         except Exception as exc:
-            reply = OrderReply(order.number, OrderResult.UNKNOWN, detail=repr(exc))
+            result = _RESULTS.get(type(exc), OrderResult.UNKNOWN)
+            # Text of a VM may not be encodable.
+            detail = ascii(exc)
+            reply = OrderReply(order.number, result, detail=detail)
         outbox.add(reply)
 
     @singledispatchmethod
--- a/src/redwingslip/delegation/_orders.py
+++ b/src/redwingslip/delegation/_orders.py
@@ -10,8 +10,6 @@
 from ..jobs import ActiveRun, TaskKey, VmRecord
 from ..observe import Event, EventName, EventSink, Metrics
 from ..peers import (
-    DelegateLease,
-    DelegateLeaseRecall,
     DelegateLeaseRequest,
     DelegateLeaseReturn,
     HoldOrder,
@@ -32,6 +30,7 @@
     VmOrders,
     VmReplacedError,
 )
+from ._grants import Grants
 from ._outbox import Outbox
 from ._peer import Delegate
 from ._routes import Routes
@@ -43,15 +42,17 @@
 
 MS = timedelta(milliseconds=1)
 CHECK_INTERVAL = timedelta(milliseconds=50)
-# A check that comes later than this has not read what arrived meanwhile.
+# After a pause that is longer, what arrived meanwhile gets time to be read.
 MAX_CHECK_LAG = timedelta(milliseconds=100)
+READ_TIME = timedelta(milliseconds=5)
 
 
 class DelegatedOrders:
     """Has other controllers call the VMs during one term; implements `VmOrders`.
 
-    Without delegates, the leader calls the VMs itself. A delegate may act for a part of
-    the leader's own lease only, so that orders of two terms never overlap.
+    Without delegates, and in a small fleet, the leader calls the VMs itself. A delegate
+    may act for a part of the leader's own lease only, so that orders of two terms do
+    not overlap.
 
     Parameters
     ----------
@@ -65,6 +66,8 @@
         Returns for how much longer no other process can lead.
     n_delegates : callable
         Returns how many delegates may be expected.
+    n_vms : callable
+        Returns the number of VMs in the fleet.
     send : callable
         Called with a process id and a message; the message may be lost.
     clock : Clock
@@ -83,21 +86,22 @@
         "_delegates",
         "_events",
         "_fence",
-        "_granted_until",
-        "_has_returned",
+        "_grants",
         "_is_withdrawn",
         "_last_number",
         "_lease_remaining",
-        "_lessees",
         "_metrics",
         "_n_delegated",
         "_n_delegates",
         "_n_own",
+        "_n_vms",
         "_own",
         "_own_id",
+        "_refuses_orders",
         "_routes",
         "_send",
         "_settled",
+        "_settling",
         "_task",
     )
 
@@ -109,6 +113,7 @@
         fence: int,
         lease_remaining: Callable[[], timedelta],
         n_delegates: Callable[[], int],
+        n_vms: Callable[[], int],
         send: Callable[[str, Message], None],
         clock: Clock,
         events: EventSink,
@@ -120,6 +125,7 @@
         self._fence = fence
         self._lease_remaining = lease_remaining
         self._n_delegates = n_delegates
+        self._n_vms = n_vms
         self._send = send
         self._clock = clock
         self._events = events
@@ -127,28 +133,29 @@
         self._cfg = cfg
         self._routes = Routes(own_id)
         self._delegates: dict[str, Delegate] = {}
-        self._granted_until = clock.monotonic()
-        # Processes that may hold a lease, also those that were dropped.
-        self._lessees: set[str] = set()
-        self._has_returned = asyncio.Event()
+        self._grants = Grants(fence, send, clock)
         self._is_withdrawn = False
+        self._refuses_orders = False
         self._last_number = 0
         self._n_own = 0
         self._n_delegated = 0
         self._settled = asyncio.Event()
+        self._settling: asyncio.TimerHandle | None = None
         self._task: asyncio.Task | None = None
 
     def begin(self) -> None:
         """Start to accept delegates and to check them."""
-        loop = asyncio.get_running_loop()
-        loop.call_later(self._cfg.settle_time.total_seconds(), self._settled.set)
         self._task = asyncio.create_task(self._check_forever(), name="delegates")
+        self._begin_to_settle()
+        self._update_routes(self._clock.monotonic())
         self._note_settled()
 
     def close(self) -> None:
         """Give up all orders in progress."""
         if self._task is not None:
             self._task.cancel()
+        if self._settling is not None:
+            self._settling.cancel()
         self._settled.set()
         for delegate_id in list(self._delegates):
             self._drop(delegate_id, "the term has ended")
@@ -159,24 +166,21 @@
         No further order of this term is sent by a delegate. A lease that is not
         returned ends by its time.
         """
+        # The next leader is about to call; connections of this one would be new.
+        self._refuses_orders = self._grants.has_any
         self._is_withdrawn = True
         self._settled.set()
-        for delegate_id in self._lessees:
-            self._send(delegate_id, DelegateLeaseRecall(fence=self._fence))
-        remaining = self._granted_until - self._clock.monotonic()
-        try:
-            async with asyncio.timeout(max(0.0, remaining.total_seconds())):
-                while self._lessees:
-                    self._has_returned.clear()
-                    await self._has_returned.wait()
-        except TimeoutError:
-            return
+        await self._grants.recall()
 
     def receive_return(self, sender_id: str, msg: DelegateLeaseReturn) -> None:
-        """Note that a delegate has returned its lease."""
-        if msg.fence == self._fence:
-            self._lessees.discard(sender_id)
-            self._has_returned.set()
+        """Note that a delegate has returned its lease; it gets no further orders."""
+        if msg.fence != self._fence:
+            return
+        self._grants.note_return(sender_id)
+        delegate = self._delegates.get(sender_id)
+        if delegate is not None:
+            delegate.is_leaving = True
+            self._update_routes(self._clock.monotonic())
 
     # Leases.
 
@@ -186,25 +190,25 @@
         A process counts as a delegate only while its requests show that leases of this
         term reach it in time.
         """
-        remaining = self._lease_remaining()
-        if self._is_withdrawn or remaining <= timedelta(0):
-            return
         now = self._clock.monotonic()
-        self._granted_until = max(self._granted_until, now + remaining)
-        self._lessees.add(sender_id)
-        lease = DelegateLease(number=msg.number, fence=self._fence, duration=remaining)
-        self._send(sender_id, lease)
+        remaining = self._lease_remaining()
+        if remaining <= timedelta(0):
+            # The delegates' leases are over as well, and come back with this one.
+            self._begin_to_settle()
+            self._note_settled()
+        elif not self._is_withdrawn:
+            self._grants.grant(sender_id, msg.number, remaining)
         if msg.fence == self._fence:
-            self._note_renewal(sender_id, now)
+            self._note_renewal(sender_id, msg.lag, now)
         elif sender_id in self._delegates:
             self._drop(sender_id, "it holds no lease")
 
-    def _note_renewal(self, sender_id: str, now: timedelta) -> None:
-        delegate = self._delegates.get(sender_id)
+    def _note_renewal(self, delegate_id: str, lag: timedelta, now: timedelta) -> None:
+        delegate = self._delegates.get(delegate_id)
         if delegate is None:
-            delegate = self._add(sender_id, now)
+            delegate = self._add(delegate_id, now)
         delegate.renewed_at = now
-        if msg.lag > self._cfg.max_lag:
+        if lag > self._cfg.max_lag:
             delegate.rests_until = now + self._cfg.rest_time
             self._update_routes(now)
 
@@ -219,24 +223,38 @@
 
     def _update_routes(self, now: timedelta) -> None:
         """Route orders to the delegates that don't rest, or to all if all rest."""
-        rested = [
+        staying = [
             name
             for name, delegate in self._delegates.items()
-            if delegate.rests_until <= now
+            if not delegate.is_leaving
         ]
-        self._routes.update(rested or self._delegates)
+        rested = [name for name in staying if self._delegates[name].rests_until <= now]
+        is_leader_first = self._n_vms() < self._cfg.min_vms
+        self._routes.update(rested or staying, is_leader_first=is_leader_first)
+
+    def _begin_to_settle(self) -> None:
+        """Have calls wait for the delegates for a short time."""
+        if self._settling is not None:
+            self._settling.cancel()
+        self._settled.clear()
+        self._settling = asyncio.get_running_loop().call_later(
+            self._cfg.settle_time.total_seconds(), self._settled.set
+        )
 
     def _note_settled(self) -> None:
-        if len(self._delegates) >= self._n_delegates():
+        has_all = len(self._delegates) >= self._n_delegates()
+        if has_all or self._n_vms() < self._cfg.min_vms:
             self._settled.set()
 
     async def _check_forever(self) -> None:
         while True:
             due_at = self._clock.monotonic() + CHECK_INTERVAL
             await asyncio.sleep(CHECK_INTERVAL.total_seconds())
-            now = self._clock.monotonic()
-            is_late = now - due_at > MAX_CHECK_LAG
-            self.check(now, is_late=is_late)
+            lag = self._clock.monotonic() - due_at
+            if lag > MAX_CHECK_LAG:
+                # What arrived meanwhile is read first.
+                await asyncio.sleep(READ_TIME.total_seconds())
+            self.check(self._clock.monotonic(), lag=max(lag, timedelta(0)))
             self._count_calls()
 
     def _count_calls(self) -> None:
@@ -245,25 +263,21 @@
         self._metrics.add_vm_calls(self._n_delegated, caller="delegate")
         self._n_own = self._n_delegated = 0
 
-    def check(self, now: timedelta, *, is_late: bool = False) -> None:
+    def check(self, now: timedelta, *, lag: timedelta = timedelta(0)) -> None:
         """Drop silent delegates, and give up orders without a reply.
 
         Parameters
         ----------
         now : timedelta
             Monotonic time.
-        is_late : bool
-            Whether this process itself was paused, so that messages may wait unread.
+        lag : timedelta
+            Time for which this process itself was paused; it counts as no silence.
         """
         for delegate_id, delegate in list(self._delegates.items()):
-            if is_late:
-                delegate.renewed_at = max(
-                    delegate.renewed_at, now - self._cfg.renew_interval
-                )
+            delegate.renewed_at = min(now, delegate.renewed_at + lag)
             if now - delegate.renewed_at > self._cfg.silence:
                 self._drop(delegate_id, "it does not renew its lease")
-                continue
-            if not is_late:
+            else:
                 delegate.fail_overdue(now, f"no reply from delegate {delegate_id}")
         self._update_routes(now)
 
@@ -343,19 +357,24 @@
         try:
             return await call
         except (OrderNotSentError, OrderOutcomeUnknownError):
-            self._routes.note_failure(vm.vm_id, self._own_id)
+            self._note_failure(vm, self._own_id)
             raise
 
     async def _delegate_of(self, vm: VmRecord) -> str | None:
         """Return the delegate that calls a VM; None for the leader itself."""
         if not self._settled.is_set():
             await self._settled.wait()
-        if self._is_withdrawn and self._delegates:
-            # The next leader is about to call; connections of this one would be new.
+            if self._lease_remaining() <= timedelta(0):
+                raise OrderNotSentError("the leader's lease has ended")
+        if self._refuses_orders:
             raise OrderNotSentError("the leader resigns")
-        caller = self._routes.caller_of(vm.vm_id)
+        caller = self._routes.caller_of(vm.vm_id, self._clock.monotonic())
         return None if caller == self._own_id else caller
 
+    def _note_failure(self, vm: VmRecord, caller: str) -> None:
+        until = self._clock.monotonic() + self._cfg.detour_time
+        self._routes.avoid(vm.vm_id, caller, until)
+
     def _next_number(self) -> int:
         self._last_number += 1
         self._n_delegated += 1
@@ -373,7 +392,7 @@
         deadline = self._clock.monotonic() + wait + self._cfg.reply_timeout
         reply = await delegate.exchange(order, deadline)
         if reply.result in (OrderResult.NOT_SENT, OrderResult.UNKNOWN):
-            self._routes.note_failure(vm.vm_id, delegate_id)
+            self._note_failure(vm, delegate_id)
         match reply.result:
             case OrderResult.NOT_SENT | OrderResult.NO_LEASE:
                 raise OrderNotSentError(reply.detail or reply.result.value)
--- a/src/redwingslip/delegation/_peer.py
+++ b/src/redwingslip/delegation/_peer.py
@@ -35,15 +35,18 @@
         Time of its last request for a lease.
     rests_until : timedelta
         It is to get no new orders before this time.
+    is_leaving : bool
+        Whether it has returned its lease; it finishes the orders that it has.
     """
 
-    __slots__ = ("_outbox", "_pending", "renewed_at", "rests_until")
+    __slots__ = ("_outbox", "_pending", "is_leaving", "renewed_at", "rests_until")
 
     def __init__(self, outbox: Outbox, now: timedelta) -> None:
         self._outbox = outbox
         self._pending: dict[int, _Pending] = {}
         self.renewed_at = now
         self.rests_until = now
+        self.is_leaving = False
 
     async def exchange(self, order: VmOrder, deadline: timedelta) -> OrderReply:
         """Send an order and return the reply, or an unknown outcome."""
--- a/tests/delegation_processes.py
+++ b/tests/delegation_processes.py
@@ -29,11 +29,13 @@
     LeaderNetwork,
     ReplicaTerm,
 )
+from tests.support_scheduling import METRICS
 
 ELECTION_S = 0.6
 # Part of the election timeout for which contact with a quorum rules out a new leader.
 LEASE_S = 0.95 * ELECTION_S
 RETRY_S = 0.02
+CHECK_INTERVAL = timedelta(milliseconds=50)
 
 
 class Heartbeat(msgspec.Struct):
@@ -182,15 +184,16 @@
     def __init__(self, process, **options):
         super().__init__(**options)
         self._process = process
-        self._was_frozen = False
+        self._checked_at = None
 
-    def check(self, now, *, is_late=False):
+    def check(self, now, *, lag=timedelta(0)):
         """Drop silent delegates, and give up orders without a reply."""
         if not self._process.is_awake():
-            self._was_frozen = True
             return
-        is_late, self._was_frozen = is_late or self._was_frozen, False
-        super().check(now, is_late=is_late)
+        checked_at, self._checked_at = self._checked_at, now
+        if checked_at is not None:
+            lag = max(lag, now - checked_at - CHECK_INTERVAL)
+        super().check(now, lag=lag)
 
 
 class Process:
@@ -282,6 +285,8 @@
         while True:
             if self.is_up and self.is_awake():
                 self._send_heartbeats()
+                if self.leader_id:
+                    self.delegate.note_version(self.leader_id, takes_delegates=True)
                 self.delegate.renew()
             await asyncio.sleep(interval_s)
 
@@ -315,9 +320,11 @@
             fence=fence,
             lease_remaining=term.lease_remaining,
             n_delegates=lambda: len(self.world.processes) - 1,
+            n_vms=lambda: self.world.delegation.min_vms,
             send=self.send,
             clock=self.world.clock,
             events=NullSink(),
+            metrics=METRICS,
             cfg=self.world.delegation,
         )
         self.orders.begin()
--- a/tests/support_delegation.py
+++ b/tests/support_delegation.py
@@ -98,6 +98,8 @@
     ----------
     leader_id : str
         The leader that all delegates know.
+    n_vms : int
+        Size of the fleet.
     lease : timedelta
         What remains of the leader's own lease.
     """
@@ -109,6 +111,7 @@
         self.leader_id = ""
         self.term = 0
         self.lease = LEASE
+        self.n_vms = self.cfg.min_vms
         self.leaders = {}
         self.delegates = {}
         self._tasks = []
@@ -124,6 +127,8 @@
             clock=self.clock,
             cfg=self.cfg,
         )
+        for leader in self.leaders:
+            delegate.note_version(leader, takes_delegates=True)
         self.delegates[name] = delegate
         return delegate
 
@@ -137,6 +142,7 @@
             n_delegates=lambda: (
                 len(self.delegates) if n_delegates is None else n_delegates
             ),
+            n_vms=lambda: self.n_vms,
             send=lambda to, msg: self.send(name, to, msg),
             clock=self.clock,
             events=NullSink(),
--- a/tests/test_delegation_delegate.py
+++ b/tests/test_delegation_delegate.py
@@ -125,7 +125,7 @@
         self.delegate.renew()
         self.delegate.renew()
         self.grant()
-        self.sent = [item for item in self.sent if item[1].number == 1]
+        self.sent = self.sent[:1]
         self.delegate.receive_recall("lead", DelegateLeaseRecall(fence=FENCE))
         self.assertEqual(self.sent[-1], ("lead", DelegateLeaseReturn(fence=FENCE)))
         self.sent.pop()
--- a/tests/test_delegation_orders.py
+++ b/tests/test_delegation_orders.py
@@ -5,7 +5,9 @@
 from datetime import timedelta
 
 from redwingslip.jobs import ActiveRun, TaskKey
+from redwingslip.peers import OrderReplies, OrderReply, OrderResult
 from redwingslip.scheduling import (
+    HoldReport,
     OrderNotSentError,
     OrderOutcomeUnknownError,
     StartResult,
@@ -128,6 +130,29 @@
 
         self.run_case(case)
 
+    # Guards against a longer way to each VM where the leader has time for all.
+    def test_the_leader_of_a_small_fleet_calls_the_vms_itself(self):
+        async def case():
+            self.net.n_vms = 10
+            await asyncio.sleep(0.1)
+            await asyncio.gather(*(self.start(f"v{n}") for n in range(10)))
+            self.assertEqual(self.own.n_calls, 10)
+
+        self.run_case(case)
+
+    # Guards against LOST: a VM that the leader alone does not reach took no work.
+    def test_a_vm_that_the_leader_does_not_reach_is_called_by_a_delegate(self):
+        async def case():
+            self.net.n_vms = 10
+            await asyncio.sleep(0.1)
+            self.own.error = OrderOutcomeUnknownError("no answer")
+            with self.assertRaises(OrderOutcomeUnknownError):
+                await self.hold()
+            await self.hold()
+            self.assertEqual(self.own.n_calls, 1)
+
+        self.run_case(case)
+
     def test_a_leader_without_delegates_calls_the_vms_itself(self):
         async def case():
             await self.start()
@@ -334,6 +359,134 @@
 
         self.run_case(case, n_delegates=0, names=())
 
+    # Guards against LOST: calls hung while the leader was late and a delegate was gone.
+    def test_orders_of_a_lost_delegate_end_also_while_the_leader_is_late(self):
+        async def case():
+            await self.hold()
+            lost = self.caller()
+            self.net.run_delegates()
+            self.net.frozen.add(lost)
+            poll = asyncio.create_task(self.hold(wait_ms=1000))
+            began_at = self.loop.time()
+            while not poll.done() and self.loop.time() - began_at < 10:
+                self.loop.advance(0.16)
+                await asyncio.sleep(0.01)
+            with self.assertRaises(OrderOutcomeUnknownError):
+                await poll
+            self.assertLess(self.loop.time() - began_at, 5)
+
+        self.run_case(case)
+
+    # Guards against SHORT: a leader without contact for a moment called all VMs itself.
+    def test_a_short_loss_of_the_leaders_lease_brings_no_calls_of_its_own(self):
+        async def case():
+            await self.hold()
+            self.net.run_delegates()
+            self.net.lease = timedelta(0)
+            await asyncio.sleep(0.55)
+            self.net.lease = LEASE
+            await asyncio.gather(*(self.hold(f"v{n}") for n in range(N_VMS)))
+            self.assertEqual(self.own.n_calls, 0)
+
+        self.run_case(case)
+
+    def test_no_lease_is_granted_without_an_own_lease(self):
+        async def case():
+            self.net.lease = timedelta(0)
+            await asyncio.sleep(0.5)
+            await self.net.join()
+            for delegate in self.net.delegates.values():
+                self.assertFalse(delegate._holds_lease("lead", FENCE))
+            with self.assertRaises(OrderNotSentError):
+                await self.hold()
+            self.assertEqual(self.own.n_calls, 0)
+
+        self.run_case(case)
+
+    def test_an_order_that_waited_is_not_sent_after_the_leaders_lease(self):
+        async def case():
+            poll = asyncio.create_task(self.hold())
+            await asyncio.sleep(0)
+            self.net.lease = timedelta(0)
+            with self.assertRaises(OrderNotSentError):
+                await poll
+            self.assertEqual(self.own.n_calls, 0)
+
+        self.run_case(case, n_delegates=3, names=())
+
+    def test_a_leader_that_resigns_grants_no_lease_and_calls_no_vm(self):
+        async def case():
+            await self.hold()
+            self.net.run_delegates()
+            self.net.cut.update({("d1", "lead"), ("d2", "lead")})
+            await self.orders.withdraw()
+            await asyncio.sleep(1)
+            for _ in range(3):
+                with self.assertRaises(OrderNotSentError):
+                    await self.hold()
+            self.assertEqual(self.own.n_calls, 0)
+
+        self.run_case(case)
+
+    # Guards against late orders while controllers are stopped in turn.
+    def test_a_delegate_that_stops_finishes_its_orders_and_gets_no_more(self):
+        async def case():
+            await self.hold()
+            name = self.caller()
+            hold = self.clients[name].hold
+
+            async def hold_slowly(vm, **fields):
+                await asyncio.sleep(0.4)
+                return await hold(vm, **fields)
+
+            self.clients[name].hold = hold_slowly
+            self.net.run_delegates()
+            poll = asyncio.create_task(self.hold(wait_ms=1000))
+            await asyncio.sleep(0.01)
+            delegate = self.net.delegates[name]
+            stop = asyncio.create_task(delegate.resign(timedelta(seconds=1)))
+            await asyncio.sleep(0.01)
+            n_calls = self.clients[name].n_calls
+            await self.hold()
+            self.assertEqual(self.clients[name].n_calls, n_calls)
+            report = await poll
+            self.assertEqual(report.born_ms, 1)
+            await stop
+            self.assertEqual(self.own.n_calls, 0)
+
+        self.run_case(case)
+
+    def test_the_wait_of_a_vm_counts_for_the_deadline(self):
+        async def case():
+            self.net.run_delegates()
+            for client in self.clients.values():
+                client.hold = lambda vm, **fields: asyncio.sleep(1.5, "answer")
+            began_at = self.loop.time()
+            with self.assertRaises(OrderOutcomeUnknownError):
+                await self.hold(wait_ms=0)
+            self.assertLess(self.loop.time() - began_at, 1.4)
+            for client in self.clients.values():
+                client.hold = lambda vm, **fields: asyncio.sleep(
+                    1.5, HoldReport(clock_ms=1)
+                )
+            await self.hold(wait_ms=1000)
+
+        self.run_case(case)
+
+    def test_a_reply_of_another_term_is_ignored(self):
+        async def case():
+            poll = asyncio.create_task(self.hold())
+            await asyncio.sleep(0)
+            for number in range(1, 5):
+                reply = OrderReply(number, OrderResult.REPLACED)
+                for name in self.clients:
+                    replies = OrderReplies(fence=FENCE - 1, replies=(reply,))
+                    self.orders.receive_replies(name, replies)
+            report = await poll
+            self.assertEqual(report.born_ms, 1)
+
+        self.run_case(case)
+
     def test_replies_of_another_term_are_ignored(self):
         async def case():
             first = asyncio.create_task(self.hold())
