Measure the pauses of the garbage collector

A late event loop is a metric, but neither logs nor metrics told the collector's pauses from other work.

Each collection is timed by gc.callbacks, in every daemon, and recorded as redwingslip.gc.pause.duration by generation. The callbacks only note the durations: the collector may interrupt the event log or the exporter, which must not be entered twice. A task records them once a second and logs a warning when they took over a tenth of the time. The callbacks are removed when the process stops.

Evidence: test_daemons_process fails without the start (no metric is exported) and without the stop (a callback is left).

--- a/src/redwingslip/daemons/_process.py
+++ b/src/redwingslip/daemons/_process.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..clock import Clock, SystemClock
-from ..observe import Event, EventLog, EventName, EventSink, new_metrics
+from ..observe import Event, EventLog, EventName, EventSink, GcPauses, new_metrics
 from ..peers import Message, PeerHub
 from ..settings import find_warnings, load_tls
 
@@ -17,7 +17,7 @@
 
 
 class ProcessCore:
-    """The components that all daemons share; starts and stops the links.
+    """The components that all daemons share; starts and stops them.
 
     Parameters
     ----------
@@ -44,7 +44,7 @@
         Whether links are encrypted with TLS.
     """
 
-    __slots__ = ("_cfg", "_tls", "clock", "events", "hub", "metrics")
+    __slots__ = ("_cfg", "_gc_pauses", "_tls", "clock", "events", "hub", "metrics")
 
     def __init__(
         self,
@@ -62,6 +62,9 @@
         self.clock = clock or SystemClock()
         self.events = events or EventLog(cfg.logs, process_id=name, clock=self.clock)
         self.metrics = new_metrics(cfg.metrics, process_id=name)
+        self._gc_pauses = GcPauses(
+            clock=self.clock, events=self.events, metrics=self.metrics
+        )
         self.hub = PeerHub(
             process_id=peer_id,
             address=cfg.peers.listen,
@@ -82,6 +85,7 @@
     async def start(self) -> None:
         """Listen for other processes, and set the addresses of the replicas."""
         await self.hub.start()
+        self._gc_pauses.start()
         for replica_id, address in self._cfg.replicas.items():
             self.hub.set_address(replica_id, address)
 
@@ -107,6 +111,7 @@
     async def stop(self) -> None:
         """Close all links and the metrics, and emit that the process has stopped."""
         await self.hub.stop()
+        await self._gc_pauses.stop()
         self.metrics.close()
         self.emit(EventName.PROCESS_STOPPED)
 
--- a/src/redwingslip/observe/__init__.py
+++ b/src/redwingslip/observe/__init__.py
@@ -2,6 +2,7 @@
 
 from ._events import Event, EventName, EventSink, NullSink
 from ._explain import Explanation, explain
+from ._gc_pauses import GcPauses
 from ._log import EventLog
 from ._metrics import Metrics, metrics_text, new_metrics
 from ._render import render_picture, render_text
@@ -15,6 +16,7 @@
     "EventName",
     "EventSink",
     "Explanation",
+    "GcPauses",
     "Metrics",
     "NullSink",
     "TimelineError",
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -113,6 +113,12 @@
         "s",
         "How late the timers of the leader fire.",
     ),
+    _Instrument(
+        "histogram",
+        "gc.pause.duration",
+        "s",
+        "Pauses of the garbage collector, by generation.",
+    ),
     _Instrument(
         "counter",
         "run.starts",
@@ -222,6 +228,11 @@
         """Record how late a timer of the leader has fired."""
         self._record("event.loop.lag.duration", duration, {})
 
+    def record_gc_pause(self, *, generation: int, duration: timedelta) -> None:
+        """Record how long a garbage collection has paused the process."""
+        attributes = {"cpython.gc.generation": generation}
+        self._record("gc.pause.duration", duration, attributes)
+
     def add_run_start(self, *, outcome: str) -> None:
         """Count an order to start a run, by its outcome."""
         self._instruments["run.starts"].add(
--- a/tests/test_observe_metrics.py
+++ b/tests/test_observe_metrics.py
@@ -26,6 +26,7 @@
     metrics.add_dropped_events(2)
     metrics.record_placement_round(duration=second)
     metrics.record_loop_lag(duration=second)
+    metrics.record_gc_pause(generation=2, duration=second)
 
 
 class TestNewMetrics(unittest.TestCase):
@@ -58,6 +59,7 @@
                 "redwingslip.log.commit.duration": "s",
                 "redwingslip.placement.round.duration": "s",
                 "redwingslip.event.loop.lag.duration": "s",
+                "redwingslip.gc.pause.duration": "s",
                 "redwingslip.config.in_force.duration": "s",
                 "redwingslip.slot.usage": "{slot}",
                 "redwingslip.slot.limit": "{slot}",
