Collect garbage rarely in the daemons, with a bound on memory

Change: when a process has started, its objects are exempt (gc.freeze); young objects are collected when there are 50,000 new ones, and all objects each 30 s, which bounds the memory. Both are settings, [gc] young_objects and full_interval. The process sets the collector, not the application, as tests run several applications in one process.

Ruled out: records that the collector doesn't track (gc=False of msgspec). Records of plain values are untracked already, and of the four objects of a task's record three are lists.

--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -22,6 +22,7 @@
 )
 from ..settings import (
     Address,
+    GcSettings,
     LogSettings,
     MetricsSettings,
     PeersSettings,
@@ -114,6 +115,7 @@
     tls: TlsSettings = TlsSettings(enabled=False)
     logs: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
+    gc: GcSettings = GcSettings()
 
     @property
     def replicas(self) -> dict[str, str]:
--- a/src/redwingslip/daemons/_main.py
+++ b/src/redwingslip/daemons/_main.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from ..settings import load_settings
+from ._gc_control import GcControl
 from ._reload import SettingsWatcher
 
 __all__ = ["run_controller", "run_entry", "run_gateway", "run_replica"]
@@ -92,6 +93,9 @@
         loop.add_signal_handler(signum, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
     await app.start()
+    # The collector is the process's, and tests run several applications in one.
+    gc_control = GcControl(app.cfg.gc)
+    gc_control.start()
     stop_tasks = {asyncio.create_task(stopping.wait())}
     if hasattr(app, "wait_failed"):
         stop_tasks.add(asyncio.create_task(app.wait_failed()))
@@ -99,5 +103,6 @@
     for task in pending:
         task.cancel()
     await app.stop()
+    await gc_control.stop()
     for task in done:
         task.result()
--- a/src/redwingslip/settings/_sections.py
+++ b/src/redwingslip/settings/_sections.py
@@ -15,6 +15,7 @@
     "EntryRoleSettings",
     "EntrySettings",
     "ExporterKind",
+    "GcSettings",
     "HttpSettings",
     "LeaseSettings",
     "LogSettings",
@@ -281,6 +282,23 @@
     interval: timedelta = timedelta(seconds=15)
 
 
+class GcSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The garbage collector, which stops the process while it runs.
+
+    Attributes
+    ----------
+    young_objects : int
+        Number of new objects after which the youngest ones are collected. Fewer make
+        shorter and more pauses; more keep garbage for longer.
+    full_interval : timedelta
+        Interval at which all objects are collected, which bounds the memory that
+        garbage takes.
+    """
+
+    young_objects: Annotated[int, msgspec.Meta(ge=100)] = 50_000
+    full_interval: timedelta = timedelta(seconds=30)
+
+
 Replicas = Annotated[
     dict[Name, Address],
     msgspec.Meta(
@@ -307,6 +325,7 @@
     requests: RequestsSettings = RequestsSettings()
     logs: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
+    gc: GcSettings = GcSettings()
 
 
 class ReplicaSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -326,3 +345,4 @@
     leases: LeaseSettings = LeaseSettings()
     logs: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
+    gc: GcSettings = GcSettings()
