Log why a long-running task waits

What operators saw: of a long-running task that waits, the log has nothing after the end of its last run: neither that it waits nor whether VMs are full, claimed, out of contact or without a ticket.

Change: task.waiting names a task that has found no VM for 3 s, and again each 3 s, with the VMs of its pool counted by the reason, or that its customer is at its limit.

Evidence: test_the_log_tells_why_a_long_running_task_waits and test_the_log_tells_that_a_customer_is_at_its_limit. No effect on placement.

--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -42,6 +42,7 @@
     RUN_ENDED = "run.ended"
     RUN_END_UNMATCHED = "run.end_unmatched"
     RUN_PREEMPTED = "run.preempted"
+    TASK_WAITING = "task.waiting"
     PLAN_CHANGED = "plan.changed"
     VM_NOTED = "vm.noted"
     VM_LOST = "vm.lost"
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -17,6 +17,7 @@
 from ._machines import MachineRegistry
 from ._preemption import Preemption
 from ._term import Term
+from ._wait_reasons import describe_pool
 
 __all__ = [
     "MAX_FIRST_START_WAIT",
@@ -35,6 +36,8 @@
 # A long-running task that has run counts as lost when it is away for 9 s while there is
 # room for it (platform contract). The lease of a silent VM takes most of that time.
 MAX_RESTART_WAIT = timedelta(milliseconds=500)
+# Time between two log entries on a long-running task that waits.
+WAIT_REPORT_INTERVAL = timedelta(seconds=3)
 
 
 class PlacementRounds:
@@ -65,6 +68,7 @@
         "_preemption",
         "_state",
         "_term",
+        "_wait_reported_at",
         "_waiting_since",
         "backlog",
     )
@@ -86,6 +90,7 @@
         self._failed_jobs: set[str] = set()
         # Monotonic times since which isolated and long-running tasks wait.
         self._waiting_since: dict[TaskKey, timedelta] = {}
+        self._wait_reported_at: dict[TaskKey, timedelta] = {}
         self._preemption: Preemption | None = None
         self.backlog: dict[str, PoolBacklog] = {}
 
@@ -137,6 +142,32 @@
             for task in tasks
             if task.is_isolated or (task.step.is_long_running and not task.step.is_gang)
         }
+        for key in self._wait_reported_at.keys() - self._waiting_since.keys():
+            del self._wait_reported_at[key]
+
+    def _report_wait(self, task: WaitingTask, *, is_within_limit: bool) -> None:
+        """Log, once in each `WAIT_REPORT_INTERVAL`, why a long-running task waits."""
+        since = self._waiting_since.get(task.key)
+        if since is None or not task.step.is_long_running:
+            return
+        now = self._term.clock.monotonic()
+        reported_at = max(since, self._wait_reported_at.get(task.key, since))
+        if now - reported_at < WAIT_REPORT_INTERVAL:
+            return
+        self._wait_reported_at[task.key] = now
+        reason = "its customer is at its limit"
+        if is_within_limit:
+            reasons = describe_pool(
+                task, state=self._state, machines=self._machines, now=now
+            )
+            reason = f"VMs of {task.pool}: {reasons}"
+        waited = (now - since).total_seconds()
+        self._term.emit(
+            EventName.TASK_WAITING,
+            request_id=task.key.job_id,
+            detail=f"{task.key.label(self._state.task(task.key).n_runs)} "
+            f"has waited for {waited:.1f} s; {reason}",
+        )
 
     def _has_waited(self, placer: Placer, task: WaitingTask) -> bool:
         """Return whether a task need not wait longer for a VM that suits it better.
@@ -183,11 +214,14 @@
             starts.extend(placed)
             unplaced = step_tasks[len(placed) :]
             # Neither capacity nor preemption helps a customer that is at its limit.
-            if unplaced and placer.is_within_limit(
-                unplaced[0].customer, unplaced[0].step.need
-            ):
-                if unplaced[0].is_isolated:
-                    placer.reserve_vm(unplaced[0])
+            if not unplaced:
+                continue
+            first = unplaced[0]
+            is_within_limit = placer.is_within_limit(first.customer, first.step.need)
+            self._report_wait(first, is_within_limit=is_within_limit)
+            if is_within_limit:
+                if first.is_isolated:
+                    placer.reserve_vm(first)
                 self._handle_unplaced(
                     placer, unplaced, urgency, needs_advice=needs_advice
                 )
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -244,6 +244,35 @@
         self.wait(MAX_FIRST_START_WAIT)
         self.assertEqual(len(self.stopped()), 1)
 
+    def report_wait(self):
+        """Return the details of the entries on a task that waits for 6 s."""
+        reports = []
+        self.term.emit = lambda name, **fields: reports.append(fields["detail"])
+        self.decide()
+        for _ in range(4):
+            self.wait(timedelta(seconds=1.5))
+        return reports
+
+    def test_the_log_tells_why_a_long_running_task_waits(self):
+        """Guards against lost tasks whose log does not tell what kept them waiting."""
+        self.machines.claim("m-v1", "a wave")
+        self.submit("long", n_tasks=1, is_long_running=True)
+        reports = self.report_wait()
+        self.assertEqual(
+            reports,
+            [
+                f"0.0.0 run 0 has waited for {waited} s; VMs of p: 1 claimed"
+                for waited in (3.0, 6.0)
+            ],
+        )
+
+    def test_the_log_tells_that_a_customer_is_at_its_limit(self):
+        need = Amounts(1001, 10)
+        self.submit(
+            "long", customer="small", n_tasks=1, is_long_running=True, need=need
+        )
+        self.assertIn("its customer is at its limit", self.report_wait()[0])
+
     def test_a_job_that_fails_a_round_does_not_keep_others_waiting(self):
         """Guards against one task for which the leader places nothing any more."""
         self.submit("bad", n_tasks=1)
