Drop the tickets of a VM when its next incarnation replaces it

Cause: a ticket is valid for one incarnation of a VM, but was kept by the VM's name, which the next incarnation may have. Each start there was refused for its ticket, and the next round placed the task there again with the same one, until it expired; meanwhile no new ticket was requested.

Change: the tickets of a VM, and that it has been asked about, are forgotten with each new incarnation. The answer of a call that was sent before is not used for it.

Conclusion: a fault of its own; that it is the users' is not shown.

--- a/src/redwingslip/scheduling/_advice.py
+++ b/src/redwingslip/scheduling/_advice.py
@@ -97,6 +97,7 @@
         "_events",
         "_on_advice",
         "_queried",
+        "_replaced_vms",
         "_requests",
         "_tickets",
         "_wake",
@@ -121,6 +122,8 @@
         self._tickets: dict[StepKey, dict[str, _Ticket]] = {}
         self._queried: dict[StepKey, set[str]] = {}
         self._requests: dict[StepKey, str] = {}
+        # VMs that were replaced since the call in flight was sent.
+        self._replaced_vms: set[str] = set()
         self._wake = asyncio.Event()
 
     def tickets(self, step: StepKey) -> Mapping[str, str]:
@@ -143,6 +146,14 @@
             for step in [step for step in by_step if step[0] == job_id]:
                 del by_step[step]
 
+    def forget_vm(self, vm_id: str) -> None:
+        """Drop the tickets of a VM that was replaced by its next incarnation."""
+        self._replaced_vms.add(vm_id)
+        for tickets in self._tickets.values():
+            tickets.pop(vm_id, None)
+        for vm_ids in self._queried.values():
+            vm_ids.discard(vm_id)
+
     async def run(self) -> None:
         """Serve the queued requests until cancelled."""
         while True:
@@ -158,16 +169,19 @@
         if not vm_ids:
             return
         requested_at = self._clock.monotonic()
+        self._replaced_vms.clear()
         try:
             advice = await self._adviser.request_advice(step, vm_ids)
         except OrderOutcomeUnknownError as exc:
             self._events.emit(Event(name=EventName.WARNING, detail=str(exc)))
             await asyncio.sleep(self._cfg.retry_delay.total_seconds())
             return
-        self._queried.setdefault(step, set()).update(vm_ids)
+        queried = self._queried.setdefault(step, set())
+        queried.update(set(vm_ids) - self._replaced_vms)
         tickets = self._tickets.setdefault(step, {})
         for vm_id, text in advice.tickets.items():
-            tickets[vm_id] = _Ticket(text, requested_at + advice.validity)
+            if vm_id not in self._replaced_vms:
+                tickets[vm_id] = _Ticket(text, requested_at + advice.validity)
         self._events.emit(
             Event(
                 name=EventName.ADVICE_TAKEN,
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -335,6 +335,7 @@
             return
         if agent is not None:
             agent.close()
+        self._advice.forget_vm(vm.vm_id)
         agent = VmAgent(
             vm,
             term=self._term,
--- a/tests/test_scheduling_advice.py
+++ b/tests/test_scheduling_advice.py
@@ -79,6 +79,28 @@
         self.cache.request(STEP, "p")
         await eventually(lambda: self.cache.tickets(STEP))
 
+    # LOST: runs were ordered again and again with the ticket of an earlier incarnation.
+    async def test_the_tickets_of_a_replaced_vm_are_dropped(self):
+        self.cache.request(STEP, "p")
+        await eventually(lambda: self.cache.tickets(STEP))
+        self.cache.forget_vm("v0")
+        self.assertEqual(self.cache.tickets(STEP), {})
+        self.assertEqual(self.cache._choose_vms(STEP, "p"), ("v0", "v2"))
+
+    async def test_a_ticket_for_a_vm_that_is_replaced_meanwhile_is_not_used(self):
+        grant = self.adviser.request_advice
+
+        async def request_advice(step, vm_ids):
+            advice = await grant(step, vm_ids)
+            self.cache.forget_vm("v0")
+            return advice
+
+        self.adviser.request_advice = request_advice
+        self.cache.request(STEP, "p")
+        await eventually(lambda: "v1" in self.cache._queried.get(STEP, ()))
+        self.assertEqual(self.cache.tickets(STEP), {})
+        self.assertNotIn("v0", self.cache._queried[STEP])
+
     async def test_a_call_without_an_answer_yields_no_tickets(self):
         self.adviser.n_lost = 1
         self.cache.request(STEP, "p")
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -10,6 +10,8 @@
 from redwingslip.jobs import (
     CancelJob,
     EndKind,
+    ForgetVm,
+    NoteVm,
     RecordEnds,
     RunEnd,
     RunStart,
@@ -78,6 +80,20 @@
         # The next poll finds that the run was never started.
         await eventually(lambda: self.endpoint.started == [(KEY, 1)])
 
+    # LOST: runs were ordered again and again with the ticket of an earlier incarnation.
+    async def test_a_new_incarnation_needs_tickets_of_its_own(self):
+        self.scheduler.begin()
+        for forget in (False, True):
+            born_ms = self.term.state.vms["v1"].born_ms
+            self.scheduler._advice._tickets = {KEY[:3]: {"v1": "ticket"}}
+            commands = [NoteVm(vm=make_vm(born_ms=born_ms + 1), now_ms=2)]
+            if forget:
+                gone = ForgetVm(vm_id="v1", born_ms=born_ms, now_ms=2)
+                commands.insert(0, gone)
+            for command in commands:
+                self.scheduler.applied(command, self.term.state.apply(command))
+            self.assertEqual(self.scheduler._advice._tickets, {KEY[:3]: {}})
+
     async def test_an_end_of_a_run_that_was_closed_before_is_logged(self):
         """Guards against ends that are acknowledged without a trace in the log."""
         state = self.term.state
