Request the tickets of long-running tasks first

Each waiting short step asks again in each round; a long-running task whose tickets had expired asked after all of them, without a bound.

Ruled out: a wait of the tickets' own, as the histories lose no task once the order is changed, with the same adviser. An adviser that doesn't answer at all holds every task up; nothing starts without a ticket.

Change: the requests of long-running steps are served before all others, so that one waits for the call in flight at most.

--- a/src/redwingslip/scheduling/_advice.py
+++ b/src/redwingslip/scheduling/_advice.py
@@ -73,6 +73,8 @@
 class AdviceCache:
     """Caches tickets and requests missing ones, one call at a time.
 
+    Urgent requests are served before all others.
+
     Parameters
     ----------
     adviser : Adviser
@@ -100,6 +102,7 @@
         "_replaced_vms",
         "_requests",
         "_tickets",
+        "_urgent_requests",
         "_wake",
     )
 
@@ -122,6 +125,7 @@
         self._tickets: dict[StepKey, dict[str, _Ticket]] = {}
         self._queried: dict[StepKey, set[str]] = {}
         self._requests: dict[StepKey, str] = {}
+        self._urgent_requests: dict[StepKey, str] = {}
         # VMs that were replaced since the call in flight was sent.
         self._replaced_vms: set[str] = set()
         self._wake = asyncio.Event()
@@ -135,14 +139,20 @@
             if ticket.expires_at > usable_until
         }
 
-    def request(self, step: StepKey, pool: str) -> None:
+    def request(self, step: StepKey, pool: str, *, is_urgent: bool = False) -> None:
         """Queue a request for more tickets of a step; requests are served in order."""
-        self._requests.setdefault(step, pool)
+        requests = self._urgent_requests if is_urgent else self._requests
+        requests.setdefault(step, pool)
         self._wake.set()
 
     def forget_job(self, job_id: str) -> None:
         """Drop the tickets and requests of a job that was removed from the state."""
-        for by_step in (self._tickets, self._queried, self._requests):
+        for by_step in (
+            self._tickets,
+            self._queried,
+            self._requests,
+            self._urgent_requests,
+        ):
             for step in [step for step in by_step if step[0] == job_id]:
                 del by_step[step]
 
@@ -157,12 +167,12 @@
     async def run(self) -> None:
         """Serve the queued requests until cancelled."""
         while True:
-            while not self._requests:
+            while not self._urgent_requests and not self._requests:
                 self._wake.clear()
                 await self._wake.wait()
-            step = next(iter(self._requests))
-            pool = self._requests.pop(step)
-            await self._request_advice(step, pool)
+            requests = self._urgent_requests or self._requests
+            step = next(iter(requests))
+            await self._request_advice(step, requests.pop(step))
 
     async def _request_advice(self, step: StepKey, pool: str) -> None:
         vm_ids = self._choose_vms(step, pool)
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -244,7 +244,8 @@
         if task.step.max_per_vm or task.step.disruption_budget:
             backlog.n_vms = max(backlog.n_vms, len(tasks))
         if needs_advice:
-            self._advice.request(task.key[:3], task.pool)
+            is_urgent = task.step.is_long_running
+            self._advice.request(task.key[:3], task.pool, is_urgent=is_urgent)
         if task.is_isolated:
             backlog.n_vms = max(backlog.n_vms, 1)
             if not task.takes_any_vm:
--- a/tests/test_scheduling_advice.py
+++ b/tests/test_scheduling_advice.py
@@ -70,6 +70,22 @@
         self.clock.advance(timedelta(seconds=2.7))
         self.assertEqual(self.cache.tickets(STEP), {})
 
+    # LOST: a lasting task waited for its ticket behind the requests of short ones.
+    async def test_urgent_requests_are_served_first(self):
+        steps = []
+
+        async def request_advice(step, vm_ids):
+            steps.append(step[0])
+            await asyncio.sleep(0)
+            return Advice(tickets={}, validity=timedelta(seconds=3))
+
+        self.adviser.request_advice = request_advice
+        for job_id in ("j1", "j2"):
+            self.cache.request((job_id, 0, 0), "p")
+        self.cache.request(("long", 0, 0), "p", is_urgent=True)
+        await eventually(lambda: len(steps) == 3)
+        self.assertEqual(steps, ["long", "j1", "j2"])
+
     # LOST: each request of a pool without VMs held up all others.
     async def test_a_request_without_candidates_holds_up_no_other(self):
         delay = timedelta(seconds=60)
--- a/tests/test_scheduling_long_running_room.py
+++ b/tests/test_scheduling_long_running_room.py
@@ -1,21 +1,29 @@
 """Histories of long-running tasks whose only room is spoken for.
 
 The pattern is a pool in which the room that a long-running task needs exists, but is
-held by machines that a wave is about to maintain. The histories run in virtual time, and
-are checked as in `test_scheduling_long_running`.
+held by machines that a wave is about to maintain, or by tickets. The histories run in
+virtual time, and are checked as in `test_scheduling_long_running`.
 """
 
 import asyncio
 import unittest
+from datetime import timedelta
 
 from redwingslip.jobs import Amounts, JobSpec, StartWave, StepSpec
-from redwingslip.scheduling import MachineOutcome, MachineState, MachineView
+from redwingslip.scheduling import (
+    Advice,
+    MachineOutcome,
+    MachineState,
+    MachineView,
+)
 from tests.scheduling_endpoints import CALL_S, CAPACITY
 from tests.test_scheduling_long_running import LossyPool, check_history
 
 MAINTENANCE_S = 2.0
 # Seeds that have found a fault stay here.
 WAVE_SEEDS = (*range(3), 5, 8, 11, 12, 17, 27, 28)
+ADVICE_SEEDS = (0, 3, 16, 25)
+TICKET_VALIDITY = timedelta(seconds=8)
 
 
 class WavePool(LossyPool):
@@ -100,9 +108,52 @@
         return MachineOutcome.DONE if known else MachineOutcome.UNKNOWN_MACHINE
 
 
+class AdvisedPool(LossyPool):
+    """A pool whose VMs need tickets, with much short work that asks for them too."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.plan_options = {"needs_advice": True}
+        self.load = 2.0
+
+    async def run(self, loop):
+        """Run the history with an adviser."""
+        self.adviser = SlowAdviser(self, decision_s=self.rng.choice((0.1, 0.4)))
+        return await super().run(loop)
+
+
+class SlowAdviser:
+    """An adviser that answers one call at a time, with tickets for most VMs.
+
+    A ticket is valid for one incarnation of a VM.
+    """
+
+    def __init__(self, pool, *, decision_s):
+        self._pool = pool
+        self._decision_s = decision_s
+
+    async def request_advice(self, step, vm_ids):
+        """Return tickets for the VMs that are up."""
+        await asyncio.sleep(self._decision_s)
+        endpoints = self._pool.world.endpoints
+        tickets = {vm_id: str(endpoints[vm_id].born_ms) for vm_id in vm_ids}
+        return Advice(tickets=tickets, validity=TICKET_VALIDITY)
+
+    def accepts(self, endpoint, ticket):
+        """Return whether an incarnation of a VM accepts a ticket."""
+        return ticket == str(endpoint.born_ms)
+
+
 class TestHeldRoom(unittest.TestCase):
     """A lasting task that doesn't run although its pool has room for it."""
 
+    # LOST: restarts waited for their tickets behind the requests of short tasks.
+    def test_a_pool_whose_vms_need_tickets(self):
+        """Guards against lasting tasks that wait for tickets of other tasks."""
+        for seed in ADVICE_SEEDS:
+            with self.subTest(seed=seed):
+                check_history(self, AdvisedPool(seed))
+
     # LOST: the tasks of a VM that had crashed fitted only on machines that waited for
     # their maintenance, which waited for these tasks.
     def test_a_wave_over_a_pool_that_loses_vms(self):
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -57,14 +57,16 @@
     def __init__(self):
         self.ticket_by_vm = {}
         self.requested = []
+        self.urgent = []
 
     def tickets(self, step):
         """Return the tickets that the test has set."""
         return self.ticket_by_vm
 
-    def request(self, step, pool):
+    def request(self, step, pool, *, is_urgent=False):
         """Record a request."""
         self.requested.append(step)
+        self.urgent += [step] * is_urgent
 
 
 class TestPlacementRounds(unittest.TestCase):
@@ -385,6 +387,14 @@
         self.advice.ticket_by_vm = {"v1": "ticket"}
         self.assertEqual(len(self.decide()), 1)
 
+    # LOST: a lasting task waited for its ticket behind the requests of short ones.
+    def test_the_requests_of_long_running_tasks_are_urgent(self):
+        self.submit("short", queue="advised", n_tasks=1)
+        self.submit("long", queue="advised", n_tasks=1, is_long_running=True)
+        self.decide()
+        self.assertEqual(len(self.advice.requested), 2)
+        self.assertEqual(self.advice.urgent, [("long", 0, 0)])
+
     def test_a_task_with_advice_preempts_nothing_on_a_vm_without_a_ticket(self):
         self.fill()
         self.submit("long", queue="advised", n_tasks=1, is_long_running=True)
