Stop a gang for a long-running task that has no other room

In a pool full of long gangs, the tasks of a VM that crashed waited until a gang had ended.

Ruled out: that the gangs leave too little for two such tasks; the check counts what is free beside the long-running runs, and with gangs stopped the histories lose no task.

Change: a long-running task that has waited, and finds no room by stopping other runs on any VM, has a gang stopped. All its runs are stopped together, since a part of it does not work alone; among several gangs the one with least work to lose. Its room on other VMs serves the next tasks of the round. A gang that lasts, or that has a disruption budget, is never stopped. A recalled machine may be full of a gang.

--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -259,9 +259,12 @@
 
 
 def non_preemptible_need(
-    state: JobsState, steps: Mapping[tuple[str, int, int], int]
+    state: JobsState,
+    steps: Mapping[tuple[str, int, int], int],
+    *,
+    with_gangs: bool = True,
 ) -> Amounts:
-    """Return the capacity reserved by the tasks that are never preempted.
+    """Return the capacity reserved by the tasks that are not preempted.
 
     These are long-running tasks and tasks of gangs.
 
@@ -271,10 +274,13 @@
         The replicated state.
     steps : mapping of tuple to int
         Number of tasks by job, occurrence and step.
+    with_gangs : bool
+        Whether to include the gangs that are preempted as a last resort.
     """
     total = NO_AMOUNTS
     for (job_id, _, number), n_tasks in steps.items():
         step = state.jobs[job_id].spec.steps[number]
-        if step.is_long_running or step.is_gang:
+        is_kept_gang = step.is_gang and (with_gangs or step.disruption_budget > 0)
+        if step.is_long_running or is_kept_gang:
             total = total + step.reserved.times(n_tasks)
     return total
--- a/src/redwingslip/scheduling/_preemption.py
+++ b/src/redwingslip/scheduling/_preemption.py
@@ -46,6 +46,9 @@
 class Preemption:
     """Chooses, in one round of placement, the runs to stop for waiting tasks.
 
+    A gang works only as a whole. It is stopped as a whole, and only for a task that has
+    waited and finds no other room. Long-running runs are never stopped.
+
     The caller passes the tasks in the order of their urgency. Room that becomes free on
     a VM is kept for the first task that fits, so that each of several tasks gets its
     own without waiting for the others.
@@ -83,27 +86,54 @@
 
         None is returned if no VM can get enough room.
         """
+        room = self._cheapest_room(task, with_gangs=False)
+        if room is None and task.takes_any_vm:
+            room = self._cheapest_room(task, with_gangs=True)
+        if room is not None:
+            self._promise(room.vm_id, task)
+        return room
+
+    def _cheapest_room(self, task: WaitingTask, *, with_gangs: bool) -> MadeRoom | None:
         options = []
         for vm_id, agent in self._machines.agents.items():
             if agent.vm.pool != task.pool or not self._is_eligible(agent, task):
                 continue
             runs = self._state.runs_of(vm_id, agent.vm.born_ms)
             stopping = [r for r in runs if agent.is_stopping(r.key, r.number)]
-            victims = self._victims_on(task, agent, runs, stopping)
-            if victims is None:
+            chosen = self._victims_on(
+                task, agent, runs, stopping, with_gangs=with_gangs
+            )
+            if chosen is None:
                 continue
-            if not victims and stopping:
-                self._promise(vm_id, task)
+            if not chosen and stopping:
                 return MadeRoom(vm_id, [])
-            if victims:
-                cost = sum(_lost_work(run, self._state, agent) for run in victims)
-                options.append((cost, vm_id, [(agent, run) for run in victims]))
+            if chosen:
+                victims = self._with_gangs(agent, chosen)
+                cost = sum(_lost_work(run, self._state, a) for a, run in victims)
+                options.append((cost, vm_id, victims))
         if not options:
             return None
         _, vm_id, victims = min(options, key=lambda option: option[:2])
-        self._promise(vm_id, task)
         return MadeRoom(vm_id, victims)
 
+    def _with_gangs(
+        self, agent: VmAgent, chosen: list[ActiveRun]
+    ) -> list[tuple[VmAgent, ActiveRun]]:
+        """Return the chosen runs on a VM, and those of their gangs on other VMs."""
+        victims = [(agent, run) for run in chosen]
+        gangs = {r.key[:3] for r in chosen if self._state.step(r.key).is_gang}
+        if not gangs:
+            return victims
+        for vm_id, other in self._machines.agents.items():
+            if other is agent:
+                continue
+            victims += [
+                (other, run)
+                for run in self._state.runs_of(vm_id, other.vm.born_ms)
+                if run.key[:3] in gangs and not other.is_stopping(run.key, run.number)
+            ]
+        return victims
+
     def _is_eligible(self, agent: VmAgent, task: WaitingTask) -> bool:
         """Return whether runs on a VM may be stopped to make room for a task."""
         if not agent.is_ready(self._now) or not agent.is_responsive:
@@ -126,8 +156,13 @@
         agent: VmAgent,
         runs: tuple[ActiveRun, ...],
         stopping: list[ActiveRun],
+        *,
+        with_gangs: bool,
     ) -> list[ActiveRun] | None:
-        """Return the newest runs whose end frees enough capacity; None if none does."""
+        """Return the newest runs whose end frees enough capacity; None if none does.
+
+        Runs of gangs come last, and all of a gang on the VM together.
+        """
         vm = agent.vm
         promise = self._promises.get(vm.vm_id, _Promise())
         used, steps = self._state.usage.of_vm(vm.vm_id)
@@ -143,15 +178,34 @@
         for run in stopping:
             free = free + self._state.step(run.key).reserved
         victims: list[ActiveRun] = []
-        for run in sorted(runs, key=lambda run: -run.started_ms):
+        for group in self._stoppable(runs, stopping, with_gangs=with_gangs):
             if task.step.reserved.fits(free):
                 break
-            step = self._state.step(run.key)
-            if run not in stopping and not step.is_long_running and not step.is_gang:
-                free = free + step.reserved
-                victims.append(run)
+            for run in group:
+                free = free + self._state.step(run.key).reserved
+            victims += group
         return victims if task.step.reserved.fits(free) else None
 
+    def _stoppable(
+        self,
+        runs: tuple[ActiveRun, ...],
+        stopping: list[ActiveRun],
+        *,
+        with_gangs: bool,
+    ) -> list[list[ActiveRun]]:
+        """Return the runs on a VM that may be stopped, by those that end together."""
+        single: list[list[ActiveRun]] = []
+        gangs: dict[tuple, list[ActiveRun]] = {}
+        for run in sorted(runs, key=lambda run: -run.started_ms):
+            step = self._state.step(run.key)
+            if run in stopping or step.is_long_running:
+                continue
+            if not step.is_gang:
+                single.append([run])
+            elif with_gangs and not step.disruption_budget:
+                gangs.setdefault(run.key[:3], []).append(run)
+        return [*single, *gangs.values()]
+
 
 def _lost_work(run: ActiveRun, state: JobsState, agent: VmAgent) -> float:
     """Return the work lost by stopping a run, in thousandths of a core times ms."""
--- a/src/redwingslip/scheduling/_recall.py
+++ b/src/redwingslip/scheduling/_recall.py
@@ -49,7 +49,7 @@
     _, steps = term.state.usage.of_vm(vm.vm_id)
     if not is_allowed(task.step, task.key[:3], vm.labels, steps):
         return False
-    kept = non_preemptible_need(term.state, steps)
+    kept = non_preemptible_need(term.state, steps, with_gangs=False)
     return task.step.reserved.fits(vm.capacity - kept)
 
 
--- a/src/redwingslip/scheduling/_wait_reasons.py
+++ b/src/redwingslip/scheduling/_wait_reasons.py
@@ -57,7 +57,9 @@
     if task.allowed is not None and vm.vm_id not in task.allowed:
         return "without a ticket"
     need = task.step.reserved
-    if not need.fits(vm.capacity - non_preemptible_need(state, steps)):
+    if not need.fits(
+        vm.capacity - non_preemptible_need(state, steps, with_gangs=False)
+    ):
         return "full of runs that are never stopped"
     if machines.is_claimed(vm.machine):
         return "claimed"
--- a/tests/test_scheduling_long_running_room.py
+++ b/tests/test_scheduling_long_running_room.py
@@ -1,8 +1,8 @@
 """Histories of long-running tasks whose only room is spoken for.
 
 The pattern is a pool in which the room that a long-running task needs exists, but is
-held by machines that a wave is about to maintain, or by tickets. The histories run in
-virtual time, and are checked as in `test_scheduling_long_running`.
+held by gangs, by machines that a wave is about to maintain, or by tickets. The
+histories run in virtual time, and are checked as in `test_scheduling_long_running`.
 """
 
 import asyncio
@@ -20,12 +20,32 @@
 from tests.test_scheduling_long_running import LossyPool, check_history
 
 MAINTENANCE_S = 2.0
+GANG_SEEDS = (*range(3), 5, 6, 13)
 # Seeds that have found a fault stay here.
 WAVE_SEEDS = (*range(3), 5, 8, 11, 12, 17, 27, 28)
 ADVICE_SEEDS = (0, 3, 16, 25)
 TICKET_VALIDITY = timedelta(seconds=8)
 
 
+class GangPool(LossyPool):
+    """A pool whose short work is gangs that take all of it for a long time."""
+
+    async def submit_short(self):
+        """Submit gangs as long as they wait for room."""
+        number = 0
+        while True:
+            step = StepSpec(
+                n_tasks=self.rng.randint(2, 2 * self.n_vms),
+                need=Amounts(self.rng.choice((400, 900, 1500)), 10),
+                estimate_ms=100_000,
+                is_gang=True,
+            )
+            number += 1
+            job = JobSpec(job_id=f"gang{number}", queue="q", pool="p", steps=(step,))
+            await self.world.submit(job)
+            await asyncio.sleep(self.rng.uniform(0.1, 0.5))
+
+
 class WavePool(LossyPool):
     """A pool of which a wave maintains all machines, while VMs crash for good."""
 
@@ -147,6 +167,13 @@
 class TestHeldRoom(unittest.TestCase):
     """A lasting task that doesn't run although its pool has room for it."""
 
+    # LOST: in a pool full of gangs, nothing was ever stopped for a lasting task.
+    def test_a_pool_full_of_gangs(self):
+        """Guards against lasting tasks that wait for gangs to end."""
+        for seed in GANG_SEEDS:
+            with self.subTest(seed=seed):
+                check_history(self, GangPool(seed))
+
     # LOST: restarts waited for their tickets behind the requests of short tasks.
     def test_a_pool_whose_vms_need_tickets(self):
         """Guards against lasting tasks that wait for tickets of other tasks."""
--- a/tests/test_scheduling_preemption.py
+++ b/tests/test_scheduling_preemption.py
@@ -145,6 +145,44 @@
             self.run_task("j1", "v1", index)
         self.assertIsNone(self.choose())
 
+    def fill_with_gang(self, **step):
+        """Fill two VMs with a gang, but for one core of the second."""
+        gang = make_job("gang", n_tasks=7, is_gang=True, **step)
+        jobs = [gang, make_job(), make_job("long", is_long_running=True)]
+        self.make_fleet(make_vm("v1"), make_vm("v2"), jobs=jobs)
+        for index in range(7):
+            self.run_task("gang", f"v{1 + index // 4}", index)
+
+    # LOST: in a pool full of gangs, nothing was ever stopped for a lasting task.
+    async def test_a_gang_is_stopped_as_a_whole_for_a_task_that_has_waited(self):
+        """A part of a gang does not work without the rest."""
+        self.fill_with_gang()
+        self.assertIsNone(self.choose())
+        self.assertEqual(self.choose(has_waited=True), 7)
+
+    async def test_no_gang_is_stopped_where_short_runs_leave_room(self):
+        self.fill_with_gang()
+        self.run_task("j1", "v2")
+        step = {"need": Amounts(1000, 10), "has_waited": True}
+        self.assertEqual(self.choose(**step), 1)
+
+    async def test_the_room_that_a_stopped_gang_leaves_serves_several_tasks(self):
+        """Guards against a second gang that is stopped for no use."""
+        self.fill_with_gang()
+        preemption = self.new_round()
+        n_stopped = []
+        for index in range(4):
+            room = preemption.make_room(self.make_task(index, has_waited=True))
+            for agent, run in room.victims:
+                agent.stop(run.key, run.number)
+            n_stopped.append(len(room.victims))
+        self.assertEqual(n_stopped, [7, 0, 0, 0])
+
+    async def test_a_long_running_gang_and_one_with_a_budget_are_not_stopped(self):
+        for step in ({"is_long_running": True}, {"disruption_budget": 1}):
+            self.fill_with_gang(**step)
+            self.assertIsNone(self.choose(has_waited=True))
+
     async def test_only_what_stopping_runs_do_not_leave_is_stopped(self):
         runs = self.fill("v1")
         self.agents["v1"].stop(runs[0].key, runs[0].number)
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -327,6 +327,21 @@
         self.term.clock.advance(RECALL_TIME)
         self.assertTrue(self.machines.claim("m-v1", "a wave"))
 
+    def test_a_machine_full_of_a_gang_is_recalled(self):
+        """The gang is stopped there in the next round."""
+        recalled = self.claim_with_recall()
+        self.submit("gang", n_tasks=4, is_gang=True)
+        starts = tuple(
+            RunStart(TaskKey("gang", 0, 0, index), "v1", 1) for index in range(4)
+        )
+        self.state.apply(StartRuns(starts=starts, now_ms=1))
+        self.submit("long", n_tasks=1, is_long_running=True)
+        self.decide()
+        self.wait(MAX_FIRST_START_WAIT)
+        self.assertEqual(recalled, ["m-v1"])
+        self.wait(timedelta(0))
+        self.assertEqual(len(self.stopped()), 4)
+
     def test_a_machine_whose_order_is_in_progress_is_not_recalled(self):
         self.claim_with_recall(gives_way=False)
         self.submit("long", n_tasks=1, is_long_running=True)
