--- a/tests/test_scheduling_advice.py
+++ b/tests/test_scheduling_advice.py
@@ -70,6 +70,53 @@
         self.clock.advance(timedelta(seconds=2.7))
         self.assertEqual(self.cache.tickets(STEP), {})
 
+    # LOST: a lasting task waited for its ticket behind the requests of short ones.
+    async def test_urgent_requests_are_served_first(self):
+        steps = []
+
+        async def request_advice(step, vm_ids):
+            steps.append(step[0])
+            await asyncio.sleep(0)
+            return Advice(tickets={}, validity=timedelta(seconds=3))
+
+        self.adviser.request_advice = request_advice
+        for job_id in ("j1", "j2"):
+            self.cache.request((job_id, 0, 0), "p")
+        self.cache.request(("long", 0, 0), "p", is_urgent=True)
+        await eventually(lambda: len(steps) == 3)
+        self.assertEqual(steps, ["long", "j1", "j2"])
+
+    # LOST: each request of a pool without VMs held up all others.
+    async def test_a_request_without_candidates_holds_up_no_other(self):
+        delay = timedelta(seconds=60)
+        self.cache._cfg = AdviceSettings(max_vms=2, retry_delay=delay)
+        self.cache._candidates = lambda pool: ("v0",) if pool == "p" else ()
+        self.cache.request(("j0", 0, 0), "empty")
+        self.cache.request(STEP, "p")
+        await eventually(lambda: self.cache.tickets(STEP))
+
+    # LOST: runs were ordered again and again with the ticket of an earlier incarnation.
+    async def test_the_tickets_of_a_replaced_vm_are_dropped(self):
+        self.cache.request(STEP, "p")
+        await eventually(lambda: self.cache.tickets(STEP))
+        self.cache.forget_vm("v0")
+        self.assertEqual(self.cache.tickets(STEP), {})
+        self.assertEqual(self.cache._choose_vms(STEP, "p"), ("v0", "v2"))
+
+    async def test_a_ticket_for_a_vm_that_is_replaced_meanwhile_is_not_used(self):
+        grant = self.adviser.request_advice
+
+        async def request_advice(step, vm_ids):
+            advice = await grant(step, vm_ids)
+            self.cache.forget_vm("v0")
+            return advice
+
+        self.adviser.request_advice = request_advice
+        self.cache.request(STEP, "p")
+        await eventually(lambda: "v1" in self.cache._queried.get(STEP, ()))
+        self.assertEqual(self.cache.tickets(STEP), {})
+        self.assertNotIn("v0", self.cache._queried[STEP])
+
     async def test_a_call_without_an_answer_yields_no_tickets(self):
         self.adviser.n_lost = 1
         self.cache.request(STEP, "p")
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -27,6 +27,7 @@
 from redwingslip.placement import Placer
 from redwingslip.scheduling import MachineRegistry
 from redwingslip.scheduling._job_index import JobIndex
+from redwingslip.scheduling._machines import RECALL_TIME
 from redwingslip.scheduling._rounds import (
     MAX_FIRST_START_WAIT,
     MAX_ISOLATION_WAIT,
@@ -56,14 +57,16 @@
     def __init__(self):
         self.ticket_by_vm = {}
         self.requested = []
+        self.urgent = []
 
     def tickets(self, step):
         """Return the tickets that the test has set."""
         return self.ticket_by_vm
 
-    def request(self, step, pool):
+    def request(self, step, pool, *, is_urgent=False):
         """Record a request."""
         self.requested.append(step)
+        self.urgent += [step] * is_urgent
 
 
 class TestPlacementRounds(unittest.TestCase):
@@ -244,6 +247,35 @@
         self.wait(MAX_FIRST_START_WAIT)
         self.assertEqual(len(self.stopped()), 1)
 
+    def report_wait(self):
+        """Return the details of the entries on a task that waits for 6 s."""
+        reports = []
+        self.term.emit = lambda name, **fields: reports.append(fields["detail"])
+        self.decide()
+        for _ in range(4):
+            self.wait(timedelta(seconds=1.5))
+        return reports
+
+    def test_the_log_tells_why_a_long_running_task_waits(self):
+        """Guards against lost tasks whose log does not tell what kept them waiting."""
+        self.machines.claim("m-v1", "a wave")
+        self.submit("long", n_tasks=1, is_long_running=True)
+        reports = self.report_wait()
+        self.assertEqual(
+            reports,
+            [
+                f"0.0.0 run 0 has waited for {waited} s; VMs of p: 1 claimed"
+                for waited in (3.0, 6.0)
+            ],
+        )
+
+    def test_the_log_tells_that_a_customer_is_at_its_limit(self):
+        need = Amounts(1001, 10)
+        self.submit(
+            "long", customer="small", n_tasks=1, is_long_running=True, need=need
+        )
+        self.assertIn("its customer is at its limit", self.report_wait()[0])
+
     def test_a_job_that_fails_a_round_does_not_keep_others_waiting(self):
         """Guards against one task for which the leader places nothing any more."""
         self.submit("bad", n_tasks=1)
@@ -269,6 +301,65 @@
         self.submit("j")
         self.assertEqual(self.decide(), ())
 
+    def claim_with_recall(self, *, gives_way=True):
+        """Claim the machine for a wave that gives way to a recall or does not."""
+        recalled = []
+
+        def on_recall(machine):
+            recalled.append(machine)
+            if gives_way:
+                self.machines.release(machine, "a wave")
+            return gives_way
+
+        self.machines.claim("m-v1", "a wave", on_recall)
+        return recalled
+
+    # LOST: a lasting task waited for a machine of a wave, and the wave for the task.
+    def test_a_long_running_task_that_has_waited_recalls_a_claimed_machine(self):
+        recalled = self.claim_with_recall()
+        self.submit("long", n_tasks=1, is_long_running=True)
+        self.decide()
+        self.assertEqual(recalled, [])
+        self.assertEqual(self.wait(MAX_FIRST_START_WAIT), [])
+        self.assertEqual(recalled, ["m-v1"])
+        self.assertEqual(self.wait(timedelta(0)), ["long"])
+        self.assertFalse(self.machines.claim("m-v1", "a wave"))
+        self.term.clock.advance(RECALL_TIME)
+        self.assertTrue(self.machines.claim("m-v1", "a wave"))
+
+    def test_a_machine_full_of_a_gang_is_recalled(self):
+        """The gang is stopped there in the next round."""
+        recalled = self.claim_with_recall()
+        self.submit("gang", n_tasks=4, is_gang=True)
+        starts = tuple(
+            RunStart(TaskKey("gang", 0, 0, index), "v1", 1) for index in range(4)
+        )
+        self.state.apply(StartRuns(starts=starts, now_ms=1))
+        self.submit("long", n_tasks=1, is_long_running=True)
+        self.decide()
+        self.wait(MAX_FIRST_START_WAIT)
+        self.assertEqual(recalled, ["m-v1"])
+        self.wait(timedelta(0))
+        self.assertEqual(len(self.stopped()), 4)
+
+    def test_a_machine_whose_order_is_in_progress_is_not_recalled(self):
+        self.claim_with_recall(gives_way=False)
+        self.submit("long", n_tasks=1, is_long_running=True)
+        self.decide()
+        for _ in range(3):
+            self.assertEqual(self.wait(MAX_FIRST_START_WAIT), [])
+
+    def test_no_machine_is_recalled_for_a_task_that_its_vm_can_not_take(self):
+        """Guards against moves and waves that are held up for nothing."""
+        recalled = self.claim_with_recall()
+        self.submit("wide", n_tasks=1, is_long_running=True, need=Amounts(4001, 10))
+        self.submit("gpu", n_tasks=1, is_long_running=True, label="gpu")
+        self.submit("ticket", queue="advised", n_tasks=1, is_long_running=True)
+        self.submit("short", n_tasks=1)
+        self.decide()
+        self.wait(MAX_FIRST_START_WAIT)
+        self.assertEqual(recalled, [])
+
     def test_a_long_running_task_preempts_short_runs(self):
         self.fill()
         self.submit("long", n_tasks=1, is_long_running=True)
@@ -311,6 +402,14 @@
         self.advice.ticket_by_vm = {"v1": "ticket"}
         self.assertEqual(len(self.decide()), 1)
 
+    # LOST: a lasting task waited for its ticket behind the requests of short ones.
+    def test_the_requests_of_long_running_tasks_are_urgent(self):
+        self.submit("short", queue="advised", n_tasks=1)
+        self.submit("long", queue="advised", n_tasks=1, is_long_running=True)
+        self.decide()
+        self.assertEqual(len(self.advice.requested), 2)
+        self.assertEqual(self.advice.urgent, [("long", 0, 0)])
+
     def test_a_task_with_advice_preempts_nothing_on_a_vm_without_a_ticket(self):
         self.fill()
         self.submit("long", queue="advised", n_tasks=1, is_long_running=True)
