Keep the wait of a long-running task whose start comes to nothing

Cause: a long-running task takes any VM, preempts on any and recalls machines once it has waited for 2 s, or for 0.5 s after a run. A run that was refused, withdrawn or lost before it was at work ended that wait, so that a task whose starts came to nothing waited anew after each.

Change: the wait lasts until a run of the task is at work.

Evidence: test_a_run_that_was_never_at_work_does_not_end_the_wait failed before (no start was placed at the round after the refusal).

Conclusion: a fault of its own; that it is the users' is not shown.

--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -139,14 +139,29 @@
         A gang never needs less than VMs for all its tasks.
         """
         now = self._term.clock.monotonic()
-        self._waiting_since = {
-            task.key: self._waiting_since.get(task.key, now)
-            for task in tasks
-            if task.is_isolated or (task.step.is_long_running and not task.step.is_gang)
+        waiting_since = {
+            key: since
+            for key, since in self._waiting_since.items()
+            if self._is_starting(key)
         }
+        for task in tasks:
+            is_long_running = task.step.is_long_running and not task.step.is_gang
+            if task.is_isolated or is_long_running:
+                waiting_since[task.key] = self._waiting_since.get(task.key, now)
+        self._waiting_since = waiting_since
         for key in self._wait_reported_at.keys() - self._waiting_since.keys():
             del self._wait_reported_at[key]
 
+    def _is_starting(self, key: TaskKey) -> bool:
+        """Return whether a long-running task has a run that is not at work yet.
+
+        Its users still wait, and the run may come to nothing.
+        """
+        task = self._state.task(key)
+        if task is None or not task.runs or not self._state.step(key).is_long_running:
+            return False
+        return not any(run.is_at_work for run in task.runs)
+
     def _report_wait(self, task: WaitingTask, *, is_within_limit: bool) -> None:
         """Log, once in each `WAIT_REPORT_INTERVAL`, why a long-running task waits."""
         since = self._waiting_since.get(task.key)
--- a/tests/test_scheduling_long_running_room.py
+++ b/tests/test_scheduling_long_running_room.py
@@ -17,9 +17,10 @@
     MachineView,
 )
 from tests.scheduling_endpoints import CALL_S, CAPACITY
-from tests.test_scheduling_long_running import LossyPool, check_history
+from tests.test_scheduling_long_running import LAST_FAULT_S, LossyPool, check_history
 
 MAINTENANCE_S = 2.0
+NOISY_SEEDS = range(3)
 GANG_SEEDS = (*range(3), 5, 6, 13)
 # Seeds that have found a fault stay here.
 WAVE_SEEDS = (*range(3), 5, 8, 11, 12, 17, 27, 28)
@@ -46,6 +47,31 @@
             await asyncio.sleep(self.rng.uniform(0.1, 0.5))
 
 
+class NoisyPool(LossyPool):
+    """A full pool whose VMs fall silent while many calls to the others are lost."""
+
+    def __init__(self, seed):
+        super().__init__(seed, falls_silent=True)
+        self.n_vms = self.rng.randint(5, 9)
+        self.load = 2.0
+
+    async def crash(self):
+        """Let a VM fall silent amid lost calls, again and again."""
+        while self.world.now() < LAST_FAULT_S:
+            await asyncio.sleep(self.rng.uniform(1, 6))
+            self._disturbed_at = self.world.now()
+            self.world.loss_rate = 0.4
+            await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+            up = self.sound_endpoints()
+            if len(up) > 3:
+                endpoint = self.rng.choice(up)
+                endpoint.is_partitioned = True
+                endpoint.runs.clear()
+            await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+            self.world.loss_rate = 0.0
+            self._disturbed_at = self.world.now()
+
+
 class WavePool(LossyPool):
     """A pool of which a wave maintains all machines, while VMs crash for good."""
 
@@ -174,6 +200,12 @@
             with self.subTest(seed=seed):
                 check_history(self, GangPool(seed))
 
+    def test_a_full_pool_amid_lost_calls(self):
+        """Guards against waits that add up, after one another, beyond the bound."""
+        for seed in NOISY_SEEDS:
+            with self.subTest(seed=seed):
+                check_history(self, NoisyPool(seed))
+
     # LOST: restarts waited for their tickets behind the requests of short tasks.
     def test_a_pool_whose_vms_need_tickets(self):
         """Guards against lasting tasks that wait for tickets of other tasks."""
--- a/tests/test_scheduling_rounds.py
+++ b/tests/test_scheduling_rounds.py
@@ -236,6 +236,21 @@
         self.assertEqual(self.decide(), ())
         self.assertEqual(self.wait(MAX_RESTART_WAIT), ["long"])
 
+    # LOST: each start that came to nothing made a lasting task wait anew.
+    def test_a_run_that_was_never_at_work_does_not_end_the_wait(self):
+        self.submit("long", n_tasks=2, is_long_running=True, disruption_budget=1)
+        start = RunStart(TaskKey("long", 0, 0, 1), "v1", 1)
+        self.state.apply(StartRuns(starts=(start,), now_ms=1))
+        self.decide()
+        self.assertEqual(self.wait(MAX_FIRST_START_WAIT), ["long"])
+        self.state.apply(StartRuns(starts=self.starts, now_ms=2))
+        self.rounds._job_index.refresh_job("long")
+        self.assertEqual(self.wait(timedelta(seconds=1)), [])
+        end = RunEnd(TaskKey("long", 0, 0, 0), 1, EndKind.REJECTED)
+        self.state.apply(RecordEnds(vm_id="v1", born_ms=1, ends=(end,), now_ms=3))
+        self.rounds._job_index.refresh_job("long")
+        self.assertEqual(self.wait(timedelta(0)), ["long"])
+
     # LOST: a lasting task under suspicion waited as long as its pool was full.
     def test_a_suspected_long_running_task_preempts_once_it_has_waited(self):
         self.fill()
