--- a/tests/test_delegation_orders.py
+++ b/tests/test_delegation_orders.py
@@ -487,6 +487,20 @@
 
         self.run_case(case)
 
+    # Guards against TWICE: a reply to an order of an earlier term with the same number.
+    def test_a_late_reply_of_an_earlier_term_answers_no_order(self):
+        async def case():
+            poll = asyncio.create_task(self.hold())
+            await asyncio.sleep(0)
+            for delegate in self.clients:
+                report = HoldReport(clock_ms=1, born_ms=99)
+                reply = OrderReply(1, OrderResult.ANSWERED, hold=report)
+                late = OrderReplies(fence=FENCE - 1, replies=(reply,))
+                self.orders.receive_replies(delegate, late)
+            self.assertEqual((await poll).born_ms, 1)
+
+        self.run_case(case)
+
     def test_replies_of_another_term_are_ignored(self):
         async def case():
             first = asyncio.create_task(self.hold())
