Have the next process call a VM whose delegate refuses its orders

Cause: where little of the leader's own lease remains (slow links to its quorum), leases of delegates end before the next renewal. Such a delegate joins and is dropped in turn; orders in between were refused with NO_LEASE, which did not count as a failure of the route.

Change: NO_LEASE counts like NOT_SENT and UNKNOWN.

--- a/src/redwingslip/delegation/_orders.py
+++ b/src/redwingslip/delegation/_orders.py
@@ -391,7 +391,7 @@
         delegate = self._delegates[delegate_id]
         deadline = self._clock.monotonic() + wait + self._cfg.reply_timeout
         reply = await delegate.exchange(order, deadline)
-        if reply.result in (OrderResult.NOT_SENT, OrderResult.UNKNOWN):
+        if reply.result not in (OrderResult.ANSWERED, OrderResult.REPLACED):
             self._note_failure(vm, delegate_id)
         match reply.result:
             case OrderResult.NOT_SENT | OrderResult.NO_LEASE:
--- a/tests/test_delegation_orders.py
+++ b/tests/test_delegation_orders.py
@@ -1,6 +1,7 @@
 """Tests of the leader's side of the delegation, with delegates in virtual time."""
 
 import asyncio
+import contextlib
 import unittest
 from datetime import timedelta
 
@@ -278,6 +279,21 @@
 
         self.run_case(case)
 
+    # Guards against LOST: a VM whose delegates lose each lease soon was not polled.
+    def test_a_vm_whose_delegates_refuse_its_orders_is_called_by_the_leader(self):
+        async def case():
+            renew_s = self.net.cfg.renew_interval.total_seconds()
+            self.net.lease = self.net.cfg.renew_interval / 4
+            self.net.run_delegates()
+            await asyncio.sleep(4.5 * renew_s)
+            for _ in range(4):
+                with contextlib.suppress(OrderNotSentError):
+                    await self.hold()
+                await asyncio.sleep(renew_s)
+            self.assertGreater(self.own.n_calls, 0)
+
+        self.run_case(case)
+
     # Guards against SHORT: starts waited for the replies of a process that had ended.
     def test_the_orders_of_a_delegate_that_restarts_are_unknown_at_once(self):
         async def case():
