--- a/src/redwingslip/scheduling/_advice.py
+++ b/src/redwingslip/scheduling/_advice.py
@@ -73,7 +73,7 @@
 class AdviceCache:
     """Caches tickets and requests missing ones, one call at a time.
 
-    Urgent requests are served before all others.
+    Urgent requests are served first, in turn with others.
 
     Parameters
     ----------
@@ -166,11 +166,17 @@
 
     async def run(self) -> None:
         """Serve the queued requests until cancelled."""
+        was_urgent = False
         while True:
             while not self._urgent_requests and not self._requests:
                 self._wake.clear()
                 await self._wake.wait()
-            requests = self._urgent_requests or self._requests
+            # A step that finds no room asks again in each round.
+            is_urgent = not self._requests or (
+                bool(self._urgent_requests) and not was_urgent
+            )
+            was_urgent = is_urgent
+            requests = self._urgent_requests if is_urgent else self._requests
             step = next(iter(requests))
             await self._request_advice(step, requests.pop(step))
 
--- a/src/redwingslip/scheduling/_preemption.py
+++ b/src/redwingslip/scheduling/_preemption.py
@@ -7,6 +7,7 @@
 
 from ..jobs import NO_AMOUNTS, ActiveRun, Amounts, JobsState
 from ..placement import WaitingTask, is_allowed, keeps_budget
+from ._advice import StepKey
 from ._agent import VmAgent
 from ._machines import MachineRegistry
 
@@ -65,7 +66,7 @@
         Unix time in milliseconds.
     """
 
-    __slots__ = ("_machines", "_now", "_now_ms", "_promises", "_state")
+    __slots__ = ("_gang_runs", "_machines", "_now", "_now_ms", "_promises", "_state")
 
     def __init__(
         self,
@@ -80,15 +81,25 @@
         self._now = now
         self._now_ms = now_ms
         self._promises: dict[str, _Promise] = {}
+        self._gang_runs: dict[StepKey, list[tuple[VmAgent, ActiveRun]]] | None = None
 
-    def make_room(self, task: WaitingTask) -> MadeRoom | None:
+    def make_room(
+        self, task: WaitingTask, *, with_gangs: bool = False
+    ) -> MadeRoom | None:
         """Return the VM of the pool on which least work is lost, with its runs to stop.
 
         None is returned if no VM can get enough room.
+
+        Parameters
+        ----------
+        task : WaitingTask
+            The task.
+        with_gangs : bool
+            Whether gangs may be stopped as well.
         """
-        room = self._cheapest_room(task, with_gangs=False)
-        if room is None and task.takes_any_vm:
-            room = self._cheapest_room(task, with_gangs=True)
+        if with_gangs and not self._gangs():
+            return None
+        room = self._cheapest_room(task, with_gangs=with_gangs)
         if room is not None:
             self._promise(room.vm_id, task)
         return room
@@ -121,19 +132,26 @@
     ) -> list[tuple[VmAgent, ActiveRun]]:
         """Return the chosen runs on a VM, and those of their gangs on other VMs."""
         victims = [(agent, run) for run in chosen]
-        gangs = {r.key[:3] for r in chosen if self._state.step(r.key).is_gang}
-        if not gangs:
-            return victims
-        for vm_id, other in self._machines.agents.items():
-            if other is agent:
-                continue
+        for step_key in {r.key[:3] for r in chosen if self._state.step(r.key).is_gang}:
             victims += [
                 (other, run)
-                for run in self._state.runs_of(vm_id, other.vm.born_ms)
-                if run.key[:3] in gangs and not other.is_stopping(run.key, run.number)
+                for other, run in self._gangs().get(step_key, ())
+                if other is not agent and not other.is_stopping(run.key, run.number)
             ]
         return victims
 
+    def _gangs(self) -> dict[StepKey, list[tuple[VmAgent, ActiveRun]]]:
+        """Return the runs of the gangs that may be stopped, read once in a round."""
+        if self._gang_runs is None:
+            self._gang_runs = {}
+            for vm_id, agent in self._machines.agents.items():
+                for run in self._state.runs_of(vm_id, agent.vm.born_ms):
+                    step = self._state.step(run.key)
+                    if step.is_gang and not step.disruption_budget:
+                        runs = self._gang_runs.setdefault(run.key[:3], [])
+                        runs.append((agent, run))
+        return self._gang_runs
+
     def _is_eligible(self, agent: VmAgent, task: WaitingTask) -> bool:
         """Return whether runs on a VM may be stopped to make room for a task."""
         if not agent.is_ready(self._now) or not agent.is_responsive:
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -68,6 +68,7 @@
         "_job_index",
         "_machines",
         "_preemption",
+        "_recalled_pools",
         "_state",
         "_term",
         "_wait_reported_at",
@@ -93,6 +94,7 @@
         # Monotonic times since which isolated and long-running tasks wait.
         self._waiting_since: dict[TaskKey, timedelta] = {}
         self._wait_reported_at: dict[TaskKey, timedelta] = {}
+        self._recalled_pools: set[str] = set()
         self._preemption: Preemption | None = None
         self.backlog: dict[str, PoolBacklog] = {}
 
@@ -100,6 +102,7 @@
         """Run one round and return the runs to start."""
         jobs = self._job_index.waiting(self._term.now_ms(), self._is_silent)
         self.backlog.clear()
+        self._recalled_pools.clear()
         self._note_waiting(task for _, tasks in jobs for task in tasks)
         if not jobs:
             return ()
@@ -155,10 +158,13 @@
     def _is_starting(self, key: TaskKey) -> bool:
         """Return whether a long-running task has a run that is not at work yet.
 
-        Its users still wait, and the run may come to nothing.
+        Its users still wait, and the run may come to nothing. A task under which a VM
+        has crashed looks for a VM without others each time.
         """
         task = self._state.task(key)
-        if task is None or not task.runs or not self._state.step(key).is_long_running:
+        if task is None or not task.runs or task.n_crashes:
+            return False
+        if not self._state.step(key).is_long_running:
             return False
         return not any(run.is_at_work for run in task.runs)
 
@@ -269,18 +275,29 @@
         if urgency.band == LONG_RUNNING_BAND and not task.step.is_gang:
             # For tasks that have not waited, machines may join the pool meanwhile.
             for each in tasks if task.has_waited else tasks[:1]:
-                if not self._preempt_runs_for(placer, each):
-                    self._recall_machine_for(each)
+                if not self._make_room_for(placer, each):
                     break
 
-    def _recall_machine_for(self, task: WaitingTask) -> None:
+    def _make_room_for(self, placer: Placer, task: WaitingTask) -> bool:
+        """Make room for a long-running task; return whether it will find some at once.
+
+        A gang is stopped only if no machine can be recalled.
+        """
+        if self._preempt_runs_for(placer, task):
+            return True
+        if not task.takes_any_vm or self._recall_machine_for(task):
+            return False
+        return self._preempt_runs_for(placer, task, with_gangs=True)
+
+    def _recall_machine_for(self, task: WaitingTask) -> bool:
         """Have a machine given back that a long-running task can't do without.
 
         The claim may last as long as the task waits: a machine is maintained only when
-        enough tasks of its steps are at work elsewhere.
+        enough tasks of its steps are at work elsewhere. One machine of a pool is
+        recalled in a round; it may have room for several tasks.
         """
-        if not task.takes_any_vm:
-            return
+        if task.pool in self._recalled_pools:
+            return True
         vm_id = recall_machine(task, term=self._term, machines=self._machines)
         if vm_id is not None:
             detail = f"its claim gives way to a task of {task.key.job_id}"
@@ -290,13 +307,17 @@
                 vm=vm_id,
                 detail=detail,
             )
+            self._recalled_pools.add(task.pool)
+        return vm_id is not None
 
-    def _preempt_runs_for(self, placer: Placer, task: WaitingTask) -> bool:
+    def _preempt_runs_for(
+        self, placer: Placer, task: WaitingTask, *, with_gangs: bool = False
+    ) -> bool:
         """Stop less urgent runs to free capacity for a long-running task.
 
         Return whether it will find room. The room becomes free in parts, and is kept.
         """
-        room = self._preemption.make_room(task)
+        room = self._preemption.make_room(task, with_gangs=with_gangs)
         if room is None:
             return False
         placer.keep_room(task, room.vm_id)
--- a/src/redwingslip/workers/_lease.py
+++ b/src/redwingslip/workers/_lease.py
@@ -22,11 +22,9 @@
         Lease duration that a renewal requests, unless `max_duration` is shorter. It
         must be long enough for a new leader to be elected and to renew the lease. It
         should be short, since the runs of a lost VM restart only after its lease has
-        expired. All controllers need the same value, since a new leader takes the
-        leases of earlier ones to be no longer.
-    former_duration : timedelta
-        While `duration` is changed on one controller after the other: its value before
-        the change. A new leader then waits for the longer one of the two.
+        expired. A new leader takes the leases of earlier ones to be no longer.
+    longest_duration : timedelta
+        While `duration` differs between controllers: its longest value on any of them.
     max_duration : timedelta
         Duration to which an endpoint shortens a longer lease.
     clock_rate_margin : float
@@ -39,7 +37,7 @@
     """
 
     duration: timedelta = timedelta(seconds=6)
-    former_duration: timedelta = timedelta(0)
+    longest_duration: timedelta = timedelta(0)
     max_duration: timedelta = timedelta(seconds=6)
     clock_rate_margin: float = 0.02
     margin: timedelta = timedelta(milliseconds=250)
@@ -81,7 +79,7 @@
         self._clock_at: timedelta | None = None
         # An earlier leader may have extended the lease by a reading of the VM's clock
         # as old as the contact timeout, within which a slow clock falls behind.
-        longest = min(max(cfg.duration, cfg.former_duration), cfg.max_duration)
+        longest = min(max(cfg.duration, cfg.longest_duration), cfg.max_duration)
         age = cfg.contact_timeout
         self._expires_at = now + self._max_true_duration(longest + age) - age
         self._expires_at += cfg.margin
--- a/tests/test_scheduling_advice.py
+++ b/tests/test_scheduling_advice.py
@@ -86,6 +86,24 @@
         await eventually(lambda: len(steps) == 3)
         self.assertEqual(steps, ["long", "j1", "j2"])
 
+    # LOST: short jobs got no ticket while a lasting task without room asked each round.
+    async def test_urgent_requests_that_are_repeated_leave_time_for_others(self):
+        steps = []
+        long_step = ("long", 0, 0)
+
+        async def request_advice(step, vm_ids):
+            steps.append(step[0])
+            self.cache.request(long_step, "p", is_urgent=True)
+            await asyncio.sleep(0)
+            return Advice(tickets={}, validity=timedelta(seconds=3))
+
+        self.adviser.request_advice = request_advice
+        self.cache.request(long_step, "p", is_urgent=True)
+        for job_id in ("j1", "j2"):
+            self.cache.request((job_id, 0, 0), "p")
+        await eventually(lambda: len(steps) >= 4)
+        self.assertEqual(steps[:4], ["long", "j1", "long", "j2"])
+
     # LOST: each request of a pool without VMs held up all others.
     async def test_a_request_without_candidates_holds_up_no_other(self):
         delay = timedelta(seconds=60)
--- a/tests/test_scheduling_preemption.py
+++ b/tests/test_scheduling_preemption.py
@@ -16,6 +16,7 @@
 from redwingslip.scheduling._preemption import Preemption
 from tests.support_scheduling import make_job, make_vm
 from tests.test_scheduling_moves import FleetTestCase
+from tests.test_scheduling_round_cost import count_calls
 
 
 class TestPreemption(FleetTestCase):
@@ -46,9 +47,16 @@
 
     def choose(self, **options):
         """Return the number of runs to stop for one task, None if it can't start."""
-        room = self.new_round().make_room(self.make_task(**options))
+        room = self.make_room(self.new_round(), self.make_task(**options))
         return None if room is None else len(room.victims)
 
+    def make_room(self, preemption, task):
+        """Make room as a round does; gangs are stopped where nothing else helps."""
+        room = preemption.make_room(task)
+        if room is None and task.takes_any_vm:
+            room = preemption.make_room(task, with_gangs=True)
+        return room
+
     def fill(self, *vm_ids):
         """Fill VMs of four cores with short runs of one core."""
         n_tasks = 4 * len(vm_ids)
@@ -172,12 +180,29 @@
         preemption = self.new_round()
         n_stopped = []
         for index in range(4):
-            room = preemption.make_room(self.make_task(index, has_waited=True))
+            task = self.make_task(index, has_waited=True)
+            room = self.make_room(preemption, task)
             for agent, run in room.victims:
                 agent.stop(run.key, run.number)
             n_stopped.append(len(room.victims))
         self.assertEqual(n_stopped, [7, 0, 0, 0])
 
+    # LOST: the leader was busy for half a second and lost its lease.
+    async def test_the_cost_of_stopping_a_gang_grows_with_the_fleet_only_once(self):
+        """Pattern: all VMs of a large pool are full of gangs, and a VM is lost."""
+        costs = []
+        for n_vms in (20, 40, 80):
+            jobs = [make_job(f"gang{n}", n_tasks=4, is_gang=True) for n in range(n_vms)]
+            vms = [make_vm(f"v{n}") for n in range(n_vms)]
+            self.make_fleet(*vms, jobs=[*jobs, make_job("long", is_long_running=True)])
+            for number in range(n_vms):
+                for index in range(4):
+                    self.run_task(f"gang{number}", f"v{number}", index)
+            preemption = self.new_round()
+            task = self.make_task(has_waited=True)
+            costs.append(count_calls(lambda p=preemption, t=task: self.make_room(p, t)))
+        self.assertLess(costs[2] - costs[1], 2.2 * (costs[1] - costs[0]))
+
     async def test_a_long_running_gang_and_one_with_a_budget_are_not_stopped(self):
         for step in ({"is_long_running": True}, {"disruption_budget": 1}):
             self.fill_with_gang(**step)
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -187,6 +187,8 @@
         self.build(make_vm("v1"), make_vm("v2"))
         self.wait_for_takeover()
         await eventually(lambda: self.platform.maintained == ["m-v1"])
+        # The delay counts from the outcome of the order, which is not known yet.
+        await asyncio.sleep(0.01)
         self.clock.advance(CFG.retry_delay)
         await eventually(lambda: self.platform.maintained == ["m-v1", "m-v1"])
 
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -33,7 +33,7 @@
     def test_a_new_leader_allows_for_a_duration_that_is_being_changed(self):
         cfg = LeaseSettings(
             duration=timedelta(seconds=6),
-            former_duration=timedelta(seconds=8),
+            longest_duration=timedelta(seconds=8),
             max_duration=timedelta(seconds=10),
         )
         lease = VmLease(cfg, timedelta(0))
