Log for how long a lost VM was silent, and that it answers again

The end of a lost run did not say why its VM was taken to have crashed, so that the hypotheses on jobs that failed by silence could not be told apart: silence of the VM, a new leader that does not reach it, or another incarnation. Now vm.silent has the length of the silence, the age of the term and the number of lost runs, and vm.answered the return of the same incarnation; another incarnation is named by vm.lost as before. The metric vm.silences counts both. No logic changes.

test_scheduling_silence: 2 tests, which came with the change.

--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -45,6 +45,8 @@
     TASK_WAITING = "task.waiting"
     PLAN_CHANGED = "plan.changed"
     VM_NOTED = "vm.noted"
+    VM_SILENT = "vm.silent"
+    VM_ANSWERED = "vm.answered"
     VM_LOST = "vm.lost"
     VM_AVOIDED = "vm.avoided"
     MAINTENANCE_ORDERED = "maintenance.ordered"
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -126,6 +126,12 @@
         "Orders to start a run, by what the VM did with them.",
     ),
     _Instrument("counter", "run.ends", "{run}", "Runs that ended, by how."),
+    _Instrument(
+        "counter",
+        "vm.silences",
+        "{silence}",
+        "Leases of silent VMs that expired, and such VMs that answered again.",
+    ),
     _Instrument(
         "counter",
         "machine.orders",
@@ -251,6 +257,11 @@
             1, self._limit_values({"redwingslip.outcome": kind})
         )
 
+    def add_vm_silence(self, *, outcome: str) -> None:
+        """Count a silent VM: `expired` with its lease, or `answered` later."""
+        attributes = {"redwingslip.outcome": outcome}
+        self._instruments["vm.silences"].add(1, attributes)
+
     def add_machine_order(self, *, kind: str, outcome: str) -> None:
         """Count a move or maintenance order for a machine, by its outcome."""
         attributes = {"redwingslip.order": kind, "redwingslip.outcome": outcome}
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -11,6 +11,7 @@
 from ._agent_settings import VmPolicy
 from ._order_sender import OrderSender, RunId
 from ._ports import HoldReport, ListedRun, VmOrders
+from ._silence import SilenceReporter
 from ._supervise import run_forever
 from ._term import Term
 from .exceptions import OrderNotSentError, OrderOutcomeUnknownError, VmReplacedError
@@ -68,6 +69,7 @@
         "_progress",
         "_run_times",
         "_sender",
+        "_silence",
         "_task",
         "_term",
         "health",
@@ -94,6 +96,7 @@
         self._cfg = cfg
         self.lease = VmLease(cfg.leases, term.clock.monotonic())
         self.health = VmHealth(cfg.health)
+        self._silence = SilenceReporter(vm, lease=self.lease, term=term)
         self.listed_runs: dict[RunId, ListedRun] = {}
         self._progress: dict[RunId, RunProgress] = {}
         self._has_renewed_lease = False
@@ -195,6 +198,7 @@
         if report.born_ms and report.born_ms != self.vm.born_ms:
             raise VmReplacedError(f"incarnation {report.born_ms} answers")
         now = self._term.clock.monotonic()
+        self._silence.report_answer(now)
         self.lease.note_clock(report.clock_ms, now)
         self.lease.note_contact(now)
         self._sender.is_unresponsive = False
@@ -410,6 +414,7 @@
             return
         runs = self._term.state.runs_of(self.vm.vm_id, self.vm.born_ms)
         if runs:
+            self._silence.report_expiry(now, n_runs=len(runs))
             ends = tuple(RunEnd(run.key, run.number, EndKind.LOST) for run in runs)
             await self._term.record_ends(self.vm, ends, 0, has_crashed=True)
         if now - self.lease.contact_at > self._cfg.agents.gone_after:
--- /dev/null
+++ b/tests/test_scheduling_silence.py
@@ -0,0 +1,82 @@
+"""Tests of the reports of VMs that fall silent and answer again."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from redwingslip.clock import ManualClock
+from redwingslip.jobs import RunStart, StartRuns, TaskKey
+from redwingslip.observe import EventName
+from tests.support_scheduling import (
+    FakeEndpoint,
+    FakeTerm,
+    eventually,
+    make_agent,
+    make_job,
+    make_state,
+    make_vm,
+)
+
+KEY = TaskKey("j1", 0, 0, 0)
+LONGER_THAN_LEASE = timedelta(seconds=8)
+
+
+class RecordingTerm(FakeTerm):
+    """A term that keeps the events."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.emitted = []
+
+    def emit(self, name, **fields):
+        """Keep an event."""
+        self.emitted.append((name, fields.get("detail", "")))
+
+    def details(self, name):
+        """Return the details of the events with a name."""
+        return [detail for emitted, detail in self.emitted if emitted is name]
+
+
+class TestSilence(unittest.IsolatedAsyncioTestCase):
+    """What is logged of a VM that is out of reach for longer than its lease."""
+
+    async def asyncSetUp(self):
+        vm = make_vm()
+        self.state = make_state(vm, jobs=[make_job()])
+        self.endpoint = FakeEndpoint()
+        self.clock = ManualClock()
+        self.term = RecordingTerm(self.state, self.clock)
+        self.agent = make_agent(vm, self.endpoint, self.term)
+        self.state.apply(StartRuns(starts=(RunStart(KEY, "v1", 1),), now_ms=2))
+        self.endpoint.runs[(KEY, 1)] = 50
+        self.agent.begin()
+        await eventually(lambda: self.endpoint.cursors)
+        self.endpoint.is_unresponsive = True
+        await asyncio.sleep(0.02)
+        self.clock.advance(LONGER_THAN_LEASE)
+        await eventually(lambda: not self.state.runs_of("v1"))
+
+    async def asyncTearDown(self):
+        self.agent.close()
+        await asyncio.sleep(0)
+
+    async def test_silence_is_logged_once_with_its_length(self):
+        """Guards against runs that are lost while the log does not tell why."""
+        await asyncio.sleep(0.3)
+        (detail,) = self.term.details(EventName.VM_SILENT)
+        self.assertIn("has not answered for 8.00 s", detail)
+        self.assertIn("1 runs lost; the term began 8.00 s ago", detail)
+        self.assertEqual(self.term.details(EventName.VM_ANSWERED), [])
+
+    async def test_answer_of_the_same_incarnation_is_logged_once(self):
+        """Guards against a VM that is taken to have crashed but was out of reach."""
+        self.endpoint.is_unresponsive = False
+        await eventually(lambda: self.term.details(EventName.VM_ANSWERED))
+        n_polls = len(self.endpoint.cursors)
+        await eventually(lambda: len(self.endpoint.cursors) > n_polls + 1)
+        (detail,) = self.term.details(EventName.VM_ANSWERED)
+        self.assertEqual(detail, "incarnation 1 answers again after 8.00 s")
+
+
+if __name__ == "__main__":
+    unittest.main()
