Wait for the stop in a test, not for a time

Cause: its clock advances once, 0.3 s after the run of another VM was done; if the stop is answered later than that, no poll is ever sent after it. With a wait of 0 s the test fails the same way each time. It now advances the clock once the stop was answered. What it checks is unchanged.

--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -421,7 +421,8 @@
                 self.endpoint.start_responses = []
                 if not responses:
                     self.agent.begin()
-                await asyncio.sleep(0.3)
+                else:
+                    await eventually(lambda: self.endpoint.stopped)
                 self.clock.advance(timedelta(milliseconds=10))
                 await eventually(lambda: not self.has_open_run())
                 self.assertEqual(self.endpoint.runs, {})
