Take silence of a VM for a suspicion, and proof for a crash

Callers saw jobs failed, with all runs lapsed and no task that had failed; of long-running jobs the other tasks were stopped with them.

Cause: a VM that did not answer until its lease had expired counted as crashed under the tasks that it had started up to 20 s before, and nothing took that back when the same incarnation answered again. The fourth count fails the job for good.

Ruled out for the plays traced: a new leader (the counts come 8 to 70 s after the last election), and an incarnation ended by a claim (no vm.lost of that kind).

Change: the state notes a silent VM under its tasks as a suspicion (TaskRecord.silent_vms). It isolates the task as a crash does. An answer of the same incarnation to a call sent later withdraws it, also for another leader; a later incarnation, or one at the place of the VM, makes it a crash. Jobs fail for crashes only. A task with four crashes and silences together does not start until more is known, so that one whose dead VMs stay dark takes down no further ones. job.failed is logged when a silent VM returns as another incarnation and a job fails for it. RecordEnds has the fields is_silent and is_alive, which earlier versions ignore; they go on to count has_crashed of theirs.

--- a/src/redwingslip/jobs/__init__.py
+++ b/src/redwingslip/jobs/__init__.py
@@ -6,7 +6,7 @@
 
 from ._commands import *  # noqa: F403
 from ._commands import __all__ as _commands_all
-from ._crashes import PROBATION_MS, is_isolated
+from ._crashes import PROBATION_MS, is_isolated, is_quarantined
 from ._machine import JobsMachine, encode_command
 from ._plan import NO_AMOUNTS, Amounts, Customer, Plan, Pool, Queue, check_plan
 from ._records import (
@@ -61,6 +61,7 @@
     "check_steps",
     "encode_command",
     "is_isolated",
+    "is_quarantined",
     "iter_tasks",
     *_commands_all,
 ]
--- a/src/redwingslip/jobs/_commands.py
+++ b/src/redwingslip/jobs/_commands.py
@@ -112,7 +112,13 @@
         Number that the VM gave to the last of these ends in its list of ends; 0 if the
         ends do not come from that list.
     has_crashed : bool
-        Whether these are all runs of a VM that is silent and may have crashed.
+        Whether these are all runs of a VM that has crashed. Written by earlier versions
+        only, also for silent VMs.
+    is_silent : bool
+        Whether these are all runs of a VM that is silent and may have crashed. An
+        earlier version of a controller ignores it, and `is_alive`.
+    is_alive : bool
+        Whether the VM has answered again after it had been silent.
     at_work : tuple of (TaskKey, int)
         Tasks and run numbers of long-running runs that are at work on the incarnation.
         An earlier version of a controller ignores them.
@@ -124,6 +130,8 @@
     now_ms: int
     cursor: int = 0
     has_crashed: bool = False
+    is_silent: bool = False
+    is_alive: bool = False
     at_work: tuple[tuple[TaskKey, int], ...] = ()
 
 
@@ -144,12 +152,15 @@
     ----------
     has_crashed : bool
         Whether the incarnation ended without an order and without notice.
+    is_silent : bool
+        Whether it is removed only since it does not answer, and may still be alive.
     """
 
     vm_id: str
     born_ms: int
     now_ms: int
     has_crashed: bool = False
+    is_silent: bool = False
 
 
 class ForgetJobs(_Command):
--- a/src/redwingslip/jobs/_crashes.py
+++ b/src/redwingslip/jobs/_crashes.py
@@ -1,9 +1,19 @@
-"""When a task is suspected of crashing the VMs that start it, and given up."""
+"""When a task is suspected of crashing the VMs that start it, and given up.
+
+A VM that falls silent is a reason for suspicion, and no proof that it has crashed. A
+job is given up only for VMs that are known to have ended.
+"""
 
 from ._records import TaskRecord
 from ._spec import StepSpec
 
-__all__ = ["CRASH_WINDOW_MS", "MAX_CRASHES", "PROBATION_MS", "is_isolated"]
+__all__ = [
+    "CRASH_WINDOW_MS",
+    "MAX_CRASHES",
+    "PROBATION_MS",
+    "is_isolated",
+    "is_quarantined",
+]
 
 # A run that began longer before the end of its VM was recorded is not suspected. A
 # silent VM counts as ended once its lease has expired, up to 7 s after the last contact
@@ -22,4 +32,12 @@
 
     The tasks of a gang need many VMs at the same time and are never isolated.
     """
-    return task.n_crashes >= N_CRASHES_TO_ISOLATE and not step.is_gang
+    return task.n_suspected_crashes >= N_CRASHES_TO_ISOLATE and not step.is_gang
+
+
+def is_quarantined(task: TaskRecord) -> bool:
+    """Return whether a task must not start until more is known of silent VMs.
+
+    Its job would be given up if all of them had crashed.
+    """
+    return bool(task.silent_vms) and task.n_suspected_crashes >= MAX_CRASHES
--- a/src/redwingslip/jobs/_records.py
+++ b/src/redwingslip/jobs/_records.py
@@ -13,6 +13,7 @@
     "JobRecord",
     "JobStatus",
     "RunRecord",
+    "SilentVm",
     "TaskRecord",
     "VmRecord",
     "WaveRecord",
@@ -75,6 +76,18 @@
     is_at_work: bool = False
 
 
+class SilentVm(msgspec.Struct, frozen=True, array_like=True):
+    """An incarnation whose lease expired while it did not answer.
+
+    It may have crashed, or may only be out of reach.
+    """
+
+    vm_id: str
+    born_ms: int
+    machine: str
+    address: str
+
+
 class TaskRecord(msgspec.Struct, array_like=True):
     """The progress of a task.
 
@@ -91,12 +104,15 @@
     runs : list of RunRecord
         Runs that may be alive.
     crashed_machines : list of str
-        The machine of each VM that ended without notice shortly after the start of a
-        run. A machine may occur several times.
+        The machine of each VM that is known to have ended, without notice, shortly
+        after the start of a run. A machine may occur several times.
     unreported : list of int
         Numbers of runs that a leader has closed, and whose end the VM may still report.
         Only the latest are kept, and none for long-running tasks, whose ends change
         nothing.
+    silent_vms : list of SilentVm
+        The VMs that fell silent shortly after the start of a run. Each leaves the list
+        when it answers again, or is known to have ended.
     """
 
     n_runs: int = 0
@@ -106,12 +122,24 @@
     runs: list[RunRecord] = msgspec.field(default_factory=list)
     crashed_machines: list[str] = msgspec.field(default_factory=list)
     unreported: list[int] = msgspec.field(default_factory=list)
+    silent_vms: list[SilentVm] = msgspec.field(default_factory=list)
 
     @property
     def n_crashes(self) -> int:
         """Return how many VMs have crashed under the task."""
         return len(self.crashed_machines)
 
+    @property
+    def n_suspected_crashes(self) -> int:
+        """Return how many VMs have crashed under the task or may have."""
+        return len(self.crashed_machines) + len(self.silent_vms)
+
+    @property
+    def suspected_machines(self) -> frozenset[str]:
+        """Return the machines of the VMs that have crashed under it or may have."""
+        silent = (vm.machine for vm in self.silent_vms)
+        return frozenset(self.crashed_machines).union(silent)
+
 
 class JobRecord(msgspec.Struct, array_like=True):
     """The progress of a job.
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -30,11 +30,13 @@
     JobRecord,
     JobStatus,
     RunRecord,
+    SilentVm,
     TaskRecord,
     VmRecord,
     WaveRecord,
 )
 from ._removed import RemovedEntries
+from ._silent_vms import SilentVms
 from ._spec import StepSpec, TaskKey
 from ._usage import RunUsage
 
@@ -64,10 +66,13 @@
         Newest known incarnation; None if the VM is no longer known.
     lost : tuple of RunEnd
         Ends of the runs that were lost with an incarnation that has ended.
+    given_up : tuple of TaskKey
+        Tasks whose jobs have failed, since a silent VM is now known to have ended.
     """
 
     vm: VmRecord | None = None
     lost: tuple[RunEnd, ...] = ()
+    given_up: tuple[TaskKey, ...] = ()
 
 
 class _Snapshot(msgspec.Struct, frozen=True, kw_only=True):
@@ -103,8 +108,10 @@
     runs : dict
         Runs that may be alive, by VM and then by task and run number.
     suspect_runs : dict
-        Those of these runs whose task has crashed a VM before, by VM and then by task
-        and run number.
+        Those of these runs whose task has crashed a VM before, or may have, by VM and
+        then by task and run number.
+    silent_vms : SilentVms
+        VMs that fell silent, with the tasks that are suspected for it.
     usage : RunUsage
         Resources that the runs use.
     """
@@ -116,6 +123,7 @@
         "plan",
         "removed",
         "runs",
+        "silent_vms",
         "suspect_runs",
         "usage",
         "vms",
@@ -132,6 +140,7 @@
         self.machine_orders = MachineOrders()
         self.runs: dict[str, dict[tuple[TaskKey, int], ActiveRun]] = {}
         self.suspect_runs: dict[str, dict[tuple[TaskKey, int], ActiveRun]] = {}
+        self.silent_vms = SilentVms()
         self.usage = RunUsage()
 
     def apply(self, command: Command) -> object:
@@ -214,11 +223,14 @@
         self.machine_orders = snapshot.machine_orders
         self.runs = {}
         self.suspect_runs = {}
+        self.silent_vms = SilentVms()
         self.usage = RunUsage()
         for job in snapshot.jobs:
             for key, task in iter_tasks(job):
                 for run in task.runs:
                     self._add_active_run(key, run)
+                for vm in task.silent_vms:
+                    self.silent_vms.add(vm, key)
 
     @singledispatchmethod
     def _apply(self, command: Command) -> object:
@@ -285,6 +297,10 @@
                 run.is_at_work = True
         if command.has_crashed:
             self._count_crash(command.vm_id, command.born_ms, command.now_ms)
+        elif command.is_silent:
+            self._note_silence(command.vm_id, command.born_ms, command.now_ms)
+        elif command.is_alive:
+            self._clear_silence(command.vm_id, command.born_ms)
         unmatched = tuple(
             end for end in command.ends if not self._close_run(command, end)
         )
@@ -299,29 +315,38 @@
         """Return the newest incarnation, and the lost runs of an earlier one."""
         vm = command.vm
         lost: tuple[RunEnd, ...] = ()
+        given_up: list[TaskKey] = []
         known = self.vms.get(vm.vm_id)
         if known is not None and known.born_ms > vm.born_ms:
             return VmChange(known)
         if known is not None and known.born_ms == vm.born_ms:
             vm = msgspec.structs.replace(vm, end_cursor=known.end_cursor)
-        elif known is not None:
-            self._count_crash(known.vm_id, known.born_ms, command.now_ms)
-            lost = self._close_lost_runs(known.vm_id, known.born_ms, command.now_ms)
+        else:
+            if known is not None:
+                given_up += self._count_crash(
+                    known.vm_id, known.born_ms, command.now_ms
+                )
+                lost = self._close_lost_runs(known.vm_id, known.born_ms, command.now_ms)
+            for silent in self.silent_vms.find_replaced(vm):
+                given_up += self._confirm_crash(silent, command.now_ms)
         self.vms[vm.vm_id] = vm
-        return VmChange(vm, lost)
+        return VmChange(vm, lost, tuple(given_up))
 
     @_apply.register
     def _(self, command: ForgetVm) -> VmChange:
         """Return the incarnation that is still known, and the lost runs."""
         vm = self.vms.get(command.vm_id)
+        given_up: list[TaskKey] = []
         if command.has_crashed:
-            self._count_crash(command.vm_id, command.born_ms, command.now_ms)
+            given_up = self._count_crash(command.vm_id, command.born_ms, command.now_ms)
+        elif not command.is_silent:
+            # It has ended by an order or as it had announced.
+            self._clear_silence(command.vm_id, command.born_ms)
         if vm is not None and vm.born_ms == command.born_ms:
             del self.vms[command.vm_id]
             vm = None
-        return VmChange(
-            vm, self._close_lost_runs(command.vm_id, command.born_ms, command.now_ms)
-        )
+        lost = self._close_lost_runs(command.vm_id, command.born_ms, command.now_ms)
+        return VmChange(vm, lost, tuple(given_up))
 
     @_apply.register
     def _(self, command: ForgetJobs) -> None:
@@ -329,6 +354,9 @@
             job = self.jobs.get(job_id)
             has_ended = job is not None and job.status not in ACTIVE_STATUSES
             if has_ended and not any(task.runs for _, task in iter_tasks(job)):
+                for key, task in iter_tasks(job):
+                    for vm in task.silent_vms:
+                        self.silent_vms.discard(vm, key)
                 del self.jobs[job_id]
         for key in command.early_cancels:
             self.early_cancels.pop(key, None)
@@ -407,13 +435,18 @@
         )
         self.runs.setdefault(run.vm_id, {})[(key, run.number)] = active
         self.usage.add(run.vm_id, key, self.jobs[key.job_id].spec)
-        if self.task(key).n_crashes:
+        if self.task(key).n_suspected_crashes:
             self._add_suspect_run(active)
         return active
 
     def _add_suspect_run(self, run: ActiveRun) -> None:
         self.suspect_runs.setdefault(run.vm_id, {})[(run.key, run.number)] = run
 
+    def _remove_suspect_run(self, vm_id: str, key: TaskKey, number: int) -> None:
+        suspects = self.suspect_runs.get(vm_id, {})
+        if suspects.pop((key, number), None) and not suspects:
+            del self.suspect_runs[vm_id]
+
     def _close_run(self, command: RecordEnds, end: RunEnd) -> bool:
         """Close a run if it is active on the command's incarnation of the VM.
 
@@ -430,9 +463,7 @@
             return False
         del vm_runs[(end.key, end.number)]
         self.usage.remove(active.vm_id, end.key, self.jobs[end.key.job_id].spec)
-        suspects = self.suspect_runs.get(command.vm_id, {})
-        if suspects.pop((end.key, end.number), None) and not suspects:
-            del self.suspect_runs[command.vm_id]
+        self._remove_suspect_run(command.vm_id, end.key, end.number)
         task = self.task(end.key)
         task.runs = [r for r in task.runs if r.number != end.number]
         if not command.cursor and not self.step(end.key).is_long_running:
@@ -475,30 +506,95 @@
         if all(task.is_done for _, task in iter_tasks(job)):
             job.status, job.ended_ms = JobStatus.COMPLETED, now_ms
 
-    def _count_crash(self, vm_id: str, born_ms: int, now_ms: int) -> None:
+    def _count_crash(self, vm_id: str, born_ms: int, now_ms: int) -> list[TaskKey]:
         """Count a crash under each task that a VM started shortly before its end.
 
-        A job with a task under which too many VMs have crashed fails. A VM that was
-        draining has ended as it had announced. A long-running task that was at work
-        there is not suspected: one that crashes its VMs does not get that far.
+        Return the tasks whose job fails for an earlier silence of that VM.
+        """
+        for run in self._crash_suspects(vm_id, born_ms, now_ms):
+            task = self._suspect(run.key)
+            task.crashed_machines.append(self._machine_of(vm_id))
+            self._fail_if_too_many_crashes(run.key, now_ms)
+        silent = self.silent_vms.find(vm_id, born_ms)
+        return [] if silent is None else self._confirm_crash(silent, now_ms)
+
+    def _note_silence(self, vm_id: str, born_ms: int, now_ms: int) -> None:
+        """Note under each task that a VM started shortly before that it fell silent."""
+        vm = self.vms.get(vm_id)
+        address = "" if vm is None else vm.address
+        silent = SilentVm(vm_id, born_ms, self._machine_of(vm_id), address)
+        for run in self._crash_suspects(vm_id, born_ms, now_ms):
+            task = self._suspect(run.key)
+            if silent not in task.silent_vms:
+                task.silent_vms.append(silent)
+                self.silent_vms.add(silent, run.key)
+
+    def _clear_silence(self, vm_id: str, born_ms: int) -> None:
+        """Take back that an incarnation fell silent, as it has not crashed."""
+        silent = self.silent_vms.find(vm_id, born_ms)
+        if silent is None:
+            return
+        for key in self.silent_vms.tasks_of(silent):
+            self._remove_silence(silent, key)
+            task = self.task(key)
+            if not task.n_suspected_crashes:
+                for run in task.runs:
+                    self._remove_suspect_run(run.vm_id, key, run.number)
+
+    def _confirm_crash(self, silent: SilentVm, now_ms: int) -> list[TaskKey]:
+        """Count the crash of a VM that was silent; return the tasks given up for it."""
+        given_up = []
+        for key in self.silent_vms.tasks_of(silent):
+            self._remove_silence(silent, key)
+            self.task(key).crashed_machines.append(silent.machine)
+            if self._fail_if_too_many_crashes(key, now_ms):
+                given_up.append(key)
+        return given_up
+
+    def _remove_silence(self, silent: SilentVm, key: TaskKey) -> None:
+        self.silent_vms.discard(silent, key)
+        self.task(key).silent_vms.remove(silent)
+
+    def _crash_suspects(
+        self, vm_id: str, born_ms: int, now_ms: int
+    ) -> Iterator[ActiveRun]:
+        """Yield the runs that may have ended a VM that ends or falls silent now.
+
+        A VM that was draining has ended as it had announced. A long-running task that
+        was at work there is not suspected: one that crashes its VMs does not get that
+        far.
         """
         vm = self.vms.get(vm_id)
         if vm is not None and vm.born_ms == born_ms and vm.is_draining:
             return
-        machine = vm.machine if vm is not None else vm_id
         for run in self.runs_of(vm_id, born_ms):
             if now_ms - run.started_ms > CRASH_WINDOW_MS:
                 continue
-            task = self.task(run.key)
-            if task.is_done or self.run(run.key, run.number).is_at_work:
-                continue
-            task.crashed_machines.append(machine)
-            for other in task.runs:
-                active = self.runs[other.vm_id][(run.key, other.number)]
-                self._add_suspect_run(active)
-            job = self.jobs[run.key.job_id]
-            if task.n_crashes >= MAX_CRASHES and job.status in ACTIVE_STATUSES:
-                job.status, job.ended_ms = JobStatus.FAILED, now_ms
+            is_at_work = self.run(run.key, run.number).is_at_work
+            if not is_at_work and not self.task(run.key).is_done:
+                yield run
+
+    def _suspect(self, key: TaskKey) -> TaskRecord:
+        """Add the runs of a task to those that may crash their VM, and return it."""
+        task = self.task(key)
+        for run in task.runs:
+            self._add_suspect_run(self.runs[run.vm_id][(key, run.number)])
+        return task
+
+    def _machine_of(self, vm_id: str) -> str:
+        vm = self.vms.get(vm_id)
+        return vm.machine if vm is not None else vm_id
+
+    def _fail_if_too_many_crashes(self, key: TaskKey, now_ms: int) -> bool:
+        """Give up the job of a task that crashes its VMs; return whether it fails."""
+        job = self.jobs[key.job_id]
+        task = self.task(key)
+        if task.is_done or task.n_crashes < MAX_CRASHES:
+            return False
+        if job.status not in ACTIVE_STATUSES:
+            return False
+        job.status, job.ended_ms = JobStatus.FAILED, now_ms
+        return True
 
     def _close_lost_runs(
         self, vm_id: str, born_ms: int, now_ms: int
--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -37,6 +37,7 @@
     WAVE_CHANGED = "wave.changed"
     JOB_ACCEPTED = "job.accepted"
     JOB_CANCELLED = "job.cancelled"
+    JOB_FAILED = "job.failed"
     CALL_REFUSED = "call.refused"
     RUN_ORDERED = "run.ordered"
     RUN_ENDED = "run.ended"
--- a/src/redwingslip/observe/_explain.py
+++ b/src/redwingslip/observe/_explain.py
@@ -156,6 +156,9 @@
         if run_end.endswith(" lost") and rest[:1] == ["job failed"] and rest[1:]:
             yield f"The job was given up, as it crashes VMs; {rest[1]}."
             return
+    for failure in timeline.select(EventName.JOB_FAILED):
+        yield f"The job was given up, as it crashes VMs; {failure.event.detail}."
+        return
 
 
 def _find_failures(timeline: _JobTimeline) -> Iterator[str]:
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -11,7 +11,7 @@
 from ._agent_settings import VmPolicy
 from ._order_sender import OrderSender, RunId
 from ._ports import HoldReport, ListedRun, VmOrders
-from ._silence import SilenceReporter
+from ._silence import VmSilence
 from ._supervise import run_forever
 from ._term import Term
 from .exceptions import OrderNotSentError, OrderOutcomeUnknownError, VmReplacedError
@@ -96,7 +96,7 @@
         self._cfg = cfg
         self.lease = VmLease(cfg.leases, term.clock.monotonic())
         self.health = VmHealth(cfg.health)
-        self._silence = SilenceReporter(vm, lease=self.lease, term=term)
+        self._silence = VmSilence(vm, lease=self.lease, term=term)
         self.listed_runs: dict[RunId, ListedRun] = {}
         self._progress: dict[RunId, RunProgress] = {}
         self._has_renewed_lease = False
@@ -181,6 +181,7 @@
     async def _poll(self) -> None:
         """Renew the lease and process the runs and ends that the VM lists."""
         sent_at = self._term.clock.monotonic()
+        was_recorded = self._silence.is_recorded()
         until_ms = self._sender.lease_end_ms(sent_at) if self.lease.has_clock else None
         has_contact = self._has_renewed_lease and not self._sender.is_unresponsive
         wait = self._cfg.agents.wait if has_contact else timedelta(0)
@@ -198,7 +199,8 @@
         if report.born_ms and report.born_ms != self.vm.born_ms:
             raise VmReplacedError(f"incarnation {report.born_ms} answers")
         now = self._term.clock.monotonic()
-        self._silence.report_answer(now)
+        # A VM that is in contact gets new runs, and a crash under these is another one.
+        await self._silence.note_answer(now, was_recorded=was_recorded)
         self.lease.note_clock(report.clock_ms, now)
         self.lease.note_contact(now)
         self._sender.is_unresponsive = False
@@ -414,8 +416,10 @@
             return
         runs = self._term.state.runs_of(self.vm.vm_id, self.vm.born_ms)
         if runs:
-            self._silence.report_expiry(now, n_runs=len(runs))
+            self._silence.report(now, n_runs=len(runs))
             ends = tuple(RunEnd(run.key, run.number, EndKind.LOST) for run in runs)
-            await self._term.record_ends(self.vm, ends, 0, has_crashed=True)
+            await self._term.record_ends(self.vm, ends, 0, is_silent=True)
         if now - self.lease.contact_at > self._cfg.agents.gone_after:
-            await self._term.forget_vm(self.vm, "unresponsive for too long")
+            await self._term.forget_vm(
+                self.vm, "unresponsive for too long", is_silent=True
+            )
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -14,6 +14,7 @@
     TaskKey,
     TaskRecord,
     is_isolated,
+    is_quarantined,
 )
 from ..placement import Urgency, WaitingTask
 
@@ -130,7 +131,7 @@
 
         A task of a speculative step also waits for a second run when the VM of its
         only run is silent. Isolated tasks go before all others, since they need VMs
-        without runs.
+        without runs. Quarantined tasks are left out.
         """
         waiting = []
         for job_id, is_speculative in self._active.items():
@@ -143,6 +144,8 @@
                 keys = [*keys, *_speculative_keys(job, is_silent)]
             if not keys:
                 continue
+            if self._state.silent_vms:
+                keys = [key for key in keys if not _is_held(job, key)]
             tasks = [
                 self._waiting_task(job, key)
                 for key in keys
@@ -169,7 +172,7 @@
             pool=self.pool_of(job),
             checkpoint=task.checkpoint,
             avoided=frozenset(self._failed_on.get(key, ())),
-            crashed_machines=frozenset(task.crashed_machines),
+            crashed_machines=task.suspected_machines,
             is_isolated=is_isolated(job.spec.steps[key.step], task),
         )
 
@@ -219,6 +222,14 @@
     return now_ms >= due_ms
 
 
+def _is_held(job: JobRecord, key: TaskKey) -> bool:
+    """Return whether a task is quarantined, or a task of its gang."""
+    tasks = job.tasks[key.occurrence][key.step]
+    if job.spec.steps[key.step].is_gang:
+        return any(is_quarantined(task) for task in tasks)
+    return is_quarantined(tasks[key.index])
+
+
 def _ready_keys(job: JobRecord) -> Iterator[TaskKey]:
     """Yield the tasks without a run for which all preceding steps are done."""
     for occurrence, steps in enumerate(job.tasks):
@@ -246,7 +257,7 @@
                 if task.is_done or len(task.runs) != 1:
                     continue
                 # A second run of a task that crashes VMs would crash one more.
-                if not task.n_crashes and is_silent(task.runs[0]):
+                if not task.n_suspected_crashes and is_silent(task.runs[0]):
                     yield TaskKey(job.spec.job_id, occurrence, number, index)
 
 
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -162,7 +162,7 @@
         has crashed looks for a VM without others each time.
         """
         task = self._state.task(key)
-        if task is None or not task.runs or task.n_crashes:
+        if task is None or not task.runs or task.n_suspected_crashes:
             return False
         if not self._state.step(key).is_long_running:
             return False
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -24,6 +24,7 @@
     TaskRecord,
     VmChange,
     VmRecord,
+    is_quarantined,
     iter_tasks,
 )
 from ..observe import EventName
@@ -232,6 +233,7 @@
     @_handle.register
     def _(self, command: NoteVm, outcome: VmChange) -> None:
         self._handle_ends(command.vm.vm_id, outcome.lost)
+        self._handle_given_up(command.vm.vm_id, outcome.given_up)
         self._update_agent(outcome.vm)
 
     @_handle.register
@@ -241,6 +243,7 @@
             agent.close()
             del self.agents[command.vm_id]
         self._handle_ends(command.vm_id, outcome.lost)
+        self._handle_given_up(command.vm_id, outcome.given_up)
 
     @_handle.register
     def _(self, command: ForgetJobs, outcome: None) -> None:
@@ -253,6 +256,19 @@
         for end in ends:
             self._handle_end(vm_id, end)
 
+    def _handle_given_up(self, vm_id: str, keys: Iterable[TaskKey]) -> None:
+        """Stop the jobs that failed, as a VM that was silent is known to have ended."""
+        for key in keys:
+            self._job_index.refresh_job(key.job_id)
+            self._stop_runs(key.job_id)
+            task = self._state.task(key)
+            self._term.emit(
+                EventName.JOB_FAILED,
+                request_id=key.job_id,
+                vm=vm_id,
+                detail=f"{key.label(task.n_runs)}: {_describe_crashes(task)}",
+            )
+
     def _handle_end(self, vm_id: str, end: RunEnd) -> None:
         job_id = end.key.job_id
         self._term.metrics.add_run_end(kind=end.kind.value)
@@ -268,8 +284,9 @@
         self._update_health(vm_id, end)
         status = job.status.value if job is not None else "forgotten"
         detail = f"{end.key.label(end.number)} {end.kind.value}; job {status}"
-        if end.kind is EndKind.LOST and task is not None and task.n_crashes:
-            detail += f"; crashed VMs of the task: {task.n_crashes}"
+        is_lost = end.kind is EndKind.LOST and task is not None
+        if is_lost and task.n_suspected_crashes:
+            detail += f"; {_describe_crashes(task)}"
         self._term.emit(EventName.RUN_ENDED, request_id=job_id, vm=vm_id, detail=detail)
 
     def _report_unmatched_end(self, command: RecordEnds, end: RunEnd) -> None:
@@ -388,3 +405,13 @@
             if job_ids or early_cancels:
                 command = ForgetJobs(job_ids=job_ids, early_cancels=early_cancels)
                 await self._term.propose_or_log(command)
+
+
+def _describe_crashes(task: TaskRecord) -> str:
+    """Return how many VMs have crashed under a task or may have, for the log."""
+    detail = f"crashed VMs of the task: {task.n_crashes}"
+    if task.silent_vms:
+        detail += f", silent ones: {len(task.silent_vms)}"
+    if is_quarantined(task):
+        detail += ", no start until one answers or is replaced"
+    return detail
--- a/src/redwingslip/scheduling/_term.py
+++ b/src/redwingslip/scheduling/_term.py
@@ -124,7 +124,7 @@
         ends: tuple[RunEnd, ...],
         cursor: int,
         *,
-        has_crashed: bool = False,
+        is_silent: bool = False,
     ) -> None:
         """Commit ends of runs; return once committed or once leadership has ended."""
         command = RecordEnds(
@@ -133,12 +133,17 @@
             ends=ends,
             now_ms=self.now_ms(),
             cursor=cursor,
-            has_crashed=has_crashed,
+            is_silent=is_silent,
         )
         await self.propose_or_log(command)
 
     async def forget_vm(
-        self, vm: VmRecord, reason: str, *, has_crashed: bool = False
+        self,
+        vm: VmRecord,
+        reason: str,
+        *,
+        has_crashed: bool = False,
+        is_silent: bool = False,
     ) -> None:
         """Remove an ended incarnation of a VM from the state, and log the reason."""
         self.emit(EventName.VM_LOST, vm=vm.vm_id, detail=reason)
@@ -147,6 +152,7 @@
             born_ms=vm.born_ms,
             now_ms=self.now_ms(),
             has_crashed=has_crashed,
+            is_silent=is_silent,
         )
         await self.propose_or_log(command)
 
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -72,7 +72,7 @@
         except (NotLeadingError, CommandOutcomeUnknownError):
             return None
 
-    async def record_ends(self, vm, ends, cursor, *, has_crashed=False):
+    async def record_ends(self, vm, ends, cursor, *, is_silent=False):
         """Commit ends of runs."""
         await self.propose_or_log(
             RecordEnds(
@@ -81,11 +81,11 @@
                 ends=ends,
                 now_ms=self.now_ms(),
                 cursor=cursor,
-                has_crashed=has_crashed,
+                is_silent=is_silent,
             )
         )
 
-    async def forget_vm(self, vm, reason, *, has_crashed=False):
+    async def forget_vm(self, vm, reason, *, has_crashed=False, is_silent=False):
         """Remove an incarnation of a VM."""
         await self.propose_or_log(
             ForgetVm(
@@ -93,6 +93,7 @@
                 born_ms=vm.born_ms,
                 now_ms=self.now_ms(),
                 has_crashed=has_crashed,
+                is_silent=is_silent,
             )
         )
 
--- a/tests/support_scheduling.py
+++ b/tests/support_scheduling.py
@@ -187,7 +187,7 @@
 
     propose_or_log = propose
 
-    async def record_ends(self, vm, ends, cursor, *, has_crashed=False):
+    async def record_ends(self, vm, ends, cursor, *, is_silent=False):
         """Apply the ends of runs."""
         self.state.apply(
             RecordEnds(
@@ -196,15 +196,19 @@
                 ends=ends,
                 now_ms=1,
                 cursor=cursor,
-                has_crashed=has_crashed,
+                is_silent=is_silent,
             )
         )
 
-    async def forget_vm(self, vm, reason, *, has_crashed=False):
+    async def forget_vm(self, vm, reason, *, has_crashed=False, is_silent=False):
         """Remove an incarnation of a VM."""
         self.forgotten.append(vm.vm_id)
         command = ForgetVm(
-            vm_id=vm.vm_id, born_ms=vm.born_ms, now_ms=1, has_crashed=has_crashed
+            vm_id=vm.vm_id,
+            born_ms=vm.born_ms,
+            now_ms=1,
+            has_crashed=has_crashed,
+            is_silent=is_silent,
         )
         await self.propose(command)
 
--- a/tests/test_scheduling_job_index.py
+++ b/tests/test_scheduling_job_index.py
@@ -24,6 +24,7 @@
     TaskKey,
     VmRecord,
 )
+from redwingslip.jobs._crashes import MAX_CRASHES
 from redwingslip.scheduling._job_index import JobIndex
 
 QUEUES = (
@@ -161,6 +162,47 @@
         ((_, tasks),) = job_index.waiting(1, lambda run: True)
         self.assertEqual(tasks[0].key.job_id, "twice")
 
+    def fall_silent(self, key, vm_id):
+        """Let a VM that has just started a task fall silent."""
+        vm = VmRecord(vm_id=vm_id, born_ms=1, machine=vm_id, address=vm_id)
+        self.state.apply(NoteVm(vm=vm, now_ms=1))
+        starts = (RunStart(key, vm_id, 1),)
+        (run,) = self.state.apply(StartRuns(starts=starts, now_ms=1))
+        end = RunEnd(key, run.number, EndKind.LOST)
+        command = RecordEnds(
+            vm_id=vm_id, born_ms=1, ends=(end,), now_ms=1, is_silent=True
+        )
+        self.state.apply(command)
+
+    def answer(self, vm_id):
+        """Let a silent VM answer again."""
+        command = RecordEnds(vm_id=vm_id, born_ms=1, ends=(), now_ms=1, is_alive=True)
+        self.state.apply(command)
+
+    def test_a_quarantined_task_waits_until_a_silent_vm_answers(self):
+        """Guards against one more VM that a crashing task takes down unnoticed."""
+        self.submit("suspect", msgspec.structs.replace(STEP, n_tasks=2))
+        key = TaskKey("suspect", 0, 0, 0)
+        for number in range(MAX_CRASHES):
+            self.fall_silent(key, f"silent{number}")
+        ((_, tasks),) = JobIndex(self.state).waiting(1000, never_silent)
+        self.assertEqual([task.key.index for task in tasks], [1])
+        self.answer("silent0")
+        waiting = JobIndex(self.state).waiting(1000, never_silent)
+        keys = [task.key.index for _, tasks in waiting for task in tasks]
+        self.assertEqual(sorted(keys), [0, 1])
+
+    def test_a_gang_with_a_quarantined_task_waits_as_a_whole(self):
+        """Guards against a gang that starts without one of its members."""
+        self.submit("gang", msgspec.structs.replace(STEP, n_tasks=2, is_gang=True))
+        key = TaskKey("gang", 0, 0, 0)
+        for number in range(MAX_CRASHES):
+            self.fall_silent(key, f"silent{number}")
+        self.assertEqual(JobIndex(self.state).waiting(1000, never_silent), [])
+        self.answer("silent0")
+        ((_, tasks),) = JobIndex(self.state).waiting(1000, never_silent)
+        self.assertEqual(len(tasks), 2)
+
     def test_jobs_with_a_started_task_do_not_count_as_not_begun(self):
         self.submit("a")
         self.submit("b")
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -19,6 +19,7 @@
     StepSpec,
     TaskKey,
 )
+from redwingslip.jobs._crashes import MAX_CRASHES
 from redwingslip.observe import EventName
 from redwingslip.scheduling import LeaderPolicy, Scheduler, VmAgent
 from tests.support_scheduling import (
@@ -52,6 +53,7 @@
         self.term = FakeTerm(make_state(make_vm(), jobs=[make_job()]))
         self.warnings = []
         self.unmatched = []
+        self.failed = []
         self.proposed = []
         self.term.emit = self.emit
         self.endpoint = FakeEndpoint()
@@ -62,11 +64,13 @@
         await asyncio.sleep(0)
 
     def emit(self, name, *, detail="", **fields):
-        """Record the warnings and the unmatched ends."""
+        """Record the warnings, the unmatched ends and the jobs that failed."""
         if name is EventName.WARNING:
             self.warnings.append(detail)
         elif name is EventName.RUN_END_UNMATCHED:
             self.unmatched.append(detail)
+        elif name is EventName.JOB_FAILED:
+            self.failed.append((fields["request_id"], detail))
 
     async def test_a_reaction_that_fails_ends_no_leader(self):
         """Guards against one task whose start ends controller after controller."""
@@ -110,6 +114,38 @@
         (line,) = self.unmatched
         self.assertTrue(line.startswith("0.0.0 run 1 done on incarnation 1"), line)
 
+    async def test_job_that_fails_with_the_return_of_a_silent_vm_is_stopped(self):
+        """Guards against tasks of a failed job that go on, with no line in the log."""
+        job = make_job("crashing", n_tasks=2)
+        vms = [make_vm(f"v{n}") for n in range(MAX_CRASHES)]
+        state = self.term.state = make_state(*vms, make_vm("sound"), jobs=[job])
+        self.scheduler = make_scheduler(self.term, self.endpoint)
+        self.scheduler.begin()
+        first, second = (TaskKey("crashing", 0, 0, n) for n in range(2))
+
+        def apply(command):
+            self.scheduler.applied(command, state.apply(command))
+
+        apply(StartRuns(starts=(RunStart(second, "sound", 1),), now_ms=2))
+        await eventually(lambda: (second, 1) in self.endpoint.runs)
+        for number, vm in enumerate(vms, 1):
+            apply(StartRuns(starts=(RunStart(first, vm.vm_id, 1),), now_ms=2))
+            command = RecordEnds(
+                vm_id=vm.vm_id,
+                born_ms=1,
+                ends=(RunEnd(first, number, EndKind.LOST),),
+                now_ms=3,
+                is_silent=True,
+            )
+            apply(command)
+        for vm in vms:
+            self.assertEqual(self.failed, [])
+            apply(NoteVm(vm=make_vm(vm.vm_id, born_ms=2), now_ms=4))
+        self.assertEqual(
+            self.failed, [("crashing", "0.0.0 run 4: crashed VMs of the task: 4")]
+        )
+        await eventually(lambda: (second, 1) in self.endpoint.stopped)
+
     async def test_a_cancellation_of_an_unknown_job_is_forgotten_like_a_job(self):
         """Guards against cancellations that fill the state, or go too early."""
         state = self.term.state
--- a/tests/test_scheduling_silence.py
+++ b/tests/test_scheduling_silence.py
@@ -153,7 +153,7 @@
 
     def suspected_machines(self):
         """Return the machines of the VMs that may have crashed under the task."""
-        return set(self.state.task(KEY).crashed_machines)
+        return set(self.state.task(KEY).suspected_machines)
 
 
 if __name__ == "__main__":
