End no VM at work on the word of a report alone

Cause: a report of a later incarnation was committed as `NoteVm`, or `ForgetVm` of the VM at the same place, without asking either VM. Both close the runs of the known incarnation at once and count a crash under each (class of fault: an unverified claim is taken for proof).

Ruled out: checks of single fields of a report, as a false one may have them all. Asking the reported VM alone: its answer proves its address, not that the one at work has ended. Asking both at once: a refused call of a false address makes the leader's delegates avoid the VM of that name for 10 s. One short limit for both polls: a new connection takes three round trips, and a VM that has restarted behind slow links would stay unknown until the lease has expired.

Change: before a report replaces a known incarnation, removes one at its place or changes the address of its own, `ReplacementChecks` polls the known one, without a renewal or an acknowledgement. Its answer refutes the report (`VmAtWorkError`, 400). An answer of another incarnation confirms it. Without either, an answer of the reported VM confirms it, but not the new machine of a VM that was known before. Else it stays open (`VmUnconfirmedError`, 503), and the runs stay, until the lease of the known one has expired. A report waits 0.7 s at most; the reports of one VM share a check. Reports that replace nothing are handled as before.

A true new VM with a false machine still ends the VM on that machine if that one gives no answer within 0.4 s. A false report about a VM whose lease has expired is taken as before, until its agent finds another incarnation at the address.

--- a/src/redwingslip/platform/_answers.py
+++ b/src/redwingslip/platform/_answers.py
@@ -10,6 +10,7 @@
     NoPlanError,
     NoQueueError,
     NotLeadingError,
+    VmUnconfirmedError,
 )
 from .exceptions import DocumentError
 
@@ -24,6 +25,7 @@
     NoQueueError: 404,
     NoPlanError: 503,
     NotLeadingError: 503,
+    VmUnconfirmedError: 503,
     CommandOutcomeUnknownError: 504,
 }
 
--- a/src/redwingslip/platform/_calls.py
+++ b/src/redwingslip/platform/_calls.py
@@ -8,6 +8,7 @@
     JobService,
     SchedulingError,
     UnknownPoolError,
+    VmAtWorkError,
 )
 from ._answers import error_answer, json_answer
 from ._documents import (
@@ -96,7 +97,7 @@
         report = decode_report(call.body, vm_id=match["id"])
         try:
             await service.report_vm(report.vm, report.sequence, report.clock_ms)
-        except FutureStartError as exc:
+        except (FutureStartError, VmAtWorkError) as exc:
             raise DocumentError(f"born: {exc}") from exc
         except UnknownPoolError as exc:
             raise DocumentError(f"service: {exc}") from exc
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -38,7 +38,9 @@
     OrderOutcomeUnknownError,
     SchedulingError,
     UnknownPoolError,
+    VmAtWorkError,
     VmReplacedError,
+    VmUnconfirmedError,
 )
 
 __all__ = [
@@ -76,9 +78,11 @@
     "Term",
     "UnknownPoolError",
     "VmAgent",
+    "VmAtWorkError",
     "VmOrders",
     "VmPolicy",
     "VmReplacedError",
+    "VmUnconfirmedError",
     "WaveManager",
     "WaveSettings",
 ]
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -151,6 +151,29 @@
         """Return whether a stop order for a run is queued, in flight or answered."""
         return self._sender.is_stopping(key, number)
 
+    async def probe(self, vm: VmRecord, patience: timedelta) -> bool | None:
+        """Return whether an incarnation answers at its address; None if unknown.
+
+        The poll neither renews a lease nor acknowledges ends.
+
+        Parameters
+        ----------
+        vm : VmRecord
+            The incarnation to call, which need not be the one of this agent.
+        patience : timedelta
+            Longest wait for the answer.
+        """
+        try:
+            async with asyncio.timeout(patience.total_seconds()):
+                report = await self._orders.hold(
+                    vm, fence=self._term.fence, cursor=0, until_ms=None, wait_ms=0
+                )
+        except VmReplacedError:
+            return False
+        except (TimeoutError, OrderNotSentError, OrderOutcomeUnknownError):
+            return None
+        return report.born_ms == vm.born_ms if report.born_ms else None
+
     async def _poll_forever(self) -> None:
         delay = self._cfg.agents.retry_delay
         while True:
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -22,6 +22,7 @@
     VmRecord,
 )
 from ..observe import EventName
+from ._replacements import ReplacementChecks
 from ._scheduler import Scheduler
 from ._term import Term
 from .exceptions import (
@@ -56,6 +57,7 @@
     """
 
     __slots__ = (
+        "_checks",
         "_customer_of_key",
         "_indexed_plan",
         "_last_sequences",
@@ -68,6 +70,7 @@
         self._term = term
         self._state = term.state
         self._scheduler = scheduler
+        self._checks = ReplacementChecks(term, scheduler)
         self._last_sequences: dict[tuple[str, int], int] = {}
         self._indexed_plan: Plan | None = None
         self._customer_of_key: Mapping[str, str] = {}
@@ -238,30 +241,33 @@
             of its VM outdated, and remove the VM at its address or machine.
         UnknownPoolError
             The plan does not have the pool, and the incarnation was not known in it.
+        VmAtWorkError
+            It would replace an incarnation that answers, see `ReplacementChecks`.
+        VmUnconfirmedError
+            It would replace an incarnation of which it is not known whether it ended.
         """
-        incarnation = (vm.vm_id, vm.born_ms)
-        if sequence < self._last_sequences.get(incarnation, -1):
-            return
-        known = self._state.vms.get(vm.vm_id)
-        if known is not None and known.born_ms > vm.born_ms:
-            return
-        if known is None or known.born_ms != vm.born_ms:
-            self._check_start(vm)
-            self._check_pool(vm)
-        else:
-            if vm.pool != known.pool:
-                self._check_pool(vm)
-            is_draining = known.is_draining or vm.is_draining
-            vm = msgspec.structs.replace(
-                vm, end_cursor=known.end_cursor, is_draining=is_draining
-            )
-        if vm != known and self._is_superseded(vm):
+        reported, replaced, verified = vm, [], set()
+        while (vm := self._applicable(reported, sequence)) is not None:
+            replaced = list(self._replaced_by(vm))
+            unverified = [old for old in replaced if _identity(old) not in verified]
+            if not unverified:
+                break
+            known = self._state.vms.get(vm.vm_id)
+            is_new = known is None or known.born_ms != vm.born_ms
+            await self._checks.verify(vm, unverified, is_new=is_new)
+            # The state may have changed meanwhile.
+            verified.update(map(_identity, unverified))
+        if vm is None:
             return
         # A report that names no VM to use must not make later ones outdated.
-        self._last_sequences[incarnation] = sequence
-        if vm == known:
+        self._last_sequences[(vm.vm_id, vm.born_ms)] = sequence
+        if vm == self._state.vms.get(vm.vm_id):
             return
-        await self._forget_superseded(vm)
+        for old in replaced:
+            if old.vm_id != vm.vm_id:
+                await self._term.forget_vm(
+                    old, f"replaced by {vm.vm_id}", has_crashed=True
+                )
         command = NoteVm(vm=vm, now_ms=self._term.now_ms())
         await self._term.propose(command)
         self._term.emit(
@@ -333,6 +339,30 @@
             await asyncio.sleep(STOP_CHECK_INTERVAL.total_seconds())
         return True
 
+    def _applicable(self, vm: VmRecord, sequence: int) -> VmRecord | None:
+        """Return the record that a report leads to; None if it has no effect.
+
+        See `report_vm` for errors.
+        """
+        if sequence < self._last_sequences.get((vm.vm_id, vm.born_ms), -1):
+            return None
+        known = self._state.vms.get(vm.vm_id)
+        if known is not None and known.born_ms > vm.born_ms:
+            return None
+        if known is None or known.born_ms != vm.born_ms:
+            self._check_start(vm)
+            self._check_pool(vm)
+        else:
+            if vm.pool != known.pool:
+                self._check_pool(vm)
+            is_draining = known.is_draining or vm.is_draining
+            vm = msgspec.structs.replace(
+                vm, end_cursor=known.end_cursor, is_draining=is_draining
+            )
+        if vm != known and self._is_superseded(vm):
+            return None
+        return vm
+
     def _check_start(self, vm: VmRecord) -> None:
         """Raise `FutureStartError` if a VM starts later than clocks may differ."""
         if vm.born_ms > self._term.now_ms() + MAX_CLOCK_LEAD // MS:
@@ -356,14 +386,20 @@
             for other in self._state.vms.values()
         )
 
-    async def _forget_superseded(self, vm: VmRecord) -> None:
-        """Remove earlier VMs at the place of a new one, since they must have ended."""
-        for other in tuple(self._state.vms.values()):
-            is_earlier = other.vm_id != vm.vm_id and other.born_ms < vm.born_ms
-            if is_earlier and _share_place(other, vm):
-                await self._term.forget_vm(
-                    other, f"replaced by {vm.vm_id}", has_crashed=True
-                )
+    def _replaced_by(self, vm: VmRecord) -> Iterator[VmRecord]:
+        """Yield the known records that are no longer true if a report is.
+
+        These are the earlier incarnation of the VM, earlier VMs at its place, and its
+        own record if that has another address.
+        """
+        if vm == self._state.vms.get(vm.vm_id):
+            return
+        for other in self._state.vms.values():
+            if other.vm_id == vm.vm_id:
+                if other.born_ms < vm.born_ms or other.address != vm.address:
+                    yield other
+            elif other.born_ms < vm.born_ms and _share_place(other, vm):
+                yield other
 
 
 def _long_running_details(spec: JobSpec) -> Iterator[str]:
@@ -383,6 +419,11 @@
             )
 
 
+def _identity(vm: VmRecord) -> tuple[str, int, str]:
+    """Return what tells incarnations, and the addresses of one, apart."""
+    return vm.vm_id, vm.born_ms, vm.address
+
+
 def _share_place(vm: VmRecord, other: VmRecord) -> bool:
     """Return whether two VMs share an address or machine, so that only one can run."""
     same_machine = bool(vm.machine) and vm.machine == other.machine
--- a/src/redwingslip/scheduling/exceptions.py
+++ b/src/redwingslip/scheduling/exceptions.py
@@ -13,7 +13,9 @@
     "OrderOutcomeUnknownError",
     "SchedulingError",
     "UnknownPoolError",
+    "VmAtWorkError",
     "VmReplacedError",
+    "VmUnconfirmedError",
 ]
 
 
@@ -49,6 +51,14 @@
     """A report names a pool that the plan does not have."""
 
 
+class VmAtWorkError(SchedulingError):
+    """A report would replace an incarnation that answers."""
+
+
+class VmUnconfirmedError(SchedulingError):
+    """A report would replace an incarnation that may not have ended."""
+
+
 class OrderNotSentError(SchedulingError):
     """The order never reached the VM."""
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -1,6 +1,8 @@
 """Tests of the translation of the platform's calls: odd ones get their answer."""
 
 import unittest
+from datetime import timedelta
+from types import SimpleNamespace
 
 import msgspec
 
@@ -15,6 +17,7 @@
 from redwingslip.peers import CallSource, RelayedCall
 from redwingslip.platform import answer_call
 from redwingslip.scheduling import JobService
+from redwingslip.workers import LeaseSettings, VmLease
 from tests.support_odd import DEEP_BODY, ODD_ADDRESSES, ODD_NUMBERS
 from tests.support_scheduling import FakeTerm
 
@@ -32,6 +35,19 @@
 JOB = {"spec": "payload", "steps": [{"count": 1, "cpu": 500}]}
 
 
+class FixedAgent:
+    """An agent of a VM that answers probes in one way, or not at all."""
+
+    def __init__(self, vm, is_answering):
+        self.vm = vm
+        self.lease = VmLease(LeaseSettings(), timedelta(0))
+        self.is_answering = is_answering
+
+    async def probe(self, vm, patience):
+        """Return whether the VM answers."""
+        return self.is_answering
+
+
 class TestOddCalls(unittest.IsolatedAsyncioTestCase):
     """Calls of another writer, which must neither fail nor change anything."""
 
@@ -72,6 +88,20 @@
         answer = await self.call("POST", "/instances/i-1/heartbeat", doc)
         self.assertIn(b"born: ", answer.body)
 
+    async def test_a_report_that_would_replace_a_vm_at_work_is_refused(self):
+        """Guards against an odd report that is acknowledged as one of a new start."""
+        before = self.state.snapshot()
+        for is_answering, status in ((True, 400), (None, 503)):
+            agent = FixedAgent(self.state.vms["i-1"], is_answering)
+            scheduler = SimpleNamespace(agents={"i-1": agent})
+            self.service = JobService(term=FakeTerm(self.state), scheduler=scheduler)
+            for vm_id in ("i-1", "i-2"):
+                path = f"/instances/{vm_id}/heartbeat"
+                doc = {**REPORT, "born": 1800}
+                answer = await self.call("POST", path, doc)
+                self.assertEqual(answer.status, status)
+        self.assertEqual(self.state.snapshot(), before)
+
     async def test_a_service_that_is_not_known_is_named(self):
         service = {"name": "s1", "standby": False}
         config = {"version": 1, "routes": [], "services": [service]}
