Count no crash for a VM that the leader itself had maintained

What callers could see: a job failed for good after four waves, or a task that waits for a VM of its own.

Cause: if the answer to an order for maintenance is lost, or its leader ends, the VM is not removed with the order. It is found later that another incarnation answers, and that counts as a crash under tasks that it had started up to 20 s before. No answer takes it back, as the VM did end.

Ruled out: the time of the last order in MachineOrders, as its steady time runs slower than that of the runs.

Change: runs that began before the last order to maintain their machine are not suspected. The order is in the replicated state before it is sent, so that each leader knows of it.

Before: the new test counts 1 crash instead of 0; its counterpart, a crash after the order, counts 1 before and after. After: both pass, and the tests of crashes, waves and the state.

--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -560,20 +560,28 @@
     ) -> Iterator[ActiveRun]:
         """Yield the runs that may have ended a VM that ends or falls silent now.
 
-        A VM that was draining has ended as it had announced. A long-running task that
-        was at work there is not suspected: one that crashes its VMs does not get that
-        far.
+        A VM that was draining has ended as it had announced, and one whose machine was
+        to be maintained by the order. A long-running task that was at work there is not
+        suspected: one that crashes its VMs does not get that far.
         """
         vm = self.vms.get(vm_id)
         if vm is not None and vm.born_ms == born_ms and vm.is_draining:
             return
+        ordered_ms = self._maintenance_ordered_ms(self._machine_of(vm_id))
         for run in self.runs_of(vm_id, born_ms):
             if now_ms - run.started_ms > CRASH_WINDOW_MS:
                 continue
+            if run.started_ms <= ordered_ms:
+                continue
             is_at_work = self.run(run.key, run.number).is_at_work
             if not is_at_work and not self.task(run.key).is_done:
                 yield run
 
+    def _maintenance_ordered_ms(self, machine: str) -> int:
+        """Return the Unix time of the last order to maintain a machine, 0 for none."""
+        times = (wave.ordered.get(machine, 0) for wave in self.waves.values())
+        return max(times, default=0)
+
     def _suspect(self, key: TaskKey) -> TaskRecord:
         """Add the runs of a task to those that may crash their VM, and return it."""
         task = self.task(key)
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -11,9 +11,11 @@
     JobStatus,
     NoteVm,
     RecordEnds,
+    RecordMaintenance,
     RunEnd,
     RunStart,
     StartRuns,
+    StartWave,
     StepSpec,
     TaskKey,
     VmRecord,
@@ -72,6 +74,35 @@
         self.restart_vm()
         self.assertEqual(self.n_crashes(), 0)
 
+    def order_maintenance(self, now_ms):
+        """Record that the maintenance of the machine is about to be ordered."""
+        vm = VmRecord(vm_id="v1", born_ms=1, machine="m1")
+        self.state.apply(NoteVm(vm=vm, now_ms=50))
+        wave = StartWave(
+            number=1, machines=("m1",), duration_ms=20_000, max_at_once=1, now_ms=50
+        )
+        self.state.apply(wave)
+        order = RecordMaintenance(number=1, ordered=("m1",), now_ms=now_ms)
+        self.state.apply(order)
+
+    def test_a_vm_that_ended_by_an_order_without_an_answer_does_not_count(self):
+        """Guards against crashes that are the leader's own orders for maintenance.
+
+        The answer to the order is lost, or the leader that gave it ends. A new leader
+        learns only that another incarnation answers.
+        """
+        self.start(now_ms=100)
+        self.order_maintenance(now_ms=150)
+        self.restart_vm(now_ms=6_000)
+        self.assertEqual(self.n_crashes(), 0)
+
+    def test_a_crash_after_an_order_counts(self):
+        """Guards against a crashing task that is overlooked on a maintained machine."""
+        self.order_maintenance(now_ms=150)
+        self.start(now_ms=200)
+        self.restart_vm(now_ms=250)
+        self.assertEqual(self.n_crashes(), 1)
+
     def test_a_silent_vm_counts_once(self):
         """Guards against two crashes for one VM: at the end of its lease and later."""
         self.start()
