Let the platform's list show that a silent VM has ended

What callers could see with silence as a suspicion only: a task with four silent VMs that are gone for good, where nothing takes their place, would wait for good; nothing refutes or proves the suspicion.

Cause: the proof of a crash was the next VM at its place, and there may be none. The list of machines, which the leader reads each second, tells.

Ruled out: a time limit after which silence counts as proof, as a cut may last longer; a listed machine that is up as a refutation, as the VM on it may still be dead; a missing entry alone, as entries that can't be decoded are left out.

Change: a silent VM is removed as crashed if a list that was requested after its silence shows its machine as down or with another VM, or no longer shows it and the VM was removed for its silence. A machine that was ordered to move or to be maintained after the silence proves nothing: the VM may have ended by that order, whose answer was lost.

--- a/src/redwingslip/jobs/_machine_orders.py
+++ b/src/redwingslip/jobs/_machine_orders.py
@@ -45,6 +45,10 @@
         self.given = {name: ms for name, ms in self.given.items() if ms > oldest_ms}
         self.given[machine] = self.steady_ms
 
+    def is_ordered_since(self, machine: str, steady_ms: int) -> bool:
+        """Return whether an order for a machine was recorded at a time or later."""
+        return self.given.get(machine, -1) >= steady_ms
+
     def ages_ms(self) -> Iterator[tuple[str, int]]:
         """Yield each machine with the age of its last order in milliseconds."""
         for machine, at_ms in self.given.items():
--- a/src/redwingslip/jobs/_records.py
+++ b/src/redwingslip/jobs/_records.py
@@ -80,12 +80,18 @@
     """An incarnation whose lease expired while it did not answer.
 
     It may have crashed, or may only be out of reach.
+
+    Attributes
+    ----------
+    noted_ms : int
+        Steady time at which the silence was noted, see `MachineOrders`.
     """
 
     vm_id: str
     born_ms: int
     machine: str
     address: str
+    noted_ms: int
 
 
 class TaskRecord(msgspec.Struct, array_like=True):
--- a/src/redwingslip/jobs/_silent_vms.py
+++ b/src/redwingslip/jobs/_silent_vms.py
@@ -1,5 +1,7 @@
 """Index of the VMs that fell silent, with the tasks that are suspected for it."""
 
+from collections.abc import Iterator
+
 from ._records import SilentVm, VmRecord
 from ._spec import TaskKey
 
@@ -15,6 +17,10 @@
         self._vms: dict[tuple[str, int], SilentVm] = {}
         self._tasks: dict[SilentVm, dict[TaskKey, None]] = {}
 
+    def __iter__(self) -> Iterator[SilentVm]:
+        """Iterate over the silent incarnations."""
+        return iter(self._tasks)
+
     def __len__(self) -> int:
         """Return the number of silent incarnations."""
         return len(self._vms)
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -521,8 +521,13 @@
     def _note_silence(self, vm_id: str, born_ms: int, now_ms: int) -> None:
         """Note under each task that a VM started shortly before that it fell silent."""
         vm = self.vms.get(vm_id)
-        address = "" if vm is None else vm.address
-        silent = SilentVm(vm_id, born_ms, self._machine_of(vm_id), address)
+        silent = self.silent_vms.find(vm_id, born_ms) or SilentVm(
+            vm_id,
+            born_ms,
+            machine=self._machine_of(vm_id),
+            address="" if vm is None else vm.address,
+            noted_ms=self.machine_orders.steady_ms,
+        )
         for run in self._crash_suspects(vm_id, born_ms, now_ms):
             task = self._suspect(run.key)
             if silent not in task.silent_vms:
@@ -542,7 +547,14 @@
                     self._remove_suspect_run(run.vm_id, key, run.number)
 
     def _confirm_crash(self, silent: SilentVm, now_ms: int) -> list[TaskKey]:
-        """Count the crash of a VM that was silent; return the tasks given up for it."""
+        """Count the crash of a VM that was silent; return the tasks given up for it.
+
+        A VM whose machine was to be moved or maintained meanwhile may have ended by
+        that order, which proves nothing.
+        """
+        if self.machine_orders.is_ordered_since(silent.machine, silent.noted_ms):
+            self._clear_silence(silent.vm_id, silent.born_ms)
+            return []
         given_up = []
         for key in self.silent_vms.tasks_of(silent):
             self._remove_silence(silent, key)
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -1,16 +1,18 @@
 """Moves of machines between pools, according to the load of each pool."""
 
 import asyncio
+from collections.abc import Iterable
 from datetime import timedelta
 
 import msgspec
 
-from ..jobs import RecordMove
+from ..jobs import RecordMove, SilentVm
 from ..observe import EventName
 from ..placement import ArrivalTrend, PoolLoad, plan_moves
 from ._agent import VmAgent
 from ._job_index import PoolBacklog, non_preemptible_need
 from ._machines import MachineManager
+from ._platform_evidence import find_ended
 from ._ports import MachineOutcome, MachineState, MachineView
 from ._supervise import run_forever
 from .exceptions import (
@@ -84,13 +86,21 @@
 
     async def _list_machines_forever(self) -> None:
         while True:
+            silent_vms = tuple(self._state.silent_vms)
             try:
                 views = await self._operations.list_machines()
                 self._machine_views = {view.machine: view for view in views}
+                await self._forget_ended(silent_vms)
             except OrderOutcomeUnknownError as exc:
                 self._term.emit(EventName.WARNING, detail=str(exc))
             await asyncio.sleep(self._cfg.moves.list_interval.total_seconds())
 
+    async def _forget_ended(self, silent_vms: Iterable[SilentVm]) -> None:
+        """Remove the silent VMs that have ended, as the platform's list shows."""
+        ended = find_ended(silent_vms, self._machine_views, self._state)
+        for silent, reason in tuple(ended):
+            await self._term.forget_vm(silent, reason, has_crashed=True)
+
     def _begin_planned_moves(self) -> None:
         """Order the planned moves of machines without runs.
 
--- a/src/redwingslip/scheduling/_term.py
+++ b/src/redwingslip/scheduling/_term.py
@@ -10,6 +10,7 @@
     JobsState,
     RecordEnds,
     RunEnd,
+    SilentVm,
     VmRecord,
     encode_command,
 )
@@ -139,7 +140,7 @@
 
     async def forget_vm(
         self,
-        vm: VmRecord,
+        vm: VmRecord | SilentVm,
         reason: str,
         *,
         has_crashed: bool = False,
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -12,6 +12,7 @@
     NoteVm,
     RecordEnds,
     RecordMaintenance,
+    RecordMove,
     RunEnd,
     RunStart,
     StartRuns,
@@ -286,6 +287,24 @@
         self.forget()
         self.assertEqual(self.counts(), (0, 0))
 
+    def test_vm_that_may_have_ended_by_an_order_is_no_crash(self):
+        """Guards against a crash that is the move of the machine of a silent VM.
+
+        The answer to the order is lost, so that the VM is not removed with it.
+        """
+        self.lose("v1")
+        self.state.apply(RecordMove(machine="m-v1", now_ms=self.now_ms))
+        self.add_vm("other", born_ms=2, machine="m-v1")
+        self.assertEqual(self.counts(), (0, 0))
+
+    def test_crash_after_an_order_is_confirmed(self):
+        """Guards against a crashing task that is overlooked on a moved machine."""
+        self.state.apply(RecordMove(machine="m-v1", now_ms=self.now_ms))
+        self.now_ms += 300
+        self.lose("v1")
+        self.add_vm("other", born_ms=2, machine="m-v1")
+        self.assertEqual(self.counts(), (1, 0))
+
     def test_vm_that_was_removed_and_comes_back_takes_it_back(self):
         self.lose("v1")
         self.forget(is_silent=True)
