--- a/src/redwingslip/jobs/_silent_vms.py
+++ b/src/redwingslip/jobs/_silent_vms.py
@@ -58,6 +58,6 @@
 def _share_place(silent: SilentVm, vm: VmRecord) -> bool:
     return (
         silent.vm_id == vm.vm_id
-        or silent.address == vm.address
+        or (bool(vm.address) and silent.address == vm.address)
         or (bool(vm.machine) and silent.machine == vm.machine)
     )
