Count restarts for lack of progress, not runs

A run that stands still, or is far slower than runs elsewhere, was left alone for good once its run number was above 4, also on a VM that answers each poll.

Cause: `max_runs` was compared with the run number. That number is replicated and rises with each run of a task, also with runs that were lost with a silent VM, refused before they started or stopped for maintenance. Four such ends, none of which says that the task lacks progress, used up its restarts. Class: a limit that leads to a decision without an end.

Ruled out: to drop the limit. A task that stands still on each VM would then take VM after VM, and each would be avoided for it; a test now holds the bound.

Change: the leader counts by task the restarts that its agents report in its term, and the agents compare that count with `max_runs`. The counts are dropped with the job. A new leader counts from 0, so that a task gets up to 4 restarts in each term. The setting keeps its name and value; its text says what it bounds now.

Before: of the 6 tests of test_scheduling_restarts, 2 failed with 0 stops of a run that stands still for 10 s after 4 refused or 4 lost runs, and 2 for want of the count; the bound of 4 restarts held. After: all 6 pass, as do the tests of agents, their ends, the scheduler, advice, long-running tasks, lifecycle, leaders, crashing tasks, silence, workers and docs.

Conclusion: earlier ends of a task no longer decide whether its run may stand still. A fifth run in one term that stands still is still left alone, which is the purpose of the bound.

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -30,6 +30,9 @@
     def note_restart(self, key: TaskKey, vm_id: str) -> None:
         """Handle the stop of a run whose task is to restart on another VM."""
 
+    def n_restarts(self, key: TaskKey) -> int:
+        """Return how often `note_restart` was called for a task."""
+
     def note_contact(self) -> None:
         """Handle an answer of the VM to a poll."""
 
@@ -369,12 +372,13 @@
     ) -> str:
         """Return why a run is to restart on another VM, empty if it is to go on."""
         cfg = self._cfg.progress
-        key, number = run_id
+        key, _ = run_id
         job = self._term.state.jobs.get(key.job_id)
         if job is None or self._term.state.task(key) is None:
             return ""
         step = self._term.state.step(key)
-        if step.is_gang or number > cfg.max_runs:
+        # Run numbers also rise by ends that say nothing about the progress of a run.
+        if step.is_gang or self._listener.n_restarts(key) >= cfg.max_runs:
             return ""
         if progress.is_stalled(now, cfg):
             return f"no progress for {cfg.stall_time / MS:.0f} ms"
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -1,6 +1,7 @@
 """The leader's scheduling: reactions to applied commands, and background work."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Iterable
 from datetime import timedelta
 from functools import singledispatchmethod
@@ -86,6 +87,8 @@
         self._cfg = cfg
         self._run_times = RunTimeModel(cfg.vms.run_times)
         self._job_index = JobIndex(term.state)
+        # Restarts of tasks for lack of progress in this term.
+        self._n_restarts: Counter[TaskKey] = Counter()
         self._wake = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self.agents: dict[str, VmAgent] = {}
@@ -173,8 +176,13 @@
 
     def note_restart(self, key: TaskKey, vm_id: str) -> None:
         """Record the stop of a run whose task is to restart on another VM."""
+        self._n_restarts[key] += 1
         self._job_index.note_failure(key, vm_id)
 
+    def n_restarts(self, key: TaskKey) -> int:
+        """Return how often a task was restarted for lack of progress in this term."""
+        return self._n_restarts[key]
+
     def note_contact(self) -> None:
         """Start a round of placement after an answer to a poll."""
         self._wake.set()
@@ -251,6 +259,8 @@
             self._job_index.forget_job(job_id)
             self._run_times.forget_job(job_id)
             self._advice.forget_job(job_id)
+        for key in [key for key in self._n_restarts if key.job_id in command.job_ids]:
+            del self._n_restarts[key]
 
     def _handle_ends(self, vm_id: str, ends: Iterable[RunEnd]) -> None:
         for end in ends:
--- a/src/redwingslip/workers/_progress.py
+++ b/src/redwingslip/workers/_progress.py
@@ -25,7 +25,8 @@
         Time that a restart takes beside the run itself: the platform gives a run almost
         a second to stop (platform contract), and the new run waits for its order.
     max_runs : int
-        Highest run number of a task that is still restarted for lack of progress.
+        A task is restarted for lack of progress at most this often in one term of a
+        leader. Runs that end for other reasons do not count.
     """
 
     stall_time: timedelta = timedelta(milliseconds=1800)
--- a/tests/support_scheduling.py
+++ b/tests/support_scheduling.py
@@ -219,6 +219,10 @@
         """Record a task whose run was stopped."""
         self.restarted.append(key)
 
+    def n_restarts(self, key):
+        """Return how often a run of a task was stopped."""
+        return self.restarted.count(key)
+
     def note_contact(self):
         """Do nothing."""
 
