--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -579,20 +579,20 @@
         vm = self.vms.get(vm_id)
         if vm is not None and vm.born_ms == born_ms and vm.is_draining:
             return
-        ordered_ms = self._maintenance_ordered_ms(self._machine_of(vm_id))
+        machine = self._machine_of(vm_id)
         for run in self.runs_of(vm_id, born_ms):
             if now_ms - run.started_ms > CRASH_WINDOW_MS:
                 continue
-            if run.started_ms <= ordered_ms:
+            if self._is_maintained_since(machine, run.started_ms):
                 continue
             is_at_work = self.run(run.key, run.number).is_at_work
             if not is_at_work and not self.task(run.key).is_done:
                 yield run
 
-    def _maintenance_ordered_ms(self, machine: str) -> int:
-        """Return the Unix time of the last order to maintain a machine, 0 for none."""
-        times = (wave.ordered.get(machine, 0) for wave in self.waves.values())
-        return max(times, default=0)
+    def _is_maintained_since(self, machine: str, unix_ms: int) -> bool:
+        """Return whether maintenance of a machine was ordered at a time or later."""
+        times = (wave.ordered.get(machine) for wave in self.waves.values())
+        return any(at_ms is not None and at_ms >= unix_ms for at_ms in times)
 
     def _suspect(self, key: TaskKey) -> TaskRecord:
         """Add the runs of a task to those that may crash their VM, and return it."""
