Count the crash of a VM that was silent before once

A VM that had fallen silent, answered and started the task again before that answer was recorded counted twice when it crashed: under its new run, and for its silence.

Change: a task that is suspected for the silence of the incarnation is counted for that only.

test_jobs_silent_vms: that case gave 2 crashes before and gives 1.

--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -511,11 +511,14 @@
 
         Return the tasks whose job fails for an earlier silence of that VM.
         """
+        silent = self.silent_vms.find(vm_id, born_ms)
         for run in self._crash_suspects(vm_id, born_ms, now_ms):
             task = self._suspect(run.key)
+            if silent in task.silent_vms:
+                # The same crash is confirmed below.
+                continue
             task.crashed_machines.append(self._machine_of(vm_id))
             self._fail_if_too_many_crashes(run.key, now_ms)
-        silent = self.silent_vms.find(vm_id, born_ms)
         return [] if silent is None else self._confirm_crash(silent, now_ms)
 
     def _note_silence(self, vm_id: str, born_ms: int, now_ms: int) -> None:
