Judge a run by what its VM has listed, not by when its crash is known

What callers could see: a task that crashes VM after VM is started on and on (BUDGET), or a sound job fails since the VMs that its runs were on for long return as other incarnations (LOST).

Cause: a crash counted if the run had begun up to 20 s before the end of the VM was recorded. Without a leader for 15 s, or with leaders that change faster than leases expire, it is recorded later and did not count. The other way round, a run that had gone well for 11 s counted as the cause. Class: an inference from the time at which a leader learns of something.

Ruled out: a longer window, which suspects more sound runs and only moves the limit.

Change: a leader records once of each run that its VM has listed it for 10 s (RunRecord. has_passed_probation, RecordEnds.past_probation; earlier versions ignore it). Other runs are suspected whenever the end or silence of their VM becomes known. CRASH_WINDOW_MS is gone.

Two tests of the window are replaced, since it was the fault: a run that passed its probation is not suspected, and a crash that is known 60 s later counts.

What remains: a sound run that has gone on for less than 10 s, on a VM that crashes behind a cut, counts as its cause.

--- a/src/redwingslip/jobs/_commands.py
+++ b/src/redwingslip/jobs/_commands.py
@@ -122,6 +122,9 @@
     at_work : tuple of (TaskKey, int)
         Tasks and run numbers of long-running runs that are at work on the incarnation.
         An earlier version of a controller ignores them.
+    past_probation : tuple of (TaskKey, int)
+        Tasks and run numbers of runs that the incarnation has listed for so long that
+        they do not crash it. An earlier version of a controller ignores them.
     """
 
     vm_id: str
@@ -133,6 +136,7 @@
     is_silent: bool = False
     is_alive: bool = False
     at_work: tuple[tuple[TaskKey, int], ...] = ()
+    past_probation: tuple[tuple[TaskKey, int], ...] = ()
 
 
 class NoteVm(_Command):
--- a/src/redwingslip/jobs/_crashes.py
+++ b/src/redwingslip/jobs/_crashes.py
@@ -8,18 +8,14 @@
 from ._spec import StepSpec
 
 __all__ = [
-    "CRASH_WINDOW_MS",
     "MAX_CRASHES",
     "PROBATION_MS",
     "is_isolated",
     "is_quarantined",
 ]
 
-# A run that began longer before the end of its VM was recorded is not suspected. A
-# silent VM counts as ended once its lease has expired, up to 7 s after the last contact
-# or the last change of leader. The window covers two changes.
-CRASH_WINDOW_MS = 20_000
-# A suspect that has run for this long does not crash its VM.
+# A run that its VM still lists this long after its start does not crash it. The time
+# until the end of a VM is recorded tells nothing, as there may be no leader meanwhile.
 PROBATION_MS = 10_000
 # After two crashes a task may be given up (platform contract). Other runs on these VMs
 # are suspected alike, so that each later run is alone on its VM, for two more crashes.
--- a/src/redwingslip/jobs/_records.py
+++ b/src/redwingslip/jobs/_records.py
@@ -66,6 +66,8 @@
         scheduling policies.
     is_at_work : bool
         Whether a long-running run has been at work on its VM.
+    has_passed_probation : bool
+        Whether its VM has listed it for so long that it does not crash the VM.
     """
 
     number: int
@@ -74,6 +76,7 @@
     checkpoint: str = ""
     started_ms: int = 0
     is_at_work: bool = False
+    has_passed_probation: bool = False
 
 
 class SilentVm(msgspec.Struct, frozen=True, array_like=True):
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -21,7 +21,7 @@
     StartWave,
     SubmitJob,
 )
-from ._crashes import CRASH_WINDOW_MS, MAX_CRASHES, PROBATION_MS
+from ._crashes import MAX_CRASHES, PROBATION_MS
 from ._machine_orders import MachineOrders
 from ._plan import Plan, Queue
 from ._records import (
@@ -290,15 +290,14 @@
     @_apply.register
     def _(self, command: RecordEnds) -> tuple[RunEnd, ...]:
         """Return the ends of runs that were not active on the incarnation."""
-        for key, number in command.at_work:
-            run = self.run(key, number)
-            place = (command.vm_id, command.born_ms)
-            if run is not None and (run.vm_id, run.born_ms) == place:
-                run.is_at_work = True
+        for run in self._runs_at(command, command.at_work):
+            run.is_at_work = True
+        for run in self._runs_at(command, command.past_probation):
+            run.has_passed_probation = True
         if command.has_crashed:
             self._count_crash(command.vm_id, command.born_ms, command.now_ms)
         elif command.is_silent:
-            self._note_silence(command.vm_id, command.born_ms, command.now_ms)
+            self._note_silence(command.vm_id, command.born_ms)
         elif command.is_alive:
             self._clear_silence(command.vm_id, command.born_ms)
         unmatched = tuple(
@@ -389,6 +388,16 @@
     def _(self, command: RecordMove) -> None:
         self.machine_orders.record(command.machine)
 
+    def _runs_at(
+        self, command: RecordEnds, run_ids: tuple[tuple[TaskKey, int], ...]
+    ) -> Iterator[RunRecord]:
+        """Yield those of the runs that may be alive on the command's incarnation."""
+        for key, number in run_ids:
+            run = self.run(key, number)
+            place = (command.vm_id, command.born_ms)
+            if run is not None and (run.vm_id, run.born_ms) == place:
+                yield run
+
     def _gang_run_numbers(self, starts: tuple[RunStart, ...]) -> dict[tuple, int]:
         """Return the next run number of each gang among the starts.
 
@@ -507,12 +516,12 @@
             job.status, job.ended_ms = JobStatus.COMPLETED, now_ms
 
     def _count_crash(self, vm_id: str, born_ms: int, now_ms: int) -> list[TaskKey]:
-        """Count a crash under each task that a VM started shortly before its end.
+        """Count a crash under each task that may have crashed a VM.
 
         Return the tasks whose job fails for an earlier silence of that VM.
         """
         silent = self.silent_vms.find(vm_id, born_ms)
-        for run in self._crash_suspects(vm_id, born_ms, now_ms):
+        for run in self._crash_suspects(vm_id, born_ms):
             task = self._suspect(run.key)
             if silent in task.silent_vms:
                 # The same crash is confirmed below.
@@ -521,8 +530,8 @@
             self._fail_if_too_many_crashes(run.key, now_ms)
         return [] if silent is None else self._confirm_crash(silent, now_ms)
 
-    def _note_silence(self, vm_id: str, born_ms: int, now_ms: int) -> None:
-        """Note under each task that a VM started shortly before that it fell silent."""
+    def _note_silence(self, vm_id: str, born_ms: int) -> None:
+        """Note a silence under each task that may have crashed the VM."""
         vm = self.vms.get(vm_id)
         silent = self.silent_vms.find(vm_id, born_ms) or SilentVm(
             vm_id,
@@ -531,7 +540,7 @@
             address="" if vm is None else vm.address,
             noted_ms=self.machine_orders.steady_ms,
         )
-        for run in self._crash_suspects(vm_id, born_ms, now_ms):
+        for run in self._crash_suspects(vm_id, born_ms):
             task = self._suspect(run.key)
             if silent not in task.silent_vms:
                 task.silent_vms.append(silent)
@@ -570,26 +579,25 @@
         self.silent_vms.discard(silent, key)
         self.task(key).silent_vms.remove(silent)
 
-    def _crash_suspects(
-        self, vm_id: str, born_ms: int, now_ms: int
-    ) -> Iterator[ActiveRun]:
+    def _crash_suspects(self, vm_id: str, born_ms: int) -> Iterator[ActiveRun]:
         """Yield the runs that may have ended a VM that ends or falls silent now.
 
         A VM that was draining has ended as it had announced, and one whose machine was
-        to be maintained by the order. A long-running task that was at work there is not
-        suspected: one that crashes its VMs does not get that far.
+        to be maintained by the order. A run that its VM has listed for long is not
+        suspected, nor a long-running one that was at work: one that crashes its VMs
+        does not get that far.
         """
         vm = self.vms.get(vm_id)
         if vm is not None and vm.born_ms == born_ms and vm.is_draining:
             return
         machine = self._machine_of(vm_id)
         for run in self.runs_of(vm_id, born_ms):
-            if now_ms - run.started_ms > CRASH_WINDOW_MS:
+            record = self.run(run.key, run.number)
+            if record.is_at_work or record.has_passed_probation:
                 continue
-            if self._is_maintained_since(machine, run.started_ms):
+            if self.task(run.key).is_done:
                 continue
-            is_at_work = self.run(run.key, run.number).is_at_work
-            if not is_at_work and not self.task(run.key).is_done:
+            if not self._is_maintained_since(machine, run.started_ms):
                 yield run
 
     def _is_maintained_since(self, machine: str, unix_ms: int) -> bool:
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -5,7 +5,16 @@
 from datetime import timedelta
 from typing import Protocol
 
-from ..jobs import ActiveRun, EndKind, RecordEnds, RunEnd, TaskKey, VmRecord
+from ..jobs import (
+    PROBATION_MS,
+    ActiveRun,
+    EndKind,
+    RecordEnds,
+    RunEnd,
+    RunRecord,
+    TaskKey,
+    VmRecord,
+)
 from ..observe import EventName
 from ..workers import RunProgress, RunTimeModel, StepKey, VmHealth, VmLease
 from ._agent_settings import VmPolicy
@@ -239,7 +248,7 @@
         if until_ms is not None:
             self._has_renewed_lease = True
         self._listener.note_contact()
-        await self._note_runs_at_work(now)
+        await self._note_sound_runs(now)
 
     async def _within_lease(
         self, hold: Awaitable[HoldReport], now: timedelta
@@ -293,14 +302,22 @@
         await self._term.record_ends(self.vm, ends, last_cursor)
         return self._cursor() >= last_cursor and not report.has_more_ends
 
-    async def _note_runs_at_work(self, now: timedelta) -> None:
-        """Record, once for each, the long-running runs that are at work."""
+    async def _note_sound_runs(self, now: timedelta) -> None:
+        """Record, once for each, the runs that do not crash their VM.
+
+        These are long-running runs at work, and runs that have passed their probation.
+        """
         at_work = tuple(
             run_id
             for run_id, listed in self.listed_runs.items()
             if listed.is_at_work and self._is_newly_at_work(run_id, now)
         )
-        if not at_work:
+        past_probation = tuple(
+            run_id
+            for run_id in self.listed_runs
+            if self._has_newly_passed_probation(run_id, now)
+        )
+        if not at_work and not past_probation:
             return
         command = RecordEnds(
             vm_id=self.vm.vm_id,
@@ -308,18 +325,30 @@
             ends=(),
             now_ms=self._term.now_ms(),
             at_work=at_work,
+            past_probation=past_probation,
         )
         await self._term.propose_or_log(command)
 
     def _is_newly_at_work(self, run_id: RunId, now: timedelta) -> bool:
-        confirmed_at = self._sender.confirmed_at.get(run_id)
-        if confirmed_at is None or now - confirmed_at < MIN_AT_WORK_TIME:
-            return False
-        run = self._term.state.run(*run_id)
-        if run is None or run.is_at_work or run.vm_id != self.vm.vm_id:
+        run = self._run_listed_for(MIN_AT_WORK_TIME, run_id, now)
+        if run is None or run.is_at_work:
             return False
         return self._term.state.step(run_id[0]).is_long_running
 
+    def _has_newly_passed_probation(self, run_id: RunId, now: timedelta) -> bool:
+        run = self._run_listed_for(PROBATION_MS * MS, run_id, now)
+        return run is not None and not (run.is_at_work or run.has_passed_probation)
+
+    def _run_listed_for(
+        self, duration: timedelta, run_id: RunId, now: timedelta
+    ) -> RunRecord | None:
+        """Return a run of the VM if it began at least a duration ago, else None."""
+        confirmed_at = self._sender.confirmed_at.get(run_id)
+        if confirmed_at is None or now - confirmed_at < duration:
+            return None
+        run = self._term.state.run(*run_id)
+        return run if run is not None and run.vm_id == self.vm.vm_id else None
+
     def _reconcile(self, sent_at: timedelta) -> None:
         """Compare the runs that the VM lists with the runs in the state.
 
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -23,7 +23,7 @@
     is_isolated,
     is_quarantined,
 )
-from redwingslip.jobs._crashes import CRASH_WINDOW_MS, MAX_CRASHES
+from redwingslip.jobs._crashes import MAX_CRASHES
 from tests.test_jobs_state import KEY, make_job, make_state
 
 OTHER = TaskKey("j2", 0, 0, 0)
@@ -128,10 +128,41 @@
         )
         self.assertEqual(self.n_crashes(), 1)
 
-    def test_a_task_that_has_run_for_long_is_not_suspected(self):
-        self.start(now_ms=100)
-        self.restart_vm(now_ms=101 + CRASH_WINDOW_MS)
+    def pass_probation(self, number=1, born_ms=1):
+        """Record that a VM has listed a run of the task for long."""
+        command = RecordEnds(
+            vm_id="v1",
+            born_ms=born_ms,
+            ends=(),
+            now_ms=150,
+            past_probation=((KEY, number),),
+        )
+        self.state.apply(command)
+
+    def test_a_run_that_was_listed_for_long_is_not_suspected(self):
+        """Guards against a sound task that is given up for VMs that end later."""
+        self.start()
+        self.pass_probation()
+        copy = JobsState()
+        copy.restore(self.state.snapshot())
+        self.restart_vm()
         self.assertEqual(self.n_crashes(), 0)
+        copy.apply(NoteVm(vm=VmRecord(vm_id="v1", born_ms=2), now_ms=200))
+        self.assertEqual(copy.task(KEY).n_crashes, 0)
+
+    def test_another_run_or_incarnation_passes_no_probation(self):
+        """Guards against a crashing task that is taken for a sound one."""
+        self.start()
+        self.pass_probation(number=2)
+        self.pass_probation(born_ms=2)
+        self.restart_vm()
+        self.assertEqual(self.n_crashes(), 1)
+
+    def test_a_crash_counts_however_late_it_is_known(self):
+        """Guards against crashes that do not count after a time without a leader."""
+        self.start(now_ms=100)
+        self.restart_vm(now_ms=100 + 60_000)
+        self.assertEqual(self.n_crashes(), 1)
 
     def test_job_fails_after_too_many_crashes(self):
         """Guards against a task that is started again on VM after VM."""
@@ -358,10 +389,18 @@
         self.answer()
         self.add_vm(born_ms=2)
 
-    def test_task_that_had_run_for_long_is_not_suspected(self):
+    def test_run_that_was_listed_for_long_is_not_suspected(self):
+        """Guards against a task that waits for silent VMs that it ran on for long."""
         self.add_vm()
-        self.start()
-        self.now_ms += CRASH_WINDOW_MS + 1
+        number = self.start()
+        command = RecordEnds(
+            vm_id="v1",
+            born_ms=1,
+            ends=(),
+            now_ms=self.now_ms,
+            past_probation=((KEY, number),),
+        )
+        self.state.apply(command)
         self.fall_silent()
         self.assertEqual(self.counts(), (0, 0))
 
--- a/tests/test_scheduling_crashes_at_work.py
+++ b/tests/test_scheduling_crashes_at_work.py
@@ -11,6 +11,7 @@
 
 from redwingslip.clock import ManualClock
 from redwingslip.jobs import (
+    PROBATION_MS,
     Amounts,
     EndKind,
     JobSpec,
@@ -230,6 +231,26 @@
         self.agent.begin()
         self.assertEqual(await self.crash(), 1)
 
+    async def test_run_that_is_listed_for_long_is_noted_once(self):
+        """Guards against a sound task that is suspected, and against many commands."""
+        self.endpoint.runs[(KEY, 1)] = 30
+        self.agent.begin()
+        await self.poll()
+        self.clock.advance(timedelta(milliseconds=PROBATION_MS))
+        await self.poll()
+        await self.poll()
+        self.assertEqual(self.term.n_commands, 1)
+        self.assertEqual(await self.crash(), 0)
+
+    async def test_run_that_is_listed_for_a_shorter_time_is_suspected(self):
+        """Guards against a crashing task that is taken for a sound one."""
+        self.endpoint.runs[(KEY, 1)] = 30
+        self.agent.begin()
+        await self.poll()
+        self.clock.advance(timedelta(milliseconds=PROBATION_MS - 100))
+        await self.poll()
+        self.assertEqual(await self.crash(), 1)
+
     async def test_run_of_another_task_is_suspected_whatever_it_lists(self):
         """Guards against a task with an end that is judged like a lasting one."""
         state = self.term.state = make_state(self.vm, jobs=[make_job()])
