--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -234,7 +234,7 @@
         if report.born_ms and report.born_ms != self.vm.born_ms:
             raise VmReplacedError(f"incarnation {report.born_ms} answers")
         now = self._term.clock.monotonic()
-        # A VM that is in contact gets new runs, and a crash under these is another one.
+        # Withdrawn before the VM counts as in contact and gets new runs.
         await self._silence.note_answer(now, was_recorded=was_recorded)
         self.lease.note_clock(report.clock_ms, now)
         self.lease.note_contact(now)
