Give each VM of a scheduling test an endpoint of its own

Here it failed in 10 of 15 runs on the same code, beside a run of the suite.

Cause: the test gave five VMs one fake endpoint. Each VM listed the run of the sound one as its own; an agent that polled before the test looked stopped it there as unknown. That stop also met the test's last assertion, whichever VM was told.

Ruled out: the product. With one endpoint for each VM the start arrives in each run.

Change: FakeEndpoints keeps one endpoint for each VM. The test now also requires that the run is not stopped before the job has failed, and that the stop goes to the VM that has the run, once.

--- a/tests/support_scheduling.py
+++ b/tests/support_scheduling.py
@@ -139,6 +139,35 @@
         self.runs.pop((key, number), None)
 
 
+class FakeEndpoints:
+    """One endpoint for each VM, created by the first order for it.
+
+    Attributes
+    ----------
+    by_vm : dict of str to FakeEndpoint
+        The endpoints, by VM.
+    """
+
+    def __init__(self):
+        self.by_vm = {}
+
+    def of_vm(self, vm_id):
+        """Return the endpoint of a VM."""
+        return self.by_vm.setdefault(vm_id, FakeEndpoint())
+
+    async def hold(self, vm, **options):
+        """Pass a poll to the endpoint of the VM."""
+        return await self.of_vm(vm.vm_id).hold(vm, **options)
+
+    async def start(self, vm, run, **options):
+        """Pass a start order to the endpoint of the VM."""
+        return await self.of_vm(vm.vm_id).start(vm, run, **options)
+
+    async def stop(self, vm, key, number, *, fence):
+        """Pass a stop order to the endpoint of the VM."""
+        await self.of_vm(vm.vm_id).stop(vm, key, number, fence=fence)
+
+
 class FakeTerm:
     """A term of leadership whose commands are applied immediately.
 
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -24,6 +24,7 @@
 from redwingslip.scheduling import LeaderPolicy, Scheduler, VmAgent
 from tests.support_scheduling import (
     FakeEndpoint,
+    FakeEndpoints,
     FakePlatform,
     FakeTerm,
     eventually,
@@ -119,7 +120,9 @@
         job = make_job("crashing", n_tasks=2)
         vms = [make_vm(f"v{n}") for n in range(MAX_CRASHES)]
         state = self.term.state = make_state(*vms, make_vm("sound"), jobs=[job])
-        self.scheduler = make_scheduler(self.term, self.endpoint)
+        # With one endpoint for all, each VM would list the runs of the others.
+        endpoints = FakeEndpoints()
+        self.scheduler = make_scheduler(self.term, endpoints)
         self.scheduler.begin()
         first, second = (TaskKey("crashing", 0, 0, n) for n in range(2))
 
@@ -127,7 +130,7 @@
             self.scheduler.applied(command, state.apply(command))
 
         apply(StartRuns(starts=(RunStart(second, "sound", 1),), now_ms=2))
-        await eventually(lambda: (second, 1) in self.endpoint.runs)
+        await eventually(lambda: (second, 1) in endpoints.of_vm("sound").runs)
         for number, vm in enumerate(vms, 1):
             apply(StartRuns(starts=(RunStart(first, vm.vm_id, 1),), now_ms=2))
             command = RecordEnds(
@@ -140,11 +143,13 @@
             apply(command)
         for vm in vms:
             self.assertEqual(self.failed, [])
+            self.assertEqual(endpoints.of_vm("sound").stopped, [])
+            endpoints.of_vm(vm.vm_id).born_ms = 2
             apply(NoteVm(vm=make_vm(vm.vm_id, born_ms=2), now_ms=4))
         self.assertEqual(
             self.failed, [("crashing", "0.0.0 run 4: crashed VMs of the task: 4")]
         )
-        await eventually(lambda: (second, 1) in self.endpoint.stopped)
+        await eventually(lambda: endpoints.of_vm("sound").stopped == [(second, 1)])
 
     async def test_a_cancellation_of_an_unknown_job_is_forgotten_like_a_job(self):
         """Guards against cancellations that fill the state, or go too early."""
