Start all members of a gang with the same checkpoint

What callers saw: a job with a gang never completed after the VM of one member had crashed.

Cause: the state kept a checkpoint for each member. The members on sound VMs ended `broken` and saved theirs; the one whose VM had crashed had none. Each was started with its own, and members with different checkpoints can't work together. Members of a gang that is stopped may save different ones as well.

Change: the last checkpoint of any member is that of all. Commands are unchanged, so that replicas of an earlier version that lead meanwhile only start the gang as before.

--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -478,7 +478,9 @@
         if not command.cursor and not self.step(end.key).is_long_running:
             task.unreported = [*task.unreported, end.number][-MAX_UNREPORTED:]
         if end.checkpoint:
-            task.checkpoint = end.checkpoint
+            # A gang works only if its members start with the same checkpoint.
+            for member in self._tasks_as_one(end.key):
+                member.checkpoint = end.checkpoint
         self._count_end(end, command.now_ms)
         return True
 
@@ -491,7 +493,7 @@
             task.n_failures += 1
             self._fail_if_out_of_attempts(job, step, task, now_ms)
         elif end.kind is EndKind.DONE and not step.is_long_running:
-            self._complete_task(job, step, end.key, now_ms)
+            self._complete_task(job, end.key, now_ms)
 
     def _fail_if_out_of_attempts(
         self, job: JobRecord, step: StepSpec, task: TaskRecord, now_ms: int
@@ -502,13 +504,14 @@
         if queue is not None and task.n_failures >= queue.max_attempts:
             job.status, job.ended_ms = JobStatus.FAILED, now_ms
 
-    def _complete_task(
-        self, job: JobRecord, step: StepSpec, key: TaskKey, now_ms: int
-    ) -> None:
+    def _tasks_as_one(self, key: TaskKey) -> list[TaskRecord]:
+        """Return the task of a key, or all tasks of its gang."""
+        tasks = self.jobs[key.job_id].tasks[key.occurrence][key.step]
+        return tasks if self.step(key).is_gang else [tasks[key.index]]
+
+    def _complete_task(self, job: JobRecord, key: TaskKey, now_ms: int) -> None:
         """Mark a task or its gang as done; complete the job with its last task."""
-        tasks = job.tasks[key.occurrence][key.step]
-        done = tasks if step.is_gang else [tasks[key.index]]
-        for task in done:
+        for task in self._tasks_as_one(key):
             task.is_done = True
         if job.status not in ACTIVE_STATUSES:
             return
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -170,7 +170,7 @@
             job.spec.steps[key.step],
             customer=job.spec.customer,
             pool=self.pool_of(job),
-            checkpoint=task.checkpoint,
+            checkpoint=_checkpoint(job, key),
             avoided=frozenset(self._failed_on.get(key, ())),
             crashed_machines=task.suspected_machines,
             is_isolated=is_isolated(job.spec.steps[key.step], task),
@@ -222,6 +222,15 @@
     return now_ms >= due_ms
 
 
+def _checkpoint(job: JobRecord, key: TaskKey) -> str:
+    """Return the checkpoint that a task starts with, the same for a whole gang."""
+    tasks = job.tasks[key.occurrence][key.step]
+    if not job.spec.steps[key.step].is_gang:
+        return tasks[key.index].checkpoint
+    # Snapshots of earlier versions may hold different ones; each is valid for all.
+    return next((task.checkpoint for task in tasks if task.checkpoint), "")
+
+
 def _is_held(job: JobRecord, key: TaskKey) -> bool:
     """Return whether a task is quarantined, or a task of its gang."""
     tasks = job.tasks[key.occurrence][key.step]
--- a/tests/test_jobs_state.py
+++ b/tests/test_jobs_state.py
@@ -315,6 +315,24 @@
         both = StartRuns(starts=tuple(RunStart(key, "v1", 1) for key in keys), now_ms=2)
         self.assertEqual([run.number for run in state.apply(both)], [2, 2])
 
+    def test_the_members_of_a_gang_share_the_last_checkpoint(self):
+        """Guards against a gang that never works again after the crash of one VM."""
+        state = make_state(make_job(n_tasks=2, is_gang=True))
+        keys = [TaskKey("j1", 0, 0, n) for n in range(2)]
+        for number, saver in enumerate((0, 1), 1):
+            starts = tuple(RunStart(key, "v1", 1) for key in keys)
+            state.apply(StartRuns(starts=starts, now_ms=2))
+            checkpoint = f"after run {number}"
+            ends = [RunEnd(key, number, EndKind.BROKEN) for key in keys]
+            ends[saver] = RunEnd(keys[saver], number, EndKind.BROKEN, checkpoint)
+            state.apply(
+                RecordEnds(
+                    vm_id="v1", born_ms=1, ends=tuple(ends), now_ms=3, cursor=number
+                )
+            )
+            checkpoints = [state.task(key).checkpoint for key in keys]
+            self.assertEqual(checkpoints, [checkpoint] * 2)
+
     def test_one_completed_member_completes_the_gang(self):
         state = make_state(make_job(n_tasks=2, is_gang=True))
         keys = [TaskKey("j1", 0, 0, index) for index in (0, 1)]
--- a/tests/test_scheduling_job_index.py
+++ b/tests/test_scheduling_job_index.py
@@ -192,6 +192,18 @@
         keys = [task.key.index for _, tasks in waiting for task in tasks]
         self.assertEqual(sorted(keys), [0, 1])
 
+    def test_members_of_a_gang_start_with_one_checkpoint(self):
+        """Guards against gangs that never work; snapshots may hold two checkpoints."""
+        step = msgspec.structs.replace(STEP, n_tasks=3, is_gang=True)
+        self.submit("gang", step)
+        for index, checkpoint in enumerate(("", "early", "late")):
+            task = self.state.task(TaskKey("gang", 0, 0, index))
+            task.checkpoint = checkpoint
+        ((_, tasks),) = JobIndex(self.state).waiting(1000, never_silent)
+        checkpoints = {task.checkpoint for task in tasks}
+        self.assertEqual(len(tasks), 3)
+        self.assertIn(checkpoints, ({"early"}, {"late"}))
+
     def test_a_gang_with_a_quarantined_task_waits_as_a_whole(self):
         """Guards against a gang that starts without one of its members."""
         self.submit("gang", msgspec.structs.replace(STEP, n_tasks=2, is_gang=True))
