Reset the connection of a request that is given up

A leader was cut off from the platform with an order on its way and gave the call up after 2 s, within the cut. When the cut healed, the order reached the platform after one of the next leader, with the lower token.

Cause: the client closed the socket of a request that it gave up. A close leaves what was sent to be delivered, however late. The next leader waits for the takeover delay, which bounds the delay of no network.

Ruled out: that the frozen process sent the order after it woke; in the record the order is on its way before the freeze.

Change: a connection with a request that has no complete answer is reset when it is closed (SO_LINGER with 0 s): after a timeout, a cancellation and the close of the pool. Idle connections and those with complete answers are closed as before.

Not mended: a process that stays frozen until the cut has healed resets nothing.

--- a/src/redwingslip/http/_client.py
+++ b/src/redwingslip/http/_client.py
@@ -1,8 +1,8 @@
 """An HTTP client with a pool of connections, each used by one request at a time.
 
 A connection is kept for reuse only after a complete answer. After any other outcome
-its socket is closed immediately, so that a late answer can't be read as the answer to
-a later request.
+it is reset immediately: a late answer can't be read as the answer to a later request,
+and a request that is held up on the way isn't delivered after it was given up.
 """
 
 import asyncio
@@ -182,6 +182,7 @@
         try:
             async with asyncio.timeout(req.timeout.total_seconds()):
                 answer, is_reusable = await self._send(client, req)
+            client.conn.has_sent = False
             is_complete = True
         except HttpError:
             raise
--- a/src/redwingslip/http/_connections.py
+++ b/src/redwingslip/http/_connections.py
@@ -1,6 +1,9 @@
 """Connections to HTTP servers, with bounded establishment and checked answers."""
 
 import asyncio
+import contextlib
+import socket
+import struct
 from collections.abc import Callable
 from datetime import timedelta
 from urllib.parse import ParseResult
@@ -21,6 +24,10 @@
     sock_connect=None, sock_read=None, pool_acquire=None, request_timeout=None
 )
 
+# Lingering for 0 seconds, `struct linger` of the socket interface: a close resets the
+# connection, and the kernel sends nothing more of what it has buffered.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class BoundedConnection(Connection):
     """A connection that bounds its own establishment.
@@ -55,10 +62,12 @@
 class WatchedConnection(BoundedConnection):
     """A connection that detects unsolicited input and truncated answers.
 
-    It is established once, and records whether anything of a request has been sent. A
-    line or chunk that is truncated raises an error. While the connection is idle, a
-    task reads the first byte of the next answer, so that a connection that receives
-    input without a request, or is closed by the server, is never used again.
+    It is established once, and records whether it has sent anything of a request that
+    has no complete answer. In that case its close resets it, so that the request isn't
+    delivered after it was given up. A line or chunk that is truncated raises an error.
+    While the connection is idle, a task reads the first byte of the next answer, so
+    that a connection that receives input without a request, or is closed by the server,
+    is never used again.
     """
 
     def __init__(self, pool, *, connect_timeout: timedelta) -> None:
@@ -159,8 +168,13 @@
         return self.is_connected
 
     def close(self) -> None:
-        """Close the socket immediately."""
+        """Close the socket immediately; reset it if a request is in flight."""
         if self._first_byte is not None:
             self._first_byte.cancel()
             self._first_byte = None
+        if self.has_sent and self.writer is not None:
+            sock = self.writer.get_extra_info("socket")
+            # It raises an error if the socket is closed already.
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         super().close()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Tests of the client with servers that answer late, incompletely or never."""
 
 import asyncio
+import socket
 import unittest
 from datetime import timedelta
 
@@ -153,6 +154,63 @@
             await asyncio.gather(*(send_and_check(number) for number in range(40)))
 
 
+class TestAbandonedRequest(HttpTestCase):
+    """Requests that are given up while their bytes are held up on the way."""
+
+    def setUp(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+
+    async def accept(self):
+        """Return the connection of the client once a byte of its request is there."""
+        loop = asyncio.get_running_loop()
+        self.listener.setblocking(False)
+        conn, _ = await loop.sock_accept(self.listener)
+        self.addCleanup(conn.close)
+        self.assertTrue(await loop.sock_recv(conn, 1))
+        return conn
+
+    async def assert_reset(self, conn):
+        """Fail if the connection ends without a reset.
+
+        After a reset, a network that holds up the bytes of a connection drops them.
+        """
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(LONG.total_seconds()):
+            with self.assertRaises(ConnectionResetError):
+                while await loop.sock_recv(conn, 65536):
+                    pass
+
+    async def test_request_that_timed_out_is_not_delivered_later(self):
+        """Guards against orders that arrive after those of another leader (ONE)."""
+        for body in (b"order", b"x" * 8_000_000):
+            req = self.send("POST", "/", body=body, timeout=SHORT)
+            task = asyncio.create_task(req)
+            conn = await self.accept()
+            with self.assertRaises(AnswerLostError):
+                await task
+            await self.assert_reset(conn)
+
+    async def test_request_that_was_cancelled_is_not_delivered_later(self):
+        """Guards against orders that arrive after those of another leader (ONE)."""
+        task = asyncio.create_task(self.send("POST", "/", body=b"order"))
+        conn = await self.accept()
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        await self.assert_reset(conn)
+
+    async def test_request_in_flight_at_the_close_is_not_delivered_later(self):
+        """Guards against orders that arrive after those of another leader (ONE)."""
+        task = asyncio.create_task(self.send("POST", "/", body=b"order"))
+        conn = await self.accept()
+        await self.pool.close()
+        with self.assertRaises(AnswerLostError):
+            await task
+        await self.assert_reset(conn)
+
+
 class TestIncompleteAnswer(HttpTestCase):
     """Tests of incomplete and malformed answers."""
 
