--- a/src/redwingslip/jobs/__init__.py
+++ b/src/redwingslip/jobs/__init__.py
@@ -4,6 +4,7 @@
 command carries the time at which it was proposed.
 """
 
+from ._active_runs import ActiveRun
 from ._commands import *  # noqa: F403
 from ._commands import __all__ as _commands_all
 from ._crashes import PROBATION_MS, is_isolated, is_quarantined
@@ -19,9 +20,10 @@
     TaskRecord,
     VmRecord,
     WaveRecord,
+    iter_tasks,
 )
 from ._spec import MAX_TASKS, JobSpec, Repetition, StepSpec, TaskKey, check_steps
-from ._state import ActiveRun, JobsState, VmChange, iter_tasks
+from ._state import JobsState, VmChange
 from .exceptions import (
     InvalidCommandError,
     InvalidJobError,
--- a/src/redwingslip/jobs/_records.py
+++ b/src/redwingslip/jobs/_records.py
@@ -1,11 +1,12 @@
 """Records of the replicated state."""
 
 import enum
+from collections.abc import Iterator
 
 import msgspec
 
 from ._plan import Amounts
-from ._spec import JobSpec
+from ._spec import JobSpec, TaskKey
 
 __all__ = [
     "ACTIVE_STATUSES",
@@ -17,6 +18,7 @@
     "TaskRecord",
     "VmRecord",
     "WaveRecord",
+    "iter_tasks",
 ]
 
 
@@ -169,6 +171,14 @@
     tasks: list[list[list[TaskRecord]]] = msgspec.field(default_factory=list)
 
 
+def iter_tasks(job: JobRecord) -> Iterator[tuple[TaskKey, TaskRecord]]:
+    """Yield the tasks of a job with their keys."""
+    for occurrence, steps in enumerate(job.tasks):
+        for step, tasks in enumerate(steps):
+            for index, task in enumerate(tasks):
+                yield TaskKey(job.spec.job_id, occurrence, step, index), task
+
+
 class VmRecord(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """An incarnation of a VM, as its endpoint reports it.
 
