Start both tasks of a scheduling test before a round can place one

What was seen: test_job_that_fails_with_the_return_of_a_silent_vm_is_stopped still failed in 1 of 24 runs of its module, four at once on a busy machine: the job did not fail, "[] != [('crashing', ...)]".

Cause: the test started only the second task before it waited, so that a round of placement started the first one meanwhile. Nearly always that was on v0, where the test starts it next; the test's own start was then ignored, and all went on as expected. Where another VM answered its polls before v0, the run was there, v0 had no run that could crash it, and only three crashes counted.

Ruled out: the product.

Change: both tasks are started before the test waits, and before each silence the test requires that the run has the expected number and VM.

--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -129,10 +129,15 @@
         def apply(command):
             self.scheduler.applied(command, state.apply(command))
 
-        apply(StartRuns(starts=(RunStart(second, "sound", 1),), now_ms=2))
+        # Both tasks run from the start, so that no round places one on another VM.
+        starts = (RunStart(first, "v0", 1), RunStart(second, "sound", 1))
+        apply(StartRuns(starts=starts, now_ms=2))
         await eventually(lambda: (second, 1) in endpoints.of_vm("sound").runs)
         for number, vm in enumerate(vms, 1):
-            apply(StartRuns(starts=(RunStart(first, vm.vm_id, 1),), now_ms=2))
+            if number > 1:
+                apply(StartRuns(starts=(RunStart(first, vm.vm_id, 1),), now_ms=2))
+            places = [(run.number, run.vm_id) for run in state.task(first).runs]
+            self.assertEqual(places, [(number, vm.vm_id)])
             command = RecordEnds(
                 vm_id=vm.vm_id,
                 born_ms=1,
