Let later reports refute a number that is far too high

What callers could see: after one report of a VM under a number far above those of its true ones, false or damaged, its leader took all its true reports for late until the end of the term. A drain was missed as well, and runs were started on a VM that was leaving (DRAIN); a change of its address or its capacity was not seen.

Cause: the highest number held for the rest of the term, whatever came later.

Ruled out: asking the VM. Its answers to polls have neither the number of its reports nor its state.

Change: ReportHistory keeps the numbers. The highest one holds until five later reports with lower, but rising, numbers arrive more than 20 s after it; single late reports take nothing back, however late they are. A drain counts whatever the number of its report: it holds for the rest of the incarnation, so that the order tells nothing. All else of an outdated report is ignored, as before.

Conclusion: one false number costs a VM's changes, but for its drain, at most about 25 s. A writer that goes on to send false reports with rising numbers is not refuted.

--- /dev/null
+++ b/src/redwingslip/scheduling/_report_history.py
@@ -0,0 +1,98 @@
+"""What the earlier reports of a VM say about the next one."""
+
+from datetime import timedelta
+
+from ..clock import Clock
+from ..jobs import VmRecord
+
+__all__ = ["ReportHistory"]
+
+# Longer than a report is on its way. One that comes later was sent after the report
+# that it contradicts.
+MAX_REPORT_DELAY = timedelta(seconds=20)
+# A few may be held back for longer, or come from another writer.
+N_REPORTS_TO_REFUTE = 5
+
+
+class _Claim:
+    """What a report says, until enough later reports contradict it."""
+
+    __slots__ = ("_at", "_last_against", "_n_against")
+
+    def __init__(self, at: timedelta) -> None:
+        self._at = at
+        self._n_against = 0
+        self._last_against = -1
+
+    def contradict(self, sequence: int, now: timedelta) -> None:
+        """Count a report that contradicts the claim."""
+        if self._counts(sequence, now):
+            self._n_against += 1
+            self._last_against = sequence
+
+    def is_refuted_by(self, sequence: int, now: timedelta) -> bool:
+        """Return whether a report is the last that is needed to refute the claim."""
+        n_against = self._n_against + self._counts(sequence, now)
+        return n_against >= N_REPORTS_TO_REFUTE
+
+    def _counts(self, sequence: int, now: timedelta) -> bool:
+        """Return whether a report is late enough, and later than the others."""
+        return now - self._at > MAX_REPORT_DELAY and sequence > self._last_against
+
+
+class _Reports:
+    """The reports of one incarnation.
+
+    Attributes
+    ----------
+    sequence : int
+        Number of the last report in use.
+    number : _Claim
+        That reports with a lower number are outdated.
+    """
+
+    __slots__ = ("number", "sequence")
+
+    def __init__(self, sequence: int, now: timedelta) -> None:
+        self.sequence = sequence
+        self.number = _Claim(now)
+
+
+class ReportHistory:
+    """The reports that a leader has received, by incarnation.
+
+    The numbers of the true reports of an incarnation rise. What a false or damaged one
+    says holds until several later reports, with rising numbers, contradict it.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of this process.
+    """
+
+    __slots__ = ("_clock", "_reports")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._reports: dict[tuple[str, int], _Reports] = {}
+
+    def is_outdated(self, vm: VmRecord, sequence: int) -> bool:
+        """Return whether a later report of the incarnation was received before."""
+        reports = self._reports.get((vm.vm_id, vm.born_ms))
+        if reports is None or sequence >= reports.sequence:
+            return False
+        return not reports.number.is_refuted_by(sequence, self._clock.monotonic())
+
+    def note(self, vm: VmRecord, sequence: int) -> None:
+        """Note a report that is used."""
+        reports = self._reports.get((vm.vm_id, vm.born_ms))
+        if reports is None or sequence != reports.sequence:
+            self._reports[(vm.vm_id, vm.born_ms)] = _Reports(
+                sequence, self._clock.monotonic()
+            )
+
+    def note_outdated(self, vm: VmRecord, sequence: int) -> None:
+        """Note a report that is not used, or only for its drain."""
+        reports = self._reports.get((vm.vm_id, vm.born_ms))
+        if reports is not None and sequence < reports.sequence:
+            reports.number.contradict(sequence, self._clock.monotonic())
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -23,6 +23,7 @@
 )
 from ..observe import EventName
 from ._replacements import ReplacementChecks
+from ._report_history import ReportHistory
 from ._scheduler import Scheduler
 from ._term import Term
 from .exceptions import (
@@ -59,8 +60,8 @@
     __slots__ = (
         "_checks",
         "_customer_of_key",
+        "_history",
         "_indexed_plan",
-        "_last_sequences",
         "_scheduler",
         "_state",
         "_term",
@@ -71,7 +72,7 @@
         self._state = term.state
         self._scheduler = scheduler
         self._checks = ReplacementChecks(term, scheduler)
-        self._last_sequences: dict[tuple[str, int], int] = {}
+        self._history = ReportHistory(term.clock)
         self._indexed_plan: Plan | None = None
         self._customer_of_key: Mapping[str, str] = {}
 
@@ -230,9 +231,10 @@
         """Store the report of an endpoint; return once it is committed.
 
         A report has no effect if it comes from an earlier incarnation than the known
-        one, or if a later report of the same incarnation was received before it, or if
-        a VM that started later has the same address or machine. A VM that has reported
-        a drain stays draining for the rest of its incarnation.
+        one, or if a VM that started later has the same address or machine. Only a drain
+        counts if a later report of the same incarnation was received before it, see
+        `ReportHistory`. A VM that has reported a drain stays draining for the rest of
+        its incarnation.
 
         Raises
         ------
@@ -257,11 +259,12 @@
             await self._checks.verify(vm, unverified, is_new=is_new)
             # The state may have changed meanwhile.
             verified.update(map(_identity, unverified))
-        if vm is None:
-            return
-        # A report that names no VM to use must not make later ones outdated.
-        self._last_sequences[(vm.vm_id, vm.born_ms)] = sequence
-        if vm == self._state.vms.get(vm.vm_id):
+        if vm is None or self._history.is_outdated(reported, sequence):
+            # A report that is not used must not make later ones outdated.
+            self._history.note_outdated(reported, sequence)
+        else:
+            self._history.note(reported, sequence)
+        if vm is None or vm == self._state.vms.get(vm.vm_id):
             return
         for old in replaced:
             if old.vm_id != vm.vm_id:
@@ -344,12 +347,15 @@
 
         See `report_vm` for errors.
         """
-        if sequence < self._last_sequences.get((vm.vm_id, vm.born_ms), -1):
-            return None
         known = self._state.vms.get(vm.vm_id)
+        is_known = known is not None and known.born_ms == vm.born_ms
+        if self._history.is_outdated(vm, sequence):
+            if not (is_known and vm.is_draining):
+                return None
+            return msgspec.structs.replace(known, is_draining=True)
         if known is not None and known.born_ms > vm.born_ms:
             return None
-        if known is None or known.born_ms != vm.born_ms:
+        if not is_known:
             self._check_start(vm)
             self._check_pool(vm)
         else:
