Ask the VMs of a step before one of its tasks is stopped

What callers could see: a task with a disruption budget is stopped, or its machine maintained, while another of its step is away since its VM ended up to 2.2 s before (AVAIL, if more are away than may be).

Cause: a task counted as at work until its VM had not answered for the contact timeout, 2.2 s.

Ruled out: a shorter contact timeout (VMs that are well would lose their place in placement for a slow answer); `is_responsive` (it is as old as the poll that waits).

Change: when the budgets hold by what is known, and a place is there, the VMs of the other tasks at work are asked, each by one call that waits for nothing, neither renews a lease nor acknowledges ends. The order is given in the next round, 0.1 s later, if enough of them have listed their tasks at work since (`WorkChecks`). The VM whose task is to be stopped must have answered as well: a stop that waits for a silent VM would arrive beside others. A silent VM holds nothing up for longer than before: its tasks count as away at once instead of after 2.2 s, and start elsewhere once its lease has expired. Rounds that are slower than an answer counts (250 ms) use the answers of the last one.

Left: an order that is on its way when a VM ends, some milliseconds and the commit of its record.

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -189,6 +189,20 @@
             return None
         return report.born_ms == vm.born_ms if report.born_ms else None
 
+    async def look(self) -> tuple[ListedRun, ...] | None:
+        """Return the runs that the VM lists at present; None if it does not answer.
+
+        The call neither renews a lease nor acknowledges ends.
+        """
+        try:
+            report = await self._orders.hold(
+                self.vm, fence=self._term.fence, cursor=0, until_ms=None, wait_ms=0
+            )
+        except (VmReplacedError, OrderNotSentError, OrderOutcomeUnknownError):
+            return None
+        is_other = report.born_ms and report.born_ms != self.vm.born_ms
+        return None if is_other else report.runs
+
     async def _poll_forever(self) -> None:
         delay = self._cfg.agents.retry_delay
         while True:
--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -1,6 +1,6 @@
 """Evacuation of a machine, task by task, within the disruption budgets of steps."""
 
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Container, Iterable, Iterator, Mapping
 from datetime import timedelta
 
 from ..jobs import ActiveRun, TaskKey, iter_tasks
@@ -9,7 +9,9 @@
 from ._agent import VmAgent
 from ._job_index import non_preemptible_need
 from ._machines import MachineRegistry
+from ._order_sender import RunId
 from ._term import Term
+from ._work_checks import WorkChecks
 
 __all__ = ["Evacuation"]
 
@@ -20,7 +22,8 @@
     """Stops tasks in advance if maintenance would end too many of a step at a time.
 
     A task is stopped when two conditions hold: with it, no more tasks of its step are
-    unavailable than the disruption budget allows, and another VM can run it.
+    unavailable than the disruption budget allows, and another VM can run it. The VMs of
+    the others are asked right before, since one may have ended since its last answer.
 
     Parameters
     ----------
@@ -32,9 +35,18 @@
         Machines for which a maintenance order is in progress.
     maintained_at : mapping of str to timedelta
         Monotonic times at which the platform confirmed the maintenance of machines.
+    checks : WorkChecks
+        Asks VMs whether tasks are at work.
     """
 
-    __slots__ = ("_machines", "_maintained_at", "_ordered", "_state", "_term")
+    __slots__ = (
+        "_checks",
+        "_machines",
+        "_maintained_at",
+        "_ordered",
+        "_state",
+        "_term",
+    )
 
     def __init__(
         self,
@@ -43,12 +55,14 @@
         machines: MachineRegistry,
         ordered: Container[str],
         maintained_at: Mapping[str, timedelta],
+        checks: WorkChecks,
     ) -> None:
         self._term = term
         self._state = term.state
         self._machines = machines
         self._ordered = ordered
         self._maintained_at = maintained_at
+        self._checks = checks
 
     def keeps_budgets(self, runs: Iterable[ActiveRun]) -> bool:
         """Return whether all steps stay within budget if runs of one VM end."""
@@ -57,6 +71,17 @@
             for step_runs, budget in self._runs_with_budget(runs)
         )
 
+    def confirms_budgets(self, runs: Iterable[ActiveRun]) -> bool:
+        """Return whether VMs have just confirmed what `keeps_budgets` relies on.
+
+        Those that have not are asked; their answers count from the next round on.
+        """
+        by_step = [
+            self._is_confirmed(step_runs, budget)
+            for step_runs, budget in self._runs_with_budget(runs)
+        ]
+        return all(by_step)
+
     def n_stops(self, machine: str) -> int:
         """Return how many tasks must leave a machine before its maintenance."""
         agent = self._machines.agent_on(machine)
@@ -86,13 +111,22 @@
             run = min(not_stopping, key=self._is_run_at_work)
             n_unavailable = self._n_unavailable([run])
             if n_unavailable < budget:
-                self._stop_one(agent, run, n_unavailable)
+                self._stop_one(agent, run, n_unavailable, budget)
 
-    def _stop_one(self, agent: VmAgent, run: ActiveRun, n_unavailable: int) -> None:
+    def _stop_one(
+        self, agent: VmAgent, run: ActiveRun, n_unavailable: int, budget: int
+    ) -> None:
         """Stop a run if another VM can run its task; otherwise count a needed VM."""
         if not self._has_place(agent, run):
             self._machines.n_vms_needed[agent.vm.pool] += 1
             return
+        # A VM that does not answer would get the order late, beside any other stop.
+        if not self._checks.has_answered(agent):
+            self._checks.request([agent])
+            self._is_confirmed([run], budget)
+            return
+        if not self._is_confirmed([run], budget):
+            return
         self._term.emit(
             EventName.RUN_PREEMPTED,
             request_id=run.key.job_id,
@@ -120,14 +154,34 @@
 
     def _n_unavailable(self, step_runs: list[ActiveRun]) -> int:
         """Return how many other tasks of the step of the given runs are not at work."""
+        return sum(not at_work for at_work in self._at_work_of_others(step_runs))
+
+    def _at_work_of_others(
+        self, step_runs: list[ActiveRun]
+    ) -> Iterator[list[tuple[VmAgent, RunId]]]:
+        """Yield, for each other task of the step of the given runs, those at work."""
         step_key = step_runs[0].key[:3]
         excluded = {run.key for run in step_runs}
         job = self._state.jobs[step_key[0]]
-        return sum(
-            not any(self._is_at_work(key, r.number, r.vm_id) for r in task.runs)
-            for key, task in iter_tasks(job)
-            if key[:3] == step_key and key not in excluded
-        )
+        for key, task in iter_tasks(job):
+            if key[:3] == step_key and key not in excluded:
+                yield [
+                    (self._machines.agents[run.vm_id], (key, run.number))
+                    for run in task.runs
+                    if self._is_at_work(key, run.number, run.vm_id)
+                ]
+
+    def _is_confirmed(self, step_runs: list[ActiveRun], budget: int) -> bool:
+        """Return whether VMs have just listed enough other tasks at work; else ask."""
+        unconfirmed = [
+            at_work
+            for at_work in self._at_work_of_others(step_runs)
+            if not any(self._checks.is_confirmed(*listed) for listed in at_work)
+        ]
+        if len(unconfirmed) + len(step_runs) <= budget:
+            return True
+        self._checks.request(agent for at_work in unconfirmed for agent, _ in at_work)
+        return False
 
     def _is_run_at_work(self, run: ActiveRun) -> bool:
         return self._is_at_work(run.key, run.number, run.vm_id)
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -10,6 +10,7 @@
 from ._job_index import PoolBacklog
 from ._machines import MachineManager
 from ._ports import MachineOutcome
+from ._work_checks import WorkChecks
 from .exceptions import CommandOutcomeUnknownError, NotLeadingError
 
 __all__ = ["WaveManager"]
@@ -29,11 +30,13 @@
         self._cordoned_at: dict[str, timedelta] = {}
         self._maintained_at: dict[str, timedelta] = {}
         self._retry_at: dict[str, timedelta] = {}
+        self._checks = WorkChecks(self._term)
         self._evacuation = Evacuation(
             term=self._term,
             machines=self._machines,
             ordered=self._order_tasks,
             maintained_at=self._maintained_at,
+            checks=self._checks,
         )
 
     async def run(self) -> None:
@@ -45,10 +48,12 @@
                     continue
                 now = self._term.clock.monotonic()
                 self._machines.n_vms_needed.clear()
+                self._checks.begin_round()
                 for wave in tuple(self._state.waves.values()):
                     if not wave.is_complete:
                         self._advance(wave, now)
         finally:
+            self._checks.close()
             self._cancel_orders()
 
     def _advance(self, wave: WaveRecord, now: timedelta) -> None:
@@ -158,7 +163,9 @@
         if not self._evacuation.keeps_budgets(runs):
             return False
         is_drained = all(self._state.step(r.key).is_long_running for r in runs)
-        return is_drained or now >= cordoned_at + self._cfg.waves.max_drain
+        if not is_drained and now < cordoned_at + self._cfg.waves.max_drain:
+            return False
+        return self._evacuation.confirms_budgets(runs)
 
     def _is_down(self, wave: WaveRecord, machine: str, now: timedelta) -> bool:
         """Return whether a machine is or may be down for its maintenance."""
--- a/tests/test_scheduling_budgets.py
+++ b/tests/test_scheduling_budgets.py
@@ -5,15 +5,19 @@
 has its effect. The histories run in virtual time.
 """
 
+import asyncio
 import unittest
 
 from redwingslip.jobs import Amounts, JobSpec, StepSpec
 from redwingslip.scheduling import MachineOutcome
 from tests.support_virtual_time import run_virtually
+from tests.test_scheduling_long_running import LAST_FAULT_S
 from tests.test_scheduling_long_running_room import MaintainingPlatform, WavePool
 
+RESTART_S = 3.2
 # Seeds that have found a fault stay here.
 SEEDS = (*range(3), 14, 26)
+CRASH_SEEDS = (0, 1, 3, 9, 24, 26)
 
 
 class BudgetPool(WavePool):
@@ -46,6 +50,26 @@
         """Let no VM crash."""
 
 
+class CrashingPool(BudgetPool):
+    """A pool whose VMs crash or fall silent, and come back, during the wave."""
+
+    async def crash(self):
+        """Crash VMs while more than two are up."""
+        loop = asyncio.get_running_loop()
+        while self.world.now() < LAST_FAULT_S:
+            await asyncio.sleep(self.rng.uniform(0.5, 4))
+            up = self.sound_endpoints()
+            if len(up) <= 2:
+                continue
+            endpoint = self.rng.choice(up)
+            for key in filter(self.world.is_at_work, endpoint.runs):
+                self.world.crashed_at[key] = self.world.now()
+            endpoint.is_partitioned = self.rng.random() < 0.5
+            endpoint.is_up = endpoint.is_partitioned
+            endpoint.runs.clear()
+            loop.call_later(RESTART_S, self.world.start_endpoint, endpoint.vm_id)
+
+
 class CheckingPlatform(MaintainingPlatform):
     """A platform that checks the disruption budgets before it ends a VM."""
 
@@ -71,6 +95,16 @@
                 self.assertEqual(world.problems, [])
                 self.assertEqual(len(history.operations.maintained), history.n_vms)
 
+    # AVAIL: a task counted as at work for 2.2 s after the last answer of its VM.
+    def test_waves_over_vms_that_crash(self):
+        """Guards against a stop of a task beside one whose VM has crashed."""
+        for seed in CRASH_SEEDS:
+            with self.subTest(seed=seed):
+                history = CrashingPool(seed)
+                world = run_virtually(history.run)
+                self.assertEqual(world.problems, [])
+                self.assertEqual(len(history.operations.maintained), history.n_vms)
+
 
 if __name__ == "__main__":
     unittest.main()
