Look at the runs of a machine again once its order is recorded

Cause: a machine is chosen by its runs, its order is recorded by a commit, and then sent. Starts that were proposed before come into force with that commit or before, as do ends: what the leader knew when it chose was older than what it had recorded when it sent.

Change: after the record, a machine is moved only if its VM still has no runs, and maintained only if it is still drained and its budgets hold. The record of a first order that is not sent is withdrawn (`given_up`), and the wave tries again.

Tests, seen failing on the commit before: a run placed while a move is recorded, the same for maintenance, and a task that ends while maintenance is recorded.

--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -295,7 +295,10 @@
 
         A VM in the target pool goes on: its machine is there already.
         """
-        if not await self._record_move(machine):
+        is_recorded = await self._record_move(machine)
+        # A round of placement whose commit was in progress may have started runs.
+        has_runs = agent is not None and self._state.runs.get(agent.vm.vm_id)
+        if not is_recorded or has_runs:
             self._arrivals.pop(machine, None)
             return
         outcome = await self._operations.move(machine, pool, fence=self._term.fence)
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -4,7 +4,7 @@
 import math
 from datetime import timedelta
 
-from ..jobs import RecordMaintenance, WaveRecord
+from ..jobs import ActiveRun, RecordMaintenance, WaveRecord
 from ..observe import EventName
 from ._evacuation import Evacuation
 from ._job_index import PoolBacklog
@@ -153,19 +153,26 @@
             return False
         if not self._machines.may_order(machine):
             return False
+        if not self._may_end_runs(machine, now):
+            return False
+        return self._evacuation.confirms_budgets(self._runs_on(machine))
+
+    def _may_end_runs(self, machine: str, now: timedelta) -> bool:
+        """Return whether a machine is cordoned and its runs may end with its VM."""
         cordoned_at = self._cordoned_at.get(machine)
         if cordoned_at is None:
             return False
-        agent = self._machines.agent_on(machine)
-        if agent is None:
-            return True
-        runs = self._state.runs_of(agent.vm.vm_id, agent.vm.born_ms)
+        runs = self._runs_on(machine)
         if not self._evacuation.keeps_budgets(runs):
             return False
         is_drained = all(self._state.step(r.key).is_long_running for r in runs)
-        if not is_drained and now < cordoned_at + self._cfg.waves.max_drain:
-            return False
-        return self._evacuation.confirms_budgets(runs)
+        return is_drained or now >= cordoned_at + self._cfg.waves.max_drain
+
+    def _runs_on(self, machine: str) -> tuple[ActiveRun, ...]:
+        agent = self._machines.agent_on(machine)
+        if agent is None:
+            return ()
+        return self._state.runs_of(agent.vm.vm_id, agent.vm.born_ms)
 
     def _is_down(self, wave: WaveRecord, machine: str, now: timedelta) -> bool:
         """Return whether a machine is or may be down for its maintenance."""
@@ -202,6 +209,11 @@
             await self._record_maintenance(wave, ordered=(machine,))
             if not self._term.is_leading():
                 return
+            # Commits that were in progress may have started or ended runs.
+            if not self._may_end_runs(machine, self._term.clock.monotonic()):
+                if not is_repeated:
+                    await self._record_maintenance(wave, given_up=(machine,))
+                return
             agent = self._machines.agent_on(machine)
             outcome = await self._operations.maintain(
                 machine, wave.number, fence=self._term.fence
--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -350,6 +350,24 @@
         (run,) = [r for runs in self.state.runs.values() for r in runs.values()]
         self.assertNotIn(f"m-{run.vm_id}", moved)
 
+    async def test_a_run_placed_while_the_move_is_recorded_cancels_it(self):
+        """Guards against runs that end with a VM since their commit was in progress."""
+        self.make_fleet(*(make_vm(f"v{n}") for n in range(3)), jobs=[make_job()])
+        self.begin()
+        placed = []
+
+        def place(command):
+            if isinstance(command, RecordMove) and not placed:
+                placed.append(command.machine)
+                self.run_task("j1", command.machine.removeprefix("m-"))
+
+        self.term.on_command = place
+        await asyncio.sleep(0.02)
+        self.advance(CFG.rest_time)
+        await eventually(lambda: placed)
+        await asyncio.sleep(0.05)
+        self.assertNotIn(placed[0], {machine for machine, _ in self.platform.moved})
+
     async def test_a_replica_that_does_not_lead_moves_nothing(self):
         self.make_fleet(*(make_vm(f"v{n}") for n in range(4)))
         self.begin()
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -7,8 +7,11 @@
 
 from redwingslip.clock import ManualClock
 from redwingslip.jobs import (
+    EndKind,
+    RecordEnds,
     RecordMaintenance,
     RecordMove,
+    RunEnd,
     RunStart,
     StartRuns,
     StartWave,
@@ -272,6 +275,45 @@
         self.endpoints.of_vm("v2").is_unresponsive = False
         await eventually(lambda: self.platform.maintained == ["m-v1"])
 
+    async def test_a_run_that_starts_while_an_order_is_recorded_delays_it(self):
+        """Guards against runs that end with a VM since their commit was in progress."""
+        self.build(make_vm("v1"), job=make_job(), untouched=["v1"])
+        started = []
+
+        def start(command):
+            is_order = isinstance(command, RecordMaintenance) and command.ordered
+            if is_order and not started:
+                started.append(command)
+                self.run_task(0, "v1", percent=10)
+
+        self.term.on_command = start
+        await eventually(lambda: started)
+        await asyncio.sleep(0.03)
+        self.assertEqual(self.platform.maintained, [])
+        self.assertTrue(self.state.runs_of("v1"))
+        self.assertEqual(self.state.waves[1].ordered, {})
+        self.clock.advance(CFG.max_drain)
+        await eventually(lambda: self.platform.maintained == ["m-v1"])
+
+    async def test_a_task_that_ends_while_an_order_is_recorded_delays_it(self):
+        """Guards against maintenance beside a task that has ended meanwhile."""
+        job = make_job(n_tasks=2, is_long_running=True, disruption_budget=1)
+        self.build(make_vm("v1"), make_vm("v2"), job=job, duration_ms=4_000)
+        self.state.waves[1].gone.add("m-v2")
+        for index in range(2):
+            self.run_task(index, f"v{1 + index}")
+
+        def end(command):
+            if isinstance(command, RecordMaintenance) and command.ordered:
+                ends = (RunEnd(TaskKey("j1", 0, 0, 1), 1, EndKind.LOST),)
+                self.state.apply(RecordEnds(vm_id="v2", born_ms=1, ends=ends, now_ms=2))
+
+        self.term.on_command = end
+        self.wait_for_takeover()
+        await eventually(lambda: not self.state.runs_of("v2"))
+        await asyncio.sleep(0.03)
+        self.assertEqual(self.platform.maintained, [])
+
     async def test_a_cordoned_machine_is_evacuated_before_its_maintenance(self):
         job = make_job(n_tasks=2, is_long_running=True, disruption_budget=1)
         self.build(make_vm("v1"), make_vm("v2"), job=job, duration_ms=4_000)
