Don't count a machine that left its wave as about to be maintained

What callers could see: a wave with a limit of machines at a time stops for good, and long-running tasks stay on machines that are due.

Cause: if the answer to an order was lost and a repeated order is answered that the machine is unknown or not of the wave, the machine is recorded as gone, but stays among those with an order whose maintenance has not begun. So it counted as down, and its tasks as about to end, for ever.

Change: a machine that is gone is neither. The test was seen failing before (the wave never ended).

--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -178,7 +178,7 @@
         """Return whether a machine is or may be down for its maintenance."""
         if machine in self._order_tasks:
             return True
-        if machine not in wave.ordered:
+        if machine not in wave.ordered or machine in wave.gone:
             return False
         if machine not in wave.begun:
             return True
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -275,6 +275,22 @@
         self.endpoints.of_vm("v2").is_unresponsive = False
         await eventually(lambda: self.platform.maintained == ["m-v1"])
 
+    async def test_a_machine_that_left_the_wave_after_an_order_holds_up_no_other(self):
+        """Guards against a wave that waits for ever for a machine it gave up."""
+        for outcome in (MachineOutcome.NOT_OF_WAVE, MachineOutcome.UNKNOWN_MACHINE):
+            with self.subTest(outcome=outcome):
+                self.platform = FakePlatform()
+                self.platform.answers = [outcome]
+                job = make_job(n_tasks=2, is_long_running=True, disruption_budget=1)
+                self.build(make_vm("v1"), make_vm("v2"), job=job, duration_ms=4_000)
+                for index in range(2):
+                    self.run_task(index, f"v{1 + index}")
+                command = RecordMaintenance(number=1, ordered=("m-v1",), now_ms=1)
+                self.state.apply(command)
+                self.wait_for_takeover()
+                await eventually(lambda: self.state.waves[1].is_complete)
+                self.assertEqual(self.platform.maintained, ["m-v1", "m-v2"])
+
     async def test_a_run_that_starts_while_an_order_is_recorded_delays_it(self):
         """Guards against runs that end with a VM since their commit was in progress."""
         self.build(make_vm("v1"), job=make_job(), untouched=["v1"])
