Wait for what a test needs, instead of a fixed time

What was seen: two tests failed once each in eight runs of four modules beside load of 24 on 8 processors: an order that never came, in test_a_machine_is_down_until_its_kept_vm_answers_again, and no planned move, in test_a_run_placed_after_the_plan_cancels_the_move.

Cause: their clock moves by hand, once. If it moved before the outcome of the order was noted, the answer after it wasn't later than the order; if it moved before the first round, the rest of the machines counted from then. Both by reading; neither test was made to fail on purpose.

Change: the tests wait for the record of the outcome, and for the first round. Two more tests of moves had the same fixed wait. What they require is the same.

--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -222,7 +222,7 @@
     async def test_machines_that_are_expected_to_be_used_stay_on(self):
         self.make_fleet(*(make_vm(f"v{n}") for n in range(4)))
         self.begin()
-        await asyncio.sleep(0.02)
+        await eventually(lambda: self.manager._idle_since)
         self.advance(CFG.rest_time)
         steps = make_job(n_tasks=8, estimate_ms=1000).steps
         for _ in range(3):
@@ -340,7 +340,8 @@
     async def test_a_run_placed_after_the_plan_cancels_the_move(self):
         self.make_fleet(*(make_vm(f"v{n}") for n in range(3)), jobs=[make_job()])
         self.begin()
-        await asyncio.sleep(0.02)
+        # The rest of a machine counts from the first round that finds it idle.
+        await eventually(lambda: self.manager._idle_since)
         self.advance(CFG.rest_time)
         await eventually(lambda: self.manager._planned_pools or self.platform.moved)
         for machine in tuple(self.manager._planned_pools):
@@ -362,7 +363,7 @@
                 self.run_task("j1", command.machine.removeprefix("m-"))
 
         self.term.on_command = place
-        await asyncio.sleep(0.02)
+        await eventually(lambda: self.manager._idle_since)
         self.advance(CFG.rest_time)
         await eventually(lambda: placed)
         await asyncio.sleep(0.05)
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -203,6 +203,8 @@
         self.state.apply(RecordMaintenance(number=1, ordered=("m-v1",), now_ms=1))
         self.wait_for_takeover()
         await eventually(lambda: self.platform.maintained)
+        # An answer counts only if it comes after the outcome of the order.
+        await eventually(lambda: self.state.waves[1].begun)
         self.clock.advance(timedelta(milliseconds=10))
         await asyncio.sleep(0.03)
         self.assertEqual(self.platform.maintained, ["m-v1"])
