Know under any leader which VMs have left

What callers could see: a run that is started on a VM which has left, which the platform's rule DRAIN forbids.

Cause: the state forgot a VM with its deregistration. That its late reports are outdated rested only on the numbers of reports that one leader had seen.

Ruled out as a mend: replicated numbers of reports. Unchanged reports are not committed, so that the number in the state would be older than the last report of a VM that leaves without a drain. Refusing the report when the command is applied: replicas of two versions would then know different VMs.

Change: the end that an incarnation has announced is final. A later incarnation is taken in as before; the entry lapses by itself. A deregistration that names no incarnation, of a VM that reported no drain, may be that of an earlier one and excludes none. VMs that report no time of birth are not kept either, as it tells their incarnations apart. A controller of an earlier version ignores the new field; what it notes wrongly counts as draining with the next report to a newer one.

Not covered: a VM that deregisters after the leader has removed it for its silence, of which no end is recorded.

--- a/src/redwingslip/jobs/_commands.py
+++ b/src/redwingslip/jobs/_commands.py
@@ -158,6 +158,9 @@
         Whether the incarnation ended without an order and without notice.
     is_silent : bool
         Whether it is removed only since it does not answer, and may still be alive.
+    has_left : bool
+        Whether it has announced its end itself. An earlier version of a controller
+        ignores it.
     """
 
     vm_id: str
@@ -165,6 +168,7 @@
     now_ms: int
     has_crashed: bool = False
     is_silent: bool = False
+    has_left: bool = False
 
 
 class ForgetJobs(_Command):
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -22,6 +22,7 @@
     SubmitJob,
 )
 from ._crashes import MAX_CRASHES, PROBATION_MS
+from ._left_vms import LeftVms
 from ._machine_orders import MachineOrders
 from ._plan import Plan, Queue
 from ._records import (
@@ -83,6 +84,7 @@
     machine_orders: MachineOrders = msgspec.field(default_factory=MachineOrders)
     removed: RemovedEntries = msgspec.field(default_factory=RemovedEntries)
     early_cancels: tuple[tuple[str, str, int], ...] = ()
+    left_vms: LeftVms = msgspec.field(default_factory=LeftVms)
 
 
 class JobsState:
@@ -101,6 +103,8 @@
         customer. The job of such a submission is cancelled when it arrives.
     vms : dict of str to VmRecord
         Newest known incarnation of each VM, by name.
+    left_vms : LeftVms
+        VMs that have left lately.
     waves : dict of int to WaveRecord
         Waves by number.
     machine_orders : MachineOrders
@@ -119,6 +123,7 @@
     __slots__ = (
         "early_cancels",
         "jobs",
+        "left_vms",
         "machine_orders",
         "plan",
         "removed",
@@ -136,6 +141,7 @@
         self.jobs: dict[str, JobRecord] = {}
         self.early_cancels: dict[tuple[str, str], int] = {}
         self.vms: dict[str, VmRecord] = {}
+        self.left_vms = LeftVms()
         self.waves: dict[int, WaveRecord] = {}
         self.machine_orders = MachineOrders()
         self.runs: dict[str, dict[tuple[TaskKey, int], ActiveRun]] = {}
@@ -191,6 +197,10 @@
         runs = () if task is None else task.runs
         return next((run for run in runs if run.number == number), None)
 
+    def has_left(self, vm_id: str, born_ms: int) -> bool:
+        """Return whether an incarnation, or a later one of its VM, has left lately."""
+        return self.left_vms.has_left(vm_id, born_ms, self.machine_orders.steady_ms)
+
     def snapshot(self) -> bytes:
         """Return an encoded snapshot of the whole state."""
         return msgspec.msgpack.encode(
@@ -205,6 +215,7 @@
                     (job_id, customer, at_ms)
                     for (job_id, customer), at_ms in self.early_cancels.items()
                 ),
+                left_vms=self.left_vms,
             )
         )
 
@@ -219,6 +230,7 @@
             for job_id, customer, at_ms in snapshot.early_cancels
         }
         self.vms = {vm.vm_id: vm for vm in snapshot.vms}
+        self.left_vms = snapshot.left_vms
         self.waves = {wave.number: wave for wave in snapshot.waves}
         self.machine_orders = snapshot.machine_orders
         self.runs = {}
@@ -341,6 +353,9 @@
         elif not command.is_silent:
             # It has ended by an order or as it had announced.
             self._clear_silence(command.vm_id, command.born_ms)
+        if command.has_left:
+            steady_ms = self.machine_orders.steady_ms
+            self.left_vms.record(command.vm_id, command.born_ms, steady_ms)
         if vm is not None and vm.born_ms == command.born_ms:
             del self.vms[command.vm_id]
             vm = None
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -231,8 +231,9 @@
 
         A report has no effect if it comes from an earlier incarnation than the known
         one, or if a later report of the same incarnation was received before it, or if
-        a VM that started later has the same address or machine. A VM that has reported
-        a drain stays draining for the rest of its incarnation.
+        a VM that started later has the same address or machine, or if the incarnation
+        has left. A VM that has reported a drain stays draining for the rest of its
+        incarnation.
 
         Raises
         ------
@@ -285,11 +286,14 @@
         stays known as draining, and its agent removes it later.
 
         A `born_ms` of 0 stands for the known incarnation; a report of any other
-        incarnation has no effect.
+        incarnation has no effect. Later reports of one that has left have none under
+        any leader, if it reported a drain or is named here. An end without either may
+        be that of an earlier incarnation.
         """
         known = self._state.vms.get(vm_id)
         if known is None or (born_ms and born_ms != known.born_ms):
             return
+        has_left = known.is_draining or bool(born_ms)
         if not known.is_draining:
             vm = msgspec.structs.replace(known, is_draining=True)
             await self._term.propose(NoteVm(vm=vm, now_ms=self._term.now_ms()))
@@ -297,7 +301,10 @@
             return
         self._term.emit(EventName.VM_LOST, vm=vm_id, detail="has left")
         command = ForgetVm(
-            vm_id=vm_id, born_ms=known.born_ms, now_ms=self._term.now_ms()
+            vm_id=vm_id,
+            born_ms=known.born_ms,
+            now_ms=self._term.now_ms(),
+            has_left=has_left,
         )
         await self._term.propose(command)
 
@@ -349,13 +356,17 @@
         known = self._state.vms.get(vm.vm_id)
         if known is not None and known.born_ms > vm.born_ms:
             return None
+        has_left = self._state.has_left(vm.vm_id, vm.born_ms)
         if known is None or known.born_ms != vm.born_ms:
+            if has_left:
+                return None
             self._check_start(vm)
             self._check_pool(vm)
         else:
             if vm.pool != known.pool:
                 self._check_pool(vm)
-            is_draining = known.is_draining or vm.is_draining
+            # A controller of an earlier version may have noted it after its end.
+            is_draining = known.is_draining or vm.is_draining or has_left
             vm = msgspec.structs.replace(
                 vm, end_cursor=known.end_cursor, is_draining=is_draining
             )
--- a/tests/test_jobs_fuzz.py
+++ b/tests/test_jobs_fuzz.py
@@ -91,10 +91,16 @@
         record = VmRecord(vm_id=f"v{vm}", born_ms=self.incarnations[vm])
         self.apply(NoteVm(vm=record, now_ms=1))
 
-    @rule(vm=st.integers(0, 2), age=st.integers(0, 2))
-    def forget_vm(self, vm, age):
+    @rule(vm=st.integers(0, 2), age=st.integers(0, 2), has_left=st.booleans())
+    def forget_vm(self, vm, age, has_left):
         incarnation = self.incarnations[vm] - age
-        self.apply(ForgetVm(vm_id=f"v{vm}", born_ms=incarnation, now_ms=1))
+        name = f"v{vm}"
+        self.apply(
+            ForgetVm(vm_id=name, born_ms=incarnation, now_ms=1, has_left=has_left)
+        )
+        if has_left and incarnation > 0:
+            assert self.state.has_left(name, incarnation), "a VM that left is unknown"
+        assert not self.state.has_left(name, self.incarnations[vm] + 1)
 
     @rule(
         picks=st.lists(
--- a/tests/test_scheduling_lifecycle.py
+++ b/tests/test_scheduling_lifecycle.py
@@ -18,6 +18,7 @@
 from tests.test_scheduling_leaders import FAULTS_S, N_JOBS, RECOVERY_S, Case
 
 N_SEEDS = 8
+FIRST_LEFT_SEED = 2_004
 REFUSALS = (StartResult.UNHEALTHY, StartResult.NO_TICKET, StartResult.LATE)
 N_WAVES = 3
 WAVE_MS = 12_000
@@ -214,6 +215,17 @@
                     answer_loss_rate=0.3,
                 )
 
+    def test_vms_that_have_left(self):
+        """Guards against starts on a VM that left, for a report from before that."""
+        for seed in range(FIRST_LEFT_SEED, FIRST_LEFT_SEED + N_SEEDS):
+            with self.subTest(seed=seed):
+                self.check(
+                    seed,
+                    faults=("leave", "replace"),
+                    late_report_rate=0.6,
+                    answer_loss_rate=0.8,
+                )
+
     def test_refusals_and_slow_answers(self):
         """Guards against runs that are closed while an order for them is under way."""
         for seed in range(1, N_SEEDS + 1):
--- a/tests/test_scheduling_service.py
+++ b/tests/test_scheduling_service.py
@@ -13,6 +13,7 @@
     JobSpec,
     JobsState,
     JobStatus,
+    NoteVm,
     Plan,
     Pool,
     Queue,
@@ -291,6 +292,46 @@
         vm = self.state.vms.get("v1")
         self.assertTrue(vm is None or vm.is_draining)
 
+    async def report_to_a_new_leader(self, *vms):
+        """Pass late reports to another leader, whose state is from a snapshot."""
+        state = JobsState()
+        state.restore(self.state.snapshot())
+        service = JobService(term=FakeTerm(state, self.clock), scheduler=None)
+        for vm in vms:
+            await service.report_vm(vm, 4, 0)
+        return state
+
+    async def test_a_vm_that_left_without_a_drain_is_known_to_a_new_leader(self):
+        """Guards against starts on a VM whose drain was never reported."""
+        await self.service.report_vm(make_vm(), 3, 0)
+        await self.service.remove_vm("v1", 1)
+        state = await self.report_to_a_new_leader(make_vm(), make_vm(is_draining=True))
+        self.assertEqual(state.vms, {})
+
+    async def test_a_vm_that_left_may_come_back_as_another_incarnation(self):
+        """Guards against a VM that is ignored since an earlier one has left."""
+        await self.service.report_vm(make_vm(is_draining=True), 5, 0)
+        await self.service.remove_vm("v1", 1)
+        vm = make_vm(born_ms=2)
+        state = await self.report_to_a_new_leader(vm, make_vm())
+        self.assertEqual(state.vms, {"v1": vm})
+
+    async def test_an_end_that_names_no_incarnation_excludes_none(self):
+        """Guards against a VM that is ignored for the late end of an earlier one."""
+        await self.service.report_vm(make_vm(), 3, 0)
+        await self.service.remove_vm("v1", 0)
+        self.assertEqual(self.state.vms, {})
+        state = await self.report_to_a_new_leader(make_vm())
+        self.assertEqual(state.vms, {"v1": make_vm()})
+
+    async def test_a_vm_that_was_noted_after_its_end_is_draining(self):
+        """Guards against a VM that an earlier version noted, and that stays ready."""
+        await self.service.report_vm(make_vm(is_draining=True), 5, 0)
+        await self.service.remove_vm("v1", 1)
+        self.state.apply(NoteVm(vm=make_vm(), now_ms=1))
+        state = await self.report_to_a_new_leader(make_vm())
+        self.assertTrue(state.vms["v1"].is_draining)
+
     async def run_task_on_a_vm(self):
         """Run a task on a VM with an agent; return the endpoint and the task's key."""
         vm, endpoint, key = make_vm(), FakeEndpoint(), TaskKey("j", 0, 0, 0)
