--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -27,6 +27,7 @@
     count_crash,
     note_silence,
 )
+from ._left_vms import LeftVms
 from ._machine_orders import MachineOrders
 from ._plan import Plan, Queue
 from ._records import (
@@ -80,6 +81,7 @@
     machine_orders: MachineOrders = msgspec.field(default_factory=MachineOrders)
     removed: RemovedEntries = msgspec.field(default_factory=RemovedEntries)
     early_cancels: tuple[tuple[str, str, int], ...] = ()
+    left_vms: LeftVms = msgspec.field(default_factory=LeftVms)
 
 
 class JobsState:
@@ -98,6 +100,8 @@
         customer. The job of such a submission is cancelled when it arrives.
     vms : dict of str to VmRecord
         Newest known incarnation of each VM, by name.
+    left_vms : LeftVms
+        VMs that have left lately.
     waves : dict of int to WaveRecord
         Waves by number.
     machine_orders : MachineOrders
@@ -112,6 +116,7 @@
         "active_runs",
         "early_cancels",
         "jobs",
+        "left_vms",
         "machine_orders",
         "plan",
         "removed",
@@ -126,6 +131,7 @@
         self.jobs: dict[str, JobRecord] = {}
         self.early_cancels: dict[tuple[str, str], int] = {}
         self.vms: dict[str, VmRecord] = {}
+        self.left_vms = LeftVms()
         self.waves: dict[int, WaveRecord] = {}
         self.machine_orders = MachineOrders()
         self.active_runs = ActiveRuns()
@@ -193,6 +199,10 @@
         runs = () if task is None else task.runs
         return next((run for run in runs if run.number == number), None)
 
+    def has_left(self, vm_id: str, born_ms: int) -> bool:
+        """Return whether an incarnation, or a later one of its VM, has left lately."""
+        return self.left_vms.has_left(vm_id, born_ms, self.machine_orders.steady_ms)
+
     def snapshot(self) -> bytes:
         """Return an encoded snapshot of the whole state."""
         return msgspec.msgpack.encode(
@@ -207,6 +217,7 @@
                     (job_id, customer, at_ms)
                     for (job_id, customer), at_ms in self.early_cancels.items()
                 ),
+                left_vms=self.left_vms,
             )
         )
 
@@ -221,6 +232,7 @@
             for job_id, customer, at_ms in snapshot.early_cancels
         }
         self.vms = {vm.vm_id: vm for vm in snapshot.vms}
+        self.left_vms = snapshot.left_vms
         self.waves = {wave.number: wave for wave in snapshot.waves}
         self.machine_orders = snapshot.machine_orders
         self.active_runs = ActiveRuns()
@@ -335,6 +347,9 @@
         elif not command.is_silent:
             # It has ended by an order or as it had announced.
             clear_silence(self, command.vm_id, command.born_ms)
+        if command.has_left:
+            steady_ms = self.machine_orders.steady_ms
+            self.left_vms.record(command.vm_id, command.born_ms, steady_ms)
         if vm is not None and vm.born_ms == command.born_ms:
             del self.vms[command.vm_id]
             vm = None
