Take a false drain back when the VM goes on to report

What callers could see: after one report that said falsely that a VM is draining, or a false deregistration while it had runs, the VM got no runs for the rest of its incarnation, though it went on to report that it wasn't draining. Tasks waited for it.

Cause: a drain held whatever came later.

Ruled out: asking the VM, whose answers to polls don't tell its state; a single later report, or one with a higher number: both may be false themselves, and a new leader doesn't know the numbers of earlier ones.

Change: a drain is taken back by five reports without it, with rising numbers, that arrive more than 20 s after it, with no draining one in between. A VM that does drain sends none: its drain is permanent, and its last report without it is on its way for less than that. A new leader counts the 20 s from the start of its term, as an earlier one may have received the drain until then. The state is unchanged; the log of the VM says that its drain is refuted.

Conclusion: a false drain costs a VM's capacity for about 25 s instead of for good. A draining VM that reports nothing for 20 s, but answers polls, could be taken for ready by five false reports.

--- a/src/redwingslip/scheduling/_report_history.py
+++ b/src/redwingslip/scheduling/_report_history.py
@@ -61,20 +61,26 @@
 class ReportHistory:
     """The reports that a leader has received, by incarnation.
 
-    The numbers of the true reports of an incarnation rise. What a false or damaged one
-    says holds until several later reports, with rising numbers, contradict it.
+    The numbers of the true reports of an incarnation rise, and once one has told that
+    it is draining, all later ones do. What a false or damaged report says holds until
+    several later ones, with rising numbers, contradict it.
 
     Parameters
     ----------
     clock : Clock
         Clock of this process.
+    started_at : timedelta
+        Monotonic time at which the term began. Until then an earlier leader may have
+        received a drain.
     """
 
-    __slots__ = ("_clock", "_reports")
+    __slots__ = ("_clock", "_drains", "_reports", "_started_at")
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, started_at: timedelta) -> None:
         self._clock = clock
+        self._started_at = started_at
         self._reports: dict[tuple[str, int], _Reports] = {}
+        self._drains: dict[tuple[str, int], _Claim] = {}
 
     def is_outdated(self, vm: VmRecord, sequence: int) -> bool:
         """Return whether a later report of the incarnation was received before."""
@@ -83,16 +89,36 @@
             return False
         return not reports.number.is_refuted_by(sequence, self._clock.monotonic())
 
+    def refutes_drain(self, vm: VmRecord, sequence: int) -> bool:
+        """Return whether a report shows that its incarnation did not begin to drain."""
+        drain = self._drains.get((vm.vm_id, vm.born_ms))
+        if vm.is_draining or drain is None:
+            return False
+        return drain.is_refuted_by(sequence, self._clock.monotonic())
+
     def note(self, vm: VmRecord, sequence: int) -> None:
         """Note a report that is used."""
-        reports = self._reports.get((vm.vm_id, vm.born_ms))
+        now = self._clock.monotonic()
+        incarnation = (vm.vm_id, vm.born_ms)
+        reports = self._reports.get(incarnation)
         if reports is None or sequence != reports.sequence:
-            self._reports[(vm.vm_id, vm.born_ms)] = _Reports(
-                sequence, self._clock.monotonic()
-            )
+            self._reports[incarnation] = _Reports(sequence, now)
+        if vm.is_draining:
+            self.note_drain(vm)
+        else:
+            drain = self._drains.setdefault(incarnation, _Claim(self._started_at))
+            drain.contradict(sequence, now)
 
     def note_outdated(self, vm: VmRecord, sequence: int) -> None:
         """Note a report that is not used, or only for its drain."""
         reports = self._reports.get((vm.vm_id, vm.born_ms))
-        if reports is not None and sequence < reports.sequence:
+        if reports is None:
+            return
+        if sequence < reports.sequence:
             reports.number.contradict(sequence, self._clock.monotonic())
+        if vm.is_draining:
+            self.note_drain(vm)
+
+    def note_drain(self, vm: VmRecord) -> None:
+        """Note that an incarnation has told that it is leaving."""
+        self._drains[(vm.vm_id, vm.born_ms)] = _Claim(self._clock.monotonic())
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -72,7 +72,7 @@
         self._state = term.state
         self._scheduler = scheduler
         self._checks = ReplacementChecks(term, scheduler)
-        self._history = ReportHistory(term.clock)
+        self._history = ReportHistory(term.clock, term.started_at)
         self._indexed_plan: Plan | None = None
         self._customer_of_key: Mapping[str, str] = {}
 
@@ -234,7 +234,7 @@
         one, or if a VM that started later has the same address or machine. Only a drain
         counts if a later report of the same incarnation was received before it, see
         `ReportHistory`. A VM that has reported a drain stays draining for the rest of
-        its incarnation.
+        its incarnation, unless its later reports refute that.
 
         Raises
         ------
@@ -271,14 +271,16 @@
                 await self._term.forget_vm(
                     old, f"replaced by {vm.vm_id}", has_crashed=True
                 )
+        known = self._state.vms.get(vm.vm_id)
         command = NoteVm(vm=vm, now_ms=self._term.now_ms())
         await self._term.propose(command)
-        self._term.emit(
-            EventName.VM_NOTED,
-            vm=vm.vm_id,
-            detail=f"incarnation {vm.born_ms} of machine {vm.machine} in {vm.pool} "
-            f"at {vm.address}" + (", draining" if vm.is_draining else ""),
-        )
+        detail = f"incarnation {vm.born_ms} of machine {vm.machine} in {vm.pool} "
+        detail += f"at {vm.address}"
+        if vm.is_draining:
+            detail += ", draining"
+        elif known is not None and known.born_ms == vm.born_ms and known.is_draining:
+            detail += ", its drain is refuted"
+        self._term.emit(EventName.VM_NOTED, vm=vm.vm_id, detail=detail)
 
     async def remove_vm(self, vm_id: str, born_ms: int) -> None:
         """Remove a VM that reports its end, once all its runs have ended.
@@ -293,6 +295,7 @@
         known = self._state.vms.get(vm_id)
         if known is None or (born_ms and born_ms != known.born_ms):
             return
+        self._history.note_drain(known)
         if not known.is_draining:
             vm = msgspec.structs.replace(known, is_draining=True)
             await self._term.propose(NoteVm(vm=vm, now_ms=self._term.now_ms()))
@@ -361,7 +364,9 @@
         else:
             if vm.pool != known.pool:
                 self._check_pool(vm)
-            is_draining = known.is_draining or vm.is_draining
+            is_draining = vm.is_draining or (
+                known.is_draining and not self._history.refutes_drain(vm, sequence)
+            )
             vm = msgspec.structs.replace(
                 vm, end_cursor=known.end_cursor, is_draining=is_draining
             )
--- a/tests/test_scheduling_report_history.py
+++ b/tests/test_scheduling_report_history.py
@@ -6,19 +6,25 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
+import msgspec
+
 from redwingslip.clock import ManualClock
+from redwingslip.jobs import RunStart, StartRuns, SubmitJob, TaskKey
 from redwingslip.scheduling import JobService, SchedulingError
 from redwingslip.scheduling._report_history import (
     MAX_REPORT_DELAY,
     N_REPORTS_TO_REFUTE,
 )
-from tests.support_scheduling import FakeTerm, make_state, make_vm
+from tests.support_scheduling import FakeTerm, make_job, make_state, make_vm
 from tests.support_virtual_time import run_virtually
+from tests.test_scheduling_leaders import FAULTS_S
 from tests.test_scheduling_lifecycle import LifecycleCase
 
 INTERVAL = timedelta(seconds=1)
 HUGE = 2**53 - 1
 N_HISTORIES = 8
+# Then there is time to take them back, and to complete the jobs.
+FALSE_DRAINS_S = FAULTS_S / 2
 
 
 class TestReportHistory(unittest.IsolatedAsyncioTestCase):
@@ -95,6 +101,66 @@
             await self.report(sequence, address="old:1")
         self.assertEqual(self.vm.address, "new:1")
 
+    async def test_a_false_drain_is_taken_back(self):
+        """Guards against a VM that gets no runs for good, after one false report."""
+        for sequence in (None, HUGE):
+            with self.subTest(sequence=sequence):
+                await self.report(sequence, is_draining=True)
+                await self.report_for(MAX_REPORT_DELAY)
+                self.assertTrue(self.vm.is_draining)
+                await self.report_for((2 * N_REPORTS_TO_REFUTE + 1) * INTERVAL)
+                self.assertFalse(self.vm.is_draining)
+
+    async def test_false_deregistration_is_taken_back(self):
+        """Guards against the same, after the deregistration of a VM with a run."""
+        job = make_job()
+        self.state.apply(SubmitJob(spec=job, now_ms=1))
+        starts = (RunStart(TaskKey(job.job_id, 0, 0, 0), "v1", 1),)
+        self.state.apply(StartRuns(starts=starts, now_ms=1))
+        await self.report_for(2 * MAX_REPORT_DELAY)
+        await self.service.remove_vm("v1", 1)
+        await self.report_for(MAX_REPORT_DELAY)
+        self.assertTrue(self.vm.is_draining)
+        await self.report_for((N_REPORTS_TO_REFUTE + 1) * INTERVAL)
+        self.assertFalse(self.vm.is_draining)
+
+    async def test_late_reports_take_no_drain_back(self):
+        """Guards against starts on a VM that drains, for reports from before that."""
+        await self.report(90, is_draining=True)
+        for sequence in range(60, 89):
+            await self.report(sequence)
+            self.clock.advance(MAX_REPORT_DELAY / 30)
+        self.assertTrue(self.vm.is_draining)
+
+    async def test_few_reports_take_no_drain_back_however_late_they_are(self):
+        """Guards against reports that a paused process held back for long."""
+        await self.report(is_draining=True)
+        self.clock.advance(10 * MAX_REPORT_DELAY)
+        for _ in range(N_REPORTS_TO_REFUTE - 1):
+            for _ in range(3):
+                await self.report(self.sequence)
+            self.sequence += 1
+        self.assertTrue(self.vm.is_draining)
+
+    async def test_vm_that_goes_on_to_drain_stays_draining(self):
+        """Guards against false reports by which a draining VM counts as ready."""
+        for _ in range(100):
+            await self.report(is_draining=True)
+            for _ in range(N_REPORTS_TO_REFUTE):
+                self.clock.advance(INTERVAL)
+                await self.report()
+            self.assertTrue(self.vm.is_draining)
+
+    async def test_new_leader_takes_no_drain_back_that_may_be_recent(self):
+        """Guards against late reports that reach a leader without the true ones."""
+        self.clock.advance(10 * MAX_REPORT_DELAY)
+        await self.report(is_draining=True)
+        self.begin_term()
+        await self.report_for(MAX_REPORT_DELAY)
+        self.assertTrue(self.vm.is_draining)
+        await self.report_for((N_REPORTS_TO_REFUTE + 1) * INTERVAL)
+        self.assertFalse(self.vm.is_draining)
+
     async def test_a_vm_that_has_left_stays_unknown(self):
         """Guards against starts on a VM that has left, after a late report."""
         await self.report(9, is_draining=True)
@@ -105,8 +171,18 @@
         self.assertNotIn("v1", self.state.vms)
 
 
-class FalseNumberCase(LifecycleCase):
-    """A history with reports of VMs under a number that is far too high."""
+class FalseReportCase(LifecycleCase):
+    """A history with reports of VMs under a number that is far too high.
+
+    Parameters
+    ----------
+    drains : bool
+        Whether these reports also say that the VMs drain.
+    """
+
+    def __init__(self, seed, *, drains, **options):
+        super().__init__(seed, **options)
+        self.drains = drains
 
     async def fail_vms(self):
         """Fail VMs, and report some of them falsely meanwhile."""
@@ -117,12 +193,14 @@
             reports.cancel()
 
     async def report_falsely(self):
-        """Send reports of VMs as they are, but for the number."""
-        while True:
+        """Send reports of VMs as they are, but for the number and the drain."""
+        while not self.drains or self.world.now() < FALSE_DRAINS_S:
             await asyncio.sleep(self.rng.uniform(0.2, 2))
             endpoint = self.rng.choice(list(self.world.endpoints.values()))
             if self.world.is_serving() and not endpoint.is_draining:
-                self.world.spawn(self.send(endpoint.record()))
+                vm = endpoint.record()
+                vm = msgspec.structs.replace(vm, is_draining=self.drains)
+                self.world.spawn(self.send(vm))
 
     async def send(self, vm):
         """Send a report once."""
@@ -130,17 +208,31 @@
             await self.world.service.report_vm(vm, HUGE, 0)
 
 
-class TestFalseNumbers(unittest.TestCase):
-    """No false number breaks a guarantee."""
+class TestFalseReports(unittest.TestCase):
+    """No false report breaks a guarantee."""
 
-    def test_vms_that_leave(self):
+    def check(self, seed, **options):
+        world = run_virtually(FalseReportCase(seed, **options).run)
+        self.assertEqual(world.problems, [])
+        self.assertEqual(world.unfinished(), [])
+
+    def test_numbers(self):
         """Guards against starts on VMs that drain, after a false report of them."""
         for seed in range(1, N_HISTORIES + 1):
             with self.subTest(seed=seed):
-                case = FalseNumberCase(seed, faults=("leave", "crash"))
-                world = run_virtually(case.run)
-                self.assertEqual(world.problems, [])
-                self.assertEqual(world.unfinished(), [])
+                self.check(seed, faults=("leave", "crash"), drains=False)
+
+    def test_drains(self):
+        """Guards against tasks that wait for good for VMs that never drained."""
+        for seed in range(1, N_HISTORIES // 2 + 1):
+            with self.subTest(seed=seed):
+                self.check(seed, faults=("partition",), drains=True)
+
+    def test_drains_of_vms_that_leave(self):
+        """Guards against starts on VMs that drain, as their drain is taken back."""
+        for seed in range(1, N_HISTORIES // 2 + 1):
+            with self.subTest(seed=seed):
+                self.check(seed, faults=("leave",), drains=True, late_report_rate=0.3)
 
 
 if __name__ == "__main__":
