Don't count a machine that has left a wave as down

What callers could see: a wave that has as many machines down as it may waited for good, once the platform had answered that one of its machines is unknown or not of the wave. Tasks on such a machine counted as away, so that the budgets of their steps kept other machines from maintenance.

Cause: the order is recorded before it is sent. When the machine left the wave, the record stayed, and an order without a confirmation counts as one that may take the machine down at any moment.

Ruled out: the limit and the pace of the wave; the second of two machines is ordered as soon as the first no longer counts.

Change: such an answer takes back the record of an order that had not been sent before. If it was a repeated one, the machine counts as down until its VM answers again, or for down_timeout at most.

--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -141,7 +141,9 @@
         if machine in self._ordered:
             return True
         return any(
-            machine in wave.ordered and machine not in wave.begun
+            machine in wave.ordered
+            and machine not in wave.begun
+            and machine not in wave.gone
             for wave in self._state.waves.values()
         )
 
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -166,7 +166,7 @@
             return True
         if machine not in wave.ordered:
             return False
-        if machine not in wave.begun:
+        if machine not in wave.begun and machine not in wave.gone:
             return True
         maintained_at = self._maintained_at.get(machine, self._term.started_at)
         if now > maintained_at + self._cfg.waves.down_timeout:
@@ -219,7 +219,10 @@
                 MachineOutcome.NOT_OF_WAVE,
             ):
                 self._uncordon(machine)
-                await self._record_maintenance(wave, gone=(machine,))
+                if is_repeated:
+                    self._maintained_at[machine] = self._term.clock.monotonic()
+                given_up = () if is_repeated else (machine,)
+                await self._record_maintenance(wave, gone=(machine,), given_up=given_up)
             else:
                 self._retry_at[machine] = (
                     self._term.clock.monotonic() + self._cfg.waves.retry_delay
--- a/tests/test_scheduling_evacuation.py
+++ b/tests/test_scheduling_evacuation.py
@@ -9,9 +9,11 @@
     Amounts,
     EndKind,
     RecordEnds,
+    RecordMaintenance,
     RunEnd,
     RunStart,
     StartRuns,
+    StartWave,
     TaskKey,
 )
 from redwingslip.scheduling import ListedRun, MachineRegistry
@@ -86,6 +88,20 @@
     def may_stop_machine(self, vm_id):
         return self.evacuation.keeps_budgets(self.state.runs_of(vm_id, 1))
 
+    async def test_tasks_on_a_machine_that_left_its_wave_are_available(self):
+        """Guards against tasks that count as away since an order was refused."""
+        self.build(make_vm("v1"), make_vm("v2"), n_tasks=2)
+        for index, vm_id in enumerate(("v1", "v2")):
+            self.run_task(index, vm_id)
+        wave = StartWave(
+            number=1, machines=("m-v2",), duration_ms=1, max_at_once=1, now_ms=1
+        )
+        self.state.apply(wave)
+        self.state.apply(RecordMaintenance(number=1, ordered=("m-v2",), now_ms=1))
+        self.assertFalse(self.may_stop_machine("v1"))
+        self.state.apply(RecordMaintenance(number=1, gone=("m-v2",), now_ms=1))
+        self.assertTrue(self.may_stop_machine("v1"))
+
     # AVAIL: an order that was repeated had ended a VM, whose tasks counted as at work.
     async def test_tasks_on_a_vm_that_may_have_ended_are_unavailable(self):
         """Guards against two machines of one step that are maintained at a time."""
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -38,6 +38,7 @@
     interval=timedelta(milliseconds=2), retry_delay=timedelta(milliseconds=5)
 )
 TAKEOVER_DELAY = timedelta(seconds=3)
+GONE = (MachineOutcome.UNKNOWN_MACHINE, MachineOutcome.NOT_OF_WAVE)
 
 
 class TestWaveManager(unittest.IsolatedAsyncioTestCase):
@@ -323,6 +324,35 @@
         self.wait_for_takeover()
         await eventually(lambda: self.state.waves[1].is_complete)
 
+    async def test_a_machine_that_left_a_wave_does_not_count_as_down(self):
+        """Guards against a wave that waits for good for a machine out of it."""
+        for outcome in GONE:
+            with self.subTest(outcome=outcome):
+                self.platform = FakePlatform()
+                self.platform.answers = [outcome]
+                self.build(make_vm("v1"), make_vm("v2"))
+                self.wait_for_takeover()
+                await eventually(lambda: self.state.waves[1].is_complete)
+                self.assertEqual(self.state.waves[1].gone, {"m-v1"})
+                self.assertEqual(self.platform.maintained, ["m-v1", "m-v2"])
+
+    async def test_a_machine_that_left_a_wave_after_a_lost_answer_counts_for_a_time(
+        self,
+    ):
+        """Guards against a wave that waits for good for an order without an answer."""
+        self.platform.answers = [MachineOutcome.NOT_OF_WAVE]
+        self.build(make_vm("v1"), make_vm("v2"))
+        command = RecordMaintenance(number=1, ordered=("m-v1",), now_ms=1)
+        self.state.apply(command)
+        self.wait_for_takeover()
+        await eventually(lambda: self.state.waves[1].gone)
+        await asyncio.sleep(0.03)
+        self.assertEqual(self.platform.maintained, ["m-v1"], "its VM may have ended")
+        self.clock.advance(timedelta(milliseconds=10))
+        self.agents["v1"].lease.note_contact(self.clock.monotonic())
+        await eventually(lambda: self.state.waves[1].is_complete)
+        self.assertEqual(self.platform.maintained, ["m-v1", "m-v2"])
+
     async def test_a_machine_claimed_by_a_move_is_not_maintained(self):
         self.build(make_vm("v1"))
         self.machines.claim("m-v1", "a move")
