--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -72,7 +72,7 @@
         self._state = term.state
         self._scheduler = scheduler
         self._checks = ReplacementChecks(term, scheduler)
-        self._history = ReportHistory(term.clock)
+        self._history = ReportHistory(term.clock, term.started_at)
         self._indexed_plan: Plan | None = None
         self._customer_of_key: Mapping[str, str] = {}
 
@@ -234,7 +234,8 @@
         one, or if a VM that started later has the same address or machine, or if the
         incarnation has left. Only a drain counts if a later report of the same
         incarnation was received before it, see `ReportHistory`. A VM that has reported
-        a drain stays draining for the rest of its incarnation.
+        a drain stays draining for the rest of its incarnation, unless its later reports
+        refute that.
 
         Raises
         ------
@@ -271,14 +272,16 @@
                 await self._term.forget_vm(
                     old, f"replaced by {vm.vm_id}", has_crashed=True
                 )
+        known = self._state.vms.get(vm.vm_id)
         command = NoteVm(vm=vm, now_ms=self._term.now_ms())
         await self._term.propose(command)
-        self._term.emit(
-            EventName.VM_NOTED,
-            vm=vm.vm_id,
-            detail=f"incarnation {vm.born_ms} of machine {vm.machine} in {vm.pool} "
-            f"at {vm.address}" + (", draining" if vm.is_draining else ""),
-        )
+        detail = f"incarnation {vm.born_ms} of machine {vm.machine} in {vm.pool} "
+        detail += f"at {vm.address}"
+        if vm.is_draining:
+            detail += ", draining"
+        elif known is not None and known.born_ms == vm.born_ms and known.is_draining:
+            detail += ", its drain is refuted"
+        self._term.emit(EventName.VM_NOTED, vm=vm.vm_id, detail=detail)
 
     async def remove_vm(self, vm_id: str, born_ms: int) -> None:
         """Remove a VM that reports its end, once all its runs have ended.
@@ -296,6 +299,7 @@
         if known is None or (born_ms and born_ms != known.born_ms):
             return
         has_left = known.is_draining or bool(born_ms)
+        self._history.note_drain(known)
         if not known.is_draining:
             vm = msgspec.structs.replace(known, is_draining=True)
             await self._term.propose(NoteVm(vm=vm, now_ms=self._term.now_ms()))
@@ -371,7 +375,11 @@
             if vm.pool != known.pool:
                 self._check_pool(vm)
             # A controller of an earlier version may have noted it after its end.
-            is_draining = known.is_draining or vm.is_draining or has_left
+            is_draining = (
+                vm.is_draining
+                or has_left
+                or (known.is_draining and not self._history.refutes_drain(vm, sequence))
+            )
             vm = msgspec.structs.replace(
                 vm, end_cursor=known.end_cursor, is_draining=is_draining
             )
