--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -120,11 +120,8 @@
         if not self._has_place(agent, run):
             self._machines.n_vms_needed[agent.vm.pool] += 1
             return
-        # A VM that does not answer would get the order late, beside any other stop.
-        if not self._checks.has_answered(agent):
-            self._checks.request([agent])
-            self._is_confirmed([run], budget)
-            return
+        # This also asks the VM itself, which has more tasks of the step than may be
+        # away. One that does not answer would get the order late, beside another stop.
         if not self._is_confirmed([run], budget):
             return
         self._term.emit(
