Let reports that go on refute a false deregistration

Cause: the record that an incarnation has left lapsed by the time of commands. Reports of a VM that has left make none, so that in a fleet without other commands it never lapsed. The same held for an incarnation that was born earlier by its clock.

Ruled out: the time of the leader's clock, which differs between replicas.

A VM that has left sends none.

Left: while the record lasts, a new leader takes the VM for draining for 25 s.

--- a/src/redwingslip/scheduling/_report_history.py
+++ b/src/redwingslip/scheduling/_report_history.py
@@ -122,3 +122,7 @@
     def note_drain(self, vm: VmRecord) -> None:
         """Note that an incarnation has told that it is leaving."""
         self._drains[(vm.vm_id, vm.born_ms)] = _Claim(self._clock.monotonic())
+
+    def note_end(self, vm: VmRecord) -> None:
+        """Note that an incarnation, or a later one of its VM, is known to have left."""
+        self._drains.setdefault((vm.vm_id, vm.born_ms), _Claim(self._clock.monotonic()))
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -365,9 +365,14 @@
             return msgspec.structs.replace(known, is_draining=True)
         if known is not None and known.born_ms > vm.born_ms:
             return None
+        # Reports that go on for long refute a false deregistration, like a false drain.
         has_left = self._state.has_left(vm.vm_id, vm.born_ms)
+        if has_left:
+            self._history.note_end(vm)
+            has_left = not self._history.refutes_drain(vm, sequence)
         if not is_known:
             if has_left:
+                self._history.note(vm, sequence)
                 return None
             self._check_start(vm)
             self._check_pool(vm)
--- a/tests/test_scheduling_report_history.py
+++ b/tests/test_scheduling_report_history.py
@@ -161,6 +161,23 @@
         await self.report_for((N_REPORTS_TO_REFUTE + 1) * INTERVAL)
         self.assertFalse(self.vm.is_draining)
 
+    async def test_a_vm_that_was_falsely_said_to_have_left_is_known_again(self):
+        """Guards against a VM that is shut out while nothing else happens."""
+        later = make_vm(born_ms=5)
+        for born_ms in (1, 4):
+            with self.subTest(born_ms=born_ms):
+                await self.report_for(INTERVAL, born_ms=5)
+                await self.service.remove_vm("v1", later.born_ms)
+                self.assertNotIn("v1", self.state.vms)
+                await self.report_for(MAX_REPORT_DELAY - INTERVAL, born_ms=born_ms)
+                self.assertNotIn("v1", self.state.vms)
+                await self.report_for(
+                    (N_REPORTS_TO_REFUTE + 2) * INTERVAL, born_ms=born_ms
+                )
+                self.assertEqual(self.vm.born_ms, born_ms)
+                self.assertFalse(self.vm.is_draining)
+                await self.service.remove_vm("v1", born_ms)
+
     async def test_a_vm_that_has_left_stays_unknown(self):
         """Guards against starts on a VM that has left, after a late report."""
         await self.report(9, is_draining=True)
@@ -208,6 +225,31 @@
             await self.world.service.report_vm(vm, HUGE, 0)
 
 
+class FalseDeregistrationCase(LifecycleCase):
+    """A history in which VMs are falsely said to have left."""
+
+    async def fail_vms(self):
+        """Fail VMs, and deregister some of them meanwhile."""
+        false_ends = asyncio.create_task(self.deregister_falsely())
+        try:
+            await super().fail_vms()
+        finally:
+            false_ends.cancel()
+
+    async def deregister_falsely(self):
+        """Deregister VMs that go on."""
+        while self.world.now() < FALSE_DRAINS_S:
+            await asyncio.sleep(self.rng.uniform(0.2, 2))
+            endpoint = self.rng.choice(list(self.world.endpoints.values()))
+            if self.world.is_serving() and not endpoint.is_draining:
+                self.world.spawn(self.send(endpoint.record()))
+
+    async def send(self, vm):
+        """Send a deregistration once."""
+        with contextlib.suppress(SchedulingError):
+            await self.world.service.remove_vm(vm.vm_id, vm.born_ms)
+
+
 class TestFalseReports(unittest.TestCase):
     """No false report breaks a guarantee."""
 
@@ -228,6 +270,15 @@
             with self.subTest(seed=seed):
                 self.check(seed, faults=("partition",), drains=True)
 
+    def test_deregistrations(self):
+        """Guards against tasks that wait for good for VMs that never left."""
+        for seed in range(1, N_HISTORIES // 2 + 1):
+            with self.subTest(seed=seed):
+                case = FalseDeregistrationCase(seed, faults=("partition",))
+                world = run_virtually(case.run)
+                self.assertEqual(world.problems, [])
+                self.assertEqual(world.unfinished(), [])
+
     def test_drains_of_vms_that_leave(self):
         """Guards against starts on VMs that drain, as their drain is taken back."""
         for seed in range(1, N_HISTORIES // 2 + 1):
