Count reports with rising numbers anew after a lower one

Cause: the number of the second false report counted as the last against the claim, and the true ones were not later.

Ruled out: leaving out huge numbers, which may be true ones.

Change: a lower number begins the count of reports in a row again.

Before: the test failed, with a drain and without. After: it passes, and so do the tests of single late reports.

--- a/src/redwingslip/scheduling/_report_history.py
+++ b/src/redwingslip/scheduling/_report_history.py
@@ -26,18 +26,19 @@
 
     def contradict(self, sequence: int, now: timedelta) -> None:
         """Count a report that contradicts the claim."""
-        if self._counts(sequence, now):
-            self._n_against += 1
+        if now - self._at > MAX_REPORT_DELAY:
+            self._n_against = self._count_with(sequence)
             self._last_against = sequence
 
     def is_refuted_by(self, sequence: int, now: timedelta) -> bool:
         """Return whether a report is the last that is needed to refute the claim."""
-        n_against = self._n_against + self._counts(sequence, now)
-        return n_against >= N_REPORTS_TO_REFUTE
+        if now - self._at <= MAX_REPORT_DELAY:
+            return False
+        return self._count_with(sequence) >= N_REPORTS_TO_REFUTE
 
-    def _counts(self, sequence: int, now: timedelta) -> bool:
-        """Return whether a report is late enough, and later than the others."""
-        return now - self._at > MAX_REPORT_DELAY and sequence > self._last_against
+    def _count_with(self, sequence: int) -> int:
+        """Return how many reports in a row have rising numbers, with a further one."""
+        return self._n_against + 1 if sequence > self._last_against else 1
 
 
 class _Reports:
--- a/tests/test_scheduling_report_history.py
+++ b/tests/test_scheduling_report_history.py
@@ -161,6 +161,21 @@
         await self.report_for((N_REPORTS_TO_REFUTE + 1) * INTERVAL)
         self.assertFalse(self.vm.is_draining)
 
+    async def test_two_false_reports_do_not_hold_for_good(self):
+        """Guards against true reports that never count after a false number."""
+        for is_draining in (False, True):
+            with self.subTest(is_draining=is_draining):
+                self.clock.advance(MAX_REPORT_DELAY)
+                await self.report(HUGE - 1, is_draining=is_draining, address="old:1")
+                await self.report_for(MAX_REPORT_DELAY + 2 * INTERVAL)
+                await self.report(HUGE - 2, address="old:1")
+                await self.report_for(
+                    MAX_REPORT_DELAY + (N_REPORTS_TO_REFUTE + 2) * INTERVAL,
+                    address="new:1",
+                )
+                self.assertEqual(self.vm.address, "new:1")
+                self.assertFalse(self.vm.is_draining)
+
     async def test_a_vm_that_was_falsely_said_to_have_left_is_known_again(self):
         """Guards against a VM that is shut out while nothing else happens."""
         later = make_vm(born_ms=5)
