--- a/src/redwingslip/jobs/_left_vms.py
+++ b/src/redwingslip/jobs/_left_vms.py
@@ -24,8 +24,8 @@
 class LeftVms(msgspec.Struct, kw_only=True):
     """The VMs that have left lately, by name.
 
-    The end that an incarnation has announced is final, and only a later incarnation can
-    have its name again.
+    The end that an incarnation has announced is final, unless its later reports refute
+    it; a later incarnation can have its name again. Time passes by commands only.
     """
 
     by_name: dict[str, LeftVm] = msgspec.field(default_factory=dict)
