Cordon the machines of long chains of moves first in a wave

The machines with the most runs were cordoned last; their long-running tasks leave a few at a time, so that the end of the wave was a chain of single moves, and a rack that went dark or a change of leader stopped it.

Ruled out: the limit of the wave (44 machines at once, at most about 12 were away) and orders that the platform refused (two machines of 89 stayed busy).

Change: [waves] critical_share. Off by default.

--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -60,6 +60,10 @@
     pool_share : float
         A machine in use that the pace of the wave does not require yet is cordoned
         early only if at most this share of its pool's VMs, or one VM, is then cordoned.
+    critical_share : float
+        Machines whose tasks can leave only a few at a time are cordoned before all
+        others if moving these tasks takes more than this share of the time that is
+        left for the wave; 0 turns this off.
     """
 
     interval: timedelta = timedelta(milliseconds=100)
@@ -71,6 +75,7 @@
     evacuation: timedelta = timedelta(milliseconds=2500)
     safety: float = 0.35
     pool_share: float = 0.2
+    critical_share: float = 0.0
 
 
 class MoveSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from datetime import timedelta
 
 from ..jobs import ActiveRun, RecordMaintenance, WaveRecord
@@ -10,6 +11,7 @@
 from ._job_index import PoolBacklog
 from ._machines import MachineManager
 from ._ports import MachineOutcome
+from ._wave_chains import StepChain, critical_machines
 from ._work_checks import WorkChecks
 from .exceptions import CommandOutcomeUnknownError, NotLeadingError
 
@@ -85,9 +87,11 @@
     ) -> None:
         """Cordon the machines whose absence costs least.
 
-        As many as the pace of the wave requires are cordoned in any case. More are
-        cordoned only if they are spare, see `_is_spare`.
+        As many as the pace of the wave requires are cordoned in any case, and the
+        machines whose tasks can leave only a few at a time, see `critical_machines`.
+        More are cordoned only if they are spare, see `_is_spare`.
         """
+        critical = self._critical_machines(wave, remaining)
         n_away = sum(machine in self._cordoned_at for machine in remaining) + sum(
             self._is_down(wave, machine, now)
             for machine in wave.machines
@@ -100,21 +104,56 @@
             for machine in remaining
             if machine not in self._cordoned_at and self._machines.may_order(machine)
         ]
-        candidates.sort(key=lambda machine: (*self._absence_cost(machine), machine))
+        candidates.sort(
+            key=lambda machine: (
+                machine not in critical,
+                *self._absence_cost(machine),
+                machine,
+            )
+        )
         for machine in candidates:
             is_counted = self._is_down(wave, machine, now)
             n_others = n_away - is_counted
             if n_others >= limit:
                 continue
-            is_chosen = n_others < n_needed or self._is_spare(machine)
+            is_chosen = (
+                n_others < n_needed or machine in critical or self._is_spare(machine)
+            )
             if is_chosen and self._machines.claim(machine, self, self._recall):
                 self._cordoned_at[machine] = now
                 n_away += not is_counted
 
+    def _remaining_ms(self, wave: WaveRecord) -> float:
+        """Return the time that is left for a wave, without its reserve; at least 1."""
+        reserve_ms = self._cfg.waves.safety * wave.duration_ms
+        return max(1, wave.due_ms - reserve_ms - self._term.now_ms())
+
+    def _critical_machines(
+        self, wave: WaveRecord, remaining: list[str]
+    ) -> frozenset[str]:
+        """Return the machines that have to be cordoned next to end a wave in time."""
+        cfg = self._cfg.waves
+        if not cfg.critical_share:
+            return frozenset()
+        chains: dict[tuple[str, int, int], StepChain] = {}
+        for machine in remaining:
+            for run in self._runs_on(machine):
+                budget = self._state.step(run.key).disruption_budget
+                if budget:
+                    chain = chains.setdefault(run.key[:3], StepChain(budget, Counter()))
+                    chain.n_tasks[machine] += 1
+        machines = critical_machines(
+            chains.values(),
+            cordoned=self._cordoned_at,
+            remaining=self._remaining_ms(wave) * MS,
+            round_time=cfg.evacuation,
+            critical_share=cfg.critical_share,
+        )
+        return frozenset(machines)
+
     def _n_needed_at_once(self, wave: WaveRecord, remaining: list[str]) -> int:
         """Return how many machines must be away at a time to end the wave in time."""
-        reserve_ms = self._cfg.waves.safety * wave.duration_ms
-        remaining_ms = max(1, wave.due_ms - reserve_ms - self._term.now_ms())
+        remaining_ms = self._remaining_ms(wave)
         cfg = self._cfg.waves
         work = timedelta(0)
         for machine in remaining:
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from unittest import mock
 
+import msgspec
+
 from redwingslip.clock import ManualClock
 from redwingslip.jobs import (
     EndKind,
@@ -51,7 +53,15 @@
         self.clock = ManualClock()
         self.platform = FakePlatform()
 
-    def build(self, *vms, job=None, max_at_once=1, duration_ms=20_000, untouched=()):
+    def build(
+        self,
+        *vms,
+        job=None,
+        max_at_once=1,
+        duration_ms=20_000,
+        untouched=(),
+        cfg=CFG,
+    ):
         """Run a manager with a wave over the machines of the given VMs.
 
         An earlier leader has just given an order for each machine, except those of the
@@ -93,7 +103,7 @@
             machines=self.machines,
             operations=self.platform,
             backlog={},
-            cfg=LeaderPolicy(waves=CFG),
+            cfg=LeaderPolicy(waves=cfg),
         )
         task = asyncio.create_task(manager.run())
         self.addCleanup(task.cancel)
@@ -443,6 +453,27 @@
         await asyncio.sleep(0.03)
         self.assertEqual(self.platform.maintained, [])
 
+    async def test_a_long_chain_of_tasks_is_begun_before_the_easy_machines(self):
+        """Guards against keeping the tasks that leave one by one to the end of a wave.
+
+        Four tasks with a budget of one need four rounds of 2.5 s of the 13 s that the
+        wave has without its reserve. Machines without runs are maintained in any case.
+        """
+        job = make_job(n_tasks=4, is_long_running=True, disruption_budget=1)
+        vms = [make_vm(f"v{i}") for i in range(8)]
+        cfg = msgspec.structs.replace(CFG, critical_share=0.5)
+        self.build(
+            *vms,
+            job=job,
+            max_at_once=2,
+            untouched=[vm.vm_id for vm in vms],
+            cfg=cfg,
+        )
+        for index in range(4):
+            self.run_task(index, f"v{index + 4}")
+        await eventually(lambda: self.platform.maintained)
+        self.assertIn(self.platform.maintained[0], {"m-v4", "m-v5"})
+
     async def test_short_tasks_delay_a_machine_for_max_drain_only(self):
         self.build(make_vm("v1"), job=make_job(), duration_ms=4_000)
         self.run_task(0, "v1", percent=10)
