Keep evacuations of data centres in the replicated state

Operators ask that nothing be started in a data centre; what was acknowledged must outlast the leader. A start that was proposed before the evacuation was committed is ignored, for a gang as a whole.

--- a/src/redwingslip/jobs/__init__.py
+++ b/src/redwingslip/jobs/__init__.py
@@ -8,6 +8,7 @@
 from ._commands import *  # noqa: F403
 from ._commands import __all__ as _commands_all
 from ._crashes import PROBATION_MS, is_isolated, is_quarantined
+from ._evacuations import Evacuations
 from ._machine import JobsMachine, encode_command
 from ._plan import NO_AMOUNTS, Amounts, Customer, Plan, Pool, Queue, check_plan
 from ._records import (
@@ -39,6 +40,7 @@
     "Amounts",
     "Customer",
     "EndKind",
+    "Evacuations",
     "InvalidCommandError",
     "InvalidJobError",
     "InvalidPlanError",
--- a/src/redwingslip/jobs/_commands.py
+++ b/src/redwingslip/jobs/_commands.py
@@ -9,6 +9,7 @@
 __all__ = [
     "CancelJob",
     "Command",
+    "FinishEvacuation",
     "ForgetJobs",
     "ForgetVm",
     "NoteVm",
@@ -18,6 +19,7 @@
     "ReplacePlan",
     "RunEnd",
     "RunStart",
+    "StartEvacuation",
     "StartRuns",
     "StartWave",
     "SubmitJob",
@@ -238,6 +240,20 @@
     now_ms: int
 
 
+class StartEvacuation(_Command):
+    """Have nothing started on the VMs of a data centre until its evacuation ends."""
+
+    data_centre: str
+    now_ms: int
+
+
+class FinishEvacuation(_Command):
+    """End the evacuation of a data centre."""
+
+    data_centre: str
+    now_ms: int
+
+
 Command = (
     ReplacePlan
     | SubmitJob
@@ -250,4 +266,6 @@
     | StartWave
     | RecordMaintenance
     | RecordMove
+    | StartEvacuation
+    | FinishEvacuation
 )
--- a/src/redwingslip/jobs/_run_changes.py
+++ b/src/redwingslip/jobs/_run_changes.py
@@ -33,10 +33,12 @@
 
 def start_runs(state: "JobsState", command: StartRuns) -> tuple[ActiveRun, ...]:
     """Start runs and return those that were started, without the ignored ones."""
-    gang_run_numbers = _find_gang_run_numbers(state, command.starts)
+    starts = command.starts
+    if state.evacuations.started:
+        starts = _outside_evacuations(state, starts)
+    gang_run_numbers = _find_gang_run_numbers(state, starts)
     runs = (
-        _start_run(state, start, command.now_ms, gang_run_numbers)
-        for start in command.starts
+        _start_run(state, start, command.now_ms, gang_run_numbers) for start in starts
     )
     return tuple(run for run in runs if run is not None)
 
@@ -100,6 +102,30 @@
     return ends
 
 
+def _outside_evacuations(
+    state: "JobsState", starts: tuple[RunStart, ...]
+) -> tuple[RunStart, ...]:
+    """Return the starts on VMs that are not in an evacuated data centre.
+
+    The leader may have proposed the others before the evacuation was committed. A gang
+    starts as a whole or not at all.
+    """
+    vms = (state.vms.get(start.vm_id) for start in starts)
+    is_evacuated = [
+        vm is not None and state.evacuations.includes(vm.data_centre) for vm in vms
+    ]
+    refused_gangs = {
+        start.key[:3]
+        for start, refused in zip(starts, is_evacuated, strict=True)
+        if refused and start.key.job_id in state.jobs and state.step(start.key).is_gang
+    }
+    return tuple(
+        start
+        for start, refused in zip(starts, is_evacuated, strict=True)
+        if not refused and start.key[:3] not in refused_gangs
+    )
+
+
 def _find_gang_run_numbers(
     state: "JobsState", starts: tuple[RunStart, ...]
 ) -> dict[tuple, int]:
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -8,6 +8,7 @@
 from ._commands import (
     CancelJob,
     Command,
+    FinishEvacuation,
     ForgetJobs,
     ForgetVm,
     NoteVm,
@@ -16,6 +17,7 @@
     RecordMove,
     ReplacePlan,
     RunEnd,
+    StartEvacuation,
     StartRuns,
     StartWave,
     SubmitJob,
@@ -27,6 +29,7 @@
     count_crash,
     note_silence,
 )
+from ._evacuations import Evacuations
 from ._left_vms import LeftVms
 from ._machine_orders import MachineOrders
 from ._plan import Plan, Queue
@@ -82,6 +85,7 @@
     removed: RemovedEntries = msgspec.field(default_factory=RemovedEntries)
     early_cancels: tuple[tuple[str, str, int], ...] = ()
     left_vms: LeftVms = msgspec.field(default_factory=LeftVms)
+    evacuations: Evacuations = msgspec.field(default_factory=Evacuations)
 
 
 class JobsState:
@@ -106,6 +110,8 @@
         Waves by number.
     machine_orders : MachineOrders
         Times of the last orders for machines.
+    evacuations : Evacuations
+        Data centres in which nothing is started.
     active_runs : ActiveRuns
         Runs that may be alive.
     silent_vms : SilentVms
@@ -115,6 +121,7 @@
     __slots__ = (
         "active_runs",
         "early_cancels",
+        "evacuations",
         "jobs",
         "left_vms",
         "machine_orders",
@@ -134,6 +141,7 @@
         self.left_vms = LeftVms()
         self.waves: dict[int, WaveRecord] = {}
         self.machine_orders = MachineOrders()
+        self.evacuations = Evacuations()
         self.active_runs = ActiveRuns()
         self.silent_vms = SilentVms()
 
@@ -218,6 +226,7 @@
                     for (job_id, customer), at_ms in self.early_cancels.items()
                 ),
                 left_vms=self.left_vms,
+                evacuations=self.evacuations,
             )
         )
 
@@ -235,6 +244,7 @@
         self.left_vms = snapshot.left_vms
         self.waves = {wave.number: wave for wave in snapshot.waves}
         self.machine_orders = snapshot.machine_orders
+        self.evacuations = snapshot.evacuations
         self.active_runs = ActiveRuns()
         self.silent_vms = SilentVms()
         for job in snapshot.jobs:
@@ -289,7 +299,8 @@
         """Return the runs that were started.
 
         A start is ignored if its task or job has ended, if the task has a run and is
-        not speculative, or if the VM has another incarnation.
+        not speculative, if the VM has another incarnation, or if its data centre is
+        being evacuated.
         """
         return start_runs(self, command)
 
@@ -397,6 +408,16 @@
     def _(self, command: RecordMove) -> None:
         self.machine_orders.record(command.machine)
 
+    @_apply.register
+    def _(self, command: StartEvacuation) -> bool:
+        """Return whether the data centre was not being evacuated before."""
+        return self.evacuations.start(command.data_centre, command.now_ms)
+
+    @_apply.register
+    def _(self, command: FinishEvacuation) -> bool:
+        """Return whether the data centre was being evacuated."""
+        return self.evacuations.finish(command.data_centre, command.now_ms)
+
 
 def _new_tasks(command: SubmitJob) -> list[list[list[TaskRecord]]]:
     spec = command.spec
