Fill VMs gradually after the evacuation of their data centre

VMs may be cold after an evacuation. New tasks may use a quarter of each VM at first, and all after 3 s; runs from before don't count against that. The new section [evacuation] also has the known data centres and the bound for starts.

--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -15,6 +15,7 @@
 from ..scheduling import (
     AdviceSettings,
     AgentSettings,
+    EvacuationSettings,
     LeaderPolicy,
     MoveSettings,
     SchedulingSettings,
@@ -180,6 +181,7 @@
     sizing: SizingSettings = SizingSettings()
     arrivals: ArrivalSettings = ArrivalSettings()
     advice: AdviceSettings = AdviceSettings()
+    evacuation: EvacuationSettings = EvacuationSettings()
     drain: DrainSettings = DrainSettings()
 
     @property
@@ -198,4 +200,5 @@
             sizing=self.sizing,
             arrivals=self.arrivals,
             advice=self.advice,
+            evacuation=self.evacuation,
         )
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from ._advice import Advice, AdviceCache, AdviceSettings, Adviser
 from ._agent import AgentListener, VmAgent
 from ._agent_settings import AgentSettings, VmPolicy
+from ._evacuation_calls import EvacuationCalls, EvacuationStatus
 from ._machines import MachineRegistry
 from ._moves import MoveManager
 from ._ports import (
@@ -20,6 +21,7 @@
 from ._scheduler import Scheduler
 from ._service import JobService
 from ._settings import (
+    EvacuationSettings,
     LeaderPolicy,
     MoveSettings,
     SchedulingSettings,
@@ -37,6 +39,7 @@
     OrderNotSentError,
     OrderOutcomeUnknownError,
     SchedulingError,
+    UnknownDataCentreError,
     UnknownPoolError,
     VmAtWorkError,
     VmReplacedError,
@@ -51,6 +54,9 @@
     "AgentListener",
     "AgentSettings",
     "CommandOutcomeUnknownError",
+    "EvacuationCalls",
+    "EvacuationSettings",
+    "EvacuationStatus",
     "FutureStartError",
     "HoldReport",
     "JobService",
@@ -76,6 +82,7 @@
     "StartOutcome",
     "StartResult",
     "Term",
+    "UnknownDataCentreError",
     "UnknownPoolError",
     "VmAgent",
     "VmAtWorkError",
--- a/src/redwingslip/scheduling/_machines.py
+++ b/src/redwingslip/scheduling/_machines.py
@@ -10,7 +10,8 @@
 from ._ejections import ejected_vms
 from ._job_index import PoolBacklog
 from ._ports import MachineOperations, MachineOutcome
-from ._settings import LeaderPolicy
+from ._ramp import CapacityRamp
+from ._settings import EvacuationSettings, LeaderPolicy
 from ._term import Term
 
 __all__ = ["MachineManager", "MachineRegistry"]
@@ -41,6 +42,8 @@
         of an earlier leader for it.
     max_ejected_share : float
         Largest share of a pool's VMs that may be ejected.
+    evacuation : EvacuationSettings or None
+        Evacuations of data centres; None for the default.
 
     Attributes
     ----------
@@ -49,6 +52,8 @@
         maintenance but fit on no other VM. Each of them needs an additional VM.
     is_short : bool
         Whether any pool needs more machines than it has.
+    ramp : CapacityRamp
+        What new tasks may use of VMs whose data centre was evacuated lately.
     """
 
     __slots__ = (
@@ -62,6 +67,7 @@
         "agents",
         "is_short",
         "n_vms_needed",
+        "ramp",
     )
 
     def __init__(
@@ -71,6 +77,7 @@
         *,
         takeover_delay: timedelta,
         max_ejected_share: float = HealthSettings().max_ejected_share,
+        evacuation: EvacuationSettings | None = None,
     ) -> None:
         self._term = term
         self._takeover_delay = takeover_delay
@@ -82,6 +89,7 @@
         self.agents = agents
         self.n_vms_needed: Counter[str] = Counter()
         self.is_short = False
+        self.ramp = CapacityRamp(term, evacuation or EvacuationSettings())
 
     def _inherited_holds(self) -> dict[str, timedelta]:
         """Return when the takeover delay of each recently ordered machine ends."""
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -355,7 +355,7 @@
                 machine=agent.vm.machine,
                 labels=agent.vm.labels,
                 capacity=agent.vm.capacity,
-                free=agent.vm.capacity - used,
+                free=self._machines.ramp.usable(agent.vm, used),
                 tasks_of_step=steps,
                 is_avoided=agent.health.is_avoided(now),
                 is_ejected=vm_id in ejected,
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -8,7 +8,13 @@
 from ._advice import AdviceSettings
 from ._agent_settings import VmPolicy
 
-__all__ = ["LeaderPolicy", "MoveSettings", "SchedulingSettings", "WaveSettings"]
+__all__ = [
+    "EvacuationSettings",
+    "LeaderPolicy",
+    "MoveSettings",
+    "SchedulingSettings",
+    "WaveSettings",
+]
 
 
 class SchedulingSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -110,6 +116,30 @@
     off_time: timedelta = timedelta(milliseconds=2500)
 
 
+class EvacuationSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of the evacuations of data centres, which operators request.
+
+    Attributes
+    ----------
+    data_centres : tuple of str
+        Names of the data centres. An evacuation of any other is refused, unless a VM
+        has reported it. With none, every name is accepted.
+    start_bound : timedelta
+        No task is started in a data centre later than this after the response to the
+        request. A warning is logged if start orders are not settled by then.
+    ramp : timedelta
+        Time after the end of an evacuation over which the share of each VM's capacity
+        that new tasks may use grows from `first_share` to all. The VMs may be cold.
+    first_share : float
+        Share of a VM's capacity that new tasks may use at the beginning of the ramp.
+    """
+
+    data_centres: tuple[str, ...] = ()
+    start_bound: timedelta = timedelta(seconds=5)
+    ramp: timedelta = timedelta(seconds=3)
+    first_share: float = 0.25
+
+
 class LeaderPolicy(msgspec.Struct, frozen=True, kw_only=True):
     """All settings of a leader.
 
@@ -129,6 +159,8 @@
         Forecast of the load from the arrivals of jobs.
     advice : AdviceSettings
         Requests to the adviser.
+    evacuation : EvacuationSettings
+        Evacuations of data centres.
     """
 
     scheduling: SchedulingSettings = SchedulingSettings()
@@ -138,3 +170,4 @@
     sizing: SizingSettings = SizingSettings()
     arrivals: ArrivalSettings = ArrivalSettings()
     advice: AdviceSettings = AdviceSettings()
+    evacuation: EvacuationSettings = EvacuationSettings()
--- a/src/redwingslip/scheduling/exceptions.py
+++ b/src/redwingslip/scheduling/exceptions.py
@@ -12,6 +12,7 @@
     "OrderNotSentError",
     "OrderOutcomeUnknownError",
     "SchedulingError",
+    "UnknownDataCentreError",
     "UnknownPoolError",
     "VmAtWorkError",
     "VmReplacedError",
@@ -51,6 +52,10 @@
     """A report names a pool that the plan does not have."""
 
 
+class UnknownDataCentreError(SchedulingError):
+    """The settings list the data centres, and not this one."""
+
+
 class VmAtWorkError(SchedulingError):
     """A report would replace an incarnation that answers."""
 
