Start nothing in data centres that operators have evacuated

Operators start and finish an evacuation by the platform's calls, which are answered once the command is committed. Start orders that are queued or about to be resent are withdrawn, those of an earlier leader included; one whose outcome is unknown is stopped, so that the VM refuses a late copy.

--- a/src/redwingslip/platform/_answers.py
+++ b/src/redwingslip/platform/_answers.py
@@ -10,6 +10,7 @@
     NoPlanError,
     NoQueueError,
     NotLeadingError,
+    UnknownDataCentreError,
     VmUnconfirmedError,
 )
 from .exceptions import DocumentError
@@ -23,6 +24,7 @@
     DocumentError: 400,
     KeyRefusedError: 401,
     NoQueueError: 404,
+    UnknownDataCentreError: 404,
     NoPlanError: 503,
     NotLeadingError: 503,
     VmUnconfirmedError: 503,
--- a/src/redwingslip/platform/_calls.py
+++ b/src/redwingslip/platform/_calls.py
@@ -24,6 +24,7 @@
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _INSTANCE_PATH = re.compile(r"/instances/(?P<id>[^/]+)/(?P<verb>heartbeat|deregister)")
+_EVACUATION_PATH = re.compile(r"/evacuations/(?P<zone>[^/]+)/(?P<verb>start|finish)")
 _WAVE_PATH = re.compile(r"/wave-get/(?P<number>[0-9]{1,16})")
 
 
@@ -90,6 +91,12 @@
             max_at_once=order.max_at_once,
         )
         return json_answer(call, 200, {})
+    if (match := _EVACUATION_PATH.fullmatch(path)) and call.method == "POST":
+        if match["verb"] == "start":
+            await service.evacuations.start(match["zone"])
+        else:
+            await service.evacuations.finish(match["zone"])
+        return json_answer(call, 200, {})
     if match := _INSTANCE_PATH.fullmatch(path):
         if match["verb"] == "deregister":
             await service.remove_vm(match["id"], decode_deregistration(call.body))
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -137,6 +137,15 @@
 
     def is_ready(self, now: timedelta) -> bool:
         """Return whether new runs may be placed on this VM."""
+        return self.is_serving(now) and not self.is_evacuated
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether the data centre of this VM is being evacuated."""
+        return self._term.state.evacuations.includes(self.vm.data_centre)
+
+    def is_serving(self, now: timedelta) -> bool:
+        """Return whether this VM could take runs, evacuations left aside."""
         if self.vm.is_draining or not self._has_renewed_lease:
             return False
         full_until = self._sender.full_until
@@ -162,6 +171,15 @@
         """Queue the order to stop a run, ahead of queued starts."""
         self._sender.stop(key, number)
 
+    def withdraw_starts(self) -> None:
+        """Withdraw the queued orders to start runs."""
+        self._sender.withdraw_starts()
+
+    @property
+    def n_unsettled_starts(self) -> int:
+        """Return the number of start orders that the VM may still carry out."""
+        return self._sender.n_unsettled_starts
+
     def is_stopping(self, key: TaskKey, number: int) -> bool:
         """Return whether a stop order for a run is queued, in flight or answered."""
         return self._sender.is_stopping(key, number)
--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -29,6 +29,8 @@
     n_lost : int
         Calls whose outcome is unknown, so that a copy may still be in flight. A call
         that an earlier leader may have sent counts as one.
+    withdraws_start : bool
+        Whether this stop withdraws a start that the VM may still receive.
     """
 
     key: TaskKey
@@ -37,6 +39,7 @@
     run: ActiveRun | None = None
     ticket: str = ""
     n_lost: int = 0
+    withdraws_start: bool = False
 
 
 class OrderSender:
@@ -77,6 +80,7 @@
     __slots__ = (
         "_cfg",
         "_ending",
+        "_in_flight",
         "_orders",
         "_pending",
         "_queue",
@@ -116,6 +120,7 @@
         self.stop_answered_at: dict[RunId, timedelta] = {}
         self._queue: deque[_Order] = deque()
         self._pending: dict[RunId, _Order] = {}
+        self._in_flight: _Order | None = None
         # Runs whose end is being committed; they must not be started meanwhile.
         self._ending: set[RunId] = set()
         self._wake = asyncio.Event()
@@ -172,6 +177,20 @@
         if pending is None or not pending.is_stop:
             self._enqueue(_Order(key, number, is_stop=True))
 
+    def withdraw_starts(self) -> None:
+        """Withdraw the queued start orders; one in flight, if it has to be resent."""
+        for order in tuple(self._pending.values()):
+            if not order.is_stop and order is not self._in_flight:
+                self._withdraw_evacuated(order)
+
+    @property
+    def n_unsettled_starts(self) -> int:
+        """Return the number of start orders, and of stops for lost ones, under way."""
+        return sum(
+            not order.is_stop or order.withdraws_start
+            for order in self._pending.values()
+        )
+
     def is_stopping(self, key: TaskKey, number: int) -> bool:
         """Return whether a stop order for a run is queued, in flight or answered."""
         pending = self._pending.get((key, number))
@@ -197,6 +216,7 @@
             order = self._queue.popleft()
             if self._pending.get((order.key, order.number)) is not order:
                 continue
+            self._in_flight = order
             try:
                 await self._send(order)
             except Exception:
@@ -204,6 +224,8 @@
                 order.n_lost += 1
                 self._requeue(order)
                 raise
+            finally:
+                self._in_flight = None
 
     async def _send(self, order: _Order) -> None:
         run_id = (order.key, order.number)
@@ -218,6 +240,11 @@
             # Another run of the task was done while this order waited.
             self._withdraw(order)
             return
+        if not order.is_stop and self._is_evacuated():
+            # The run was placed before the evacuation of the data centre began, or by
+            # an earlier leader.
+            self._withdraw_evacuated(order)
+            return
         if not order.is_stop and self.is_unresponsive:
             # Another incarnation may be at the address; the next poll shows that. A
             # gang starts as a whole, so that its runs wait for the poll.
@@ -244,6 +271,21 @@
             order.n_lost += 1
             await self._retry(order)
 
+    def _is_evacuated(self) -> bool:
+        """Return whether the data centre of the VM is being evacuated."""
+        return self._term.state.evacuations.includes(self.vm.data_centre)
+
+    def _withdraw_evacuated(self, order: _Order) -> None:
+        """Withdraw a start order in an evacuated data centre, and log it."""
+        self._term.emit(
+            EventName.START_WITHDRAWN,
+            request_id=order.key.job_id,
+            vm=self.vm.vm_id,
+            detail=f"{order.key.label(order.number)}: "
+            f"data centre {self.vm.data_centre} is being evacuated",
+        )
+        self._withdraw(order)
+
     def _is_run_active(self, order: _Order) -> bool:
         """Return whether the run of a start order is still active in the state."""
         runs = self._term.state.runs.get(self.vm.vm_id, {})
@@ -331,7 +373,7 @@
         if order.n_lost:
             # An earlier copy of the order may still be in flight; the stop makes the VM
             # refuse it.
-            self.stop(*run_id)
+            self._enqueue(_Order(*run_id, is_stop=True, withdraws_start=True))
         else:
             self.record_end(run_id, EndKind.REJECTED)
 
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -19,6 +19,7 @@
     RecordEnds,
     ReplacePlan,
     RunEnd,
+    StartEvacuation,
     StartRuns,
     SubmitJob,
     TaskKey,
@@ -33,6 +34,7 @@
 from ..workers import RunTimeModel
 from ._advice import AdviceCache, Adviser
 from ._agent import VmAgent
+from ._evacuation_calls import EvacuationCalls
 from ._job_index import JobIndex
 from ._loop_lag import LoopLag
 from ._machines import MachineRegistry
@@ -70,6 +72,11 @@
         need its tickets.
     cfg : LeaderPolicy
         The settings.
+
+    Attributes
+    ----------
+    evacuations : EvacuationCalls
+        Operators' calls on evacuations of data centres.
     """
 
     def __init__(
@@ -98,7 +105,9 @@
             self.agents,
             takeover_delay=delay,
             max_ejected_share=cfg.vms.health.max_ejected_share,
+            evacuation=cfg.evacuation,
         )
+        self.evacuations = EvacuationCalls(term=term, cfg=cfg.evacuation)
         self._advice = AdviceCache(
             adviser=adviser,
             candidates=lambda pool: self._rounds.candidates(pool),
@@ -253,6 +262,12 @@
         self._handle_ends(command.vm_id, outcome.lost)
         self._handle_given_up(command.vm_id, outcome.given_up)
 
+    @_handle.register
+    def _(self, command: StartEvacuation, outcome: bool) -> None:
+        for agent in self.agents.values():
+            if agent.vm.data_centre == command.data_centre:
+                agent.withdraw_starts()
+
     @_handle.register
     def _(self, command: ForgetJobs, outcome: None) -> None:
         for job_id in command.job_ids:
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -22,6 +22,7 @@
     VmRecord,
 )
 from ..observe import EventName
+from ._evacuation_calls import EvacuationCalls
 from ._replacements import ReplacementChecks
 from ._report_history import ReportHistory
 from ._scheduler import Scheduler
@@ -89,6 +90,11 @@
             raise NoPlanError("no plan has been submitted yet")
         return self._state.plan
 
+    @property
+    def evacuations(self) -> EvacuationCalls:
+        """Return the operations on evacuations of data centres."""
+        return self._scheduler.evacuations
+
     def find_queue(self, host: str, path: str) -> tuple[Queue, str]:
         """Return the queue with the longest matching prefix, and the rest of the path.
 
--- a/src/redwingslip/scheduling/_wait_reasons.py
+++ b/src/redwingslip/scheduling/_wait_reasons.py
@@ -49,6 +49,8 @@
     vm = agent.vm
     if vm.is_draining:
         return "draining"
+    if agent.is_evacuated:
+        return f"in evacuated data centre {vm.data_centre}"
     if not agent.is_ready(now) or not agent.is_responsive:
         return "out of contact"
     used, steps = state.usage.of_vm(vm.vm_id)
@@ -63,8 +65,10 @@
         return "full of runs that are never stopped"
     if machines.is_claimed(vm.machine):
         return "claimed"
-    if need.fits(vm.capacity - used):
+    if need.fits(machines.ramp.usable(vm, used)):
         return "with room"
+    if need.fits(vm.capacity - used):
+        return f"filling up after the evacuation of {vm.data_centre}"
     runs = state.runs_of(vm.vm_id, vm.born_ms)
     if any(agent.is_stopping(run.key, run.number) for run in runs):
         return "where runs are being stopped"
--- a/tests/scheduling_endpoints.py
+++ b/tests/scheduling_endpoints.py
@@ -42,6 +42,8 @@
     ----------
     machine, address : str
         Its place, which a later VM may have.
+    data_centre : str
+        ``east`` for the VMs whose names begin with v0 or v1, else ``west``.
     capacity : Amounts
         Its capacity, which may change while it runs.
     guards_capacity : bool
@@ -55,6 +57,7 @@
         self.machine = f"m-{vm_id}"
         self.address = f"{vm_id}:1"
         self.pool = "p"
+        self.data_centre = "east" if vm_id[:2] in ("v0", "v1") else "west"
         self.born_ms = next(world.incarnations)
         self.rate = rate
         self.began_at = world.now()
@@ -88,6 +91,7 @@
             machine=self.machine,
             pool=self.pool,
             address=self.address,
+            data_centre=self.data_centre,
             capacity=self.capacity,
             labels=("a", "r1"),
             is_draining=self.is_draining,
