Move long-running tasks out of evacuated data centres

They leave one by one within the disruption budget of their step, through the same Evacuation as those of waves, and only to a place that is kept for them. Pools get machines for the VMs that they lost; machines there are no donors, and waves take them first once they are empty. explain names withdrawn starts, moves and waits.

--- a/src/redwingslip/observe/_explain.py
+++ b/src/redwingslip/observe/_explain.py
@@ -149,6 +149,36 @@
         yield f"A run on {stop.event.vm} was stopped: {stop.event.detail}."
 
 
+def _find_evacuations(timeline: _JobTimeline) -> Iterator[str]:
+    """Yield sentences for what evacuations of data centres did to a job."""
+    for withdrawal in timeline.select(EventName.START_WITHDRAWN):
+        detail = withdrawal.event.detail
+        yield f"A start on {withdrawal.event.vm} was withdrawn: {detail}."
+    for move in timeline.select(EventName.EVACUATION_MOVE):
+        yield f"A run on {move.event.vm} was stopped to move: {move.event.detail}."
+    accepted = timeline.select(EventName.JOB_ACCEPTED)
+    if not accepted:
+        return
+    starts = timeline.select(EventName.RUN_ORDERED)
+    last_time = starts[0].time if starts else None
+    if last_time and last_time - accepted[0].time < MIN_REPORTED_WAIT:
+        return
+    # Those that had ended before the job was accepted had no effect on it.
+    in_progress: dict[str, None] = {}
+    for event in timeline.all:
+        if last_time and event.time > last_time:
+            break
+        if event.event.name is EventName.EVACUATION_STARTED:
+            in_progress[event.event.detail] = None
+        elif (
+            event.event.name is EventName.EVACUATION_FINISHED
+            and event.time < accepted[0].time
+        ):
+            in_progress.pop(event.event.detail, None)
+    if in_progress:
+        yield f"During the wait nothing was started in {', '.join(in_progress)}."
+
+
 def _find_crashes(timeline: _JobTimeline) -> Iterator[str]:
     """Yield a sentence for a job that failed since its task crashed VMs."""
     for end in timeline.select(EventName.RUN_ENDED):
@@ -190,6 +220,7 @@
 _CAUSE_FINDERS: tuple[Callable[[_JobTimeline], Iterator[str]], ...] = (
     _find_refusals,
     _find_waits,
+    _find_evacuations,
     _find_lost_runs,
     _find_crashes,
     _find_failures,
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -144,6 +144,18 @@
         "{call}",
         "Calls of VMs, by whether the leader or a delegate makes them.",
     ),
+    _Instrument(
+        "gauge",
+        "evacuation.vms",
+        "{vm}",
+        "VMs in data centres that are being evacuated.",
+    ),
+    _Instrument(
+        "gauge",
+        "evacuation.tasks",
+        "{task}",
+        "Long-running tasks in data centres that are being evacuated.",
+    ),
     _Instrument(
         "counter", "event.dropped", "{event}", "Events that the log could not take."
     ),
@@ -272,6 +284,12 @@
         if count:
             self._instruments["vm.calls"].add(count, {"redwingslip.caller": caller})
 
+    def set_evacuation(self, *, data_centre: str, n_vms: int, n_tasks: int) -> None:
+        """Set the numbers of VMs and of long-running tasks in a data centre."""
+        attributes = self._limit_values({"redwingslip.data_centre": data_centre})
+        self._instruments["evacuation.vms"].set(n_vms, attributes)
+        self._instruments["evacuation.tasks"].set(n_tasks, attributes)
+
     def add_dropped_events(self, count: int) -> None:
         """Count events that the log dropped."""
         self._instruments["event.dropped"].add(count)
--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -10,6 +10,7 @@
 from ._job_index import non_preemptible_need
 from ._machines import MachineRegistry
 from ._order_sender import RunId
+from ._places import Places
 from ._term import Term
 from ._work_checks import WorkChecks
 
@@ -133,6 +134,47 @@
         )
         agent.stop(run.key, run.number)
 
+    def move_off(self, agent: VmAgent, places: Places) -> bool:
+        """Stop the next long-running task of each step on a VM, if it has a place.
+
+        A step without a budget has one task moved at a time. Gangs stay, since they
+        work only as a whole. Return False if a task has no other place.
+        """
+        by_step: dict[StepKey, list[ActiveRun]] = {}
+        for run in self._movable_runs(agent):
+            if not agent.is_stopping(run.key, run.number):
+                by_step.setdefault(run.key[:3], []).append(run)
+        has_places = True
+        for step_runs in by_step.values():
+            run = min(step_runs, key=self._is_run_at_work)
+            budget = self._state.step(run.key).disruption_budget
+            n_unavailable = self._n_unavailable([run])
+            if n_unavailable >= max(1, budget):
+                continue
+            if not places.take(run.key, agent.vm.pool):
+                has_places = False
+            elif not budget or self._is_confirmed([run], budget):
+                self._term.emit(
+                    EventName.EVACUATION_MOVE,
+                    request_id=run.key.job_id,
+                    vm=run.vm_id,
+                    detail=f"{run.key.label(run.number)} leaves data centre "
+                    f"{agent.vm.data_centre}, {n_unavailable} of its step unavailable",
+                )
+                agent.stop(run.key, run.number)
+        return has_places
+
+    def n_long_running(self, agent: VmAgent) -> int:
+        """Return the number of long-running tasks that a VM has."""
+        return sum(
+            self._state.step(r.key).is_long_running for r in self._runs_on(agent)
+        )
+
+    def _movable_runs(self, agent: VmAgent) -> list[ActiveRun]:
+        """Return the runs of a VM that an evacuation of its data centre moves."""
+        steps = ((run, self._state.step(run.key)) for run in self._runs_on(agent))
+        return [run for run, s in steps if s.is_long_running and not s.is_gang]
+
     def _runs_on(self, agent: VmAgent) -> tuple[ActiveRun, ...]:
         return self._state.runs_of(agent.vm.vm_id, agent.vm.born_ms)
 
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -110,6 +110,9 @@
         now = self._term.clock.monotonic()
         for machine, pool in tuple(self._planned_pools.items()):
             agent = self._machines.agent_on(machine)
+            if self._is_evacuated(machine, agent):
+                self._cancel_planned_move(machine)
+                continue
             if agent is not None and self._state.runs.get(agent.vm.vm_id):
                 drain_end = self._draining_until.get(machine)
                 if drain_end is None or now >= drain_end:
@@ -119,6 +122,16 @@
             self._draining_until.pop(machine, None)
             self._begin_order(machine, self._move(machine, pool, agent))
 
+    def _is_evacuated(self, machine: str, agent: VmAgent | None) -> bool:
+        """Return whether a machine is in a data centre that is being evacuated.
+
+        The last report of its VM counts; for one that is off, the platform's list.
+        """
+        if agent is not None:
+            return agent.is_evacuated
+        view = self._machine_views.get(machine)
+        return view is not None and self._state.evacuations.includes(view.data_centre)
+
     def _cancel_planned_move(self, machine: str) -> None:
         """Cancel the planned move of a machine and release its claim."""
         self._planned_pools.pop(machine, None)
@@ -170,7 +183,7 @@
         if now >= self._term.started_at + self._cfg.moves.survey_time:
             return True
         agents = self._machines.agents.values()
-        n_responsive = sum(a.is_ready(now) or a.vm.is_draining for a in agents)
+        n_responsive = sum(a.is_serving(now) or a.vm.is_draining for a in agents)
         return n_responsive > 0 and n_responsive >= self._cfg.moves.survey_part * len(
             agents
         )
@@ -201,6 +214,7 @@
             and view.state is MachineState.UP
             and view.machine not in self._arrivals
             and not self._machines.is_claimed(view.machine)
+            and not self._state.evacuations.includes(view.data_centre)
             and self._machines.may_order(view.machine)
         )
         return PoolLoad(pool=pool, is_standby=True, idle=idle)
@@ -214,6 +228,14 @@
             vm = agent.vm
             if vm.pool != pool or self._machines.is_claimed(vm.machine):
                 continue
+            if agent.is_evacuated:
+                # Its room is replaced, also for the long-running tasks that must leave.
+                _, steps = self._state.usage.of_vm(vm_id)
+                stranded = non_preemptible_need(self._state, steps).cpu
+                used_cpu += stranded
+                non_preemptible_cpu += stranded
+                self._idle_since.pop(vm.machine, None)
+                continue
             if not agent.is_ready(now):
                 continue
             if vm_id in ejected:
@@ -273,7 +295,8 @@
                 and agent.is_ready(now)
                 and not self._machines.is_claimed(machine)
             )
-            if has_arrived or now > arrival.until:
+            is_useless = self._is_evacuated(machine, agent)
+            if has_arrived or is_useless or now > arrival.until:
                 del self._arrivals[machine]
 
     async def _record_move(self, machine: str) -> bool:
--- /dev/null
+++ b/src/redwingslip/scheduling/_places.py
@@ -0,0 +1,103 @@
+"""Places to which the long-running tasks of evacuated data centres can move."""
+
+from collections import Counter
+
+import msgspec
+
+from ..jobs import ACTIVE_STATUSES, Amounts, JobRecord, StepSpec, TaskKey, iter_tasks
+from ..placement import is_allowed
+from ._agent import VmAgent
+from ._job_index import non_preemptible_need
+from ._machines import MachineRegistry
+from ._term import Term
+
+__all__ = ["Places"]
+
+
+class _Place(msgspec.Struct):
+    """A VM with the room that long-running tasks could take there.
+
+    Attributes
+    ----------
+    room : Amounts
+        Resources that no long-running task uses; short ones are preempted.
+    steps : Counter
+        Number of its tasks by job, occurrence and step.
+    """
+
+    agent: VmAgent
+    room: Amounts
+    steps: Counter[tuple]
+
+
+class Places:
+    """Room for long-running tasks, computed once for a round of an evacuation.
+
+    Room is kept first for the tasks that wait or are being stopped, so that no task
+    leaves its VM for a place that another one takes.
+
+    Parameters
+    ----------
+    term : Term
+        The term of this leader.
+    machines : MachineRegistry
+        Registry of the machines and their agents.
+    """
+
+    __slots__ = ("_machines", "_now", "_pools", "_state")
+
+    def __init__(self, term: Term, machines: MachineRegistry) -> None:
+        self._state = term.state
+        self._machines = machines
+        self._now = term.clock.monotonic()
+        self._pools: dict[str, list[_Place]] = {}
+        for vm_id, agent in machines.agents.items():
+            is_usable = agent.is_ready(self._now) and agent.is_responsive
+            if not is_usable or machines.is_claimed(agent.vm.machine):
+                continue
+            _, steps = self._state.usage.of_vm(vm_id)
+            kept = non_preemptible_need(self._state, steps)
+            place = _Place(agent, machines.ramp.usable(agent.vm, kept), steps)
+            self._pools.setdefault(agent.vm.pool, []).append(place)
+        for job in self._state.jobs.values():
+            if job.status in ACTIVE_STATUSES:
+                self._keep_room(job)
+
+    def take(self, key: TaskKey, pool: str) -> bool:
+        """Take a place for a task in a pool; return whether there was one."""
+        step = self._state.step(key)
+        for place in self._pools.get(pool, ()):
+            if _suits(place, step, key):
+                place.room = place.room - step.reserved
+                place.steps[key[:3]] += 1
+                return True
+        return False
+
+    def _keep_room(self, job: JobRecord) -> None:
+        """Take places for the long-running tasks of a job that are to restart."""
+        if not any(step.is_long_running for step in job.spec.steps):
+            return
+        pool = _pool_of(job, self._state.plan.queues)
+        for key, task in iter_tasks(job):
+            if not job.spec.steps[key.step].is_long_running or task.is_done:
+                continue
+            if all(self._is_stopping(key, run.number, run.vm_id) for run in task.runs):
+                self.take(key, pool)
+
+    def _is_stopping(self, key: TaskKey, number: int, vm_id: str) -> bool:
+        agent = self._machines.agents.get(vm_id)
+        return agent is not None and agent.is_stopping(key, number)
+
+
+def _suits(place: _Place, step: StepSpec, key: TaskKey) -> bool:
+    """Return whether a task can start at a place."""
+    labels = place.agent.vm.labels
+    return step.reserved.fits(place.room) and is_allowed(
+        step, key[:3], labels, place.steps
+    )
+
+
+def _pool_of(job: JobRecord, queues: tuple) -> str:
+    """Return the pool of a job under the plan in force, as `JobIndex.pool_of`."""
+    pools = {queue.name: queue.pool for queue in queues}
+    return pools.get(job.spec.queue, job.spec.pool)
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -6,6 +6,7 @@
 
 from ..jobs import ActiveRun, RecordMaintenance, WaveRecord
 from ..observe import EventName
+from ._data_centres import DataCentreEvacuation
 from ._evacuation import Evacuation
 from ._job_index import PoolBacklog
 from ._machines import MachineManager
@@ -38,6 +39,12 @@
             maintained_at=self._maintained_at,
             checks=self._checks,
         )
+        self._data_centres = DataCentreEvacuation(
+            term=self._term,
+            machines=self._machines,
+            evacuation=self._evacuation,
+            cfg=self._cfg.evacuation,
+        )
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
@@ -62,6 +69,7 @@
         for wave in tuple(self._state.waves.values()):
             if not wave.is_complete:
                 self._advance(wave, now)
+        self._data_centres.advance()
 
     def _advance(self, wave: WaveRecord, now: timedelta) -> None:
         """Cordon the next machines of a wave and order maintenance where possible."""
@@ -129,6 +137,9 @@
         if agent is None:
             # A pool that lacks capacity would get this machine immediately.
             return (1, 0) if self._machines.is_short else (0, 0)
+        if agent.is_evacuated:
+            # It serves nobody, and gets no new runs.
+            return (-1, self._count_runs(machine))
         backlog = self._backlog.get(agent.vm.pool, PoolBacklog())
         return (backlog.cpu, self._count_runs(machine))
 
@@ -137,13 +148,16 @@
 
         A machine that is switched off is spare unless a pool lacks machines. Any other
         is spare if it has no short tasks, nothing waits in its pool, and the share of
-        cordoned machines of the pool stays within `pool_share`.
+        cordoned machines of the pool stays within `pool_share`. One without runs in an
+        evacuated data centre is spare.
         """
         agent = self._machines.agent_on(machine)
         if agent is None:
             return not self._machines.is_short
         vm = agent.vm
         runs = self._state.runs_of(vm.vm_id, vm.born_ms)
+        if agent.is_evacuated and not runs:
+            return True
         if vm.pool in self._backlog:
             return False
         if not all(self._state.step(run.key).is_long_running for run in runs):
@@ -193,7 +207,7 @@
         if now > maintained_at + self._cfg.waves.down_timeout:
             return False
         agent = self._machines.agent_on(machine)
-        if agent is None or not agent.is_ready(now):
+        if agent is None or not agent.is_serving(now):
             return True
         # A VM kept after a repeated order may have ended since its last answer.
         return agent.lease.contact_at <= maintained_at
--- a/tests/test_observe_explain.py
+++ b/tests/test_observe_explain.py
@@ -46,6 +46,23 @@
         )
         self.assertIn("Nothing went wrong", self.causes())
 
+    def test_an_evacuation_names_the_data_centre(self):
+        """Guards against a wait or a stop whose cause is an operator's call."""
+        for at_s, verb, name in (
+            (0, EventName.EVACUATION_STARTED, "north"),
+            (1, EventName.EVACUATION_FINISHED, "north"),
+            (2, EventName.EVACUATION_STARTED, "east"),
+        ):
+            self.add_event(at_s, verb, job_id="", detail=name)
+        self.add_event(3, EventName.JOB_ACCEPTED)
+        self.add_event(3.1, EventName.START_WITHDRAWN, vm="v1", detail="0.0.0 run 1")
+        self.add_event(5, EventName.RUN_ORDERED, vm="v2", detail="0.0.0 run 2 accepted")
+        self.add_event(6, EventName.EVACUATION_MOVE, vm="v2", detail="0.0.0 run 2")
+        causes = self.causes()
+        self.assertIn("A start on v1 was withdrawn: 0.0.0 run 1.", causes)
+        self.assertIn("A run on v2 was stopped to move: 0.0.0 run 2.", causes)
+        self.assertIn("During the wait nothing was started in east.", causes)
+
     def test_a_refusal_names_the_loss_of_the_leader_behind_it(self):
         self.add_event(
             5, EventName.LEADER_SILENT, process="gateway-2", job_id="", detail="c1: 1 s"
