Give operators a call and a command for evacuations of data centres

A controller serves PUT, DELETE and GET of /v1/evacuations at [listen] operators for holders of a token of [operators]; both are off by default. 'redwingslip evacuation' starts, finishes and lists. test_docs now reads the help of its subcommands as well.

--- /dev/null
+++ b/src/redwingslip/control/__init__.py
@@ -0,0 +1,7 @@
+"""Control: the product's own HTTP interface for the operators of controllers."""
+
+from ._calls import answer_operator
+from ._problems import error_answer, relay_error_answer
+from ._server import control_app
+
+__all__ = ["answer_operator", "control_app", "error_answer", "relay_error_answer"]
--- /dev/null
+++ b/src/redwingslip/control/_calls.py
@@ -0,0 +1,93 @@
+"""Translation of operators' calls into calls of the leader's `JobService`."""
+
+import re
+from datetime import UTC, datetime, timedelta
+
+import msgspec
+
+from ..http import Problem
+from ..peers import RelayedAnswer, RelayedCall
+from ..scheduling import EvacuationStatus, JobService, SchedulingError
+from ._problems import error_answer
+
+__all__ = ["answer_operator"]
+
+_EVACUATIONS_PATH = re.compile(r"/v1/evacuations(?:/(?P<name>[^/]+))?")
+EPOCH = datetime.fromtimestamp(0, UTC)
+MS = timedelta(milliseconds=1)
+
+
+class EvacuationView(msgspec.Struct, frozen=True, kw_only=True):
+    """An evacuation in progress, and what is left in its data centre.
+
+    Attributes
+    ----------
+    n_vms : int
+        VMs there.
+    n_long_running, n_short : int
+        Long-running and other tasks that run there.
+    """
+
+    data_centre: str
+    started_at: datetime
+    n_vms: int
+    n_long_running: int
+    n_short: int
+
+
+class EvacuationList(msgspec.Struct, frozen=True, kw_only=True):
+    """The evacuations in progress."""
+
+    items: tuple[EvacuationView, ...]
+
+
+class FinishedView(msgspec.Struct, frozen=True, kw_only=True):
+    """A data centre that is not being evacuated."""
+
+    data_centre: str
+
+
+async def answer_operator(service: JobService, call: RelayedCall) -> RelayedAnswer:
+    """Return the leader's answer to an operator's call."""
+    match = _EVACUATIONS_PATH.fullmatch(call.path)
+    if match is None:
+        return _not_found_answer(call, "no such address", call.path)
+    name = match["name"]
+    try:
+        if call.method == "PUT" and name:
+            await service.evacuations.start(name)
+        elif call.method == "DELETE" and name:
+            await service.evacuations.finish(name)
+            return _answer(call, FinishedView(data_centre=name))
+    except SchedulingError as exc:
+        return error_answer(call, exc)
+    views = [_view(status) for status in service.evacuations.statuses()]
+    if not name:
+        return _answer(call, EvacuationList(items=tuple(views)))
+    for view in views:
+        if view.data_centre == name:
+            return _answer(call, view)
+    return _not_found_answer(call, "not being evacuated", name)
+
+
+def _view(status: EvacuationStatus) -> EvacuationView:
+    return EvacuationView(
+        data_centre=status.data_centre,
+        started_at=EPOCH + status.started_ms * MS,
+        n_vms=status.n_vms,
+        n_long_running=status.n_tasks,
+        n_short=status.n_short_tasks,
+    )
+
+
+def _answer(
+    call: RelayedCall, document: msgspec.Struct, *, status: int = 200
+) -> RelayedAnswer:
+    return RelayedAnswer(
+        number=call.number, status=status, body=msgspec.json.encode(document)
+    )
+
+
+def _not_found_answer(call: RelayedCall, title: str, detail: str) -> RelayedAnswer:
+    problem = Problem(status=404, title=title, detail=detail)
+    return _answer(call, problem, status=problem.status)
--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -1,11 +1,13 @@
 """The controller daemon: a replica of the log that schedules jobs while it leads."""
 
+import asyncio
 import random
 from datetime import timedelta
 
-from .. import submitters
+from .. import control, submitters
 from ..consensus import ConsensusMessage, DataFolder, Replica, bootstrap_data_folder
 from ..delegation import DelegatedOrders, OrderDelegate
+from ..http import HttpServer
 from ..jobs import Command, JobsMachine
 from ..observe import EventName
 from ..peers import (
@@ -36,6 +38,11 @@
 
 __all__ = ["ControllerApp"]
 
+_ERROR_ANSWERS = {
+    CallSource.SUBMITTERS: submitters.error_answer,
+    CallSource.OPERATORS: control.error_answer,
+}
+
 # Nothing listens on the discard port, so calls without a configured service are refused
 # immediately.
 UNREACHABLE_ADDRESS = "127.0.0.1:9"
@@ -87,6 +94,20 @@
         self._call_server = self._new_call_server(
             CallSource.CONTROL, cfg.relay.control_patience
         )
+        self._operator_server = self._new_operator_server()
+
+    def _new_operator_server(self) -> HttpServer | None:
+        """Return the server of the interface for operators, or None if it is off."""
+        address = self.cfg.listen.operators
+        if address is None:
+            return None
+        app = control.control_app(
+            self._relay_call,
+            self.cfg.http,
+            self.cfg.relay.control_patience,
+            self.cfg.operators.token_sha256,
+        )
+        return self._new_server(app, address)
 
     async def start(self) -> None:
         """Join the replicated log and start to listen.
@@ -100,6 +121,8 @@
         await self._start_core()
         await self.replica.start()
         await self._call_server.start()
+        if self._operator_server is not None:
+            await self._operator_server.start()
         self._spawn(self._delegate.run())
         self._core.report_start(self.replica.incarnation)
 
@@ -122,7 +145,10 @@
         await self._delegate.resign(DELEGATE_PATIENCE)
         await self.replica.stop()
         self._delegate.close()
-        await self._call_server.stop(self.cfg.drain.grace)
+        servers = [self._call_server, self._operator_server]
+        await asyncio.gather(
+            *(s.stop(self.cfg.drain.grace) for s in servers if s is not None)
+        )
         await self._worker_client.close()
         await self._machine_client.close()
         await self._advice_client.close()
@@ -232,15 +258,15 @@
         try:
             if call.source is CallSource.SUBMITTERS:
                 answer = await submitters.answer_submitter(service, call)
+            elif call.source is CallSource.OPERATORS:
+                answer = await control.answer_operator(service, call)
             else:
                 own_address = self.cfg.listen.calls
                 answer = await answer_call(service, call, own_address=own_address)
         except Exception as exc:
             # An internal error must not leave the caller without an answer.
-            is_submitter_call = call.source is CallSource.SUBMITTERS
-            answer = (submitters.error_answer if is_submitter_call else error_answer)(
-                call, exc
-            )
+            answer_error = _ERROR_ANSWERS.get(call.source, error_answer)
+            answer = answer_error(call, exc)
             self._core.emit(EventName.WARNING, detail=f"{call.path}: {exc!r}")
         if answer.status >= FIRST_ERROR_STATUS:
             version = self.machine.state.plan.version
--- a/src/redwingslip/daemons/_fleet_app.py
+++ b/src/redwingslip/daemons/_fleet_app.py
@@ -6,7 +6,7 @@
 
 from starlette.applications import Starlette
 
-from .. import platform, submitters
+from .. import control, platform, submitters
 from ..http import HttpServer
 from ..observe import Event, EventName
 from ..peers import CallSource, LeaderReport, Message, RelayedAnswer, RelayedCall
@@ -122,4 +122,6 @@
     """Return the error for a call that no leader answered, in its caller's format."""
     if call.source is CallSource.SUBMITTERS:
         return submitters.relay_error_answer(call, exc)
+    if call.source is CallSource.OPERATORS:
+        return control.relay_error_answer(call, exc)
     return platform.relay_error_answer(call, exc)
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -1,5 +1,6 @@
 """Settings of the gateway and the controller daemons."""
 
+from collections.abc import Iterator
 from datetime import timedelta
 from pathlib import Path
 from typing import Annotated, ClassVar
@@ -30,7 +31,11 @@
     PeersSettings,
     ProcessSettings,
     ReplicaRoleSettings,
+    SettingsError,
+    Sha256,
     TlsSettings,
+    find_problems,
+    format_duration,
 )
 from ..workers import HealthSettings, LeaseSettings, ProgressSettings
 
@@ -77,11 +82,15 @@
         Where a gateway reports whether it accepts new connections.
     submitters : str or None
         Where a gateway serves the product's own interface for jobs; none turns it off.
+    operators : str or None
+        Where a controller serves the product's own interface for operators; none turns
+        it off.
     """
 
     calls: Annotated[Address, msgspec.Meta(examples=["127.0.0.1:8201"])]
     readiness: Address | None = None
     submitters: Address | None = None
+    operators: Address | None = None
 
 
 class CloudSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -143,6 +152,18 @@
     grace: timedelta = timedelta(seconds=2)
 
 
+class ControlSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Tokens that authorise the use of a controller's interface for operators.
+
+    Attributes
+    ----------
+    token_sha256 : tuple of str
+        SHA-256 of each operator's token.
+    """
+
+    token_sha256: tuple[Sha256, ...] = ()
+
+
 class GatewaySettings(FleetSettings, frozen=True, kw_only=True):
     """Settings of a gateway daemon."""
 
@@ -182,6 +203,7 @@
     arrivals: ArrivalSettings = ArrivalSettings()
     advice: AdviceSettings = AdviceSettings()
     evacuation: EvacuationSettings = EvacuationSettings()
+    operators: ControlSettings = ControlSettings()
     drain: DrainSettings = DrainSettings()
 
     @property
@@ -202,3 +224,33 @@
             advice=self.advice,
             evacuation=self.evacuation,
         )
+
+
+@find_problems.register
+def _(cfg: EvacuationSettings, section: str) -> Iterator[SettingsError]:
+    if not 0 < cfg.first_share <= 1:
+        yield SettingsError(
+            section=section,
+            option="first_share",
+            value=str(cfg.first_share),
+            allowed="above 0 and at most 1",
+        )
+    for option in ("start_bound", "ramp"):
+        if getattr(cfg, option) < timedelta(0):
+            yield SettingsError(
+                section=section,
+                option=option,
+                value=format_duration(getattr(cfg, option)),
+                allowed="not negative",
+            )
+
+
+@find_problems.register
+def _(cfg: ControllerSettings, section: str) -> Iterator[SettingsError]:
+    if cfg.listen.operators is not None and not cfg.operators.token_sha256:
+        yield SettingsError(
+            section="operators",
+            option="token_sha256",
+            value="",
+            allowed="the SHA-256 of a token, as [listen] operators is set",
+        )
--- a/src/redwingslip/peers/_relay_messages.py
+++ b/src/redwingslip/peers/_relay_messages.py
@@ -20,6 +20,7 @@
     CALLERS = "callers"
     CONTROL = "control"
     SUBMITTERS = "submitters"
+    OPERATORS = "operators"
 
 
 class RelayedCall(PeerMessage):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -77,7 +77,11 @@
                 while words and words[0].startswith("--"):
                     self.assertIn(words[0], help_of())
                     words = words[2:]
-                n_words = 2 if words[:1] in (["wave"], ["key"], ["job"]) else 1
+                n_words = (
+                    2
+                    if words[:1] in (["wave"], ["key"], ["job"], ["evacuation"])
+                    else 1
+                )
                 text = help_of(*words[:n_words])
                 for option in _OPTION.findall(" ".join(words[n_words:])):
                     self.assertIn(option, text)
