Count the tasks of a step once in a round of an evacuation

A round of 180 VMs with 720 long-running tasks and 3,000 further jobs took 103, 47, 23 and 21 ms, the last two with nothing left to order.

--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -145,23 +145,31 @@
             if not agent.is_stopping(run.key, run.number):
                 by_step.setdefault(run.key[:3], []).append(run)
         has_places = True
-        for step_runs in by_step.values():
+        for step_key, step_runs in by_step.items():
             run = min(step_runs, key=self._is_run_at_work)
+            is_at_work = self._is_run_at_work(run)
+            if is_at_work and step_key in places.closed_steps:
+                continue
             budget = self._state.step(run.key).disruption_budget
             n_unavailable = self._n_unavailable([run])
             if n_unavailable >= max(1, budget):
+                may_leave = False
+            elif not places.take(run.key, agent.vm.pool):
+                may_leave = has_places = False
+            else:
+                may_leave = not budget or self._is_confirmed([run], budget)
+            if not may_leave:
+                # Counting the tasks of a step for each of its VMs takes long.
+                places.closed_steps.add(step_key)
                 continue
-            if not places.take(run.key, agent.vm.pool):
-                has_places = False
-            elif not budget or self._is_confirmed([run], budget):
-                self._term.emit(
-                    EventName.EVACUATION_MOVE,
-                    request_id=run.key.job_id,
-                    vm=run.vm_id,
-                    detail=f"{run.key.label(run.number)} leaves data centre "
-                    f"{agent.vm.data_centre}, {n_unavailable} of its step unavailable",
-                )
-                agent.stop(run.key, run.number)
+            self._term.emit(
+                EventName.EVACUATION_MOVE,
+                request_id=run.key.job_id,
+                vm=run.vm_id,
+                detail=f"{run.key.label(run.number)} leaves data centre "
+                f"{agent.vm.data_centre}, {n_unavailable} of its step unavailable",
+            )
+            agent.stop(run.key, run.number)
         return has_places
 
     def n_long_running(self, agent: VmAgent) -> int:
--- a/src/redwingslip/scheduling/_places.py
+++ b/src/redwingslip/scheduling/_places.py
@@ -42,29 +42,27 @@
         The term of this leader.
     machines : MachineRegistry
         Registry of the machines and their agents.
+
+    Attributes
+    ----------
+    closed_steps : set of tuple
+        Steps of which no further task at work may leave in this round.
     """
 
-    __slots__ = ("_machines", "_now", "_pools", "_state")
+    __slots__ = ("_machines", "_now", "_pools", "_state", "closed_steps")
 
     def __init__(self, term: Term, machines: MachineRegistry) -> None:
         self._state = term.state
         self._machines = machines
         self._now = term.clock.monotonic()
-        self._pools: dict[str, list[_Place]] = {}
-        for vm_id, agent in machines.agents.items():
-            is_usable = agent.is_ready(self._now) and agent.is_responsive
-            if not is_usable or machines.is_claimed(agent.vm.machine):
-                continue
-            _, steps = self._state.usage.of_vm(vm_id)
-            kept = non_preemptible_need(self._state, steps)
-            place = _Place(agent, machines.ramp.usable(agent.vm, kept), steps)
-            self._pools.setdefault(agent.vm.pool, []).append(place)
-        for job in self._state.jobs.values():
-            if job.status in ACTIVE_STATUSES:
-                self._keep_room(job)
+        self._pools: dict[str, list[_Place]] | None = None
+        self.closed_steps: set[tuple[str, int, int]] = set()
 
     def take(self, key: TaskKey, pool: str) -> bool:
         """Take a place for a task in a pool; return whether there was one."""
+        if self._pools is None:
+            # Not before, since often no step has a task that may leave.
+            self._find_places()
         step = self._state.step(key)
         for place in self._pools.get(pool, ()):
             if _suits(place, step, key):
@@ -73,6 +71,21 @@
                 return True
         return False
 
+    def _find_places(self) -> None:
+        self._pools = {}
+        for vm_id, agent in self._machines.agents.items():
+            is_usable = agent.is_ready(self._now) and agent.is_responsive
+            if not is_usable or self._machines.is_claimed(agent.vm.machine):
+                continue
+            _, steps = self._state.usage.of_vm(vm_id)
+            kept = non_preemptible_need(self._state, steps)
+            room = self._machines.ramp.usable(agent.vm, kept)
+            place = _Place(agent, room, steps)
+            self._pools.setdefault(agent.vm.pool, []).append(place)
+        for job in self._state.jobs.values():
+            if job.status in ACTIVE_STATUSES:
+                self._keep_room(job)
+
     def _keep_room(self, job: JobRecord) -> None:
         """Take places for the long-running tasks of a job that are to restart."""
         if not any(step.is_long_running for step in job.spec.steps):
--- a/tests/test_scheduling_data_centres.py
+++ b/tests/test_scheduling_data_centres.py
@@ -2,6 +2,7 @@
 
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from redwingslip.clock import ManualClock
 from redwingslip.jobs import (
@@ -233,9 +234,10 @@
         """Guards against waves that stand still for an error of an evacuation."""
         self.build()
         self.apply(StartEvacuation, data_centre="east")
-        self.state.jobs["j1"] = None
-        for _ in range(2):
-            await self.advance()
+        error = mock.patch.object(Evacuation, "move_off", side_effect=ValueError)
+        with error:
+            for _ in range(2):
+                await self.advance()
         self.assertEqual([name for name, _ in self.events], [EventName.WARNING])
 
 
