Stop no task on a VM that does not answer, for an evacuation

The order would reach the VM late, when another task of the step is away. A new test showed such a stop on the code before. The VM is asked right before, like those of the other tasks; until its lease ends, its tasks stay known.

--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -139,7 +139,14 @@
 
         A step without a budget has one task moved at a time. Gangs stay, since they
         work only as a whole. Return False if a task has no other place.
+
+        A VM that does not answer keeps its tasks until its lease ends: it would get the
+        order late, beside the stop of another task.
         """
+        if not agent.is_responsive or not agent.lease.is_in_contact(
+            self._term.clock.monotonic()
+        ):
+            return True
         by_step: dict[StepKey, list[ActiveRun]] = {}
         for run in self._movable_runs(agent):
             if not agent.is_stopping(run.key, run.number):
@@ -157,7 +164,9 @@
             elif not places.take(run.key, agent.vm.pool):
                 may_leave = has_places = False
             else:
-                may_leave = not budget or self._is_confirmed([run], budget)
+                has_answered = not is_at_work or self._has_answered(agent, run)
+                is_confirmed = not budget or self._is_confirmed([run], budget)
+                may_leave = has_answered and is_confirmed
             if not may_leave:
                 # Counting the tasks of a step for each of its VMs takes long.
                 places.closed_steps.add(step_key)
@@ -172,6 +181,13 @@
             agent.stop(run.key, run.number)
         return has_places
 
+    def _has_answered(self, agent: VmAgent, run: ActiveRun) -> bool:
+        """Return whether a VM has just listed its run at work; else ask it."""
+        if self._checks.is_confirmed(agent, (run.key, run.number)):
+            return True
+        self._checks.request([agent])
+        return False
+
     def n_long_running(self, agent: VmAgent) -> int:
         """Return the number of long-running tasks that a VM has."""
         return sum(
--- a/tests/test_scheduling_data_centres.py
+++ b/tests/test_scheduling_data_centres.py
@@ -203,6 +203,28 @@
         await self.advance()
         self.assertEqual(len(self.stopping()), 1)
 
+    async def test_tasks_of_a_vm_that_is_cut_off_stay_known(self):
+        """Guards against a stop that reaches the VM late, beside that of another task.
+
+        The last answer of the VM is recent; only the question shows the cut.
+        """
+        self.build()
+        self.run_tasks("v1", 0)
+        self.run_tasks("v2", 1, 2, 3)
+        self.apply(StartEvacuation, data_centre="east")
+        self.endpoints.of_vm("v1").is_unresponsive = True
+        for _ in range(3):
+            await self.advance()
+        self.assertEqual(self.stopping(), [])
+        self.agents["v1"]._sender.is_unresponsive = True
+        await self.advance()
+        self.assertEqual(self.stopping(), [])
+        self.assertEqual(len(self.state.runs_of("v1")), 1)
+        self.endpoints.of_vm("v1").is_unresponsive = False
+        self.agents["v1"]._sender.is_unresponsive = False
+        await self.advance()
+        self.assertEqual(self.stopping(), [("j1", 0)])
+
     async def test_a_step_without_a_budget_has_one_task_moved_at_a_time(self):
         self.build(disruption_budget=0)
         self.run_tasks("v1", 0, 1)
