--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -240,7 +240,8 @@
             # Another run of the task was done while this order waited.
             self._withdraw(order)
             return
-        if not order.is_stop and self._is_evacuated():
+        evacuations = self._term.state.evacuations
+        if not order.is_stop and evacuations.includes(self.vm.data_centre):
             # The run was placed before the evacuation of the data centre began, or by
             # an earlier leader.
             self._withdraw_evacuated(order)
@@ -271,10 +272,6 @@
             order.n_lost += 1
             await self._retry(order)
 
-    def _is_evacuated(self) -> bool:
-        """Return whether the data centre of the VM is being evacuated."""
-        return self._term.state.evacuations.includes(self.vm.data_centre)
-
     def _withdraw_evacuated(self, order: _Order) -> None:
         """Withdraw a start order in an evacuated data centre, and log it."""
         self._term.emit(
