Fill VMs gradually that report to be cold, if that is set

[evacuation] follows_cold_reports, off by default, treats a VM with coldRemainingMs as after an evacuation. Only the leader's memory has these reports. An odd value is ignored, so that the report still counts.

--- a/src/redwingslip/platform/_calls.py
+++ b/src/redwingslip/platform/_calls.py
@@ -108,6 +108,8 @@
             raise DocumentError(f"born: {exc}") from exc
         except UnknownPoolError as exc:
             raise DocumentError(f"service: {exc}") from exc
+        if report.cold_remaining_ms is not None:
+            service.note_cold(report.vm, report.cold_remaining_ms)
         return json_answer(call, 200, {"heartbeatAddress": own_address})
     if match := _WAVE_PATH.fullmatch(path):
         is_complete = service.is_wave_complete(int(match["number"]))
--- a/src/redwingslip/platform/_documents.py
+++ b/src/redwingslip/platform/_documents.py
@@ -1,6 +1,6 @@
 """The platform's documents, and their decoding into the product's types."""
 
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
@@ -153,6 +153,8 @@
     machine: str = ""
     born: Whole = 0
     remaining_ms: int = 0
+    # Any value, as an odd one must not refuse the report.
+    cold_remaining_ms: Any = None
 
 
 class _LeaveDoc(_Document):
@@ -178,11 +180,14 @@
         Number of the report; orders the reports of one incarnation.
     clock_ms : int
         The worker's own clock, in milliseconds.
+    cold_remaining_ms : int or None
+        How much longer it is cold; None if it does not tell.
     """
 
     vm: VmRecord
     sequence: int
     clock_ms: int
+    cold_remaining_ms: int | None = None
 
 
 class WaveOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -335,7 +340,13 @@
         labels=doc.labels,
         is_draining=doc.state == DRAINING,
     )
-    return WorkerReport(vm=vm, sequence=doc.sequence, clock_ms=doc.clock_ms)
+    cold_ms = doc.cold_remaining_ms
+    return WorkerReport(
+        vm=vm,
+        sequence=doc.sequence,
+        clock_ms=doc.clock_ms,
+        cold_remaining_ms=cold_ms if type(cold_ms) is int else None,
+    )
 
 
 def decode_deregistration(body: bytes) -> int:
--- a/src/redwingslip/scheduling/_preemption.py
+++ b/src/redwingslip/scheduling/_preemption.py
@@ -158,7 +158,7 @@
             return False
         if self._machines.is_claimed(agent.vm.machine):
             return False
-        if self._machines.ramp.share(agent.vm.data_centre) < 1:
+        if self._machines.ramp.share(agent.vm) < 1:
             return False
         suspects = self._state.recent_suspects(agent.vm.vm_id, self._now_ms)
         if suspects and (task.is_isolated or not task.takes_any_vm):
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -100,7 +100,7 @@
         self._tasks: list[asyncio.Task] = []
         self.agents: dict[str, VmAgent] = {}
         delay = cfg.scheduling.takeover_delay
-        machines = MachineRegistry(
+        self._machines = machines = MachineRegistry(
             term,
             self.agents,
             takeover_delay=delay,
@@ -179,6 +179,10 @@
         for agent in self.agents.values():
             agent.close()
 
+    def note_cold(self, vm: VmRecord, remaining_ms: int) -> None:
+        """Record how long a VM reports to be cold."""
+        self._machines.ramp.note_cold(vm, remaining_ms)
+
     def n_not_begun(self, queue: str) -> int:
         """Return the number of a queue's accepted jobs without any started task."""
         return self._job_index.n_not_begun(queue)
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -233,6 +233,13 @@
             return self._state.plan.version
         return await self._term.propose(ReplacePlan(plan=plan))
 
+    def note_cold(self, vm: VmRecord, remaining_ms: int) -> None:
+        """Record how long a VM reports to be cold; it is then filled gradually.
+
+        Only this leader knows it; the VM reports it again.
+        """
+        self._scheduler.note_cold(vm, remaining_ms)
+
     async def report_vm(self, vm: VmRecord, sequence: int, clock_ms: int) -> None:
         """Store the report of an endpoint; return once it is committed.
 
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -132,12 +132,16 @@
         that new tasks may use grows from `first_share` to all. The VMs may be cold.
     first_share : float
         Share of a VM's capacity that new tasks may use at the beginning of the ramp.
+    follows_cold_reports : bool
+        Whether a VM that reports that it is cold is filled in the same way, until the
+        time that it names.
     """
 
     data_centres: tuple[str, ...] = ()
     start_bound: timedelta = timedelta(seconds=5)
     ramp: timedelta = timedelta(seconds=3)
     first_share: float = 0.25
+    follows_cold_reports: bool = False
 
 
 class LeaderPolicy(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/redwingslip/scheduling/_wait_reasons.py
+++ b/src/redwingslip/scheduling/_wait_reasons.py
@@ -68,7 +68,7 @@
     if need.fits(machines.ramp.usable(vm, used)):
         return "with room"
     if need.fits(vm.capacity - used):
-        return f"filling up after the evacuation of {vm.data_centre}"
+        return "filling up gradually, as they may be cold"
     runs = state.runs_of(vm.vm_id, vm.born_ms)
     if any(agent.is_stopping(run.key, run.number) for run in runs):
         return "where runs are being stopped"
--- a/tests/test_scheduling_data_centres.py
+++ b/tests/test_scheduling_data_centres.py
@@ -116,7 +116,7 @@
         now = self.clock.monotonic()
         for type_, reason in (
             (StartEvacuation, "2 in evacuated data centre east"),
-            (FinishEvacuation, "2 filling up after the evacuation of east"),
+            (FinishEvacuation, "2 filling up gradually, as they may be cold"),
         ):
             self.apply(type_)
             options = {"state": self.state, "machines": self.machines, "now": now}
@@ -139,9 +139,27 @@
         self.apply(StartEvacuation)
         self.state.apply(FinishEvacuation(data_centre="east", now_ms=3_600_000))
         ramp = CapacityRamp(self.term, EvacuationSettings())
-        self.assertEqual(ramp.share("east"), 0.25)
+        vm = self.state.vms["e1"]
+        self.assertEqual(ramp.share(vm), 0.25)
         self.clock.advance(RAMP)
-        self.assertEqual(ramp.share("east"), 1.0)
+        self.assertEqual(ramp.share(vm), 1.0)
+
+    async def test_vms_that_report_to_be_cold_are_filled_alike_if_set(self):
+        """Guards against a limit that nobody has set, or that outlasts the report."""
+        self.build("e1", n_tasks=1)
+        vm = self.state.vms["e1"]
+        for is_on, share in ((False, 1.0), (True, 0.25)):
+            cfg = EvacuationSettings(follows_cold_reports=is_on)
+            ramp = CapacityRamp(self.term, cfg)
+            ramp.note_cold(vm, 2 * RAMP // timedelta(milliseconds=1))
+            self.assertEqual(ramp.share(vm), share)
+        self.run_tasks("e1", 0)
+        self.assertEqual(ramp.usable(vm, Amounts(1000, 100)).cpu, 1000 - 1000)
+        self.clock.advance(1.5 * RAMP)
+        self.assertEqual(ramp.share(vm), 0.625)
+        for remaining_ms, share in ((10**30, 0.25), (0, 1.0)):
+            ramp.note_cold(vm, remaining_ms)
+            self.assertEqual(ramp.share(vm), share)
 
 
 class TestMachines(DataCentreTestCase):
