--- a/src/redwingslip/platform/_calls.py
+++ b/src/redwingslip/platform/_calls.py
@@ -24,6 +24,7 @@
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _INSTANCE_PATH = re.compile(r"/instances/(?P<id>[^/]+)/(?P<verb>heartbeat|deregister)")
+_EVACUATION_PATH = re.compile(r"/evacuations/(?P<zone>[^/]+)/(?P<verb>start|finish)")
 _WAVE_PATH = re.compile(r"/wave-get/(?P<number>[0-9]{1,16})")
 
 
@@ -90,6 +91,12 @@
             max_at_once=order.max_at_once,
         )
         return json_answer(call, 200, {})
+    if (match := _EVACUATION_PATH.fullmatch(path)) and call.method == "POST":
+        if match["verb"] == "start":
+            await service.evacuations.start(match["zone"])
+        else:
+            await service.evacuations.finish(match["zone"])
+        return json_answer(call, 200, {})
     if match := _INSTANCE_PATH.fullmatch(path):
         if match["verb"] == "deregister":
             await service.remove_vm(match["id"], decode_deregistration(call.body))
@@ -101,6 +108,8 @@
             raise DocumentError(f"born: {exc}") from exc
         except UnknownPoolError as exc:
             raise DocumentError(f"service: {exc}") from exc
+        if report.cold_remaining_ms is not None:
+            service.note_cold(report.vm, report.cold_remaining_ms)
         return json_answer(call, 200, {"heartbeatAddress": own_address})
     if match := _WAVE_PATH.fullmatch(path):
         is_complete = service.is_wave_complete(int(match["number"]))
--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -10,6 +10,7 @@
 from ._job_index import non_preemptible_need
 from ._machines import MachineRegistry
 from ._order_sender import RunId
+from ._places import Places
 from ._term import Term
 from ._work_checks import WorkChecks
 
@@ -133,6 +134,71 @@
         )
         agent.stop(run.key, run.number)
 
+    def move_off(self, agent: VmAgent, places: Places) -> bool:
+        """Stop the next long-running task of each step on a VM, if it has a place.
+
+        A step without a budget has one task moved at a time. Gangs stay, since they
+        work only as a whole. Return False if a task has no other place.
+
+        A VM that does not answer keeps its tasks until its lease ends: it would get the
+        order late, beside the stop of another task.
+        """
+        if not agent.is_responsive or not agent.lease.is_in_contact(
+            self._term.clock.monotonic()
+        ):
+            return True
+        by_step: dict[StepKey, list[ActiveRun]] = {}
+        for run in self._movable_runs(agent):
+            if not agent.is_stopping(run.key, run.number):
+                by_step.setdefault(run.key[:3], []).append(run)
+        has_places = True
+        for step_key, step_runs in by_step.items():
+            run = min(step_runs, key=self._is_run_at_work)
+            is_at_work = self._is_run_at_work(run)
+            if is_at_work and step_key in places.closed_steps:
+                continue
+            budget = self._state.step(run.key).disruption_budget
+            n_unavailable = self._n_unavailable([run])
+            if n_unavailable >= max(1, budget):
+                may_leave = False
+            elif not places.take(run.key, agent.vm.pool):
+                may_leave = has_places = False
+            else:
+                has_answered = not is_at_work or self._has_answered(agent, run)
+                is_confirmed = not budget or self._is_confirmed([run], budget)
+                may_leave = has_answered and is_confirmed
+            if not may_leave:
+                # Counting the tasks of a step for each of its VMs takes long.
+                places.closed_steps.add(step_key)
+                continue
+            self._term.emit(
+                EventName.EVACUATION_MOVE,
+                request_id=run.key.job_id,
+                vm=run.vm_id,
+                detail=f"{run.key.label(run.number)} leaves data centre "
+                f"{agent.vm.data_centre}, {n_unavailable} of its step unavailable",
+            )
+            agent.stop(run.key, run.number)
+        return has_places
+
+    def _has_answered(self, agent: VmAgent, run: ActiveRun) -> bool:
+        """Return whether a VM has just listed its run at work; else ask it."""
+        if self._checks.is_confirmed(agent, (run.key, run.number)):
+            return True
+        self._checks.request([agent])
+        return False
+
+    def n_long_running(self, agent: VmAgent) -> int:
+        """Return the number of long-running tasks that a VM has."""
+        return sum(
+            self._state.step(r.key).is_long_running for r in self._runs_on(agent)
+        )
+
+    def _movable_runs(self, agent: VmAgent) -> list[ActiveRun]:
+        """Return the runs of a VM that an evacuation of its data centre moves."""
+        steps = ((run, self._state.step(run.key)) for run in self._runs_on(agent))
+        return [run for run, s in steps if s.is_long_running and not s.is_gang]
+
     def _runs_on(self, agent: VmAgent) -> tuple[ActiveRun, ...]:
         return self._state.runs_of(agent.vm.vm_id, agent.vm.born_ms)
 
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -22,6 +22,7 @@
     VmRecord,
 )
 from ..observe import EventName
+from ._evacuation_calls import EvacuationCalls
 from ._replacements import ReplacementChecks
 from ._report_history import ReportHistory
 from ._scheduler import Scheduler
@@ -89,6 +90,11 @@
             raise NoPlanError("no plan has been submitted yet")
         return self._state.plan
 
+    @property
+    def evacuations(self) -> EvacuationCalls:
+        """Return the operations on evacuations of data centres."""
+        return self._scheduler.evacuations
+
     def find_queue(self, host: str, path: str) -> tuple[Queue, str]:
         """Return the queue with the longest matching prefix, and the rest of the path.
 
@@ -227,6 +233,13 @@
             return self._state.plan.version
         return await self._term.propose(ReplacePlan(plan=plan))
 
+    def note_cold(self, vm: VmRecord, remaining_ms: int) -> None:
+        """Record how long a VM reports to be cold; it is then filled gradually.
+
+        Only this leader knows it; the VM reports it again.
+        """
+        self._scheduler.note_cold(vm, remaining_ms)
+
     async def report_vm(self, vm: VmRecord, sequence: int, clock_ms: int) -> None:
         """Store the report of an endpoint; return once it is committed.
 
