Add a forecast of demand in turns, and reserves to the sizing

A pool that had nothing to do for a few seconds starts each rise nearly empty, as machines idle for 1.2 s are switched off, and gets machines 2 to 3 s later.

New pure modules of placement find the rises in a pool's arrivals, their level and its decay, and which pool's rise follows which. The sizing takes a reserve for each pool, fills it with what the demand of all pools leaves, and shrinks reserves in proportion if that is too little. The types of the sizing move to _pool_load.py.

--- a/src/redwingslip/placement/_arrivals.py
+++ b/src/redwingslip/placement/_arrivals.py
@@ -8,7 +8,7 @@
 
 from ..jobs import StepSpec
 
-__all__ = ["ArrivalSettings", "ArrivalTrend"]
+__all__ = ["ArrivalSettings", "ArrivalTrend", "load_within_lead"]
 
 MS = timedelta(milliseconds=1)
 
@@ -44,7 +44,7 @@
     at_ms : int
         Unix time at which the job was accepted.
     load : float
-        Load in thousandths of a core, see `_load_within_lead`.
+        Load in thousandths of a core, see `load_within_lead`.
     """
 
     at_ms: int
@@ -79,7 +79,7 @@
             The steps of the job.
         """
         arrivals = self._arrivals.setdefault(pool, deque())
-        arrivals.append(_Arrival(at_ms, _load_within_lead(steps, self._cfg.lead // MS)))
+        arrivals.append(_Arrival(at_ms, load_within_lead(steps, self._cfg.lead // MS)))
         self._drop_expired(arrivals, at_ms)
 
     def expected_cpu(self, pool: str, now_ms: int) -> int:
@@ -109,7 +109,7 @@
             arrivals.popleft()
 
 
-def _load_within_lead(steps: Sequence[StepSpec], lead_ms: int) -> float:
+def load_within_lead(steps: Sequence[StepSpec], lead_ms: int) -> float:
     """Return the load that one job per second causes within the lead time.
 
     Each step counts with the CPU of its tasks, for the part of its run time that falls
--- /dev/null
+++ b/src/redwingslip/placement/_forecast.py
@@ -0,0 +1,163 @@
+"""Forecasts the demand of pools, and derives the reserves that they keep."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+import msgspec
+
+from ..jobs import StepSpec
+from ._arrivals import load_within_lead
+from ._cycles import CycleModel, RisePrediction
+from ._forecast_settings import ForecastSettings
+from ._rises import Rise, RiseTracker
+
+__all__ = ["DemandForecast", "PoolForecast"]
+
+MS = timedelta(milliseconds=1)
+# A demand above this share of the recent peak is no calm before a rise, and gets no
+# reserve: a steady load varies by as much.
+MAX_CALM_SHARE = 0.5
+
+
+class PoolForecast(msgspec.Struct, frozen=True, kw_only=True):
+    """Forecast of the demand of a pool, in thousandths of a core.
+
+    Long-running tasks and fillers are left out.
+
+    Attributes
+    ----------
+    level : float
+        Load of the arrivals of the last second.
+    heading : float
+        Load that a rise under way is heading for, 0 without one.
+    peak : float
+        Load of the highest recent rise, decayed.
+    rise_level, rise_error : float
+        Level that the next rise is expected to reach, and its error.
+    age_ms : int
+        Time since the last job.
+    is_initial : bool
+        Whether too little was seen to judge the machines that operators gave the pool.
+    prediction : RisePrediction or None
+        The next rise, if earlier ones predict it.
+    """
+
+    level: float = 0
+    heading: float = 0
+    peak: float = 0
+    rise_level: float = 0
+    rise_error: float = 0
+    age_ms: int = 0
+    is_initial: bool = False
+    prediction: RisePrediction | None = None
+
+
+class DemandForecast:
+    """Forecasts the demand of each pool from the jobs that it accepted.
+
+    Its state depends only on the recorded jobs, so that a leader that records the jobs
+    of the log has the forecast of the leader before it.
+
+    Parameters
+    ----------
+    cfg : ForecastSettings
+        The settings.
+    """
+
+    __slots__ = ("_cfg", "_cycles", "_trackers")
+
+    def __init__(self, cfg: ForecastSettings) -> None:
+        self._cfg = cfg
+        self._trackers: dict[str, RiseTracker] = {}
+        self._cycles = CycleModel(cfg)
+
+    def record_job(self, pool: str, at_ms: int, steps: Sequence[StepSpec]) -> None:
+        """Record a job that a pool accepted; times must not decrease.
+
+        Parameters
+        ----------
+        pool : str
+            The pool that runs the job.
+        at_ms : int
+            Unix time at which the job was accepted.
+        steps : sequence of StepSpec
+            The steps of the job.
+        """
+        load = load_within_lead(steps, self._cfg.lead // MS)
+        tracker = self._trackers.get(pool)
+        if tracker is None or self._is_stale(tracker, at_ms):
+            tracker = self._trackers[pool] = RiseTracker(self._cfg)
+        rise = tracker.record(at_ms, load)
+        if rise is not None:
+            self._cycles.record_beginning(pool, rise.begin_ms)
+
+    def pool_forecast(self, pool: str, now_ms: int) -> PoolForecast:
+        """Return the forecast of a pool; an empty one if it is stale."""
+        cfg = self._cfg
+        tracker = self._trackers.get(pool)
+        if tracker is None:
+            return PoolForecast(is_initial=cfg.keep_initial)
+        if self._is_stale(tracker, now_ms):
+            return PoolForecast(age_ms=now_ms - tracker.last_ms)
+        tracker.close_rise(now_ms)
+        rise_level, rise_error = tracker.expected_level(now_ms)
+        has_risen = tracker.rise is not None or bool(tracker.earlier)
+        is_young = now_ms - tracker.first_ms < cfg.initial_hold // MS
+        return PoolForecast(
+            level=tracker.rate(now_ms, 1000),
+            heading=tracker.heading(now_ms) if cfg.anticipate_rises else 0,
+            peak=tracker.peak(now_ms),
+            rise_level=rise_level,
+            rise_error=rise_error,
+            age_ms=max(0, now_ms - tracker.last_ms),
+            is_initial=cfg.keep_initial and is_young and not has_risen,
+            prediction=self._cycles.predict(pool, now_ms)
+            if cfg.predict_cycles
+            else None,
+        )
+
+    def last_rise(self, pool: str) -> Rise | None:
+        """Return the last rise of a pool that is over, or None."""
+        tracker = self._trackers.get(pool)
+        return tracker.earlier[-1] if tracker is not None and tracker.earlier else None
+
+    def standing_reserve(self, forecast: PoolForecast, demand: int) -> int:
+        """Return the CPU that a pool keeps beyond its demand, for its next rise.
+
+        Parameters
+        ----------
+        forecast : PoolForecast
+            The forecast of the pool.
+        demand : int
+            Its present demand without long-running tasks, in thousandths of a core.
+        """
+        if demand >= MAX_CALM_SHARE * forecast.peak:
+            return 0
+        return int(self._cfg.reserve_share * (forecast.peak - demand))
+
+    def imminent_reserve(self, forecast: PoolForecast, demand: int, now_ms: int) -> int:
+        """Return the CPU that a predicted rise needs beyond the present demand.
+
+        It is 0 until the machines have to be ordered to arrive in time.
+        """
+        prediction = forecast.prediction
+        if prediction is None:
+            return 0
+        order_ms = prediction.at_ms - prediction.error_ms - self._cfg.lead // MS
+        if now_ms < order_ms:
+            return 0
+        level = min(forecast.rise_level, max(forecast.peak, forecast.level))
+        return int(prediction.confidence * max(0.0, level - demand))
+
+    def has_come(self, prediction: RisePrediction, now_ms: int) -> bool | None:
+        """Return whether a predicted rise has come; None while that is open."""
+        return self._cycles.has_come(prediction, now_ms)
+
+    def is_rise_near(self, forecast: PoolForecast, now_ms: int) -> bool:
+        """Return whether the pool is predicted to rise within `rest_horizon`."""
+        prediction = forecast.prediction
+        horizon_ms = self._cfg.rest_horizon // MS
+        return prediction is not None and prediction.at_ms <= now_ms + horizon_ms
+
+    def _is_stale(self, tracker: RiseTracker, now_ms: int) -> bool:
+        return now_ms - tracker.last_ms > self._cfg.max_age // MS
--- /dev/null
+++ b/src/redwingslip/placement/_reserve_moves.py
@@ -0,0 +1,114 @@
+"""Divides the free capacity among the reserves of pools, and plans their moves."""
+
+from collections import deque
+
+from msgspec.structs import replace
+
+from ._pool_load import Move, PoolLoad, SizingSettings, unneeded
+
+__all__ = ["fill_reserves", "shrink_reserves"]
+
+
+def shrink_reserves(
+    serving: list[PoolLoad], standby: list[PoolLoad], cfg: SizingSettings
+) -> list[PoolLoad]:
+    """Return the loads with reserves that fit into the fleet beside the demand.
+
+    What pools need for a rise that is about to begin goes before standing reserves;
+    each of the two kinds shrinks in proportion.
+    """
+    if not any(load.kept for load in serving):
+        return serving
+    vm_room = max(load.vm_room for load in serving)
+    free = vm_room * sum(len(load.idle) for load in standby)
+    free += sum(
+        load.room - load.demand / cfg.aim for load in serving if not load.is_initial
+    )
+    imminent = sum(load.imminent for load in serving)
+    standing = sum(load.kept - load.imminent for load in serving)
+    imminent_part = min(1.0, max(0.0, free) / max(1, imminent))
+    standing_part = min(1.0, max(0.0, free - imminent) / max(1, standing))
+    shrunk = []
+    for load in serving:
+        kept_imminent = imminent_part * load.imminent
+        kept_standing = standing_part * (load.kept - load.imminent)
+        shrunk.append(
+            replace(
+                load,
+                imminent=int(kept_imminent),
+                reserve=int(kept_imminent + kept_standing),
+            )
+        )
+    return shrunk
+
+
+def fill_reserves(
+    serving: list[PoolLoad],
+    standby: list[PoolLoad],
+    moves: list[Move],
+    cfg: SizingSettings,
+) -> list[Move]:
+    """Return the moves to pools whose reserve is not full, the largest lack first.
+
+    They get machines that are switched off, then those that another pool would switch
+    off. Before a rise that is about to begin, any idle machine that its pool does not
+    need may move.
+
+    Parameters
+    ----------
+    serving, standby : list of PoolLoad
+        The loads of the pools.
+    moves : list of Move
+        Moves that the present demand requires.
+    cfg : SizingSettings
+        The settings.
+    """
+    moved = {move.machine for move in moves}
+    n_moved_to = {load.pool: 0 for load in serving}
+    for move in moves:
+        n_moved_to[move.pool] += 1
+    lacking = {
+        load.pool: n_lacking
+        for load in serving
+        if (n_lacking := _n_lacking(load, n_moved_to[load.pool])) > 0
+    }
+    if not lacking:
+        return []
+    is_imminent = {load.pool: load.imminent > 0 for load in serving}
+    donated = [machine for load in standby for machine in load.idle]
+    for load in serving:
+        donated += unneeded(load, load.resting, cfg.shrink_below, cfg)
+    resting = deque(machine for machine in donated if machine not in moved)
+    moved.update(resting)
+    idle = deque(
+        machine
+        for load in serving
+        for machine in unneeded(load, load.idle, cfg.donate_below, cfg)
+        if machine not in moved
+    )
+    fills: list[Move] = []
+    while lacking:
+        pool = max(lacking, key=lambda name: (is_imminent[name], lacking[name]))
+        if resting:
+            machine = resting.popleft()
+        elif is_imminent[pool] and idle:
+            machine = idle.popleft()
+        else:
+            break
+        fills.append(Move(machine, pool))
+        lacking[pool] -= 1
+        if not lacking[pool]:
+            del lacking[pool]
+    return fills
+
+
+def _n_lacking(load: PoolLoad, n_added: int) -> int:
+    """Return how many whole machines a pool's reserve lacks.
+
+    A part of a machine counts as full: with `unneeded`, which counts whole machines
+    too, this keeps machines from moving to and fro.
+    """
+    if not load.vm_room:
+        return 0
+    lack = load.demand + load.kept - load.room - n_added * load.vm_room
+    return int(min(lack, load.kept) // load.vm_room)
--- a/tests/test_placement_sizing.py
+++ b/tests/test_placement_sizing.py
@@ -18,6 +18,7 @@
     resting=(),
     n_missing=0,
     reclaimable=(),
+    **reserves,
 ):
     """Return the load of a pool of VMs with one core each."""
     return PoolLoad(
@@ -31,6 +32,7 @@
         resting=resting,
         n_missing=n_missing,
         reclaimable=reclaimable,
+        **reserves,
     )
 
 
