Keep the reserves of the forecast when moves are planned

MoveManager adds the reserves to the loads from which it plans moves, if the section [forecast] enables them; a new leader records the jobs of the log to have the forecast of the old one. Events compare each rise with its forecast and report predictions; metrics give expected and seen demand, reserve and outcomes of predictions.

--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -10,7 +10,7 @@
 from ..delegation import DelegationSettings
 from ..http import HttpLimits
 from ..peers import PeerSettings
-from ..placement import ArrivalSettings, SizingSettings
+from ..placement import ArrivalSettings, ForecastSettings, SizingSettings
 from ..relay import RelaySettings
 from ..scheduling import (
     AdviceSettings,
@@ -179,6 +179,7 @@
     moves: MoveSettings = MoveSettings()
     sizing: SizingSettings = SizingSettings()
     arrivals: ArrivalSettings = ArrivalSettings()
+    forecast: ForecastSettings = ForecastSettings()
     advice: AdviceSettings = AdviceSettings()
     drain: DrainSettings = DrainSettings()
 
@@ -197,5 +198,6 @@
             moves=self.moves,
             sizing=self.sizing,
             arrivals=self.arrivals,
+            forecast=self.forecast,
             advice=self.advice,
         )
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -144,6 +144,24 @@
         "{call}",
         "Calls of VMs, by whether the leader or a delegate makes them.",
     ),
+    _Instrument(
+        "gauge",
+        "pool.demand.expected",
+        "{core}",
+        "Cores that a pool needs, or will need in its next rise.",
+    ),
+    _Instrument(
+        "gauge", "pool.demand.seen", "{core}", "Cores that a pool needs at present."
+    ),
+    _Instrument(
+        "gauge", "pool.reserve", "{core}", "Cores that a pool keeps beyond its demand."
+    ),
+    _Instrument(
+        "counter",
+        "rise.predictions",
+        "{rise}",
+        "Predicted rises of pools, by whether they came.",
+    ),
     _Instrument(
         "counter", "event.dropped", "{event}", "Events that the log could not take."
     ),
@@ -267,6 +285,20 @@
         attributes = {"redwingslip.order": kind, "redwingslip.outcome": outcome}
         self._instruments["machine.orders"].add(1, self._limit_values(attributes))
 
+    def set_forecast(
+        self, *, pool: str, expected: int, seen: int, reserve: int
+    ) -> None:
+        """Set the demand and the reserve of a pool, in thousandths of a core."""
+        attributes = self._limit_values({"redwingslip.pool": pool})
+        self._instruments["pool.demand.expected"].set(expected / 1000, attributes)
+        self._instruments["pool.demand.seen"].set(seen / 1000, attributes)
+        self._instruments["pool.reserve"].set(reserve / 1000, attributes)
+
+    def add_prediction(self, *, pool: str, outcome: str) -> None:
+        """Count a predicted rise of a pool: `right` if it came, else `missed`."""
+        attributes = {"redwingslip.pool": pool, "redwingslip.outcome": outcome}
+        self._instruments["rise.predictions"].add(1, self._limit_values(attributes))
+
     def add_vm_calls(self, count: int, *, caller: str) -> None:
         """Count calls of VMs that the leader or its delegates make."""
         if count:
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -8,8 +8,15 @@
 
 from ..jobs import RecordMove, SilentVm
 from ..observe import EventName
-from ..placement import ArrivalTrend, PoolLoad, plan_moves
+from ..placement import (
+    ArrivalTrend,
+    DemandForecast,
+    PoolLoad,
+    plan_moves,
+    with_reserves,
+)
 from ._agent import VmAgent
+from ._forecast_reports import ForecastReports
 from ._job_index import PoolBacklog, non_preemptible_need
 from ._machines import MachineManager
 from ._platform_evidence import find_ended
@@ -51,13 +58,25 @@
     ----------
     trend : ArrivalTrend
         Forecast of the load of each pool.
+    forecast : DemandForecast or None
+        Forecast from which the reserves of pools follow; None for no reserves.
     **options : dict
         Arguments of `MachineManager`.
     """
 
-    def __init__(self, *, trend: ArrivalTrend, **options: object) -> None:
+    def __init__(
+        self,
+        *,
+        trend: ArrivalTrend,
+        forecast: DemandForecast | None = None,
+        **options: object,
+    ) -> None:
         super().__init__(**options)
         self._trend = trend
+        self._forecast = forecast
+        self._reports = (
+            None if forecast is None else ForecastReports(self._term, forecast)
+        )
 
     def _init_state(self) -> None:
         self._machine_views: dict[str, MachineView] = {}
@@ -144,6 +163,8 @@
         self._drop_finished_arrivals(now)
         n_in_progress = len(self._order_tasks) + len(self._planned_pools)
         loads = self._loads(now)
+        if self._forecast is not None:
+            loads = self._add_reserves(loads)
         self._machines.is_short = any(
             load.is_short(self._cfg.sizing) for load in loads if not load.is_standby
         )
@@ -165,6 +186,12 @@
                 move.pool, added_cpu, now + duration
             )
 
+    def _add_reserves(self, loads: tuple[PoolLoad, ...]) -> tuple[PoolLoad, ...]:
+        now_ms = self._term.now_ms()
+        forecast_loads = with_reserves(loads, self._forecast, now_ms)
+        self._reports.report(forecast_loads, now_ms)
+        return tuple(entry.load for entry in forecast_loads)
+
     def _has_surveyed(self, now: timedelta) -> bool:
         """Return whether enough VMs have answered to know the capacity of the pools."""
         if now >= self._term.started_at + self._cfg.moves.survey_time:
@@ -261,6 +288,7 @@
                 if now - self._idle_since[machine] >= self._cfg.moves.rest_time
             ),
             reclaimable=tuple(sorted(n_runs_by_machine, key=n_runs_by_machine.get)),
+            non_preemptible=non_preemptible_cpu,
         )
 
     def _drop_finished_arrivals(self, now: timedelta) -> None:
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -29,7 +29,7 @@
     iter_tasks,
 )
 from ..observe import EventName
-from ..placement import ArrivalTrend
+from ..placement import ArrivalTrend, DemandForecast
 from ..workers import RunTimeModel
 from ._advice import AdviceCache, Adviser
 from ._agent import VmAgent
@@ -112,6 +112,7 @@
         )
         self._round_load = RoundLoad(term)
         self._trend = ArrivalTrend(cfg.arrivals)
+        self._forecast = DemandForecast(cfg.forecast) if cfg.forecast.enabled else None
         self._moves = MoveManager(
             term=term,
             machines=machines,
@@ -119,6 +120,7 @@
             backlog=self._rounds.backlog,
             cfg=cfg,
             trend=self._trend,
+            forecast=self._forecast,
         )
         self._waves = WaveManager(
             term=term,
@@ -151,9 +153,12 @@
         ]
 
     def _restore_arrivals(self) -> None:
-        """Feed the trend with recent jobs that an earlier leader accepted."""
+        """Feed the forecasts with recent jobs that an earlier leader accepted."""
         now_ms = self._term.now_ms()
         first_ms = now_ms - self._cfg.arrivals.long_window // MS
+        if self._forecast is not None:
+            # The forecast judges by itself which of the jobs are too old.
+            first_ms = -1
         jobs = [j for j in self._state.jobs.values() if first_ms < j.accepted_ms]
         for job in sorted(jobs, key=lambda job: job.accepted_ms):
             if job.accepted_ms <= now_ms:
@@ -162,6 +167,8 @@
     def _note_arrival(self, job: JobRecord) -> None:
         pool = self._job_index.pool_of(job)
         self._trend.record_job(pool, job.accepted_ms, job.spec.steps)
+        if self._forecast is not None:
+            self._forecast.record_job(pool, job.accepted_ms, job.spec.steps)
 
     def close(self) -> None:
         """Stop the background work and all orders."""
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..placement import ArrivalSettings, SizingSettings
+from ..placement import ArrivalSettings, ForecastSettings, SizingSettings
 from ._advice import AdviceSettings
 from ._agent_settings import VmPolicy
 
@@ -127,6 +127,8 @@
         Target sizes of pools.
     arrivals : ArrivalSettings
         Forecast of the load from the arrivals of jobs.
+    forecast : ForecastSettings
+        Forecast of demand that comes in turns, and reserves of pools.
     advice : AdviceSettings
         Requests to the adviser.
     """
@@ -137,4 +139,5 @@
     moves: MoveSettings = MoveSettings()
     sizing: SizingSettings = SizingSettings()
     arrivals: ArrivalSettings = ArrivalSettings()
+    forecast: ForecastSettings = ForecastSettings()
     advice: AdviceSettings = AdviceSettings()
