Keep reserves from the backlog of other pools

A rise that found no room left a backlog of several times the capacity that would have served it. As all of it went before the reserves of other pools, the next rises found those empty too. Only the demand that follows from arrivals, from the recent peak or from long-running tasks goes before reserves now.

--- a/src/redwingslip/placement/_forecast.py
+++ b/src/redwingslip/placement/_forecast.py
@@ -135,6 +135,27 @@
             return 0
         return int(self._cfg.reserve_share * (forecast.peak - demand))
 
+    def firm_demand(
+        self, forecast: PoolForecast, used: int, expected: int
+    ) -> int | None:
+        """Return the demand of a pool that goes before the reserves of others.
+
+        It follows from arrivals: the backlog of a rise that found no room can be many
+        times the capacity that would have served it, and most of it is late already.
+        None means all of its demand, as long as no rise has shown its level.
+
+        Parameters
+        ----------
+        forecast : PoolForecast
+            The forecast of the pool.
+        used, expected : int
+            CPU in use and the demand that the present arrivals cause, both without
+            long-running tasks, in thousandths of a core.
+        """
+        if not forecast.peak:
+            return None
+        return int(max(used, expected, forecast.peak))
+
     def imminent_reserve(self, forecast: PoolForecast, demand: int, now_ms: int) -> int:
         """Return the CPU that a predicted rise needs beyond the present demand.
 
--- a/src/redwingslip/placement/_forecast_settings.py
+++ b/src/redwingslip/placement/_forecast_settings.py
@@ -60,7 +60,7 @@
     enabled: bool = False
     keep_initial: bool = True
     initial_hold: timedelta = timedelta(seconds=30)
-    reserve_share: Share = 0.5
+    reserve_share: Share = 0.75
     reserve_decay: timedelta = timedelta(seconds=30)
     max_age: timedelta = timedelta(seconds=120)
     lead: timedelta = timedelta(milliseconds=2500)
--- a/src/redwingslip/placement/_pool_load.py
+++ b/src/redwingslip/placement/_pool_load.py
@@ -73,11 +73,17 @@
         Machines that run short tasks only, those with the fewest first.
     non_preemptible : int
         Part of `used` that tasks need which are not preempted.
+    waiting_long_running : int
+        Part of `waiting` that long-running tasks need.
     reserve : int
         CPU that the pool keeps beyond its demand, for a rise that is likely to come.
     imminent : int
         CPU that the pool needs beyond its demand for a rise that is about to begin.
         The reserve is part of it and not added to it.
+    firm : int or None
+        Part of the demand that goes before the reserves of other pools; None for all
+        of it. The rest is backlog, which is worked off with machines that no reserve
+        needs.
     is_initial : bool
         Whether the pool keeps its machines as there is no evidence of its demand yet;
         only the present demand of other pools takes idle ones away.
@@ -96,8 +102,10 @@
     resting: tuple[str, ...] = ()
     reclaimable: tuple[str, ...] = ()
     non_preemptible: int = 0
+    waiting_long_running: int = 0
     reserve: int = 0
     imminent: int = 0
+    firm: int | None = None
     is_initial: bool = False
 
     def is_short(self, cfg: SizingSettings) -> bool:
@@ -109,6 +117,11 @@
         """Return the larger of the present and the forecast demand."""
         return max(self.used + self.waiting, self.expected)
 
+    @property
+    def firm_demand(self) -> int:
+        """Return the part of the demand that goes before reserves of other pools."""
+        return self.demand if self.firm is None else min(self.firm, self.demand)
+
     @property
     def kept(self) -> int:
         """Return the CPU that the pool keeps beyond its demand."""
--- a/src/redwingslip/placement/_reserve_moves.py
+++ b/src/redwingslip/placement/_reserve_moves.py
@@ -22,7 +22,9 @@
     vm_room = max(load.vm_room for load in serving)
     free = vm_room * sum(len(load.idle) for load in standby)
     free += sum(
-        load.room - load.demand / cfg.aim for load in serving if not load.is_initial
+        load.room - load.firm_demand / cfg.aim
+        for load in serving
+        if not load.is_initial
     )
     imminent = sum(load.imminent for load in serving)
     standing = sum(load.kept - load.imminent for load in serving)
--- a/src/redwingslip/placement/_reserves.py
+++ b/src/redwingslip/placement/_reserves.py
@@ -58,11 +58,17 @@
 ) -> PoolLoad:
     heading = load.non_preemptible + int(pool_forecast.heading)
     load = replace(load, expected=max(load.expected, heading))
-    demand = max(0, load.demand - load.non_preemptible)
+    used = load.used - load.non_preemptible
+    expected = max(0, load.expected - load.non_preemptible)
+    demand = max(used + load.waiting - load.waiting_long_running, expected)
+    firm = forecast.firm_demand(pool_forecast, used, expected)
+    if firm is not None:
+        firm += load.non_preemptible + load.waiting_long_running
     return replace(
         load,
         reserve=forecast.standing_reserve(pool_forecast, demand),
         imminent=forecast.imminent_reserve(pool_forecast, demand, now_ms),
+        firm=firm,
         is_initial=pool_forecast.is_initial,
     )
 
--- a/src/redwingslip/placement/_rises.py
+++ b/src/redwingslip/placement/_rises.py
@@ -28,7 +28,7 @@
 # between rises is not taken for one.
 MIN_PEAK_SHARE = 0.3
 # A count that exceeds its expectation by this many standard deviations is no noise.
-# With 3, and a rise factor of 2, a steady load of 10 random arrivals a second had two to
+# With 3 and a rise factor of 2, a steady load of 10 random arrivals a second had two to
 # seven rises a minute; with 4 and 2.5, none to three.
 N_DEVIATIONS = 4
 # Growth from one window to the next above which a rise goes on; below is noise.
@@ -46,6 +46,8 @@
         Unix time of its first arrivals.
     level : float
         Load over its last seconds, in thousandths of a core.
+    error : float
+        Standard error of the level, as far as it is due to the number of arrivals.
     forecast : float
         Level that was expected when it began; 0 if there was no earlier rise.
     end_ms : int
@@ -53,7 +55,8 @@
     """
 
     begin_ms: int
-    level: float
+    level: float = 0
+    error: float = 0
     forecast: float = 0
     end_ms: int = 0
 
@@ -144,14 +147,16 @@
             return
         if self.rate(now_ms, LEVEL_WINDOW_MS) < END_SHARE * rise.level:
             rise.end_ms = self.last_ms
-            self._peak = max(rise.level, self._decayed_peak(self.last_ms))
+            level = rise.level - rise.error
+            self._peak = max(level, self._decayed_peak(self.last_ms))
             self._peak_ms = self.last_ms
             self.earlier.append(rise)
             self.rise = None
 
     def peak(self, now_ms: int) -> float:
-        """Return the level of the highest recent rise, decayed with its age."""
-        level = self.rise.level if self.rise is not None else 0.0
+        """Return the level of the highest recent rise less its error, decayed."""
+        rise = self.rise
+        level = rise.level - rise.error if rise is not None else 0.0
         return max(level, self._decayed_peak(now_ms))
 
     def _decayed_peak(self, now_ms: int) -> float:
@@ -161,7 +166,11 @@
     def _update_level(self, rise: Rise, at_ms: int) -> None:
         if self.rate(at_ms, LEVEL_WINDOW_MS) >= HOLD_SHARE * rise.level:
             elapsed_ms = max(at_ms - rise.begin_ms, LEVEL_WINDOW_MS)
-            rise.level = self.rate(at_ms, min(elapsed_ms, MAX_LEVEL_WINDOW_MS))
+            window_ms = min(elapsed_ms, MAX_LEVEL_WINDOW_MS)
+            rise.level = self.rate(at_ms, window_ms)
+            last = at_ms // BIN_MS
+            n_jobs = self._n_jobs(last - window_ms // BIN_MS + 1, last)
+            rise.error = rise.level / math.sqrt(n_jobs)
 
     def expected_level(self, now_ms: int) -> tuple[float, float]:
         """Return the level that a rise is expected to reach, and its error.
@@ -250,5 +259,5 @@
             return None
         begin = next(b.number for b in self._bins if b.number >= first)
         forecast, _ = self.expected_level(at_ms)
-        self.rise = Rise(begin * BIN_MS, level=0.0, forecast=forecast)
+        self.rise = Rise(begin * BIN_MS, forecast=forecast)
         return self.rise
--- a/src/redwingslip/placement/_sizing.py
+++ b/src/redwingslip/placement/_sizing.py
@@ -65,9 +65,9 @@
         donated.extend(donors[:n_unneeded])
         reserved.append(donors[n_unneeded:])
         n_kept[load.pool] = load.n_vms - len(donors)
-    # The present demand goes before reserves, which give one machine each in turn.
+    # Reserves give one machine each in turn.
     turns = chain.from_iterable(zip_longest(*reserved))
-    donated.extend(machine for machine in turns if machine is not None)
+    last_donated = deque(machine for machine in turns if machine is not None)
     n_to_add = {load.pool: _n_to_add(load, cfg) for load in serving}
     n_added = dict.fromkeys(n_to_add, 0)
     # One machine at a time: while there are too few, pools that lack capacity at the
@@ -80,6 +80,12 @@
             # A pool that lacks capacity has no spare machines, so each donated machine
             # comes from another pool.
             machine = donated.popleft()
+        elif last_donated and _is_firm(worst, n_added[worst.pool], cfg):
+            machine = last_donated.popleft()
+        elif last_donated:
+            # Another pool may lack capacity for its firm demand.
+            short.remove(worst)
+            continue
         else:
             machine = _reclaim(worst, serving, n_added, n_kept, cfg)
         if machine is None:
@@ -135,6 +141,12 @@
     return donor.reclaimable[-n_added[donor.pool] - 1]
 
 
+def _is_firm(load: PoolLoad, n_added: int, cfg: SizingSettings) -> bool:
+    """Return whether a pool lacks capacity for demand that goes before reserves."""
+    room = load.room + n_added * load.vm_room
+    return n_added < load.n_missing or load.firm_demand > cfg.aim * room
+
+
 def _shortage(load: PoolLoad, n_added: int) -> float:
     """Return how short a pool is once it has got or given up some machines."""
     room = load.room + n_added * load.vm_room
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -42,12 +42,15 @@
     ----------
     cpu : int
         CPU that these tasks need, in thousandths of a core.
+    long_running_cpu : int
+        Part of it that jobs with long-running tasks need.
     n_vms : int
         VMs needed by tasks that may not share a VM with others of their step: the
         largest number of unplaced tasks of one such step.
     """
 
     cpu: int = 0
+    long_running_cpu: int = 0
     n_vms: int = 0
 
 
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -289,6 +289,7 @@
             ),
             reclaimable=tuple(sorted(n_runs_by_machine, key=n_runs_by_machine.get)),
             non_preemptible=non_preemptible_cpu,
+            waiting_long_running=backlog.long_running_cpu,
         )
 
     def _drop_finished_arrivals(self, now: timedelta) -> None:
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -261,7 +261,10 @@
         """Add unplaced tasks to the backlog; request tickets or preempt runs."""
         task = tasks[0]
         backlog = self.backlog.setdefault(task.pool, PoolBacklog())
-        backlog.cpu += len(tasks) * task.step.need.cpu
+        cpu = len(tasks) * task.step.need.cpu
+        backlog.cpu += cpu
+        if urgency.band == LONG_RUNNING_BAND:
+            backlog.long_running_cpu += cpu
         if task.step.max_per_vm or task.step.disruption_budget:
             backlog.n_vms = max(backlog.n_vms, len(tasks))
         if needs_advice:
--- a/tests/test_placement_reserve_moves.py
+++ b/tests/test_placement_reserve_moves.py
@@ -84,6 +84,21 @@
         self.assertEqual(machines[0], "m1")
         self.assertLessEqual(set(machines[1:]), set(free))
 
+    def test_a_backlog_takes_no_reserve_of_another_pool(self):
+        """Guards against a rise without room that empties all other pools.
+
+        Its backlog is many times the capacity that would have served it.
+        """
+        machines = names("c", 8)
+        loads = (
+            load("calm", n_vms=10, idle=machines, resting=machines, reserve=5 * VM),
+            load("late", used=4 * VM, waiting=40 * VM, firm=5 * VM),
+            load("new", used=4 * VM, waiting=1 * VM),
+            standby("m1"),
+        )
+        moves = plan_moves(loads, 0, CFG)
+        self.assertEqual(count_by_pool(moves), {"late": 6, "new": 2})
+
     def test_present_demand_takes_machines_of_pools_without_evidence_last(self):
         new = load("new", n_vms=10, idle=names("n", 8), is_initial=True)
         rising = load("rising", used=4 * VM, waiting=40 * VM)
