Count only arrivals as the demand that goes before reserves

The CPU in use counted as firm, so that a pool which worked off its backlog took more machines with each one that it had got, and the next rise found its reserve given away. The firm demand follows from the arrivals now, with the whole core time of jobs that are longer than the forecast looks ahead. Machines brought before a predicted rise may use all moves at a time; switching machines off, like filling a standing reserve, half.

--- a/src/redwingslip/placement/_forecast.py
+++ b/src/redwingslip/placement/_forecast.py
@@ -17,6 +17,10 @@
 # A demand above this share of the recent peak is no calm before a rise, and gets no
 # reserve: a steady load varies by as much.
 MAX_CALM_SHARE = 0.5
+# Weight of a new job in the average of the jobs' core time.
+WORK_FACTOR_WEIGHT = 0.05
+# Longer than any job.
+ALL_MS = 1 << 53
 
 
 class PoolForecast(msgspec.Struct, frozen=True, kw_only=True):
@@ -32,6 +36,8 @@
         Load that a rise under way is heading for, 0 without one.
     peak : float
         Load of the highest recent rise, decayed.
+    work_factor : float
+        Core time of the pool's jobs in relation to the part of it within `lead`.
     rise_level, rise_error : float
         Level that the next rise is expected to reach, and its error.
     age_ms : int
@@ -45,6 +51,7 @@
     level: float = 0
     heading: float = 0
     peak: float = 0
+    work_factor: float = 1
     rise_level: float = 0
     rise_error: float = 0
     age_ms: int = 0
@@ -64,12 +71,13 @@
         The settings.
     """
 
-    __slots__ = ("_cfg", "_cycles", "_trackers")
+    __slots__ = ("_cfg", "_cycles", "_trackers", "_work_factors")
 
     def __init__(self, cfg: ForecastSettings) -> None:
         self._cfg = cfg
         self._trackers: dict[str, RiseTracker] = {}
         self._cycles = CycleModel(cfg)
+        self._work_factors: dict[str, float] = {}
 
     def record_job(self, pool: str, at_ms: int, steps: Sequence[StepSpec]) -> None:
         """Record a job that a pool accepted; times must not decrease.
@@ -87,6 +95,11 @@
         tracker = self._trackers.get(pool)
         if tracker is None or self._is_stale(tracker, at_ms):
             tracker = self._trackers[pool] = RiseTracker(self._cfg)
+            self._work_factors.pop(pool, None)
+        if load:
+            factor = load_within_lead(steps, ALL_MS) / load
+            mean = self._work_factors.get(pool, factor)
+            self._work_factors[pool] = mean + WORK_FACTOR_WEIGHT * (factor - mean)
         rise = tracker.record(at_ms, load)
         if rise is not None:
             self._cycles.record_beginning(pool, rise.begin_ms)
@@ -107,6 +120,7 @@
             level=tracker.rate(now_ms, 1000),
             heading=tracker.heading(now_ms) if cfg.anticipate_rises else 0,
             peak=tracker.peak(now_ms),
+            work_factor=self._work_factors.get(pool, 1),
             rise_level=rise_level,
             rise_error=rise_error,
             age_ms=max(0, now_ms - tracker.last_ms),
@@ -135,9 +149,7 @@
             return 0
         return int(self._cfg.reserve_share * (forecast.peak - demand))
 
-    def firm_demand(
-        self, forecast: PoolForecast, used: int, expected: int
-    ) -> int | None:
+    def firm_demand(self, forecast: PoolForecast, expected: int) -> int | None:
         """Return the demand of a pool that goes before the reserves of others.
 
         It follows from arrivals: the backlog of a rise that found no room can be many
@@ -148,13 +160,13 @@
         ----------
         forecast : PoolForecast
             The forecast of the pool.
-        used, expected : int
-            CPU in use and the demand that the present arrivals cause, both without
-            long-running tasks, in thousandths of a core.
+        expected : int
+            The demand that the present arrivals cause, without long-running tasks, in
+            thousandths of a core.
         """
         if not forecast.peak:
             return None
-        return int(max(used, expected, forecast.peak))
+        return int(forecast.work_factor * max(expected, forecast.peak))
 
     def imminent_reserve(self, forecast: PoolForecast, demand: int, now_ms: int) -> int:
         """Return the CPU that a predicted rise needs beyond the present demand.
--- a/src/redwingslip/placement/_reserve_moves.py
+++ b/src/redwingslip/placement/_reserve_moves.py
@@ -1,6 +1,6 @@
 """Divides the free capacity among the reserves of pools, and plans their moves."""
 
-from collections import deque
+from collections import Counter, deque
 
 from msgspec.structs import replace
 
@@ -49,6 +49,8 @@
     standby: list[PoolLoad],
     moves: list[Move],
     cfg: SizingSettings,
+    *,
+    only_imminent: bool = False,
 ) -> list[Move]:
     """Return the moves to pools whose reserve is not full, the largest lack first.
 
@@ -61,43 +63,32 @@
     serving, standby : list of PoolLoad
         The loads of the pools.
     moves : list of Move
-        Moves that the present demand requires.
+        Moves that were planned before.
     cfg : SizingSettings
         The settings.
+    only_imminent : bool
+        Whether only pools with a rise that is about to begin get machines.
     """
     moved = {move.machine for move in moves}
-    n_moved_to = {load.pool: 0 for load in serving}
-    for move in moves:
-        n_moved_to[move.pool] += 1
-    lacking = {
-        load.pool: n_lacking
-        for load in serving
-        if (n_lacking := _n_lacking(load, n_moved_to[load.pool])) > 0
-    }
+    n_moved_to = Counter(move.pool for move in moves)
+    lacking = {}
+    for load in serving:
+        n_lacking = _n_lacking(load, n_moved_to[load.pool])
+        if n_lacking > 0 and (load.imminent or not only_imminent):
+            lacking[load.pool] = n_lacking
     if not lacking:
         return []
-    is_imminent = {load.pool: load.imminent > 0 for load in serving}
     donated = [machine for load in standby for machine in load.idle]
     for load in serving:
         donated += unneeded(load, load.resting, cfg.shrink_below, cfg)
-    resting = deque(machine for machine in donated if machine not in moved)
-    moved.update(resting)
-    idle = deque(
-        machine
-        for load in serving
-        for machine in unneeded(load, load.idle, cfg.donate_below, cfg)
-        if machine not in moved
-    )
+    if only_imminent:
+        for load in serving:
+            donated += unneeded(load, load.idle, cfg.donate_below, cfg)
+    donors = deque(dict.fromkeys(m for m in donated if m not in moved))
     fills: list[Move] = []
-    while lacking:
-        pool = max(lacking, key=lambda name: (is_imminent[name], lacking[name]))
-        if resting:
-            machine = resting.popleft()
-        elif is_imminent[pool] and idle:
-            machine = idle.popleft()
-        else:
-            break
-        fills.append(Move(machine, pool))
+    while lacking and donors:
+        pool = max(lacking, key=lacking.get)
+        fills.append(Move(donors.popleft(), pool))
         lacking[pool] -= 1
         if not lacking[pool]:
             del lacking[pool]
--- a/src/redwingslip/placement/_reserves.py
+++ b/src/redwingslip/placement/_reserves.py
@@ -61,7 +61,7 @@
     used = load.used - load.non_preemptible
     expected = max(0, load.expected - load.non_preemptible)
     demand = max(used + load.waiting - load.waiting_long_running, expected)
-    firm = forecast.firm_demand(pool_forecast, used, expected)
+    firm = forecast.firm_demand(pool_forecast, expected)
     if firm is not None:
         firm += load.non_preemptible + load.waiting_long_running
     return replace(
--- a/src/redwingslip/placement/_sizing.py
+++ b/src/redwingslip/placement/_sizing.py
@@ -37,9 +37,12 @@
     n_allowed = max(0, max_moves - n_in_progress)
     serving = shrink_reserves(serving, standby, cfg)
     moves = _grow(serving, standby, cfg)[:n_allowed]
-    # Half of the moves remain for demand that comes while reserves are filled.
-    n_to_fill = max(0, max_moves // 2 - n_in_progress - len(moves))
-    moves += fill_reserves(serving, standby, moves, cfg)[:n_to_fill]
+    moves += fill_reserves(serving, standby, moves, cfg, only_imminent=True)
+    moves = moves[:n_allowed]
+    if any(load.kept for load in serving):
+        # Half of the moves remain for demand that comes meanwhile.
+        n_allowed = max(len(moves), max_moves // 2 - n_in_progress)
+        moves += fill_reserves(serving, standby, moves, cfg)
     if standby:
         moved = {move.machine for move in moves}
         standby_pool = standby[0].pool
--- a/tests/test_placement_forecast.py
+++ b/tests/test_placement_forecast.py
@@ -261,6 +261,17 @@
         (planned,) = self.plan(DemandForecast(CFG), 17_000, load)
         self.assertEqual(planned.firm_demand, 920_000, "no rise seen yet")
 
+    def test_jobs_longer_than_the_forecast_looks_ahead_are_firm_as_a_whole(self):
+        """Guards against pools with long jobs that can't take reserves of others."""
+        forecast = DemandForecast(CFG)
+        step = replace(STEPS[0], estimate_ms=10_000)
+        for at_ms in range(10_000, 20_000, 100):
+            forecast.record_job("p", at_ms, (step,))
+        load = PoolLoad(pool="p", used=300_000, waiting=900_000)
+        (planned,) = self.plan(forecast, 20_000, load)
+        # The peak counts less its sampling error.
+        self.assertAlmostEqual(planned.firm_demand, 9 * LEVEL, delta=LEVEL)
+
     def test_machines_rest_while_a_rise_elsewhere_is_near(self):
         """Guards against machines switched off just before they are needed."""
         arrivals = square_wave(("a", "b"), 7)
--- a/tests/test_placement_reserve_moves.py
+++ b/tests/test_placement_reserve_moves.py
@@ -133,6 +133,19 @@
         self.assertEqual(len(plan_moves(loads, 0, cfg)), 6)
         self.assertEqual(plan_moves(loads, 6, cfg), ())
 
+    def test_switching_off_leaves_moves_for_demand(self):
+        machines = names("c", 40)
+        done = load("done", n_vms=42, idle=machines, resting=machines)
+        loads = (done, load("calm", n_vms=5, reserve=5 * VM), standby())
+        cfg = SizingSettings(max_moves=12, max_moves_share=0)
+        self.assertEqual(len(plan_moves(loads, 0, cfg)), 6)
+
+    def test_a_rise_that_is_near_may_take_all_moves(self):
+        near = load("near", n_vms=2, imminent=90 * VM)
+        loads = (near, standby(*names("m", 90)))
+        cfg = SizingSettings(max_moves=12, max_moves_share=0)
+        self.assertEqual(len(plan_moves(loads, 0, cfg)), 12)
+
     def test_a_reserve_that_varies_by_a_machine_moves_none(self):
         """Guards against machines that move to and fro."""
         machines = names("c", 4)
