Plan moves without reserves if the forecast fails, and check its settings

An error in the forecast would have ended the planning of moves in each round. It is logged once, and moves follow the present load then. Settings with which the forecast can't work are refused with the option's name; max_age may not exceed keep_ended, as a new leader knows no older jobs.

--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -1,5 +1,6 @@
 """Settings of the gateway and the controller daemons."""
 
+from collections.abc import Iterator
 from datetime import timedelta
 from pathlib import Path
 from typing import Annotated, ClassVar
@@ -29,7 +30,10 @@
     PeersSettings,
     ProcessSettings,
     ReplicaRoleSettings,
+    SettingsError,
     TlsSettings,
+    find_problems,
+    format_duration,
 )
 from ..workers import HealthSettings, LeaseSettings, ProgressSettings
 
@@ -201,3 +205,39 @@
             forecast=self.forecast,
             advice=self.advice,
         )
+
+
+@find_problems.register
+def _(cfg: ForecastSettings, section: str) -> Iterator[SettingsError]:
+    for option, least in (
+        ("reserve_decay", timedelta(seconds=1)),
+        ("rise_window", timedelta(milliseconds=200)),
+        ("lead", timedelta(milliseconds=100)),
+    ):
+        if getattr(cfg, option) < least:
+            yield SettingsError(
+                section=section,
+                option=option,
+                value=format_duration(getattr(cfg, option)),
+                allowed=f"at least {format_duration(least)}",
+            )
+    for option in ("rise_factor", "max_growth"):
+        if getattr(cfg, option) < 1:
+            yield SettingsError(
+                section=section,
+                option=option,
+                value=str(getattr(cfg, option)),
+                allowed="at least 1",
+            )
+
+
+@find_problems.register
+def _(cfg: ControllerSettings, section: str) -> Iterator[SettingsError]:
+    if cfg.forecast.enabled and cfg.forecast.max_age > cfg.scheduling.keep_ended:
+        yield SettingsError(
+            section="forecast",
+            option="max_age",
+            value=format_duration(cfg.forecast.max_age),
+            allowed=f"at most [scheduling] keep_ended, "
+            f"{format_duration(cfg.scheduling.keep_ended)}",
+        )
--- a/src/redwingslip/scheduling/_forecast_reports.py
+++ b/src/redwingslip/scheduling/_forecast_reports.py
@@ -18,11 +18,12 @@
         The forecast.
     """
 
-    __slots__ = ("_forecast", "_last_ends_ms", "_predicted", "_term")
+    __slots__ = ("_failures", "_forecast", "_last_ends_ms", "_predicted", "_term")
 
     def __init__(self, term: Term, forecast: DemandForecast) -> None:
         self._term = term
         self._forecast = forecast
+        self._failures: set[type[Exception]] = set()
         self._predicted: dict[str, RisePrediction] = {}
         self._last_ends_ms: dict[str, int] = {}
 
@@ -42,6 +43,13 @@
                 self._report_prediction(forecast.prediction, load.imminent, now_ms)
             self._report_outcome(load.pool, now_ms)
 
+    def report_failure(self, exc: Exception) -> None:
+        """Log, once for each kind of error, that the forecast fails."""
+        if type(exc) not in self._failures:
+            self._failures.add(type(exc))
+            detail = f"no reserves are planned, as the forecast fails: {exc!r}"
+            self._term.emit(EventName.WARNING, detail=detail)
+
     def _report_rise(self, pool: str) -> None:
         """Log a rise that is over with the level that was forecast."""
         rise = self._forecast.last_rise(pool)
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -187,9 +187,14 @@
             )
 
     def _add_reserves(self, loads: tuple[PoolLoad, ...]) -> tuple[PoolLoad, ...]:
+        """Add the reserves, or none if the forecast fails, so that moves go on."""
         now_ms = self._term.now_ms()
-        forecast_loads = with_reserves(loads, self._forecast, now_ms)
-        self._reports.report(forecast_loads, now_ms)
+        try:
+            forecast_loads = with_reserves(loads, self._forecast, now_ms)
+            self._reports.report(forecast_loads, now_ms)
+        except Exception as exc:
+            self._reports.report_failure(exc)
+            return loads
         return tuple(entry.load for entry in forecast_loads)
 
     def _has_surveyed(self, now: timedelta) -> bool:
--- a/src/redwingslip/settings/__init__.py
+++ b/src/redwingslip/settings/__init__.py
@@ -26,6 +26,7 @@
 )
 from ._tls import TlsContexts, load_tls
 from ._types import Address, Name, Sha256
+from ._units import format_duration
 from .exceptions import InvalidSettingsError, SettingsError
 
 __all__ = [
@@ -55,6 +56,7 @@
     "TlsContexts",
     "TlsSettings",
     "find_problems",
+    "format_duration",
     "find_warnings",
     "load_settings",
     "load_tls",
--- a/tests/test_placement_cycles.py
+++ b/tests/test_placement_cycles.py
@@ -4,14 +4,12 @@
 
 from redwingslip.placement import CycleModel, ForecastSettings
 
-CFG = ForecastSettings(enabled=True)
-
 
 class TestCycleModel(unittest.TestCase):
     """Which pool's rise follows which."""
 
     def model(self, **beginnings):
-        model = CycleModel(CFG)
+        model = CycleModel(ForecastSettings(enabled=True))
         for pool, times_ms in beginnings.items():
             for at_ms in times_ms:
                 model.record_beginning(pool, at_ms)
@@ -22,18 +20,18 @@
         prediction = model.predict("b", 56_000)
         self.assertEqual((prediction.source, prediction.at_ms), ("a", 59_500))
         self.assertEqual((prediction.error_ms, prediction.confidence), (100, 1))
+        self.assertIsNone(model.has_come(prediction, 60_200))
+        self.assertFalse(model.has_come(prediction, 60_201))
+        self.assertIsNone(model.predict("b", 60_201), "given up")
+        model.record_beginning("b", 60_000)
+        self.assertTrue(model.has_come(prediction, 60_201))
+        self.assertIsNone(model.predict("b", 60_100), "the rise has come")
 
     def test_an_interval_of_a_pool_alone_is_a_pattern(self):
-        model = self.model(a=(10_000, 19_000, 28_200))
-        prediction = model.predict("a", 30_000)
+        prediction = self.model(a=(10_000, 19_000, 28_200)).predict("a", 30_000)
         self.assertEqual(prediction.source, "a")
         self.assertAlmostEqual(prediction.at_ms, 37_300, delta=100)
 
-    def test_two_lags_that_differ_predict_nothing(self):
-        """Guards against machines moved after a coincidence."""
-        model = self.model(a=(10_000, 30_000, 60_000), b=(14_000, 38_000))
-        self.assertIsNone(model.predict("b", 61_000))
-
     def test_a_pattern_that_fails_often_predicts_nothing(self):
         """Guards against machines moved again and again for rises that do not come."""
         times = (10_000, 30_000, 52_000, 71_000, 93_000)
@@ -51,24 +49,14 @@
         )
         self.assertEqual(model.predict("b", 77_500).source, "a")
 
-    def test_an_old_pattern_is_forgotten(self):
-        model = self.model(a=(10_000, 30_000, 180_000), b=(14_000, 34_000))
-        self.assertIsNone(model.predict("b", 181_000))
-
-    def test_rises_at_the_same_time_predict_nothing(self):
-        """No machine could be moved in time."""
-        model = self.model(a=(10_000, 31_000, 70_000), b=(10_300, 31_300))
-        self.assertIsNone(model.predict("b", 70_100))
-
-    def test_a_prediction_ends_with_its_rise_or_its_tolerance(self):
-        model = self.model(a=(10_000, 30_000, 55_000), b=(14_400, 34_600))
-        prediction = model.predict("b", 56_000)
-        self.assertIsNone(model.has_come(prediction, 60_200))
-        self.assertFalse(model.has_come(prediction, 60_201))
-        self.assertIsNone(model.predict("b", 60_201))
-        model.record_beginning("b", 60_000)
-        self.assertTrue(model.has_come(prediction, 60_201))
-        self.assertIsNone(model.predict("b", 60_100))
+    def test_no_pattern_predicts_nothing(self):
+        """Guards against machines moved after a coincidence, or too late to help."""
+        for a, b, now_ms in (
+            ((10_000, 30_000, 60_000), (14_000, 38_000), 61_000),  # Lags that differ.
+            ((10_000, 30_000, 180_000), (14_000, 34_000), 181_000),  # Long ago.
+            ((10_000, 31_000, 70_000), (10_300, 31_300), 70_100),  # At the same time.
+        ):
+            self.assertIsNone(self.model(a=a, b=b).predict("b", now_ms))
 
 
 if __name__ == "__main__":
