--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -11,7 +11,7 @@
 from ..delegation import DelegationSettings
 from ..http import HttpLimits
 from ..peers import PeerSettings
-from ..placement import ArrivalSettings, SizingSettings
+from ..placement import ArrivalSettings, ForecastSettings, SizingSettings
 from ..relay import RelaySettings
 from ..scheduling import (
     AdviceSettings,
@@ -201,6 +201,7 @@
     moves: MoveSettings = MoveSettings()
     sizing: SizingSettings = SizingSettings()
     arrivals: ArrivalSettings = ArrivalSettings()
+    forecast: ForecastSettings = ForecastSettings()
     advice: AdviceSettings = AdviceSettings()
     evacuation: EvacuationSettings = EvacuationSettings()
     operators: ControlSettings = ControlSettings()
@@ -221,6 +222,7 @@
             moves=self.moves,
             sizing=self.sizing,
             arrivals=self.arrivals,
+            forecast=self.forecast,
             advice=self.advice,
             evacuation=self.evacuation,
         )
@@ -254,3 +256,35 @@
             value="",
             allowed="the SHA-256 of a token, as [listen] operators is set",
         )
+    if cfg.forecast.enabled and cfg.forecast.max_age > cfg.scheduling.keep_ended:
+        yield SettingsError(
+            section="forecast",
+            option="max_age",
+            value=format_duration(cfg.forecast.max_age),
+            allowed=f"at most [scheduling] keep_ended, "
+            f"{format_duration(cfg.scheduling.keep_ended)}",
+        )
+
+
+@find_problems.register
+def _(cfg: ForecastSettings, section: str) -> Iterator[SettingsError]:
+    for option, least in (
+        ("reserve_decay", timedelta(seconds=1)),
+        ("rise_window", timedelta(milliseconds=200)),
+        ("lead", timedelta(milliseconds=100)),
+    ):
+        if getattr(cfg, option) < least:
+            yield SettingsError(
+                section=section,
+                option=option,
+                value=format_duration(getattr(cfg, option)),
+                allowed=f"at least {format_duration(least)}",
+            )
+    for option in ("rise_factor", "max_growth"):
+        if getattr(cfg, option) < 1:
+            yield SettingsError(
+                section=section,
+                option=option,
+                value=str(getattr(cfg, option)),
+                allowed="at least 1",
+            )
