Keep reserves only for jobs that can't wait for a move of machines

Change: the reserve, the first machines and predicted rises count only for the part of the lead that the slack of a pool's jobs, weighted by load, does not cover. The tests of the reserve set the share and hold that were the defaults before.

--- a/src/redwingslip/placement/_forecast.py
+++ b/src/redwingslip/placement/_forecast.py
@@ -10,6 +10,7 @@
 from ._cycles import CycleModel, RisePrediction
 from ._forecast_settings import ForecastSettings
 from ._rises import Rise, RiseTracker
+from ._urgency import JobUrgency
 
 __all__ = ["DemandForecast", "PoolForecast"]
 
@@ -17,6 +18,8 @@
 # A demand above this share of the recent peak is no calm before a rise, and gets no
 # reserve: a steady load varies by as much.
 MAX_CALM_SHARE = 0.5
+# Below this, moved machines come in time for nearly all jobs of a rise.
+MIN_URGENCY = 0.1
 # Weight of a new job in the average of the jobs' core time.
 WORK_FACTOR_WEIGHT = 0.05
 # Longer than any job.
@@ -46,6 +49,8 @@
         Whether too little was seen to judge the machines that operators gave the pool.
     prediction : RisePrediction or None
         The next rise, if earlier ones predict it.
+    urgency : float
+        Part of the lead that the pool's jobs can't wait for, see `JobUrgency`.
     """
 
     level: float = 0
@@ -57,6 +62,7 @@
     age_ms: int = 0
     is_initial: bool = False
     prediction: RisePrediction | None = None
+    urgency: float = 1.0
 
 
 class DemandForecast:
@@ -71,15 +77,18 @@
         The settings.
     """
 
-    __slots__ = ("_cfg", "_cycles", "_trackers", "_work_factors")
+    __slots__ = ("_cfg", "_cycles", "_trackers", "_urgencies", "_work_factors")
 
     def __init__(self, cfg: ForecastSettings) -> None:
         self._cfg = cfg
         self._trackers: dict[str, RiseTracker] = {}
         self._cycles = CycleModel(cfg)
         self._work_factors: dict[str, float] = {}
+        self._urgencies: dict[str, JobUrgency] = {}
 
-    def record_job(self, pool: str, at_ms: int, steps: Sequence[StepSpec]) -> None:
+    def record_job(
+        self, pool: str, at_ms: int, steps: Sequence[StepSpec], *, slack_ms: float = 0
+    ) -> None:
         """Record a job that a pool accepted; times must not decrease.
 
         Parameters
@@ -90,8 +99,12 @@
             Unix time at which the job was accepted.
         steps : sequence of StepSpec
             The steps of the job.
+        slack_ms : float
+            Time by which the job may start late and still end by its deadline.
         """
         load = load_within_lead(steps, self._cfg.lead // MS)
+        urgency = self._urgencies.setdefault(pool, JobUrgency())
+        urgency.record(load, slack_ms, self._cfg.lead // MS)
         tracker = self._trackers.get(pool)
         if tracker is None or self._is_stale(tracker, at_ms):
             tracker = self._trackers[pool] = RiseTracker(self._cfg)
@@ -116,6 +129,8 @@
         rise_level, rise_error = tracker.expected_level(now_ms)
         has_risen = tracker.rise is not None or bool(tracker.earlier)
         is_young = now_ms - tracker.first_ms < cfg.initial_hold // MS
+        urgency = self._urgencies[pool].value
+        is_urgent = urgency >= MIN_URGENCY
         return PoolForecast(
             level=tracker.rate(now_ms, 1000),
             heading=tracker.heading(now_ms) if cfg.anticipate_rises else 0,
@@ -124,10 +139,11 @@
             rise_level=rise_level,
             rise_error=rise_error,
             age_ms=max(0, now_ms - tracker.last_ms),
-            is_initial=cfg.keep_initial and is_young and not has_risen,
+            is_initial=cfg.keep_initial and is_young and not has_risen and is_urgent,
             prediction=self._cycles.predict(pool, now_ms)
-            if cfg.predict_cycles
+            if cfg.predict_cycles and is_urgent
             else None,
+            urgency=urgency,
         )
 
     def last_rise(self, pool: str) -> Rise | None:
@@ -147,7 +163,8 @@
         """
         if demand >= MAX_CALM_SHARE * forecast.peak:
             return 0
-        return int(self._cfg.reserve_share * (forecast.peak - demand))
+        share = self._cfg.reserve_share * forecast.urgency
+        return int(share * (forecast.peak - demand))
 
     def firm_demand(self, forecast: PoolForecast, expected: int) -> int | None:
         """Return the demand of a pool that goes before the reserves of others.
--- a/src/redwingslip/placement/_forecast_settings.py
+++ b/src/redwingslip/placement/_forecast_settings.py
@@ -25,7 +25,8 @@
         most this long.
     reserve_share : float
         Share of the recent peak, beyond the present demand, that a pool keeps as its
-        reserve; 0 for no reserve.
+        reserve if its jobs can't wait at all for machines to be moved; less, the more
+        of `lead` they can wait; 0 for no reserve.
     reserve_decay : timedelta
         Time after which the recent peak counts half.
     max_age : timedelta
@@ -59,8 +60,8 @@
 
     enabled: bool = False
     keep_initial: bool = True
-    initial_hold: timedelta = timedelta(seconds=30)
-    reserve_share: Share = 0.75
+    initial_hold: timedelta = timedelta(seconds=20)
+    reserve_share: Share = 1.0
     reserve_decay: timedelta = timedelta(seconds=30)
     max_age: timedelta = timedelta(seconds=120)
     lead: timedelta = timedelta(milliseconds=2500)
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -118,6 +118,13 @@
         queue = self._queues.get(self._state.jobs[job_id].spec.queue)
         return queue is not None and queue.needs_advice
 
+    def slack_ms(self, job: JobRecord) -> float:
+        """Return by how much a job may start late and still end by its deadline."""
+        queue = self._queues.get(job.spec.queue)
+        if queue is None:
+            return 0.0
+        return (queue.stretch - 1) * _critical_path_ms(job) + queue.target_latency_ms
+
     def n_not_begun(self, queue: str) -> int:
         """Return the number of a queue's accepted jobs without any started task."""
         jobs = self._state.jobs
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -177,7 +177,12 @@
         pool = self._job_index.pool_of(job)
         self._trend.record_job(pool, job.accepted_ms, job.spec.steps)
         if self._forecast is not None:
-            self._forecast.record_job(pool, job.accepted_ms, job.spec.steps)
+            self._forecast.record_job(
+                pool,
+                job.accepted_ms,
+                job.spec.steps,
+                slack_ms=self._job_index.slack_ms(job),
+            )
 
     def close(self) -> None:
         """Stop the background work and all orders."""
--- a/tests/test_placement_forecast.py
+++ b/tests/test_placement_forecast.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from datetime import timedelta
 
 from msgspec.structs import replace
 
@@ -15,7 +16,9 @@
     with_reserves,
 )
 
-CFG = ForecastSettings(enabled=True)
+CFG = ForecastSettings(
+    enabled=True, reserve_share=0.75, initial_hold=timedelta(seconds=30)
+)
 # One such job per second keeps 4 cores busy.
 STEPS = (StepSpec(n_tasks=4, need=Amounts(1000, 1), estimate_ms=1000),)
 LEVEL = 40_000
@@ -72,6 +75,22 @@
         forecast = make_forecast(square_wave(["p"], 1), replace(CFG, reserve_share=0))
         self.assertEqual(reserve_of(forecast, 17_000), 0)
 
+    def test_jobs_that_can_wait_for_machines_need_no_reserve(self):
+        """Guards against machines that idle for jobs with enough slack."""
+        forecast = DemandForecast(CFG)
+        arrivals = square_wave(["p"], 1)
+        for at_ms, pool in arrivals:
+            forecast.record_job(pool, at_ms, STEPS, slack_ms=2_500)
+        self.assertEqual(reserve_of(forecast, 17_000), 0)
+        half = DemandForecast(CFG)
+        for at_ms, pool in arrivals:
+            half.record_job(pool, at_ms, STEPS, slack_ms=1_250)
+        self.assertAlmostEqual(
+            reserve_of(half, 17_000),
+            reserve_of(make_forecast(arrivals), 17_000) / 2,
+            delta=0.01 * LEVEL,
+        )
+
     def test_a_single_peak_that_does_not_return_is_forgotten(self):
         """The reserve halves with each decay time, and ends with `max_age`."""
         forecast = make_forecast(square_wave(["p"], 1))
