Order the jobs of a pool that can't run all of them in time

Cause: with deadline order under overload most of what runs is just too late, and small customers get as little as those that flood the pool.

Change: with [admission] enabled and order on, a pure decision in placement chooses the jobs that can finish in time together (Moore and Hodgson, by credit per remaining core-second), divides a pool's capacity among customers by their weights under contention, and gives the largest jobs a part of it. Without contention, or with the section off, the order is the earlier one.

--- a/src/redwingslip/jobs/_plan.py
+++ b/src/redwingslip/jobs/_plan.py
@@ -121,7 +121,7 @@
         Keys that authenticate the customer.
     weight : float
         Relative share of the customer when the capacity is exhausted, as operators
-        declare it. The placement does not use it.
+        declare it. It has an effect with `AdmissionSettings` only.
     limit : Amounts
         Maximum resources of its running tasks; an amount of 0 means no limit.
     """
--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -38,6 +38,8 @@
     JOB_ACCEPTED = "job.accepted"
     JOB_CANCELLED = "job.cancelled"
     JOB_FAILED = "job.failed"
+    CONTENTION_BEGUN = "contention.begun"
+    CONTENTION_ENDED = "contention.ended"
     CALL_REFUSED = "call.refused"
     RUN_ORDERED = "run.ordered"
     RUN_ENDED = "run.ended"
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -144,6 +144,12 @@
         "{call}",
         "Calls of VMs, by whether the leader or a delegate makes them.",
     ),
+    _Instrument(
+        "gauge",
+        "job.deferred",
+        "{job}",
+        "Jobs that go after others, since their pool can't run all of them in time.",
+    ),
     _Instrument(
         "counter", "event.dropped", "{event}", "Events that the log could not take."
     ),
@@ -272,6 +278,11 @@
         if count:
             self._instruments["vm.calls"].add(count, {"redwingslip.caller": caller})
 
+    def set_deferred_jobs(self, count: int, *, pool: str) -> None:
+        """Set the number of a pool's jobs that are deferred."""
+        attributes = self._limit_values({"redwingslip.pool": pool})
+        self._instruments["job.deferred"].set(count, attributes)
+
     def add_dropped_events(self, count: int) -> None:
         """Count events that the log dropped."""
         self._instruments["event.dropped"].add(count)
--- /dev/null
+++ b/src/redwingslip/placement/_overload.py
@@ -0,0 +1,390 @@
+"""Which jobs of a pool finish in time when the pool can't run all of them in time."""
+
+import heapq
+from collections import defaultdict
+from collections.abc import Collection, Mapping, Sequence
+from operator import attrgetter
+
+import msgspec
+
+from ._capacity import CapacityPlan, divide_by_weight
+
+__all__ = ["CompetingJob", "JobOrder", "LargeJobBudget", "order_jobs"]
+
+# Places of jobs in the order of a pool: jobs in time within the share of their customer
+# have 0, then come deferred jobs of customers below their share, then jobs in time
+# beyond a share, then the other deferred jobs, from `DEFERRED_TURN` on.
+BELOW_SHARE_TURN, ABOVE_SHARE_TURN, DEFERRED_TURN = 1, 2, 3
+# A job that is due sooner counts with the rate of one that is due within this time.
+MIN_HORIZON_MS = 250.0
+# Jobs that are due within this time of each other are due at the same time.
+TIME_STEP_MS = 10.0
+# Rounding doesn't put a customer over its share.
+SHARE_TOLERANCE = 1.001
+# The budget for large jobs grows to what it gains in this time at most, so that a long
+# time without one is not followed by many.
+MAX_BUDGET_MS = 2000.0
+
+
+class CompetingJob(msgspec.Struct, frozen=True, kw_only=True):
+    """A job that can still finish in time, and has tasks that wait.
+
+    Attributes
+    ----------
+    priority : int
+        Priority of its queue; 0 goes first.
+    due_in_ms, path_ms : float
+        Time until it is due, and the part of it that the critical path of its open
+        steps needs at least.
+    waiting : float
+        Work of its waiting tasks, in core-ms.
+    credit : float
+        What it is worth to its caller if it finishes in time.
+    is_kept : bool
+        Whether it must not be deferred, since little of it remains.
+    is_large : bool
+        Whether it is among the largest jobs of its queue.
+    """
+
+    job_id: str
+    customer: str
+    priority: int
+    due_in_ms: float
+    path_ms: float
+    waiting: float
+    credit: float
+    is_kept: bool = False
+    is_large: bool = False
+
+    @property
+    def rate(self) -> float:
+        """Return the cores that its waiting tasks need on average until it is due."""
+        return self.waiting / max(self.due_in_ms, MIN_HORIZON_MS)
+
+
+class JobOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """The order of a pool's jobs while they can't all finish in time.
+
+    Attributes
+    ----------
+    turns : dict of str to int
+        Place of each job; jobs with the same one go by priority and due time.
+    new_turns : dict of str to int
+        By customer, the place of jobs that arrive before the next decision, if not 0.
+    n_deferred : int
+        Number of the jobs that are deferred.
+    load : float
+        Work of the waiting tasks of the jobs that are to finish in time, in core-ms.
+    over : frozenset of str
+        Customers that ask for more than their share.
+    """
+
+    turns: dict[str, int] = msgspec.field(default_factory=dict)
+    new_turns: dict[str, int] = msgspec.field(default_factory=dict)
+    n_deferred: int = 0
+    load: float = 0.0
+    over: frozenset[str] = frozenset()
+
+
+class LargeJobBudget:
+    """Lets the largest jobs of a pool run at a reduced rate under contention.
+
+    By credit per core-second, they would be deferred for as long as it lasts. Each one
+    that is protected is paid for from a budget that grows with time.
+
+    Parameters
+    ----------
+    share : float
+        Share of the pool's capacity.
+    """
+
+    __slots__ = ("_balance", "_share", "_updated_ms", "protected")
+
+    def __init__(self, share: float) -> None:
+        self._share = share
+        self._balance = 0.0
+        self._updated_ms: int | None = None
+        self.protected: set[str] = set()
+
+    def update(
+        self, jobs: Sequence[CompetingJob], capacity: CapacityPlan, now_ms: int
+    ) -> None:
+        """Protect the large jobs that the budget pays for, the first due first.
+
+        Parameters
+        ----------
+        jobs : sequence of CompetingJob
+            The jobs of the pool.
+        capacity : CapacityPlan
+            Its capacity.
+        now_ms : int
+            Unix time.
+        """
+        rate = self._share * capacity.cores
+        if self._updated_ms is None:
+            self._balance = rate * MAX_BUDGET_MS
+        else:
+            gained = rate * max(0, now_ms - self._updated_ms)
+            self._balance = min(self._balance + gained, rate * MAX_BUDGET_MS)
+        self._updated_ms = now_ms
+        self.protected.intersection_update([job.job_id for job in jobs])
+        large = [job for job in jobs if job.is_large]
+        for job in sorted(large, key=lambda job: (job.due_in_ms, job.job_id)):
+            (bound,) = _bounds([job], capacity)
+            if job.job_id in self.protected or job.waiting > bound:
+                continue
+            if self._balance <= 0:
+                break
+            self._balance -= job.waiting
+            self.protected.add(job.job_id)
+
+
+def order_jobs(
+    jobs: Sequence[CompetingJob],
+    *,
+    capacity: CapacityPlan,
+    held: Mapping[str, float],
+    weights: Mapping[str, float],
+    limits: Mapping[str, float] | None = None,
+    protected: Collection[str] = (),
+) -> JobOrder:
+    """Return the order of the jobs of one pool.
+
+    As many jobs as can finish in time together go first, by priority and due time. When
+    one would be late, the job with the least credit per remaining core-second of those
+    before it and of itself is deferred (Moore and Hodgson), one of a customer over its
+    share first. Without contention the order is empty.
+
+    Parameters
+    ----------
+    jobs : sequence of CompetingJob
+        The jobs.
+    capacity : CapacityPlan
+        Capacity of the pool for waiting tasks.
+    held : mapping of str to float
+        Cores in use by running tasks, by customer.
+    weights : mapping of str to float
+        Weights of the customers; 1 for one that is missing.
+    limits : mapping of str to float, optional
+        Cores that customers may use at most.
+    protected : collection of str
+        Jobs that are not deferred.
+    """
+    ordered = sorted(jobs, key=attrgetter("priority", "due_in_ms", "job_id"))
+    bounds = _bounds(ordered, capacity)
+    load = 0.0
+    for job, bound in zip(ordered, bounds, strict=True):
+        load += job.waiting
+        if load > bound:
+            break
+    else:
+        return JobOrder(load=load)
+    rates = [job.rate for job in ordered]
+    demands: dict[str, float] = defaultdict(float, held)
+    for job, rate in zip(ordered, rates, strict=True):
+        demands[job.customer] += rate
+    limits = limits or {}
+    usable = {
+        name: min(demand, limits.get(name, demand)) for name, demand in demands.items()
+    }
+    shares = divide_by_weight(capacity.cores, usable, weights)
+    over = {name for name, part in shares.items() if demands[name] > part}
+    selection = _Selection(
+        ordered, rates, held=held, shares=shares, protected=protected
+    )
+    for number, bound in enumerate(bounds):
+        selection.add(number, bound)
+    turns = {job.job_id: 0 for job in ordered}
+    new_turns = {}
+    if len(over) < len(demands):
+        # Some customer is within its share, and must not wait for the others.
+        chosen = [ordered[number] for number in selection.chosen]
+        turns |= _above_share(chosen, shares=shares, held=held, protected=protected)
+        new_turns = dict.fromkeys(over, ABOVE_SHARE_TURN)
+    deferred = [ordered[number] for number in selection.deferred]
+    deferred.sort(key=lambda job: (job.priority, -job.credit / job.waiting))
+    for place, job in enumerate(deferred):
+        is_over = job.customer in over
+        turns[job.job_id] = DEFERRED_TURN + place if is_over else BELOW_SHARE_TURN
+    return JobOrder(
+        turns=turns,
+        new_turns=new_turns,
+        n_deferred=len(deferred),
+        load=selection.load,
+        over=frozenset(over),
+    )
+
+
+def _bounds(jobs: Sequence[CompetingJob], capacity: CapacityPlan) -> list[float]:
+    """Return, for each job, the most work that may be done until its end, in core-ms.
+
+    Its own work is included, and it starts early enough for its critical path. Times
+    are rounded down to `TIME_STEP_MS`.
+    """
+    works: dict[float, float] = {}
+    bounds = []
+    for job in jobs:
+        due = job.due_in_ms // TIME_STEP_MS
+        start = (job.due_in_ms - job.path_ms) // TIME_STEP_MS
+        for step in (due, start):
+            if step not in works:
+                works[step] = capacity.work_by(step * TIME_STEP_MS)
+        bounds.append(min(works[due], works[start] + job.waiting))
+    return bounds
+
+
+class _Selection:
+    """The jobs that finish in time together, chosen in the order in which they go.
+
+    Parameters
+    ----------
+    jobs : sequence of CompetingJob
+        All jobs, in this order.
+    rates : sequence of float
+        Their `CompetingJob.rate`.
+    held, shares : mapping of str to float
+        Cores in use, and the share, by customer.
+    protected : collection of str
+        Jobs that are not deferred.
+
+    Attributes
+    ----------
+    load : float
+        Work of the waiting tasks of the chosen jobs, in core-ms.
+    chosen, deferred : dict of int to None, list of int
+        Numbers of the chosen and of the deferred jobs.
+    """
+
+    __slots__ = (
+        "_heaps",
+        "_job_rates",
+        "_jobs",
+        "_limits",
+        "_priority",
+        "_protected",
+        "_rates",
+        "_tops",
+        "_tops_over",
+        "chosen",
+        "deferred",
+        "load",
+    )
+
+    def __init__(
+        self,
+        jobs: Sequence[CompetingJob],
+        rates: Sequence[float],
+        *,
+        held: Mapping[str, float],
+        shares: Mapping[str, float],
+        protected: Collection[str],
+    ) -> None:
+        self._jobs = jobs
+        self._job_rates = rates
+        self._protected = protected
+        self._rates: dict[str, float] = {**dict.fromkeys(shares, 0.0), **held}
+        self._limits = {name: SHARE_TOLERANCE * part for name, part in shares.items()}
+        self._priority: int | None = None
+        # By customer, the jobs of the present priority that may be deferred.
+        self._heaps: dict[str, list[tuple[float, int]]] = {}
+        # The first jobs of all customers' heaps, and of those over their share. Entries
+        # of jobs that are no longer first remain until they are popped.
+        self._tops: list[tuple[float, int, str]] = []
+        self._tops_over: list[tuple[float, int, str]] = []
+        self.load = 0.0
+        self.chosen: dict[int, None] = {}
+        self.deferred: list[int] = []
+
+    def add(self, number: int, bound: float) -> None:
+        """Choose a job, and defer jobs until all chosen ones finish in time.
+
+        Parameters
+        ----------
+        number : int
+            Number of the job.
+        bound : float
+            The most work that may be done until its end, in core-ms.
+        """
+        job = self._jobs[number]
+        if job.priority != self._priority:
+            # A job is never deferred in favour of one of a lower priority.
+            self._priority = job.priority
+            self._heaps, self._tops, self._tops_over = {}, [], []
+        waiting = job.waiting
+        is_fixed = job.is_kept or job.job_id in self._protected
+        if waiting > bound and not is_fixed:
+            self.deferred.append(number)
+            return
+        self.load += waiting
+        self.chosen[number] = None
+        customer = job.customer
+        was_over = self._rates[customer] > self._limits[customer]
+        self._rates[customer] += self._job_rates[number]
+        is_first = False
+        if not is_fixed:
+            heap = self._heaps.setdefault(customer, [])
+            entry = (job.credit / waiting, number)
+            heapq.heappush(heap, entry)
+            is_first = heap[0] is entry
+        if is_first or not was_over:
+            self._note_first(customer, is_new=is_first)
+        while self.load > bound and self._heaps:
+            self._defer_one()
+
+    def _note_first(self, customer: str, *, is_new: bool) -> None:
+        """Add the first job of a customer to the lists that it belongs to."""
+        heap = self._heaps.get(customer)
+        if not heap:
+            return
+        entry = (*heap[0], customer)
+        if is_new:
+            heapq.heappush(self._tops, entry)
+        if self._rates[customer] > self._limits[customer]:
+            heapq.heappush(self._tops_over, entry)
+
+    def _defer_one(self) -> None:
+        """Defer the job with the least credit per core-second, over a share if any."""
+        while self._tops_over:
+            _, number, customer = self._tops_over[0]
+            heap = self._heaps.get(customer)
+            is_over = self._rates[customer] > self._limits[customer]
+            if heap and heap[0][1] == number and is_over:
+                break
+            heapq.heappop(self._tops_over)
+        else:
+            while True:
+                _, number, customer = self._tops[0]
+                heap = self._heaps.get(customer)
+                if heap and heap[0][1] == number:
+                    break
+                heapq.heappop(self._tops)
+        heapq.heappop(heap)
+        job = self._jobs[number]
+        self.load -= job.waiting
+        self._rates[customer] -= self._job_rates[number]
+        del self.chosen[number]
+        self.deferred.append(number)
+        if heap:
+            self._note_first(customer, is_new=True)
+        else:
+            del self._heaps[customer]
+
+
+def _above_share(
+    jobs: Sequence[CompetingJob],
+    *,
+    shares: Mapping[str, float],
+    held: Mapping[str, float],
+    protected: Collection[str],
+) -> dict[str, int]:
+    """Return the turns of chosen jobs beyond the share of their customers.
+
+    They go after all jobs within a share and all of customers below theirs.
+    """
+    rates: dict[str, float] = defaultdict(float, held)
+    turns = {}
+    for job in sorted(jobs, key=lambda job: job.job_id not in protected):
+        if rates[job.customer] >= SHARE_TOLERANCE * shares[job.customer]:
+            turns[job.job_id] = ABOVE_SHARE_TURN
+        rates[job.customer] += job.rate
+    return turns
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -18,6 +18,9 @@
         0 for jobs with long-running tasks, 1 for jobs that can still meet their
         deadline, 2 for jobs that will miss it, 3 for jobs that will end so late that
         their result has no more use.
+    turn : int
+        0, or a higher number for a job that goes after others of its band, since its
+        pool can't run all of them in time; see `order_jobs`.
     priority : int
         Priority of the job's queue; 0 goes first.
     due_ms : float
@@ -25,6 +28,7 @@
     """
 
     band: int
+    turn: int
     priority: int
     due_ms: float
 
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -9,6 +9,7 @@
     NO_AMOUNTS,
     Amounts,
     JobRecord,
+    JobSpec,
     JobsState,
     RunRecord,
     TaskKey,
@@ -20,6 +21,7 @@
 
 __all__ = [
     "LONG_RUNNING_BAND",
+    "ON_TIME_ESTIMATE_SHARE",
     "JobIndex",
     "PoolBacklog",
     "non_preemptible_need",
@@ -58,12 +60,33 @@
     ----------
     state : JobsState
         The replicated state.
+
+    Attributes
+    ----------
+    turns : mapping of str to int
+        By job, its turn in `Urgency`.
+    new_turns : mapping of (str, str) to int
+        By pool and customer, the turn of jobs that are missing in `turns`, if not 0.
+    changed : set of str or None
+        Receives the ids of the jobs that change; None if nobody takes them.
     """
 
-    __slots__ = ("_active", "_failed_on", "_queues", "_state", "_waiting")
+    __slots__ = (
+        "_active",
+        "_failed_on",
+        "_queues",
+        "_state",
+        "_waiting",
+        "changed",
+        "new_turns",
+        "turns",
+    )
 
     def __init__(self, state: JobsState) -> None:
         self._state = state
+        self.turns: Mapping[str, int] = {}
+        self.new_turns: Mapping[tuple[str, str], int] = {}
+        self.changed: set[str] | None = None
         self.update_plan()
         # Active jobs, and whether any of their steps is speculative.
         self._active: dict[str, bool] = {
@@ -82,6 +105,8 @@
     def refresh_job(self, job_id: str) -> None:
         """Update the entries of a job after a change of its state."""
         self._waiting.pop(job_id, None)
+        if self.changed is not None:
+            self.changed.add(job_id)
         job = self._state.jobs.get(job_id)
         if job is not None and job.status in ACTIVE_STATUSES:
             self._active[job_id] = _is_speculative(job)
@@ -110,6 +135,34 @@
         queue = self._queues.get(job.spec.queue)
         return queue.pool if queue is not None else job.spec.pool
 
+    def is_active(self, job_id: str) -> bool:
+        """Return whether a job is active."""
+        return job_id in self._active
+
+    def priority_of(self, job: JobRecord) -> int:
+        """Return the priority of a job's queue."""
+        queue = self._queues.get(job.spec.queue)
+        return queue.priority if queue else 0
+
+    def deadlines(self, spec: JobSpec, accepted_ms: int) -> tuple[float, float]:
+        """Return the Unix times at which a job is due, and of no use any more, in ms.
+
+        Parameters
+        ----------
+        spec : JobSpec
+            The job, without long-running steps.
+        accepted_ms : int
+            Unix time of its acceptance.
+        """
+        queue = self._queues.get(spec.queue)
+        stretch = queue.stretch if queue else 1.0
+        target_ms = queue.target_latency_ms if queue else 0
+        objective_ms = stretch * _critical_path_ms(spec) + target_ms
+        return (
+            accepted_ms + objective_ms,
+            accepted_ms + USELESS_AFTER_OBJECTIVES * objective_ms,
+        )
+
     def needs_advice(self, job_id: str) -> bool:
         """Return whether a VM needs a ticket of the adviser to run the job's tasks."""
         queue = self._queues.get(self._state.jobs[job_id].spec.queue)
@@ -177,35 +230,35 @@
         )
 
     def _urgency(self, job: JobRecord, now_ms: int) -> Urgency:
-        queue = self._queues.get(job.spec.queue)
-        priority = queue.priority if queue else 0
         if any(step.is_long_running for step in job.spec.steps):
-            return Urgency(LONG_RUNNING_BAND, 0, job.accepted_ms)
-        stretch = queue.stretch if queue else 1.0
-        target_ms = queue.target_latency_ms if queue else 0
-        due_ms = job.accepted_ms + stretch * _critical_path_ms(job) + target_ms
-        end_ms = now_ms + ON_TIME_ESTIMATE_SHARE * _critical_path_ms(
-            job, only_open=True
-        )
-        useless_ms = job.accepted_ms + USELESS_AFTER_OBJECTIVES * (
-            due_ms - job.accepted_ms
-        )
-        band = ON_TIME_BAND
+            return Urgency(LONG_RUNNING_BAND, 0, 0, job.accepted_ms)
+        due_ms, useless_ms = self.deadlines(job.spec, job.accepted_ms)
+        end_ms = now_ms + ON_TIME_ESTIMATE_SHARE * _critical_path_ms(job.spec, job)
+        band, turn = ON_TIME_BAND, 0
         if end_ms > due_ms:
             band = LATE_BAND if end_ms <= useless_ms else USELESS_BAND
-        return Urgency(band, priority, due_ms)
+        elif self.turns:
+            turn = self._turn(job)
+        return Urgency(band, turn, self.priority_of(job), due_ms)
 
+    def _turn(self, job: JobRecord) -> int:
+        turn = self.turns.get(job.spec.job_id)
+        if turn is None:
+            key = (self.pool_of(job), job.spec.customer)
+            turn = self.new_turns.get(key, 0)
+        return turn
 
-def _critical_path_ms(job: JobRecord, *, only_open: bool = False) -> int:
+
+def _critical_path_ms(spec: JobSpec, job: JobRecord | None = None) -> int:
     """Return the estimated duration of the critical path through a job's steps.
 
-    Steps that are done count as 0 with `only_open`. For a repeated job, this is the
+    Steps that are done count as 0 if the job is given. For a repeated job, this is the
     path of its last occurrence.
     """
     ends: list[int] = []
-    for number, step in enumerate(job.spec.steps):
+    for number, step in enumerate(spec.steps):
         begin = max((ends[i] for i in step.after if i < len(ends)), default=0)
-        is_open = not only_open or not all(t.is_done for t in job.tasks[-1][number])
+        is_open = job is None or not all(t.is_done for t in job.tasks[-1][number])
         ends.append(begin + (step.estimate_ms if is_open else 0))
     return max(ends, default=0)
 
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -139,7 +139,7 @@
 
     def _plan_moves(self) -> None:
         now = self._term.clock.monotonic()
-        if not self._has_surveyed(now):
+        if not self.has_surveyed(now):
             return
         self._drop_finished_arrivals(now)
         n_in_progress = len(self._order_tasks) + len(self._planned_pools)
@@ -165,7 +165,7 @@
                 move.pool, added_cpu, now + duration
             )
 
-    def _has_surveyed(self, now: timedelta) -> bool:
+    def has_surveyed(self, now: timedelta) -> bool:
         """Return whether enough VMs have answered to know the capacity of the pools."""
         if now >= self._term.started_at + self._cfg.moves.survey_time:
             return True
@@ -175,6 +175,28 @@
             agents
         )
 
+    def arriving_cpu(self, now: timedelta) -> dict[str, list[tuple[int, timedelta]]]:
+        """Return the machines on their way, by pool: their CPU and time since the plan.
+
+        Machines whose present runs must end first count as planned in the future.
+        """
+        arriving: dict[str, list[tuple[int, timedelta]]] = {}
+        for arrival in self._arrivals.values():
+            planned_at = arrival.until - self._cfg.moves.arrival_time
+            arriving.setdefault(arrival.pool, []).append(
+                (arrival.room, now - planned_at)
+            )
+        return arriving
+
+    def standby_cpu(self) -> int:
+        """Return the CPU of the machines that are switched off and may be moved."""
+        return sum(
+            self._machine_views[machine].capacity.cpu
+            for pool in self._state.plan.pools
+            if pool.is_standby
+            for machine in self._standby_load(pool.name).idle
+        )
+
     def _added_cpu(self, machine: str, pool: str) -> int:
         """Return the CPU that a machine adds to a pool, in thousandths of a core."""
         if any(p.name == pool and p.is_standby for p in self._state.plan.pools):
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -31,6 +31,7 @@
 from ..observe import EventName
 from ..placement import ArrivalTrend
 from ..workers import RunTimeModel
+from ._admission import AdmissionControl
 from ._advice import AdviceCache, Adviser
 from ._agent import VmAgent
 from ._job_index import JobIndex
@@ -120,6 +121,17 @@
             cfg=cfg,
             trend=self._trend,
         )
+        self._admission: AdmissionControl | None = None
+        if cfg.admission.enabled:
+            self._admission = AdmissionControl(
+                term=term,
+                machines=machines,
+                moves=self._moves,
+                job_index=self._job_index,
+                backlog=self._rounds.backlog,
+                run_times=self._run_times,
+                cfg=cfg.admission,
+            )
         self._waves = WaveManager(
             term=term,
             machines=machines,
@@ -390,6 +402,8 @@
             if not self._term.is_leading():
                 continue
             began_at = self._term.clock.monotonic()
+            if self._admission is not None:
+                self._admission.update()
             starts = self._rounds.decide()
             self._round_load.record(began_at, self._term.clock.monotonic())
             if starts:
--- a/src/redwingslip/workers/_run_times.py
+++ b/src/redwingslip/workers/_run_times.py
@@ -127,6 +127,31 @@
             return estimate
         return _run_time(fit.expected(math.log(estimate / MS)))
 
+    def mean(
+        self, queue: str, estimate: timedelta, *, max_correction: float
+    ) -> timedelta:
+        """Return the mean run time to expect, for sums over many tasks.
+
+        It is above the usual run time of `expected` by what rare long runs add.
+
+        Parameters
+        ----------
+        queue : str
+            The queue of the task's job.
+        estimate : timedelta
+            The caller's estimate of the run time.
+        max_correction : float
+            Largest ratio, in either direction, of the mean to the estimate.
+        """
+        fit = self._fit(queue)
+        if fit is None or estimate <= timedelta(0):
+            return estimate
+        log_estimate = math.log(estimate / MS)
+        log_mean = fit.expected(log_estimate) + fit.deviation**2 / 2
+        bound = math.log(max_correction)
+        correction = min(bound, max(-bound, log_mean - log_estimate))
+        return _run_time(log_estimate + correction)
+
     def longest_usual(
         self, step_key: StepKey, *, queue: str, vm_id: str, estimate: timedelta
     ) -> timedelta | None:
--- /dev/null
+++ b/tests/test_scheduling_admission.py
@@ -0,0 +1,223 @@
+"""Tests of the leader's decisions under overload, from the jobs and VMs it knows."""
+
+import unittest
+from datetime import timedelta
+from types import SimpleNamespace
+from unittest import mock
+
+from redwingslip.clock import ManualClock
+from redwingslip.jobs import (
+    Amounts,
+    Customer,
+    JobSpec,
+    JobsState,
+    NoteVm,
+    Plan,
+    Pool,
+    Queue,
+    ReplacePlan,
+    StartRuns,
+    StepSpec,
+    SubmitJob,
+)
+from redwingslip.observe import EventName
+from redwingslip.placement import AdmissionSettings, ArrivalTrend
+from redwingslip.scheduling import LeaderPolicy, MachineRegistry, MoveManager
+from redwingslip.scheduling import _admission as admission_module
+from redwingslip.scheduling._admission import AdmissionControl
+from redwingslip.scheduling._job_index import JobIndex
+from redwingslip.scheduling._rounds import PlacementRounds
+from redwingslip.workers import RunTimeModel
+from tests.support_scheduling import (
+    FakeEndpoint,
+    FakePlatform,
+    FakeTerm,
+    make_agent,
+    make_vm,
+)
+
+QUEUE = Queue(
+    name="q", host="h", path_prefix="/q/", pool="p", stretch=2.0, target_latency_ms=1000
+)
+PLAN = Plan(
+    version=1,
+    queues=(QUEUE,),
+    pools=(Pool(name="p"), Pool(name="other")),
+    customers=(Customer(name="small"), Customer(name="flood")),
+)
+
+
+def make_spec(job_id, *, n_tasks=4, customer="flood", **options):
+    """Return a job of tasks that take a core for 500 ms."""
+    fields = {"need": Amounts(1000, 10), "estimate_ms": 500} | options
+    step = StepSpec(n_tasks=n_tasks, **fields)
+    return JobSpec(job_id=job_id, queue="q", pool="p", customer=customer, steps=(step,))
+
+
+class AdmissionCase(unittest.IsolatedAsyncioTestCase):
+    """A pool of two VMs with four cores each, beside another one."""
+
+    cfg = AdmissionSettings(enabled=True)
+
+    def setUp(self):
+        self.state = JobsState()
+        self.state.apply(ReplacePlan(plan=PLAN))
+        self.clock = ManualClock()
+        self.clock.advance(timedelta(seconds=100))
+        self.term = FakeTerm(self.state, self.clock)
+        self.term.emit = mock.Mock()
+        self.agents = {}
+        self.add_vm("v1")
+        self.add_vm("v2")
+        machines = MachineRegistry(self.term, self.agents, takeover_delay=timedelta(0))
+        self.job_index = JobIndex(self.state)
+        self.rounds = PlacementRounds(
+            term=self.term,
+            machines=machines,
+            job_index=self.job_index,
+            advice=SimpleNamespace(tickets=lambda key: {}),
+        )
+        self.moves = MoveManager(
+            term=self.term,
+            machines=machines,
+            operations=FakePlatform(),
+            backlog=self.rounds.backlog,
+            cfg=LeaderPolicy(),
+            trend=ArrivalTrend(LeaderPolicy().arrivals),
+        )
+        self.admission = AdmissionControl(
+            term=self.term,
+            machines=machines,
+            moves=self.moves,
+            job_index=self.job_index,
+            backlog=self.rounds.backlog,
+            run_times=RunTimeModel(LeaderPolicy().vms.run_times),
+            cfg=self.cfg,
+        )
+
+    def add_vm(self, vm_id, pool="p"):
+        """Add a VM that answers its polls."""
+        vm = make_vm(vm_id, pool=pool, capacity=Amounts(4000, 9000))
+        self.state.apply(NoteVm(vm=vm, now_ms=1))
+        self.agents[vm_id] = make_agent(vm, FakeEndpoint(), self.term)
+        self.agents[vm_id]._has_renewed_lease = True
+        self.advance(0)
+
+    def advance(self, milliseconds):
+        """Let time pass, in which all VMs answer."""
+        self.clock.advance(timedelta(milliseconds=milliseconds))
+        for agent in self.agents.values():
+            agent.lease.note_contact(self.clock.monotonic())
+
+    def submit(self, spec):
+        """Commit a job."""
+        self.state.apply(SubmitJob(spec=spec, now_ms=self.term.now_ms()))
+        self.job_index.refresh_job(spec.job_id)
+
+    def run_round(self):
+        """Run a decision and a round, and commit its starts; return their jobs."""
+        self.admission.update()
+        starts = self.rounds.decide()
+        self.state.apply(StartRuns(starts=starts, now_ms=self.term.now_ms()))
+        for start in starts:
+            self.job_index.refresh_job(start.key.job_id)
+        return [start.key.job_id for start in starts]
+
+    def order(self):
+        """Return the waiting jobs in their order."""
+        waiting = self.job_index.waiting(self.term.now_ms(), lambda run: False)
+        return list(dict.fromkeys(tasks[0].key.job_id for _, tasks in waiting))
+
+    def events(self, name):
+        """Return the details of the events with a name."""
+        calls = self.term.emit.call_args_list
+        return [call.kwargs["detail"] for call in calls if call.args[0] is name]
+
+    def flood(self, n_jobs=40):
+        """Let a customer ask for several times the capacity until the jobs are due."""
+        for number in range(n_jobs):
+            self.submit(make_spec(f"f{number:02}"))
+        self.run_round()
+        self.advance(200)
+
+
+class TestOrder(AdmissionCase):
+    """The order of waiting jobs."""
+
+    def test_a_small_customer_goes_before_a_flood(self):
+        """Guards against a customer that waits for jobs beyond the share of another."""
+        self.flood()
+        self.assertEqual(self.order()[0], "f02")
+        self.submit(make_spec("s", customer="small"))
+        self.run_round()
+        self.assertEqual(self.order()[0], "s")
+        (begun,) = self.events(EventName.CONTENTION_BEGUN)
+        self.assertIn("over their share: flood", begun)
+
+    def test_jobs_between_two_decisions_do_not_pass_small_customers(self):
+        """Guards against new jobs of a flood going first until the next decision."""
+        self.flood()
+        self.submit(make_spec("s", customer="small"))
+        self.run_round()
+        self.submit(make_spec("new", estimate_ms=100))
+        self.assertEqual(self.order()[0], "s")
+
+    def test_the_order_without_contention_is_the_earlier_one(self):
+        """Guards against a changed order in a pool that runs all that it has."""
+        self.submit(make_spec("a"))
+        self.submit(make_spec("b", customer="small"))
+        self.run_round()
+        self.advance(200)
+        self.submit(make_spec("c", n_tasks=2))
+        self.run_round()
+        self.assertEqual(self.job_index.turns, {})
+        self.assertEqual(self.events(EventName.CONTENTION_BEGUN), [])
+
+    def test_the_end_of_contention_is_logged_once(self):
+        self.flood()
+        self.run_round()
+        for _ in range(40):
+            self.advance(250)
+            self.run_round()
+        self.assertEqual(len(self.events(EventName.CONTENTION_ENDED)), 1)
+        self.assertEqual(self.job_index.turns, {})
+
+    def test_an_error_restores_the_earlier_order(self):
+        """Guards against a fault of a decision that stops the placement."""
+        self.flood()
+        self.submit(make_spec("s", customer="small"))
+        with mock.patch.object(admission_module, "order_jobs", side_effect=ValueError):
+            self.run_round()
+            self.advance(200)
+            self.run_round()
+        self.assertEqual(self.order()[0], "f02")
+        self.assertEqual(len(self.events(EventName.WARNING)), 1)
+
+    def test_decisions_are_not_taken_more_often_than_set(self):
+        self.flood()
+        with mock.patch.object(admission_module, "order_jobs") as decide:
+            decide.return_value = SimpleNamespace(turns={}, new_turns={}, n_deferred=0)
+            for _ in range(10):
+                self.admission.update()
+                self.advance(100)
+        self.assertEqual(decide.call_count, 5)
+
+    def test_idle_machines_elsewhere_count_as_capacity_that_comes_later(self):
+        """Guards against jobs deferred although machines will come in time for them."""
+        self.cfg = AdmissionSettings(
+            enabled=True, arrival_delay=timedelta(milliseconds=200)
+        )
+        n_deferred = []
+        for n_idle in (0, 6):
+            self.setUp()
+            for number in range(n_idle):
+                self.add_vm(f"o{number}", pool="other")
+            self.flood(n_jobs=10)
+            self.run_round()
+            n_deferred.append(self.admission._orders["p"].n_deferred)
+        self.assertGreater(n_deferred[0], 0)
+        self.assertLess(n_deferred[1], n_deferred[0] / 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
