Test the mean of learned run times

The mean that the job order uses for sums of work had no test of its own; a mutation that drops the part of rare long runs, and one that drops the bound on corrections, survived the suite.

--- a/tests/test_workers_run_times.py
+++ b/tests/test_workers_run_times.py
@@ -57,6 +57,28 @@
         )
 
 
+class TestMean(RunTimesCase):
+    """Mean run times, for the sum of the work of many tasks."""
+
+    def test_the_mean_includes_rare_long_runs(self):
+        """Guards against planning more work than a pool can do."""
+        self.learn(estimate_error=0.5)
+        estimate = 1000 * MS
+        mean = self.times.mean(QUEUE, estimate, max_correction=3.0)
+        usual = self.times.expected(QUEUE, estimate)
+        self.assertGreater(mean, 1.05 * usual)
+        self.assertLess(mean, 1.5 * usual)
+
+    def test_trust_in_learned_times_is_bounded(self):
+        """Guards against run times of a few odd jobs that hide the work of others."""
+        for job in range(10):
+            self.record(MS, estimate=1000 * MS, job=job)
+        mean = self.times.mean(QUEUE, 1000 * MS, max_correction=4.0)
+        self.assertAlmostEqual(mean / MS, 250, places=6)
+        unknown = self.times.mean("other", 1000 * MS, max_correction=4.0)
+        self.assertEqual(unknown, 1000 * MS)
+
+
 class TestExpected(RunTimesCase):
     """The run time to expect."""
 
