Refuse jobs that would end after all use of their result

Cause: with unlimited admission, jobs are accepted that can't end before three times their objective, and their callers learn it only then.

Change: with [admission] enabled and refuse on, JobService asks a gate before it proposes a job. The gate judges by the pool's last decision: the work that goes before the job, and all capacity, with what is on its way. A refusal is a 503 whose Retry-After is the time until that work is done, spread by job id. Customers within their share, jobs that a VM could start now, jobs that may be committed already, and all jobs in a leader's first seconds are not refused. PoolBacklog has the needs that found no VM in the last round.

--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -170,7 +170,9 @@
             adviser=self._advice_client,
             cfg=self.cfg.leader,
         )
-        self._service = JobService(term=term, scheduler=self._scheduler)
+        self._service = JobService(
+            term=term, scheduler=self._scheduler, gate=self._scheduler.gate
+        )
         self._scheduler.begin()
 
     def _on_applied(self, command: Command, outcome: object) -> None:
--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -38,6 +38,7 @@
     JOB_ACCEPTED = "job.accepted"
     JOB_CANCELLED = "job.cancelled"
     JOB_FAILED = "job.failed"
+    JOB_REFUSED = "job.refused"
     CONTENTION_BEGUN = "contention.begun"
     CONTENTION_ENDED = "contention.ended"
     CALL_REFUSED = "call.refused"
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -150,6 +150,12 @@
         "{job}",
         "Jobs that go after others, since their pool can't run all of them in time.",
     ),
+    _Instrument(
+        "counter",
+        "job.refusals",
+        "{job}",
+        "Jobs refused for lack of room in time, by pool and cause.",
+    ),
     _Instrument(
         "counter", "event.dropped", "{event}", "Events that the log could not take."
     ),
@@ -283,6 +289,11 @@
         attributes = self._limit_values({"redwingslip.pool": pool})
         self._instruments["job.deferred"].set(count, attributes)
 
+    def add_job_refusal(self, *, pool: str, cause: str) -> None:
+        """Count a job that was refused: for its `share`, or for lack of `capacity`."""
+        attributes = {"redwingslip.pool": pool, "redwingslip.cause": cause}
+        self._instruments["job.refusals"].add(1, self._limit_values(attributes))
+
     def add_dropped_events(self, count: int) -> None:
         """Count events that the log dropped."""
         self._instruments["event.dropped"].add(count)
--- /dev/null
+++ b/src/redwingslip/placement/_admission.py
@@ -0,0 +1,222 @@
+"""Whether a job that arrives in an overloaded pool is refused, and for how long."""
+
+import bisect
+import zlib
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import accumulate
+from operator import attrgetter
+
+import msgspec
+
+from ._capacity import CapacityPlan
+from ._overload import DEFERRED_TURN, CompetingJob, JobOrder
+
+__all__ = ["PoolOutlook", "Refusal", "spread_retry"]
+
+# Callers come back within this share of the wait after its end.
+RETRY_SPREAD = 0.5
+
+
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """Why a job can't be accepted.
+
+    Attributes
+    ----------
+    cause : str
+        ``share`` if others would get less than their share for it, ``capacity`` if the
+        pool has no room for it in time.
+    ahead : float
+        Work that goes before it, in core-ms.
+    wait_ms : float
+        Time until this work is done.
+    """
+
+    cause: str
+    ahead: float
+    wait_ms: float
+
+
+class _Work:
+    """Amounts of work by a sort key, and their sums.
+
+    Parameters
+    ----------
+    entries : iterable of (key, float)
+        Keys and amounts in core-ms.
+    """
+
+    __slots__ = ("_keys", "_sums")
+
+    def __init__(self, entries: Iterable[tuple]) -> None:
+        ordered = sorted(entries)
+        self._keys = [key for key, _ in ordered]
+        self._sums = [0.0, *accumulate(work for _, work in ordered)]
+
+    def below(self, key: object) -> float:
+        """Return the work with lower keys, in core-ms."""
+        return self._sums[bisect.bisect_left(self._keys, key)]
+
+
+class PoolOutlook:
+    """What goes before a job that arrives in a pool, as of the last decision.
+
+    Parameters
+    ----------
+    jobs : sequence of CompetingJob
+        The jobs that can finish in time and have waiting tasks.
+    order : JobOrder or None
+        Their order; None if they go by priority and due time.
+    capacity : CapacityPlan
+        All capacity of the pool for waiting tasks, with what is on its way.
+    limits : mapping of str to float
+        Cores that customers may use at most.
+    large_share : float
+        Share of the capacity for the largest jobs.
+    """
+
+    __slots__ = (
+        "_accepted",
+        "_before",
+        "_by_due",
+        "_deferred",
+        "_displaced",
+        "_is_shared",
+        "_large",
+        "_large_share",
+        "_over",
+        "capacity",
+    )
+
+    def __init__(
+        self,
+        jobs: Sequence[CompetingJob],
+        order: JobOrder | None,
+        *,
+        capacity: CapacityPlan,
+        limits: Mapping[str, float],
+        large_share: float,
+    ) -> None:
+        self.capacity = capacity
+        self._large_share = large_share
+        self._large = sum(job.waiting for job in jobs if job.is_large)
+        # Jobs that were accepted after the decision, with their work.
+        self._accepted: list[tuple[float, tuple, float]] = []
+        self._over = None if order is None else order.over
+        self._is_shared = order is not None and bool(order.new_turns)
+        works = _usable_work(jobs, limits)
+        turns = {} if order is None else order.turns
+        in_time, deferred, self._before = [], [], 0.0
+        for job, work in zip(jobs, works, strict=True):
+            density = job.credit / job.waiting
+            if turns.get(job.job_id, 0) >= DEFERRED_TURN:
+                deferred.append((-density, work))
+                continue
+            self._before += work
+            if order is not None and job.customer in order.over and not job.is_kept:
+                in_time.append(((job.priority, -density), work))
+        self._by_due = _Work(
+            (_due_key(job), work) for job, work in zip(jobs, works, strict=True)
+        )
+        self._deferred = _Work(deferred)
+        # Work that gives way to a job that is worth more.
+        self._displaced = _Work(
+            ((-priority, -negative), work) for (priority, negative), work in in_time
+        )
+
+    def note_accepted(self, job: CompetingJob, *, elapsed_ms: float) -> None:
+        """Add a job that was accepted after the decision; see `judge`."""
+        key = _due_key(job, elapsed_ms)
+        self._accepted.append((job.credit / job.waiting, key, job.waiting))
+        if job.is_large:
+            self._large += job.waiting
+
+    def judge(
+        self, job: CompetingJob, *, expiry_in_ms: float, elapsed_ms: float
+    ) -> Refusal | None:
+        """Return why a job is refused; None if it is accepted.
+
+        It is refused if it would end after its expiry, with all that goes before it.
+
+        Parameters
+        ----------
+        job : CompetingJob
+            The job.
+        expiry_in_ms : float
+            Time until its result has no more use.
+        elapsed_ms : float
+            Time since the decision.
+        """
+        if self._is_within_share(job) or self._is_paid_as_large(job, expiry_in_ms):
+            return None
+        ahead = self._work_ahead(job, elapsed_ms)
+        wait_ms = max(0.0, self.capacity.time_for(ahead) - elapsed_ms)
+        end_ms = self.capacity.time_for(ahead + job.waiting) - elapsed_ms
+        if max(end_ms, wait_ms + job.path_ms) <= expiry_in_ms:
+            return None
+        cause = "share" if self._is_shared else "capacity"
+        return Refusal(cause=cause, ahead=ahead, wait_ms=wait_ms)
+
+    def _is_within_share(self, job: CompetingJob) -> bool:
+        return self._over is not None and job.customer not in self._over
+
+    def _is_paid_as_large(self, job: CompetingJob, expiry_in_ms: float) -> bool:
+        """Return whether the share of the large jobs is enough for one more of them."""
+        if not job.is_large or self._over is None:
+            return False
+        budget = self._large_share * self.capacity.work_by(expiry_in_ms)
+        return not self._large or self._large + job.waiting <= budget
+
+    def _work_ahead(self, job: CompetingJob, elapsed_ms: float) -> float:
+        density = job.credit / job.waiting
+        due_key = _due_key(job, elapsed_ms)
+        if self._over is None:
+            later = sum(work for _, key, work in self._accepted if key < due_key)
+            return self._by_due.below(due_key) + later
+        # Jobs of lower priority, or worth less for their work, give way to it.
+        displaced = self._displaced.below((-job.priority, density))
+        denser = sum(work for other, _, work in self._accepted if other >= density)
+        return self._before - displaced + self._deferred.below(-density) + denser
+
+
+def _due_key(job: CompetingJob, elapsed_ms: float = 0.0) -> tuple[int, float]:
+    return job.priority, job.due_in_ms + elapsed_ms
+
+
+def _usable_work(
+    jobs: Sequence[CompetingJob], limits: Mapping[str, float]
+) -> list[float]:
+    """Return the work of each job, without what its customer's limit holds back.
+
+    Such work waits for the customer's own runs, and takes no room from others.
+    """
+    horizon_ms = max(map(attrgetter("due_in_ms"), jobs), default=0.0)
+    counted: dict[str, float] = defaultdict(float)
+    works = []
+    for job in jobs:
+        work = job.waiting
+        limit = limits.get(job.customer)
+        if limit is not None:
+            work = max(0.0, min(work, limit * horizon_ms - counted[job.customer]))
+            counted[job.customer] += work
+        works.append(work)
+    return works
+
+
+def spread_retry(job_id: str, wait_ms: float, *, max_ms: float) -> int:
+    """Return after how many whole seconds the caller of a refused job may try again.
+
+    Callers that are refused together are spread over some time after the wait.
+
+    Parameters
+    ----------
+    job_id : str
+        The job.
+    wait_ms : float
+        Time until the work ahead of it is done.
+    max_ms : float
+        Longest time.
+    """
+    place = zlib.crc32(job_id.encode()) / 2**32
+    spread_ms = max(1000.0, RETRY_SPREAD * min(wait_ms, max_ms))
+    return max(1, round(min(max_ms, wait_ms + place * spread_ms) / 1000))
--- a/src/redwingslip/placement/_admission_settings.py
+++ b/src/redwingslip/placement/_admission_settings.py
@@ -8,7 +8,7 @@
 
 
 class AdmissionSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Settings of the job order under overload.
+    """Settings of the job order and of admission under overload.
 
     Attributes
     ----------
@@ -38,6 +38,14 @@
     large_share : float
         Share of a pool's capacity for the largest tenth of each queue's jobs while they
         would all be deferred.
+    refuse : bool
+        Whether jobs are refused that would end after all use of their result, at three
+        times the time from their acceptance to their deadline.
+    grace : timedelta
+        A new leader refuses nothing for this long, in which its VMs answer and machines
+        that an earlier leader has moved arrive.
+    max_retry : timedelta
+        Longest time after which the caller of a refused job is told to try again.
     """
 
     enabled: bool = False
@@ -50,3 +58,6 @@
     path_margin: float = 1.7
     nearly_done: float = 0.25
     large_share: float = 0.1
+    refuse: bool = True
+    grace: timedelta = timedelta(seconds=5)
+    max_retry: timedelta = timedelta(seconds=30)
--- a/src/redwingslip/placement/_job_work.py
+++ b/src/redwingslip/placement/_job_work.py
@@ -2,14 +2,14 @@
 
 import bisect
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 import msgspec
 
-from ..jobs import JobRecord
+from ..jobs import JobRecord, StepSpec
 
-__all__ = ["JobWork", "QueueWork", "RunningTask", "measure_work"]
+__all__ = ["JobWork", "QueueWork", "RunningTask", "measure_steps", "measure_work"]
 
 MS = timedelta(milliseconds=1)
 # Assumed for a task whose caller gives no estimate, so that leaving it out is no way
@@ -120,6 +120,22 @@
     )
 
 
+def measure_steps(
+    steps: Sequence[StepSpec], expected: Callable[[timedelta], timedelta]
+) -> tuple[float, float]:
+    """Return the work of a job that has not begun, in core-ms, and its path in ms.
+
+    The path is the expected time of the critical path. See `measure_work`.
+    """
+    work = 0.0
+    ends: list[float] = []
+    for step in steps:
+        duration_ms = expected(step.estimate_ms * MS or UNKNOWN_ESTIMATE) / MS
+        work += step.reserved.cpu / 1000 * duration_ms * step.n_tasks
+        ends.append(max((ends[i] for i in step.after), default=0.0) + duration_ms)
+    return work, max(ends, default=0.0)
+
+
 class QueueWork:
     """The work of a queue's recent jobs, from which follows what one is worth."""
 
--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -162,7 +162,7 @@
                 rank = (breaks_budget, is_kept, vm.is_ejected, *rank)
             if best_rank is None or rank < best_rank:
                 best, best_rank = vm, rank
-        if best is None and not _has_conditions(task):
+        if best is None and not task.has_conditions:
             unplaced.add(need)
         return best
 
@@ -229,16 +229,6 @@
     )
 
 
-def _has_conditions(task: WaitingTask) -> bool:
-    """Return whether a task may exclude a VM for a reason other than its capacity."""
-    step = task.step
-    return (
-        task.allowed is not None
-        or task.is_isolated
-        or bool(step.label or step.max_per_vm or step.disruption_budget)
-    )
-
-
 def _rank(vm: CandidateVm, task: WaitingTask, n_in_rack: int) -> tuple:
     """Return the sort key of a VM for a task; the VM with the lowest key is chosen.
 
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -108,6 +108,16 @@
         """
         return self.has_waited and self.step.is_long_running
 
+    @property
+    def has_conditions(self) -> bool:
+        """Return whether it may exclude a VM for a reason other than its capacity."""
+        step = self.step
+        return (
+            self.allowed is not None
+            or self.is_isolated
+            or bool(step.label or step.max_per_vm or step.disruption_budget)
+        )
+
     @property
     def is_suspect(self) -> bool:
         """Return whether a VM has crashed shortly after it started the task."""
--- a/src/redwingslip/platform/_answers.py
+++ b/src/redwingslip/platform/_answers.py
@@ -1,11 +1,14 @@
 """Answers to the platform's calls."""
 
+import math
+
 import msgspec
 
 from ..peers import RelayedAnswer, RelayedCall
 from ..relay import CallOutcomeUnknownError, RelayError
 from ..scheduling import (
     CommandOutcomeUnknownError,
+    JobRefusedError,
     KeyRefusedError,
     NoPlanError,
     NoQueueError,
@@ -23,6 +26,7 @@
     DocumentError: 400,
     KeyRefusedError: 401,
     NoQueueError: 404,
+    JobRefusedError: 503,
     NoPlanError: 503,
     NotLeadingError: 503,
     VmUnconfirmedError: 503,
@@ -30,13 +34,15 @@
 }
 
 
-def json_answer(call: RelayedCall, status: int, body: dict) -> RelayedAnswer:
+def json_answer(
+    call: RelayedCall, status: int, body: dict, *, retry_after_s: int = RETRY_AFTER_S
+) -> RelayedAnswer:
     """Return an answer with a JSON body; status 503 gets a retry time."""
     return RelayedAnswer(
         number=call.number,
         status=status,
         body=msgspec.json.encode(body),
-        retry_after_s=RETRY_AFTER_S if status == 503 else 0,
+        retry_after_s=retry_after_s if status == 503 else 0,
     )
 
 
@@ -45,9 +51,11 @@
 
     Status 503 means that the call had no effect, 504 that it may have had one.
     """
-    return json_answer(
-        call, _STATUSES_BY_ERROR.get(type(exc), 500), {"error": str(exc)}
-    )
+    retry_after_s = RETRY_AFTER_S
+    if isinstance(exc, JobRefusedError):
+        retry_after_s = math.ceil(exc.retry_after.total_seconds())
+    status = _STATUSES_BY_ERROR.get(type(exc), 500)
+    return json_answer(call, status, {"error": str(exc)}, retry_after_s=retry_after_s)
 
 
 def relay_error_answer(call: RelayedCall, exc: RelayError) -> RelayedAnswer:
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -17,6 +17,7 @@
     StartResult,
     VmOrders,
 )
+from ._refusals import JobGate
 from ._scheduler import Scheduler
 from ._service import JobService
 from ._settings import (
@@ -30,6 +31,7 @@
 from .exceptions import (
     CommandOutcomeUnknownError,
     FutureStartError,
+    JobRefusedError,
     KeyRefusedError,
     NoPlanError,
     NoQueueError,
@@ -53,6 +55,8 @@
     "CommandOutcomeUnknownError",
     "FutureStartError",
     "HoldReport",
+    "JobGate",
+    "JobRefusedError",
     "JobService",
     "KeyRefusedError",
     "LeaderPolicy",
--- a/src/redwingslip/scheduling/_admission.py
+++ b/src/redwingslip/scheduling/_admission.py
@@ -1,17 +1,24 @@
-"""Orders the jobs of pools that can't finish all of them in time."""
+"""Orders, and refuses, the jobs of pools that can't finish all of them in time."""
 
 from collections import defaultdict
 from collections.abc import Mapping
 from datetime import timedelta
 
 from ..observe import EventName
-from ..placement import AdmissionSettings, JobOrder, LargeJobBudget, order_jobs
+from ..placement import (
+    AdmissionSettings,
+    JobOrder,
+    LargeJobBudget,
+    PoolOutlook,
+    order_jobs,
+)
 from ..workers import RunTimeModel
 from ._job_index import JobIndex, PoolBacklog
 from ._job_works import JobWorks, PoolWork
 from ._machines import MachineRegistry
 from ._moves import MoveManager
 from ._pool_capacity import FleetCapacity
+from ._refusals import JobGate
 from ._term import Term
 
 __all__ = ["AdmissionControl"]
@@ -46,6 +53,11 @@
         Learned run times.
     cfg : AdmissionSettings
         The settings.
+
+    Attributes
+    ----------
+    gate : JobGate or None
+        Decides on the admission of jobs; None if all are accepted.
     """
 
     __slots__ = (
@@ -61,6 +73,7 @@
         "_orders",
         "_term",
         "_works",
+        "gate",
     )
 
     def __init__(
@@ -83,6 +96,16 @@
         self._works = JobWorks(
             state=term.state, job_index=job_index, run_times=run_times, cfg=cfg
         )
+        self.gate: JobGate | None = None
+        if cfg.refuse:
+            self.gate = JobGate(
+                term=term,
+                machines=machines,
+                job_index=job_index,
+                backlog=backlog,
+                works=self._works,
+                cfg=cfg,
+            )
         self._budgets: dict[str, LargeJobBudget] = defaultdict(
             lambda: LargeJobBudget(cfg.large_share)
         )
@@ -104,6 +127,8 @@
             self._decide(now)
         except Exception as exc:
             self._job_index.turns, self._job_index.new_turns = {}, {}
+            if self.gate is not None:
+                self.gate.update({}, now)
             self._report_failure(now, exc)
         duration = self._term.clock.monotonic() - now
         self._next_at = now + max(self._cfg.interval, duration / MAX_SHARE)
@@ -130,18 +155,26 @@
         pools = self._works.by_pool(self._term.now_ms(), capacity.vms_of)
         turns: dict[str, int] = {}
         new_turns: dict[tuple[str, str], int] = {}
+        outlooks: dict[str, PoolOutlook] = {}
         for name, pool in pools.items():
             is_short = name in self._backlog and self._backlog[name].cpu > 0
-            if not (self._cfg.order and is_short and pool.jobs):
+            order = None
+            if self._cfg.order and is_short and pool.jobs:
+                order = self._order_pool(name, pool, capacity)
+            is_late = order.n_deferred > 0 if order else not self._cfg.order
+            if self.gate is not None and is_short and is_late:
+                outlooks[name] = self._outlook(name, pool, order, capacity)
+            if order is None:
                 self._orders.pop(name, None)
                 continue
-            order = self._order_pool(name, pool, capacity)
             turns.update(order.turns)
             new_turns.update(
                 {(name, who): turn for who, turn in order.new_turns.items()}
             )
             self._orders[name] = order
         self._job_index.turns, self._job_index.new_turns = turns, new_turns
+        if self.gate is not None:
+            self.gate.update(outlooks, now)
         self._note_contention(now, pools)
 
     def _order_pool(
@@ -166,10 +199,32 @@
             capacity=plan,
             held=pool.held,
             weights={c.name: c.weight for c in customers},
-            limits={c.name: c.limit.cpu / 1000 for c in customers if c.limit.cpu},
+            limits=self._limits(),
             protected=budget.protected,
         )
 
+    def _outlook(
+        self, name: str, pool: PoolWork, order: JobOrder | None, capacity: FleetCapacity
+    ) -> PoolOutlook:
+        plan = capacity.plan(
+            name,
+            busy=pool.busy,
+            memory_per_core=pool.memory_per_core,
+            n_short=len(self._contended_until.keys() | {name}),
+        )
+        return PoolOutlook(
+            pool.jobs,
+            order,
+            capacity=plan,
+            limits=self._limits(),
+            large_share=self._cfg.large_share,
+        )
+
+    def _limits(self) -> dict[str, float]:
+        """Return the cores that customers with a limit may use."""
+        customers = self._term.state.plan.customers
+        return {c.name: c.limit.cpu / 1000 for c in customers if c.limit.cpu}
+
     def _note_contention(self, now: timedelta, pools: dict[str, PoolWork]) -> None:
         """Log the beginning and the end of the contention for each pool."""
         for name in self._orders.keys() - pools.keys():
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -47,10 +47,14 @@
     n_vms : int
         VMs needed by tasks that may not share a VM with others of their step: the
         largest number of unplaced tasks of one such step.
+    needs : set of Amounts
+        What single tasks need that no VM has free. Tasks with further conditions, and
+        gangs, don't count.
     """
 
     cpu: int = 0
     n_vms: int = 0
+    needs: set[Amounts] = msgspec.field(default_factory=set)
 
 
 class JobIndex:
@@ -132,16 +136,20 @@
 
     def pool_of(self, job: JobRecord) -> str:
         """Return the pool that runs a job's tasks under the current plan."""
-        queue = self._queues.get(job.spec.queue)
-        return queue.pool if queue is not None else job.spec.pool
+        return self.pool_of_spec(job.spec)
+
+    def pool_of_spec(self, spec: JobSpec) -> str:
+        """Return the pool that runs the tasks of a job with this specification."""
+        queue = self._queues.get(spec.queue)
+        return queue.pool if queue is not None else spec.pool
 
     def is_active(self, job_id: str) -> bool:
         """Return whether a job is active."""
         return job_id in self._active
 
-    def priority_of(self, job: JobRecord) -> int:
+    def priority_of(self, spec: JobSpec) -> int:
         """Return the priority of a job's queue."""
-        queue = self._queues.get(job.spec.queue)
+        queue = self._queues.get(spec.queue)
         return queue.priority if queue else 0
 
     def deadlines(self, spec: JobSpec, accepted_ms: int) -> tuple[float, float]:
@@ -239,7 +247,7 @@
             band = LATE_BAND if end_ms <= useless_ms else USELESS_BAND
         elif self.turns:
             turn = self._turn(job)
-        return Urgency(band, turn, self.priority_of(job), due_ms)
+        return Urgency(band, turn, self.priority_of(job.spec), due_ms)
 
     def _turn(self, job: JobRecord) -> int:
         turn = self.turns.get(job.spec.job_id)
--- a/src/redwingslip/scheduling/_job_works.py
+++ b/src/redwingslip/scheduling/_job_works.py
@@ -2,16 +2,18 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable
+from datetime import timedelta
 from functools import partial
 
 import msgspec
 
-from ..jobs import JobRecord, JobsState
+from ..jobs import JobRecord, JobSpec, JobsState
 from ..placement import (
     AdmissionSettings,
     CompetingJob,
     JobWork,
     QueueWork,
+    measure_steps,
     measure_work,
 )
 from ..workers import RunTimeModel
@@ -119,12 +121,15 @@
 
     def work_of(self, job: JobRecord) -> JobWork:
         """Return the work of a job."""
-        expected = partial(
-            self._run_times.mean,
-            job.spec.queue,
-            max_correction=self._cfg.max_correction,
-        )
-        return measure_work(job, expected)
+        return measure_work(job, self._expected(job.spec.queue))
+
+    def work_of_spec(self, spec: JobSpec) -> tuple[float, float]:
+        """Return the work and the critical path of a job that has not begun."""
+        return measure_steps(spec.steps, self._expected(spec.queue))
+
+    def _expected(self, queue: str) -> Callable[[timedelta], timedelta]:
+        correction = self._cfg.max_correction
+        return partial(self._run_times.mean, queue, max_correction=correction)
 
     def refresh(self) -> None:
         """Measure the jobs that have changed since the last call."""
@@ -154,7 +159,7 @@
             job_id=job.spec.job_id,
             queue=job.spec.queue,
             customer=job.spec.customer,
-            priority=self._job_index.priority_of(job),
+            priority=self._job_index.priority_of(job.spec),
             due_ms=due_ms,
             max_path_ms=MAX_PATH_SHARE * (due_ms - job.accepted_ms),
             work=work,
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -262,6 +262,8 @@
         task = tasks[0]
         backlog = self.backlog.setdefault(task.pool, PoolBacklog())
         backlog.cpu += len(tasks) * task.step.need.cpu
+        if not task.has_conditions and not task.step.is_gang:
+            backlog.needs.add(task.step.reserved)
         if task.step.max_per_vm or task.step.disruption_budget:
             backlog.n_vms = max(backlog.n_vms, len(tasks))
         if needs_advice:
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -39,6 +39,7 @@
 from ._machines import MachineRegistry
 from ._moves import MoveManager
 from ._ports import MachineOperations, VmOrders
+from ._refusals import JobGate
 from ._round_load import RoundLoad
 from ._rounds import PlacementRounds
 from ._settings import LeaderPolicy
@@ -175,6 +176,11 @@
         pool = self._job_index.pool_of(job)
         self._trend.record_job(pool, job.accepted_ms, job.spec.steps)
 
+    @property
+    def gate(self) -> JobGate | None:
+        """Return what decides on the admission of jobs; None if all are accepted."""
+        return self._admission.gate if self._admission is not None else None
+
     def close(self) -> None:
         """Stop the background work and all orders."""
         for task in self._tasks:
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterator, Mapping
+from contextlib import nullcontext
 from datetime import timedelta
 
 import msgspec
@@ -22,6 +23,7 @@
     VmRecord,
 )
 from ..observe import EventName
+from ._refusals import JobGate
 from ._replacements import ReplacementChecks
 from ._report_history import ReportHistory
 from ._scheduler import Scheduler
@@ -55,11 +57,14 @@
         The term of this leader.
     scheduler : Scheduler
         Scheduling during this term.
+    gate : JobGate, optional
+        Refuses jobs for which there is no room in time.
     """
 
     __slots__ = (
         "_checks",
         "_customer_of_key",
+        "_gate",
         "_history",
         "_indexed_plan",
         "_scheduler",
@@ -67,8 +72,11 @@
         "_term",
     )
 
-    def __init__(self, *, term: Term, scheduler: Scheduler) -> None:
+    def __init__(
+        self, *, term: Term, scheduler: Scheduler, gate: JobGate | None = None
+    ) -> None:
         self._term = term
+        self._gate = gate
         self._state = term.state
         self._scheduler = scheduler
         self._checks = ReplacementChecks(term, scheduler)
@@ -158,6 +166,8 @@
 
         Raises
         ------
+        JobRefusedError
+            The job was refused for lack of room and never runs.
         NotLeadingError
             The job was not accepted and never runs.
         CommandOutcomeUnknownError
@@ -166,8 +176,9 @@
         known = self._state.jobs.get(spec.job_id)
         if known is not None:
             return known
-        command = SubmitJob(spec=spec, now_ms=self._term.now_ms())
-        job = await self._term.propose(command)
+        with self._gate.submission(spec) if self._gate else nullcontext():
+            command = SubmitJob(spec=spec, now_ms=self._term.now_ms())
+            job = await self._term.propose(command)
         if job.status is JobStatus.CANCELLED:
             detail = "before its submission was committed"
             self._term.emit(
--- a/src/redwingslip/scheduling/exceptions.py
+++ b/src/redwingslip/scheduling/exceptions.py
@@ -1,10 +1,13 @@
 """Exceptions of the scheduling."""
 
+from datetime import timedelta
+
 from ..exceptions import RedwingslipError
 
 __all__ = [
     "CommandOutcomeUnknownError",
     "FutureStartError",
+    "JobRefusedError",
     "KeyRefusedError",
     "NoPlanError",
     "NoQueueError",
@@ -43,6 +46,22 @@
     """No customer has this key."""
 
 
+class JobRefusedError(SchedulingError):
+    """The job was not proposed to the log, and never runs.
+
+    Parameters
+    ----------
+    message : str
+        Why.
+    retry_after : timedelta
+        Time after which its caller may try again.
+    """
+
+    def __init__(self, message: str, *, retry_after: timedelta) -> None:
+        super().__init__(message)
+        self.retry_after = retry_after
+
+
 class FutureStartError(SchedulingError):
     """A report names a VM that has not started yet."""
 
--- a/src/redwingslip/submitters/_problems.py
+++ b/src/redwingslip/submitters/_problems.py
@@ -1,5 +1,6 @@
 """Problem documents for calls that the leader refused or did not answer."""
 
+import math
 from functools import singledispatch
 
 import msgspec
@@ -9,6 +10,7 @@
 from ..relay import CallOutcomeUnknownError, RelayError
 from ..scheduling import (
     CommandOutcomeUnknownError,
+    JobRefusedError,
     KeyRefusedError,
     NoPlanError,
     NoQueueError,
@@ -27,7 +29,10 @@
 
 def error_answer(call: RelayedCall, exc: Exception) -> RelayedAnswer:
     """Return the leader's answer to a call that failed."""
-    return _answer(call, _describe(exc))
+    retry_after_s = RETRY_AFTER_S
+    if isinstance(exc, JobRefusedError):
+        retry_after_s = math.ceil(exc.retry_after.total_seconds())
+    return _answer(call, _describe(exc), retry_after_s)
 
 
 def relay_error_answer(call: RelayedCall, exc: RelayError) -> RelayedAnswer:
@@ -35,12 +40,14 @@
     return _answer(call, _describe(exc))
 
 
-def _answer(call: RelayedCall, problem: Problem) -> RelayedAnswer:
+def _answer(
+    call: RelayedCall, problem: Problem, retry_after_s: int = RETRY_AFTER_S
+) -> RelayedAnswer:
     return RelayedAnswer(
         number=call.number,
         status=problem.status,
         body=msgspec.json.encode(problem),
-        retry_after_s=RETRY_AFTER_S if problem.status == UNAVAILABLE_STATUS else 0,
+        retry_after_s=retry_after_s if problem.status == UNAVAILABLE_STATUS else 0,
     )
 
 
@@ -81,6 +88,7 @@
     return Problem(status=404, title="no such job", detail=str(exc))
 
 
+@_describe.register(JobRefusedError)
 @_describe.register(NotLeadingError)
 @_describe.register(NoPlanError)
 @_describe.register(RelayError)
--- a/tests/test_placement_overload.py
+++ b/tests/test_placement_overload.py
@@ -95,6 +95,15 @@
         self.assertTrue(all(result.turns[each.job_id] > 1 for each in flood))
         self.assertGreater(result.new_turns["a"], 1)
 
+    def test_deferred_jobs_go_by_share_and_then_by_worth(self):
+        """Guards against jobs deferred by their due time, which are just too late."""
+        flood = [job(f"f{n}", 2000, credit=1.0 + n) for n in range(30)]
+        too_late = job("b", 100, customer="b", due_in_ms=300.0)
+        result = order(*flood, too_late, held={"a": 10}, busy=[(400.0, 10.0)])
+        self.assertEqual(result.turns["b"], 1)
+        deferred = [result.turns[f"f{n}"] for n in range(result.n_deferred - 1)]
+        self.assertEqual(deferred, sorted(deferred, reverse=True))
+
     def test_weights_divide_the_capacity(self):
         jobs = [job(f"{c}{n}", 1000, customer=c) for c in "ab" for n in range(40)]
         result = order(*jobs, weights={"a": 3.0})
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -3,6 +3,7 @@
 import unittest
 from datetime import timedelta
 from types import SimpleNamespace
+from unittest import mock
 
 import msgspec
 
@@ -16,7 +17,8 @@
 )
 from redwingslip.peers import CallSource, RelayedCall
 from redwingslip.platform import answer_call
-from redwingslip.scheduling import JobService
+from redwingslip.scheduling import JobRefusedError, JobService
+from redwingslip.submitters._problems import error_answer as submitter_answer
 from redwingslip.workers import LeaseSettings, VmLease
 from tests.support_odd import DEEP_BODY, ODD_ADDRESSES, ODD_NUMBERS
 from tests.support_scheduling import FakeTerm
@@ -155,6 +157,28 @@
         answer = await answer_call(self.service, call, own_address="10.0.0.1:80")
         return answer.status, msgspec.json.decode(answer.body)
 
+    async def test_a_refused_job_gets_the_retry_time_of_the_decision(self):
+        """Guards against callers that all return while the pool is still full."""
+        error = JobRefusedError("full", retry_after=timedelta(seconds=7))
+        gate = mock.Mock()
+        gate.submission.side_effect = error
+        self.service = JobService(term=FakeTerm(self.state), scheduler=None, gate=gate)
+        call = RelayedCall(
+            number=1,
+            source=CallSource.CALLERS,
+            method="POST",
+            host="h",
+            path=f"/q/{JOB_ID}",
+            token="key-1",
+            body=msgspec.json.encode(JOB),
+        )
+        answer = await answer_call(self.service, call, own_address="10.0.0.1:80")
+        self.assertEqual((answer.status, answer.retry_after_s), (503, 7))
+        self.assertNotIn(JOB_ID, self.state.jobs)
+        answer = submitter_answer(call, error)
+        self.assertEqual((answer.status, answer.retry_after_s), (503, 7))
+        self.assertIn(b"not-run", answer.body)
+
     # UNASKED: a frozen gateway handed in a submission that had been cancelled.
     async def test_a_late_submission_is_shown_as_cancelled(self):
         status, _ = await self.call("DELETE", "key-1")
--- a/tests/test_scheduling_admission.py
+++ b/tests/test_scheduling_admission.py
@@ -5,6 +5,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
+import msgspec
+
 from redwingslip.clock import ManualClock
 from redwingslip.jobs import (
     Amounts,
@@ -21,8 +23,15 @@
     SubmitJob,
 )
 from redwingslip.observe import EventName
-from redwingslip.placement import AdmissionSettings, ArrivalTrend
-from redwingslip.scheduling import LeaderPolicy, MachineRegistry, MoveManager
+from redwingslip.placement import AdmissionSettings, ArrivalTrend, PoolOutlook
+from redwingslip.scheduling import (
+    CommandOutcomeUnknownError,
+    JobRefusedError,
+    JobService,
+    LeaderPolicy,
+    MachineRegistry,
+    MoveManager,
+)
 from redwingslip.scheduling import _admission as admission_module
 from redwingslip.scheduling._admission import AdmissionControl
 from redwingslip.scheduling._job_index import JobIndex
@@ -36,6 +45,7 @@
     make_vm,
 )
 
+MS = timedelta(milliseconds=1)
 QUEUE = Queue(
     name="q", host="h", path_prefix="/q/", pool="p", stretch=2.0, target_latency_ms=1000
 )
@@ -173,6 +183,27 @@
         self.assertEqual(self.job_index.turns, {})
         self.assertEqual(self.events(EventName.CONTENTION_BEGUN), [])
 
+    def test_long_running_tasks_leave_less_capacity(self):
+        """Guards against work planned on cores that never become free."""
+        self.submit(make_spec("forever", n_tasks=6, is_long_running=True))
+        self.run_round()
+        self.flood()
+        self.run_round()
+        (outlook,) = self.admission.gate._outlooks.values()
+        self.assertEqual(outlook.capacity.cores, 2.0)
+
+    def test_a_new_plan_changes_the_deadlines_of_known_jobs(self):
+        self.flood()
+        self.run_round()
+        self.assertGreater(self.admission._orders["p"].n_deferred, 0)
+        queue = msgspec.structs.replace(QUEUE, target_latency_ms=60_000)
+        plan = msgspec.structs.replace(PLAN, version=2, queues=(queue,))
+        self.state.apply(ReplacePlan(plan=plan))
+        self.job_index.update_plan()
+        self.advance(200)
+        self.run_round()
+        self.assertEqual(self.admission._orders["p"].n_deferred, 0)
+
     def test_the_end_of_contention_is_logged_once(self):
         self.flood()
         self.run_round()
@@ -219,5 +250,92 @@
         self.assertLess(n_deferred[1], n_deferred[0] / 2)
 
 
+class TestRefusals(AdmissionCase):
+    """Refusals of jobs that arrive, through the service."""
+
+    def setUp(self):
+        super().setUp()
+        self.term.on_command = lambda command: None
+        self.service = JobService(
+            term=self.term, scheduler=None, gate=self.admission.gate
+        )
+
+    def overload(self):
+        """Let a customer ask for more than can be done before any use is gone."""
+        self.advance(self.cfg.grace / MS)
+        self.flood(n_jobs=120)
+        self.run_round()
+
+    async def test_a_refusal_leaves_no_trace_in_the_log(self):
+        """Guards against refused jobs that are stored, or run later."""
+        self.overload()
+        with self.assertRaises(JobRefusedError) as caught:
+            await self.service.submit(make_spec("new", n_tasks=8))
+        self.assertGreater(caught.exception.retry_after, timedelta(seconds=3))
+        self.assertNotIn("new", self.state.jobs)
+        self.assertEqual(self.term.n_commands, 0)
+        (detail,) = self.events(EventName.JOB_REFUSED)
+        self.assertRegex(detail, "p, customer flood, capacity: .* 8.0 cores; retry in")
+
+    async def test_a_repeat_of_a_known_job_is_answered_as_before(self):
+        self.overload()
+        job = await self.service.submit(make_spec("f77"))
+        self.assertIs(job, self.state.jobs["f77"])
+
+    async def test_a_job_that_may_be_committed_is_never_refused(self):
+        """Guards against "not run" for a job whose first submission is not decided."""
+        spec = make_spec("new", n_tasks=8)
+        with (
+            mock.patch.object(
+                self.term, "propose", side_effect=CommandOutcomeUnknownError
+            ),
+            self.assertRaises(CommandOutcomeUnknownError),
+        ):
+            await self.service.submit(spec)
+        self.overload()
+        self.assertEqual((await self.service.submit(spec)).spec, spec)
+
+    async def test_other_jobs_are_not_refused(self):
+        """Guards against refusing what may run at once, or has no deadline."""
+        self.overload()
+        forever = make_spec("forever", n_tasks=8, is_long_running=True)
+        within_share = make_spec("s", n_tasks=8, customer="small")
+        for spec in (forever, within_share):
+            await self.service.submit(spec)
+        self.add_vm("v3")
+        self.rounds.backlog["p"].needs.clear()
+        await self.service.submit(make_spec("free", n_tasks=8))
+
+    async def test_nothing_is_refused_by_a_new_or_a_deposed_leader(self):
+        """Guards against refusals before VMs have answered, and by two leaders."""
+        self.flood(n_jobs=120)
+        self.run_round()
+        await self.service.submit(make_spec("early", n_tasks=8))
+        self.setUp()
+        self.overload()
+        self.term.is_leader = False
+        await self.service.submit(make_spec("deposed", n_tasks=8))
+
+    async def test_an_error_accepts_the_job(self):
+        self.overload()
+        with mock.patch.object(PoolOutlook, "judge", side_effect=ValueError):
+            await self.service.submit(make_spec("new", n_tasks=8))
+        self.assertEqual(len(self.events(EventName.WARNING)), 1)
+
+    async def test_each_part_has_its_own_switch(self):
+        """Guards against a part that can't be switched off, or measured alone."""
+        self.cfg = AdmissionSettings(enabled=True, order=False)
+        self.setUp()
+        self.overload()
+        self.assertEqual(self.job_index.turns, {})
+        with self.assertRaises(JobRefusedError):
+            await self.service.submit(make_spec("new", n_tasks=8))
+        self.cfg = AdmissionSettings(enabled=True, refuse=False)
+        self.setUp()
+        self.overload()
+        self.assertNotEqual(self.job_index.turns, {})
+        await self.service.submit(make_spec("new", n_tasks=8))
+
+
 if __name__ == "__main__":
     unittest.main()
