--- a/src/redwingslip/placement/_admission.py
+++ b/src/redwingslip/placement/_admission.py
@@ -58,6 +58,9 @@
         return self._sums[bisect.bisect_left(self._keys, key)]
 
 
+NO_WORK = _Work(())
+
+
 class PoolOutlook:
     """What goes before a job that arrives in a pool, as of the last decision.
 
@@ -105,24 +108,30 @@
         self._over = None if order is None else order.over
         self._is_shared = order is not None and bool(order.new_turns)
         works = _usable_work(jobs, limits)
-        turns = {} if order is None else order.turns
-        in_time, deferred, self._before = [], [], 0.0
+        self._before = 0.0
+        self._by_due = self._deferred = self._displaced = NO_WORK
+        if order is None:
+            due = ((_due_key(job), work) for job, work in zip(jobs, works, strict=True))
+            self._by_due = _Work(due)
+        else:
+            self._divide(jobs, works, order)
+
+    def _divide(
+        self, jobs: Sequence[CompetingJob], works: Sequence[float], order: JobOrder
+    ) -> None:
+        """Divide the jobs into those in time and deferred ones."""
+        deferred, displaced = [], []
         for job, work in zip(jobs, works, strict=True):
             density = job.credit / job.waiting
-            if turns.get(job.job_id, 0) >= DEFERRED_TURN:
+            if order.turns.get(job.job_id, 0) >= DEFERRED_TURN:
                 deferred.append((-density, work))
                 continue
             self._before += work
-            if order is not None and job.customer in order.over and not job.is_kept:
-                in_time.append(((job.priority, -density), work))
-        self._by_due = _Work(
-            (_due_key(job), work) for job, work in zip(jobs, works, strict=True)
-        )
+            if job.customer in order.over and not job.is_kept:
+                displaced.append(((-job.priority, density), work))
         self._deferred = _Work(deferred)
         # Work that gives way to a job that is worth more.
-        self._displaced = _Work(
-            ((-priority, -negative), work) for (priority, negative), work in in_time
-        )
+        self._displaced = _Work(displaced)
 
     def note_accepted(self, job: CompetingJob, *, elapsed_ms: float) -> None:
         """Add a job that was accepted after the decision; see `judge`."""
@@ -190,6 +199,8 @@
 
     Such work waits for the customer's own runs, and takes no room from others.
     """
+    if not limits:
+        return [job.waiting for job in jobs]
     horizon_ms = max(map(attrgetter("due_in_ms"), jobs), default=0.0)
     counted: dict[str, float] = defaultdict(float)
     works = []
