Simplify what goes before an arriving job, and test what mutations showed

Whether a job is deferred made no difference to the work ahead of another: what is worth less gives way in either case. Mutations of the begun jobs, the busy cores, the survey, cancelled jobs, slow decisions and the needs of a full pool survived the tests, and are killed now.

--- a/src/redwingslip/placement/_admission.py
+++ b/src/redwingslip/placement/_admission.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ._capacity import CapacityPlan
-from ._overload import DEFERRED_TURN, CompetingJob, JobOrder
+from ._overload import CompetingJob, JobOrder
 
 __all__ = ["PoolOutlook", "Refusal", "spread_retry"]
 
@@ -82,9 +82,8 @@
 
     __slots__ = (
         "_accepted",
-        "_before",
+        "_all",
         "_by_due",
-        "_deferred",
         "_displaced",
         "_is_shared",
         "_large",
@@ -113,30 +112,18 @@
         self._over = None if order is None else order.over
         self._is_shared = order is not None and bool(order.new_turns)
         works = _usable_work(jobs, limits, now_ms)
-        self._before = 0.0
-        self._by_due = self._deferred = self._displaced = NO_WORK
+        self._all = sum(works)
+        self._by_due = self._displaced = NO_WORK
+        pairs = zip(jobs, works, strict=True)
         if order is None:
-            due = ((_due_key(job), work) for job, work in zip(jobs, works, strict=True))
-            self._by_due = _Work(due)
+            self._by_due = _Work((_due_key(job), work) for job, work in pairs)
         else:
-            self._divide(jobs, works, order)
-
-    def _divide(
-        self, jobs: Sequence[CompetingJob], works: Sequence[float], order: JobOrder
-    ) -> None:
-        """Divide the jobs into those in time and deferred ones."""
-        deferred, displaced = [], []
-        for job, work in zip(jobs, works, strict=True):
-            density = job.credit / job.waiting
-            if order.turns.get(job.job_id, 0) >= DEFERRED_TURN:
-                deferred.append((-density, work))
-                continue
-            self._before += work
-            if job.customer in order.over and not job.is_kept:
-                displaced.append(((-job.priority, density), work))
-        self._deferred = _Work(deferred)
-        # Work that gives way to a job that is worth more.
-        self._displaced = _Work(displaced)
+            # Work that gives way to a job of a higher priority, or worth more for it.
+            self._displaced = _Work(
+                ((-job.priority, job.credit / job.waiting), work)
+                for job, work in pairs
+                if job.customer in order.over and not job.is_kept
+            )
 
     def note_accepted(self, job: CompetingJob) -> None:
         """Add a job that was accepted after the decision."""
@@ -189,10 +176,9 @@
         if self._over is None:
             later = sum(work for _, key, work in self._accepted if key < due_key)
             return self._by_due.below(due_key) + later
-        # Jobs of lower priority, or worth less for their work, give way to it.
         displaced = self._displaced.below((-job.priority, density))
         denser = sum(work for other, _, work in self._accepted if other >= density)
-        return self._before - displaced + self._deferred.below(-density) + denser
+        return self._all - displaced + denser
 
 
 def _due_key(job: CompetingJob) -> tuple[int, float]:
--- a/tests/test_placement_overload.py
+++ b/tests/test_placement_overload.py
@@ -77,6 +77,13 @@
         self.assertEqual(result.n_deferred, 1)
         self.assertGreater(result.turns["large"], 0)
 
+    def test_a_job_that_can_not_finish_alone_defers_no_other(self):
+        """Guards against jobs that make room for one that is late in any case."""
+        small = [job(f"s{n}", 1000, credit=0.1) for n in range(5)]
+        result = order(job("huge", 50_000, credit=100.0, due_ms=1500.0), *small)
+        self.assertEqual(result.n_deferred, 1)
+        self.assertGreater(result.turns["huge"], 0)
+
     def test_remaining_work_alone_counts_against_a_job(self):
         """Guards against a begun job losing its place to a new one of equal credit."""
         result = order(job("begun", 5000, credit=2.0), job("new", 16_000, credit=2.0))
--- a/tests/test_scheduling_admission.py
+++ b/tests/test_scheduling_admission.py
@@ -13,6 +13,7 @@
     Customer,
     JobSpec,
     JobsState,
+    JobStatus,
     NoteVm,
     Plan,
     Pool,
@@ -222,6 +223,39 @@
             n_measured.append(len(pools["p"].jobs))
         self.assertEqual(n_measured, [500, 700])
 
+    def test_running_tasks_count_with_what_remains_of_them(self):
+        """Guards against deferring a nearly done job, or cores planned twice."""
+        self.submit(make_spec("a", n_tasks=9))
+        self.run_round()
+        for passed_ms, is_kept in ((0, False), (500, True)):
+            self.advance(passed_ms)
+            self.admission._works.refresh()
+            pools = self.admission._works.by_pool(
+                self.term.now_ms(), lambda pool: {"v1", "v2"}
+            )
+            self.assertEqual([job.is_kept for job in pools["p"].jobs], [is_kept])
+            self.assertEqual(pools["p"].held, {"flood": 8.0})
+            self.assertEqual(len(pools["p"].busy), 8)
+
+    def test_slow_decisions_are_taken_less_often(self):
+        """Guards against a leader that does little else than decide."""
+        self.flood()
+        with mock.patch.object(admission_module, "order_jobs") as decide:
+            decide.side_effect = lambda *args, **options: self.advance(20)
+            self.admission.update()
+            self.advance(300)
+            self.admission.update()
+            self.assertEqual(decide.call_count, 1)
+            self.advance(100)
+            self.admission.update()
+        self.assertEqual(decide.call_count, 2)
+
+    def test_a_leader_that_does_not_know_its_vms_changes_no_order(self):
+        with mock.patch.object(self.moves, "has_surveyed", return_value=False):
+            self.flood()
+            self.run_round()
+        self.assertEqual(self.job_index.turns, {})
+
     def test_the_end_of_contention_is_logged_once(self):
         self.flood()
         self.run_round()
@@ -320,10 +354,22 @@
         within_share = make_spec("s", n_tasks=8, customer="small")
         for spec in (forever, within_share):
             await self.service.submit(spec)
+        await self.service.cancel("gone", customer="flood")
+        job = await self.service.submit(make_spec("gone", n_tasks=8))
+        self.assertEqual(job.status, JobStatus.CANCELLED)
         self.add_vm("v3")
         self.rounds.backlog["p"].needs.clear()
         await self.service.submit(make_spec("free", n_tasks=8))
 
+    async def test_tasks_that_exclude_vms_do_not_make_a_pool_full(self):
+        """Guards against refusals while VMs are free that a label excludes."""
+        self.submit(make_spec("labelled", label="absent"))
+        self.run_round()
+        self.assertEqual(self.rounds.backlog["p"].needs, set())
+        self.flood()
+        self.run_round()
+        self.assertEqual(self.rounds.backlog["p"].needs, {Amounts(1000, 10)})
+
     async def test_nothing_is_refused_by_a_new_or_a_deposed_leader(self):
         """Guards against refusals before VMs have answered, and by two leaders."""
         self.flood(n_jobs=120)
