--- a/tests/test_placement_admission.py
+++ b/tests/test_placement_admission.py
@@ -110,6 +110,10 @@
         self.assertIsNotNone(self.judge(pool, job("new", 9000)))
         self.assertIsNone(self.judge(pool, job("new", 9000, customer="b")))
 
+    def test_a_nearly_done_job_gives_way_to_none(self):
+        jobs = [job(f"x{n}", 5000, credit=0.1, is_kept=True) for n in range(40)]
+        self.assertIsNotNone(self.judge(ordered(jobs), job("new", 100)))
+
     def test_a_job_that_others_give_way_to_is_accepted(self):
         """Guards against refusing quick jobs behind a burst of large ones."""
         pool = ordered([job(f"x{n}", 5000) for n in range(40)])
--- a/tests/test_placement_overload.py
+++ b/tests/test_placement_overload.py
@@ -79,7 +79,7 @@
 
     def test_a_job_that_can_not_finish_alone_defers_no_other(self):
         """Guards against jobs that make room for one that is late in any case."""
-        small = [job(f"s{n}", 1000, credit=0.1) for n in range(5)]
+        small = [job(f"s{n}", 1000, credit=0.1, due_ms=1400.0) for n in range(5)]
         result = order(job("huge", 50_000, credit=100.0, due_ms=1500.0), *small)
         self.assertEqual(result.n_deferred, 1)
         self.assertGreater(result.turns["huge"], 0)
--- a/tests/test_scheduling_admission.py
+++ b/tests/test_scheduling_admission.py
@@ -18,6 +18,7 @@
     Plan,
     Pool,
     Queue,
+    Repetition,
     ReplacePlan,
     StartRuns,
     StepSpec,
@@ -227,6 +228,9 @@
         """Guards against deferring a nearly done job, or cores planned twice."""
         self.submit(make_spec("a", n_tasks=9))
         self.run_round()
+        repetition = Repetition(first_at_ms=0, interval_ms=1000, count=2)
+        spec = msgspec.structs.replace(make_spec("often"), repetition=repetition)
+        self.submit(spec)
         for passed_ms, is_kept in ((0, False), (500, True)):
             self.advance(passed_ms)
             self.admission._works.refresh()
