--- a/tests/test_scheduling_admission.py
+++ b/tests/test_scheduling_admission.py
@@ -54,7 +54,10 @@
 )
 PLAN = Plan(
     version=1,
-    queues=(QUEUE,),
+    queues=(
+        QUEUE,
+        msgspec.structs.replace(QUEUE, name="q2", path_prefix="/2/", pool="other"),
+    ),
     pools=(Pool(name="p"), Pool(name="other")),
     customers=(Customer(name="small"), Customer(name="flood")),
 )
@@ -269,6 +272,17 @@
         self.assertEqual(len(self.events(EventName.CONTENTION_ENDED)), 1)
         self.assertEqual(self.job_index.turns, {})
 
+    def test_contention_for_a_pool_changes_no_order_elsewhere(self):
+        self.add_vm("o1", pool="other")
+        for job_id in ("x1", "x2"):
+            spec = make_spec(job_id)
+            self.submit(msgspec.structs.replace(spec, queue="q2", pool="other"))
+        self.flood()
+        self.run_round()
+        self.assertIn("x2", self.order())
+        self.assertIn("f02", self.job_index.turns)
+        self.assertNotIn("x2", self.job_index.turns)
+
     def test_an_error_restores_the_earlier_order(self):
         """Guards against a fault of a decision that stops the placement."""
         self.flood()
