--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -11,7 +11,12 @@
 from ..delegation import DelegationSettings
 from ..http import HttpLimits
 from ..peers import PeerSettings
-from ..placement import ArrivalSettings, ForecastSettings, SizingSettings
+from ..placement import (
+    AdmissionSettings,
+    ArrivalSettings,
+    ForecastSettings,
+    SizingSettings,
+)
 from ..relay import RelaySettings
 from ..scheduling import (
     AdviceSettings,
@@ -205,6 +210,7 @@
     advice: AdviceSettings = AdviceSettings()
     evacuation: EvacuationSettings = EvacuationSettings()
     operators: ControlSettings = ControlSettings()
+    admission: AdmissionSettings = AdmissionSettings()
     drain: DrainSettings = DrainSettings()
 
     @property
@@ -225,6 +231,7 @@
             forecast=self.forecast,
             advice=self.advice,
             evacuation=self.evacuation,
+            admission=self.admission,
         )
 
 
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -18,6 +18,9 @@
         0 for jobs with long-running tasks, 1 for jobs that can still meet their
         deadline, 2 for jobs that will miss it, 3 for jobs that will end so late that
         their result has no more use.
+    turn : int
+        0, or a higher number for a job that goes after others of its band, since its
+        pool can't run all of them in time; see `order_jobs`.
     priority : int
         Priority of the job's queue; 0 goes first.
     due_ms : float
@@ -25,6 +28,7 @@
     """
 
     band: int
+    turn: int
     priority: int
     due_ms: float
 
@@ -104,6 +108,16 @@
         """
         return self.has_waited and self.step.is_long_running
 
+    @property
+    def has_conditions(self) -> bool:
+        """Return whether it may exclude a VM for a reason other than its capacity."""
+        step = self.step
+        return (
+            self.allowed is not None
+            or self.is_isolated
+            or bool(step.label or step.max_per_vm or step.disruption_budget)
+        )
+
     @property
     def is_suspect(self) -> bool:
         """Return whether a VM has crashed shortly after it started the task."""
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -18,6 +18,7 @@
     StartResult,
     VmOrders,
 )
+from ._refusals import JobGate
 from ._scheduler import Scheduler
 from ._service import JobService
 from ._settings import (
@@ -32,6 +33,7 @@
 from .exceptions import (
     CommandOutcomeUnknownError,
     FutureStartError,
+    JobRefusedError,
     KeyRefusedError,
     NoPlanError,
     NoQueueError,
@@ -59,6 +61,8 @@
     "EvacuationStatus",
     "FutureStartError",
     "HoldReport",
+    "JobGate",
+    "JobRefusedError",
     "JobService",
     "KeyRefusedError",
     "LeaderPolicy",
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -265,6 +265,8 @@
         backlog.cpu += cpu
         if urgency.band == LONG_RUNNING_BAND:
             backlog.long_running_cpu += cpu
+        if not task.has_conditions and not task.step.is_gang:
+            backlog.needs.add(task.step.reserved)
         if task.step.max_per_vm or task.step.disruption_budget:
             backlog.n_vms = max(backlog.n_vms, len(tasks))
         if needs_advice:
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -32,6 +32,7 @@
 from ..observe import EventName
 from ..placement import ArrivalTrend, DemandForecast
 from ..workers import RunTimeModel
+from ._admission import AdmissionControl
 from ._advice import AdviceCache, Adviser
 from ._agent import VmAgent
 from ._evacuation_calls import EvacuationCalls
@@ -40,6 +41,7 @@
 from ._machines import MachineRegistry
 from ._moves import MoveManager
 from ._ports import MachineOperations, VmOrders
+from ._refusals import JobGate
 from ._round_load import RoundLoad
 from ._rounds import PlacementRounds
 from ._settings import LeaderPolicy
@@ -131,6 +133,17 @@
             trend=self._trend,
             forecast=self._forecast,
         )
+        self._admission: AdmissionControl | None = None
+        if cfg.admission.enabled:
+            self._admission = AdmissionControl(
+                term=term,
+                machines=machines,
+                moves=self._moves,
+                job_index=self._job_index,
+                backlog=self._rounds.backlog,
+                run_times=self._run_times,
+                cfg=cfg.admission,
+            )
         self._waves = WaveManager(
             term=term,
             machines=machines,
@@ -184,6 +197,11 @@
                 slack_ms=self._job_index.slack_ms(job),
             )
 
+    @property
+    def gate(self) -> JobGate | None:
+        """Return what decides on the admission of jobs; None if all are accepted."""
+        return self._admission.gate if self._admission is not None else None
+
     def close(self) -> None:
         """Stop the background work and all orders."""
         for task in self._tasks:
@@ -421,6 +439,8 @@
             if not self._term.is_leading():
                 continue
             began_at = self._term.clock.monotonic()
+            if self._admission is not None:
+                self._admission.update()
             starts = self._rounds.decide()
             self._round_load.record(began_at, self._term.clock.monotonic())
             if starts:
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from ..placement import ArrivalSettings, ForecastSettings, SizingSettings
+from ..placement import (
+    AdmissionSettings,
+    ArrivalSettings,
+    ForecastSettings,
+    SizingSettings,
+)
 from ._advice import AdviceSettings
 from ._agent_settings import VmPolicy
 
@@ -172,6 +177,8 @@
         Requests to the adviser.
     evacuation : EvacuationSettings
         Evacuations of data centres.
+    admission : AdmissionSettings
+        Order of jobs under overload.
     """
 
     scheduling: SchedulingSettings = SchedulingSettings()
@@ -183,3 +190,4 @@
     forecast: ForecastSettings = ForecastSettings()
     advice: AdviceSettings = AdviceSettings()
     evacuation: EvacuationSettings = EvacuationSettings()
+    admission: AdmissionSettings = AdmissionSettings()
