Learn the run times of remote runs as they would be near their data

A run outside the rack of its data takes up to three times as long, which made the learned run times of its queue too long. RunTimeModel takes the remote penalty (1 by default, no effect) and divides by it. It also returns the error of a queue's run times, for estimates of when a VM has room.

--- a/src/redwingslip/workers/_run_times.py
+++ b/src/redwingslip/workers/_run_times.py
@@ -75,12 +75,15 @@
     ----------
     cfg : RunTimeSettings
         The settings.
+    remote_penalty : float
+        How many times as long a run takes outside the rack of its data.
     """
 
-    __slots__ = ("_cfg", "_fits", "_samples", "_siblings")
+    __slots__ = ("_cfg", "_fits", "_remote_penalty", "_samples", "_siblings")
 
-    def __init__(self, cfg: RunTimeSettings) -> None:
+    def __init__(self, cfg: RunTimeSettings, *, remote_penalty: float = 1.0) -> None:
         self._cfg = cfg
+        self._remote_penalty = remote_penalty
         self._samples: dict[str, deque[tuple[float, float]]] = {}
         self._fits: dict[str, _Fit | None] = {}
         self._siblings: dict[str, dict[StepKey, list[tuple[str, timedelta]]]] = {}
@@ -93,9 +96,12 @@
         vm_id: str,
         estimate: timedelta,
         run_time: timedelta,
+        is_remote: bool = False,
     ) -> None:
         """Record a run that was carried out completely.
 
+        The run time of a remote run counts as it would be in the rack of its data.
+
         Parameters
         ----------
         step_key : StepKey
@@ -108,7 +114,11 @@
             The caller's estimate of the run time; zero for none.
         run_time : timedelta
             Time from the start of the run to its end.
+        is_remote : bool
+            Whether the VM is outside the rack of the run's data.
         """
+        if is_remote:
+            run_time /= self._remote_penalty
         steps = self._siblings.setdefault(step_key.job_id, {})
         steps.setdefault(step_key, []).append((vm_id, run_time))
         if estimate > timedelta(0) and run_time > timedelta(0):
@@ -127,6 +137,17 @@
             return estimate
         return _run_time(fit.expected(math.log(estimate / MS)))
 
+    def deviation(self, queue: str) -> float | None:
+        """Return how far the logarithms of a queue's run times are off their line.
+
+        Returns
+        -------
+        float or None
+            Standard deviation; None while too few runs have finished to know.
+        """
+        fit = self._fit(queue)
+        return None if fit is None else fit.deviation
+
     def longest_usual(
         self, step_key: StepKey, *, queue: str, vm_id: str, estimate: timedelta
     ) -> timedelta | None:
