Decide how long a task waits for the rack of its data

A task with a data rack took any VM at once when the rack was full, also if a place there was about to become free. The placer passes over tasks that wait. Gangs that are bound to a rack are placed whole in one where that is possible.

--- a/src/redwingslip/jobs/_plan.py
+++ b/src/redwingslip/jobs/_plan.py
@@ -48,6 +48,12 @@
             self.cpu * count, self.memory_mb * count, self.accelerators * count
         )
 
+    def n_fitting(self, need: "Amounts") -> int:
+        """Return how many times `need` fits into these amounts."""
+        pairs = ((self.cpu, need.cpu), (self.memory_mb, need.memory_mb))
+        pairs += ((self.accelerators, need.accelerators),)
+        return max(0, min((have // n for have, n in pairs if n > 0), default=0))
+
     def __sub__(self, other: "Amounts") -> "Amounts":
         """Return the difference, which may be negative."""
         return Amounts(
--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -5,10 +5,13 @@
 from collections.abc import Mapping, Sequence
 
 from ..jobs import NO_AMOUNTS, Amounts, RunStart
-from ._view import CandidateVm, WaitingTask, is_allowed, keeps_budget
+from ._rack_waits import RackWaits
+from ._view import CandidateVm, WaitingTask, is_allowed, is_far, keeps_budget
 
 __all__ = ["Placer"]
 
+_Place = tuple[RunStart, WaitingTask, CandidateVm]
+
 # The long-running tasks of a step are spread over at least this many racks (and so VMs)
 # if the capacity allows it, so that the loss of one rack leaves the rest running. More
 # racks would keep more VMs switched on.
@@ -32,9 +35,11 @@
         The resources in use by each customer's running tasks.
     limits : mapping of str to Amounts
         Upper limit of each customer; an amount of 0 means no limit.
+    rack_waits : RackWaits or None
+        Decides which tasks wait for the rack of their data; None if none does.
     """
 
-    __slots__ = ("_limits", "_pools", "_unplaced_needs", "_usage")
+    __slots__ = ("_limits", "_pools", "_rack_waits", "_unplaced_needs", "_usage")
 
     def __init__(
         self,
@@ -42,8 +47,10 @@
         pools: Mapping[str, list[CandidateVm]],
         usage: Mapping[str, Amounts],
         limits: Mapping[str, Amounts],
+        rack_waits: RackWaits | None = None,
     ) -> None:
         self._pools = pools
+        self._rack_waits = rack_waits
         self._usage = dict(usage)
         self._limits = limits
         # By pool, what tasks without further conditions needed that no VM had free.
@@ -59,20 +66,79 @@
         tuple of RunStart
             The starts of the tasks that were placed.
         """
-        placed: list[tuple[RunStart, WaitingTask, CandidateVm]] = []
+        if self._rack_waits is None or not self._rack_waits.is_rack_gang(tasks):
+            placed = self._place_tasks(tasks)
+        else:
+            placed = self._place_rack_gang(tasks)
+        if self._rack_waits is not None:
+            for _, task, vm in placed:
+                self._rack_waits.note_start(task, vm)
+        return tuple(start for start, _, _ in placed)
+
+    def is_deferred(self, task: WaitingTask) -> bool:
+        """Return whether a task waits for a place in its rack in this round."""
+        return self._rack_waits is not None and task.key in self._rack_waits.deferred
+
+    def _place_tasks(
+        self,
+        tasks: Sequence[WaitingTask],
+        vms: Sequence[CandidateVm] | None = None,
+    ) -> list[_Place]:
+        """Place tasks on VMs of their pool, or on some of these.
+
+        Tasks that wait for their rack are passed over.
+        """
+        is_gang = tasks[0].step.is_gang
+        placed: list[_Place] = []
         for task in tasks:
             vm = None
             if self.is_within_limit(task.customer, task.step.need):
-                vm = self._choose_vm(task)
+                vm = self._choose_vm(task, vms)
             if vm is None:
                 break
+            if not is_gang and self._defers(task, vm):
+                continue
             placed.append((self._reserve(task, vm), task, vm))
-        if len(placed) < len(tasks) and tasks[0].step.is_gang:
-            for _, task, vm in placed:
-                self._release(task, vm)
+        if len(placed) < len(tasks) and is_gang:
+            self._release_all(placed)
             self._unplaced_needs.clear()
-            return ()
-        return tuple(start for start, _, _ in placed)
+            return []
+        return placed
+
+    def _defers(self, task: WaitingTask, vm: CandidateVm) -> bool:
+        return self._rack_waits is not None and self._rack_waits.defers(
+            task, vm, self._pools[task.pool]
+        )
+
+    def _place_rack_gang(self, tasks: Sequence[WaitingTask]) -> list[_Place]:
+        """Place a gang that should stay within one rack.
+
+        Without a rack that has room for all its tasks, the gang waits for one or is
+        spread over several. Those with least capacity left are tried first.
+        """
+        step = tasks[0].step
+        racks: dict[tuple[str, ...], list[CandidateVm]] = {}
+        for vm in self._usable_vms(tasks[0].pool):
+            if not vm.is_avoided:
+                racks.setdefault(vm.labels, []).append(vm)
+        near = [vms for labels, vms in racks.items() if not is_far(step, labels)]
+        far = [vms for labels, vms in racks.items() if is_far(step, labels)]
+        if not step.is_rack_bound:
+            near, far = [[vm for vms in near for vm in vms]], []
+        for vms in sorted(near, key=_free_cpu):
+            placed = self._place_tasks(tasks, vms)
+            if placed:
+                return placed
+        for vms in [*sorted(far, key=_free_cpu), None]:
+            placed = self._place_tasks(tasks, vms)
+            if placed:
+                break
+        if placed:
+            self._release_all(placed)
+            if self._rack_waits.defers_gang(tasks, self._pools[tasks[0].pool]):
+                return []
+            placed = self._place_tasks(tasks, vms)
+        return placed
 
     def reserve_vm(self, task: WaitingTask) -> None:
         """Keep new runs from a VM, so that an isolated task finds it without runs.
@@ -131,7 +197,10 @@
         """Return the VMs of a pool that are not ejected."""
         return [vm for vm in self._pools.get(pool, ()) if not vm.is_ejected]
 
-    def _choose_vm(self, task: WaitingTask) -> CandidateVm | None:
+    def _choose_vm(
+        self, task: WaitingTask, vms: Sequence[CandidateVm] | None = None
+    ) -> CandidateVm | None:
+        """Return the best VM with room for a task, of its pool or of the given ones."""
         need = task.step.reserved
         unplaced = self._unplaced_needs.setdefault(task.pool, set())
         takes_any_vm = task.takes_any_vm
@@ -142,7 +211,7 @@
         n_by_rack = self._count_by_rack(task)
         best = None
         best_rank = None
-        for vm in self._pools.get(task.pool, ()):
+        for vm in self._pools.get(task.pool, ()) if vms is None else vms:
             if not need.fits(vm.free) or not is_allowed(
                 task.step, step_key, vm.labels, vm.tasks_of_step
             ):
@@ -162,7 +231,7 @@
                 rank = (breaks_budget, is_kept, vm.is_ejected, *rank)
             if best_rank is None or rank < best_rank:
                 best, best_rank = vm, rank
-        if best is None and not _has_conditions(task):
+        if best is None and vms is None and not _has_conditions(task):
             unplaced.add(need)
         return best
 
@@ -213,6 +282,10 @@
         self._usage[task.customer] = used + task.step.need
         return RunStart(task.key, vm.vm_id, vm.born_ms, task.checkpoint)
 
+    def _release_all(self, placed: Sequence[_Place]) -> None:
+        for _, task, vm in placed:
+            self._release(task, vm)
+
     def _release(self, task: WaitingTask, vm: CandidateVm) -> None:
         vm.free = vm.free + task.step.reserved
         vm.tasks_of_step[task.key[:3]] -= 1
@@ -239,6 +312,10 @@
     )
 
 
+def _free_cpu(vms: Sequence[CandidateVm]) -> int:
+    return sum(vm.free.cpu for vm in vms)
+
+
 def _rank(vm: CandidateVm, task: WaitingTask, n_in_rack: int) -> tuple:
     """Return the sort key of a VM for a task; the VM with the lowest key is chosen.
 
@@ -252,7 +329,6 @@
         Number of tasks of the same step in the VM's rack.
     """
     step = task.step
-    is_far = bool(step.data_rack) and step.data_rack not in vm.labels
     has_its_share = n_in_rack >= math.ceil(step.n_tasks / MIN_RACKS_OF_STEP)
     return (
         vm.is_avoided or vm.vm_id in task.avoided,
@@ -260,7 +336,7 @@
         # A VM that crashes takes its other runs with it: suspects go where few are.
         bool(vm.suspect_jobs),
         vm.n_runs if task.is_suspect else 0,
-        is_far,
+        is_far(step, vm.labels),
         step.is_long_running and has_its_share,
         # Maintenance of the machine would soon interrupt a long-running task.
         step.is_long_running and vm.is_awaiting_maintenance,
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -6,7 +6,14 @@
 
 from ..jobs import Amounts, StepSpec, TaskKey
 
-__all__ = ["Urgency", "CandidateVm", "WaitingTask", "is_allowed", "keeps_budget"]
+__all__ = [
+    "CandidateVm",
+    "Urgency",
+    "WaitingTask",
+    "is_allowed",
+    "is_far",
+    "keeps_budget",
+]
 
 
 class Urgency(NamedTuple):
@@ -218,6 +225,11 @@
     return not step.max_per_vm or tasks_of_step.get(step_key, 0) < step.max_per_vm
 
 
+def is_far(step: StepSpec, labels: tuple[str, ...]) -> bool:
+    """Return whether a VM with the given labels is outside the data rack of a step."""
+    return bool(step.data_rack) and step.data_rack not in labels
+
+
 def keeps_budget(step: StepSpec, step_key: tuple, tasks_of_step: Counter) -> bool:
     """Return whether the loss of a VM stays within a step's disruption budget.
 
