Let tasks wait for the rack of their data, as [locality] sets

RackLocality gives the placement rounds what the leader knows: run times, runs on VMs, machines on their way, and since when a task is ready. Waiting tasks are left out of the backlog, so that no machines of other racks are fetched for them.

--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -10,7 +10,7 @@
 from ..delegation import DelegationSettings
 from ..http import HttpLimits
 from ..peers import PeerSettings
-from ..placement import ArrivalSettings, SizingSettings
+from ..placement import ArrivalSettings, LocalitySettings, SizingSettings
 from ..relay import RelaySettings
 from ..scheduling import (
     AdviceSettings,
@@ -180,6 +180,7 @@
     sizing: SizingSettings = SizingSettings()
     arrivals: ArrivalSettings = ArrivalSettings()
     advice: AdviceSettings = AdviceSettings()
+    locality: LocalitySettings = LocalitySettings()
     drain: DrainSettings = DrainSettings()
 
     @property
@@ -198,4 +199,5 @@
             sizing=self.sizing,
             arrivals=self.arrivals,
             advice=self.advice,
+            locality=self.locality,
         )
--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -44,6 +44,8 @@
     RUN_END_UNMATCHED = "run.end_unmatched"
     RUN_PREEMPTED = "run.preempted"
     TASK_WAITING = "task.waiting"
+    RACK_WAIT_BEGUN = "rack_wait.begun"
+    RACK_WAIT_ENDED = "rack_wait.ended"
     PLAN_CHANGED = "plan.changed"
     VM_NOTED = "vm.noted"
     VM_SILENT = "vm.silent"
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -138,6 +138,24 @@
         "{order}",
         "Moves and maintenances that were ordered, by outcome.",
     ),
+    _Instrument(
+        "counter",
+        "rack.waits",
+        "{wait}",
+        "Waits of tasks for places in the rack of their data, begun and ended.",
+    ),
+    _Instrument(
+        "counter",
+        "rack.wait.saved",
+        "s",
+        "Run time that places in racks have saved, less the waits for them.",
+    ),
+    _Instrument(
+        "counter",
+        "rack.wait.lost",
+        "s",
+        "Waits for places in racks beyond what these have saved.",
+    ),
     _Instrument(
         "counter",
         "vm.calls",
@@ -267,6 +285,15 @@
         attributes = {"redwingslip.order": kind, "redwingslip.outcome": outcome}
         self._instruments["machine.orders"].add(1, self._limit_values(attributes))
 
+    def add_rack_wait(self, *, outcome: str) -> None:
+        """Count a wait that has `begun`, or ended `near`, `far` or `dropped`."""
+        self._instruments["rack.waits"].add(1, {"redwingslip.outcome": outcome})
+
+    def add_rack_wait_time(self, gained: timedelta) -> None:
+        """Add the time that a wait has gained, negative for one that was in vain."""
+        name = "rack.wait.saved" if gained >= timedelta(0) else "rack.wait.lost"
+        self._instruments[name].add(abs(gained.total_seconds()))
+
     def add_vm_calls(self, count: int, *, caller: str) -> None:
         """Count calls of VMs that the leader or its delegates make."""
         if count:
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -16,6 +16,7 @@
     VmRecord,
 )
 from ..observe import EventName
+from ..placement import is_far
 from ..workers import RunProgress, RunTimeModel, StepKey, VmHealth, VmLease
 from ._agent_settings import VmPolicy
 from ._order_sender import OrderSender, RunId
@@ -144,6 +145,11 @@
             return False
         return self.lease.is_in_contact(now)
 
+    @property
+    def is_awaited(self) -> bool:
+        """Return whether the VM has yet to answer its first poll."""
+        return not self._has_renewed_lease and self.is_responsive
+
     @property
     def is_responsive(self) -> bool:
         """Return whether the VM answered the last poll."""
@@ -401,6 +407,7 @@
             vm_id=self.vm.vm_id,
             estimate=timedelta(milliseconds=step.estimate_ms),
             run_time=now - started_at,
+            is_remote=is_far(step, self.vm.labels),
         )
 
     def _stop_stalled_runs(self, now: timedelta) -> None:
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -1,12 +1,12 @@
 """Moves of machines between pools, according to the load of each pool."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
 import msgspec
 
-from ..jobs import RecordMove, SilentVm
+from ..jobs import Amounts, RecordMove, SilentVm
 from ..observe import EventName
 from ..placement import ArrivalTrend, PoolLoad, plan_moves
 from ._agent import VmAgent
@@ -21,7 +21,7 @@
     OrderOutcomeUnknownError,
 )
 
-__all__ = ["MoveManager"]
+__all__ = ["ArrivingVm", "MoveManager"]
 
 
 class _Arrival(msgspec.Struct, frozen=True):
@@ -40,6 +40,23 @@
     until: timedelta
 
 
+class ArrivingVm(msgspec.Struct, frozen=True):
+    """A machine on its way to a pool, and the VM that it will have there.
+
+    Attributes
+    ----------
+    expected_at, until : timedelta
+        Monotonic times at which it is expected to serve, and after which it no longer
+        counts as arriving.
+    """
+
+    machine: str
+    labels: tuple[str, ...]
+    capacity: Amounts
+    expected_at: timedelta
+    until: timedelta
+
+
 class MoveManager(MachineManager):
     """Moves machines so that the size of each pool follows its load.
 
@@ -263,6 +280,20 @@
             reclaimable=tuple(sorted(n_runs_by_machine, key=n_runs_by_machine.get)),
         )
 
+    def arriving(self, pool: str) -> Iterator[ArrivingVm]:
+        """Yield the VMs on their way to a pool whose labels are known."""
+        cfg = self._cfg
+        for machine, arrival in self._arrivals.items():
+            if arrival.pool != pool:
+                continue
+            agent = self._machines.agent_on(machine)
+            known = self._machine_views.get(machine) if agent is None else agent.vm
+            if known is not None:
+                expected_at = arrival.until - cfg.moves.arrival_time + cfg.arrivals.lead
+                yield ArrivingVm(
+                    machine, known.labels, known.capacity, expected_at, arrival.until
+                )
+
     def _drop_finished_arrivals(self, now: timedelta) -> None:
         """Drop the arrivals of machines that have arrived or whose time has passed."""
         for machine, arrival in tuple(self._arrivals.items()):
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -3,17 +3,12 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from ..jobs import (
-    ActiveRun,
-    RunRecord,
-    RunStart,
-    TaskKey,
-    is_isolated,
-)
+from ..jobs import ActiveRun, RunRecord, RunStart, TaskKey, is_isolated
 from ..observe import EventName
 from ..placement import CandidateVm, Placer, Urgency, WaitingTask
 from ._advice import AdviceCache
 from ._job_index import LONG_RUNNING_BAND, JobIndex, PoolBacklog
+from ._locality import RackLocality
 from ._machines import MachineRegistry
 from ._preemption import Preemption
 from ._recall import recall_machine
@@ -55,6 +50,8 @@
         Index of the waiting tasks.
     advice : AdviceCache
         Tickets for queues whose VMs need one.
+    locality : RackLocality or None
+        Estimates for waits for racks; None if no task waits for one.
 
     Attributes
     ----------
@@ -66,6 +63,7 @@
         "_advice",
         "_failed_jobs",
         "_job_index",
+        "_locality",
         "_machines",
         "_preemption",
         "_recalled_pools",
@@ -83,12 +81,14 @@
         machines: MachineRegistry,
         job_index: JobIndex,
         advice: AdviceCache,
+        locality: RackLocality | None = None,
     ) -> None:
         self._term = term
         self._state = term.state
         self._machines = machines
         self._job_index = job_index
         self._advice = advice
+        self._locality = locality
         # Jobs whose placement failed with an error that was logged.
         self._failed_jobs: set[str] = set()
         # Monotonic times since which isolated and long-running tasks wait.
@@ -104,16 +104,21 @@
         self.backlog.clear()
         self._recalled_pools.clear()
         self._note_waiting(task for _, tasks in jobs for task in tasks)
-        if not jobs:
+        if not jobs and self._locality is None:
             return ()
         removed = self._state.removed.customers.values()
         customers = (*removed, *self._state.plan.customers)
         limits = {customer.name: customer.limit for customer in customers}
         pools = {tasks[0].pool for _, tasks in jobs}
+        vms = self._candidate_vms(pools)
+        waits = (
+            None if self._locality is None else self._locality.begin_round(jobs, vms)
+        )
         placer = Placer(
-            pools=self._candidate_vms(pools),
+            pools=vms,
             usage=self._state.usage.of_customers(),
             limits=limits,
+            rack_waits=waits,
         )
         self._preemption = Preemption(
             self._state,
@@ -127,6 +132,8 @@
                 starts.extend(self._place_job(placer, urgency, tasks))
             except Exception as exc:
                 self._report_failure(tasks[0].key.job_id, exc)
+        if waits is not None:
+            self._locality.end_round(waits, starts)
         return tuple(starts)
 
     def _report_failure(self, job_id: str, exc: Exception) -> None:
@@ -235,7 +242,8 @@
                     task.allowed = tickets
             placed = placer.place_step(step_tasks)
             starts.extend(placed)
-            unplaced = step_tasks[len(placed) :]
+            n_deferred = sum(placer.is_deferred(task) for task in step_tasks)
+            unplaced = step_tasks[len(placed) + n_deferred :]
             # Neither capacity nor preemption helps a customer that is at its limit.
             if not unplaced:
                 continue
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -34,6 +34,7 @@
 from ._advice import AdviceCache, Adviser
 from ._agent import VmAgent
 from ._job_index import JobIndex
+from ._locality import RackLocality
 from ._loop_lag import LoopLag
 from ._machines import MachineRegistry
 from ._moves import MoveManager
@@ -85,7 +86,8 @@
         self._state = term.state
         self._orders = orders
         self._cfg = cfg
-        self._run_times = RunTimeModel(cfg.vms.run_times)
+        penalty = cfg.locality.remote_penalty
+        self._run_times = RunTimeModel(cfg.vms.run_times, remote_penalty=penalty)
         self._job_index = JobIndex(term.state)
         # Restarts of tasks for lack of progress in this term.
         self._n_restarts: Counter[TaskKey] = Counter()
@@ -107,8 +109,19 @@
             on_advice=self._wake.set,
             cfg=cfg.advice,
         )
+        locality = RackLocality(
+            term=term,
+            machines=machines,
+            run_times=self._run_times,
+            arriving=lambda pool: self._moves.arriving(pool),
+            cfg=cfg.locality,
+        )
         self._rounds = PlacementRounds(
-            term=term, machines=machines, job_index=self._job_index, advice=self._advice
+            term=term,
+            machines=machines,
+            job_index=self._job_index,
+            advice=self._advice,
+            locality=locality if penalty > 1 else None,
         )
         self._round_load = RoundLoad(term)
         self._trend = ArrivalTrend(cfg.arrivals)
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..placement import ArrivalSettings, SizingSettings
+from ..placement import ArrivalSettings, LocalitySettings, SizingSettings
 from ._advice import AdviceSettings
 from ._agent_settings import VmPolicy
 
@@ -129,6 +129,8 @@
         Forecast of the load from the arrivals of jobs.
     advice : AdviceSettings
         Requests to the adviser.
+    locality : LocalitySettings
+        Waits for places in the rack of a task's data.
     """
 
     scheduling: SchedulingSettings = SchedulingSettings()
@@ -138,3 +140,4 @@
     sizing: SizingSettings = SizingSettings()
     arrivals: ArrivalSettings = ArrivalSettings()
     advice: AdviceSettings = AdviceSettings()
+    locality: LocalitySettings = LocalitySettings()
--- a/src/redwingslip/scheduling/_wait_reasons.py
+++ b/src/redwingslip/scheduling/_wait_reasons.py
@@ -1,15 +1,15 @@
-"""Why a long-running task finds no VM, for the log."""
+"""Why a long-running task finds no VM, or a task waits for a rack, for the log."""
 
 from collections import Counter
 from datetime import timedelta
 
 from ..jobs import JobsState
-from ..placement import WaitingTask, is_allowed
+from ..placement import RackWait, WaitingTask, is_allowed
 from ._agent import VmAgent
 from ._job_index import non_preemptible_need
 from ._machines import MachineRegistry
 
-__all__ = ["describe_pool"]
+__all__ = ["describe_pool", "describe_rack_wait"]
 
 
 def describe_pool(
@@ -38,6 +38,16 @@
     return ", ".join(f"{count} {reason}" for reason, count in sorted(reasons.items()))
 
 
+def describe_rack_wait(wait: RackWait) -> str:
+    """Return what a task waits for that could start outside its rack."""
+    rack = f"rack {wait.rack}" if wait.rack else "any one rack"
+    longest_ms = wait.until_ms - wait.begun_ms
+    return (
+        f"waits for room in {rack}: expected in {wait.expected_ms:.0f} ms, "
+        f"saves {wait.saved_ms:.0f} ms, at most {longest_ms:.0f} ms from its readiness"
+    )
+
+
 def _reason(
     task: WaitingTask,
     agent: VmAgent,
--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -136,6 +136,17 @@
         await asyncio.sleep(0.02)
         self.assertIn("v1", self.state.vms)
 
+    async def test_a_machine_on_its_way_is_known_with_its_rack(self):
+        """Guards against remote runs while a machine of the rack is about to serve."""
+        self.make_fleet(make_vm("v1"))
+        self.begin({"p": PoolBacklog(cpu=9000)})
+        self.platform.machines = (replace(standby("m1"), labels=("a", "r7")),)
+        await eventually(lambda: tuple(self.manager.arriving("p")))
+        (vm,) = self.manager.arriving("p")
+        self.assertEqual((vm.machine, vm.labels), ("m1", ("a", "r7")))
+        self.assertEqual(vm.expected_at, self.clock.monotonic() + timedelta(seconds=2))
+        self.assertEqual(tuple(self.manager.arriving("off")), ())
+
     async def test_rising_arrivals_switch_machines_on_before_anything_waits(self):
         """Arrivals announce a peak earlier than the backlog, by about a move's time."""
         self.make_fleet(make_vm("v1"))
