Leave racks that tasks wait for to these, and explain waits for racks

Short tasks go to the fullest VMs, so that a more urgent task without a rack took the place for which another had waited, with room elsewhere. VMs of a rack that is waited for are now chosen after others. redwingslip explain names waits in vain and those that have not ended.

Tests of both; the first fails without the preference.

--- a/src/redwingslip/observe/_explain.py
+++ b/src/redwingslip/observe/_explain.py
@@ -139,6 +139,20 @@
         )
 
 
+def _find_rack_waits(timeline: _JobTimeline) -> Iterator[str]:
+    """Yield a sentence for the waits for racks that lost time or have not ended."""
+    ends = timeline.select(EventName.RACK_WAIT_ENDED)
+    in_vain = [end for end in ends if "elsewhere" in end.event.detail]
+    if in_vain:
+        yield (
+            f"{len(in_vain)} tasks waited for the rack of their data in vain, the last "
+            f"one {in_vain[-1].event.detail}."
+        )
+    begins = timeline.select(EventName.RACK_WAIT_BEGUN)
+    if len(begins) > len(ends):
+        yield f"A task waits for the rack of its data: {begins[-1].event.detail}."
+
+
 def _find_lost_runs(timeline: _JobTimeline) -> Iterator[str]:
     """Yield a sentence for each run that was lost or stopped before its end."""
     for end in timeline.select(EventName.RUN_ENDED):
@@ -190,6 +204,7 @@
 _CAUSE_FINDERS: tuple[Callable[[_JobTimeline], Iterator[str]], ...] = (
     _find_refusals,
     _find_waits,
+    _find_rack_waits,
     _find_lost_runs,
     _find_crashes,
     _find_failures,
--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -209,6 +209,9 @@
         has_budget = task.step.is_long_running and task.step.disruption_budget > 0
         step_key = task.key[:3]
         n_by_rack = self._count_by_rack(task)
+        wanted = ()
+        if self._rack_waits is not None and not task.step.is_long_running:
+            wanted = self._rack_waits.wanted_racks(task)
         best = None
         best_rank = None
         for vm in self._pools.get(task.pool, ()) if vms is None else vms:
@@ -226,7 +229,8 @@
                 continue
             if task.is_isolated and not self._may_isolate(vm, task):
                 continue
-            rank = _rank(vm, task, n_by_rack[vm.labels])
+            is_wanted = any(rack in vm.labels for rack in wanted)
+            rank = _rank(vm, task, n_by_rack[vm.labels], is_wanted=is_wanted)
             if takes_any_vm:
                 rank = (breaks_budget, is_kept, vm.is_ejected, *rank)
             if best_rank is None or rank < best_rank:
@@ -316,7 +320,9 @@
     return sum(vm.free.cpu for vm in vms)
 
 
-def _rank(vm: CandidateVm, task: WaitingTask, n_in_rack: int) -> tuple:
+def _rank(
+    vm: CandidateVm, task: WaitingTask, n_in_rack: int, *, is_wanted: bool
+) -> tuple:
     """Return the sort key of a VM for a task; the VM with the lowest key is chosen.
 
     Parameters
@@ -327,6 +333,8 @@
         The task.
     n_in_rack : int
         Number of tasks of the same step in the VM's rack.
+    is_wanted : bool
+        Whether other tasks wait for the VM's rack.
     """
     step = task.step
     has_its_share = n_in_rack >= math.ceil(step.n_tasks / MIN_RACKS_OF_STEP)
@@ -340,6 +348,7 @@
         step.is_long_running and has_its_share,
         # Maintenance of the machine would soon interrupt a long-running task.
         step.is_long_running and vm.is_awaiting_maintenance,
+        is_wanted,
         # Packing tasks on VMs that have to stay on, and on those with least capacity
         # left, keeps the other VMs idle, so that these can be moved to another pool or
         # switched off.
--- a/src/redwingslip/placement/_rack_waits.py
+++ b/src/redwingslip/placement/_rack_waits.py
@@ -1,6 +1,6 @@
 """The tasks that wait for a place in the rack of their data, in a placement round."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Protocol
 
 from ..jobs import TaskKey
@@ -57,6 +57,8 @@
         For each pool, whether the tasks that wait need more than is free.
     now_ms : float
         Unix time.
+    wanted : mapping of str to collection of str
+        For each pool, the racks for which tasks have waited since an earlier round.
 
     Attributes
     ----------
@@ -74,6 +76,7 @@
         "_outlook",
         "_rooms",
         "_starts",
+        "_wanted",
         "deferred",
         "waits",
     )
@@ -85,8 +88,10 @@
         outlook: RackOutlook,
         contended: Mapping[str, bool],
         now_ms: float,
+        wanted: Mapping[str, Collection[str]] | None = None,
     ) -> None:
         self._cfg = cfg
+        self._wanted = wanted or {}
         self._outlook = outlook
         self._contended = contended
         self._now_ms = now_ms
@@ -96,6 +101,11 @@
         self.deferred: set[TaskKey] = set()
         self.waits: dict[TaskKey, RackWait] = {}
 
+    def wanted_racks(self, task: WaitingTask) -> Collection[str]:
+        """Return the racks that a task leaves to others if it can."""
+        racks = self._wanted.get(task.pool, ())
+        return () if task.step.data_rack in racks else racks
+
     def note_start(self, task: WaitingTask, vm: CandidateVm) -> None:
         """Record that a task starts on a VM in this round."""
         room = self._rooms.get(vm.vm_id)
--- a/src/redwingslip/scheduling/_locality.py
+++ b/src/redwingslip/scheduling/_locality.py
@@ -122,8 +122,20 @@
                 for pool, vms in pools.items()
             },
             now_ms=self._now_ms,
+            wanted=self._wanted_racks(jobs),
         )
 
+    def _wanted_racks(
+        self, jobs: Sequence[tuple[Urgency, Sequence[WaitingTask]]]
+    ) -> dict[str, set[str]]:
+        """Return the racks for which tasks wait since the last round, by pool."""
+        wanted: dict[str, set[str]] = {}
+        if self._open_waits:
+            for task in (task for _, tasks in jobs for task in tasks):
+                if task.step.data_rack and task.key in self._open_waits:
+                    wanted.setdefault(task.pool, set()).add(task.step.data_rack)
+        return wanted
+
     def end_round(self, waits: RackWaits, starts: Sequence[RunStart]) -> None:
         """Log the waits that have begun or ended in a round."""
         for key, wait in waits.waits.items():
--- a/tests/test_observe_explain.py
+++ b/tests/test_observe_explain.py
@@ -86,6 +86,21 @@
         self.assertIn("controller-2 became leader", text)
         self.assertIn("1 machines were ordered to other pools", text)
 
+    def test_waits_for_racks(self):
+        """Guards against late jobs whose delay by choice nobody can see."""
+        for task in ("0.0.0 run 0", "0.0.1 run 0"):
+            detail = f"{task} waits for room in rack r1"
+            self.add_event(0, EventName.RACK_WAIT_BEGUN, detail=detail)
+        self.assertIn("0.0.1 run 0 waits for room in rack r1", self.causes())
+        detail = "0.0.0 run 0 for r1: started in the rack after 90 ms"
+        self.add_event(1, EventName.RACK_WAIT_ENDED, detail=detail)
+        detail = "0.0.1 run 0 for r1: started elsewhere after 900 ms"
+        self.add_event(1, EventName.RACK_WAIT_ENDED, detail=detail)
+        self.assertIn(
+            "1 tasks waited for the rack of their data in vain", self.causes()
+        )
+        self.assertNotIn("A task waits", self.causes())
+
     def test_a_run_that_was_lost_with_its_vm(self):
         self.add_event(0, EventName.JOB_ACCEPTED)
         self.add_event(
--- a/tests/test_scheduling_locality.py
+++ b/tests/test_scheduling_locality.py
@@ -47,7 +47,7 @@
     def setUp(self):
         vms = [
             make_vm("near", capacity=CAPACITY, labels=("a", "r1")),
-            make_vm("far", capacity=CAPACITY, labels=("a", "r2")),
+            make_vm("far", capacity=CAPACITY.times(2), labels=("a", "r2")),
         ]
         self.state = make_state(*vms)
         self.clock = ManualClock()
@@ -139,6 +139,14 @@
         (ended,) = self.details("rack_wait.ended")
         self.assertIn("in the rack after 300 ms; +1700 ms gained", ended)
 
+    def test_a_more_urgent_task_leaves_the_place_to_the_one_that_waits(self):
+        """Guards against waits in vain, since the fullest VMs are filled first."""
+        self.submit("j")
+        self.assertEqual(self.decide(), {})
+        self.end_running()
+        self.submit("urgent", data_rack="", estimate_ms=1000)
+        self.assertEqual(self.decide(100 * MS), {"j": "near", "urgent": "far"})
+
     def test_a_run_that_overruns_its_estimate_ends_the_wait(self):
         """Guards against a task that waits for good for a stalled run."""
         self.submit("j")
