Count waits for racks from the first place that was refused for one

The wait counted from the readiness of a task. Under load a task has waited for any capacity by the time that a place is free, so that it took a remote one at once, which lengthened the load. The wait now begins when the task could first have started elsewhere; a new leader counts from the acceptance of the job for tasks that were ready before its first round.

The test of a new leader is replaced by a stricter one: it passed without the inherited begin, since two tasks shared one place.

--- a/src/redwingslip/placement/_locality.py
+++ b/src/redwingslip/placement/_locality.py
@@ -49,8 +49,8 @@
 
     Attributes
     ----------
-    ready_ms : float
-        When the task became ready.
+    begun_ms : float
+        Since when the task waits for its rack; the present time if it doesn't yet.
     run : RunEstimate
         Its run time in the rack of its data.
     path_ms : float
@@ -59,7 +59,7 @@
         When the job should have ended, and when its result has no more use.
     """
 
-    ready_ms: float
+    begun_ms: float
     run: RunEstimate
     path_ms: float
     due_ms: float
@@ -78,7 +78,7 @@
     rack : str
         The rack of the data; empty for a gang that any single rack may take.
     begun_ms, until_ms : float
-        Unix times at which the task became ready, and at which it waits no longer.
+        Unix times since which the task waits, and at which it waits no longer.
     expected_ms : float
         For how much longer the wait is expected to take.
     saved_ms : float
@@ -103,9 +103,9 @@
     """Return until when a task should wait for an opening, None if it shouldn't.
 
     The task waits for at most as long as the place saves, from the time at which it
-    became ready, so that an estimate that proves wrong at most doubles what the remote
-    run would have cost in addition. A remote run also holds its place longer; if
-    other tasks wait for that place, the same time is saved for them.
+    first could have started elsewhere, so that an estimate that proves wrong at most
+    doubles what the remote run would have cost in addition. A remote run also holds
+    its place longer; if other tasks wait for that place, it is saved for them too.
 
     Parameters
     ----------
@@ -128,7 +128,7 @@
     if opening is None:
         return None
     saved_ms = (penalty - 1) * times.run.run_ms
-    until_ms = times.ready_ms + saved_ms * (2 if is_contended else 1)
+    until_ms = times.begun_ms + saved_ms * (2 if is_contended else 1)
     if now_ms + opening.at_ms > until_ms:
         return None
     for factor in (1.0, math.exp(times.run.deviation)):
--- a/src/redwingslip/placement/_rack_waits.py
+++ b/src/redwingslip/placement/_rack_waits.py
@@ -195,7 +195,7 @@
         self.deferred.update(each.key for each in tasks)
         self.waits[task.key] = RackWait(
             rack=task.step.data_rack,
-            begun_ms=times.ready_ms,
+            begun_ms=times.begun_ms,
             until_ms=until_ms,
             expected_ms=opening.at_ms,
             saved_ms=(self._cfg.remote_penalty - 1) * times.run.run_ms,
--- a/src/redwingslip/scheduling/_locality.py
+++ b/src/redwingslip/scheduling/_locality.py
@@ -64,10 +64,11 @@
         "_cfg",
         "_due_ms",
         "_has_begun",
+        "_inherited_ms",
         "_machines",
         "_now_ms",
         "_open_waits",
-        "_ready_ms",
+        "_ready",
         "_run_times",
         "_state",
         "_term",
@@ -91,7 +92,8 @@
         self._now_ms = 0.0
         self._has_begun = False
         self._due_ms: dict[str, float] = {}
-        self._ready_ms: dict[TaskKey, float] = {}
+        self._ready: dict[TaskKey, WaitingTask] = {}
+        self._inherited_ms: dict[TaskKey, float] = {}
         self._open_waits: dict[TaskKey, RackWait] = {}
 
     def begin_round(
@@ -122,18 +124,15 @@
                 for pool, vms in pools.items()
             },
             now_ms=self._now_ms,
-            wanted=self._wanted_racks(jobs),
+            wanted=self._wanted_racks(),
         )
 
-    def _wanted_racks(
-        self, jobs: Sequence[tuple[Urgency, Sequence[WaitingTask]]]
-    ) -> dict[str, set[str]]:
+    def _wanted_racks(self) -> dict[str, set[str]]:
         """Return the racks for which tasks wait since the last round, by pool."""
         wanted: dict[str, set[str]] = {}
-        if self._open_waits:
-            for task in (task for _, tasks in jobs for task in tasks):
-                if task.step.data_rack and task.key in self._open_waits:
-                    wanted.setdefault(task.pool, set()).add(task.step.data_rack)
+        for key, wait in self._open_waits.items():
+            if wait.rack and key in self._ready:
+                wanted.setdefault(self._ready[key].pool, set()).add(wait.rack)
         return wanted
 
     def end_round(self, waits: RackWaits, starts: Sequence[RunStart]) -> None:
@@ -146,7 +145,7 @@
             wait = self._open_waits.pop(start.key, None)
             if wait is not None:
                 self._report_start(start, wait, starts)
-        for key in self._open_waits.keys() - self._ready_ms.keys():
+        for key in self._open_waits.keys() - self._ready.keys():
             self._report_end(key, self._open_waits.pop(key), "dropped", "no start")
 
     def run_of(self, task: WaitingTask) -> RunEstimate | None:
@@ -161,13 +160,12 @@
         """
         job = self._state.jobs[task.key.job_id]
         run = self._run_estimate(job, task.step)
-        ready_ms = self._ready_ms.get(task.key)
-        if run is None or ready_ms is None or self._state.task(task.key).runs:
+        if run is None or self._state.task(task.key).runs:
             return None
         due_ms = self._due_ms[task.key.job_id]
         objective_ms = due_ms - job.accepted_ms
         return TaskTimes(
-            ready_ms=ready_ms,
+            begun_ms=self._begun_ms(task.key),
             run=run,
             path_ms=self._path_after_ms(job, task.key.step),
             due_ms=due_ms,
@@ -244,35 +242,32 @@
         return max(after_ms.values())
 
     def _note_ready(self, tasks: Iterable[WaitingTask]) -> None:
-        """Keep the times at which the waiting tasks became ready.
+        """Keep which tasks may wait for a rack, and those that may have done so before.
 
-        For those that were ready before the first round of this term, this is the
-        earliest time at which they can have been, so that a wait under an earlier
-        leader counts.
+        These are the tasks that were ready before the first round of this term. Their
+        waits under an earlier leader began at the earliest when they became ready.
         """
-        ready_ms: dict[TaskKey, float] = {}
-        for task in tasks:
-            step = task.step
-            if step.is_long_running:
-                continue
-            if not step.data_rack and not (step.is_gang and step.is_rack_bound):
-                continue
-            known_ms = self._ready_ms.get(task.key)
-            if known_ms is None:
-                known_ms = self._first_seen_ms(task)
-            ready_ms[task.key] = known_ms
-        self._ready_ms = ready_ms
-        self._has_begun = True
-
-    def _first_seen_ms(self, task: WaitingTask) -> float:
-        is_first_start = not task.step.after and not self._state.task(task.key).n_runs
-        if self._has_begun and not is_first_start:
-            return self._now_ms
-        spec = self._state.jobs[task.key.job_id].spec
-        if spec.repetition is None:
-            return self._state.jobs[task.key.job_id].accepted_ms
-        repetition = spec.repetition
-        return repetition.first_at_ms + task.key.occurrence * repetition.interval_ms
+        self._ready = {task.key: task for task in tasks if _wants_rack(task.step)}
+        if not self._has_begun:
+            self._inherited_ms = {key: self._earliest_ms(key) for key in self._ready}
+            self._has_begun = True
+        for key in self._inherited_ms.keys() - self._ready.keys():
+            del self._inherited_ms[key]
+
+    def _earliest_ms(self, key: TaskKey) -> float:
+        """Return the earliest Unix time at which a task can have become ready."""
+        job = self._state.jobs[key.job_id]
+        repetition = job.spec.repetition
+        if repetition is None:
+            return job.accepted_ms
+        return repetition.first_at_ms + key.occurrence * repetition.interval_ms
+
+    def _begun_ms(self, key: TaskKey) -> float:
+        """Return since when a task waits for its rack, if it is to wait now."""
+        wait = self._open_waits.get(key)
+        if wait is not None:
+            return wait.begun_ms
+        return self._inherited_ms.get(key, self._now_ms)
 
     def _report_begin(self, key: TaskKey, wait: RackWait) -> None:
         self._term.metrics.add_rack_wait(outcome="begun")
@@ -320,3 +315,9 @@
     def _labels_of(self, vm_id: str) -> tuple[str, ...]:
         agent = self._machines.agents.get(vm_id)
         return () if agent is None else agent.vm.labels
+
+
+def _wants_rack(step: StepSpec) -> bool:
+    """Return whether the tasks of a step may wait for a rack."""
+    is_bound_gang = step.is_gang and step.is_rack_bound
+    return not step.is_long_running and (bool(step.data_rack) or is_bound_gang)
--- a/src/redwingslip/scheduling/_wait_reasons.py
+++ b/src/redwingslip/scheduling/_wait_reasons.py
@@ -44,7 +44,7 @@
     longest_ms = wait.until_ms - wait.begun_ms
     return (
         f"waits for room in {rack}: expected in {wait.expected_ms:.0f} ms, "
-        f"saves {wait.saved_ms:.0f} ms, at most {longest_ms:.0f} ms from its readiness"
+        f"saves {wait.saved_ms:.0f} ms, at most {longest_ms:.0f} ms in all"
     )
 
 
--- a/tests/test_placement_locality.py
+++ b/tests/test_placement_locality.py
@@ -72,9 +72,9 @@
         return self.on_the_way
 
 
-def make_times(*, ready_ms=NOW_MS, due_ms=NOW_MS + 60_000, path_ms=0.0):
-    """Return the times of a task that is ready since now and not pressed."""
-    return TaskTimes(ready_ms, RUN, path_ms, due_ms, 3 * due_ms)
+def make_times(*, begun_ms=NOW_MS, due_ms=NOW_MS + 60_000, path_ms=0.0):
+    """Return the times of a task that waits since now and not pressed."""
+    return TaskTimes(begun_ms, RUN, path_ms, due_ms, 3 * due_ms)
 
 
 class RackCase(unittest.TestCase):
@@ -121,7 +121,7 @@
     def test_no_wait_lasts_longer_than_it_can_save(self):
         """Guards against starvation by an estimate that is never met."""
         for waited_ms, deferred in ((700, ["j"]), (900, [])):
-            times = make_times(ready_ms=NOW_MS - waited_ms)
+            times = make_times(begun_ms=NOW_MS - waited_ms)
             outlook = FakeOutlook(times=times, releases=[200])
             self.assertEqual(self.place(outlook, make_tasks())[1], deferred)
 
--- a/tests/test_scheduling_locality.py
+++ b/tests/test_scheduling_locality.py
@@ -67,15 +67,17 @@
             )
         self.arriving = []
         self.job_index = JobIndex(self.state)
-        self.submit("running", data_rack="")
-        self.state.apply(
-            StartRuns(
-                starts=(RunStart(TaskKey("running", 0, 0, 0), "near", 1),),
-                now_ms=self.term.now_ms() - 1200,
-            )
-        )
+        self.occupy("running", "near", age=1200 * MS)
         self.elect(vms)
 
+    def occupy(self, job_id, vm_id, *, age=0 * MS, **step):
+        """Have a task without data run on a VM."""
+        self.submit(job_id, data_rack="", **step)
+        starts = (RunStart(TaskKey(job_id, 0, 0, 0), vm_id, 1),)
+        now_ms = self.term.now_ms() - age // MS
+        self.state.apply(StartRuns(starts=starts, now_ms=now_ms))
+        self.job_index.refresh_job(job_id)
+
     def submit(self, job_id, *, accepted_before=0 * SECOND, **step):
         """Accept a job of one task, whose estimate is twice its run time."""
         fields = {"n_tasks": 1, "need": NEED, "estimate_ms": 4000, "data_rack": "r1"}
@@ -122,9 +124,9 @@
     def details(self, name):
         return [fields["detail"] for event, fields in self.events if event == name]
 
-    def end_running(self):
-        end = RunEnd(TaskKey("running", 0, 0, 0), 1, EndKind.DONE)
-        command = RecordEnds(vm_id="near", born_ms=1, ends=(end,), now_ms=1, cursor=1)
+    def end_running(self, job_id="running", vm_id="near"):
+        end = RunEnd(TaskKey(job_id, 0, 0, 0), 1, EndKind.DONE)
+        command = RecordEnds(vm_id=vm_id, born_ms=1, ends=(end,), now_ms=1, cursor=1)
         self.state.apply(command)
 
     def test_a_wait_ends_in_the_rack_and_is_logged(self):
@@ -164,12 +166,30 @@
         self.agents["near"]._sender.is_unresponsive = True
         self.assertEqual(self.decide(100 * MS), {"j": "far"})
 
+    def test_a_wait_for_any_room_does_not_count(self):
+        """Guards against remote runs under load, when tasks have waited for capacity.
+
+        Simulated bursts of five times the mean had 0.90 instead of 0.97 of the jobs in
+        time while it did.
+        """
+        self.end_running()
+        self.occupy("long", "near", estimate_ms=8000)
+        for job_id in ("short0", "short1"):
+            self.occupy(job_id, "far")
+        self.decide()
+        self.submit("j")
+        self.assertEqual(self.decide(), {})
+        self.assertTrue(self.rounds.backlog)
+        self.end_running("short0", "far")
+        self.assertEqual(self.decide(2500 * MS), {})
+        self.assertEqual(len(self.details("rack_wait.begun")), 1)
+
     def test_a_new_leader_counts_the_wait_under_the_earlier_one(self):
         """Guards against waits that begin anew with each leader."""
-        for number, waited in enumerate((900 * MS, 1500 * MS)):
-            self.submit(f"j{number}", accepted_before=waited)
-            self.elect([agent.vm for agent in self.agents.values()])
-            self.assertEqual(self.decide(), {"j1": "far"} if number else {})
+        for waited, starts in ((900 * MS, {}), (1500 * MS, {"j": "far"})):
+            self.setUp()
+            self.submit("j", accepted_before=waited)
+            self.assertEqual(self.decide(), starts)
 
     def test_a_new_leader_waits_for_vms_that_have_yet_to_answer(self):
         """Guards against remote runs of all tasks that wait at a change of leader."""
