Add check-config, which checks a configuration before it is sent

Errors of a configuration came from the servers one at a time, and entries that can never match or budgets that no wave can keep were accepted without a word. The command uses the servers' own rules (find_plan_errors, the fleet state itself) and rules for contradictions, and shows what differs in meaning from a file or server.

--- a/src/redwingslip/cli/_app.py
+++ b/src/redwingslip/cli/_app.py
@@ -7,6 +7,7 @@
 import typer
 
 from . import (
+    _check_commands,
     _job_commands,
     _key_commands,
     _load_commands,
@@ -80,6 +81,7 @@
 
 
 _resource_commands.register(app)
+_check_commands.register(app)
 _wave_commands.register(app)
 _key_commands.register(app)
 _job_commands.register(app)
--- a/src/redwingslip/cli/_context.py
+++ b/src/redwingslip/cli/_context.py
@@ -23,6 +23,7 @@
     "CommandContext",
     "OutputFormat",
     "exit_with_error",
+    "parse_servers",
     "read_token_file",
     "run_coroutine",
 ]
@@ -77,7 +78,7 @@
             A server or the token is missing or malformed.
         """
         cfg = ClientSettings(
-            servers=_parse_servers(self.servers),
+            servers=parse_servers(self.servers),
             token=_read_token(self.token_file),
             tls=_read_authority(self.authority),
             timeout=self.timeout,
@@ -87,7 +88,8 @@
         return OperatorClient(cfg)
 
 
-def _parse_servers(text: str) -> tuple[str, ...]:
+def parse_servers(text: str) -> tuple[str, ...]:
+    """Return the base URLs in a text; raise `InvalidInputError` if one is wrong."""
     servers = tuple(url.strip().rstrip("/") for url in text.split(",") if url.strip())
     if not servers:
         raise InvalidInputError(
--- a/src/redwingslip/cli/_documents.py
+++ b/src/redwingslip/cli/_documents.py
@@ -8,11 +8,17 @@
 
 import msgspec
 
-from ..fleet import Kind, Resource
+from ..fleet import Kind, Resource, Spec
 from ._client import Document
 from .exceptions import InvalidInputError
 
-__all__ = ["changed_fields", "group_in_creation_order", "read_documents"]
+__all__ = [
+    "changed_fields",
+    "group_in_creation_order",
+    "read_documents",
+    "read_located",
+    "spec_of",
+]
 
 STANDARD_INPUT = Path("-")
 TRUNCATION_SUFFIX = "..."
@@ -56,20 +62,51 @@
     InvalidInputError
         Lists every problem in all of the files.
     """
-    documents: list[Document] = []
     problems: list[str] = []
-    for path in paths:
-        for location, value in _read_values(path, problems):
-            try:
-                documents.append(_validate(value))
-            except (msgspec.ValidationError, ValueError) as exc:
-                problems.append(f"{location}: {exc}")
+    located, invalid = read_located(paths, problems)
+    problems += [f"{location}: {problem}" for location, problem in invalid]
+    documents = [document for _, document in located]
     problems += _find_duplicates(documents)
     if problems:
         raise InvalidInputError("\n".join(problems))
     return documents
 
 
+def read_located(
+    paths: Sequence[Path], unreadable: list[str]
+) -> tuple[list[tuple[str, Document]], list[tuple[str, str]]]:
+    """Read resources from JSON files, see `read_documents`.
+
+    Parameters
+    ----------
+    paths : sequence of Path
+        The files.
+    unreadable : list of str
+        Gets a message for each file that can't be read to its end.
+
+    Returns
+    -------
+    tuple of list, list
+        The valid resources and the problems of the others, each with its location.
+    """
+    located: list[tuple[str, Document]] = []
+    invalid: list[tuple[str, str]] = []
+    for path in paths:
+        for location, value in _read_values(path, unreadable):
+            try:
+                located.append((location, _validate(value)))
+            except (msgspec.ValidationError, ValueError) as exc:
+                invalid.append((location, str(exc)))
+    return located, invalid
+
+
+def spec_of(document: Document) -> Spec:
+    """Return the specification of a valid document."""
+    fields = {"type": document.kind.value, **document.spec}
+    resource = {"type": "Resource", "name": document.name, "spec": fields, "version": 0}
+    return msgspec.convert(resource, Resource).spec
+
+
 def _read_values(path: Path, problems: list[str]) -> Iterator[tuple[str, Any]]:
     """Yield each JSON value of a file with its location for error messages."""
     try:
--- a/src/redwingslip/jobs/__init__.py
+++ b/src/redwingslip/jobs/__init__.py
@@ -9,7 +9,16 @@
 from ._commands import __all__ as _commands_all
 from ._crashes import PROBATION_MS, is_isolated, is_quarantined
 from ._machine import JobsMachine, encode_command
-from ._plan import NO_AMOUNTS, Amounts, Customer, Plan, Pool, Queue, check_plan
+from ._plan import (
+    NO_AMOUNTS,
+    Amounts,
+    Customer,
+    Plan,
+    Pool,
+    Queue,
+    check_plan,
+    find_plan_errors,
+)
 from ._records import (
     ACTIVE_STATUSES,
     EndKind,
@@ -62,6 +71,7 @@
     "VmRecord",
     "WaveRecord",
     "check_plan",
+    "find_plan_errors",
     "check_steps",
     "encode_command",
     "is_isolated",
--- a/src/redwingslip/jobs/_plan.py
+++ b/src/redwingslip/jobs/_plan.py
@@ -6,7 +6,16 @@
 
 from .exceptions import InvalidPlanError
 
-__all__ = ["NO_AMOUNTS", "Amounts", "Customer", "Plan", "Pool", "Queue", "check_plan"]
+__all__ = [
+    "NO_AMOUNTS",
+    "Amounts",
+    "Customer",
+    "Plan",
+    "Pool",
+    "Queue",
+    "check_plan",
+    "find_plan_errors",
+]
 
 
 class Amounts(msgspec.Struct, frozen=True, array_like=True):
@@ -158,11 +167,12 @@
 
 def check_plan(plan: Plan) -> None:
     """Raise `InvalidPlanError` for the first inconsistency of a plan."""
-    for error in _find_errors(plan):
+    for error in find_plan_errors(plan):
         raise error
 
 
-def _find_errors(plan: Plan) -> Iterator[InvalidPlanError]:
+def find_plan_errors(plan: Plan) -> Iterator[InvalidPlanError]:
+    """Yield every inconsistency of a plan."""
     pools = {pool.name for pool in plan.pools}
     prefixes = set()
     names = set()
--- a/src/redwingslip/platform/__init__.py
+++ b/src/redwingslip/platform/__init__.py
@@ -8,6 +8,7 @@
 from ._advice import AdviceClient
 from ._answers import error_answer, relay_error_answer
 from ._calls import answer_call
+from ._documents import PLAN_SECTIONS, parse_plan
 from ._machines import MachineClient
 from ._orders import WorkerClient
 from ._servers import readiness_app, relay_app
@@ -17,9 +18,11 @@
     "AdviceClient",
     "DocumentError",
     "MachineClient",
+    "PLAN_SECTIONS",
     "WorkerClient",
     "answer_call",
     "error_answer",
+    "parse_plan",
     "readiness_app",
     "relay_app",
     "relay_error_answer",
--- a/src/redwingslip/platform/_documents.py
+++ b/src/redwingslip/platform/_documents.py
@@ -38,8 +38,13 @@
     "decode_plan",
     "decode_report",
     "decode_wave",
+    "PLAN_SECTIONS",
+    "parse_plan",
 ]
 
+# The section of a configuration that declares each kind of entry of a plan.
+PLAN_SECTIONS = {"queue": "routes", "pool": "services", "customer": "tenants"}
+
 MAX_PAYLOAD_BYTES = 4_000
 # A hundred years, which the log can add to any time.
 MAX_WAVE_S = 100 * 366 * 24 * 60 * 60
@@ -222,11 +227,27 @@
 
 def decode_plan(body: bytes) -> Plan:
     """Return the plan in a configuration; raise `DocumentError` if it is invalid."""
+    plan = parse_plan(body)
+    try:
+        check_plan(plan)
+    except InvalidPlanError as exc:
+        raise DocumentError(str(exc)) from exc
+    return plan
+
+
+def parse_plan(body: bytes) -> Plan:
+    """Return the plan in a configuration without a check of its consistency.
+
+    Raises
+    ------
+    DocumentError
+        A field is missing or has a value that is not accepted.
+    """
     doc = _decode(_CONFIG_DECODER, body)
     for route in doc.routes:
         if route.timeout_ms <= 0:
             raise DocumentError(f"routes.{route.name}.timeoutMs: must be above 0")
-    plan = Plan(
+    return Plan(
         version=doc.version,
         queues=tuple(_decode_queue(route) for route in doc.routes),
         pools=tuple(
@@ -244,11 +265,6 @@
         ),
         document=body,
     )
-    try:
-        check_plan(plan)
-    except InvalidPlanError as exc:
-        raise DocumentError(str(exc)) from exc
-    return plan
 
 
 def _decode_queue(route: _RouteDoc) -> Queue:
