Accept shortened hashes of servers in check-config

Servers shorten the hashes of keys that they show, which would end a check against a server with a traceback. A resource in force that can't be decoded is an error of the server's answer, with exit code 2.

--- a/src/redwingslip/cli/_check_commands.py
+++ b/src/redwingslip/cli/_check_commands.py
@@ -169,7 +169,11 @@
 def _check_resources(cfg: CommandContext, file: Path, against: str) -> _Report:
     given, findings = _read_resources(file)
     current = _current_resources(cfg, against) if against else []
-    findings += check_resources(_in_order(given), current=_in_order(current))
+    try:
+        in_force = _in_order(current)
+    except msgspec.ValidationError as exc:
+        raise InvalidInputError(f"{against}: {exc}") from exc
+    findings += check_resources(_in_order(given), current=in_force)
     changes = []
     if against:
         by_name = {(d.kind, d.name): d for _, d in current}
--- a/tests/test_cli_check.py
+++ b/tests/test_cli_check.py
@@ -4,6 +4,9 @@
 import threading
 from http.server import BaseHTTPRequestHandler, HTTPServer
 
+from redwingslip.cli._check_commands import _in_order
+from redwingslip.cli._client import Document
+from redwingslip.fleet import Kind
 from tests.test_checking_plans import CONFIG, encode
 from tests.test_cli_commands import RESOURCES, CommandTestCase
 
@@ -61,6 +64,9 @@
         changes = {(c["kind"], c["field"]) for c in report["changes"]}
         self.assertEqual(changes, {("queues", ""), ("pools", "max_unavailable")})
         self.run_command("check-config", path, exit_code=FOUND)
+        spec = {"team": "t", "sha256": "abababab..."}
+        (key,) = _in_order([("", Document(kind=Kind.KEY, name="k", spec=spec))])
+        self.assertEqual(key.spec.sha256, "abababab" + "0" * 56)
 
     def test_a_configuration_against_a_controller(self):
         """The controllers answer with the document in force."""
