Place tasks without waits after an error in an estimate

An error in a decision about a rack would have kept the job from its start in each round, and one at the begin of a round all jobs. It is now logged once in a term, and tasks start as without the setting. The test for it ends with the error itself without this change. The search for a gang's rack looks at each release once instead of at all for each time.

--- a/src/redwingslip/placement/_rack_room.py
+++ b/src/redwingslip/placement/_rack_room.py
@@ -1,12 +1,12 @@
 """When VMs will have room for a task, from the runs on them and places booked ahead."""
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
+from operator import attrgetter, itemgetter
 from statistics import NormalDist
 from typing import NamedTuple
 
-from ..jobs import Amounts
-from ._view import CandidateVm
+from ..jobs import NO_AMOUNTS, Amounts
 
 __all__ = [
     "Opening",
@@ -110,11 +110,9 @@
         Capacity that becomes free later.
     at_ms, late_ms : float
         When the VM serves, in ms from now, as in `Release`.
-    vm : CandidateVm or None
-        None for a VM that accepts no runs yet.
     """
 
-    __slots__ = ("_at_ms", "_free", "_late_ms", "_releases", "labels", "vm")
+    __slots__ = ("_at_ms", "_free", "_late_ms", "_releases", "labels")
 
     def __init__(
         self,
@@ -124,14 +122,12 @@
         releases: Iterable[Release] = (),
         at_ms: float = 0.0,
         late_ms: float = 0.0,
-        vm: CandidateVm | None = None,
     ) -> None:
         self.labels = labels
-        self.vm = vm
         self._free = free
         self._at_ms = at_ms
         self._late_ms = late_ms
-        self._releases = sorted(releases, key=_at_ms)
+        self._releases = sorted(releases, key=attrgetter("at_ms"))
 
     def opening(self, need: Amounts) -> Opening | None:
         """Return when the VM first has room for a task; None if that isn't known."""
@@ -146,30 +142,22 @@
                 return Opening(at_ms, late_ms, ((self, 1),))
         return None
 
-    def times(self) -> list[float]:
-        """Return the times at which its free capacity grows, in ms from now."""
-        return [self._at_ms, *(max(self._at_ms, r.at_ms) for r in self._releases)]
+    def growth(self) -> Iterator[tuple[float, Amounts]]:
+        """Yield by how much its free capacity grows, and when in ms from now."""
+        yield self._at_ms, self._free
+        for release in self._releases:
+            yield max(self._at_ms, release.at_ms), release.amounts
 
     def late_ms(self, at_ms: float) -> float:
         """Return the late estimate of the capacity that is free from `at_ms` on."""
         late_ms = [r.late_ms for r in self._releases if r.at_ms <= at_ms]
         return max(self._late_ms, *late_ms) if late_ms else self._late_ms
 
-    def n_fitting(self, need: Amounts, at_ms: float) -> int:
-        """Return how many tasks fit at a time."""
-        if at_ms < self._at_ms:
-            return 0
-        free = self._free
-        for release in self._releases:
-            if release.at_ms <= at_ms:
-                free = free + release.amounts
-        return free.n_fitting(need)
-
     def reserve(self, need: Amounts, release: Release | None) -> None:
         """Take capacity that a run has taken, up to the release if that is known."""
         self._free = self._free - need
         if release is not None:
-            self._releases = sorted([*self._releases, release], key=_at_ms)
+            self._releases = sorted([*self._releases, release], key=attrgetter("at_ms"))
 
     def book(
         self, need: Amounts, opening: Opening, releases: Iterable[Release]
@@ -181,7 +169,7 @@
         later = [r for r in self._releases if r.at_ms > opening.at_ms]
         self._free = self._free - need
         self._at_ms, self._late_ms = opening.at_ms, opening.late_ms
-        self._releases = sorted([*later, *releases], key=_at_ms)
+        self._releases = sorted([*later, *releases], key=attrgetter("at_ms"))
 
 
 def first_opening(rooms: Iterable[VmRoom], need: Amounts) -> Opening | None:
@@ -208,20 +196,36 @@
         Maximum number of tasks on one VM; 0 for no limit.
     """
     limit = max_per_vm or n_tasks
-    for at_ms in sorted({time for room in rooms for time in room.times()}):
-        chosen: list[tuple[VmRoom, int]] = []
-        n_open = n_tasks
-        for room in rooms:
-            n_here = min(n_open, limit, room.n_fitting(need, at_ms))
-            if n_here > 0:
-                chosen.append((room, n_here))
-                n_open -= n_here
-        if not n_open:
+    events = [
+        (at_ms, index, amounts)
+        for index, room in enumerate(rooms)
+        for at_ms, amounts in room.growth()
+    ]
+    events.sort(key=itemgetter(0))
+    free = [NO_AMOUNTS] * len(rooms)
+    n_fitting = [0] * len(rooms)
+    for at_ms, index, amounts in events:
+        free[index] = free[index] + amounts
+        n_fitting[index] = min(limit, free[index].n_fitting(need))
+        if sum(n_fitting) >= n_tasks:
+            chosen = _take(rooms, n_fitting, n_tasks)
             late_ms = max(room.late_ms(at_ms) for room, _ in chosen)
-            return Opening(at_ms, max(at_ms, late_ms), tuple(chosen))
+            return Opening(at_ms, max(at_ms, late_ms), chosen)
     return None
 
 
+def _take(
+    rooms: Sequence[VmRoom], n_fitting: Sequence[int], n_tasks: int
+) -> tuple[tuple[VmRoom, int], ...]:
+    """Return the VMs that take tasks, and how many each takes."""
+    chosen = []
+    for room, n_here in zip(rooms, n_fitting, strict=True):
+        if n_here and n_tasks:
+            chosen.append((room, min(n_here, n_tasks)))
+            n_tasks -= chosen[-1][1]
+    return tuple(chosen)
+
+
 def book(opening: Opening, need: Amounts, run_ms: float, deviation: float) -> None:
     """Book the places of an opening for tasks with a run time, see `remaining_ms`."""
     expected_ms, late_ms = remaining_ms(run_ms, deviation, 0.0)
@@ -229,7 +233,3 @@
         taken = need.times(n_here)
         release = Release(opening.at_ms + expected_ms, opening.late_ms + late_ms, taken)
         room.book(taken, opening, (release,))
-
-
-def _at_ms(release: Release) -> float:
-    return release.at_ms
--- a/src/redwingslip/placement/_rack_waits.py
+++ b/src/redwingslip/placement/_rack_waits.py
@@ -1,6 +1,6 @@
 """The tasks that wait for a place in the rack of their data, in a placement round."""
 
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Protocol
 
 from ..jobs import TaskKey
@@ -66,6 +66,8 @@
         The tasks that wait.
     waits : dict of TaskKey to RackWait
         Their waits; the one of a gang is by its first task.
+    error : Exception or None
+        An error in a decision; the task then starts as if there were no waits.
     """
 
     __slots__ = (
@@ -78,6 +80,7 @@
         "_starts",
         "_wanted",
         "deferred",
+        "error",
         "waits",
     )
 
@@ -99,6 +102,7 @@
         self._on_the_way: dict[str, list[VmRoom]] = {}
         self._starts: dict[str, list[WaitingTask]] = {}
         self.deferred: set[TaskKey] = set()
+        self.error: Exception | None = None
         self.waits: dict[TaskKey, RackWait] = {}
 
     def wanted_racks(self, task: WaitingTask) -> Collection[str]:
@@ -131,11 +135,7 @@
         step = task.step
         if not is_far(step, vm.labels) or not _may_wait(task):
             return False
-        rooms = self._rooms_for(task, vms)
-        opening = first_opening(
-            (room for room in rooms if step.data_rack in room.labels), step.reserved
-        )
-        return self._wait((task,), opening)
+        return self._decide((task,), vms, self._opening)
 
     def is_rack_gang(self, tasks: Sequence[WaitingTask]) -> bool:
         """Return whether the tasks are a gang that should stay within one rack."""
@@ -159,6 +159,37 @@
         vms : sequence of CandidateVm
             The VMs of its pool.
         """
+        return self._decide(tasks, vms, self._gang_opening)
+
+    def _decide(
+        self,
+        tasks: Sequence[WaitingTask],
+        vms: Sequence[CandidateVm],
+        find_opening: Callable[..., Opening | None],
+    ) -> bool:
+        """Return whether tasks wait; with an error, they don't.
+
+        An error in an estimate must not keep tasks from their start.
+        """
+        try:
+            return self._wait(tasks, find_opening(tasks, vms))
+        except Exception as exc:
+            self.error = exc
+            return False
+
+    def _opening(
+        self, tasks: Sequence[WaitingTask], vms: Sequence[CandidateVm]
+    ) -> Opening | None:
+        """Return the first place for a task in its rack."""
+        step = tasks[0].step
+        rooms = self._rooms_for(tasks[0], vms)
+        near = (room for room in rooms if step.data_rack in room.labels)
+        return first_opening(near, step.reserved)
+
+    def _gang_opening(
+        self, tasks: Sequence[WaitingTask], vms: Sequence[CandidateVm]
+    ) -> Opening | None:
+        """Return the first time at which one rack has room for a whole gang."""
         task, step = tasks[0], tasks[0].step
         by_rack: dict[tuple[str, ...], list[VmRoom]] = {}
         for room in self._rooms_for(task, vms, is_gang=True):
@@ -173,8 +204,7 @@
             for rooms in by_rack.values()
         ]
         known = [opening for opening in openings if opening is not None]
-        first = min(known, key=lambda opening: opening[:2], default=None)
-        return self._wait(tasks, first)
+        return min(known, key=lambda opening: opening[:2], default=None)
 
     def _wait(self, tasks: Sequence[WaitingTask], opening: Opening | None) -> bool:
         """Decide whether tasks wait for an opening, and book it if so."""
@@ -242,7 +272,6 @@
                     *self._outlook.releases_of(vm.vm_id),
                     *(release for release in releases if release is not None),
                 ],
-                vm=vm,
             )
             self._rooms[vm.vm_id] = room
         return room
--- a/src/redwingslip/scheduling/_locality.py
+++ b/src/redwingslip/scheduling/_locality.py
@@ -64,6 +64,7 @@
         "_cfg",
         "_due_ms",
         "_has_begun",
+        "_has_failed",
         "_inherited_ms",
         "_machines",
         "_now_ms",
@@ -91,6 +92,7 @@
         self._cfg = cfg
         self._now_ms = 0.0
         self._has_begun = False
+        self._has_failed = False
         self._due_ms: dict[str, float] = {}
         self._ready: dict[TaskKey, WaitingTask] = {}
         self._inherited_ms: dict[TaskKey, float] = {}
@@ -100,8 +102,8 @@
         self,
         jobs: Sequence[tuple[Urgency, Sequence[WaitingTask]]],
         pools: Mapping[str, Sequence[CandidateVm]],
-    ) -> RackWaits:
-        """Return the waits of a new round, without any yet.
+    ) -> RackWaits | None:
+        """Return the waits of a new round, without any yet; None after an error.
 
         Parameters
         ----------
@@ -110,6 +112,17 @@
         pools : mapping of str to sequence of CandidateVm
             The VMs of each pool that accept new runs.
         """
+        try:
+            return self._new_waits(jobs, pools)
+        except Exception as exc:
+            self._report_error(exc)
+            return None
+
+    def _new_waits(
+        self,
+        jobs: Sequence[tuple[Urgency, Sequence[WaitingTask]]],
+        pools: Mapping[str, Sequence[CandidateVm]],
+    ) -> RackWaits:
         self._now_ms = self._term.now_ms()
         self._due_ms = {tasks[0].key.job_id: urgency.due_ms for urgency, tasks in jobs}
         self._note_ready(task for _, tasks in jobs for task in tasks)
@@ -136,7 +149,22 @@
         return wanted
 
     def end_round(self, waits: RackWaits, starts: Sequence[RunStart]) -> None:
-        """Log the waits that have begun or ended in a round."""
+        """Log the waits that have begun or ended in a round, and errors."""
+        try:
+            self._log_waits(waits, starts)
+        except Exception as exc:
+            self._report_error(exc)
+        if waits.error is not None:
+            self._report_error(waits.error)
+
+    def _report_error(self, exc: Exception) -> None:
+        """Log the first error of a term; tasks are placed without waits then."""
+        if not self._has_failed:
+            self._has_failed = True
+            detail = f"tasks don't wait for racks: {exc!r}"
+            self._term.emit(EventName.WARNING, detail=detail)
+
+    def _log_waits(self, waits: RackWaits, starts: Sequence[RunStart]) -> None:
         for key, wait in waits.waits.items():
             if key not in self._open_waits:
                 self._report_begin(key, wait)
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -108,7 +108,6 @@
             return ()
         removed = self._state.removed.customers.values()
         customers = (*removed, *self._state.plan.customers)
-        limits = {customer.name: customer.limit for customer in customers}
         pools = {tasks[0].pool for _, tasks in jobs}
         vms = self._candidate_vms(pools)
         waits = (
@@ -117,7 +116,7 @@
         placer = Placer(
             pools=vms,
             usage=self._state.usage.of_customers(),
-            limits=limits,
+            limits={customer.name: customer.limit for customer in customers},
             rack_waits=waits,
         )
         self._preemption = Preemption(
--- a/tests/test_scheduling_locality.py
+++ b/tests/test_scheduling_locality.py
@@ -2,6 +2,7 @@
 
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from redwingslip.clock import ManualClock
 from redwingslip.jobs import (
@@ -18,7 +19,7 @@
     TaskKey,
 )
 from redwingslip.placement import LocalitySettings
-from redwingslip.scheduling import LeaderPolicy, MachineRegistry
+from redwingslip.scheduling import LeaderPolicy, MachineRegistry, Scheduler
 from redwingslip.scheduling._job_index import JobIndex
 from redwingslip.scheduling._locality import RackLocality
 from redwingslip.scheduling._moves import ArrivingVm
@@ -26,6 +27,7 @@
 from redwingslip.workers import RunTimeModel, RunTimeSettings, StepKey
 from tests.support_scheduling import (
     FakeEndpoint,
+    FakePlatform,
     FakeTerm,
     make_agent,
     make_state,
@@ -211,6 +213,17 @@
         self.arriving.clear()
         self.assertIn("j", self.decide())
 
+    def test_an_error_in_an_estimate_holds_up_no_task(self):
+        """Guards against jobs that never start since a decision about them fails."""
+        self.submit("j")
+        for part in ("deviation", "expected"):
+            broken = mock.Mock(side_effect=ZeroDivisionError)
+            with mock.patch.object(RunTimeModel, part, broken):
+                self.assertEqual(self.rounds.decide()[0].vm_id, "far")
+        with mock.patch.object(RackLocality, "_new_waits", broken):
+            self.assertEqual(self.decide(), {"j": "far"})
+        self.assertEqual(len(self.details("warning")), 1)
+
     def test_a_cancelled_job_ends_its_wait(self):
         self.submit("j")
         self.decide()
@@ -219,6 +232,23 @@
         self.decide()
         self.assertIn("no start", self.details("rack_wait.ended")[0])
 
+    def test_a_scheduler_waits_only_with_a_penalty(self):
+        """Guards against a setting that the leader does not pass on."""
+        for penalty, deferred in ((1.0, set()), (2.0, {"j"})):
+            cfg = LeaderPolicy(locality=LocalitySettings(remote_penalty=penalty))
+            scheduler = Scheduler(
+                term=self.term,
+                orders=FakeEndpoint(),
+                operations=FakePlatform(),
+                adviser=None,
+                cfg=cfg,
+            )
+            scheduler.agents.update(self.agents)
+            self.rounds, self.job_index = scheduler._rounds, scheduler._job_index
+            self.submit("j")
+            self.assertEqual({"j"} - self.decide().keys(), deferred)
+            self.setUp()
+
     def test_without_a_penalty_nothing_waits(self):
         self.assertEqual(LeaderPolicy().locality.remote_penalty, 1)
         self.rounds._locality = None
