--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -15,6 +15,7 @@
     AdmissionSettings,
     ArrivalSettings,
     ForecastSettings,
+    LocalitySettings,
     SizingSettings,
 )
 from ..relay import RelaySettings
@@ -211,6 +212,7 @@
     evacuation: EvacuationSettings = EvacuationSettings()
     operators: ControlSettings = ControlSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    locality: LocalitySettings = LocalitySettings()
     drain: DrainSettings = DrainSettings()
 
     @property
@@ -232,6 +234,7 @@
             advice=self.advice,
             evacuation=self.evacuation,
             admission=self.admission,
+            locality=self.locality,
         )
 
 
--- a/src/redwingslip/jobs/__init__.py
+++ b/src/redwingslip/jobs/__init__.py
@@ -10,7 +10,16 @@
 from ._crashes import PROBATION_MS, is_isolated, is_quarantined
 from ._evacuations import Evacuations
 from ._machine import JobsMachine, encode_command
-from ._plan import NO_AMOUNTS, Amounts, Customer, Plan, Pool, Queue, check_plan
+from ._plan import (
+    NO_AMOUNTS,
+    Amounts,
+    Customer,
+    Plan,
+    Pool,
+    Queue,
+    check_plan,
+    find_plan_errors,
+)
 from ._records import (
     ACTIVE_STATUSES,
     EndKind,
@@ -64,6 +73,7 @@
     "VmRecord",
     "WaveRecord",
     "check_plan",
+    "find_plan_errors",
     "check_steps",
     "encode_command",
     "is_isolated",
--- a/src/redwingslip/jobs/_plan.py
+++ b/src/redwingslip/jobs/_plan.py
@@ -6,7 +6,16 @@
 
 from .exceptions import InvalidPlanError
 
-__all__ = ["NO_AMOUNTS", "Amounts", "Customer", "Plan", "Pool", "Queue", "check_plan"]
+__all__ = [
+    "NO_AMOUNTS",
+    "Amounts",
+    "Customer",
+    "Plan",
+    "Pool",
+    "Queue",
+    "check_plan",
+    "find_plan_errors",
+]
 
 
 class Amounts(msgspec.Struct, frozen=True, array_like=True):
@@ -48,6 +57,12 @@
             self.cpu * count, self.memory_mb * count, self.accelerators * count
         )
 
+    def n_fitting(self, need: "Amounts") -> int:
+        """Return how many times `need` fits into these amounts."""
+        pairs = ((self.cpu, need.cpu), (self.memory_mb, need.memory_mb))
+        pairs += ((self.accelerators, need.accelerators),)
+        return max(0, min((have // n for have, n in pairs if n > 0), default=0))
+
     def __sub__(self, other: "Amounts") -> "Amounts":
         """Return the difference, which may be negative."""
         return Amounts(
@@ -152,11 +167,12 @@
 
 def check_plan(plan: Plan) -> None:
     """Raise `InvalidPlanError` for the first inconsistency of a plan."""
-    for error in _find_errors(plan):
+    for error in find_plan_errors(plan):
         raise error
 
 
-def _find_errors(plan: Plan) -> Iterator[InvalidPlanError]:
+def find_plan_errors(plan: Plan) -> Iterator[InvalidPlanError]:
+    """Yield every inconsistency of a plan."""
     pools = {pool.name for pool in plan.pools}
     prefixes = set()
     names = set()
--- a/src/redwingslip/placement/__init__.py
+++ b/src/redwingslip/placement/__init__.py
@@ -15,50 +15,68 @@
     measure_steps,
     measure_work,
 )
+from ._locality import (
+    LocalitySettings,
+    RackWait,
+    RunEstimate,
+    TaskTimes,
+)
 from ._overload import CompetingJob, JobOrder, LargeJobBudget, order_jobs
 from ._placer import Placer
 from ._pool_load import Move, PoolLoad, SizingSettings
+from ._rack_room import Release, VmRoom, remaining_ms
+from ._rack_waits import RackOutlook, RackWaits
 from ._reserves import ForecastLoad, with_reserves
 from ._rises import Rise, RiseTracker
 from ._sizing import plan_moves
-from ._view import CandidateVm, Urgency, WaitingTask, is_allowed, keeps_budget
+from ._view import CandidateVm, Urgency, WaitingTask, is_allowed, is_far, keeps_budget
 
 __all__ = [
-    "N_RECENT_JOBS",
     "AdmissionSettings",
     "ArrivalSettings",
     "ArrivalTrend",
     "CandidateVm",
+    "CapacityPlan",
+    "CompetingJob",
     "CycleModel",
     "DemandForecast",
     "ForecastLoad",
     "ForecastSettings",
-    "CapacityPlan",
-    "CompetingJob",
     "JobOrder",
     "JobWork",
     "LargeJobBudget",
+    "LocalitySettings",
     "Move",
+    "N_RECENT_JOBS",
     "Placer",
     "PoolForecast",
     "PoolLoad",
-    "Rise",
-    "RisePrediction",
-    "RiseTracker",
     "PoolOutlook",
     "QueueWork",
+    "RackOutlook",
+    "RackWait",
+    "RackWaits",
     "Refusal",
+    "Release",
+    "Rise",
+    "RisePrediction",
+    "RiseTracker",
+    "RunEstimate",
     "RunningTask",
     "SizingSettings",
+    "TaskTimes",
     "Urgency",
+    "VmRoom",
     "WaitingTask",
     "divide_by_weight",
     "is_allowed",
+    "is_far",
     "keeps_budget",
     "measure_steps",
     "measure_work",
     "order_jobs",
     "plan_moves",
-    "with_reserves",
+    "remaining_ms",
     "spread_retry",
+    "with_reserves",
 ]
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -8,6 +8,7 @@
     AdmissionSettings,
     ArrivalSettings,
     ForecastSettings,
+    LocalitySettings,
     SizingSettings,
 )
 from ._advice import AdviceSettings
@@ -179,6 +180,8 @@
         Evacuations of data centres.
     admission : AdmissionSettings
         Order of jobs under overload.
+    locality : LocalitySettings
+        Waits for places in the rack of a task's data.
     """
 
     scheduling: SchedulingSettings = SchedulingSettings()
@@ -191,3 +194,4 @@
     advice: AdviceSettings = AdviceSettings()
     evacuation: EvacuationSettings = EvacuationSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    locality: LocalitySettings = LocalitySettings()
