Bound the bytes of bodies on links and on the way to the leader

40 relayed bodies of 4 MB took a gateway to 455.6 MB, since the link queued them without a limit of bytes and sent up to 512 messages in one frame. Links now limit the bytes queued and the bytes of a frame, and what a peer may send unread; the relay lets large bodies wait while others are on their way. Small ones pass.

--- a/src/redwingslip/peers/_hub.py
+++ b/src/redwingslip/peers/_hub.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from grpclib.client import Channel, StreamStreamMethod
+from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server
@@ -105,7 +106,7 @@
 
     async def start(self) -> None:
         """Start to listen for connections of other processes."""
-        self._server = Server([self], codec=FrameCodec())
+        self._server = Server([self], codec=FrameCodec(), config=self._configuration())
         await self._server.start(self._host, self._port, ssl=self._tls_server)
         sockets = self._server._server.sockets
         self._port = sockets[0].getsockname()[1]
@@ -182,7 +183,13 @@
 
     async def _dial(self, link: Link) -> None:
         host, _, port = link.address.rpartition(":")
-        channel = Channel(host, int(port), codec=FrameCodec(), ssl=self._tls_client)
+        channel = Channel(
+            host,
+            int(port),
+            codec=FrameCodec(),
+            ssl=self._tls_client,
+            config=self._configuration(),
+        )
         metadata = {
             _SENDER_HEADER: self._process_id,
             _ADDRESS_HEADER: self.address,
@@ -199,6 +206,13 @@
         finally:
             channel.close()
 
+    def _configuration(self) -> Configuration:
+        """Return the limits on what a peer may send before it is read."""
+        return Configuration(
+            http2_connection_window_size=self._cfg.window_bytes,
+            http2_stream_window_size=self._cfg.window_bytes,
+        )
+
     def __mapping__(self) -> dict[str, Handler]:
         """Return the RPC methods of the server; grpclib calls this."""
         handler = Handler(self._accept, Cardinality.STREAM_STREAM, Frame, Frame)
--- a/src/redwingslip/peers/_link.py
+++ b/src/redwingslip/peers/_link.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ._codec import Frame
 from ._messages import Message
+from ._relay_messages import RelayedAnswer, RelayedCall
 from ._settings import PeerSettings
 from .exceptions import LinkError
 
@@ -39,6 +40,8 @@
         ``host:port`` of the peer; empty while it is not known.
     n_dropped : int
         Number of messages dropped because the queue was full.
+    n_body_bytes : int
+        Total size of the bodies of the queued messages.
     """
 
     __slots__ = (
@@ -51,6 +54,7 @@
         "_outbox",
         "_session",
         "address",
+        "n_body_bytes",
         "n_dropped",
         "peer_id",
     )
@@ -66,6 +70,7 @@
         self.peer_id = peer_id
         self.address = ""
         self.n_dropped = 0
+        self.n_body_bytes = 0
         self._cfg = cfg
         self._clock = clock
         self._dialled_by = ""
@@ -81,14 +86,24 @@
         return self._session is not None
 
     def send(self, message: Message) -> None:
-        """Queue a message; if the queue is full, the oldest ones are dropped."""
+        """Queue a message; if the queue is full, the oldest ones are dropped.
+
+        A message whose body would exceed the limit of queued bytes is dropped itself,
+        since the oldest ones may be those of the log.
+        """
+        n_bytes = body_bytes(message)
+        is_full = self.n_body_bytes + n_bytes > self._cfg.max_outbox_bytes
+        if n_bytes and self.n_body_bytes and is_full:
+            self.n_dropped += 1
+            return
         max_queued = self._cfg.max_outbox
         if not self.is_up:
             max_queued = min(max_queued, self._cfg.max_unsent)
         while len(self._outbox) >= max_queued:
-            self._outbox.popleft()
+            self._pop()
             self.n_dropped += 1
         self._outbox.append(message)
+        self.n_body_bytes += n_bytes
         self._has_messages.set()
 
     def reset(self) -> None:
@@ -160,8 +175,20 @@
             await stream.send_message(Frame(self._take_batch()))
 
     def _take_batch(self) -> tuple[Message, ...]:
-        n_messages = min(len(self._outbox), self._cfg.max_batch)
-        return tuple(self._outbox.popleft() for _ in range(n_messages))
+        batch = []
+        n_bytes = 0
+        while self._outbox and len(batch) < self._cfg.max_batch:
+            message = self._pop()
+            batch.append(message)
+            n_bytes += body_bytes(message)
+            if n_bytes >= self._cfg.max_frame_bytes:
+                break
+        return tuple(batch)
+
+    def _pop(self) -> Message:
+        message = self._outbox.popleft()
+        self.n_body_bytes -= body_bytes(message)
+        return message
 
     async def _read(self, stream: ClientStream | ServerStream) -> None:
         silence_s = self._cfg.silence.total_seconds()
@@ -179,6 +206,13 @@
                 self._on_message(self.peer_id, message)
 
 
+def body_bytes(message: Message) -> int:
+    """Return the size of what a client sent or will receive in a message."""
+    if isinstance(message, RelayedCall | RelayedAnswer):
+        return len(message.body)
+    return 0
+
+
 def _link_error(cause: BaseException) -> LinkError:
     """Return the `LinkError` for the exception that ended a session."""
     if isinstance(cause, asyncio.CancelledError):
--- a/src/redwingslip/peers/_settings.py
+++ b/src/redwingslip/peers/_settings.py
@@ -1,6 +1,7 @@
 """Settings of the links between processes."""
 
 from datetime import timedelta
+from typing import Annotated
 
 import msgspec
 
@@ -25,8 +26,17 @@
     max_unsent : int
         The same limit while no stream to the peer is open. When a stream opens, the
         queued messages are stale, and their receiver requests them again.
+    max_outbox_bytes : int
+        Maximum total size of the bodies of relayed calls and answers queued for a
+        peer; beyond it, a further one is dropped, and its sender sends it again. A
+        single one is always queued.
     max_batch : int
         Maximum number of messages in one frame.
+    max_frame_bytes : int
+        A frame ends with the message with which the total size of its bodies reaches
+        this.
+    window_bytes : int
+        Bytes that a peer may send on one connection before they are read.
     """
 
     heartbeat: timedelta = timedelta(seconds=1)
@@ -35,4 +45,7 @@
     retry_delay: timedelta = timedelta(milliseconds=100)
     max_outbox: int = 20_000
     max_unsent: int = 20_000
+    max_outbox_bytes: Annotated[int, msgspec.Meta(ge=1)] = 16 << 20
     max_batch: int = 512
+    max_frame_bytes: Annotated[int, msgspec.Meta(ge=1)] = 1 << 20
+    window_bytes: Annotated[int, msgspec.Meta(ge=65_536, le=2**31 - 1)] = 1 << 20
--- a/src/redwingslip/relay/_relay.py
+++ b/src/redwingslip/relay/_relay.py
@@ -9,8 +9,13 @@
 from ..clock import Clock
 from ..observe import Event, EventName, EventSink
 from ..peers import LeaderQuery, LeaderReport, Message, RelayedAnswer, RelayedCall
+from ._in_flight import InFlight
 from ._settings import RelaySettings
-from .exceptions import CallOutcomeUnknownError, NoLeaderKnownError
+from .exceptions import (
+    CallOutcomeUnknownError,
+    NoLeaderKnownError,
+    RelayBusyError,
+)
 
 __all__ = ["LeaderRelay"]
 
@@ -41,6 +46,7 @@
         "_cfg",
         "_clock",
         "_events",
+        "_in_flight",
         "_last_contact",
         "_last_number",
         "_leader_found",
@@ -69,6 +75,7 @@
         self._leader_found = asyncio.Event()
         self._last_number = 0
         self._pending: dict[int, asyncio.Future[RelayedAnswer | None]] = {}
+        self._in_flight = InFlight(cfg.max_in_flight_bytes)
 
     @property
     def has_leader(self) -> bool:
@@ -133,6 +140,9 @@
         ------
         NoLeaderKnownError
             No leader accepted the call; it had no effect.
+        RelayBusyError
+            Other bodies took all the room on the way to the leader; the call had no
+            effect.
         CallOutcomeUnknownError
             A leader may have handled the call.
         """
@@ -142,9 +152,21 @@
             if not self._leader_id:
                 await self._wait_for_leader(remaining)
                 continue
-            answer = await self._attempt(
-                call, min(remaining, self._cfg.attempt_timeout)
-            )
+            if not await self._in_flight.enter(
+                len(call.body), remaining.total_seconds()
+            ):
+                if may_have_run:
+                    break
+                raise RelayBusyError("the way to the leader is busy; retry later")
+            try:
+                if not self._leader_id:
+                    continue
+                remaining = deadline - self._clock.monotonic()
+                answer = await self._attempt(
+                    call, min(remaining, self._cfg.attempt_timeout)
+                )
+            finally:
+                self._in_flight.leave(len(call.body))
             if answer is None:
                 may_have_run = True
             elif not answer.is_taken:
--- a/src/redwingslip/relay/_settings.py
+++ b/src/redwingslip/relay/_settings.py
@@ -1,6 +1,7 @@
 """Settings of the relay of calls to the leader."""
 
 from datetime import timedelta
+from typing import Annotated
 
 import msgspec
 
@@ -25,6 +26,10 @@
     control_patience : timedelta
         The same for calls of endpoints and operators; keep it below the one second
         after which they try another process.
+    max_in_flight_bytes : int
+        Limit of the total size of the bodies that are on their way to the leader;
+        further ones wait. A body of up to 64 KiB, or a single larger one, is always
+        sent.
     """
 
     query_interval: timedelta = timedelta(milliseconds=100)
@@ -33,3 +38,4 @@
     attempt_timeout: timedelta = timedelta(milliseconds=700)
     caller_patience: timedelta = timedelta(milliseconds=2400)
     control_patience: timedelta = timedelta(milliseconds=900)
+    max_in_flight_bytes: Annotated[int, msgspec.Meta(ge=1)] = 8 << 20
--- a/src/redwingslip/relay/exceptions.py
+++ b/src/redwingslip/relay/exceptions.py
@@ -2,7 +2,12 @@
 
 from ..exceptions import RedwingslipError
 
-__all__ = ["CallOutcomeUnknownError", "NoLeaderKnownError", "RelayError"]
+__all__ = [
+    "CallOutcomeUnknownError",
+    "NoLeaderKnownError",
+    "RelayBusyError",
+    "RelayError",
+]
 
 
 class RelayError(RedwingslipError):
@@ -15,3 +20,7 @@
 
 class CallOutcomeUnknownError(RelayError):
     """A leader may have handled the call, but no answer was received."""
+
+
+class RelayBusyError(RelayError):
+    """There was no room for the body of a call; it had no effect."""
