Start gateways without an address for readiness

With [listen] readiness = none, the documented default, a gateway ended with AttributeError: 'NoneType' object has no attribute 'rpartition'. It now starts no server for readiness; a start without the setting was tried on this code.

--- a/src/redwingslip/daemons/_gateway.py
+++ b/src/redwingslip/daemons/_gateway.py
@@ -23,12 +23,16 @@
         self._is_stopping = False
         patience = self.cfg.relay.caller_patience
         self._call_server = self._new_call_server(CallSource.CALLERS, patience)
-        self._readiness_server = self._new_server(
-            readiness_app(self.is_ready), self.cfg.listen.readiness
-        )
-
+        self._readiness_server = self._new_readiness_server()
         self._submitter_server = self._new_submitter_server()
 
+    def _new_readiness_server(self) -> HttpServer | None:
+        """Return the server that reports readiness, or None if it is off."""
+        address = self.cfg.listen.readiness
+        if address is None:
+            return None
+        return self._new_server(readiness_app(self.is_ready), address)
+
     def _new_submitter_server(self) -> HttpServer | None:
         """Return the server of the product's own interface, or None if it is off."""
         address = self.cfg.listen.submitters
@@ -47,9 +51,9 @@
         """Start to listen and to search for the leader."""
         await self._start_core()
         await self._call_server.start()
-        await self._readiness_server.start()
-        if self._submitter_server is not None:
-            await self._submitter_server.start()
+        for server in (self._readiness_server, self._submitter_server):
+            if server is not None:
+                await server.start()
         self._core.report_start("")
 
     async def stop(self) -> None:
@@ -59,5 +63,6 @@
             s for s in (self._call_server, self._submitter_server) if s is not None
         ]
         await asyncio.gather(*(s.stop(self.cfg.drain.grace) for s in servers))
-        await self._readiness_server.stop(timedelta(0))
+        if self._readiness_server is not None:
+            await self._readiness_server.stop(timedelta(0))
         await self._stop_core()
