Bound the memory of bodies and connections of a process

Only the callers' interface limited bodies, to 256 MiB; relayed ones, those of operators and of endpoints were kept in full. All servers of a process now share one budget, sized from the machine's memory: a body counts with its announced size, or with what has arrived, until its call ends. Large bodies leave a reserve, a stalled one is dropped when another needs its room, and the leader refuses relayed ones that don't fit, reports and operators' calls last. Connections share a limit by memory and descriptors; idle ones are closed for new ones. Reads, receive buffers and unread answers are bounded too.

Beside 150 idle connections an ordinary request is answered.

The tests now wait until peaks have settled before they compare them, since the bounds were checked while the crowd's bodies were still on their way; a new test sends one body of the largest size. Crowd and bounds are unchanged. The test of the callers' total passes its limits to the server, which holds the budget now.

--- a/src/redwingslip/callers/_routes.py
+++ b/src/redwingslip/callers/_routes.py
@@ -18,13 +18,14 @@
 from ..http import (
     NOT_RUN,
     UNKNOWN,
+    BodyClaim,
+    BodyRefusedError,
     HttpLimits,
     Problem,
-    expected_body_bytes,
     problem_response,
     read_body,
+    request_claim,
 )
-from ._budget import ByteBudget
 from ._headers import parse_submission
 from ._keys import bearer_token, hash_secret
 from ._requests import Answer, RequestRunner, Submission, WaitingAnswer
@@ -90,7 +91,7 @@
         that is unknown or has been withdrawn.
     """
 
-    __slots__ = ("_budget", "_cfg", "_identify", "_own_url", "_runner", "_store")
+    __slots__ = ("_cfg", "_identify", "_own_url", "_runner", "_store")
 
     def __init__(
         self,
@@ -101,7 +102,6 @@
         own_url: str = "",
         identify: Callable[[str], str] = hash_secret,
     ) -> None:
-        self._budget = ByteBudget(cfg.max_total_body_bytes)
         self._own_url = own_url
         self._identify = identify
         self._runner = runner
@@ -129,18 +129,22 @@
     async def post(self, req: Request) -> Response:
         """Run a request, or start it if the caller prefers an asynchronous run."""
         request_id = uuid.uuid4().hex
-        n_bytes = expected_body_bytes(req, self._cfg)
         try:
-            with contextlib.ExitStack() as reservation:
-                reservation.enter_context(self._budget.reserve(n_bytes))
-                body = await read_body(req, self._cfg)
-                submission, is_async = parse_submission(req, request_id, body)
-                if is_async:
-                    return self._start(submission, reservation)
-                return await self._run_while_connected(req, submission)
+            body = await self._read_body(req)
+            submission, is_async = parse_submission(req, request_id, body)
+            if is_async:
+                return self._start(submission, request_claim(req))
+            return await self._run_while_connected(req, submission)
         except RequestError as exc:
             return _error_response(exc, request_id)
 
+    async def _read_body(self, req: Request) -> bytes:
+        """Return the body; raise `NotRunError` if there is no memory for it."""
+        try:
+            return await read_body(req, self._cfg)
+        except BodyRefusedError as exc:
+            raise NotRunError(str(exc), retry_after=RETRY_AFTER) from exc
+
     async def get(self, req: Request) -> Response:
         """Return the answer to an asynchronous request, or 202 while it runs."""
         request_id = req.path_params["request_id"]
@@ -182,28 +186,26 @@
         """Return the owner of a key; all requests without a key have one owner."""
         return "" if key is None else self._identify(key)
 
-    def _start(
-        self, submission: Submission, reservation: contextlib.ExitStack
-    ) -> Response:
-        """Start an asynchronous request, whose run takes over the reservation."""
+    def _start(self, submission: Submission, claim: BodyClaim) -> Response:
+        """Start an asynchronous request, whose run takes over the claim on memory."""
         request_id = submission.request_id
         owner = self._owner(submission.key)
-        run_reservation = reservation.pop_all()
-        run = self._run_with_reservation(submission, run_reservation)
+        run_claim = claim.transfer()
+        run = self._run_with_claim(submission, run_claim)
         try:
             self._store.start(request_id, owner, run)
         except TooManyResultsError as exc:
-            run_reservation.close()
+            run_claim.release()
             text = "the limit of asynchronous requests is reached; retry later"
             raise NotRunError(text, retry_after=RETRY_AFTER) from exc
         return _accepted_response(request_id, self._own_url)
 
-    async def _run_with_reservation(
-        self, submission: Submission, reservation: contextlib.ExitStack
-    ) -> Answer:
+    async def _run_with_claim(self, submission: Submission, claim: BodyClaim) -> Answer:
         """Run a request, and release the memory of its body when the run ends."""
-        with reservation:
+        try:
             return await self._runner.run(submission)
+        finally:
+            claim.release()
 
     async def _run_while_connected(
         self, req: Request, submission: Submission
--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -6,6 +6,7 @@
 from .. import submitters
 from ..consensus import ConsensusMessage, DataFolder, Replica, bootstrap_data_folder
 from ..delegation import DelegatedOrders, OrderDelegate
+from ..http import BodyClaim, BodyRank, BodyRefusedError, RefusalCause
 from ..jobs import Command, JobsMachine
 from ..observe import EventName
 from ..peers import (
@@ -30,8 +31,9 @@
     answer_call,
     error_answer,
 )
+from ..relay import RelayBusyError
 from ..scheduling import JobService, Scheduler, Term
-from ._fleet_app import FIRST_ERROR_STATUS, FleetApp
+from ._fleet_app import FIRST_ERROR_STATUS, FleetApp, new_relay_error_answer
 from ._fleet_settings import ControllerSettings
 
 __all__ = ["ControllerApp"]
@@ -224,7 +226,29 @@
             answer = RelayedAnswer(number=call.number, is_taken=False)
             self._core.send(sender_id, answer)
             return
-        self._spawn(self._answer_call(sender_id, call, self._service))
+        claim = self._memory.bodies.claim(
+            BodyRank.DIRECT
+            if call.source is CallSource.CONTROL
+            else BodyRank.RELAYED_FOR_CALLER
+        )
+        # The server of this process has counted the bodies of its own calls.
+        if sender_id != self._replica_id:
+            try:
+                claim.reserve(len(call.body), RefusalCause.RELAYED_BODY)
+            except BodyRefusedError:
+                busy = RelayBusyError("the leader has no memory for the body")
+                answer = new_relay_error_answer(call, busy)
+                self._core.send(sender_id, answer)
+                return
+        self._spawn(self._answer_and_release(sender_id, call, self._service, claim))
+
+    async def _answer_and_release(
+        self, sender_id: str, call: RelayedCall, service: JobService, claim: BodyClaim
+    ) -> None:
+        try:
+            await self._answer_call(sender_id, call, service)
+        finally:
+            claim.release()
 
     async def _answer_call(
         self, sender_id: str, call: RelayedCall, service: JobService
--- a/src/redwingslip/daemons/_entry.py
+++ b/src/redwingslip/daemons/_entry.py
@@ -23,7 +23,7 @@
     Outcome,
     ReleaseDispatcher,
 )
-from ..http import HttpServer, TlsFiles, build_app
+from ..http import HttpServer, ServerMemory, TlsFiles, build_app
 from ..leases import LeaseHolder
 from ..observe import EventName
 from ..operators import NoLeaderError, ProcessStatus, operator_routes
@@ -47,6 +47,7 @@
 from ._dispatch_host import DispatchHost
 from ._entry_settings import EntryDaemonSettings
 from ._leader import LeaderClient
+from ._memory_report import report_memory
 from ._permits import PermitClient
 from ._process import DaemonApp
 from ._reboots import RebootRunner
@@ -169,8 +170,17 @@
             *operator_routes(self, limits, cfg.operators.token_sha256),
         ]
         host, _, port = cfg.http.listen.rpartition(":")
+        memory = ServerMemory(
+            limits, is_encrypted=self._core.is_encrypted, clock=self._clock
+        )
+        report_memory(memory, self._core)
         self._server = HttpServer(
-            build_app(routes), limits, host=host, port=int(port), tls=self._tls_files()
+            build_app(routes),
+            limits,
+            host=host,
+            port=int(port),
+            tls=self._tls_files(),
+            memory=memory,
         )
 
     def _tls_files(self) -> TlsFiles | None:
--- a/src/redwingslip/daemons/_fleet_app.py
+++ b/src/redwingslip/daemons/_fleet_app.py
@@ -7,15 +7,16 @@
 from starlette.applications import Starlette
 
 from .. import platform, submitters
-from ..http import HttpServer
+from ..http import HttpServer, RefusalCause, ServerMemory
 from ..observe import Event, EventName
 from ..peers import CallSource, LeaderReport, Message, RelayedAnswer, RelayedCall
-from ..relay import LeaderRelay, RelayError
+from ..relay import LeaderRelay, RelayBusyError, RelayError
 from ._fleet_settings import FleetSettings
+from ._memory_report import report_memory
 from ._metrics_server import MetricsServer
 from ._process import DaemonApp
 
-__all__ = ["FIRST_ERROR_STATUS", "FleetApp"]
+__all__ = ["FIRST_ERROR_STATUS", "FleetApp", "new_relay_error_answer"]
 
 FIRST_ERROR_STATUS = 400
 
@@ -27,7 +28,9 @@
 
     def _build(self) -> None:
         self._tasks: set[asyncio.Task] = set()
-        self._metrics_server = MetricsServer(self.cfg.metrics)
+        self._memory = ServerMemory(self.cfg.http, clock=self._clock)
+        self._memory_report = report_memory(self._memory, self._core)
+        self._metrics_server = MetricsServer(self.cfg.metrics, memory=self._memory)
         self.relay = LeaderRelay(
             cfg=self.cfg.relay,
             seeds=(*self.cfg.seed_ids, self.cfg.peers.listen),
@@ -51,7 +54,9 @@
 
     def _new_server(self, app: Starlette, address: str) -> HttpServer:
         host, _, port = address.rpartition(":")
-        return HttpServer(app, self.cfg.http, host=host, port=int(port))
+        return HttpServer(
+            app, self.cfg.http, host=host, port=int(port), memory=self._memory
+        )
 
     async def _start_core(self) -> None:
         """Listen for peers, serve metrics, and start to search for the leader."""
@@ -86,8 +91,11 @@
         try:
             answer = await self.relay.exchange(call, patience)
         except RelayError as exc:
-            answer = _new_relay_error_answer(call, exc)
-            self._log_refusal(call, answer, str(exc))
+            answer = new_relay_error_answer(call, exc)
+            if isinstance(exc, RelayBusyError):
+                self._memory_report.add(RefusalCause.LINK)
+            else:
+                self._log_refusal(call, answer, str(exc))
         self._core.metrics.record_relayed_call(
             method=call.method,
             status=answer.status,
@@ -118,7 +126,7 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _new_relay_error_answer(call: RelayedCall, exc: RelayError) -> RelayedAnswer:
+def new_relay_error_answer(call: RelayedCall, exc: RelayError) -> RelayedAnswer:
     """Return the error for a call that no leader answered, in its caller's format."""
     if call.source is CallSource.SUBMITTERS:
         return submitters.relay_error_answer(call, exc)
--- a/src/redwingslip/daemons/_metrics_server.py
+++ b/src/redwingslip/daemons/_metrics_server.py
@@ -6,7 +6,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from ..http import HttpLimits, HttpServer, build_app
+from ..http import HttpLimits, HttpServer, ServerMemory, build_app
 from ..observe import metrics_text
 from ..settings import ExporterKind, MetricsSettings
 
@@ -22,16 +22,22 @@
     ----------
     cfg : MetricsSettings
         The exporter and its address.
+    memory : ServerMemory or None
+        Memory that the server shares with the other servers of its process.
     """
 
     __slots__ = ("_server",)
 
-    def __init__(self, cfg: MetricsSettings) -> None:
+    def __init__(
+        self, cfg: MetricsSettings, *, memory: ServerMemory | None = None
+    ) -> None:
         self._server: HttpServer | None = None
         if cfg.exporter is ExporterKind.PROMETHEUS:
             host, _, port = cfg.listen.rpartition(":")
             app = build_app([Route("/metrics", _serve_metrics, methods=["GET"])])
-            self._server = HttpServer(app, HttpLimits(), host=host, port=int(port))
+            self._server = HttpServer(
+                app, HttpLimits(), host=host, port=int(port), memory=memory
+            )
 
     @property
     def address(self) -> str:
--- a/src/redwingslip/http/__init__.py
+++ b/src/redwingslip/http/__init__.py
@@ -5,10 +5,11 @@
 from ._bodies import (
     FieldError,
     decode_json,
-    expected_body_bytes,
     read_body,
+    request_claim,
     strict_convert,
 )
+from ._body_budget import BodyBudget, BodyClaim, BodyRank, RefusalCause
 from ._client import ClientAnswer, ClientPool, ClientRequest, Identify
 from ._connections import NO_LIBRARY_TIMEOUTS, BoundedConnection
 from ._limits import ClientLimits, HttpLimits, TlsFiles
@@ -21,8 +22,10 @@
     unauthorized_response,
 )
 from ._server import HttpServer
+from ._server_memory import ServerMemory
 from .exceptions import (
     AnswerLostError,
+    BodyRefusedError,
     BodyTooLargeError,
     HttpError,
     NotConnectedError,
@@ -31,6 +34,10 @@
 
 __all__ = [
     "AnswerLostError",
+    "BodyBudget",
+    "BodyClaim",
+    "BodyRank",
+    "BodyRefusedError",
     "BodyTooLargeError",
     "BoundedConnection",
     "ClientAnswer",
@@ -47,15 +54,17 @@
     "NotConnectedError",
     "PROBLEM_TYPE",
     "Problem",
+    "RefusalCause",
+    "ServerMemory",
     "TlsFiles",
     "UNKNOWN",
     "WrongPeerError",
     "build_app",
     "decode_json",
-    "expected_body_bytes",
     "is_address",
     "problem_response",
     "read_body",
+    "request_claim",
     "strict_convert",
     "unauthorized_response",
 ]
--- a/src/redwingslip/http/_app.py
+++ b/src/redwingslip/http/_app.py
@@ -1,6 +1,7 @@
 """The starlette application that serves the routes."""
 
 from collections.abc import Sequence
+from datetime import timedelta
 
 from starlette.applications import Starlette
 from starlette.exceptions import HTTPException
@@ -10,19 +11,24 @@
 from starlette.routing import BaseRoute
 
 from ._bodies import FieldError
+from ._body_middleware import HoldBody
 from ._problems import NOT_RUN, UNKNOWN, Problem, problem_response
-from .exceptions import BodyTooLargeError
+from .exceptions import BodyRefusedError, BodyTooLargeError
 
 __all__ = ["build_app"]
 
+RETRY_AFTER = timedelta(seconds=1)
+
 
 def build_app(routes: Sequence[BaseRoute]) -> Starlette:
     """Return an application that answers every failure with a problem document.
 
-    The server sets ``state.is_stopping`` when it begins to stop. Routes whose answers
-    are streams without an end should end them then.
+    The server sets ``state.bodies``, the budget for the bodies of requests, when it is
+    created, and ``state.is_stopping`` when it begins to stop. Routes whose answers are
+    streams without an end should end them then.
     """
     handlers = {
+        BodyRefusedError: _handle_body_refused,
         BodyTooLargeError: _handle_body_too_large,
         FieldError: _handle_field_error,
         HTTPException: _handle_http_exception,
@@ -31,7 +37,7 @@
     app = Starlette(
         routes=list(routes),
         exception_handlers=handlers,
-        middleware=[Middleware(_CloseWhenStopping)],
+        middleware=[Middleware(_CloseWhenStopping), Middleware(HoldBody)],
     )
     app.state.is_stopping = False
     return app
@@ -58,6 +64,17 @@
         await self._app(scope, receive, send_with_close)
 
 
+async def _handle_body_refused(req: Request, exc: BodyRefusedError) -> Response:
+    problem = Problem(
+        status=503,
+        title="no memory for the body",
+        detail=str(exc),
+        field="body",
+        outcome=NOT_RUN,
+    )
+    return problem_response(problem, retry_after=RETRY_AFTER)
+
+
 async def _handle_body_too_large(req: Request, exc: BodyTooLargeError) -> Response:
     problem = Problem(
         status=413,
--- a/src/redwingslip/http/_bodies.py
+++ b/src/redwingslip/http/_bodies.py
@@ -9,17 +9,22 @@
 from starlette.requests import ClientDisconnect, Request
 
 from ..decoding import UndecodableError, decode_document
+from ._body_budget import BodyClaim
 from ._limits import HttpLimits
-from .exceptions import BodyTooLargeError, HttpError
+from .exceptions import BodyRefusedError, BodyTooLargeError, HttpError
 
 __all__ = [
+    "CLAIM_KEY",
     "FieldError",
     "decode_json",
-    "expected_body_bytes",
     "read_body",
+    "request_claim",
     "strict_convert",
 ]
 
+# Where the scope of a request holds its `BodyClaim`.
+CLAIM_KEY = "redwingslip.body_claim"
+
 _PATH_PATTERN = re.compile(r" - at `\$?\.?(?P<path>[^`]*)`$")
 
 _DECODER = msgspec.json.Decoder()
@@ -34,14 +39,6 @@
         self.detail = detail
 
 
-def expected_body_bytes(req: Request, cfg: HttpLimits) -> int:
-    """Return the largest size that the body of a request can have, in bytes."""
-    declared = req.headers.get("content-length")
-    if declared is None:
-        return cfg.max_body_bytes if "transfer-encoding" in req.headers else 0
-    return min(int(declared), cfg.max_body_bytes)
-
-
 async def read_body(req: Request, cfg: HttpLimits) -> bytes:
     """Return the complete body of a request.
 
@@ -49,28 +46,48 @@
     ------
     BodyTooLargeError
         The body is larger than `cfg` allows.
+    BodyRefusedError
+        There is no memory for the body, or it stalled and another one needed it.
     FieldError
         The body did not arrive completely, or not in time.
     """
     declared = req.headers.get("content-length", "0")
     if declared.isdecimal() and int(declared) > cfg.max_body_bytes:
         raise BodyTooLargeError(f"at most {cfg.max_body_bytes} bytes are accepted")
-    parts = []
+    claim = request_claim(req)
+    if "transfer-encoding" not in req.headers:
+        claim.reserve(int(declared))
+    loop = asyncio.get_running_loop()
     n_bytes = 0
     try:
-        async with asyncio.timeout(cfg.body_timeout.total_seconds()):
+        async with asyncio.timeout(cfg.body_timeout.total_seconds()) as timer:
+            claim.on_drop = lambda: timer.reschedule(loop.time())
             async for part in req.stream():
                 n_bytes += len(part)
                 if n_bytes > cfg.max_body_bytes:
                     raise BodyTooLargeError(
                         f"at most {cfg.max_body_bytes} bytes are accepted"
                     )
-                parts.append(part)
+                claim.add(part)
+            return claim.finish()
     except TimeoutError as exc:
+        if claim.is_dropped:
+            raise BodyRefusedError(
+                "the body had stalled, and its memory was needed; retry later"
+            ) from exc
         raise FieldError("body", "the body did not arrive in time") from exc
     except ClientDisconnect as exc:
         raise FieldError("body", "the body did not arrive completely") from exc
-    return b"".join(parts)
+    finally:
+        claim.on_drop = None
+
+
+def request_claim(req: Request) -> BodyClaim:
+    """Return the claim of a request on the memory for bodies.
+
+    The application from `build_app` releases it when the request ends.
+    """
+    return req.scope[CLAIM_KEY]
 
 
 def decode_json(body: bytes) -> object:
--- /dev/null
+++ b/src/redwingslip/http/_body_budget.py
@@ -0,0 +1,240 @@
+"""The limit on the memory that all bodies of a process use together."""
+
+import enum
+from collections.abc import Callable
+from datetime import timedelta
+
+from ..clock import Clock
+from .exceptions import BodyRefusedError
+
+__all__ = ["BodyBudget", "BodyClaim", "BodyRank", "RefusalCause"]
+
+# An ordinary submission or a status report has a few kB, a configuration up to 500 kB.
+SMALL_BYTES = 64 << 10
+MEDIUM_BYTES = 512 << 10
+# Part of the budget that large bodies leave free for smaller ones.
+RESERVED_FRACTION = 0.25
+# Parts of the reserve that bodies of each level leave free; see `BodyBudget`.
+RESERVE_SHARES = (0.0, 0.25, 0.5, 1.0)
+# A client that sends a few bytes now and then must not count as one that makes
+# progress.
+PROGRESS_BYTES = 16 << 10
+
+
+class BodyRank(enum.IntEnum):
+    """Which bodies may use more of the reserve than others of their size."""
+
+    DIRECT = 0
+    RELAYED_FOR_CALLER = 1
+
+
+class RefusalCause(enum.StrEnum):
+    """Why memory was refused or taken back."""
+
+    BODY_BUDGET = "body-budget"
+    STALLED_BODY = "stalled-body"
+    UNREAD_ANSWER = "unread-answer"
+    CONNECTIONS = "connections"
+    IDLE_CONNECTION = "idle-connection"
+    RELAYED_BODY = "relayed-body"
+    LINK = "link"
+
+
+class BodyBudget:
+    """Limits the bytes of all bodies in memory, and drops stalled ones under pressure.
+
+    A body counts with its announced size, or with the bytes received if it has none,
+    from before they are kept until its call has ended. Large bodies leave a reserve
+    free, medium ones a part of it, so that small ones always find room. If a body does
+    not fit, those that have made no progress for `stall` are dropped for it, the one
+    without progress for longest first.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Limit of the bytes that are held at the same time.
+    max_body_bytes : int
+        Largest body; one of this size fits into an empty budget if `max_bytes` does.
+    stall : timedelta
+        A body counts as stalled if it has grown by less than 16 KiB for this long.
+    clock : Clock
+        Clock of the process.
+    """
+
+    __slots__ = (
+        "_claims",
+        "_clock",
+        "_reserve",
+        "_stall",
+        "max_bytes",
+        "n_bytes",
+        "on_refusal",
+        "on_usage",
+    )
+
+    def __init__(
+        self, *, max_bytes: int, max_body_bytes: int, stall: timedelta, clock: Clock
+    ) -> None:
+        self._clock = clock
+        self._claims: set[BodyClaim] = set()
+        self._stall = stall
+        # Half of what a body of the largest size leaves free may be reserved.
+        spare = max(0, max_bytes - max_body_bytes)
+        self._reserve = min(int(max_bytes * RESERVED_FRACTION), spare)
+        self.max_bytes = max_bytes
+        self.n_bytes = 0
+        self.on_refusal: Callable[[RefusalCause], None] = lambda cause: None
+        self.on_usage: Callable[[int], None] = lambda n_bytes: None
+
+    def claim(self, rank: BodyRank = BodyRank.DIRECT) -> "BodyClaim":
+        """Return a claim on the budget that holds nothing yet."""
+        return BodyClaim(self, rank)
+
+    def now(self) -> timedelta:
+        """Return the time of the budget's clock."""
+        return self._clock.monotonic()
+
+    def take(self, claim: "BodyClaim", n_bytes: int) -> bool:
+        """Add bytes to a claim if they fit, and return whether they do."""
+        limit = self.max_bytes - self._withheld(claim, claim.n_bytes + n_bytes)
+        missing = self.n_bytes + n_bytes - limit
+        if missing > 0 and not self._drop_stalled(claim, missing):
+            return False
+        self.n_bytes += n_bytes
+        claim.n_bytes += n_bytes
+        self._claims.add(claim)
+        self.on_usage(self.n_bytes)
+        return True
+
+    def free(self, claim: "BodyClaim") -> None:
+        """Remove all bytes of a claim."""
+        self._claims.discard(claim)
+        self.n_bytes -= claim.n_bytes
+        claim.n_bytes = 0
+        self.on_usage(self.n_bytes)
+
+    def _withheld(self, claim: "BodyClaim", n_bytes: int) -> int:
+        """Return the part of the budget that a claim of a size must leave free."""
+        level = int(claim.rank)
+        if n_bytes > MEDIUM_BYTES:
+            level = len(RESERVE_SHARES) - 1
+        elif n_bytes > SMALL_BYTES:
+            level += 1
+        return int(self._reserve * RESERVE_SHARES[level])
+
+    def _drop_stalled(self, wanting: "BodyClaim", missing: int) -> bool:
+        """Drop stalled claims until `missing` bytes are free; return whether they are.
+
+        None is dropped if all together are too few.
+        """
+        latest = self.now() - self._stall
+        stalled = [
+            claim
+            for claim in self._claims
+            if claim is not wanting
+            and claim.on_drop is not None
+            and claim.progress_at <= latest
+        ]
+        if sum(claim.n_bytes for claim in stalled) < missing:
+            return False
+        stalled.sort(key=lambda claim: claim.progress_at)
+        target = self.n_bytes - missing
+        for claim in stalled:
+            if self.n_bytes <= target:
+                break
+            self.on_refusal(claim.drop_cause)
+            claim.drop()
+        return True
+
+
+class BodyClaim:
+    """The part of a budget that one body holds, and the parts of the body.
+
+    Attributes
+    ----------
+    n_bytes : int
+        Bytes that the claim holds of the budget.
+    on_drop : callable or None
+        Ends the transfer of the body when it is dropped; None if it can't be.
+    is_dropped : bool
+        Whether the body was dropped because it had stalled.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_n_counted",
+        "_n_received",
+        "_parts",
+        "drop_cause",
+        "is_dropped",
+        "n_bytes",
+        "on_drop",
+        "progress_at",
+        "rank",
+    )
+
+    def __init__(self, budget: BodyBudget, rank: BodyRank) -> None:
+        self._budget = budget
+        self._n_counted = 0
+        self._n_received = 0
+        self._parts: list[bytes] = []
+        self.rank = rank
+        self.drop_cause = RefusalCause.STALLED_BODY
+        self.is_dropped = False
+        self.n_bytes = 0
+        self.on_drop: Callable[[], None] | None = None
+        self.progress_at = budget.now()
+
+    def reserve(
+        self, n_bytes: int, cause: RefusalCause = RefusalCause.BODY_BUDGET
+    ) -> None:
+        """Hold further bytes of the budget.
+
+        Raises
+        ------
+        BodyRefusedError
+            The bytes don't fit.
+        """
+        if not self._budget.take(self, n_bytes):
+            self._budget.on_refusal(cause)
+            raise BodyRefusedError(
+                "bodies use all the memory set aside for them; retry later"
+            )
+
+    def add(self, part: bytes) -> None:
+        """Keep a part of the body; raise `BodyRefusedError` if it doesn't fit."""
+        self._n_received += len(part)
+        if self._n_received > self.n_bytes:
+            self.reserve(self._n_received - self.n_bytes)
+        self._parts.append(part)
+        if self._n_received - self._n_counted >= PROGRESS_BYTES:
+            self._n_counted = self._n_received
+            self.progress_at = self._budget.now()
+
+    def finish(self) -> bytes:
+        """Return the complete body, which can't be dropped any more."""
+        self.on_drop = None
+        body = b"".join(self._parts)
+        self._parts.clear()
+        return body
+
+    def drop(self) -> None:
+        """Give up a stalled body, and end its transfer."""
+        self.is_dropped = True
+        on_drop, self.on_drop = self.on_drop, None
+        self.release()
+        on_drop()
+
+    def release(self) -> None:
+        """Free the bytes that the claim holds."""
+        self.on_drop = None
+        self._parts.clear()
+        self._budget.free(self)
+
+    def transfer(self) -> "BodyClaim":
+        """Return a new claim that holds the bytes in place of this one."""
+        heir = BodyClaim(self._budget, self.rank)
+        n_bytes = self.n_bytes
+        self._budget.free(self)
+        self._budget.take(heir, n_bytes)
+        return heir
--- a/src/redwingslip/http/_limits.py
+++ b/src/redwingslip/http/_limits.py
@@ -17,15 +17,23 @@
         arrives completely in a single read may be longer.
     max_body_bytes : int
         Largest request body.
-    max_total_body_bytes : int
-        Limit of the total size of the bodies of all callers' requests that are being
-        read or run.
+    max_total_body_bytes : int or None
+        Limit of the total size of all bodies that the process holds: requests that are
+        being read or run, and answers that are not read. None stands for an eighth of
+        the machine's memory, at least two bodies of the largest size and at most 256
+        MiB. A quarter of it is reserved for bodies of up to 512 KiB.
+    max_connection_bytes : int or None
+        Limit of the memory of all connections. Each counts as 64 KiB, with TLS as 384
+        KiB. None stands for a quarter of the machine's memory.
     header_timeout : timedelta
         Longest wait for a complete request head, from the start of the connection or
         from the first bytes of a later head.
     body_timeout : timedelta
         Longest wait for a complete request body. It is also the longest time for which
         a peer may stop reading its answer.
+    body_stall : timedelta
+        A body that grows by less than 16 KiB for this long is dropped when another one
+        needs its memory.
     idle_timeout : timedelta
         How long an idle connection is kept.
     drain_time : timedelta
@@ -34,14 +42,17 @@
     max_connections_per_peer : int
         Connections from one IP address; further ones are closed immediately.
     max_connections : int
-        Connections from all peers together; further ones are closed immediately.
+        Connections from all peers to all servers of the process. Beyond it, idle
+        connections are closed for new ones; if none is idle, the new one is closed.
     """
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    max_total_body_bytes: int = 268_435_456
+    max_total_body_bytes: int | None = None
+    max_connection_bytes: int | None = None
     header_timeout: timedelta = timedelta(seconds=10)
     body_timeout: timedelta = timedelta(seconds=30)
+    body_stall: timedelta = timedelta(seconds=1)
     idle_timeout: timedelta = timedelta(seconds=30)
     drain_time: timedelta = timedelta(0)
     max_connections_per_peer: int = 1_000
--- a/src/redwingslip/http/_server.py
+++ b/src/redwingslip/http/_server.py
@@ -14,12 +14,21 @@
 from starlette.applications import Starlette
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from ._body_budget import BodyClaim, RefusalCause
+from ._connection_table import Idleness
 from ._limits import HttpLimits, TlsFiles
 from ._problems import NOT_RUN, PROBLEM_TYPE, Problem
+from ._server_memory import ServerMemory
+from .exceptions import BodyRefusedError
 
 __all__ = ["HttpServer"]
 
 BACKLOG = 1_024
+# Size of the kernel's buffer of received bytes of a connection; Linux doubles it.
+RECEIVE_BUFFER_BYTES = 64 << 10
+# Bytes that one read takes, that a request may hold before its handler reads them, and
+# that an answer may hold before its memory is counted.
+READ_BYTES = 16 << 10
 
 _BAD_REQUEST_BODY = msgspec.json.encode(
     Problem(
@@ -77,28 +86,39 @@
 
     limits: HttpLimits
     n_of_peer: Counter[str]
+    memory: ServerMemory
 
     def connection_made(self, transport) -> None:
         """Count the connection; close it if there are too many."""
+        # The library reads up to 256 KiB at once, which h11 then holds; TLS has buffers
+        # of its own.
+        if hasattr(transport, "max_size"):
+            transport.max_size = READ_BYTES
+        transport.set_write_buffer_limits(high=READ_BYTES)
         peer = transport.get_extra_info("peername")
         self.peer = peer[0] if peer else ""
         self.phase = _Phase.NOTHING
         self.timer: asyncio.TimerHandle | None = None
         self.write_timer: asyncio.TimerHandle | None = None
+        self.unread_answer: BodyClaim | None = None
         self.n_of_peer[self.peer] += 1
         super().connection_made(transport)
         self.set_timer()
         too_many = self.n_of_peer[self.peer] > self.limits.max_connections_per_peer
-        if too_many or self.n_of_peer.total() > self.limits.max_connections:
+        if too_many or not self.memory.connections.admit(self):
             transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes, and update the timer of the phase."""
         super().data_received(data)
+        if self.cycle is not None and len(self.cycle.body) > READ_BYTES:
+            self.flow.pause_reading()
         self.set_timer()
 
     def on_response_complete(self) -> None:
         """Start the next request, and update the timer of the phase."""
+        # An idle connection must not keep what its last handler didn't read.
+        self.cycle.body = bytearray()
         super().on_response_complete()
         self.set_timer()
 
@@ -107,6 +127,8 @@
         for timer in (self.timer, self.write_timer):
             if timer is not None:
                 timer.cancel()
+        self.release_answer()
+        self.memory.connections.remove(self)
         self.n_of_peer[self.peer] -= 1
         if not self.n_of_peer[self.peer]:
             del self.n_of_peer[self.peer]
@@ -116,13 +138,45 @@
         """Pause the answer; close the connection if the peer reads nothing in time."""
         super().pause_writing()
         self.write_timer = self.abort_after(self.limits.body_timeout)
+        claim = self.memory.bodies.claim()
+        claim.drop_cause = RefusalCause.UNREAD_ANSWER
+        claim.on_drop = self.transport.abort
+        self.unread_answer = claim
+        try:
+            claim.reserve(
+                self.transport.get_write_buffer_size(), RefusalCause.UNREAD_ANSWER
+            )
+        except BodyRefusedError:
+            self.transport.abort()
 
     def resume_writing(self) -> None:
         """Continue the answer, and cancel the timer."""
         super().resume_writing()
+        self.release_answer()
         if self.write_timer is not None:
             self.write_timer.cancel()
 
+    def release_answer(self) -> None:
+        """Free the memory of an answer that was sent or given up."""
+        if self.unread_answer is not None:
+            self.unread_answer.release()
+            self.unread_answer = None
+
+    def idleness(self) -> Idleness:
+        """Return how far the connection can be given up for a new one."""
+        match self.current_phase():
+            case _Phase.HEAD:
+                return Idleness.WAITING_FOR_HEAD
+            case _Phase.NOTHING if self.unread_answer is None:
+                return Idleness.BETWEEN_REQUESTS
+            case _Phase.REST_OF_BODY if self.unread_answer is None:
+                return Idleness.REST_OF_BODY
+        return Idleness.IN_USE
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self.transport.abort()
+
     def send_400_response(self, msg: str) -> None:
         """Refuse input that is not an HTTP request, then close the connection."""
         self.transport.write(_BAD_REQUEST)
@@ -164,10 +218,10 @@
         return self.loop.call_later(timeout.total_seconds(), self.transport.abort)
 
 
-def _limited_protocol(cfg: HttpLimits) -> type[H11Protocol]:
+def _limited_protocol(cfg: HttpLimits, memory: ServerMemory) -> type[H11Protocol]:
     """Return a protocol class with the limits and counts of one server."""
     counts: Counter[str] = Counter()
-    namespace = {"limits": cfg, "n_of_peer": counts}
+    namespace = {"limits": cfg, "n_of_peer": counts, "memory": memory}
     return type("LimitedProtocol", (_LimitedProtocol,), namespace)
 
 
@@ -186,9 +240,22 @@
         Port to listen on, 0 for any free one.
     tls : TlsFiles or None
         Files to serve TLS with; None for plain HTTP.
+    memory : ServerMemory or None
+        Memory that the server shares with the other servers of its process; by default
+        it has its own.
     """
 
-    __slots__ = ("_app", "_cfg", "_server", "_sock", "_task", "_tls", "host", "port")
+    __slots__ = (
+        "_app",
+        "_cfg",
+        "_memory",
+        "_server",
+        "_sock",
+        "_task",
+        "_tls",
+        "host",
+        "port",
+    )
 
     def __init__(
         self,
@@ -198,7 +265,10 @@
         host: str = "127.0.0.1",
         port: int = 0,
         tls: TlsFiles | None = None,
+        memory: ServerMemory | None = None,
     ) -> None:
+        self._memory = memory or ServerMemory(cfg, is_encrypted=tls is not None)
+        app.state.bodies = self._memory.bodies
         self._app = app
         self._cfg = cfg
         self._tls = tls
@@ -276,7 +346,7 @@
         config = uvicorn.Config(
             self._app,
             loop="asyncio",
-            http=_limited_protocol(self._cfg),
+            http=_limited_protocol(self._cfg, self._memory),
             ws="none",
             lifespan="off",
             log_config=None,
@@ -304,6 +374,8 @@
     sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit the size.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.bind((host, port))
         sock.listen(BACKLOG)
     except OSError:
--- a/src/redwingslip/http/exceptions.py
+++ b/src/redwingslip/http/exceptions.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "AnswerLostError",
+    "BodyRefusedError",
     "BodyTooLargeError",
     "HttpError",
     "NotConnectedError",
@@ -29,3 +30,7 @@
 
 class BodyTooLargeError(HttpError):
     """A request body is larger than the limit."""
+
+
+class BodyRefusedError(HttpError):
+    """A request body is not kept, because bodies use all memory set aside for them."""
--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -58,6 +58,7 @@
     LEADER_SILENT = "leader.silent"
     DELEGATE_JOINED = "delegate.joined"
     DELEGATE_LOST = "delegate.lost"
+    MEMORY_REFUSED = "memory.refused"
     LINK_UP = "link.up"
     LINK_DOWN = "link.down"
     WARNING = "warning"
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -144,6 +144,15 @@
         "{call}",
         "Calls of VMs, by whether the leader or a delegate makes them.",
     ),
+    _Instrument(
+        "gauge", "memory.body.usage", "By", "Memory that bodies use of their budget."
+    ),
+    _Instrument(
+        "counter",
+        "memory.refusals",
+        "{refusal}",
+        "Bodies and connections refused or closed for lack of memory, by cause.",
+    ),
     _Instrument(
         "counter", "event.dropped", "{event}", "Events that the log could not take."
     ),
@@ -272,6 +281,14 @@
         if count:
             self._instruments["vm.calls"].add(count, {"redwingslip.caller": caller})
 
+    def set_body_usage(self, n_bytes: int) -> None:
+        """Set the bytes that bodies use of the memory set aside for them."""
+        self._instruments["memory.body.usage"].set(n_bytes)
+
+    def add_memory_refusals(self, count: int, *, cause: str) -> None:
+        """Count bodies and connections that were refused for lack of memory."""
+        self._instruments["memory.refusals"].add(count, {"redwingslip.cause": cause})
+
     def add_dropped_events(self, count: int) -> None:
         """Count events that the log dropped."""
         self._instruments["event.dropped"].add(count)
--- a/tests/test_callers_routes.py
+++ b/tests/test_callers_routes.py
@@ -70,15 +70,17 @@
         self.runner = FakeRunner()
         self.clock = ManualClock()
         self.withdrawn = set()
+        limits = HttpLimits(max_body_bytes=1_000, max_total_body_bytes=2_500)
         interface = CallerInterface(
             self.runner,
-            HttpLimits(max_body_bytes=1_000, max_total_body_bytes=2_500),
+            limits,
             ResultStore(self.limits, self.clock),
             own_url="http://10.0.0.1:80",
             identify=self.identify,
         )
         self.addAsyncCleanup(interface.close)
-        await self.serve(interface.routes())
+        # The budget for all bodies is the server's.
+        await self.serve(interface.routes(), limits)
 
     def identify(self, secret):
         """Return a key's team, unless it was withdrawn."""
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -23,10 +23,12 @@
 N_IDLE_CLIENTS = 150
 # Each body is within the limit of 4 MiB.
 BODY_BYTES = 4_000_000
+MAX_BODY_BYTES = 4 << 20
 JOB_PATH = "/keyed/000000000000000a"
 JOB = b'{"steps":[{"count":1,"cpu":500,"memMb":100}]}'
 CHUNKED = "Transfer-Encoding: chunked"
 RETRY_S = 0.3
+SETTLE_S = 1.0
 N_RETRIES = 60
 
 
@@ -54,6 +56,7 @@
     async def check_bounds(self, status_of_request):
         """Check each process, and that the ordinary request has any answer."""
         status = await status_of_request
+        await self.wait_settled()
         figures = []
         problems = []
         for role in self.roles:
@@ -72,6 +75,15 @@
         print(f"\n{self.id()}: {'; '.join(figures)}; status {status}")
         self.assertEqual(problems, [])
 
+    async def wait_settled(self):
+        """Wait until no peak has changed for a while: the crowd has been handled."""
+        before = None
+        while (peaks := [self.daemons.peak_bytes(role) for role in self.roles]) != (
+            before
+        ):
+            before = peaks
+            await asyncio.sleep(SETTLE_S)
+
     async def call(self, role, method, path, body=b""):
         """Send one ordinary request and return its status, 0 for no answer."""
         address = getattr(self.daemons, role)
@@ -202,6 +214,13 @@
         await self.crowd_of("gateway").send(N_CLIENTS, start, BODY_BYTES)
         await self.check_job()
 
+    async def test_single_body_of_the_largest_size(self):
+        """Guards against limits that an ordinary client reaches."""
+        job = JOB.ljust(MAX_BODY_BYTES)
+        status = await self.wait_status("gateway", "POST", JOB_PATH[:-1] + "c", job)
+        self.assertEqual(status, 200)
+        await self.check_job()
+
     async def test_bodies_that_stop_short_on_both_ports(self):
         """Guards against partial bodies that take the memory of ordinary calls."""
         for role, path in (("gateway", JOB_PATH), ("controller", "/config/replace")):
