Name the option when a daemon can't start with its settings

An address in use and a missing secret ended a daemon with an error of the operating system that named no option. They are settings errors now, with status 3 as for other invalid settings, also an empty secret, two servers at one address, and limits of memory below what one body or connection needs.

--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -35,6 +35,7 @@
 from ..scheduling import JobService, Scheduler, Term
 from ._fleet_app import FIRST_ERROR_STATUS, FleetApp, new_relay_error_answer
 from ._fleet_settings import ControllerSettings
+from ._start_faults import listening
 
 __all__ = ["ControllerApp"]
 
@@ -101,7 +102,8 @@
         self._bootstrap_data_folder()
         await self._start_core()
         await self.replica.start()
-        await self._call_server.start()
+        with listening("listen", "calls", self.cfg.listen.calls):
+            await self._call_server.start()
         self._spawn(self._delegate.run())
         self._core.report_start(self.replica.incarnation)
 
--- a/src/redwingslip/daemons/_entry.py
+++ b/src/redwingslip/daemons/_entry.py
@@ -52,6 +52,7 @@
 from ._process import DaemonApp
 from ._reboots import RebootRunner
 from ._runner import EntryRunner
+from ._start_faults import listening
 from ._view_follower import ViewFollower
 
 __all__ = ["EntryApp"]
@@ -146,7 +147,8 @@
         )
         self._follower = ViewFollower(holder, self._clock)
         self._build_server()
-        await self._server.start()
+        with listening("http", "listen", self.cfg.http.listen):
+            await self._server.start()
         self._tasks = [
             asyncio.create_task(self._renew_forever(), name="renew the lease"),
             asyncio.create_task(self._tick_forever(), name="tick"),
--- a/src/redwingslip/daemons/_entry_settings.py
+++ b/src/redwingslip/daemons/_entry_settings.py
@@ -4,6 +4,7 @@
 from ..http import ClientLimits, HttpLimits
 from ..peers import PeerSettings
 from ..settings import EntrySettings
+from . import _http_checks  # noqa: F401 -- registers the checks of `HttpLimits`
 
 __all__ = ["EntryDaemonSettings"]
 
--- a/src/redwingslip/daemons/_fleet_app.py
+++ b/src/redwingslip/daemons/_fleet_app.py
@@ -15,6 +15,7 @@
 from ._memory_report import report_memory
 from ._metrics_server import MetricsServer
 from ._process import DaemonApp
+from ._start_faults import listening
 
 __all__ = ["FIRST_ERROR_STATUS", "FleetApp", "new_relay_error_answer"]
 
@@ -61,7 +62,8 @@
     async def _start_core(self) -> None:
         """Listen for peers, serve metrics, and start to search for the leader."""
         await self._core.start()
-        await self._metrics_server.start()
+        with listening("metrics", "listen", self.cfg.metrics.listen):
+            await self._metrics_server.start()
         self._spawn(self.relay.run())
 
     async def _stop_core(self) -> None:
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -1,5 +1,6 @@
 """Settings of the gateway and the controller daemons."""
 
+from collections.abc import Iterator
 from datetime import timedelta
 from pathlib import Path
 from typing import Annotated, ClassVar
@@ -29,9 +30,12 @@
     PeersSettings,
     ProcessSettings,
     ReplicaRoleSettings,
+    SettingsError,
     TlsSettings,
+    find_problems,
 )
 from ..workers import HealthSettings, LeaseSettings, ProgressSettings
+from ._http_checks import shared_addresses
 
 __all__ = [
     "CloudSettings",
@@ -130,6 +134,21 @@
         return tuple(f"{seed.rpartition(':')[0]}:{port}" for seed in self.cluster.seeds)
 
 
+@find_problems.register
+def _(cfg: FleetSettings, section: str) -> Iterator[SettingsError]:
+    yield from shared_addresses(
+        iter(
+            (
+                ("peers", "listen", cfg.peers.listen),
+                ("listen", "calls", cfg.listen.calls),
+                ("listen", "readiness", cfg.listen.readiness),
+                ("listen", "submitters", cfg.listen.submitters),
+                ("metrics", "listen", cfg.metrics.listen),
+            )
+        )
+    )
+
+
 class DrainSettings(msgspec.Struct, frozen=True, kw_only=True):
     """How a process stops.
 
--- a/src/redwingslip/daemons/_gateway.py
+++ b/src/redwingslip/daemons/_gateway.py
@@ -9,6 +9,7 @@
 from ..submitters import submitter_app
 from ._fleet_app import FleetApp
 from ._fleet_settings import GatewaySettings
+from ._start_faults import listening
 
 __all__ = ["GatewayApp"]
 
@@ -50,10 +51,14 @@
     async def start(self) -> None:
         """Start to listen and to search for the leader."""
         await self._start_core()
-        await self._call_server.start()
-        for server in (self._readiness_server, self._submitter_server):
+        for option, server in (
+            ("calls", self._call_server),
+            ("readiness", self._readiness_server),
+            ("submitters", self._submitter_server),
+        ):
             if server is not None:
-                await server.start()
+                with listening("listen", option, getattr(self.cfg.listen, option)):
+                    await server.start()
         self._core.report_start("")
 
     async def stop(self) -> None:
--- a/src/redwingslip/daemons/_process.py
+++ b/src/redwingslip/daemons/_process.py
@@ -7,6 +7,7 @@
 from ..observe import Event, EventLog, EventName, EventSink, GcPauses, new_metrics
 from ..peers import Message, PeerHub
 from ..settings import find_warnings, load_tls
+from ._start_faults import listening, read_secret
 
 if TYPE_CHECKING:
     # To save memory, each role loads the modules of its own settings only.
@@ -68,7 +69,7 @@
         self.hub = PeerHub(
             process_id=peer_id,
             address=cfg.peers.listen,
-            secret=cfg.cluster.secret_file.read_text().strip(),
+            secret=read_secret(cfg.cluster.secret_file),
             cfg=cfg.links,
             clock=self.clock,
             on_message=on_message,
@@ -84,7 +85,8 @@
 
     async def start(self) -> None:
         """Listen for other processes, and set the addresses of the replicas."""
-        await self.hub.start()
+        with listening("peers", "listen", self._cfg.peers.listen):
+            await self.hub.start()
         self._gc_pauses.start()
         for replica_id, address in self._cfg.replicas.items():
             self.hub.set_address(replica_id, address)
--- a/src/redwingslip/http/__init__.py
+++ b/src/redwingslip/http/__init__.py
@@ -22,7 +22,7 @@
     unauthorized_response,
 )
 from ._server import HttpServer
-from ._server_memory import ServerMemory
+from ._server_memory import CONNECTION_BYTES, ServerMemory
 from .exceptions import (
     AnswerLostError,
     BodyRefusedError,
@@ -40,6 +40,7 @@
     "BodyRefusedError",
     "BodyTooLargeError",
     "BoundedConnection",
+    "CONNECTION_BYTES",
     "ClientAnswer",
     "ClientLimits",
     "ClientPool",
--- a/src/redwingslip/http/_limits.py
+++ b/src/redwingslip/http/_limits.py
@@ -1,6 +1,7 @@
 """Limits of the HTTP servers and clients."""
 
 from datetime import timedelta
+from typing import Annotated
 
 import msgspec
 
@@ -46,8 +47,8 @@
         connections are closed for new ones; if none is idle, the new one is closed.
     """
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
+    max_header_bytes: Annotated[int, msgspec.Meta(ge=1)] = 16_384
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=1)] = 4_194_304
     max_total_body_bytes: int | None = None
     max_connection_bytes: int | None = None
     header_timeout: timedelta = timedelta(seconds=10)
@@ -55,8 +56,8 @@
     body_stall: timedelta = timedelta(seconds=1)
     idle_timeout: timedelta = timedelta(seconds=30)
     drain_time: timedelta = timedelta(0)
-    max_connections_per_peer: int = 1_000
-    max_connections: int = 4_000
+    max_connections_per_peer: Annotated[int, msgspec.Meta(ge=1)] = 1_000
+    max_connections: Annotated[int, msgspec.Meta(ge=1)] = 4_000
 
 
 class ClientLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/redwingslip/http/_server_memory.py
+++ b/src/redwingslip/http/_server_memory.py
@@ -9,7 +9,7 @@
 from ._limits import HttpLimits
 from ._machine_memory import machine_memory_bytes
 
-__all__ = ["ServerMemory"]
+__all__ = ["CONNECTION_BYTES", "ServerMemory"]
 
 # A gateway's machine has 200 MB, of which the idle process takes 55 MB. An eighth for
 # bodies and a quarter for connections leave room for the copies that are made while
