--- a/src/redwingslip/http/_bodies.py
+++ b/src/redwingslip/http/_bodies.py
@@ -11,7 +11,7 @@
 from ..decoding import UndecodableError, decode_document
 from ._body_budget import BodyClaim
 from ._limits import HttpLimits
-from .exceptions import BodyRefusedError, BodyTooLargeError, HttpError
+from .exceptions import BodyTooLargeError, HttpError
 
 __all__ = [
     "CLAIM_KEY",
@@ -71,10 +71,7 @@
                 claim.add(part)
             return claim.finish()
     except TimeoutError as exc:
-        if claim.is_dropped:
-            raise BodyRefusedError(
-                "the body had stalled, and its memory was needed; retry later"
-            ) from exc
+        claim.check_kept()
         raise FieldError("body", "the body did not arrive in time") from exc
     except ClientDisconnect as exc:
         raise FieldError("body", "the body did not arrive completely") from exc
--- a/src/redwingslip/http/_body_budget.py
+++ b/src/redwingslip/http/_body_budget.py
@@ -14,8 +14,6 @@
 MEDIUM_BYTES = 512 << 10
 # Part of the budget that large bodies leave free for smaller ones.
 RESERVED_FRACTION = 0.25
-# Parts of the reserve that bodies of each level leave free; see `BodyBudget`.
-RESERVE_SHARES = (0.0, 0.25, 0.5, 1.0)
 # A client that sends a few bytes now and then must not count as one that makes
 # progress.
 PROGRESS_BYTES = 16 << 10
@@ -28,6 +26,14 @@
     RELAYED_FOR_CALLER = 1
 
 
+# Parts of the reserve that small, medium and large bodies leave free. On the leader,
+# reports and operators' calls must fit beside any number of callers' bodies.
+RESERVE_SHARES = {
+    BodyRank.DIRECT: (0.0, 0.25, 1.0),
+    BodyRank.RELAYED_FOR_CALLER: (0.5, 0.75, 1.0),
+}
+
+
 class RefusalCause(enum.StrEnum):
     """Why memory was refused or taken back."""
 
@@ -78,7 +84,7 @@
         self._clock = clock
         self._claims: set[BodyClaim] = set()
         self._stall = stall
-        # Half of what a body of the largest size leaves free may be reserved.
+        # A body of the largest size must fit beside the reserve.
         spare = max(0, max_bytes - max_body_bytes)
         self._reserve = min(int(max_bytes * RESERVED_FRACTION), spare)
         self.max_bytes = max_bytes
@@ -96,6 +102,8 @@
 
     def take(self, claim: "BodyClaim", n_bytes: int) -> bool:
         """Add bytes to a claim if they fit, and return whether they do."""
+        if not n_bytes:
+            return True
         limit = self.max_bytes - self._withheld(claim, claim.n_bytes + n_bytes)
         missing = self.n_bytes + n_bytes - limit
         if missing > 0 and not self._drop_stalled(claim, missing):
@@ -113,14 +121,16 @@
         claim.n_bytes = 0
         self.on_usage(self.n_bytes)
 
+    def move(self, claim: "BodyClaim", heir: "BodyClaim") -> None:
+        """Let another claim hold the bytes of a claim."""
+        self._claims.discard(claim)
+        self._claims.add(heir)
+        heir.n_bytes, claim.n_bytes = claim.n_bytes, 0
+
     def _withheld(self, claim: "BodyClaim", n_bytes: int) -> int:
         """Return the part of the budget that a claim of a size must leave free."""
-        level = int(claim.rank)
-        if n_bytes > MEDIUM_BYTES:
-            level = len(RESERVE_SHARES) - 1
-        elif n_bytes > SMALL_BYTES:
-            level += 1
-        return int(self._reserve * RESERVE_SHARES[level])
+        level = (n_bytes > SMALL_BYTES) + (n_bytes > MEDIUM_BYTES)
+        return int(self._reserve * RESERVE_SHARES[claim.rank][level])
 
     def _drop_stalled(self, wanting: "BodyClaim", missing: int) -> bool:
         """Drop stalled claims until `missing` bytes are free; return whether they are.
@@ -202,7 +212,14 @@
             )
 
     def add(self, part: bytes) -> None:
-        """Keep a part of the body; raise `BodyRefusedError` if it doesn't fit."""
+        """Keep a part of the body.
+
+        Raises
+        ------
+        BodyRefusedError
+            The part doesn't fit, or the body was dropped before.
+        """
+        self.check_kept()
         self._n_received += len(part)
         if self._n_received > self.n_bytes:
             self.reserve(self._n_received - self.n_bytes)
@@ -212,7 +229,14 @@
             self.progress_at = self._budget.now()
 
     def finish(self) -> bytes:
-        """Return the complete body, which can't be dropped any more."""
+        """Return the complete body, which can't be dropped any more.
+
+        Raises
+        ------
+        BodyRefusedError
+            The body was dropped before.
+        """
+        self.check_kept()
         self.on_drop = None
         body = b"".join(self._parts)
         self._parts.clear()
@@ -225,6 +249,14 @@
         self.release()
         on_drop()
 
+    def check_kept(self) -> None:
+        """Raise `BodyRefusedError` if the body was dropped."""
+        # The task that reads may run once more before its cancellation.
+        if self.is_dropped:
+            raise BodyRefusedError(
+                "the body had stalled, and its memory was needed; retry later"
+            )
+
     def release(self) -> None:
         """Free the bytes that the claim holds."""
         self.on_drop = None
@@ -234,7 +266,5 @@
     def transfer(self) -> "BodyClaim":
         """Return a new claim that holds the bytes in place of this one."""
         heir = BodyClaim(self._budget, self.rank)
-        n_bytes = self.n_bytes
-        self._budget.free(self)
-        self._budget.take(heir, n_bytes)
+        self._budget.move(self, heir)
         return heir
--- a/src/redwingslip/peers/_hub.py
+++ b/src/redwingslip/peers/_hub.py
@@ -9,12 +9,12 @@
 from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError
-from grpclib.server import Server
 from grpclib.server import Stream as ServerStream
 
 from ..clock import Clock
 from ..observe import Event, EventName, EventSink
 from ._codec import Frame, FrameCodec
+from ._guard import GuardedServer
 from ._link import Link
 from ._messages import Message
 from ._settings import PeerSettings
@@ -97,7 +97,7 @@
         self._links: dict[str, Link] = {}
         self._down_peers: set[str] = set()
         self._diallers: dict[str, asyncio.Task] = {}
-        self._server: Server | None = None
+        self._server: GuardedServer | None = None
 
     @property
     def address(self) -> str:
@@ -106,7 +106,12 @@
 
     async def start(self) -> None:
         """Start to listen for connections of other processes."""
-        self._server = Server([self], codec=FrameCodec(), config=self._configuration())
+        self._server = GuardedServer(
+            [self],
+            max_unknown=self._cfg.max_unknown,
+            codec=FrameCodec(),
+            config=self._configuration(),
+        )
         await self._server.start(self._host, self._port, ssl=self._tls_server)
         sockets = self._server._server.sockets
         self._port = sockets[0].getsockname()[1]
@@ -225,6 +230,7 @@
         is_member = hmac.compare_digest(secret.encode(), self._secret.encode())
         if not peer_id or not is_member:
             raise GRPCError(Status.UNAUTHENTICATED, "not a process of this cluster")
+        self._server.confirm(stream.peer.addr())
         link = self._link(peer_id)
         if not link.address:
             self.set_address(peer_id, str(metadata.get(_ADDRESS_HEADER, "")))
--- a/src/redwingslip/peers/_settings.py
+++ b/src/redwingslip/peers/_settings.py
@@ -37,6 +37,9 @@
         this.
     window_bytes : int
         Bytes that a peer may send on one connection before they are read.
+    max_unknown : int
+        Connections whose sender has not authenticated as a peer; beyond it, the oldest
+        one is closed.
     """
 
     heartbeat: timedelta = timedelta(seconds=1)
@@ -49,3 +52,4 @@
     max_batch: int = 512
     max_frame_bytes: Annotated[int, msgspec.Meta(ge=1)] = 1 << 20
     window_bytes: Annotated[int, msgspec.Meta(ge=65_536, le=2**31 - 1)] = 1 << 20
+    max_unknown: Annotated[int, msgspec.Meta(ge=1)] = 64
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,9 +1,12 @@
 """Tests of the links between processes over real sockets."""
 
 import asyncio
+import contextlib
 import unittest
 from datetime import timedelta
 
+import msgspec
+
 from redwingslip.clock import SystemClock
 from redwingslip.observe import NullSink
 from redwingslip.peers import PeerHub, PeerSettings, PermitCancel
@@ -106,6 +109,27 @@
         await self.send_until_received(self.a, "b", self.b, 100)
         await self.send_until_received(self.b, "a", self.a, 100)
 
+    async def test_connections_of_unknown_senders_are_limited(self):
+        """Guards against clients that hold connections without the secret.
+
+        The oldest ones are closed, and a peer's connection stays.
+        """
+        cfg = msgspec.structs.replace(FAST, max_unknown=2)
+        c = await self.start("c", cfg=cfg)
+        self.a.hub.set_address("c", c.hub.address)
+        last = await self.send_until_received(self.a, "c", c)
+        host, port = c.hub.address.split(":")
+        readers = []
+        for _ in range(4):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            self.addCleanup(writer.transport.abort)
+            readers.append(reader)
+        for reader in readers[:2]:
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+        self.assertFalse(any(reader.at_eof() for reader in readers[2:]))
+        await self.send_until_received(self.a, "c", c, last + 1)
+
     async def test_process_without_the_secret_is_refused(self):
         """Messages of a process without the cluster's secret are not received."""
         outsider = await self.start("c", secret="other")
