Limit what libraries log about the input of clients

uvicorn wrote a line to standard error for each connection whose input is not HTTP, and asyncio one with a traceback for each failed TLS handshake, so that clients could fill the disk.

--- a/src/redwingslip/daemons/_main.py
+++ b/src/redwingslip/daemons/_main.py
@@ -5,8 +5,10 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from ..clock import SystemClock
 from ..settings import load_settings
 from ._gc_control import GcControl
+from ._log_limit import limit_library_logs
 from ._reload import SettingsWatcher
 
 __all__ = ["run_controller", "run_entry", "run_gateway", "run_replica"]
@@ -87,6 +89,7 @@
 
 async def _run(app, *, reload: Callable[[], None]) -> None:
     """Run an application until SIGTERM, SIGINT or its own failure, then stop it."""
+    limit_library_logs(SystemClock())
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
