--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -7,7 +7,13 @@
 from .. import control, submitters
 from ..consensus import ConsensusMessage, DataFolder, Replica, bootstrap_data_folder
 from ..delegation import DelegatedOrders, OrderDelegate
-from ..http import HttpServer
+from ..http import (
+    BodyClaim,
+    BodyRank,
+    BodyRefusedError,
+    HttpServer,
+    RefusalCause,
+)
 from ..jobs import Command, JobsMachine
 from ..observe import EventName
 from ..peers import (
@@ -32,9 +38,11 @@
     answer_call,
     error_answer,
 )
+from ..relay import RelayBusyError
 from ..scheduling import JobService, Scheduler, Term
-from ._fleet_app import FIRST_ERROR_STATUS, FleetApp
+from ._fleet_app import FIRST_ERROR_STATUS, FleetApp, new_relay_error_answer
 from ._fleet_settings import ControllerSettings
+from ._start_faults import listening
 
 __all__ = ["ControllerApp"]
 
@@ -120,9 +128,11 @@
         self._bootstrap_data_folder()
         await self._start_core()
         await self.replica.start()
-        await self._call_server.start()
+        with listening("listen", "calls", self.cfg.listen.calls):
+            await self._call_server.start()
         if self._operator_server is not None:
-            await self._operator_server.start()
+            with listening("listen", "operators", self.cfg.listen.operators):
+                await self._operator_server.start()
         self._spawn(self._delegate.run())
         self._core.report_start(self.replica.incarnation)
 
@@ -252,7 +262,29 @@
             answer = RelayedAnswer(number=call.number, is_taken=False)
             self._core.send(sender_id, answer)
             return
-        self._spawn(self._answer_call(sender_id, call, self._service))
+        claim = self._memory.bodies.claim(
+            BodyRank.DIRECT
+            if call.source in (CallSource.CONTROL, CallSource.OPERATORS)
+            else BodyRank.RELAYED_FOR_CALLER
+        )
+        # The server of this process has counted the bodies of its own calls.
+        if sender_id != self._replica_id:
+            try:
+                claim.reserve(len(call.body), RefusalCause.RELAYED_BODY)
+            except BodyRefusedError:
+                busy = RelayBusyError("the leader has no memory for the body")
+                answer = new_relay_error_answer(call, busy)
+                self._core.send(sender_id, answer)
+                return
+        self._spawn(self._answer_and_release(sender_id, call, self._service, claim))
+
+    async def _answer_and_release(
+        self, sender_id: str, call: RelayedCall, service: JobService, claim: BodyClaim
+    ) -> None:
+        try:
+            await self._answer_call(sender_id, call, service)
+        finally:
+            claim.release()
 
     async def _answer_call(
         self, sender_id: str, call: RelayedCall, service: JobService
--- a/src/redwingslip/daemons/_entry.py
+++ b/src/redwingslip/daemons/_entry.py
@@ -23,7 +23,7 @@
     Outcome,
     ReleaseDispatcher,
 )
-from ..http import HttpServer, TlsFiles, build_app
+from ..http import HttpServer, ServerMemory, TlsFiles, build_app
 from ..leases import LeaseHolder
 from ..observe import EventName
 from ..operators import NoLeaderError, ProcessStatus, operator_routes
@@ -47,10 +47,12 @@
 from ._dispatch_host import DispatchHost
 from ._entry_settings import EntryDaemonSettings
 from ._leader import LeaderClient
+from ._memory_report import report_memory
 from ._permits import PermitClient
 from ._process import DaemonApp
 from ._reboots import RebootRunner
 from ._runner import EntryRunner
+from ._start_faults import listening
 from ._view_follower import ViewFollower
 
 __all__ = ["EntryApp"]
@@ -145,7 +147,8 @@
         )
         self._follower = ViewFollower(holder, self._clock)
         self._build_server()
-        await self._server.start()
+        with listening("http", "listen", self.cfg.http.listen):
+            await self._server.start()
         self._tasks = [
             asyncio.create_task(self._renew_forever(), name="renew the lease"),
             asyncio.create_task(self._tick_forever(), name="tick"),
@@ -169,8 +172,17 @@
             *operator_routes(self, limits, cfg.operators.token_sha256),
         ]
         host, _, port = cfg.http.listen.rpartition(":")
+        memory = ServerMemory(
+            limits, is_encrypted=self._core.is_encrypted, clock=self._clock
+        )
+        report_memory(memory, self._core)
         self._server = HttpServer(
-            build_app(routes), limits, host=host, port=int(port), tls=self._tls_files()
+            build_app(routes),
+            limits,
+            host=host,
+            port=int(port),
+            tls=self._tls_files(),
+            memory=memory,
         )
 
     def _tls_files(self) -> TlsFiles | None:
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -44,6 +44,7 @@
     format_duration,
 )
 from ..workers import HealthSettings, LeaseSettings, ProgressSettings
+from ._http_checks import shared_addresses
 
 __all__ = [
     "CloudSettings",
@@ -146,6 +147,22 @@
         return tuple(f"{seed.rpartition(':')[0]}:{port}" for seed in self.cluster.seeds)
 
 
+@find_problems.register
+def _find_address_problems(cfg: FleetSettings, section: str) -> Iterator[SettingsError]:
+    yield from shared_addresses(
+        iter(
+            (
+                ("peers", "listen", cfg.peers.listen),
+                ("listen", "calls", cfg.listen.calls),
+                ("listen", "readiness", cfg.listen.readiness),
+                ("listen", "submitters", cfg.listen.submitters),
+                ("listen", "operators", cfg.listen.operators),
+                ("metrics", "listen", cfg.metrics.listen),
+            )
+        )
+    )
+
+
 class DrainSettings(msgspec.Struct, frozen=True, kw_only=True):
     """How a process stops.
 
@@ -259,6 +276,7 @@
 
 @find_problems.register
 def _(cfg: ControllerSettings, section: str) -> Iterator[SettingsError]:
+    yield from _find_address_problems(cfg, section)
     if cfg.listen.operators is not None and not cfg.operators.token_sha256:
         yield SettingsError(
             section="operators",
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -204,6 +204,15 @@
         "{job}",
         "Jobs refused for lack of room in time, by pool and cause.",
     ),
+    _Instrument(
+        "gauge", "memory.body.usage", "By", "Memory that bodies use of their budget."
+    ),
+    _Instrument(
+        "counter",
+        "memory.refusals",
+        "{refusal}",
+        "Bodies and connections refused or closed for lack of memory, by cause.",
+    ),
     _Instrument(
         "counter", "event.dropped", "{event}", "Events that the log could not take."
     ),
@@ -371,6 +380,14 @@
         attributes = {"redwingslip.pool": pool, "redwingslip.cause": cause}
         self._instruments["job.refusals"].add(1, self._limit_values(attributes))
 
+    def set_body_usage(self, n_bytes: int) -> None:
+        """Set the bytes that bodies use of the memory set aside for them."""
+        self._instruments["memory.body.usage"].set(n_bytes)
+
+    def add_memory_refusals(self, count: int, *, cause: str) -> None:
+        """Count bodies and connections that were refused for lack of memory."""
+        self._instruments["memory.refusals"].add(count, {"redwingslip.cause": cause})
+
     def add_dropped_events(self, count: int) -> None:
         """Count events that the log dropped."""
         self._instruments["event.dropped"].add(count)
--- a/src/redwingslip/peers/_hub.py
+++ b/src/redwingslip/peers/_hub.py
@@ -6,14 +6,15 @@
 from collections.abc import Callable
 
 from grpclib.client import Channel, StreamStreamMethod
+from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError
-from grpclib.server import Server
 from grpclib.server import Stream as ServerStream
 
 from ..clock import Clock
 from ..observe import Event, EventName, EventSink
 from ._codec import Frame, FrameCodec
+from ._guard import GuardedServer
 from ._link import Link
 from ._messages import Message
 from ._settings import PeerSettings
@@ -96,7 +97,7 @@
         self._links: dict[str, Link] = {}
         self._down_peers: set[str] = set()
         self._diallers: dict[str, asyncio.Task] = {}
-        self._server: Server | None = None
+        self._server: GuardedServer | None = None
 
     @property
     def address(self) -> str:
@@ -105,7 +106,12 @@
 
     async def start(self) -> None:
         """Start to listen for connections of other processes."""
-        self._server = Server([self], codec=FrameCodec())
+        self._server = GuardedServer(
+            [self],
+            max_unknown=self._cfg.max_unknown,
+            codec=FrameCodec(),
+            config=self._configuration(),
+        )
         await self._server.start(self._host, self._port, ssl=self._tls_server)
         sockets = self._server._server.sockets
         self._port = sockets[0].getsockname()[1]
@@ -182,7 +188,13 @@
 
     async def _dial(self, link: Link) -> None:
         host, _, port = link.address.rpartition(":")
-        channel = Channel(host, int(port), codec=FrameCodec(), ssl=self._tls_client)
+        channel = Channel(
+            host,
+            int(port),
+            codec=FrameCodec(),
+            ssl=self._tls_client,
+            config=self._configuration(),
+        )
         metadata = {
             _SENDER_HEADER: self._process_id,
             _ADDRESS_HEADER: self.address,
@@ -199,6 +211,13 @@
         finally:
             channel.close()
 
+    def _configuration(self) -> Configuration:
+        """Return the limits on what a peer may send before it is read."""
+        return Configuration(
+            http2_connection_window_size=self._cfg.window_bytes,
+            http2_stream_window_size=self._cfg.window_bytes,
+        )
+
     def __mapping__(self) -> dict[str, Handler]:
         """Return the RPC methods of the server; grpclib calls this."""
         handler = Handler(self._accept, Cardinality.STREAM_STREAM, Frame, Frame)
@@ -211,6 +230,7 @@
         is_member = hmac.compare_digest(secret.encode(), self._secret.encode())
         if not peer_id or not is_member:
             raise GRPCError(Status.UNAUTHENTICATED, "not a process of this cluster")
+        self._server.confirm(stream.peer.addr())
         link = self._link(peer_id)
         if not link.address:
             self.set_address(peer_id, str(metadata.get(_ADDRESS_HEADER, "")))
