Don't defer jobs for one that is deferred itself or can't keep its margin

Cause: the bound of a job whose planned start has passed, or before whose start no core becomes free, was its own work. The selection then deferred all jobs due before it that are worth less for their work, went on after it had deferred the job itself, and did the same for jobs that are kept or protected and can't be deferred.

Change: such a job is bound by its end alone, a deferred job's bound ends with its own deferral and the jobs that were given up for it are chosen again, and a job that doesn't fit alone defers no other.

--- a/src/redwingslip/placement/_overload.py
+++ b/src/redwingslip/placement/_overload.py
@@ -197,7 +197,9 @@
     new_turns = {}
     if len(over) < len(demands):
         # Some customer is within its share, and must not wait for the others.
-        chosen = [(ordered[number], rates[number]) for number in selection.chosen]
+        chosen = [
+            (ordered[number], rates[number]) for number in sorted(selection.chosen)
+        ]
         turns |= _above_share(chosen, shares=shares, held=held, protected=protected)
         new_turns = dict.fromkeys(over, ABOVE_SHARE_TURN)
     deferred = [ordered[number] for number in selection.deferred]
@@ -219,8 +221,9 @@
 ) -> list[float]:
     """Return, for each job, the most work that may be done until its end, in core-ms.
 
-    Its own work is included, and it starts early enough for its critical path. Times
-    are rounded down to `TIME_STEP_MS`.
+    Its own work is included, and it starts early enough for its critical path. If
+    nothing can run before that start, deferring others doesn't help it to keep the
+    margin, and only its end counts. Times are rounded down to `TIME_STEP_MS`.
     """
     works: dict[float, float] = {}
     bounds = []
@@ -231,7 +234,10 @@
         for step in (due, start):
             if step not in works:
                 works[step] = capacity.work_by(step * TIME_STEP_MS)
-        bounds.append(min(works[due], works[start] + job.waiting))
+        bound = works[due]
+        if works[start] > 0 and not job.is_kept:
+            bound = min(bound, works[start] + job.waiting)
+        bounds.append(bound)
     return bounds
 
 
@@ -330,8 +336,30 @@
             is_first = heap[0] is entry
         if is_first or not was_over:
             self._note_first(customer, is_new=is_first)
+        if waiting > bound:
+            # Deferring others doesn't make it fit.
+            return
+        n_before = len(self.deferred)
         while self.load > bound and self._heaps:
             self._defer_one()
+            if self.deferred[-1] == number:
+                # The others finish in time without it.
+                given_up = self.deferred[n_before:-1]
+                self.deferred[n_before:] = [number]
+                for other in given_up:
+                    self._restore(other)
+                break
+
+    def _restore(self, number: int) -> None:
+        """Choose a job again that was deferred."""
+        job = self._jobs[number]
+        self.load += job.waiting
+        self.chosen[number] = None
+        self._rates[job.customer] += self._job_rates[number]
+        heap = self._heaps.setdefault(job.customer, [])
+        entry = (job.credit / job.waiting, number)
+        heapq.heappush(heap, entry)
+        self._note_first(job.customer, is_new=heap[0] is entry)
 
     def _note_first(self, customer: str, *, is_new: bool) -> None:
         """Add the first job of a customer to the lists that it belongs to."""
