Give late jobs turns under overload, those with little work left first

Cause: a job that can't finish in time any more by learned run times, but can by its estimate, got no turn, so that it went before all jobs that can be in time. Late jobs went by due time, so that most started just before their expiry and ended after it.

Change: while a pool has a backlog, its late jobs get turns after all others, by priority, share and remaining work; turns also hold among late jobs.

--- a/src/redwingslip/scheduling/_admission.py
+++ b/src/redwingslip/scheduling/_admission.py
@@ -161,6 +161,12 @@
             order = None
             if self._cfg.order and is_short and pool.jobs:
                 order = self._order_pool(name, pool, capacity)
+            if self._cfg.order and is_short:
+                # Without a turn, they would go first while their band is still that
+                # of the jobs in time.
+                last = max(order.turns.values(), default=0) if order else 0
+                over = order.over if order else ()
+                turns.update(pool.late_turns(last + 1, over))
             is_late = order.n_deferred > 0 if order else not self._cfg.order
             if self.gate is not None and is_short and is_late:
                 outlooks[name] = self._outlook(name, pool, order, capacity)
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -256,7 +256,7 @@
         band, turn = ON_TIME_BAND, 0
         if end_ms > due_ms:
             band = LATE_BAND if end_ms <= useless_ms else USELESS_BAND
-        elif self.turns:
+        if self.turns and band != USELESS_BAND:
             turn = self._turn(job)
         return Urgency(band, turn, self.priority_of(job.spec), due_ms)
 
--- a/src/redwingslip/scheduling/_job_works.py
+++ b/src/redwingslip/scheduling/_job_works.py
@@ -1,7 +1,7 @@
 """The remaining work of the active jobs, kept up to date for decisions on overload."""
 
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from datetime import timedelta
 from functools import partial
 
@@ -37,6 +37,8 @@
     latest_ms : float
         Unix time until which it can still finish in time; -inf for a job that doesn't
         compete, since it has no waiting tasks or is repeated.
+    expiry_ms : float
+        Unix time from which its result has no more use; -inf as above.
     job : CompetingJob
         The job as it competes.
     """
@@ -44,6 +46,7 @@
     queue: str
     work: JobWork
     latest_ms: float
+    expiry_ms: float
     job: CompetingJob
 
 
@@ -61,9 +64,12 @@
         and cores.
     held : Counter of str
         Cores in use by these runs, by customer.
+    late : list of tuple of CompetingJob, float
+        The jobs that can't finish in time any more, but before their expiry, with
+        their remaining work in core-ms.
     """
 
-    __slots__ = ("busy", "held", "jobs", "waiting", "waiting_memory")
+    __slots__ = ("busy", "held", "jobs", "late", "waiting", "waiting_memory")
 
     def __init__(self) -> None:
         self.jobs: list[CompetingJob] = []
@@ -71,6 +77,19 @@
         self.waiting_memory = 0.0
         self.busy: list[tuple[float, float]] = []
         self.held: Counter[str] = Counter()
+        self.late: list[tuple[CompetingJob, float]] = []
+
+    def late_turns(self, first: int, over: Collection[str]) -> dict[str, int]:
+        """Return the turns of the late jobs from a first one on, the shortest first.
+
+        By due time, each would start just before its expiry, and few would end by it.
+        Those of customers over their share go after the others.
+        """
+        ordered = sorted(
+            (job.priority, job.customer in over, remaining, job.job_id)
+            for job, remaining in self.late
+        )
+        return {job_id: first + place for place, (*_, job_id) in enumerate(ordered)}
 
     @property
     def memory_per_core(self) -> float:
@@ -161,7 +180,7 @@
 
     def _entry(self, job: JobRecord, work: JobWork) -> _Entry:
         spec, queue = job.spec, self.queues[job.spec.queue]
-        due_ms, _ = self._job_index.deadlines(spec, job.accepted_ms)
+        due_ms, expiry_ms = self._job_index.deadlines(spec, job.accepted_ms)
         shortest_ms = ON_TIME_ESTIMATE_SHARE * work.path_ms
         path_ms = min(
             self._cfg.path_margin * work.path_ms,
@@ -172,6 +191,7 @@
             queue=spec.queue,
             work=work,
             latest_ms=due_ms - shortest_ms if competes else float("-inf"),
+            expiry_ms=expiry_ms if competes else float("-inf"),
             job=CompetingJob(
                 job_id=spec.job_id,
                 customer=spec.customer,
@@ -216,6 +236,8 @@
                 pool.held[job.customer] += run.cores
                 remaining += left_ms * run.cores
         if now_ms > entry.latest_ms:
+            if now_ms <= entry.expiry_ms:
+                pool.late.append((job, remaining))
             return
         pool.waiting += work.waiting
         pool.waiting_memory += work.waiting_memory
