Count machines that an earlier leader moved as arriving

Cause: the VM of a machine is removed when its move is ordered, and the arrivals were kept in the memory of the leader that ordered it. A new leader counted such a machine in no pool until its VM reported itself, so that it deferred jobs and moved further machines.

Change: with each list of machines, those that are up, have no VM known and were ordered before this term, within the arrival time, count as arriving in their pool.

--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -30,6 +30,8 @@
 
 __all__ = ["ArrivingVm", "MoveManager"]
 
+MS = timedelta(milliseconds=1)
+
 
 class _Arrival(msgspec.Struct, frozen=True):
     """A machine that is being moved to a pool.
@@ -130,11 +132,33 @@
             try:
                 views = await self._operations.list_machines()
                 self._machine_views = {view.machine: view for view in views}
+                self._adopt_arrivals()
                 await self._forget_ended(silent_vms)
             except OrderOutcomeUnknownError as exc:
                 self._term.emit(EventName.WARNING, detail=str(exc))
             await asyncio.sleep(self._cfg.moves.list_interval.total_seconds())
 
+    def _adopt_arrivals(self) -> None:
+        """Count the machines that an earlier leader has moved, and that have no VM yet.
+
+        The VM of a machine is removed when its move is ordered, and the next one
+        reports itself some seconds later.
+        """
+        now = self._term.clock.monotonic()
+        for machine, age_ms in self._state.machine_orders.ages_ms():
+            ordered_at = now - age_ms * MS
+            until = ordered_at + self._cfg.moves.arrival_time
+            view = self._machine_views.get(machine)
+            if view is None or view.state is not MachineState.UP:
+                continue
+            if ordered_at > self._term.started_at or now >= until:
+                continue
+            if machine in self._arrivals or self._machines.is_claimed(machine):
+                continue
+            cpu = self._added_cpu(machine, view.pool)
+            if cpu and self._machines.agent_on(machine) is None:
+                self._arrivals[machine] = _Arrival(view.pool, cpu, until)
+
     async def _forget_ended(self, silent_vms: Iterable[SilentVm]) -> None:
         """Remove the silent VMs that have ended, as the platform's list shows."""
         ended = find_ended(silent_vms, self._machine_views, self._state)
