Skip cancelled waits when room in flight is freed

Cause: InFlight._admit set the result of futures that asyncio.timeout or the end of a client's connection had cancelled in the same turn of the event loop. The InvalidStateError replaced the answer of the call that had freed the room, and the added bytes were never freed, so that large bodies were refused from then on. Change: cancelled waits are dropped, and _withdraw accepts that.

--- a/src/redwingslip/relay/_in_flight.py
+++ b/src/redwingslip/relay/_in_flight.py
@@ -66,12 +66,17 @@
             # It was admitted in the moment in which it was given up.
             self.leave(n_bytes)
         else:
-            self._waiting.remove(entry)
+            # `_admit` may have left it out since its future was cancelled.
+            if entry in self._waiting:
+                self._waiting.remove(entry)
             self._admit()
 
     def _admit(self) -> None:
         while self._waiting and self._fits(self._waiting[0][0]):
             n_bytes, fut = self._waiting.popleft()
+            if fut.cancelled():
+                # It was given up, and its task has not run since.
+                continue
             self.n_bytes += n_bytes
             fut.set_result(None)
 
