Close connections with a stalled body for new ones

Cause: ConnectionTable counted a request whose body is incomplete as in use, and small bodies never bring the budget under pressure, which would drop them.

--- a/src/redwingslip/http/_body_budget.py
+++ b/src/redwingslip/http/_body_budget.py
@@ -100,6 +100,12 @@
         """Return the time of the budget's clock."""
         return self._clock.monotonic()
 
+    def is_stalled(self, claim: "BodyClaim | None") -> bool:
+        """Return whether the body of a claim may be dropped for lack of progress."""
+        if claim is None or claim.on_drop is None:
+            return False
+        return claim.progress_at <= self.now() - self._stall
+
     def take(self, claim: "BodyClaim", n_bytes: int) -> bool:
         """Add bytes to a claim if they fit, and return whether they do."""
         if not n_bytes:
@@ -137,13 +143,10 @@
 
         None is dropped if all together are too few.
         """
-        latest = self.now() - self._stall
         stalled = [
             claim
             for claim in self._claims
-            if claim is not wanting
-            and claim.on_drop is not None
-            and claim.progress_at <= latest
+            if claim is not wanting and self.is_stalled(claim)
         ]
         if sum(claim.n_bytes for claim in stalled) < missing:
             return False
--- a/src/redwingslip/http/_connection_table.py
+++ b/src/redwingslip/http/_connection_table.py
@@ -14,9 +14,10 @@
     """How far a connection can be given up; the highest goes first."""
 
     IN_USE = 0
-    REST_OF_BODY = 1
-    BETWEEN_REQUESTS = 2
-    WAITING_FOR_HEAD = 3
+    STALLED_BODY = 1
+    REST_OF_BODY = 2
+    BETWEEN_REQUESTS = 3
+    WAITING_FOR_HEAD = 4
 
 
 class TableConnection(Protocol):
@@ -35,9 +36,9 @@
     """Admits connections up to a limit; above it, it closes idle ones for new ones.
 
     A connection is closed for a new one if it waits for a head, is idle between
-    requests, or sends the rest of a refused body, in this order; among equals the
-    oldest of the peer with most connections. One whose request is in progress stays,
-    and if all are, the new connection is closed.
+    requests, sends the rest of a refused body, or has stalled within a body, in this
+    order; among equals the oldest of the peer with most connections. Any other one
+    whose request is in progress stays, and if all do, the new connection is closed.
 
     Parameters
     ----------
--- a/src/redwingslip/http/_server.py
+++ b/src/redwingslip/http/_server.py
@@ -14,6 +14,7 @@
 from starlette.applications import Starlette
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from ._bodies import CLAIM_KEY
 from ._body_budget import BodyClaim, RefusalCause
 from ._connection_table import Idleness
 from ._limits import HttpLimits, TlsFiles
@@ -164,6 +165,7 @@
 
     def idleness(self) -> Idleness:
         """Return how far the connection can be given up for a new one."""
+        claim = self.cycle.scope.get(CLAIM_KEY) if self.cycle is not None else None
         match self.current_phase():
             case _Phase.HEAD:
                 return Idleness.WAITING_FOR_HEAD
@@ -171,6 +173,8 @@
                 return Idleness.BETWEEN_REQUESTS
             case _Phase.REST_OF_BODY if self.unread_answer is None:
                 return Idleness.REST_OF_BODY
+            case _Phase.ANSWER if self.memory.bodies.is_stalled(claim):
+                return Idleness.STALLED_BODY
         return Idleness.IN_USE
 
     def abort(self) -> None:
