Let waves use only the room that a ramp admits

Cause: Evacuation._has_place counted all capacity of a VM that may be cold, which the placement doesn't use, so that a task waited without a place until the ramp's end. Change: it asks the ramp, as Places does. tests/test_review_wave_ramp.py passes.

--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -290,8 +290,7 @@
             _, steps = self._state.usage.of_vm(vm_id)
             if not is_allowed(step, run.key[:3], vm.labels, steps):
                 continue
-            if step.reserved.fits(
-                vm.capacity - non_preemptible_need(self._state, steps)
-            ):
+            kept = non_preemptible_need(self._state, steps)
+            if step.reserved.fits(self._machines.ramp.usable(vm, kept)):
                 return True
         return False
