Let answers that are read slowly keep their memory

Cause: the memory of an unread answer counted as stalled one second after the peer's window had filled, however steadily the peer read on; under pressure the answer was aborted. Found by reading in a review.

Change: progress of an answer is what the peer has read since the last check. The test fails without it.

--- a/src/redwingslip/http/_body_budget.py
+++ b/src/redwingslip/http/_body_budget.py
@@ -104,6 +104,7 @@
         """Return whether the body of a claim may be dropped for lack of progress."""
         if claim is None or claim.on_drop is None:
             return False
+        claim.update_progress()
         return claim.progress_at <= self.now() - self._stall
 
     def take(self, claim: "BodyClaim", n_bytes: int) -> bool:
@@ -171,13 +172,18 @@
         Ends the transfer of the body when it is dropped; None if it can't be.
     is_dropped : bool
         Whether the body was dropped because it had stalled.
+    count_unsent : callable or None
+        Returns the bytes of an answer that its peer has yet to read; None for a body
+        that is received.
     """
 
     __slots__ = (
         "_budget",
         "_n_counted",
         "_n_received",
+        "_n_unsent",
         "_parts",
+        "count_unsent",
         "drop_cause",
         "is_dropped",
         "n_bytes",
@@ -190,12 +196,14 @@
         self._budget = budget
         self._n_counted = 0
         self._n_received = 0
+        self._n_unsent = 0
         self._parts: list[bytes] = []
         self.rank = rank
         self.drop_cause = RefusalCause.STALLED_BODY
         self.is_dropped = False
         self.n_bytes = 0
         self.on_drop: Callable[[], None] | None = None
+        self.count_unsent: Callable[[], int] | None = None
         self.progress_at = budget.now()
 
     def reserve(
@@ -231,6 +239,15 @@
             self._n_counted = self._n_received
             self.progress_at = self._budget.now()
 
+    def update_progress(self) -> None:
+        """Note whether the peer has read any of an answer since the last call."""
+        if self.count_unsent is None:
+            return
+        n_unsent = self.count_unsent()
+        if n_unsent < (self._n_unsent or self.n_bytes):
+            self.progress_at = self._budget.now()
+        self._n_unsent = n_unsent
+
     def finish(self) -> bytes:
         """Return the complete body, which can't be dropped any more.
 
--- a/src/redwingslip/http/_server.py
+++ b/src/redwingslip/http/_server.py
@@ -142,6 +142,7 @@
         claim = self.memory.bodies.claim()
         claim.drop_cause = RefusalCause.UNREAD_ANSWER
         claim.on_drop = self.transport.abort
+        claim.count_unsent = self.transport.get_write_buffer_size
         self.unread_answer = claim
         try:
             claim.reserve(
--- a/tests/test_http_memory.py
+++ b/tests/test_http_memory.py
@@ -4,6 +4,7 @@
 import unittest
 from datetime import timedelta
 from pathlib import Path
+from unittest import mock
 
 from redwingslip.clock import ManualClock
 from redwingslip.http import (
@@ -88,6 +89,24 @@
             self.hold(4 * MIB)
         self.assertEqual(dropped, [1])
 
+    def test_an_answer_that_is_being_read_is_not_dropped(self):
+        """Guards against the loss of a ready answer to a slow caller."""
+        answer = self.hold(4 * MIB)
+        on_drop = answer.on_drop = mock.Mock()
+        unsent = [4 * MIB]
+        answer.count_unsent = lambda: unsent[0]
+        self.hold(8 * MIB)
+        for left in (3 * MIB, 2 * MIB):
+            self.clock.advance(STALL)
+            unsent[0] = left
+            with self.assertRaises(BodyRefusedError):
+                self.hold(4 * MIB)
+        on_drop.assert_not_called()
+        # Nothing was read since the last check.
+        self.clock.advance(STALL)
+        self.hold(4 * MIB)
+        on_drop.assert_called_once_with()
+
     def test_body_without_an_announced_size_counts_as_it_arrives(self):
         """Guards against chunked bodies that are kept before they are counted."""
         claim = self.budget.claim()
