--- a/tests/test_scheduling_evacuation_starts.py
+++ b/tests/test_scheduling_evacuation_starts.py
@@ -22,6 +22,7 @@
 )
 from tests.support_virtual_time import run_virtually
 from tests.test_scheduling_leaders import N_JOBS, Case
+from tests.test_scheduling_lifecycle import PlatformCase
 
 # A start order that was sent before the response may take until its time-out.
 TARGET_S = 1.05
@@ -39,14 +40,12 @@
         self.evacuated_at = {}
         self.n_evacuations = 0
 
-    async def report(self):
-        """Begin with the evacuations, and send the reports."""
+    async def submit(self):
+        """Submit jobs, and evacuate data centres meanwhile."""
         self.world.on_start = self.check_start
-        work = asyncio.create_task(self.evacuate())
-        try:
-            await super().report()
-        finally:
-            work.cancel()
+        evacuations = asyncio.create_task(self.evacuate())
+        await super().submit()
+        await evacuations
 
     def check_start(self, endpoint, run):
         """Check the start of a run."""
@@ -86,25 +85,33 @@
                 await asyncio.sleep(0.2)
 
 
-class TestHistories(unittest.TestCase):
-    """No task starts there later than the bound, and all jobs end afterwards."""
+class PlatformEvacuationCase(EvacuationCase, PlatformCase):
+    """The same with moves of machines, waves, and leaders that are paused."""
 
-    def check(self, seed, **options):
-        case = EvacuationCase(seed, **options)
-        world = run_virtually(case.run)
-        self.assertEqual(world.problems, [])
-        self.assertEqual(world.unfinished(), [])
-        self.assertGreater(case.n_evacuations, 1)
 
-    def test_seeded_histories(self):
-        """Guards against orders that are resent or of an earlier leader.
+class TestHistories(unittest.TestCase):
+    """No task starts there later than the bound, and all jobs end afterwards."""
 
-        With slow commits, also against starts proposed before the evacuation.
-        """
+    def check(self, case, **options):
         for seed in range(1, 1 + N_SEEDS):
-            for options in ({}, {"max_commit_s": 0.6, "max_partition_s": 2}):
-                with self.subTest(seed=seed, **options):
-                    self.check(seed, **options)
+            with self.subTest(seed=seed):
+                history = case(seed, **options)
+                world = run_virtually(history.run)
+                self.assertEqual(world.problems, [])
+                self.assertEqual(world.unfinished(), [])
+                self.assertGreater(history.n_evacuations, 1)
+
+    def test_orders_that_are_resent_or_of_an_earlier_leader(self):
+        """Guards against starts by the next leader, and by late copies."""
+        self.check(EvacuationCase)
+
+    def test_slow_commits(self):
+        """Guards against starts proposed before the evacuation."""
+        self.check(EvacuationCase, max_commit_s=0.6, max_partition_s=2)
+
+    def test_moves_waves_and_paused_leaders(self):
+        """Guards against a VM whose machine moves or is maintained meanwhile."""
+        self.check(PlatformEvacuationCase, faults=("replace", "pause", "leave"))
 
 
 class TestWithdrawal(unittest.IsolatedAsyncioTestCase):
