Run the tests of scheduling decisions on virtual time

Cause: 20 modules test_scheduling_* wait on the real clock for decisions that need neither socket nor process, so their bounds depend on the load of the machine. Change: their cases, FleetTestCase (moves, waves, data centres) among them, are VirtualTimeTestCase. Bounds and assertions are unchanged.

--- a/tests/test_scheduling_admission.py
+++ b/tests/test_scheduling_admission.py
@@ -47,6 +47,7 @@
     make_agent,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 MS = timedelta(milliseconds=1)
 QUEUE = Queue(
@@ -70,7 +71,7 @@
     return JobSpec(job_id=job_id, queue="q", pool="p", customer=customer, steps=(step,))
 
 
-class AdmissionCase(unittest.IsolatedAsyncioTestCase):
+class AdmissionCase(VirtualTimeTestCase):
     """A pool of two VMs with four cores each, beside another one."""
 
     cfg = AdmissionSettings(enabled=True)
--- a/tests/test_scheduling_advice.py
+++ b/tests/test_scheduling_advice.py
@@ -1,7 +1,6 @@
 """Tests of the cache of tickets: requests, expiry and renewal."""
 
 import asyncio
-import unittest
 from datetime import timedelta
 
 from redwingslip.clock import ManualClock
@@ -12,6 +11,7 @@
     OrderOutcomeUnknownError,
 )
 from tests.support_scheduling import EVENTS, eventually
+from tests.support_virtual_time import VirtualTimeTestCase
 
 STEP = ("j1", 0, 0)
 CFG = AdviceSettings(max_vms=2, retry_delay=timedelta(milliseconds=5))
@@ -35,7 +35,7 @@
         return Advice(tickets=tickets, validity=timedelta(seconds=3))
 
 
-class TestAdviceCache(unittest.IsolatedAsyncioTestCase):
+class TestAdviceCache(VirtualTimeTestCase):
     """Four VMs as candidates, at most two of them in one call."""
 
     async def asyncSetUp(self):
@@ -150,7 +150,7 @@
         self.assertEqual(self.cache.tickets(STEP), {})
 
 
-class TestRefusals(unittest.IsolatedAsyncioTestCase):
+class TestRefusals(VirtualTimeTestCase):
     """VMs without a ticket in an answer; the step asks again in each round."""
 
     async def asyncSetUp(self):
--- a/tests/test_scheduling_agent.py
+++ b/tests/test_scheduling_agent.py
@@ -1,7 +1,6 @@
 """Tests of the leader's agent for one VM."""
 
 import asyncio
-import unittest
 from datetime import timedelta
 from unittest import mock
 
@@ -23,11 +22,12 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 KEY = TaskKey("j1", 0, 0, 0)
 
 
-class TestVmAgent(unittest.IsolatedAsyncioTestCase):
+class TestVmAgent(VirtualTimeTestCase):
     """Orders without an answer, late or refused ones, and differing lists of runs."""
 
     async def asyncSetUp(self):
--- a/tests/test_scheduling_agent_ends.py
+++ b/tests/test_scheduling_agent_ends.py
@@ -19,6 +19,7 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 N_TASKS = MAX_LISTED_ENDS + 1
 
@@ -36,7 +37,7 @@
         )
 
 
-class TestManyEnds(unittest.IsolatedAsyncioTestCase):
+class TestManyEnds(VirtualTimeTestCase):
     """More ends at a time than one answer contains."""
 
     async def test_a_run_whose_end_is_not_yet_listed_is_not_lost(self):
@@ -65,7 +66,7 @@
         self.assertTrue(state.task(keys[-1]).is_done)
 
 
-class TestStoppedRuns(unittest.IsolatedAsyncioTestCase):
+class TestStoppedRuns(VirtualTimeTestCase):
     """Runs that are stopped before they have started."""
 
     async def asyncSetUp(self):
--- a/tests/test_scheduling_crashes_at_work.py
+++ b/tests/test_scheduling_crashes_at_work.py
@@ -36,7 +36,7 @@
     make_state,
     make_vm,
 )
-from tests.support_virtual_time import LoopClock, run_virtually
+from tests.support_virtual_time import LoopClock, VirtualTimeTestCase, run_virtually
 
 N_VMS = 8
 N_TASKS = 4
@@ -171,7 +171,7 @@
         self.assertLessEqual(history.n_crashes, MAX_STARTS)
 
 
-class TestAgent(unittest.IsolatedAsyncioTestCase):
+class TestAgent(VirtualTimeTestCase):
     """What the agent of one VM knows of the work on it when it crashes."""
 
     async def asyncSetUp(self):
--- a/tests/test_scheduling_ejections.py
+++ b/tests/test_scheduling_ejections.py
@@ -21,6 +21,7 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 MAX_SHARE = 0.34
 
@@ -33,7 +34,7 @@
         raise AssertionError(args, options)
 
 
-class EjectionCase(unittest.IsolatedAsyncioTestCase):
+class EjectionCase(VirtualTimeTestCase):
     """A pool of VMs that all answer their polls."""
 
     n_vms = 6
--- a/tests/test_scheduling_evacuation.py
+++ b/tests/test_scheduling_evacuation.py
@@ -27,6 +27,7 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 TAKEOVER_DELAY = timedelta(0)
 MAX_WAIT = timedelta(seconds=20)
@@ -37,7 +38,7 @@
     return TaskKey("j1", 0, 0, index)
 
 
-class TestEvacuation(unittest.IsolatedAsyncioTestCase):
+class TestEvacuation(VirtualTimeTestCase):
     """Machines with several tasks of a step that has a disruption budget."""
 
     def build(self, *vms, n_tasks=2, budget=1, **step):
--- a/tests/test_scheduling_evacuation_calls.py
+++ b/tests/test_scheduling_evacuation_calls.py
@@ -1,7 +1,6 @@
 """Tests of operators' calls on evacuations, as the platform makes them."""
 
 import asyncio
-import unittest
 
 import msgspec
 
@@ -17,9 +16,10 @@
     NotLeadingError,
 )
 from tests.support_scheduling import FakeTerm, make_job, make_state, make_vm
+from tests.support_virtual_time import VirtualTimeTestCase
 
 
-class TestEvacuationCalls(unittest.IsolatedAsyncioTestCase):
+class TestEvacuationCalls(VirtualTimeTestCase):
     """Two data centres with a VM of four cores each, which run tasks of a core."""
 
     def build(self, *data_centres, n_tasks=6):
--- a/tests/test_scheduling_evacuation_starts.py
+++ b/tests/test_scheduling_evacuation_starts.py
@@ -20,7 +20,7 @@
     make_state,
     make_vm,
 )
-from tests.support_virtual_time import run_virtually
+from tests.support_virtual_time import VirtualTimeTestCase, run_virtually
 from tests.test_scheduling_leaders import N_JOBS, Case
 from tests.test_scheduling_lifecycle import PlatformCase
 
@@ -114,7 +114,7 @@
         self.check(PlatformEvacuationCase, faults=("replace", "pause", "leave"))
 
 
-class TestWithdrawal(unittest.IsolatedAsyncioTestCase):
+class TestWithdrawal(VirtualTimeTestCase):
     """Start orders to a VM whose data centre is evacuated."""
 
     async def asyncSetUp(self):
--- a/tests/test_scheduling_moves.py
+++ b/tests/test_scheduling_moves.py
@@ -1,7 +1,6 @@
 """Tests of moves between pools and of preemption, over fakes."""
 
 import asyncio
-import unittest
 from datetime import timedelta
 
 from msgspec.structs import replace
@@ -41,6 +40,7 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 CFG = MoveSettings(interval=timedelta(milliseconds=2), survey_time=timedelta(0))
 
@@ -55,7 +55,7 @@
     )
 
 
-class FleetTestCase(unittest.IsolatedAsyncioTestCase):
+class FleetTestCase(VirtualTimeTestCase):
     """A fleet of responsive VMs, over fakes."""
 
     def make_fleet(self, *vms, jobs=()):
--- a/tests/test_scheduling_order_sender.py
+++ b/tests/test_scheduling_order_sender.py
@@ -1,7 +1,6 @@
 """Tests of the orders to one VM: errors that nobody expects."""
 
 import asyncio
-import unittest
 
 from redwingslip.jobs import RunStart, StartRuns, TaskKey
 from tests.support_scheduling import (
@@ -13,11 +12,12 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 KEY = TaskKey("j1", 0, 0, 0)
 
 
-class TestUnexpectedErrors(unittest.IsolatedAsyncioTestCase):
+class TestUnexpectedErrors(VirtualTimeTestCase):
     """An order outlives an error of its sending."""
 
     async def asyncSetUp(self):
--- a/tests/test_scheduling_report_history.py
+++ b/tests/test_scheduling_report_history.py
@@ -16,7 +16,7 @@
     N_REPORTS_TO_REFUTE,
 )
 from tests.support_scheduling import FakeTerm, make_job, make_state, make_vm
-from tests.support_virtual_time import run_virtually
+from tests.support_virtual_time import VirtualTimeTestCase, run_virtually
 from tests.test_scheduling_leaders import FAULTS_S
 from tests.test_scheduling_lifecycle import LifecycleCase
 
@@ -27,7 +27,7 @@
 FALSE_DRAINS_S = FAULTS_S / 2
 
 
-class TestReportHistory(unittest.IsolatedAsyncioTestCase):
+class TestReportHistory(VirtualTimeTestCase):
     """One report decides nothing for good, and late ones take nothing back."""
 
     async def asyncSetUp(self):
--- a/tests/test_scheduling_restarts.py
+++ b/tests/test_scheduling_restarts.py
@@ -25,13 +25,14 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 KEY = TaskKey("j1", 0, 0, 0)
 MAX_RUNS = ProgressSettings().max_runs
 START = StartRuns(starts=(RunStart(KEY, "v1", 1),), now_ms=1)
 
 
-class TestStalledRuns(unittest.IsolatedAsyncioTestCase):
+class TestStalledRuns(VirtualTimeTestCase):
     """Runs without progress, one after the other, on a VM that answers each poll."""
 
     async def asyncSetUp(self):
--- a/tests/test_scheduling_round_cost.py
+++ b/tests/test_scheduling_round_cost.py
@@ -34,6 +34,7 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 CAPACITY = Amounts(64_000, 64_000)
 N_WAITING = 4
@@ -73,7 +74,7 @@
     state.apply(StartRuns(starts=starts, now_ms=1))
 
 
-class TestRoundCost(unittest.IsolatedAsyncioTestCase):
+class TestRoundCost(VirtualTimeTestCase):
     """What the cost of a round depends on."""
 
     def count_calls_of_round(
@@ -152,7 +153,7 @@
             yield run_id
 
 
-class TestEndCost(unittest.IsolatedAsyncioTestCase):
+class TestEndCost(VirtualTimeTestCase):
     """What the cost of an end of a run depends on."""
 
     async def test_the_end_of_a_job_does_not_read_the_runs_of_others(self):
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -32,6 +32,7 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 KEY = TaskKey("j1", 0, 0, 0)
 
@@ -47,7 +48,7 @@
     )
 
 
-class TestScheduler(unittest.IsolatedAsyncioTestCase):
+class TestScheduler(VirtualTimeTestCase):
     """Commands whose handling fails, and runs that are no longer needed."""
 
     async def asyncSetUp(self):
--- a/tests/test_scheduling_service.py
+++ b/tests/test_scheduling_service.py
@@ -1,7 +1,6 @@
 """Tests of the leader's interface: queues, keys, jobs and reports of endpoints."""
 
 import asyncio
-import unittest
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -39,6 +38,7 @@
     make_agent,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 MS = timedelta(milliseconds=1)
 PLAN = Plan(
@@ -52,7 +52,7 @@
 )
 
 
-class TestJobService(unittest.IsolatedAsyncioTestCase):
+class TestJobService(VirtualTimeTestCase):
     """Repeated calls, and reports that are late or of earlier incarnations."""
 
     def setUp(self):
--- a/tests/test_scheduling_silence.py
+++ b/tests/test_scheduling_silence.py
@@ -16,6 +16,7 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 KEY = TaskKey("j1", 0, 0, 0)
 LONGER_THAN_LEASE = timedelta(seconds=8)
@@ -38,7 +39,7 @@
         return [detail for emitted, detail in self.emitted if emitted is name]
 
 
-class TestSilence(unittest.IsolatedAsyncioTestCase):
+class TestSilence(VirtualTimeTestCase):
     """What is logged of a VM that is out of reach for longer than its lease."""
 
     async def asyncSetUp(self):
@@ -79,7 +80,7 @@
         self.assertEqual(detail, "incarnation 1 answers again after 8.00 s")
 
 
-class TestCuts(unittest.IsolatedAsyncioTestCase):
+class TestCuts(VirtualTimeTestCase):
     """What becomes of a job whose VM is out of reach, and does not crash."""
 
     async def asyncSetUp(self):
--- a/tests/test_scheduling_supervise.py
+++ b/tests/test_scheduling_supervise.py
@@ -1,13 +1,13 @@
 """Tests of the restart of background work that fails."""
 
 import asyncio
-import unittest
 
 from redwingslip.scheduling._supervise import run_forever
 from tests.support_scheduling import eventually
+from tests.support_virtual_time import VirtualTimeTestCase
 
 
-class TestRunForever(unittest.IsolatedAsyncioTestCase):
+class TestRunForever(VirtualTimeTestCase):
     """Each failure is logged, and the work is restarted."""
 
     async def asyncSetUp(self):
--- a/tests/test_scheduling_term.py
+++ b/tests/test_scheduling_term.py
@@ -8,6 +8,7 @@
 from redwingslip.observe import EventName
 from redwingslip.scheduling import CommandOutcomeUnknownError, NotLeadingError, Term
 from tests.support_scheduling import METRICS
+from tests.support_virtual_time import VirtualTimeTestCase
 
 COMMAND = ForgetJobs(job_ids=())
 
@@ -43,7 +44,7 @@
         self.events.append(event)
 
 
-class TestTerm(unittest.IsolatedAsyncioTestCase):
+class TestTerm(VirtualTimeTestCase):
     """Proposals and leadership within a term and after it."""
 
     def setUp(self):
--- a/tests/test_scheduling_waves.py
+++ b/tests/test_scheduling_waves.py
@@ -1,7 +1,6 @@
 """Tests of maintenance waves over fakes."""
 
 import asyncio
-import unittest
 from datetime import timedelta
 from unittest import mock
 
@@ -38,6 +37,7 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 CFG = WaveSettings(
     interval=timedelta(milliseconds=2), retry_delay=timedelta(milliseconds=5)
@@ -46,7 +46,7 @@
 GONE = (MachineOutcome.UNKNOWN_MACHINE, MachineOutcome.NOT_OF_WAVE)
 
 
-class TestWaveManager(unittest.IsolatedAsyncioTestCase):
+class TestWaveManager(VirtualTimeTestCase):
     """Budgets, limits and pace of a wave, and changes of leader."""
 
     async def asyncSetUp(self):
