Run the other tests of decisions on virtual time

Cause: eight modules without sockets, threads or processes run on the real clock. Change: delegation_delegate, jobs_silent_vms, platform_calls, relay, relay_in_flight, review_in_flight, submitters_calls and daemons_permits use VirtualTimeTestCase. The relay of test_relay gets the clock of its loop in place of SystemClock, as the time by which it drops a leader would differ from that of its timers. Bounds and assertions are unchanged.

--- a/tests/test_daemons_permits.py
+++ b/tests/test_daemons_permits.py
@@ -17,6 +17,7 @@
     RefusalReason,
     RunResult,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 
 SECOND = timedelta(seconds=1)
 REQUEST = PermitRequest(
@@ -49,7 +50,7 @@
     )
 
 
-class TestPermitClient(unittest.IsolatedAsyncioTestCase):
+class TestPermitClient(VirtualTimeTestCase):
     """Requests for permits, and the permits that are returned to the dispatcher."""
 
     def setUp(self):
--- a/tests/test_delegation_delegate.py
+++ b/tests/test_delegation_delegate.py
@@ -1,7 +1,6 @@
 """Tests of a delegate: which orders it carries out, and when it may."""
 
 import asyncio
-import unittest
 from datetime import timedelta
 
 from redwingslip.clock import ManualClock
@@ -17,6 +16,7 @@
     StopOrder,
 )
 from tests.support_scheduling import FakeEndpoint, eventually, make_vm
+from tests.support_virtual_time import VirtualTimeTestCase
 
 MS = timedelta(milliseconds=1)
 KEY = TaskKey("j1", 0, 0, 0)
@@ -24,7 +24,7 @@
 FENCE = 4
 
 
-class TestOrderDelegate(unittest.IsolatedAsyncioTestCase):
+class TestOrderDelegate(VirtualTimeTestCase):
     """A delegate with a manual clock, and the messages that it sends."""
 
     async def asyncSetUp(self):
--- a/tests/test_jobs_silent_vms.py
+++ b/tests/test_jobs_silent_vms.py
@@ -36,6 +36,7 @@
     make_state,
     make_vm,
 )
+from tests.support_virtual_time import VirtualTimeTestCase
 from tests.test_scheduling_waves import CFG
 
 KEY = TaskKey("j1", 0, 0, 0)
@@ -317,7 +318,7 @@
         self.assertEqual(copy.snapshot(), self.state.snapshot())
 
 
-class TestOrders(unittest.IsolatedAsyncioTestCase):
+class TestOrders(VirtualTimeTestCase):
     """What orders for machines prove of VMs that had fallen silent before them."""
 
     async def asyncSetUp(self):
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -1,6 +1,5 @@
 """Tests of the translation of the platform's calls: odd ones get their answer."""
 
-import unittest
 from datetime import timedelta
 from types import SimpleNamespace
 from unittest import mock
@@ -22,6 +21,7 @@
 from redwingslip.workers import LeaseSettings, VmLease
 from tests.support_odd import DEEP_BODY, ODD_ADDRESSES, ODD_NUMBERS
 from tests.support_scheduling import FakeTerm
+from tests.support_virtual_time import VirtualTimeTestCase
 
 REPORT = {
     "service": "s1",
@@ -50,7 +50,7 @@
         return self.is_answering
 
 
-class TestOddCalls(unittest.IsolatedAsyncioTestCase):
+class TestOddCalls(VirtualTimeTestCase):
     """Calls of another writer, which must neither fail nor change anything."""
 
     async def asyncSetUp(self):
@@ -127,7 +127,7 @@
         self.assertIn("i-1", self.state.vms)
 
 
-class TestCancelling(unittest.IsolatedAsyncioTestCase):
+class TestCancelling(VirtualTimeTestCase):
     """Calls of callers whose submission arrives after they have cancelled it."""
 
     async def asyncSetUp(self):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,10 +1,8 @@
 """Tests of the relay of calls to the leader."""
 
 import asyncio
-import unittest
 from datetime import timedelta
 
-from redwingslip.clock import SystemClock
 from redwingslip.observe import NullSink
 from redwingslip.peers import (
     CallSource,
@@ -20,6 +18,7 @@
     NoLeaderKnownError,
     RelaySettings,
 )
+from tests.support_virtual_time import LoopClock, VirtualTimeTestCase
 
 CFG = RelaySettings(
     query_interval=timedelta(milliseconds=5),
@@ -31,7 +30,7 @@
 MAX_WAIT = timedelta(milliseconds=400)
 
 
-class TestLeaderRelay(unittest.IsolatedAsyncioTestCase):
+class TestLeaderRelay(VirtualTimeTestCase):
     """The relay with a leader that changes, does not answer or loses answers."""
 
     async def asyncSetUp(self):
@@ -43,7 +42,7 @@
             cfg=CFG,
             seeds=("a", "b"),
             send=self.send,
-            clock=SystemClock(),
+            clock=LoopClock(asyncio.get_running_loop()),
             events=NullSink(),
         )
         self.task = asyncio.create_task(self.relay.run())
--- a/tests/test_relay_in_flight.py
+++ b/tests/test_relay_in_flight.py
@@ -1,17 +1,17 @@
 """Tests of the limit on the bytes on their way to the leader, and of links' queues."""
 
 import asyncio
-import unittest
 
 from redwingslip.clock import ManualClock
 from redwingslip.peers import CallSource, LeaderQuery, PeerSettings, RelayedCall
 from redwingslip.peers._link import Link
 from redwingslip.relay._in_flight import InFlight
+from tests.support_virtual_time import VirtualTimeTestCase
 
 LARGE = 100_000
 
 
-class TestInFlight(unittest.IsolatedAsyncioTestCase):
+class TestInFlight(VirtualTimeTestCase):
     """Room for two large bodies."""
 
     async def asyncSetUp(self):
@@ -43,7 +43,7 @@
         self.assertTrue(await self.in_flight.enter(LARGE, 0.01))
 
 
-class TestLinkBytes(unittest.IsolatedAsyncioTestCase):
+class TestLinkBytes(VirtualTimeTestCase):
     """The queue of a link."""
 
     def call(self, n_bytes):
--- a/tests/test_review_in_flight.py
+++ b/tests/test_review_in_flight.py
@@ -1,14 +1,14 @@
 """Tests of the room on the way to the leader if waiting calls are given up."""
 
 import asyncio
-import unittest
 
 from redwingslip.relay._in_flight import InFlight
+from tests.support_virtual_time import VirtualTimeTestCase
 
 LARGE = 100_000
 
 
-class TestGivenUpWaits(unittest.IsolatedAsyncioTestCase):
+class TestGivenUpWaits(VirtualTimeTestCase):
     """Room for one large body, and another one that waits for it."""
 
     async def asyncSetUp(self):
--- a/tests/test_submitters_calls.py
+++ b/tests/test_submitters_calls.py
@@ -1,7 +1,5 @@
 """Tests of the translation of submitters' calls."""
 
-import unittest
-
 import msgspec
 
 from redwingslip.jobs import (
@@ -17,6 +15,7 @@
 from redwingslip.scheduling import JobService
 from redwingslip.submitters import answer_submitter
 from tests.support_scheduling import FakeTerm
+from tests.support_virtual_time import VirtualTimeTestCase
 
 JOB_ID = "5c0e7a21d94b36f8"
 PLAN = Plan(
@@ -27,7 +26,7 @@
 )
 
 
-class TestCancelling(unittest.IsolatedAsyncioTestCase):
+class TestCancelling(VirtualTimeTestCase):
     """Cancellations of jobs that are not known."""
 
     async def asyncSetUp(self):
