--- a/tests/test_scheduling_service.py
+++ b/tests/test_scheduling_service.py
@@ -74,7 +74,7 @@
         for host, path in (("h", "/x/"), ("other", "/a/id")):
             with self.assertRaises(NoQueueError):
                 self.service.find_queue(host, path)
-        self.state.plan = Plan()
+        self.state.restore(JobsState().snapshot())
         with self.assertRaises(NoPlanError):
             self.service.find_queue("h", "/a/id")
 
@@ -190,7 +190,7 @@
         self.assertTrue(self.state.vms["v1"].is_draining)
 
     async def test_any_pool_may_report_before_the_first_plan(self):
-        self.state.plan = Plan()
+        self.state.restore(JobsState().snapshot())
         await self.service.report_vm(make_vm(pool="later"), 1, 0)
         self.assertIn("v1", self.state.vms)
 
