Share the answers of control and submitters in relay

Cause: both packages had the same code for answers with documents and problems, for the problems of faults, refusals and unknown outcomes, and for the HTTP responses. Change: relay has these in _answers, next to the conversion of requests, since both packages import it already. Which error gives which problem stays with each package. Ruled out: http, which knows nothing of relayed answers; sharing with platform, whose bodies follow the platform's contract.

--- a/src/redwingslip/control/_calls.py
+++ b/src/redwingslip/control/_calls.py
@@ -7,6 +7,7 @@
 
 from ..http import Problem
 from ..peers import RelayedAnswer, RelayedCall
+from ..relay import document_answer, problem_answer
 from ..scheduling import EvacuationStatus, JobService, SchedulingError
 from ._problems import error_answer
 
@@ -58,15 +59,15 @@
             await service.evacuations.start(name)
         elif call.method == "DELETE" and name:
             await service.evacuations.finish(name)
-            return _answer(call, FinishedView(data_centre=name))
+            return document_answer(call, FinishedView(data_centre=name))
     except SchedulingError as exc:
         return error_answer(call, exc)
     views = [_view(status) for status in service.evacuations.statuses()]
     if not name:
-        return _answer(call, EvacuationList(items=tuple(views)))
+        return document_answer(call, EvacuationList(items=tuple(views)))
     for view in views:
         if view.data_centre == name:
-            return _answer(call, view)
+            return document_answer(call, view)
     return _not_found_answer(call, "not being evacuated", name)
 
 
@@ -80,14 +81,6 @@
     )
 
 
-def _answer(
-    call: RelayedCall, document: msgspec.Struct, *, status: int = 200
-) -> RelayedAnswer:
-    return RelayedAnswer(
-        number=call.number, status=status, body=msgspec.json.encode(document)
-    )
-
-
 def _not_found_answer(call: RelayedCall, title: str, detail: str) -> RelayedAnswer:
     problem = Problem(status=404, title=title, detail=detail)
-    return _answer(call, problem, status=problem.status)
+    return problem_answer(call, problem)
--- a/src/redwingslip/control/_server.py
+++ b/src/redwingslip/control/_server.py
@@ -8,15 +8,12 @@
 from starlette.routing import Route
 
 from ..callers import has_known_token
-from ..http import PROBLEM_TYPE, HttpLimits, build_app, unauthorized_response
+from ..http import HttpLimits, build_app, unauthorized_response
 from ..peers import CallSource
-from ..relay import Exchange, decode_call, retry_headers
+from ..relay import Exchange, answer_response, decode_call
 
 __all__ = ["control_app"]
 
-JSON_TYPE = "application/json"
-FIRST_ERROR_STATUS = 400
-
 
 def control_app(
     exchange: Exchange,
@@ -43,13 +40,7 @@
             return unauthorized_response("an operator's")
         call = await decode_call(req, CallSource.OPERATORS, limits)
         answer = await exchange(call, max_wait)
-        is_problem = answer.status >= FIRST_ERROR_STATUS
-        return Response(
-            answer.body,
-            status_code=answer.status,
-            headers=retry_headers(answer),
-            media_type=PROBLEM_TYPE if is_problem else JSON_TYPE,
-        )
+        return answer_response(answer)
 
     routes = [
         Route("/v1/evacuations", handle, methods=["GET"]),
--- a/src/redwingslip/relay/__init__.py
+++ b/src/redwingslip/relay/__init__.py
@@ -1,5 +1,14 @@
 """Relay: forwards external calls to the replica that leads."""
 
+from ._answers import (
+    RETRY_AFTER_S,
+    answer_response,
+    document_answer,
+    fault_problem,
+    not_run_problem,
+    problem_answer,
+    unknown_outcome_problem,
+)
 from ._http import Exchange, decode_call, retry_headers
 from ._relay import LeaderRelay
 from ._settings import RelaySettings
@@ -15,9 +24,16 @@
     "Exchange",
     "LeaderRelay",
     "NoLeaderKnownError",
+    "RETRY_AFTER_S",
     "RelayBusyError",
     "RelayError",
     "RelaySettings",
+    "answer_response",
     "decode_call",
+    "document_answer",
+    "fault_problem",
+    "not_run_problem",
+    "problem_answer",
     "retry_headers",
+    "unknown_outcome_problem",
 ]
--- a/src/redwingslip/submitters/_calls.py
+++ b/src/redwingslip/submitters/_calls.py
@@ -2,11 +2,10 @@
 
 import re
 
-import msgspec
-
 from ..http import Problem
 from ..jobs import JobRecord, Queue
 from ..peers import RelayedAnswer, RelayedCall
+from ..relay import document_answer, problem_answer
 from ..scheduling import JobService, SchedulingError
 from ._documents import JobList, decode_job, view_job
 from ._problems import error_answer
@@ -29,7 +28,9 @@
         customer = service.find_customer(queue, call.token)
         if not match["id"]:
             jobs = service.jobs_of(queue, customer)
-            return _answer(call, JobList(items=tuple(view_job(job) for job in jobs)))
+            return document_answer(
+                call, JobList(items=tuple(view_job(job) for job in jobs))
+            )
         return await _answer_job(service, call, queue, customer, match["id"])
     except (SchedulingError, SubmitterError) as exc:
         return error_answer(call, exc)
@@ -44,13 +45,13 @@
         _check_owner(service.find_job(job_id), queue, customer, is_required=False)
         spec = decode_job(call.body, job_id=job_id, queue=queue, customer=customer)
         job = await service.submit(spec)
-        return _answer(call, view_job(job), status=CREATED_STATUS)
+        return document_answer(call, view_job(job), status=CREATED_STATUS)
     job = service.find_job(job_id)
     if call.method == "DELETE" and _JOB_ID.fullmatch(job_id):
         _check_owner(job, queue, customer, is_required=False)
         job = await service.cancel(job_id, customer=customer)
     job = _check_owner(job, queue, customer)
-    return _answer(call, view_job(job))
+    return document_answer(call, view_job(job))
 
 
 def _check_owner(
@@ -69,14 +70,6 @@
     return job
 
 
-def _answer(
-    call: RelayedCall, document: msgspec.Struct, *, status: int = 200
-) -> RelayedAnswer:
-    return RelayedAnswer(
-        number=call.number, status=status, body=msgspec.json.encode(document)
-    )
-
-
 def _unknown_address_answer(call: RelayedCall) -> RelayedAnswer:
     problem = Problem(status=404, title="no such address", detail=call.path)
-    return _answer(call, problem, status=problem.status)
+    return problem_answer(call, problem)
--- a/src/redwingslip/submitters/_problems.py
+++ b/src/redwingslip/submitters/_problems.py
@@ -3,11 +3,17 @@
 import math
 from functools import singledispatch
 
-import msgspec
-
-from ..http import NOT_RUN, UNKNOWN, Problem
+from ..http import NOT_RUN, Problem
 from ..peers import RelayedAnswer, RelayedCall
-from ..relay import CallOutcomeUnknownError, RelayError
+from ..relay import (
+    RETRY_AFTER_S,
+    CallOutcomeUnknownError,
+    RelayError,
+    fault_problem,
+    not_run_problem,
+    problem_answer,
+    unknown_outcome_problem,
+)
 from ..scheduling import (
     CommandOutcomeUnknownError,
     JobRefusedError,
@@ -20,10 +26,6 @@
 
 __all__ = ["error_answer", "relay_error_answer"]
 
-# The shortest time that Retry-After can express; an election takes less.
-RETRY_AFTER_S = 1
-UNAVAILABLE_STATUS = 503
-
 _RESEND_ADVICE = "send it again with the same id: it stays one job"
 
 
@@ -32,28 +34,17 @@
     retry_after_s = RETRY_AFTER_S
     if isinstance(exc, JobRefusedError):
         retry_after_s = math.ceil(exc.retry_after.total_seconds())
-    return _answer(call, _describe(exc), retry_after_s)
+    return problem_answer(call, _describe(exc), retry_after_s=retry_after_s)
 
 
 def relay_error_answer(call: RelayedCall, exc: RelayError) -> RelayedAnswer:
     """Return the answer to a call that the leader did not answer."""
-    return _answer(call, _describe(exc))
-
-
-def _answer(
-    call: RelayedCall, problem: Problem, retry_after_s: int = RETRY_AFTER_S
-) -> RelayedAnswer:
-    return RelayedAnswer(
-        number=call.number,
-        status=problem.status,
-        body=msgspec.json.encode(problem),
-        retry_after_s=retry_after_s if problem.status == UNAVAILABLE_STATUS else 0,
-    )
+    return problem_answer(call, _describe(exc))
 
 
 @singledispatch
 def _describe(exc: Exception) -> Problem:
-    return Problem(status=500, title="fault of the server", outcome=UNKNOWN)
+    return fault_problem()
 
 
 @_describe.register
@@ -93,13 +84,10 @@
 @_describe.register(NoPlanError)
 @_describe.register(RelayError)
 def _(exc: Exception) -> Problem:
-    return Problem(
-        status=UNAVAILABLE_STATUS, title="not run", detail=str(exc), outcome=NOT_RUN
-    )
+    return not_run_problem(exc)
 
 
 @_describe.register(CommandOutcomeUnknownError)
 @_describe.register(CallOutcomeUnknownError)
 def _(exc: Exception) -> Problem:
-    detail = f"{exc}; {_RESEND_ADVICE}"
-    return Problem(status=504, title="outcome unknown", detail=detail, outcome=UNKNOWN)
+    return unknown_outcome_problem(exc, _RESEND_ADVICE)
--- a/src/redwingslip/submitters/_server.py
+++ b/src/redwingslip/submitters/_server.py
@@ -7,15 +7,12 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from ..http import PROBLEM_TYPE, HttpLimits, build_app
+from ..http import HttpLimits, build_app
 from ..peers import CallSource
-from ..relay import Exchange, decode_call, retry_headers
+from ..relay import Exchange, answer_response, decode_call
 
 __all__ = ["submitter_app"]
 
-JSON_TYPE = "application/json"
-FIRST_ERROR_STATUS = 400
-
 
 def submitter_app(
     exchange: Exchange, limits: HttpLimits, max_wait: timedelta
@@ -35,13 +32,7 @@
     async def handle(req: Request) -> Response:
         call = await decode_call(req, CallSource.SUBMITTERS, limits)
         answer = await exchange(call, max_wait)
-        is_problem = answer.status >= FIRST_ERROR_STATUS
-        return Response(
-            answer.body,
-            status_code=answer.status,
-            headers=retry_headers(answer),
-            media_type=PROBLEM_TYPE if is_problem else JSON_TYPE,
-        )
+        return answer_response(answer)
 
     routes = [
         Route("/v1/queues/{queue}/jobs", handle, methods=["GET"]),
