Split the metrics by subject

Change: the instruments of calls, jobs, pools and processes are in a module each, beside the methods that record them; _instruments holds what they share, and Metrics joins them and closes the exporter. Its public names are unchanged. Tests: test_observe_metrics imports MAX_ATTRIBUTE_VALUES from _instruments. Ruled out: one module for the table of instruments and one for the methods, since a new metric would change both.

--- a/tests/test_observe_metrics.py
+++ b/tests/test_observe_metrics.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 
 from redwingslip.observe import Metrics, new_metrics
-from redwingslip.observe._metrics import MAX_ATTRIBUTE_VALUES
+from redwingslip.observe._instruments import MAX_ATTRIBUTE_VALUES
 from redwingslip.settings import ExporterKind, MetricsSettings
 
 
