--- a/tests/support_memory.py
+++ b/tests/support_memory.py
@@ -46,18 +46,25 @@
     ----------
     folder : Path
         Folder for settings, logs and the data of the controller.
+    extra : dict of str to str
+        Further settings by role.
     """
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, extra: dict[str, str] | None = None):
         self.folder = folder
         self.processes = {}
-        peers, seed, calls, ready = free_ports(4)
+        self._extra = extra or {}
+        peers, seed, calls, ready, submitters = free_ports(5)
         self._ports = {"peers": peers, "seed": seed}
         self.gateway = f"127.0.0.22:{calls}"
+        self.submitters = f"127.0.0.22:{submitters}"
         self.controller = f"127.0.0.21:{seed}"
         (folder / "secret").write_text("tests")
         self._roles = {
-            "gateway": (self.gateway, f"readiness = 127.0.0.22:{ready}\n"),
+            "gateway": (
+                self.gateway,
+                f"readiness = 127.0.0.22:{ready}\nsubmitters = {self.submitters}\n",
+            ),
             "controller": (
                 self.controller,
                 f"[replica]\ndata_folder = {folder}/replica\n",
@@ -72,7 +79,7 @@
             name=role, host=host, calls=calls, folder=self.folder, **self._ports
         )
         path = self.folder / f"{role}.ini"
-        path.write_text(text + rest)
+        path.write_text(text + rest + self._extra.get(role, ""))
         with open(self.folder / f"{role}.out", "ab") as out:
             self.processes[role] = subprocess.Popen(
                 [sys.executable, "-m", "redwingslip", role, str(path)],
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -11,6 +11,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import ClassVar
 
 from tests.support_fleet import plan
 from tests.support_memory import KEY, Crowd, Daemons, ask, head
@@ -38,11 +39,12 @@
     """Daemons, and the checks after a crowd has sent."""
 
     roles = ("gateway",)
+    extra_settings: ClassVar[dict[str, str]] = {}
 
     async def asyncSetUp(self):
         self.folder = Path(tempfile.mkdtemp(prefix="redwingslip-memory-"))
         self.addCleanup(shutil.rmtree, self.folder, ignore_errors=True)
-        self.daemons = Daemons(self.folder)
+        self.daemons = Daemons(self.folder, self.extra_settings)
         self.addCleanup(self.daemons.close)
         for role in self.roles:
             self.daemons.start(role)
@@ -93,6 +95,15 @@
         address = getattr(self.daemons, role)
         return (await ask(address, method, path, body, key=KEY))[0]
 
+    async def wait_status(self, role, method, path, body):
+        """Repeat a call until it succeeds; return the last status."""
+        for _ in range(N_RETRIES):
+            status = await self.call(role, method, path, body)
+            if status == 200:
+                break
+            await asyncio.sleep(RETRY_S)
+        return status
+
 
 class TestGatewayWithoutLeader(MemoryCase):
     """A gateway that knows no leader, so that each call waits and is refused."""
@@ -192,15 +203,6 @@
         document = json.dumps(plan(1)).encode()
         await self.wait_status("controller", "POST", "/config/replace", document)
 
-    async def wait_status(self, role, method, path, body):
-        """Repeat a call until it succeeds; return the last status."""
-        for _ in range(N_RETRIES):
-            status = await self.call(role, method, path, body)
-            if status == 200:
-                break
-            await asyncio.sleep(RETRY_S)
-        return status
-
     async def check_job(self):
         """Check both processes, and that a job is accepted."""
         status = await self.wait_status("gateway", "POST", JOB_PATH, JOB)
