Bound the bytes of the log in memory

A replica dropped entries only after 4,000 of them, and kept 500 before each

Ruled out: bounding the state alone, as forgotten jobs stay in the log.

--- a/src/redwingslip/consensus/_log.py
+++ b/src/redwingslip/consensus/_log.py
@@ -74,6 +74,26 @@
         begin = max(0, first - self.start.index - 1)
         return self._entries[begin : max(0, last - self.start.index)]
 
+    def start_within(self, first: int, last: int, *, max_bytes: int) -> int:
+        """Return from which index on the entries up to `last` have at most some bytes.
+
+        Parameters
+        ----------
+        first : int
+            The earliest index to return; that of the entry before the first one held,
+            or a later one.
+        last : int
+            Index of a held entry.
+        max_bytes : int
+            Limit of the bytes of the entries after the returned index.
+        """
+        n_bytes = 0
+        for index in range(last, first, -1):
+            n_bytes += len(self.entry_at(index).data)
+            if n_bytes > max_bytes:
+                return index
+        return first
+
     def append(self, entry: LogEntry) -> None:
         """Append the next entry."""
         self._entries.append(entry)
--- a/src/redwingslip/consensus/_node.py
+++ b/src/redwingslip/consensus/_node.py
@@ -223,8 +223,11 @@
         )
         self._outputs.add_snapshot(core.snapshot, is_installed=False)
         core.membership.compact(index)
-        start = min(index - core.cfg.n_trailing_entries, core.log.stable_index)
-        core.log.compact(max(core.log.start.index, start))
+        first = max(core.log.start.index, index - core.cfg.n_trailing_entries)
+        first = core.log.start_within(
+            first, index, max_bytes=core.cfg.max_log_bytes // 2
+        )
+        core.log.compact(max(core.log.start.index, min(first, core.log.stable_index)))
 
     def take_ready(self, now: timedelta) -> Ready:
         """Return the work for the owner, with at most one save in progress."""
--- a/src/redwingslip/consensus/_replica.py
+++ b/src/redwingslip/consensus/_replica.py
@@ -74,6 +74,7 @@
         "_last_snapshot_index",
         "_leadership_ended",
         "_machine",
+        "_n_applied_bytes",
         "_node",
         "_peers",
         "_proposals",
@@ -117,6 +118,8 @@
         self._stored: StoredState | None = None
         self._proposals = Proposals()
         self._last_snapshot_index = 0
+        # Bytes of the entries applied since the last snapshot.
+        self._n_applied_bytes = 0
         self._is_stopping = False
         self._failure: Exception | None = None
         self._task: asyncio.Task | None = None
@@ -324,7 +327,7 @@
         self._reporter.report_leadership(self._node, self.applied_index)
         if ready.save is not None:
             self._disk.begin_save(ready, self._wake.set)
-        elif self.applied_index >= self._last_snapshot_index + self._cfg.snapshot_every:
+        elif self._is_snapshot_due():
             self._take_snapshot()
 
     async def _wait_for_input(self) -> None:
@@ -361,8 +364,16 @@
             self._restore(ready.snapshot.index, ready.snapshot.data)
         self._wake.set()
 
+    def _is_snapshot_due(self) -> bool:
+        n_entries = self.applied_index - self._last_snapshot_index
+        return (
+            n_entries >= self._cfg.snapshot_every
+            or self._n_applied_bytes >= self._cfg.max_log_bytes
+        )
+
     def _take_snapshot(self) -> None:
         self._last_snapshot_index = self.applied_index
+        self._n_applied_bytes = 0
         self._node.compact(self.applied_index, self._machine.snapshot())
         self._wake.set()
 
@@ -370,6 +381,7 @@
         self._machine.restore(index, data)
         self.applied_index = index
         self._last_snapshot_index = index
+        self._n_applied_bytes = 0
 
     def _apply(self, entry: LogEntry) -> None:
         if entry.kind is EntryKind.COMMAND:
@@ -380,6 +392,7 @@
             if entry.kind is EntryKind.MEMBERSHIP:
                 self._reporter.report_member_change(entry.index)
         self.applied_index = entry.index
+        self._n_applied_bytes += len(entry.data)
         self._proposals.resolve(entry, outcome)
 
     def _end_leadership(self) -> None:
--- a/src/redwingslip/consensus/_settings.py
+++ b/src/redwingslip/consensus/_settings.py
@@ -24,6 +24,9 @@
         A leader steps down when one save takes this long.
     snapshot_every : int
         Entries between two snapshots.
+    max_log_bytes : int
+        Bytes of entries after which a snapshot is taken earlier. At most half as many
+        bytes of entries before a snapshot are kept.
     n_trailing_entries : int
         Entries before a snapshot that the log keeps, so that slightly delayed members
         need no snapshot.
@@ -50,6 +53,7 @@
     clock_rate_margin: float = 0.05
     disk_timeout: timedelta = timedelta(seconds=2)
     snapshot_every: int = 4_000
+    max_log_bytes: int = 16 * 1024 * 1024
     n_trailing_entries: int = 500
     batching: bool = True
     max_batch_entries: int = 256
