Bound the bytes of the jobs in the state

Jobs were bounded by number and age only: 64 valid jobs of 20,000 tasks, 40 bytes of text each, took a controller to 917 MB.

JobsState sums it from submission until the job is forgotten, so that every replica counts the same. The leader refuses a new job that doesn't fit before it is proposed (503, not run, with a Retry-After from the ends of the ended jobs), and counts those that are being committed. Half is reserved for jobs of up to 128 KiB. The limit is [scheduling] max_job_bytes, by default 45 % of the machine's memory.

Ruled out: a refusal when the command is applied, which would need the limit in the log; dropping ended jobs earlier, which the interface rules out; counting the encoded size, which is 1/400 of the decoded one for jobs of many tasks.

--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -13,8 +13,9 @@
     BodyRefusedError,
     HttpServer,
     RefusalCause,
+    machine_memory_bytes,
 )
-from ..jobs import Command, JobsMachine
+from ..jobs import Command, ForgetJobs, JobsMachine, SubmitJob
 from ..observe import EventName
 from ..peers import (
     CallSource,
@@ -39,7 +40,7 @@
     error_answer,
 )
 from ..relay import RelayBusyError
-from ..scheduling import JobService, Scheduler, Term
+from ..scheduling import JobMemory, JobService, Scheduler, Term
 from ._fleet_app import FIRST_ERROR_STATUS, FleetApp, new_relay_error_answer
 from ._fleet_settings import ControllerSettings
 from ._start_faults import listening
@@ -207,11 +208,20 @@
             cfg=self.cfg.leader,
         )
         self._service = JobService(
-            term=term, scheduler=self._scheduler, gate=self._scheduler.gate
+            term=term,
+            scheduler=self._scheduler,
+            gate=self._scheduler.gate,
+            memory=JobMemory(
+                term=term,
+                cfg=self.cfg.scheduling,
+                machine_bytes=machine_memory_bytes(),
+            ),
         )
         self._scheduler.begin()
 
     def _on_applied(self, command: Command, outcome: object) -> None:
+        if isinstance(command, SubmitJob | ForgetJobs):
+            self._core.metrics.set_job_usage(self.machine.state.sizes.n_bytes)
         if self._scheduler is not None:
             self._scheduler.applied(command, outcome)
 
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -55,6 +55,10 @@
 ]
 
 
+# Some hundred ordinary jobs. With less, ended jobs alone would fill it.
+MIN_JOB_BYTES = 8 << 20
+
+
 class FleetClusterSettings(msgspec.Struct, frozen=True, kw_only=True):
     """How the system's processes discover and authenticate each other.
 
@@ -274,6 +278,17 @@
             )
 
 
+@find_problems.register
+def _(cfg: SchedulingSettings, section: str) -> Iterator[SettingsError]:
+    if cfg.max_job_bytes is not None and cfg.max_job_bytes < MIN_JOB_BYTES:
+        yield SettingsError(
+            section=section,
+            option="max_job_bytes",
+            value=f"{cfg.max_job_bytes} B",
+            allowed=f"at least {MIN_JOB_BYTES} B, or none",
+        )
+
+
 @find_problems.register
 def _(cfg: ControllerSettings, section: str) -> Iterator[SettingsError]:
     yield from _find_address_problems(cfg, section)
--- a/src/redwingslip/http/__init__.py
+++ b/src/redwingslip/http/__init__.py
@@ -13,6 +13,7 @@
 from ._client import ClientAnswer, ClientPool, ClientRequest, Identify
 from ._connections import NO_LIBRARY_TIMEOUTS, BoundedConnection
 from ._limits import ClientLimits, HttpLimits, TlsFiles
+from ._machine_memory import machine_memory_bytes
 from ._problems import (
     NOT_RUN,
     PROBLEM_TYPE,
@@ -63,6 +64,7 @@
     "build_app",
     "decode_json",
     "is_address",
+    "machine_memory_bytes",
     "problem_response",
     "read_body",
     "request_claim",
--- a/src/redwingslip/jobs/__init__.py
+++ b/src/redwingslip/jobs/__init__.py
@@ -32,6 +32,7 @@
     WaveRecord,
     iter_tasks,
 )
+from ._size import SMALL_JOB_BYTES, JobSizes, job_bytes
 from ._spec import MAX_TASKS, JobSpec, Repetition, StepSpec, TaskKey, check_steps
 from ._state import JobsState, VmChange
 from .exceptions import (
@@ -54,6 +55,7 @@
     "InvalidJobError",
     "InvalidPlanError",
     "JobRecord",
+    "JobSizes",
     "JobSpec",
     "JobStatus",
     "JobsError",
@@ -65,6 +67,7 @@
     "Queue",
     "Repetition",
     "RunRecord",
+    "SMALL_JOB_BYTES",
     "SilentVm",
     "StepSpec",
     "TaskKey",
@@ -79,5 +82,6 @@
     "is_isolated",
     "is_quarantined",
     "iter_tasks",
+    "job_bytes",
     *_commands_all,
 ]
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -52,6 +52,7 @@
     start_runs,
 )
 from ._silent_vms import SilentVms
+from ._size import JobSizes
 from ._spec import StepSpec, TaskKey
 from ._usage import RunUsage
 
@@ -116,6 +117,8 @@
         Runs that may be alive.
     silent_vms : SilentVms
         VMs that fell silent, with the tasks that are suspected for it.
+    sizes : JobSizes
+        Bytes of the jobs.
     """
 
     __slots__ = (
@@ -128,6 +131,7 @@
         "plan",
         "removed",
         "silent_vms",
+        "sizes",
         "vms",
         "waves",
     )
@@ -144,6 +148,7 @@
         self.evacuations = Evacuations()
         self.active_runs = ActiveRuns()
         self.silent_vms = SilentVms()
+        self.sizes = JobSizes()
 
     @property
     def runs(self) -> dict[str, dict[tuple[TaskKey, int], ActiveRun]]:
@@ -232,6 +237,9 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the state by an encoded snapshot."""
+        # The former jobs and those of the snapshot may not fit into memory together.
+        self.jobs = {}
+        self.active_runs = ActiveRuns()
         snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
         self.plan = snapshot.plan
         self.removed = snapshot.removed
@@ -245,9 +253,10 @@
         self.waves = {wave.number: wave for wave in snapshot.waves}
         self.machine_orders = snapshot.machine_orders
         self.evacuations = snapshot.evacuations
-        self.active_runs = ActiveRuns()
         self.silent_vms = SilentVms()
+        self.sizes = JobSizes()
         for job in snapshot.jobs:
+            self.sizes.add(job.spec)
             for key, task in iter_tasks(job):
                 for run in task.runs:
                     add_active_run(self, key, run)
@@ -276,6 +285,7 @@
         if job is None:
             job = JobRecord(spec, command.now_ms, tasks=_new_tasks(command))
             self.jobs[spec.job_id] = job
+            self.sizes.add(spec)
             cancelled_ms = self.early_cancels.pop((spec.job_id, spec.customer), None)
             if cancelled_ms is not None:
                 job.status, job.ended_ms = JobStatus.CANCELLED, command.now_ms
@@ -377,6 +387,7 @@
                     for vm in task.silent_vms:
                         self.silent_vms.discard(vm, key)
                 del self.jobs[job_id]
+                self.sizes.remove(job_id)
         for key in command.early_cancels:
             self.early_cancels.pop(key, None)
 
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -207,11 +207,14 @@
     _Instrument(
         "gauge", "memory.body.usage", "By", "Memory that bodies use of their budget."
     ),
+    _Instrument(
+        "gauge", "memory.job.usage", "By", "Memory that jobs use of their limit."
+    ),
     _Instrument(
         "counter",
         "memory.refusals",
         "{refusal}",
-        "Bodies and connections refused or closed for lack of memory, by cause.",
+        "Bodies, connections and jobs refused or closed for lack of memory, by cause.",
     ),
     _Instrument(
         "counter", "event.dropped", "{event}", "Events that the log could not take."
@@ -384,8 +387,12 @@
         """Set the bytes that bodies use of the memory set aside for them."""
         self._instruments["memory.body.usage"].set(n_bytes)
 
+    def set_job_usage(self, n_bytes: int) -> None:
+        """Set the bytes of the jobs in the replicated state."""
+        self._instruments["memory.job.usage"].set(n_bytes)
+
     def add_memory_refusals(self, count: int, *, cause: str) -> None:
-        """Count bodies and connections that were refused for lack of memory."""
+        """Count bodies, connections and jobs that were refused for lack of memory."""
         self._instruments["memory.refusals"].add(count, {"redwingslip.cause": cause})
 
     def add_dropped_events(self, count: int) -> None:
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -4,6 +4,7 @@
 from ._agent import AgentListener, VmAgent
 from ._agent_settings import AgentSettings, VmPolicy
 from ._evacuation_calls import EvacuationCalls, EvacuationStatus
+from ._job_memory import JobMemory
 from ._machines import MachineRegistry
 from ._moves import MoveManager
 from ._ports import (
@@ -62,6 +63,7 @@
     "FutureStartError",
     "HoldReport",
     "JobGate",
+    "JobMemory",
     "JobRefusedError",
     "JobService",
     "KeyRefusedError",
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -53,7 +53,6 @@
 __all__ = ["Scheduler"]
 
 MS = timedelta(milliseconds=1)
-FORGET_PASSES_PER_KEEP_TIME = 20
 
 
 class Scheduler:
@@ -468,8 +467,9 @@
     async def _forget_forever(self) -> None:
         """Remove ended jobs, and early cancellations, after `keep_ended`."""
         keep = self._cfg.scheduling.keep_ended
+        interval = self._cfg.scheduling.forget_interval
         while True:
-            await asyncio.sleep(keep.total_seconds() / FORGET_PASSES_PER_KEEP_TIME)
+            await asyncio.sleep(interval.total_seconds())
             horizon_ms = self._term.now_ms() - keep // MS
             job_ids = tuple(
                 job_id
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -24,6 +24,7 @@
 )
 from ..observe import EventName
 from ._evacuation_calls import EvacuationCalls
+from ._job_memory import JobMemory
 from ._refusals import JobGate
 from ._replacements import ReplacementChecks
 from ._report_history import ReportHistory
@@ -60,6 +61,8 @@
         Scheduling during this term.
     gate : JobGate, optional
         Refuses jobs for which there is no room in time.
+    memory : JobMemory, optional
+        Refuses jobs for which there is no memory.
     """
 
     __slots__ = (
@@ -68,16 +71,23 @@
         "_gate",
         "_history",
         "_indexed_plan",
+        "_memory",
         "_scheduler",
         "_state",
         "_term",
     )
 
     def __init__(
-        self, *, term: Term, scheduler: Scheduler, gate: JobGate | None = None
+        self,
+        *,
+        term: Term,
+        scheduler: Scheduler,
+        gate: JobGate | None = None,
+        memory: JobMemory | None = None,
     ) -> None:
         self._term = term
         self._gate = gate
+        self._memory = memory
         self._state = term.state
         self._scheduler = scheduler
         self._checks = ReplacementChecks(term, scheduler)
@@ -173,7 +183,7 @@
         Raises
         ------
         JobRefusedError
-            The job was refused for lack of room and never runs.
+            The job was refused for lack of room or memory and never runs.
         NotLeadingError
             The job was not accepted and never runs.
         CommandOutcomeUnknownError
@@ -182,7 +192,10 @@
         known = self._state.jobs.get(spec.job_id)
         if known is not None:
             return known
-        with self._gate.submission(spec) if self._gate else nullcontext():
+        with (
+            self._memory.submission(spec) if self._memory else nullcontext(),
+            self._gate.submission(spec) if self._gate else nullcontext(),
+        ):
             command = SubmitJob(spec=spec, now_ms=self._term.now_ms())
             job = await self._term.propose(command)
         if job.status is JobStatus.CANCELLED:
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -23,6 +23,9 @@
 ]
 
 
+FORGET_PASSES_PER_KEEP_TIME = 20
+
+
 class SchedulingSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of placement, retention and takeover.
 
@@ -32,6 +35,11 @@
         Longest time between two rounds of placement.
     keep_ended : timedelta
         How long an ended job stays in the replicated state.
+    max_job_bytes : int or None
+        Limit of the memory of all jobs in the replicated state, active and ended,
+        counted as decoded. A new job that does not fit is refused. Half of it is
+        reserved for jobs of up to 128 KiB. A single larger job is accepted whatever its
+        size. None stands for 45 % of the machine's memory.
     takeover_delay : timedelta
         A new leader gives no order for a machine until this long after the last order
         of an earlier leader for it, so that orders of two leaders for one machine
@@ -40,8 +48,19 @@
 
     round_interval: timedelta = timedelta(milliseconds=100)
     keep_ended: timedelta = timedelta(seconds=150)
+    max_job_bytes: int | None = None
     takeover_delay: timedelta = timedelta(seconds=3)
 
+    @property
+    def forget_interval(self) -> timedelta:
+        """Return the time between two removals of ended jobs."""
+        return self.keep_ended / FORGET_PASSES_PER_KEEP_TIME
+
+    @property
+    def forget_after(self) -> timedelta:
+        """Return how long an ended job is kept at most."""
+        return self.keep_ended + self.forget_interval
+
 
 class WaveSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of maintenance waves.
--- a/tests/test_memory_jobs.py
+++ b/tests/test_memory_jobs.py
@@ -33,7 +33,7 @@
 
     roles = ("controller", "gateway")
     extra_settings: ClassVar[dict[str, str]] = {
-        "controller": "[scheduling]\nkeep_ended = 1 s\n"
+        "controller": "[scheduling]\nkeep_ended = 1 s\nmax_job_bytes = 32 MiB\n"
     }
 
     async def asyncSetUp(self):
