--- /dev/null
+++ b/src/redwingslip/http/_limited_protocol.py
@@ -0,0 +1,201 @@
+"""The protocol of a connection to a server, with the limits on clients."""
+
+import asyncio
+import enum
+from collections import Counter
+from datetime import timedelta
+
+import h11
+import msgspec
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from ._bodies import CLAIM_KEY
+from ._body_budget import BodyClaim, RefusalCause
+from ._connection_table import Idleness
+from ._limits import HttpLimits
+from ._problems import NOT_RUN, PROBLEM_TYPE, Problem
+from ._server_memory import ServerMemory
+from .exceptions import BodyRefusedError
+
+__all__ = ["limited_protocol"]
+
+# Bytes that one read takes, that a request may hold before its handler reads them, and
+# that an answer may hold before its memory is counted.
+READ_BYTES = 16 << 10
+
+_BAD_REQUEST_BODY = msgspec.json.encode(
+    Problem(
+        status=400,
+        title="bad request",
+        detail="not an HTTP/1.1 request, or its head is too long",
+        field="head",
+        outcome=NOT_RUN,
+    )
+)
+
+_BAD_REQUEST = (
+    b"HTTP/1.1 400 Bad Request\r\n"
+    b"Content-Type: %b\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b"
+    % (PROBLEM_TYPE.encode(), len(_BAD_REQUEST_BODY), _BAD_REQUEST_BODY)
+)
+
+
+class _Phase(enum.Enum):
+    """What the server waits for on a connection."""
+
+    HEAD = "head"
+    ANSWER = "answer"
+    REST_OF_BODY = "rest of body"
+    NOTHING = "nothing"
+
+
+class _LimitedProtocol(H11Protocol):
+    """Closes connections above the limits, and those whose requests are too slow.
+
+    Each server has its own subclass, whose class attributes hold the limits of the
+    server and its number of connections per peer.
+    """
+
+    limits: HttpLimits
+    n_of_peer: Counter[str]
+    memory: ServerMemory
+
+    def connection_made(self, transport) -> None:
+        """Count the connection; close it if there are too many."""
+        # The library reads up to 256 KiB at once, which h11 then holds; TLS has buffers
+        # of its own.
+        if hasattr(transport, "max_size"):
+            transport.max_size = READ_BYTES
+        transport.set_write_buffer_limits(high=READ_BYTES)
+        peer = transport.get_extra_info("peername")
+        self.peer = peer[0] if peer else ""
+        self.phase = _Phase.NOTHING
+        self.timer: asyncio.TimerHandle | None = None
+        self.write_timer: asyncio.TimerHandle | None = None
+        self.unread_answer: BodyClaim | None = None
+        self.n_of_peer[self.peer] += 1
+        super().connection_made(transport)
+        self.set_timer()
+        too_many = self.n_of_peer[self.peer] > self.limits.max_connections_per_peer
+        if too_many or not self.memory.connections.admit(self):
+            transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes, and update the timer of the phase."""
+        super().data_received(data)
+        if self.cycle is not None and len(self.cycle.body) > READ_BYTES:
+            self.flow.pause_reading()
+        self.set_timer()
+
+    def on_response_complete(self) -> None:
+        """Start the next request, and update the timer of the phase."""
+        # An idle connection must not keep what its last handler didn't read.
+        self.cycle.body = bytearray()
+        super().on_response_complete()
+        self.set_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the timers, and remove the connection from the counts."""
+        for timer in (self.timer, self.write_timer):
+            if timer is not None:
+                timer.cancel()
+        self.release_answer()
+        self.memory.connections.remove(self)
+        self.n_of_peer[self.peer] -= 1
+        if not self.n_of_peer[self.peer]:
+            del self.n_of_peer[self.peer]
+        super().connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        """Pause the answer; close the connection if the peer reads nothing in time."""
+        super().pause_writing()
+        self.write_timer = self.abort_after(self.limits.body_timeout)
+        claim = self.memory.bodies.claim()
+        claim.drop_cause = RefusalCause.UNREAD_ANSWER
+        claim.on_drop = self.transport.abort
+        claim.count_unsent = self.transport.get_write_buffer_size
+        self.unread_answer = claim
+        try:
+            claim.reserve(
+                self.transport.get_write_buffer_size(), RefusalCause.UNREAD_ANSWER
+            )
+        except BodyRefusedError:
+            self.transport.abort()
+
+    def resume_writing(self) -> None:
+        """Continue the answer, and cancel the timer."""
+        super().resume_writing()
+        self.release_answer()
+        if self.write_timer is not None:
+            self.write_timer.cancel()
+
+    def release_answer(self) -> None:
+        """Free the memory of an answer that was sent or given up."""
+        if self.unread_answer is not None:
+            self.unread_answer.release()
+            self.unread_answer = None
+
+    def idleness(self) -> Idleness:
+        """Return how far the connection can be given up for a new one."""
+        claim = self.cycle.scope.get(CLAIM_KEY) if self.cycle is not None else None
+        match self.current_phase():
+            case _Phase.HEAD:
+                return Idleness.WAITING_FOR_HEAD
+            case _Phase.NOTHING if self.unread_answer is None:
+                return Idleness.BETWEEN_REQUESTS
+            case _Phase.REST_OF_BODY if self.unread_answer is None:
+                return Idleness.REST_OF_BODY
+            case _Phase.ANSWER if self.memory.bodies.is_stalled(claim):
+                return Idleness.STALLED_BODY
+        return Idleness.IN_USE
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self.transport.abort()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse input that is not an HTTP request, then close the connection."""
+        self.transport.write(_BAD_REQUEST)
+        self.transport.close()
+
+    def set_timer(self) -> None:
+        """Start the timer of a new phase.
+
+        Further bytes within the same phase do not extend its timer.
+        """
+        phase = self.current_phase()
+        if phase is self.phase or self.transport.is_closing():
+            return
+        self.phase = phase
+        if self.timer is not None:
+            self.timer.cancel()
+        if phase is _Phase.HEAD:
+            self.timer = self.abort_after(self.limits.header_timeout)
+        elif phase is _Phase.REST_OF_BODY:
+            self.timer = self.abort_after(self.limits.body_timeout)
+
+    def current_phase(self) -> _Phase:
+        """Return the phase that the connection is in.
+
+        After an early answer the rest of the request body is read and dropped for up
+        to the body timeout. Closing the connection immediately would reset it, and
+        the client could lose the answer.
+        """
+        if self.cycle is not None and not self.cycle.response_complete:
+            return _Phase.ANSWER
+        if self.conn.their_state is h11.SEND_BODY:
+            return _Phase.REST_OF_BODY
+        if self.cycle is None or self.conn.trailing_data[0]:
+            return _Phase.HEAD
+        return _Phase.NOTHING
+
+    def abort_after(self, timeout: timedelta) -> asyncio.TimerHandle:
+        """Return a timer that closes the connection after `timeout`."""
+        return self.loop.call_later(timeout.total_seconds(), self.transport.abort)
+
+
+def limited_protocol(cfg: HttpLimits, memory: ServerMemory) -> type[H11Protocol]:
+    """Return a protocol class with the limits and counts of one server."""
+    counts: Counter[str] = Counter()
+    namespace = {"limits": cfg, "n_of_peer": counts, "memory": memory}
+    return type("LimitedProtocol", (_LimitedProtocol,), namespace)
