Give each address an equal share of the connections at the limit

An address with requests in progress on all connections kept others out, for up to the body timeout with slow bodies. At the limit, each accepted connection looked at all others.

Ruled out: a fixed limit for an address, as a load balancer may hold all; closing running requests, whose callers would lose their answers.

--- a/src/redwingslip/http/_body_budget.py
+++ b/src/redwingslip/http/_body_budget.py
@@ -42,6 +42,7 @@
     UNREAD_ANSWER = "unread-answer"
     CONNECTIONS = "connections"
     IDLE_CONNECTION = "idle-connection"
+    CONNECTION_SHARE = "connection-share"
     RELAYED_BODY = "relayed-body"
     LINK = "link"
 
@@ -100,12 +101,20 @@
         """Return the time of the budget's clock."""
         return self._clock.monotonic()
 
-    def is_stalled(self, claim: "BodyClaim | None") -> bool:
-        """Return whether the body of a claim may be dropped for lack of progress."""
+    def stalls_at(self, claim: "BodyClaim | None") -> timedelta | None:
+        """Return when the body of a claim may be dropped for lack of progress.
+
+        None stands for a body that can't be dropped.
+        """
         if claim is None or claim.on_drop is None:
-            return False
+            return None
         claim.update_progress()
-        return claim.progress_at <= self.now() - self._stall
+        return claim.progress_at + self._stall
+
+    def is_stalled(self, claim: "BodyClaim") -> bool:
+        """Return whether the body of a claim may be dropped for lack of progress."""
+        stalls_at = self.stalls_at(claim)
+        return stalls_at is not None and stalls_at <= self.now()
 
     def take(self, claim: "BodyClaim", n_bytes: int) -> bool:
         """Add bytes to a claim if they fit, and return whether they do."""
--- a/src/redwingslip/http/_limited_protocol.py
+++ b/src/redwingslip/http/_limited_protocol.py
@@ -73,6 +73,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.write_timer: asyncio.TimerHandle | None = None
         self.unread_answer: BodyClaim | None = None
+        self.is_retiring = False
         self.n_of_peer[self.peer] += 1
         super().connection_made(transport)
         self.set_timer()
@@ -91,6 +92,8 @@
         """Start the next request, and update the timer of the phase."""
         # An idle connection must not keep what its last handler didn't read.
         self.cycle.body = bytearray()
+        if self.is_retiring:
+            self.transport.close()
         super().on_response_complete()
         self.set_timer()
 
@@ -115,6 +118,7 @@
         claim.on_drop = self.transport.abort
         claim.count_unsent = self.transport.get_write_buffer_size
         self.unread_answer = claim
+        self.memory.connections.update(self)
         try:
             claim.reserve(
                 self.transport.get_write_buffer_size(), RefusalCause.UNREAD_ANSWER
@@ -134,21 +138,34 @@
         if self.unread_answer is not None:
             self.unread_answer.release()
             self.unread_answer = None
+            self.memory.connections.update(self)
 
     def idleness(self) -> Idleness:
         """Return how far the connection can be given up for a new one."""
-        claim = self.cycle.scope.get(CLAIM_KEY) if self.cycle is not None else None
         match self.current_phase():
+            case _Phase.ANSWER if self.cycle.more_body:
+                return Idleness.RECEIVING_BODY
             case _Phase.HEAD:
                 return Idleness.WAITING_FOR_HEAD
             case _Phase.NOTHING if self.unread_answer is None:
                 return Idleness.BETWEEN_REQUESTS
             case _Phase.REST_OF_BODY if self.unread_answer is None:
                 return Idleness.REST_OF_BODY
-            case _Phase.ANSWER if self.memory.bodies.is_stalled(claim):
-                return Idleness.STALLED_BODY
         return Idleness.IN_USE
 
+    def stalls_at(self) -> timedelta | None:
+        """Return when the body counts as stalled; None if it can't be dropped."""
+        return self.memory.bodies.stalls_at(self.cycle.scope.get(CLAIM_KEY))
+
+    def retire(self) -> None:
+        """Close the connection after its answer, or now if the peer reads nothing."""
+        self.is_retiring = True
+        claim = self.unread_answer
+        if claim is not None and self.memory.bodies.is_stalled(claim):
+            self.transport.abort()
+        elif self.current_phase() is not _Phase.ANSWER:
+            self.transport.close()
+
     def abort(self) -> None:
         """Close the connection at once."""
         self.transport.abort()
@@ -159,10 +176,11 @@
         self.transport.close()
 
     def set_timer(self) -> None:
-        """Start the timer of a new phase.
+        """Start the timer of a new phase, and tell the table of connections.
 
         Further bytes within the same phase do not extend its timer.
         """
+        self.memory.connections.update(self)
         phase = self.current_phase()
         if phase is self.phase or self.transport.is_closing():
             return
--- a/src/redwingslip/http/_limits.py
+++ b/src/redwingslip/http/_limits.py
@@ -44,8 +44,9 @@
         Connections from one IP address; further ones are closed immediately.
     max_connections : int
         Connections from all peers to all servers of the process. Beyond it, idle
-        connections, and those with a stalled body, are closed for new ones; if there is
-        none, the new one is closed.
+        connections, and those with a stalled body, are closed for new ones. If there is
+        none, an address with less than an equal share takes one from the address that
+        has most; otherwise the new one is closed.
     """
 
     max_header_bytes: Annotated[int, msgspec.Meta(ge=1)] = 16_384
--- a/src/redwingslip/http/_server_memory.py
+++ b/src/redwingslip/http/_server_memory.py
@@ -63,14 +63,15 @@
     ) -> None:
         if machine_bytes is None:
             machine_bytes = machine_memory_bytes()
+        clock = clock or SystemClock()
         self.bodies = BodyBudget(
             max_bytes=_max_body_bytes(cfg, machine_bytes),
             max_body_bytes=cfg.max_body_bytes,
             stall=cfg.body_stall,
-            clock=clock or SystemClock(),
+            clock=clock,
         )
         self.connections = ConnectionTable(
-            _max_connections(cfg, machine_bytes, is_encrypted=is_encrypted)
+            _max_connections(cfg, machine_bytes, is_encrypted=is_encrypted), clock
         )
 
     def observe(
