--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -8,13 +8,11 @@
 from ..consensus import ConsensusMessage, DataFolder, Replica, bootstrap_data_folder
 from ..delegation import DelegatedOrders, OrderDelegate
 from ..http import (
-    BodyClaim,
-    BodyRank,
     BodyRefusedError,
     HttpServer,
-    RefusalCause,
+    machine_memory_bytes,
 )
-from ..jobs import Command, JobsMachine
+from ..jobs import Command, ForgetJobs, JobsMachine, SubmitJob
 from ..observe import EventName
 from ..peers import (
     CallSource,
@@ -39,7 +37,8 @@
     error_answer,
 )
 from ..relay import RelayBusyError
-from ..scheduling import JobService, Scheduler, Term
+from ..scheduling import JobMemory, JobService, Scheduler, Term
+from ._call_memory import CallClaim, claim_call
 from ._fleet_app import FIRST_ERROR_STATUS, FleetApp, new_relay_error_answer
 from ._fleet_settings import ControllerSettings
 from ._start_faults import listening
@@ -207,11 +206,20 @@
             cfg=self.cfg.leader,
         )
         self._service = JobService(
-            term=term, scheduler=self._scheduler, gate=self._scheduler.gate
+            term=term,
+            scheduler=self._scheduler,
+            gate=self._scheduler.gate,
+            memory=JobMemory(
+                term=term,
+                cfg=self.cfg.scheduling,
+                machine_bytes=machine_memory_bytes(),
+            ),
         )
         self._scheduler.begin()
 
     def _on_applied(self, command: Command, outcome: object) -> None:
+        if isinstance(command, SubmitJob | ForgetJobs):
+            self._core.metrics.set_job_usage(self.machine.state.sizes.n_bytes)
         if self._scheduler is not None:
             self._scheduler.applied(command, outcome)
 
@@ -262,24 +270,17 @@
             answer = RelayedAnswer(number=call.number, is_taken=False)
             self._core.send(sender_id, answer)
             return
-        claim = self._memory.bodies.claim(
-            BodyRank.DIRECT
-            if call.source in (CallSource.CONTROL, CallSource.OPERATORS)
-            else BodyRank.RELAYED_FOR_CALLER
-        )
-        # The server of this process has counted the bodies of its own calls.
-        if sender_id != self._replica_id:
-            try:
-                claim.reserve(len(call.body), RefusalCause.RELAYED_BODY)
-            except BodyRefusedError:
-                busy = RelayBusyError("the leader has no memory for the body")
-                answer = new_relay_error_answer(call, busy)
-                self._core.send(sender_id, answer)
-                return
+        try:
+            is_own = sender_id == self._replica_id
+            claim = claim_call(self._memory.bodies, call, is_own=is_own)
+        except BodyRefusedError:
+            busy = RelayBusyError("the leader has no memory for the body")
+            self._core.send(sender_id, new_relay_error_answer(call, busy))
+            return
         self._spawn(self._answer_and_release(sender_id, call, self._service, claim))
 
     async def _answer_and_release(
-        self, sender_id: str, call: RelayedCall, service: JobService, claim: BodyClaim
+        self, sender_id: str, call: RelayedCall, service: JobService, claim: CallClaim
     ) -> None:
         try:
             await self._answer_call(sender_id, call, service)
--- a/src/redwingslip/http/_body_budget.py
+++ b/src/redwingslip/http/_body_budget.py
@@ -24,6 +24,7 @@
 
     DIRECT = 0
     RELAYED_FOR_CALLER = 1
+    DECODED_DIRECT = 2
 
 
 # Parts of the reserve that small, medium and large bodies leave free. On the leader,
@@ -31,6 +32,8 @@
 RESERVE_SHARES = {
     BodyRank.DIRECT: (0.0, 0.25, 1.0),
     BodyRank.RELAYED_FOR_CALLER: (0.5, 0.75, 1.0),
+    # A configuration of medium size is large once it is decoded.
+    BodyRank.DECODED_DIRECT: (0.0, 0.25, 0.25),
 }
 
 
@@ -42,7 +45,9 @@
     UNREAD_ANSWER = "unread-answer"
     CONNECTIONS = "connections"
     IDLE_CONNECTION = "idle-connection"
+    CONNECTION_SHARE = "connection-share"
     RELAYED_BODY = "relayed-body"
+    DECODED_BODY = "decoded-body"
     LINK = "link"
 
 
@@ -92,6 +97,11 @@
         self.on_refusal: Callable[[RefusalCause], None] = lambda cause: None
         self.on_usage: Callable[[int], None] = lambda n_bytes: None
 
+    @property
+    def max_large_bytes(self) -> int:
+        """Return how many bytes large bodies may use together."""
+        return self.max_bytes - self._reserve
+
     def claim(self, rank: BodyRank = BodyRank.DIRECT) -> "BodyClaim":
         """Return a claim on the budget that holds nothing yet."""
         return BodyClaim(self, rank)
@@ -100,12 +110,20 @@
         """Return the time of the budget's clock."""
         return self._clock.monotonic()
 
-    def is_stalled(self, claim: "BodyClaim | None") -> bool:
-        """Return whether the body of a claim may be dropped for lack of progress."""
+    def stalls_at(self, claim: "BodyClaim | None") -> timedelta | None:
+        """Return when the body of a claim may be dropped for lack of progress.
+
+        None stands for a body that can't be dropped.
+        """
         if claim is None or claim.on_drop is None:
-            return False
+            return None
         claim.update_progress()
-        return claim.progress_at <= self.now() - self._stall
+        return claim.progress_at + self._stall
+
+    def is_stalled(self, claim: "BodyClaim") -> bool:
+        """Return whether the body of a claim may be dropped for lack of progress."""
+        stalls_at = self.stalls_at(claim)
+        return stalls_at is not None and stalls_at <= self.now()
 
     def take(self, claim: "BodyClaim", n_bytes: int) -> bool:
         """Add bytes to a claim if they fit, and return whether they do."""
--- a/src/redwingslip/jobs/_jobs.py
+++ b/src/redwingslip/jobs/_jobs.py
@@ -11,6 +11,7 @@
     TaskRecord,
     iter_tasks,
 )
+from ._size import JobSizes
 from ._spec import StepSpec, TaskKey
 
 __all__ = ["Jobs"]
@@ -28,9 +29,11 @@
     early_cancels : dict
         Unix times in milliseconds of the cancellations of unknown jobs, by id and
         customer.
+    sizes : JobSizes
+        Bytes of the jobs.
     """
 
-    __slots__ = ("by_id", "early_cancels")
+    __slots__ = ("by_id", "early_cancels", "sizes")
 
     def __init__(
         self,
@@ -41,6 +44,9 @@
         self.early_cancels: dict[tuple[str, str], int] = {
             (job_id, customer): at_ms for job_id, customer, at_ms in early_cancels
         }
+        self.sizes = JobSizes()
+        for job in self.by_id.values():
+            self.sizes.add(job.spec)
 
     def task(self, key: TaskKey) -> TaskRecord | None:
         """Return a task, or None if its job is unknown or has no such task."""
@@ -69,6 +75,7 @@
         if job is None:
             job = JobRecord(spec, command.now_ms, tasks=_new_tasks(command))
             self.by_id[spec.job_id] = job
+            self.sizes.add(spec)
             cancelled_ms = self.early_cancels.pop((spec.job_id, spec.customer), None)
             if cancelled_ms is not None:
                 job.status, job.ended_ms = JobStatus.CANCELLED, command.now_ms
@@ -94,6 +101,7 @@
             has_ended = job is not None and job.status not in ACTIVE_STATUSES
             if has_ended and not any(task.runs for _, task in iter_tasks(job)):
                 del self.by_id[job_id]
+                self.sizes.remove(job_id)
                 forgotten.append(job)
         for key in command.early_cancels:
             self.early_cancels.pop(key, None)
--- a/src/redwingslip/jobs/_state.py
+++ b/src/redwingslip/jobs/_state.py
@@ -84,6 +84,8 @@
         Runs that may be alive.
     silent_vms : SilentVms
         VMs that fell silent, with the tasks that are suspected for it.
+    sizes : JobSizes
+        Bytes of the jobs.
     """
 
     __slots__ = (
@@ -100,12 +102,13 @@
         "left_vms",
         "machine_orders",
         "silent_vms",
+        "sizes",
         "vms",
         "waves",
     )
 
     def __init__(self) -> None:
-        self._set_parts(Snapshot(plan=Plan(), jobs=(), vms=(), waves=()))
+        self._set_parts(_empty_snapshot())
 
     def _set_parts(self, snapshot: Snapshot) -> None:
         """Create the parts of the state from a snapshot, without their indexes."""
@@ -114,6 +117,7 @@
         self._vms = Vms(snapshot.vms)
         self._waves = Waves(snapshot.waves)
         self.jobs = self._jobs.by_id
+        self.sizes = self._jobs.sizes
         self.early_cancels = self._jobs.early_cancels
         self.vms = self._vms.by_name
         self.waves = self._waves.by_number
@@ -222,6 +226,8 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the state by an encoded snapshot."""
+        # The former jobs and those of the snapshot may not fit into memory together.
+        self._set_parts(_empty_snapshot())
         snapshot = msgspec.msgpack.decode(data, type=Snapshot)
         self._set_parts(snapshot)
         for job in snapshot.jobs:
@@ -337,3 +343,7 @@
     def _(self, command: FinishEvacuation) -> bool:
         """Return whether the data centre was being evacuated."""
         return self.evacuations.finish(command.data_centre, command.now_ms)
+
+
+def _empty_snapshot() -> Snapshot:
+    return Snapshot(plan=Plan(), jobs=(), vms=(), waves=())
