Learn the speeds of VMs and prefer normal ones for urgent tasks

On 12 VMs, 4 of them four times slower, tasks are placed on slow VMs as on any other. SpeedModel estimates the speed of each machine from results, overdue runs and failures; the placement prefers VMs that are fast enough for a task's deadline. Not wired into the leader yet.

--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -55,6 +55,8 @@
     VM_ANSWERED = "vm.answered"
     VM_LOST = "vm.lost"
     VM_AVOIDED = "vm.avoided"
+    VM_SLOW = "vm.slow"
+    VM_NORMAL = "vm.normal"
     MAINTENANCE_ORDERED = "maintenance.ordered"
     ADVICE_TAKEN = "advice.taken"
     MACHINE_RECALLED = "machine.recalled"
--- a/src/redwingslip/observe/_metrics.py
+++ b/src/redwingslip/observe/_metrics.py
@@ -156,6 +156,10 @@
         "s",
         "Waits for places in racks beyond what these have saved.",
     ),
+    _Instrument(
+        "gauge", "pool.vms.slow", "{vm}", "VMs of a pool that are slower than others."
+    ),
+    _Instrument("gauge", "pool.speed", "1", "Mean speed of the VMs of a pool."),
     _Instrument(
         "counter",
         "vm.calls",
@@ -359,6 +363,12 @@
         name = "rack.wait.saved" if gained >= timedelta(0) else "rack.wait.lost"
         self._instruments[name].add(abs(gained.total_seconds()))
 
+    def set_vm_speeds(self, *, pool: str, n_slow: int, mean: float) -> None:
+        """Set the number of a pool's slow VMs, and the mean speed of all its VMs."""
+        attributes = self._limit_values({"redwingslip.pool": pool})
+        self._instruments["pool.vms.slow"].set(n_slow, attributes)
+        self._instruments["pool.speed"].set(mean, attributes)
+
     def add_vm_calls(self, count: int, *, caller: str) -> None:
         """Count calls of VMs that the leader or its delegates make."""
         if count:
--- a/src/redwingslip/placement/_placer.py
+++ b/src/redwingslip/placement/_placer.py
@@ -277,6 +277,7 @@
     def _reserve(self, task: WaitingTask, vm: CandidateVm) -> RunStart:
         vm.free = vm.free - task.step.reserved
         vm.tasks_of_step[task.key[:3]] += 1
+        vm.is_retried = False
         vm.has_long_running = vm.has_long_running or task.step.is_long_running
         if task.is_suspect:
             vm.suspect_jobs.add(task.key.job_id)
@@ -310,6 +311,18 @@
     return sum(vm.free.cpu for vm in vms)
 
 
+def _slowness(vm: CandidateVm, task: WaitingTask) -> float:
+    """Return how many times as long a task takes on a VM that is too slow for it.
+
+    It is 0 if the VM is fast enough.
+    """
+    if vm.speed >= task.min_speed:
+        return 0.0
+    if vm.is_retried and not task.step.is_long_running:
+        return 0.0
+    return 1 / vm.speed
+
+
 def _rank(
     vm: CandidateVm, task: WaitingTask, n_in_rack: int, *, is_wanted: bool
 ) -> tuple:
@@ -334,6 +347,7 @@
         # A VM that crashes takes its other runs with it: suspects go where few are.
         bool(vm.suspect_jobs),
         vm.n_runs if task.is_suspect else 0,
+        _slowness(vm, task),
         is_far(step, vm.labels),
         step.is_long_running and has_its_share,
         # Maintenance of the machine would soon interrupt a long-running task.
--- a/src/redwingslip/placement/_view.py
+++ b/src/redwingslip/placement/_view.py
@@ -66,6 +66,9 @@
     ----------
     allowed : collection of str or None
         VMs that may run the task; None for any VM of the pool.
+    min_speed : float
+        Lowest speed of a VM on which its job still ends in time. On a slower one it is
+        placed only if there is no other.
     has_waited : bool
         Whether the task has waited so long that it need not wait for a VM that suits it
         better. An isolated one may then share a VM with jobs that are not suspected.
@@ -80,6 +83,7 @@
         "has_waited",
         "is_isolated",
         "key",
+        "min_speed",
         "pool",
         "step",
     )
@@ -106,6 +110,7 @@
         self.is_isolated = is_isolated
         self.allowed: Collection[str] | None = None
         self.has_waited = False
+        self.min_speed = 0.0
 
     @property
     def takes_any_vm(self) -> bool:
@@ -157,6 +162,11 @@
         started here not long ago.
     isolated_job : str
         The job whose tasks alone may run on it; empty for any.
+    speed : float
+        Progress of its runs in relation to those on normal VMs; 1 for a normal one.
+    is_retried : bool
+        Whether the next short task is to be placed as if the VM were normal, so that
+        its recovery is noticed.
     """
 
     __slots__ = (
@@ -167,9 +177,11 @@
         "is_avoided",
         "is_awaiting_maintenance",
         "is_ejected",
+        "is_retried",
         "isolated_job",
         "labels",
         "machine",
+        "speed",
         "suspect_jobs",
         "tasks_of_step",
         "vm_id",
@@ -205,6 +217,8 @@
         self.is_awaiting_maintenance = is_awaiting_maintenance
         self.suspect_jobs = set(suspect_jobs)
         self.isolated_job = isolated_job
+        self.speed = 1.0
+        self.is_retried = False
 
     @property
     def n_runs(self) -> int:
--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -24,6 +24,7 @@
     "ON_TIME_ESTIMATE_SHARE",
     "JobIndex",
     "PoolBacklog",
+    "critical_path_ms",
     "non_preemptible_need",
 ]
 
@@ -168,7 +169,7 @@
         queue = self._queues.get(spec.queue)
         stretch = queue.stretch if queue else 1.0
         target_ms = queue.target_latency_ms if queue else 0
-        objective_ms = stretch * _critical_path_ms(spec) + target_ms
+        objective_ms = stretch * critical_path_ms(spec) + target_ms
         return (
             accepted_ms + objective_ms,
             accepted_ms + USELESS_AFTER_OBJECTIVES * objective_ms,
@@ -184,7 +185,7 @@
         queue = self._queues.get(job.spec.queue)
         if queue is None:
             return 0.0
-        path_ms = _critical_path_ms(job.spec)
+        path_ms = critical_path_ms(job.spec)
         return (queue.stretch - 1) * path_ms + queue.target_latency_ms
 
     def n_not_begun(self, queue: str) -> int:
@@ -252,7 +253,7 @@
         if any(step.is_long_running for step in job.spec.steps):
             return Urgency(LONG_RUNNING_BAND, 0, 0, job.accepted_ms)
         due_ms, useless_ms = self.deadlines(job.spec, job.accepted_ms)
-        end_ms = now_ms + ON_TIME_ESTIMATE_SHARE * _critical_path_ms(job.spec, job)
+        end_ms = now_ms + ON_TIME_ESTIMATE_SHARE * critical_path_ms(job.spec, job)
         band, turn = ON_TIME_BAND, 0
         if end_ms > due_ms:
             band = LATE_BAND if end_ms <= useless_ms else USELESS_BAND
@@ -268,7 +269,7 @@
         return turn
 
 
-def _critical_path_ms(spec: JobSpec, job: JobRecord | None = None) -> int:
+def critical_path_ms(spec: JobSpec, job: JobRecord | None = None) -> int:
     """Return the estimated duration of the critical path through a job's steps.
 
     Steps that are done count as 0 if the job is given. For a repeated job, this is the
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -12,6 +12,7 @@
 from ._machines import MachineRegistry
 from ._preemption import Preemption
 from ._recall import recall_machine
+from ._speeds import VmSpeeds
 from ._term import Term
 from ._wait_reasons import describe_pool
 
@@ -52,6 +53,8 @@
         Tickets for queues whose VMs need one.
     locality : RackLocality or None
         Estimates for waits for racks; None if no task waits for one.
+    speeds : VmSpeeds or None
+        Learned speeds of VMs; None if all count as equally fast.
 
     Attributes
     ----------
@@ -67,6 +70,7 @@
         "_machines",
         "_preemption",
         "_recalled_pools",
+        "_speeds",
         "_state",
         "_term",
         "_wait_reported_at",
@@ -82,6 +86,7 @@
         job_index: JobIndex,
         advice: AdviceCache,
         locality: RackLocality | None = None,
+        speeds: VmSpeeds | None = None,
     ) -> None:
         self._term = term
         self._state = term.state
@@ -89,6 +94,7 @@
         self._job_index = job_index
         self._advice = advice
         self._locality = locality
+        self._speeds = speeds
         # Jobs whose placement failed with an error that was logged.
         self._failed_jobs: set[str] = set()
         # Monotonic times since which isolated and long-running tasks wait.
@@ -100,6 +106,8 @@
 
     def decide(self) -> tuple[RunStart, ...]:
         """Run one round and return the runs to start."""
+        if self._speeds is not None:
+            self._speeds.update()
         jobs = self._job_index.waiting(self._term.now_ms(), self._is_silent)
         self.backlog.clear()
         self._recalled_pools.clear()
@@ -133,6 +141,8 @@
                 self._report_failure(tasks[0].key.job_id, exc)
         if waits is not None:
             self._locality.end_round(waits, starts)
+        if self._speeds is not None:
+            self._speeds.note_starts(starts)
         return tuple(starts)
 
     def _report_failure(self, job_id: str, exc: Exception) -> None:
@@ -233,6 +243,8 @@
             tasks = sorted(tasks, key=lambda task: not task.has_waited)
         for task in tasks:
             steps.setdefault((task.key[:3], task.has_waited), []).append(task)
+        if self._speeds is not None:
+            self._speeds.set_min_speeds(urgency, tasks)
         needs_advice = self._job_index.needs_advice(tasks[0].key.job_id)
         for (step_key, _), step_tasks in steps.items():
             if needs_advice:
@@ -376,6 +388,8 @@
                 suspect_jobs={run.key.job_id for run in suspects},
                 isolated_job=self._isolated_job(suspects),
             )
+            if self._speeds is not None:
+                self._speeds.rate(candidate, now)
             pools.setdefault(agent.vm.pool, []).append(candidate)
         return pools
 
--- a/src/redwingslip/workers/__init__.py
+++ b/src/redwingslip/workers/__init__.py
@@ -3,15 +3,22 @@
 from ._health import HealthSettings, VmHealth
 from ._lease import LeaseSettings, VmLease
 from ._progress import ProgressSettings, RunProgress
-from ._run_times import RunTimeModel, RunTimeSettings, StepKey
+from ._run_times import RunTimeExpectation, RunTimeModel, RunTimeSettings, StepKey
+from ._speeds import Excess, MachineSpeed, SpeedChange, SpeedModel, SpeedSettings
 
 __all__ = [
+    "Excess",
     "HealthSettings",
     "LeaseSettings",
+    "MachineSpeed",
     "ProgressSettings",
     "RunProgress",
-    "RunTimeSettings",
+    "RunTimeExpectation",
     "RunTimeModel",
+    "RunTimeSettings",
+    "SpeedChange",
+    "SpeedModel",
+    "SpeedSettings",
     "StepKey",
     "VmHealth",
     "VmLease",
--- a/src/redwingslip/workers/_run_times.py
+++ b/src/redwingslip/workers/_run_times.py
@@ -8,12 +8,17 @@
 
 import msgspec
 
-__all__ = ["RunTimeSettings", "RunTimeModel", "StepKey"]
+__all__ = ["RunTimeExpectation", "RunTimeModel", "RunTimeSettings", "StepKey"]
 
 MS = timedelta(milliseconds=1)
 # Any time that follows from estimates and finished runs is at most this long.
 MAX_RUN_TIME = timedelta(days=36_500)
 MAX_LOG_MS = math.log(MAX_RUN_TIME / MS)
+# Runs of a step say what others of it take once this many, and half of the step, have
+# ended elsewhere. The first ones to end are the shortest.
+MIN_OF_STEP = 3
+# Few runs may agree by chance, and other work on their VMs delays some.
+MIN_DEVIATION = 0.25
 
 
 class RunTimeSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -51,6 +56,24 @@
     step: int
 
 
+class RunTimeExpectation(NamedTuple):
+    """The run time of a run on a VM of normal speed.
+
+    Attributes
+    ----------
+    log_ms : float
+        Logarithm of its median, in ms.
+    deviation : float
+        Standard deviation of the logarithm of the run time.
+    is_of_step : bool
+        Whether it comes from runs of the same step, and not from the caller's estimate.
+    """
+
+    log_ms: float
+    deviation: float
+    is_of_step: bool
+
+
 class _Fit(NamedTuple):
     """A line through the logarithms of run times over those of the estimates."""
 
@@ -97,10 +120,12 @@
         estimate: timedelta,
         run_time: timedelta,
         is_remote: bool = False,
+        speed: float = 1.0,
     ) -> None:
         """Record a run that was carried out completely.
 
-        The run time of a remote run counts as it would be in the rack of its data.
+        The run time of a remote run counts as it would be in the rack of its data, and
+        that on a slow VM as it would be on a normal one.
 
         Parameters
         ----------
@@ -116,9 +141,12 @@
             Time from the start of the run to its end.
         is_remote : bool
             Whether the VM is outside the rack of the run's data.
+        speed : float
+            Speed of the VM; 1 for a normal one.
         """
         if is_remote:
             run_time /= self._remote_penalty
+        run_time *= speed
         steps = self._siblings.setdefault(step_key.job_id, {})
         steps.setdefault(step_key, []).append((vm_id, run_time))
         if estimate > timedelta(0) and run_time > timedelta(0):
@@ -173,6 +201,63 @@
         fit = self._fit(queue)
         return None if fit is None else fit.deviation
 
+    def expectation(
+        self,
+        step_key: StepKey,
+        *,
+        queue: str,
+        vm_id: str,
+        estimate: timedelta,
+        n_tasks: int,
+        is_remote: bool = False,
+    ) -> RunTimeExpectation | None:
+        """Return what is known of a run's time from finished runs, those of a VM aside.
+
+        Parameters
+        ----------
+        step_key : StepKey
+            The step that the run belongs to.
+        queue : str
+            The queue of its job.
+        vm_id : str
+            The VM whose own runs of the step don't count.
+        estimate : timedelta
+            The caller's estimate of the run time; zero for none.
+        n_tasks : int
+            Number of tasks of the step.
+        is_remote : bool
+            Whether the VM is outside the rack of the run's data.
+
+        Returns
+        -------
+        RunTimeExpectation or None
+            None if too few runs have finished to know.
+        """
+        remote = math.log(self._remote_penalty) if is_remote else 0.0
+        siblings = self._siblings.get(step_key.job_id, {}).get(step_key, ())
+        if len(siblings) >= max(MIN_OF_STEP, n_tasks / 2):
+            logs = [
+                math.log(run_time / MS)
+                for other, run_time in siblings
+                if other != vm_id and run_time > timedelta(0)
+            ]
+            if len(logs) >= max(MIN_OF_STEP, n_tasks / 2):
+                spread = statistics.stdev(logs)
+                error = math.sqrt(1 + 1 / len(logs))
+                deviation = error * max(MIN_DEVIATION, spread)
+                median = statistics.median(logs)
+                return RunTimeExpectation(median + remote, deviation, True)
+        fit = self._fit(queue)
+        if fit is None or estimate <= timedelta(0):
+            return None
+        # The mean and the deviation of few runs are uncertain.
+        error = math.sqrt(1 + 2 * self._cfg.min_samples / len(self._samples[queue]))
+        return RunTimeExpectation(
+            fit.expected(math.log(estimate / MS)) + remote,
+            error * max(MIN_DEVIATION, fit.deviation),
+            False,
+        )
+
     def longest_usual(
         self, step_key: StepKey, *, queue: str, vm_id: str, estimate: timedelta
     ) -> timedelta | None:
