Use the speeds of VMs in the leader: sizing, admission, racks, overdue runs

[speeds] enabled (off by default) makes the leader keep a VmSpeeds. Capacity and use of a slow VM count with its speed, idle slow machines are given up first and taken last, learned run times are recorded as on a normal VM, and a VM that is known to be slow isn't avoided because a run on it takes as long as its speed explains.

--- a/scripts/measure_speeds.py
+++ b/scripts/measure_speeds.py
@@ -113,18 +113,17 @@
         self.agents = {v.vm_id: make_agent(v, FakeEndpoint(), self.term) for v in vms}
         for agent in self.agents.values():
             agent._has_renewed_lease = True
-        machines = MachineRegistry(self.term, self.agents, takeover_delay=0 * MS)
         self.run_times = RunTimeModel(RunTimeSettings())
         self.job_index = JobIndex(self.state)
         self.speeds = None
         if enabled:
             self.speeds = VmSpeeds(
                 term=self.term,
-                machines=machines,
+                agents=self.agents,
                 run_times=self.run_times,
-                job_index=self.job_index,
                 cfg=SpeedSettings(enabled=True),
             )
+        machines = MachineRegistry(self.term, self.agents, takeover_delay=0 * MS)
         self.rounds = PlacementRounds(
             term=self.term,
             machines=machines,
@@ -171,10 +170,13 @@
             run_ms *= SLOWNESS if run.vm_id in self.slow else 1
             entry = (now_ms + run_ms, run.key, run.number, run.vm_id, run_ms)
             heapq.heappush(self.ends, entry)
+            sender = self.agents[run.vm_id]._sender
+            sender.started_at[run.key, run.number] = self.clock.monotonic()
             self.job_index.refresh_job(run.key.job_id)
 
     def end(self, key: TaskKey, number: int, vm_id: str, run_ms: float) -> None:
         """Record the end of a run."""
+        self.agents[vm_id]._sender.started_at.pop((key, number))
         now, now_ms = self.clock.monotonic(), self.term.now_ms()
         job = self.state.jobs[key.job_id]
         step = job.spec.steps[key.step]
--- a/src/redwingslip/daemons/_fleet_settings.py
+++ b/src/redwingslip/daemons/_fleet_settings.py
@@ -43,7 +43,7 @@
     find_problems,
     format_duration,
 )
-from ..workers import HealthSettings, LeaseSettings, ProgressSettings
+from ..workers import HealthSettings, LeaseSettings, ProgressSettings, SpeedSettings
 from ._http_checks import shared_addresses
 
 __all__ = [
@@ -230,6 +230,7 @@
     operators: ControlSettings = ControlSettings()
     admission: AdmissionSettings = AdmissionSettings()
     locality: LocalitySettings = LocalitySettings()
+    speeds: SpeedSettings = SpeedSettings()
     drain: DrainSettings = DrainSettings()
 
     @property
@@ -252,6 +253,7 @@
             evacuation=self.evacuation,
             admission=self.admission,
             locality=self.locality,
+            speeds=self.speeds,
         )
 
 
@@ -294,6 +296,22 @@
         )
 
 
+@find_problems.register
+def _(cfg: SpeedSettings, section: str) -> Iterator[SettingsError]:
+    for option, least in (
+        ("memory", timedelta(seconds=1)),
+        ("interval", timedelta(milliseconds=50)),
+        ("retry_interval", timedelta(milliseconds=100)),
+    ):
+        if getattr(cfg, option) < least:
+            yield SettingsError(
+                section=section,
+                option=option,
+                value=format_duration(getattr(cfg, option)),
+                allowed=f"at least {format_duration(least)}",
+            )
+
+
 @find_problems.register
 def _(cfg: ForecastSettings, section: str) -> Iterator[SettingsError]:
     for option, least in (
--- a/src/redwingslip/placement/_job_work.py
+++ b/src/redwingslip/placement/_job_work.py
@@ -50,10 +50,11 @@
     started_ms: int
     duration_ms: float
 
-    def remaining_ms(self, now_ms: int) -> float:
-        """Return the time until its expected end."""
-        left_ms = self.duration_ms - max(0, now_ms - self.started_ms)
-        return max(left_ms, MIN_REMAINING_SHARE * self.duration_ms)
+    def remaining_ms(self, now_ms: int, *, speed: float = 1.0) -> float:
+        """Return the time until its expected end on a VM of some speed."""
+        duration_ms = self.duration_ms / speed
+        left_ms = duration_ms - max(0, now_ms - self.started_ms)
+        return max(left_ms, MIN_REMAINING_SHARE * duration_ms)
 
 
 class JobWork(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/redwingslip/scheduling/_admission.py
+++ b/src/redwingslip/scheduling/_admission.py
@@ -152,7 +152,9 @@
             now=now,
             cfg=self._cfg,
         )
-        pools = self._works.by_pool(self._term.now_ms(), capacity.vms_of)
+        pools = self._works.by_pool(
+            self._term.now_ms(), capacity.vms_of, self._machines.speed
+        )
         turns: dict[str, int] = {}
         new_turns: dict[tuple[str, str], int] = {}
         outlooks: dict[str, PoolOutlook] = {}
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -22,6 +22,7 @@
 from ._order_sender import OrderSender, RunId
 from ._ports import HoldReport, ListedRun, VmOrders
 from ._silence import VmSilence
+from ._speeds import VmSpeeds
 from ._supervise import run_forever
 from ._term import Term
 from .exceptions import OrderNotSentError, OrderOutcomeUnknownError, VmReplacedError
@@ -65,6 +66,8 @@
         Receives contacts and restarts.
     run_times : RunTimeModel
         Run times on all VMs, which the runs of this one are compared with.
+    speeds : VmSpeeds or None
+        Learned speeds of VMs; None if all count as equally fast.
     cfg : VmPolicy
         The settings.
 
@@ -83,6 +86,7 @@
         "_run_times",
         "_sender",
         "_silence",
+        "_speeds",
         "_task",
         "_term",
         "health",
@@ -100,12 +104,14 @@
         listener: AgentListener,
         run_times: RunTimeModel,
         cfg: VmPolicy,
+        speeds: VmSpeeds | None = None,
     ) -> None:
         self.vm = vm
         self._term = term
         self._orders = orders
         self._listener = listener
         self._run_times = run_times
+        self._speeds = speeds
         self._cfg = cfg
         self.lease = VmLease(cfg.leases, term.clock.monotonic())
         self.health = VmHealth(cfg.health)
@@ -186,6 +192,10 @@
         """Return the number of start orders that the VM may still carry out."""
         return self._sender.n_unsettled_starts
 
+    def started_at(self, key: TaskKey, number: int) -> timedelta | None:
+        """Return when this leader saw a run start from the beginning, or None."""
+        return self._sender.started_at.get((key, number))
+
     def is_stopping(self, key: TaskKey, number: int) -> bool:
         """Return whether a stop order for a run is queued, in flight or answered."""
         return self._sender.is_stopping(key, number)
@@ -416,16 +426,24 @@
         """Record how long a run took that this leader started from the beginning."""
         started_at = self._sender.started_at.pop(run_id, None)
         job = self._term.state.jobs.get(run_id[0].job_id)
+        if started_at is None and self._speeds is not None:
+            self._speeds.learn_inherited(run_id[0], self._term.state.run(*run_id), now)
         if started_at is None or job is None:
             return
+        run_time, speed = now - started_at, 1.0
+        if self._speeds is not None:
+            speed = self._speeds.learn(
+                run_id[0], vm_id=self.vm.vm_id, run_time=run_time, now=now
+            )
         step = self._term.state.step(run_id[0])
         self._run_times.record(
             StepKey(*run_id[0][:3]),
             queue=job.spec.queue,
             vm_id=self.vm.vm_id,
             estimate=timedelta(milliseconds=step.estimate_ms),
-            run_time=now - started_at,
+            run_time=run_time,
             is_remote=is_far(step, self.vm.labels),
+            speed=speed,
         )
 
     def _stop_stalled_runs(self, now: timedelta) -> None:
@@ -481,10 +499,13 @@
             vm_id=self.vm.vm_id,
             estimate=timedelta(milliseconds=step.estimate_ms),
         )
-        if usual is None or not progress.is_outlier(now, usual, cfg):
+        if usual is None:
             return ""
-        # New runs avoid a VM with an outlier, also if that run itself is to go on.
-        self.health.avoid(now)
+        # New runs avoid a VM with an outlier, also if that run itself is to go on. On a
+        # VM that is known to be slow, runs take longer; placement reckons with that.
+        speed = 1.0 if self._speeds is None else self._speeds.speed(self.vm.vm_id)
+        if progress.is_outlier(now, usual / speed, cfg):
+            self.health.avoid(now)
         if not progress.is_slow(now, usual, cfg):
             return ""
         return f"usually done after {usual / MS:.0f} ms"
--- a/src/redwingslip/scheduling/_job_works.py
+++ b/src/redwingslip/scheduling/_job_works.py
@@ -205,7 +205,10 @@
         )
 
     def by_pool(
-        self, now_ms: int, vms_of: Callable[[str], set[str]]
+        self,
+        now_ms: int,
+        vms_of: Callable[[str], set[str]],
+        speed_of: Callable[[str], float] = lambda vm_id: 1.0,
     ) -> dict[str, PoolWork]:
         """Return the work of each pool with active jobs.
 
@@ -215,6 +218,9 @@
             Unix time.
         vms_of : callable
             Returns the VMs of a pool whose running tasks count.
+        speed_of : callable
+            Returns the speed of a VM, 1 for a normal one. A run on a slow one takes
+            longer, and its cores do the work of fewer.
         """
         pools: dict[str, PoolWork] = defaultdict(PoolWork)
         pool_of_queue: dict[str, str] = {}
@@ -223,18 +229,27 @@
             if pool is None:
                 job = self._state.jobs[entry.job.job_id]
                 pool = pool_of_queue[entry.queue] = self._job_index.pool_of(job)
-            self._add(pools[pool], entry, now_ms, vms_of(pool))
+            self._add(pools[pool], entry, now_ms, vms_of(pool), speed_of)
         return pools
 
-    def _add(self, pool: PoolWork, entry: _Entry, now_ms: int, vms: set[str]) -> None:
+    def _add(
+        self,
+        pool: PoolWork,
+        entry: _Entry,
+        now_ms: int,
+        vms: set[str],
+        speed_of: Callable[[str], float],
+    ) -> None:
         work, job = entry.work, entry.job
         remaining = work.waiting
         for run in work.running:
             if run.vm_id in vms:
-                left_ms = run.remaining_ms(now_ms)
-                pool.busy.append((left_ms, run.cores))
-                pool.held[job.customer] += run.cores
-                remaining += left_ms * run.cores
+                speed = speed_of(run.vm_id)
+                left_ms = run.remaining_ms(now_ms, speed=speed)
+                cores = speed * run.cores
+                pool.busy.append((left_ms, cores))
+                pool.held[job.customer] += cores
+                remaining += left_ms * cores
         if now_ms > entry.latest_ms:
             if now_ms <= entry.expiry_ms:
                 pool.late.append((job, remaining))
--- a/src/redwingslip/scheduling/_locality.py
+++ b/src/redwingslip/scheduling/_locality.py
@@ -212,6 +212,7 @@
                 continue
             factor = self._cfg.remote_penalty if is_far(step, labels) else 1.0
             elapsed_ms = self._now_ms - run.started_ms if run.started_ms else 0.0
+            factor /= self._machines.speed(vm_id)
             times = remaining_ms(
                 factor * estimate.run_ms, estimate.deviation, elapsed_ms
             )
--- a/src/redwingslip/scheduling/_machines.py
+++ b/src/redwingslip/scheduling/_machines.py
@@ -12,6 +12,7 @@
 from ._ports import MachineOperations, MachineOutcome
 from ._ramp import CapacityRamp
 from ._settings import EvacuationSettings, LeaderPolicy
+from ._speeds import VmSpeeds
 from ._term import Term
 
 __all__ = ["MachineManager", "MachineRegistry"]
@@ -44,6 +45,8 @@
         Largest share of a pool's VMs that may be ejected.
     evacuation : EvacuationSettings or None
         Evacuations of data centres; None for the default.
+    speeds : VmSpeeds or None
+        Learned speeds of VMs; None if all count as equally fast.
 
     Attributes
     ----------
@@ -62,6 +65,7 @@
         "_kept_until",
         "_max_ejected_share",
         "_recalls",
+        "_speeds",
         "_takeover_delay",
         "_term",
         "agents",
@@ -78,8 +82,10 @@
         takeover_delay: timedelta,
         max_ejected_share: float = HealthSettings().max_ejected_share,
         evacuation: EvacuationSettings | None = None,
+        speeds: VmSpeeds | None = None,
     ) -> None:
         self._term = term
+        self._speeds = speeds
         self._takeover_delay = takeover_delay
         self._max_ejected_share = max_ejected_share
         self._claims: dict[str, object] = {}
@@ -162,6 +168,14 @@
         """Return the VMs that get no new runs since their runs fail."""
         return ejected_vms(self.agents, now, max_share=self._max_ejected_share)
 
+    def speed(self, vm_id: str) -> float:
+        """Return the speed of a VM that is known to be slow, and 1 for any other."""
+        return 1.0 if self._speeds is None else self._speeds.speed(vm_id)
+
+    def speed_of_machine(self, machine: str) -> float:
+        """Return the speed of a slow machine, and 1 for any other."""
+        return 1.0 if self._speeds is None else self._speeds.speed_of_machine(machine)
+
     def agent_on(self, machine: str) -> VmAgent | None:
         """Return the agent of the newest incarnation on a machine, or None."""
         agents = [a for a in self.agents.values() if a.vm.machine == machine]
--- a/src/redwingslip/scheduling/_moves.py
+++ b/src/redwingslip/scheduling/_moves.py
@@ -316,7 +316,9 @@
             and not self._state.evacuations.includes(view.data_centre)
             and self._machines.may_order(view.machine)
         )
-        return PoolLoad(pool=pool, is_standby=True, idle=idle)
+        # Slow machines are taken last.
+        idle = sorted(idle, key=lambda m: -self._machines.speed_of_machine(m))
+        return PoolLoad(pool=pool, is_standby=True, idle=tuple(idle))
 
     def _serving_load(self, pool: str, now: timedelta) -> PoolLoad:
         used_cpu = non_preemptible_cpu = total_cpu = max_vm_cpu = n_vms = 0
@@ -342,9 +344,13 @@
                 continue
             used, steps = self._state.usage.of_vm(vm_id)
             non_preemptible = non_preemptible_need(self._state, steps).cpu
-            used_cpu += used.cpu
+            # Runs that hold cores of a slow VM do the work of fewer.
+            speed = self._machines.speed(vm_id)
+            lost_share = 1 - speed
+            used_cpu += used.cpu - int(lost_share * (used.cpu - non_preemptible))
             non_preemptible_cpu += non_preemptible
             total_cpu += vm.capacity.cpu
+            total_cpu -= int(lost_share * max(0, vm.capacity.cpu - non_preemptible))
             max_vm_cpu = max(max_vm_cpu, vm.capacity.cpu)
             n_vms += 1
             if steps:
@@ -362,7 +368,9 @@
             listed_cpu = [v.capacity.cpu for v in self._machine_views.values()]
             max_vm_cpu = max(listed_cpu, default=0)
         arriving = [a for a in self._arrivals.values() if a.pool == pool]
-        idle.sort(key=lambda machine: (self._idle_since[machine], machine))
+        # Slow machines are given up first.
+        speed_of = self._machines.speed_of_machine
+        idle.sort(key=lambda m: (speed_of(m), self._idle_since[m], m))
         return PoolLoad(
             pool=pool,
             used=used_cpu,
--- a/src/redwingslip/scheduling/_pool_capacity.py
+++ b/src/redwingslip/scheduling/_pool_capacity.py
@@ -22,7 +22,8 @@
     Attributes
     ----------
     total : Amounts
-        Their capacity without what long-running tasks reserve.
+        Their capacity without what long-running tasks reserve. Cores count with the
+        speed of their VM.
     idle_cpu : int
         Capacity of those without any task, in thousandths of a core.
     vms : set of str
@@ -80,11 +81,13 @@
                 step = state.jobs[job_id].spec.steps[number]
                 if step.is_long_running:
                     room = room - step.reserved.times(n_tasks)
+            # Cores of a slow VM do the work of fewer.
+            cpu = int(machines.speed(vm_id) * room.cpu)
             pool = self._pools[vm.pool]
-            pool.total = pool.total + room
+            pool.total = pool.total + msgspec.structs.replace(room, cpu=cpu)
             pool.vms.add(vm_id)
             if not steps:
-                pool.idle_cpu += vm.capacity.cpu
+                pool.idle_cpu += cpu
 
     def vms_of(self, pool: str) -> set[str]:
         """Return the VMs of a pool that count."""
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -46,6 +46,7 @@
 from ._round_load import RoundLoad
 from ._rounds import PlacementRounds
 from ._settings import LeaderPolicy
+from ._speeds import VmSpeeds
 from ._supervise import run_forever
 from ._term import Term
 from ._waves import WaveManager
@@ -103,6 +104,14 @@
         self._wake = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self.agents: dict[str, VmAgent] = {}
+        self._speeds: VmSpeeds | None = None
+        if cfg.speeds.enabled:
+            self._speeds = VmSpeeds(
+                term=term,
+                agents=self.agents,
+                run_times=self._run_times,
+                cfg=cfg.speeds,
+            )
         delay = cfg.scheduling.takeover_delay
         self._machines = machines = MachineRegistry(
             term,
@@ -110,6 +119,7 @@
             takeover_delay=delay,
             max_ejected_share=cfg.vms.health.max_ejected_share,
             evacuation=cfg.evacuation,
+            speeds=self._speeds,
         )
         self.evacuations = EvacuationCalls(term=term, cfg=cfg.evacuation)
         self._advice = AdviceCache(
@@ -133,6 +143,7 @@
             job_index=self._job_index,
             advice=self._advice,
             locality=locality if penalty > 1 else None,
+            speeds=self._speeds,
         )
         self._round_load = RoundLoad(term)
         self._trend = ArrivalTrend(cfg.arrivals)
@@ -359,6 +370,8 @@
         if end.kind is EndKind.FAILED:
             self._job_index.note_failure(end.key, vm_id)
         self._update_health(vm_id, end)
+        if self._speeds is not None:
+            self._speeds.note_end(vm_id, end)
         status = job.status.value if job is not None else "forgotten"
         detail = f"{end.key.label(end.number)} {end.kind.value}; job {status}"
         is_lost = end.kind is EndKind.LOST and task is not None
@@ -437,6 +450,7 @@
             listener=self,
             run_times=self._run_times,
             cfg=self._cfg.vms,
+            speeds=self._speeds,
         )
         self.agents[vm.vm_id] = agent
         agent.begin()
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -11,6 +11,7 @@
     LocalitySettings,
     SizingSettings,
 )
+from ..workers import SpeedSettings
 from ._advice import AdviceSettings
 from ._agent_settings import VmPolicy
 
@@ -182,6 +183,8 @@
         Order of jobs under overload.
     locality : LocalitySettings
         Waits for places in the rack of a task's data.
+    speeds : SpeedSettings
+        Learned speeds of VMs.
     """
 
     scheduling: SchedulingSettings = SchedulingSettings()
@@ -195,3 +198,4 @@
     evacuation: EvacuationSettings = EvacuationSettings()
     admission: AdmissionSettings = AdmissionSettings()
     locality: LocalitySettings = LocalitySettings()
+    speeds: SpeedSettings = SpeedSettings()
--- a/src/redwingslip/scheduling/_speeds.py
+++ b/src/redwingslip/scheduling/_speeds.py
@@ -2,10 +2,21 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
+from typing import Protocol
 
-from ..jobs import EndKind, JobsState, RunEnd, RunRecord, RunStart, StepSpec, TaskKey
+from ..jobs import (
+    ActiveRun,
+    EndKind,
+    JobsState,
+    RunEnd,
+    RunRecord,
+    RunStart,
+    StepSpec,
+    TaskKey,
+    VmRecord,
+)
 from ..observe import EventName
 from ..placement import CandidateVm, Urgency, WaitingTask, is_far
 from ..workers import (
@@ -16,8 +27,7 @@
     SpeedSettings,
     StepKey,
 )
-from ._job_index import JobIndex, critical_path_ms
-from ._machines import MachineRegistry
+from ._job_index import critical_path_ms
 from ._term import Term
 
 __all__ = ["VmSpeeds"]
@@ -30,6 +40,22 @@
 UNKNOWN_DEVIATION = 1 / math.sqrt(3)
 
 
+class JudgedVm(Protocol):
+    """What the estimates need of the leader's agent for a VM."""
+
+    vm: VmRecord
+
+    @property
+    def is_responsive(self) -> bool:
+        """Return whether the VM answered the last poll."""
+
+    def is_serving(self, now: timedelta) -> bool:
+        """Return whether this VM could take runs, evacuations left aside."""
+
+    def started_at(self, key: TaskKey, number: int) -> timedelta | None:
+        """Return when this leader saw a run start from the beginning, or None."""
+
+
 class VmSpeeds:
     """Learns the speeds of VMs from their runs; nothing of it is in the log.
 
@@ -39,25 +65,24 @@
     ----------
     term : Term
         The term of this leader.
-    machines : MachineRegistry
-        Registry of the machines and their agents.
+    agents : mapping of str to JudgedVm
+        The leader's agents by VM.
     run_times : RunTimeModel
         Learned run times.
-    job_index : JobIndex
-        Index of the active jobs.
     cfg : SpeedSettings
         The settings.
     """
 
     __slots__ = (
+        "_agents",
         "_cfg",
         "_has_failed",
-        "_job_index",
-        "_machines",
         "_model",
         "_n_slow",
         "_next_at",
+        "_reported",
         "_run_times",
+        "_started_ms",
         "_state",
         "_term",
     )
@@ -66,25 +91,26 @@
         self,
         *,
         term: Term,
-        machines: MachineRegistry,
+        agents: Mapping[str, JudgedVm],
         run_times: RunTimeModel,
-        job_index: JobIndex,
         cfg: SpeedSettings,
     ) -> None:
         self._term = term
         self._state: JobsState = term.state
-        self._machines = machines
+        self._agents = agents
         self._run_times = run_times
-        self._job_index = job_index
         self._cfg = cfg
         self._model = SpeedModel(cfg)
         self._next_at = term.started_at
+        self._started_ms = term.now_ms()
+        # The VM of each slow machine, as the log knows it.
+        self._reported: dict[str, str] = {}
         self._n_slow = 0
         self._has_failed = False
 
     def speed(self, vm_id: str) -> float:
         """Return the speed of a VM that is slow, and 1 for any other."""
-        if not self._n_slow or vm_id not in self._machines.agents:
+        if not self._n_slow or vm_id not in self._agents:
             return 1.0
         return self._model.speed(self._machine_of(vm_id))
 
@@ -97,15 +123,12 @@
         return self._model.estimate(self._machine_of(vm_id))
 
     def learn(
-        self,
-        key: TaskKey,
-        *,
-        vm_id: str,
-        run_time: timedelta,
-        now: timedelta,
-    ) -> None:
+        self, key: TaskKey, *, vm_id: str, run_time: timedelta, now: timedelta
+    ) -> float:
         """Compare the run time of a run that was carried out with the expected one.
 
+        Return the speed that the VM was known to have.
+
         Parameters
         ----------
         key : TaskKey
@@ -119,14 +142,19 @@
         """
         try:
             excess = self._excess(key, vm_id, run_time)
+            speed = self.speed(vm_id)
             if excess is not None:
                 self._model.record(self._machine_of(vm_id), excess, now)
         except Exception as exc:
             self._report_error(exc)
+            return 1.0
+        return speed
 
-    def learn_inherited(self, key: TaskKey, run: RunRecord, now: timedelta) -> None:
+    def learn_inherited(
+        self, key: TaskKey, run: RunRecord | None, now: timedelta
+    ) -> None:
         """Learn from the end of a run that an earlier leader has started."""
-        if run.started_ms and not run.checkpoint:
+        if run is not None and self._is_inherited(run):
             run_time = (self._term.now_ms() - run.started_ms) * MS
             self.learn(key, vm_id=run.vm_id, run_time=run_time, now=now)
 
@@ -134,7 +162,7 @@
         """Record whether a run has failed."""
         job = self._state.jobs.get(end.key.job_id)
         has_failed = end.kind is EndKind.FAILED
-        if job is None or vm_id not in self._machines.agents:
+        if job is None or vm_id not in self._agents:
             return
         if has_failed or end.kind is EndKind.DONE:
             self._model.record_end(
@@ -199,26 +227,26 @@
                 task.min_speed = run_ms / (run_ms + MAX_SLACK_SHARE * slack_ms)
 
     def _machine_of(self, vm_id: str) -> str:
-        agent = self._machines.agents.get(vm_id)
+        agent = self._agents.get(vm_id)
         return vm_id if agent is None else agent.vm.machine or vm_id
 
     def _estimate(self, now: timedelta) -> None:
         pools: dict[str, list[str]] = defaultdict(list)
         running: dict[str, list[Excess]] = {}
-        now_ms = self._term.now_ms()
-        for vm_id, agent in self._machines.agents.items():
+        vm_ids: dict[str, str] = {}
+        for vm_id, agent in self._agents.items():
             # The ends of runs on others may be unknown.
             if not agent.is_serving(now) or not agent.is_responsive:
                 continue
             machine = agent.vm.machine or vm_id
             pools[agent.vm.pool].append(machine)
+            vm_ids[machine] = vm_id
             runs = []
             for run in self._state.runs_of(vm_id, agent.vm.born_ms):
-                if run.started_ms and not run.checkpoint:
-                    run_time = (now_ms - run.started_ms) * MS
-                    excess = self._excess(run.key, vm_id, run_time)
-                    if excess is not None:
-                        runs.append(excess)
+                age = self._age(agent, run, now)
+                excess = age and self._excess(run.key, vm_id, age)
+                if excess is not None:
+                    runs.append(excess)
             if runs:
                 # Of the runs of a step, the one that has taken longest counts most.
                 runs.sort(key=lambda excess: -excess.log_ratio)
@@ -229,14 +257,32 @@
             pool: sum(self._model.speed(machine) < 1 for machine in machines)
             for pool, machines in pools.items()
         }
-        self._n_slow = sum(n_slow.values())
+        self._n_slow = self._model.n_slow
         for change in changes:
-            self._report_change(change.machine, change.estimate)
+            vm_id = vm_ids.get(change.machine, "")
+            self._report(change.machine, vm_id, change.estimate)
+        for machine, reported in tuple(self._reported.items()):
+            vm_id = vm_ids.get(machine, "")
+            if vm_id and vm_id != reported:
+                self._report(machine, vm_id, self._model.estimate(machine))
         for pool, count in n_slow.items():
             speeds = [self._model.speed(machine) for machine in pools[pool]]
             mean = sum(speeds) / len(speeds)
             self._term.metrics.set_vm_speeds(pool=pool, n_slow=count, mean=mean)
 
+    def _is_inherited(self, run: ActiveRun | RunRecord) -> bool:
+        """Return whether an earlier leader has started a run from the beginning."""
+        return 0 < run.started_ms < self._started_ms and not run.checkpoint
+
+    def _age(self, agent: JudgedVm, run: ActiveRun, now: timedelta) -> timedelta | None:
+        """Return for how long a run goes on; None if that isn't known."""
+        started_at = agent.started_at(run.key, run.number)
+        if started_at is not None:
+            return now - started_at
+        if self._is_inherited(run):
+            return (self._term.now_ms() - run.started_ms) * MS
+        return None
+
     def _excess(self, key: TaskKey, vm_id: str, run_time: timedelta) -> Excess | None:
         """Return how much longer a run takes than expected; None if nobody knows."""
         job = self._state.jobs.get(key.job_id)
@@ -245,7 +291,7 @@
         step = job.spec.steps[key.step]
         if not _tells_speed(step):
             return None
-        agent = self._machines.agents.get(vm_id)
+        agent = self._agents.get(vm_id)
         expected = self._run_times.expectation(
             StepKey(*key[:3]),
             queue=job.spec.queue,
@@ -263,10 +309,13 @@
             is_shared=not expected.is_of_step,
         )
 
-    def _report_change(self, machine: str, estimate: MachineSpeed) -> None:
-        agent = self._machines.agent_on(machine)
-        vm_id = machine if agent is None else agent.vm.vm_id
-        name = EventName.VM_SLOW if estimate.is_slow else EventName.VM_NORMAL
+    def _report(self, machine: str, vm_id: str, estimate: MachineSpeed) -> None:
+        """Log the speed of a machine that has changed, or has another VM."""
+        name = EventName.VM_NORMAL
+        self._reported.pop(machine, None)
+        if estimate.is_slow:
+            name = EventName.VM_SLOW
+            self._reported[machine] = vm_id
         detail = (
             f"machine {machine}: speed {estimate.speed:.2f}, error factor "
             f"{math.exp(estimate.error):.2f}, {estimate.success:.2f} of the runs "
--- a/src/redwingslip/workers/_speeds.py
+++ b/src/redwingslip/workers/_speeds.py
@@ -30,11 +30,16 @@
 # A run that hangs is one outlier; it never counts as more evidence than this.
 MIN_SURVIVAL = 0.03
 # A machine is slow from this probability on, and normal again below the other.
-SLOW_FROM, NORMAL_BELOW = 0.95, 0.5
-# Runs of a job's step on one machine share the error of their estimate.
+SLOW_FROM, NORMAL_BELOW = 0.98, 0.5
+# Runs of a job's step on one machine share the error of their estimate. Each further
+# one counts this much of the one before.
 REPEATED_WEIGHT = 0.25
 # Ends of runs from which the failures of a machine are judged.
 N_ENDS = 24
+# Fewer machines than this don't tell whether the work is slower.
+MIN_MACHINES = 3
+# A machine without a VM is forgotten after this many times the memory.
+N_MEMORIES = 5
 # Failures that a machine has by chance: this many standard deviations.
 N_DEVIATIONS = 3.0
 
@@ -207,8 +212,8 @@
         entry = self._entry(machine, now)
         decay = DECAY * self._fading(entry, now)
         share = 1.0
-        if excess.is_shared and excess.step in entry.steps:
-            share = REPEATED_WEIGHT
+        if excess.is_shared:
+            share = REPEATED_WEIGHT ** entry.steps.count(excess.step)
             decay **= share
         variance = FREEDOM * excess.deviation**2
         weights = [
@@ -255,7 +260,7 @@
         self._step_ends.setdefault(step, Counter())[machine, has_failed] += 1
         counts = self._queue_ends.setdefault(queue, [0.0, 0.0])
         for kind in (False, True):
-            counts[kind] = 0.99 * counts[kind] + (kind is has_failed)
+            counts[kind] = 0.99 * counts[kind] + (kind == has_failed)
 
     def note_start(self, machine: str, now: timedelta) -> None:
         """Record that a run is started on a machine."""
@@ -312,12 +317,26 @@
             }
             means = [_mean(belief) for belief in beliefs.values()]
             # If most machines are slow, the work is.
-            usual = statistics.median_low(means) if means else 0.0
+            usual = 0.0
+            if len(means) >= MIN_MACHINES:
+                usual = statistics.median_low(means)
             for machine, belief in beliefs.items():
                 if self._judge(machine, belief, usual, now):
                     changes.append(SpeedChange(machine, self._speeds[machine]))
+        known = {machine for machines in pools.values() for machine in machines}
+        for machine in self._evidence.keys() - known:
+            # Without a VM, as between two pools or switched off.
+            if self._judge(machine, self._belief(machine, (), now), 0.0, now):
+                changes.append(SpeedChange(machine, self._speeds[machine]))
+            if now - self._evidence[machine].known_at > N_MEMORIES * self._cfg.memory:
+                del self._evidence[machine], self._speeds[machine]
         return changes
 
+    @property
+    def n_slow(self) -> int:
+        """Return the number of slow machines."""
+        return sum(estimate.is_slow for estimate in self._speeds.values())
+
     def _entry(self, machine: str, now: timedelta) -> _Evidence:
         entry = self._evidence.get(machine)
         if entry is None:
@@ -341,8 +360,8 @@
         for excess in running:
             share = 1.0
             if excess.is_shared:
+                share = REPEATED_WEIGHT ** n_by_step[excess.step]
                 n_by_step[excess.step] += 1
-                share = REPEATED_WEIGHT if n_by_step[excess.step] > 1 else 1.0
             for number, step in enumerate(STEPS):
                 survival = _survival((excess.log_ratio - step) / excess.deviation)
                 if survival > 0.99:
