--- a/src/redwingslip/scheduling/_speeds.py
+++ b/src/redwingslip/scheduling/_speeds.py
@@ -34,9 +34,9 @@
 __all__ = ["VmSpeeds"]
 
 MS = timedelta(milliseconds=1)
-# Of the runs that go on, the oldest ones of a VM tell whether it is slow. All 2,400 of
-# 150 VMs took 31 ms.
-MAX_RUNS = 6
+# Of the runs that go on, at most this many of a VM are judged. All 2,400 of 150 VMs
+# took 31 ms.
+MAX_RUNS = 8
 # A slow VM may take this share of a job's slack; the rest is for waits of later steps.
 MAX_SLACK_SHARE = 0.25
 # Without learned run times, estimates are off by a factor of up to e (platform
@@ -246,9 +246,10 @@
             pools[agent.vm.pool].append(machine)
             vm_ids[machine] = vm_id
             runs = []
-            # Runs are listed in the order of their starts.
             listed = self._state.runs.get(vm_id, {}).values()
-            for run in itertools.islice(listed, MAX_RUNS):
+            # Old runs and new ones alike: the oldest ones of any VM are overdue.
+            stride = math.ceil(len(listed) / MAX_RUNS) or 1
+            for run in itertools.islice(listed, 0, None, stride):
                 age = self._age(agent, run, now)
                 excess = age and self._excess(run.key, vm_id, age)
                 if excess is not None:
--- a/tests/test_scheduling_speeds.py
+++ b/tests/test_scheduling_speeds.py
@@ -31,6 +31,7 @@
 )
 from redwingslip.scheduling._pool_capacity import FleetCapacity
 from redwingslip.scheduling._speeds import VmSpeeds
+from redwingslip.settings import find_problems
 from redwingslip.workers import RunTimeModel, RunTimeSettings, SpeedSettings
 from tests.support_scheduling import (
     FakeEndpoint,
@@ -179,6 +180,11 @@
         self.assertEqual(scheduler._machines.speed("v1"), 1.0)
         self.assertEqual(scheduler._machines.speed_of_machine("m-v1"), 1.0)
 
+    def test_wrong_settings_are_named(self):
+        """Guards against a leader that estimates all the time."""
+        (problem,) = find_problems(SpeedSettings(interval=0 * SECOND), "speeds")
+        self.assertEqual((problem.section, problem.option), ("speeds", "interval"))
+
     def test_ends_of_runs_reach_the_estimate(self):
         """Guards against a half-broken VM that the leader doesn't notice."""
         cfg = LeaderPolicy(speeds=SpeedSettings(enabled=True))
