--- a/src/redwingslip/control/_server.py
+++ b/src/redwingslip/control/_server.py
@@ -43,6 +43,7 @@
         return answer_response(answer)
 
     routes = [
+        Route("/v1/vms", handle, methods=["GET"]),
         Route("/v1/evacuations", handle, methods=["GET"]),
         Route(
             "/v1/evacuations/{data_centre}", handle, methods=["GET", "PUT", "DELETE"]
--- a/src/redwingslip/observe/_pool_metrics.py
+++ b/src/redwingslip/observe/_pool_metrics.py
@@ -48,6 +48,10 @@
     Instrument(
         "gauge", "pool.reserve", "{core}", "Cores that a pool keeps beyond its demand."
     ),
+    Instrument(
+        "gauge", "pool.vms.slow", "{vm}", "VMs of a pool that are slower than others."
+    ),
+    Instrument("gauge", "pool.speed", "1", "Mean speed of the VMs of a pool."),
     Instrument(
         "counter",
         "rise.predictions",
@@ -102,3 +106,9 @@
         attributes = self._limit_values({"redwingslip.data_centre": data_centre})
         self._instruments["evacuation.vms"].set(n_vms, attributes)
         self._instruments["evacuation.tasks"].set(n_tasks, attributes)
+
+    def set_vm_speeds(self, *, pool: str, n_slow: int, mean: float) -> None:
+        """Set the number of a pool's slow VMs, and the mean speed of all its VMs."""
+        attributes = self._limit_values({"redwingslip.pool": pool})
+        self._instruments["pool.vms.slow"].set(n_slow, attributes)
+        self._instruments["pool.speed"].set(mean, attributes)
