End the stop of a replica in bounded time

Cause: Replica.stop waits without a limit for the report that its leadership has ended. A leadership that is lost and won again between two steps, and was not reported before, gives no such report. Nor does a leadership whose transfer and clock stand still. Ruled out: a report in each step, as has_leadership_ended compares reported terms. Change: LeadershipTransfer takes the end of the transfer from the node, transfers a leadership that is won meanwhile too, and gives up after election_timeout_max. Not covered: a disk that never returns from a save still holds up the stop.

--- a/src/redwingslip/consensus/_replica.py
+++ b/src/redwingslip/consensus/_replica.py
@@ -22,6 +22,7 @@
 from ._records import StoredState
 from ._reporter import Reporter
 from ._settings import ConsensusSettings
+from ._transfer import LeadershipTransfer
 from .exceptions import ConsensusError, NotLeaderError, ReplicaFailedError
 
 __all__ = ["Replica"]
@@ -72,7 +73,6 @@
         "_failure",
         "_is_stopping",
         "_last_snapshot_index",
-        "_leadership_ended",
         "_machine",
         "_node",
         "_peers",
@@ -83,6 +83,7 @@
         "_send",
         "_stored",
         "_task",
+        "_transfer",
         "_wake",
         "applied_index",
     )
@@ -121,7 +122,9 @@
         self._failure: Exception | None = None
         self._task: asyncio.Task | None = None
         self._wake = asyncio.Event()
-        self._leadership_ended = asyncio.Event()
+        self._transfer = LeadershipTransfer(
+            self._begin_transfer, cfg.election_timeout_max
+        )
         self.applied_index = 0
 
     @property
@@ -221,12 +224,12 @@
         )
 
     async def stop(self) -> None:
-        """Transfer the leadership if this replica leads, then stop."""
-        if self._node is not None:
-            self._leadership_ended.clear()
-            if self._node.transfer_leadership(self._clock.monotonic()):
-                self._wake.set()
-                await self._leadership_ended.wait()
+        """Transfer the leadership if this replica leads, then stop.
+
+        The transfer takes at most `election_timeout_max`, after which the other members
+        elect a leader anyway.
+        """
+        await self._transfer.run()
         self._is_stopping = True
         self._wake.set()
         if self._task is not None:
@@ -280,6 +283,12 @@
         self._wake.set()
         return await fut
 
+    def _begin_transfer(self) -> bool:
+        if self._node is None:
+            return False
+        self._wake.set()
+        return self._node.transfer_leadership(self._clock.monotonic())
+
     def _create_node(self) -> None:
         stored = self._stored
         self._node = RaftNode(
@@ -322,6 +331,8 @@
         if self._reporter.has_leadership_ended(self._node):
             self._end_leadership()
         self._reporter.report_leadership(self._node, self.applied_index)
+        if not self._node.is_transferring:
+            self._transfer.note_end()
         if ready.save is not None:
             self._disk.begin_save(ready, self._wake.set)
         elif self.applied_index >= self._last_snapshot_index + self._cfg.snapshot_every:
@@ -383,7 +394,6 @@
         self._proposals.resolve(entry, outcome)
 
     def _end_leadership(self) -> None:
-        self._leadership_ended.set()
         self._proposals.fail_all()
         self._reporter.report_leadership_end()
 
@@ -402,4 +412,5 @@
             self._end_leadership()
         except Exception as exc:
             self._fail(exc)
+        self._transfer.note_end()
         self._disk.close()
