Refuse jobs that accepted ones would be late for under contention

Cause: jobs were refused only if they would end after three times their objective, and customers over their share kept all others waiting until then.

Capacity taken as more than it is (1.2, 1.5): more accepted jobs late, no more in time.

Change: DemandProfile holds the work that could still be added by each due time, and BidPrice the credit for a core-ms of the last recent arrival that fits. With order and protect, a job of a customer over its share is refused if it doesn't fit, or is worth less. Customers over their share are known between two decisions too. A new leader refuses after 2 s instead of 5 s, as its VMs have answered by then.

--- a/src/redwingslip/placement/__init__.py
+++ b/src/redwingslip/placement/__init__.py
@@ -5,6 +5,7 @@
 from ._arrivals import ArrivalSettings, ArrivalTrend
 from ._capacity import CapacityPlan, divide_by_weight
 from ._cycles import CycleModel, RisePrediction
+from ._demand_profile import BidPrice, DemandProfile
 from ._forecast import DemandForecast, PoolForecast
 from ._forecast_settings import ForecastSettings
 from ._job_work import (
@@ -35,11 +36,13 @@
     "AdmissionSettings",
     "ArrivalSettings",
     "ArrivalTrend",
+    "BidPrice",
     "CandidateVm",
     "CapacityPlan",
     "CompetingJob",
     "CycleModel",
     "DemandForecast",
+    "DemandProfile",
     "ForecastLoad",
     "ForecastSettings",
     "JobOrder",
--- a/src/redwingslip/placement/_admission.py
+++ b/src/redwingslip/placement/_admission.py
@@ -1,6 +1,7 @@
 """Whether a job that arrives in an overloaded pool is refused, and for how long."""
 
 import bisect
+import math
 import zlib
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
@@ -10,7 +11,9 @@
 import msgspec
 
 from ._capacity import CapacityPlan
-from ._overload import CompetingJob, JobOrder
+from ._demand_profile import DemandProfile
+from ._overload import CompetingJob, JobOrder, required_rates
+from ._selection import SHARE_TOLERANCE
 
 __all__ = ["PoolOutlook", "Refusal", "spread_retry"]
 
@@ -24,8 +27,10 @@
     Attributes
     ----------
     cause : str
-        ``share`` if others would get less than their share for it, ``capacity`` if the
-        pool has no room for it in time.
+        ``share`` if others would get less than their share for it, ``capacity`` if it
+        would end after its expiry, ``deadline`` if accepted jobs would miss their
+        deadlines for it, ``price`` if it is worth less for its work than the jobs that
+        the pool can hold.
     ahead : float
         Work that goes before it, in core-ms.
     wait_ms : float
@@ -78,17 +83,25 @@
         Cores that customers may use at most.
     large_share : float
         Share of the capacity for the largest jobs.
+    price : float, optional
+        The least credit for a core-ms at which jobs of customers over their share are
+        accepted, if it is known. Without it, only the expiry of a job counts.
     """
 
     __slots__ = (
         "_accepted",
         "_all",
         "_by_due",
+        "_demands",
         "_displaced",
+        "_entitlements",
+        "_is_contended",
         "_is_shared",
         "_large",
         "_large_share",
         "_over",
+        "_price",
+        "_profile",
         "_since_ms",
         "capacity",
     )
@@ -102,6 +115,7 @@
         capacity: CapacityPlan,
         limits: Mapping[str, float],
         large_share: float,
+        price: float | None = None,
     ) -> None:
         self.capacity = capacity
         self._since_ms = now_ms
@@ -110,6 +124,14 @@
         # Jobs that were accepted after the decision, with their work.
         self._accepted: list[tuple[float, tuple, float]] = []
         self._over = None if order is None else order.over
+        self._entitlements = {} if order is None else order.entitlements
+        self._demands = {} if order is None else dict(order.demands)
+        self._price = price
+        self._is_contended = order is not None and order.n_deferred > 0
+        self._profile: DemandProfile | None = None
+        if order is not None and price is not None:
+            planned = (job for job in jobs if job.job_id not in order.deferred)
+            self._profile = DemandProfile(planned, capacity, now_ms)
         self._is_shared = order is not None and bool(order.new_turns)
         works = _usable_work(jobs, limits, now_ms)
         self._all = sum(works)
@@ -129,6 +151,10 @@
         """Add a job that was accepted after the decision."""
         key = _due_key(job)
         self._accepted.append((job.credit / job.waiting, key, job.waiting))
+        if self._profile is not None:
+            self._profile.add(job)
+            (rate,) = required_rates([job], self._since_ms)
+            self._demands[job.customer] = self._demands.get(job.customer, 0.0) + rate
         if job.is_large:
             self._large += job.waiting
 
@@ -138,6 +164,8 @@
         """Return why a job is refused; None if it is accepted.
 
         It is refused if it would end after its expiry, with all that goes before it.
+        With a price, it is also refused if it is worth less, or if accepted jobs would
+        miss their deadlines for it.
 
         Parameters
         ----------
@@ -155,13 +183,32 @@
         ahead = self._work_ahead(job)
         wait_ms = max(0.0, self.capacity.time_for(ahead) - elapsed_ms)
         end_ms = self.capacity.time_for(ahead + job.waiting) - elapsed_ms
-        if max(end_ms, wait_ms + job.path_ms) <= expiry_in_ms:
+        if max(end_ms, wait_ms + job.path_ms) > expiry_in_ms:
+            cause = "share" if self._is_shared else "capacity"
+            return Refusal(cause=cause, ahead=ahead, wait_ms=wait_ms)
+        cause = self._planning_cause(job)
+        if cause is None:
             return None
-        cause = "share" if self._is_shared else "capacity"
-        return Refusal(cause=cause, ahead=ahead, wait_ms=wait_ms)
+        # Callers that come back sooner find the same jobs planned.
+        wait_ms = max(0.0, self.capacity.time_for(self._all) - elapsed_ms)
+        return Refusal(cause=cause, ahead=self._all, wait_ms=wait_ms)
+
+    def _planning_cause(self, job: CompetingJob) -> str | None:
+        """Return why a job can't be planned to finish in time; None if it can."""
+        if self._profile is None:
+            return None
+        if self._is_contended and job.credit / job.waiting < self._price:
+            return "price"
+        return None if self._profile.fits(job) else "deadline"
 
     def _is_within_share(self, job: CompetingJob) -> bool:
-        return self._over is not None and job.customer not in self._over
+        if self._over is None:
+            return False
+        if self._profile is None:
+            return job.customer not in self._over
+        # A customer that is missing had no jobs at the last decision.
+        entitled = self._entitlements.get(job.customer, math.inf)
+        return self._demands.get(job.customer, 0.0) <= SHARE_TOLERANCE * entitled
 
     def _is_paid_as_large(self, job: CompetingJob, expiry_in_ms: float) -> bool:
         """Return whether the share of the large jobs is enough for one more of them."""
--- a/src/redwingslip/placement/_admission_settings.py
+++ b/src/redwingslip/placement/_admission_settings.py
@@ -41,6 +41,12 @@
     refuse : bool
         Whether jobs are refused that would end after all use of their result, at three
         times the time from their acceptance to their deadline.
+    protect : bool
+        Whether jobs of customers over their share are refused while accepted jobs
+        would miss their deadlines for them, and those that are worth less for their
+        work than what the capacity holds. It needs `order` and `refuse`.
+    price_window : timedelta
+        Time over which arrivals count to tell what jobs must be worth.
     grace : timedelta
         A new leader refuses nothing for this long, in which its VMs answer and machines
         that an earlier leader has moved arrive.
@@ -59,5 +65,7 @@
     nearly_done: float = 0.25
     large_share: float = 0.1
     refuse: bool = True
-    grace: timedelta = timedelta(seconds=5)
+    protect: bool = True
+    price_window: timedelta = timedelta(milliseconds=1500)
+    grace: timedelta = timedelta(seconds=2)
     max_retry: timedelta = timedelta(seconds=30)
--- a/src/redwingslip/placement/_overload.py
+++ b/src/redwingslip/placement/_overload.py
@@ -1,7 +1,7 @@
 """Which jobs of a pool finish in time when the pool can't run all of them in time."""
 
 from collections import defaultdict
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from operator import attrgetter
 
 import msgspec
@@ -9,7 +9,13 @@
 from ._capacity import CapacityPlan, divide_by_weight
 from ._selection import SHARE_TOLERANCE, CompetingJob, JobSelection
 
-__all__ = ["CompetingJob", "JobOrder", "LargeJobBudget", "order_jobs"]
+__all__ = [
+    "CompetingJob",
+    "JobOrder",
+    "LargeJobBudget",
+    "order_jobs",
+    "required_rates",
+]
 
 # Places of jobs in the order of a pool: jobs in time within the share of their customer
 # have 0, then come deferred jobs of customers below their share, then jobs in time
@@ -39,6 +45,11 @@
         Work of the waiting tasks of the jobs that are to finish in time, in core-ms.
     over : frozenset of str
         Customers that ask for more than their share.
+    deferred : frozenset of str
+        The jobs that are deferred.
+    entitlements, demands : dict of str to float
+        Cores that each customer may ask for before it is over its share, and cores
+        that it asks for.
     """
 
     turns: dict[str, int] = msgspec.field(default_factory=dict)
@@ -46,6 +57,9 @@
     n_deferred: int = 0
     load: float = 0.0
     over: frozenset[str] = frozenset()
+    deferred: frozenset[str] = frozenset()
+    entitlements: dict[str, float] = msgspec.field(default_factory=dict)
+    demands: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 class LargeJobBudget:
@@ -137,14 +151,7 @@
     """
     ordered = sorted(jobs, key=attrgetter("priority", "due_ms", "job_id"))
     bounds = _bounds(ordered, capacity, now_ms)
-    load = 0.0
-    for job, bound in zip(ordered, bounds, strict=True):
-        load += job.waiting
-        if load > bound:
-            break
-    else:
-        return JobOrder(load=load)
-    rates = [job.waiting / max(job.due_ms - now_ms, MIN_HORIZON_MS) for job in ordered]
+    rates = required_rates(ordered, now_ms)
     demands: dict[str, float] = defaultdict(float, held)
     for job, rate in zip(ordered, rates, strict=True):
         demands[job.customer] += rate
@@ -154,6 +161,22 @@
     }
     shares = divide_by_weight(capacity.cores, usable, weights)
     over = {name for name, part in shares.items() if demands[name] > part}
+    # What a customer over its share gets for each unit of weight is open to all others.
+    total_weight = sum(weights.get(name, 1.0) for name in shares)
+    level = min(
+        (shares[name] / weights.get(name, 1.0) for name in over),
+        default=capacity.cores / total_weight if shares else 0.0,
+    )
+    entitlements = {
+        name: max(part, level * weights.get(name, 1.0)) for name, part in shares.items()
+    }
+    load = 0.0
+    for job, bound in zip(ordered, bounds, strict=True):
+        load += job.waiting
+        if load > bound:
+            break
+    else:
+        return JobOrder(load=load, entitlements=entitlements, demands=dict(demands))
     selection = JobSelection(
         ordered, rates, held=held, shares=shares, protected=protected
     )
@@ -179,9 +202,17 @@
         n_deferred=len(deferred),
         load=selection.load,
         over=frozenset(over),
+        deferred=frozenset([job.job_id for job in deferred]),
+        entitlements=entitlements,
+        demands=dict(demands),
     )
 
 
+def required_rates(jobs: Iterable[CompetingJob], now_ms: float) -> list[float]:
+    """Return the cores that each job needs on average to finish when it is due."""
+    return [job.waiting / max(job.due_ms - now_ms, MIN_HORIZON_MS) for job in jobs]
+
+
 def _bounds(
     jobs: Sequence[CompetingJob], capacity: CapacityPlan, now_ms: int
 ) -> list[float]:
--- a/src/redwingslip/scheduling/_admission.py
+++ b/src/redwingslip/scheduling/_admission.py
@@ -169,8 +169,11 @@
                 last = max(order.turns.values(), default=0) if order else 0
                 over = order.over if order else ()
                 turns.update(pool.late_turns(last + 1, over))
-            is_late = order.n_deferred > 0 if order else not self._cfg.order
-            if self.gate is not None and is_short and is_late:
+            has_outlook = not self._cfg.order
+            if order is not None:
+                # Jobs that arrive may be the first that can't be in time.
+                has_outlook = order.n_deferred > 0 or self._cfg.protect
+            if self.gate is not None and is_short and has_outlook:
                 outlooks[name] = self._outlook(name, pool, order, capacity)
             if order is None:
                 self._orders.pop(name, None)
@@ -228,6 +231,7 @@
             capacity=plan,
             limits=self._limits(),
             large_share=self._cfg.large_share,
+            price=self.gate.price(name, plan.cores) if self.gate else None,
         )
 
     def _limits(self) -> dict[str, float]:
--- a/src/redwingslip/scheduling/_refusals.py
+++ b/src/redwingslip/scheduling/_refusals.py
@@ -8,6 +8,7 @@
 from ..observe import EventName
 from ..placement import (
     AdmissionSettings,
+    BidPrice,
     CompetingJob,
     PoolOutlook,
     Refusal,
@@ -50,6 +51,7 @@
         "_job_index",
         "_machines",
         "_outlooks",
+        "_prices",
         "_proposed",
         "_term",
         "_works",
@@ -72,6 +74,7 @@
         self._works = works
         self._cfg = cfg
         self._outlooks: Mapping[str, PoolOutlook] = {}
+        self._prices: dict[str, BidPrice] = {}
         # Jobs that are being committed, or may be.
         self._proposed: set[str] = set()
 
@@ -79,6 +82,20 @@
         """Set the outlook of each pool that can't run all of its jobs in time."""
         self._outlooks = outlooks
 
+    def price(self, pool: str, cores: float) -> float | None:
+        """Return what a core-ms of a pool must bring; None if it is not decided by it.
+
+        Parameters
+        ----------
+        pool : str
+            The pool.
+        cores : float
+            Its cores.
+        """
+        if not self._cfg.protect or pool not in self._prices:
+            return None
+        return self._prices[pool].price(cores, self._term.now_ms())
+
     @contextmanager
     def submission(self, spec: JobSpec) -> Iterator[None]:
         """Check a job that is not known yet, and note it while it is being committed.
@@ -128,22 +145,23 @@
 
     def _judge(self, spec: JobSpec) -> Refusal | None:
         """Return why a job is refused; None if it is proposed to the log."""
-        now = self._term.clock.monotonic()
-        pool = self._job_index.pool_of_spec(spec)
-        outlook = self._outlooks.get(pool)
-        if outlook is None or now - self._term.started_at < self._cfg.grace:
-            return None
-        # Another leader may have accepted the job meanwhile.
-        if not self._term.is_leading():
-            return None
         if spec.repetition or any(step.is_long_running for step in spec.steps):
             return None
         if (spec.job_id, spec.customer) in self._term.state.early_cancels:
             return None
-        now_ms = self._term.now_ms()
+        now, now_ms = self._term.clock.monotonic(), self._term.now_ms()
         job, expiry_ms = self._competing(spec, now_ms)
         if job.waiting <= 0:
             return None
+        pool = self._job_index.pool_of_spec(spec)
+        if self._cfg.order and self._cfg.protect:
+            self._record_arrival(pool, job, now_ms)
+        outlook = self._outlooks.get(pool)
+        if outlook is None or now - self._term.started_at < self._cfg.grace:
+            return None
+        # Another leader may have accepted the job meanwhile.
+        if not self._term.is_leading():
+            return None
         refusal = outlook.judge(job, expiry_ms=expiry_ms, now_ms=now_ms)
         if refusal is not None and self._has_free_vm(spec, pool, now):
             refusal = None
@@ -151,6 +169,13 @@
             outlook.note_accepted(job)
         return refusal
 
+    def _record_arrival(self, pool: str, job: CompetingJob, now_ms: int) -> None:
+        if pool not in self._prices:
+            window_ms = self._cfg.price_window / MS
+            # Earlier arrivals of this term were of no use to a price.
+            self._prices[pool] = BidPrice(window_ms, now_ms)
+        self._prices[pool].record(job, now_ms)
+
     def _competing(self, spec: JobSpec, now_ms: int) -> tuple[CompetingJob, float]:
         """Return a job as it competes, and when its result has no more use."""
         work, path_ms = self._works.work_of_spec(spec)
--- a/tests/test_placement_admission.py
+++ b/tests/test_placement_admission.py
@@ -37,6 +37,8 @@
 class Gate:
     """Decides on the arrivals of a simulation, as the leader does."""
 
+    is_planning = False
+
     def __init__(self):
         self.outlook, self.order = None, JobOrder()
         self.refused = []
@@ -51,7 +53,7 @@
                 for end in each.running_ends(now_ms)
             ]
             self.order, self.outlook = order, None
-            if order.n_deferred:
+            if order.n_deferred or self.is_planning:
                 capacity = CapacityPlan([(0.0, N_SLOTS)], busy)
                 self.outlook = PoolOutlook(
                     competing,
@@ -60,6 +62,7 @@
                     capacity=capacity,
                     limits={},
                     large_share=0.1,
+                    **self.options(now_ms),
                 )
         if self.outlook is None:
             return True
@@ -70,6 +73,10 @@
         self.outlook.note_accepted(competing)
         return True
 
+    def options(self, now_ms):
+        """Return what the outlook knows besides the jobs."""
+        return {}
+
 
 class TestOutlook(unittest.TestCase):
     """Single decisions about jobs that arrive."""
--- a/tests/test_scheduling_admission.py
+++ b/tests/test_scheduling_admission.py
@@ -348,6 +348,27 @@
         (detail,) = self.events(EventName.JOB_REFUSED)
         self.assertRegex(detail, "p, customer flood, capacity: .* 8.0 cores; retry in")
 
+    async def test_a_job_for_which_others_would_be_late_is_refused(self):
+        """Guards against accepted jobs that end too late for those after them."""
+        for protect in (True, False):
+            self.cfg = AdmissionSettings(enabled=True, protect=protect)
+            self.setUp()
+            self.advance(self.cfg.grace / MS)
+            await self.service.submit(make_spec("first"))
+            self.flood(n_jobs=20)
+            self.run_round()
+            spec = make_spec("new", n_tasks=8)
+            with self.subTest(protect=protect):
+                if not protect:
+                    await self.service.submit(spec)
+                    continue
+                with self.assertRaises(JobRefusedError):
+                    await self.service.submit(spec)
+                (detail,) = self.events(EventName.JOB_REFUSED)
+                self.assertRegex(detail, "p, customer flood, (price|deadline): ")
+                # The capacity is its own, whatever others ask for.
+                await self.service.submit(make_spec("s", customer="small"))
+
     async def test_a_repeat_of_a_known_job_is_answered_as_before(self):
         self.overload()
         job = await self.service.submit(make_spec("f77"))
