--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -3,10 +3,11 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from ..jobs import ActiveRun, RunRecord, RunStart, TaskKey, is_isolated
+from ..jobs import RunRecord, RunStart, TaskKey
 from ..observe import EventName
-from ..placement import CandidateVm, Placer, Urgency, WaitingTask
+from ..placement import Placer, Urgency, WaitingTask
 from ._advice import AdviceCache
+from ._candidates import CandidateVms
 from ._job_index import LONG_RUNNING_BAND, JobIndex, PoolBacklog
 from ._locality import RackLocality
 from ._machines import MachineRegistry
@@ -61,6 +62,7 @@
 
     __slots__ = (
         "_advice",
+        "_candidates",
         "_failed_jobs",
         "_job_index",
         "_locality",
@@ -89,6 +91,7 @@
         self._job_index = job_index
         self._advice = advice
         self._locality = locality
+        self._candidates = CandidateVms(term, machines)
         # Jobs whose placement failed with an error that was logged.
         self._failed_jobs: set[str] = set()
         # Monotonic times since which isolated and long-running tasks wait.
@@ -109,7 +112,7 @@
         removed = self._state.removed.customers.values()
         customers = (*removed, *self._state.plan.customers)
         pools = {tasks[0].pool for _, tasks in jobs}
-        vms = self._candidate_vms(pools)
+        vms = self._candidates.by_pool(pools)
         waits = (
             None if self._locality is None else self._locality.begin_round(jobs, vms)
         )
@@ -343,62 +346,6 @@
             agent.stop(run.key, run.number)
         return True
 
-    def _candidate_vms(self, names: set[str]) -> dict[str, list[CandidateVm]]:
-        """Return the VMs of the named pools that accept runs, by pool."""
-        now = self._term.clock.monotonic()
-        machines_to_maintain = {
-            m for wave in self._state.waves.values() for m in wave.remaining()
-        }
-        ejected = self._machines.ejected_vms(now)
-        pools: dict[str, list[CandidateVm]] = {}
-        for vm_id, agent in self._machines.agents.items():
-            if agent.vm.pool not in names:
-                continue
-            is_claimed = self._machines.is_claimed(agent.vm.machine)
-            if is_claimed:
-                continue
-            if not agent.is_ready(now) or not agent.is_responsive:
-                continue
-            used, steps = self._state.usage.of_vm(vm_id)
-            suspects = self._state.recent_suspects(vm_id, self._term.now_ms())
-            candidate = CandidateVm(
-                vm_id=vm_id,
-                born_ms=agent.vm.born_ms,
-                machine=agent.vm.machine,
-                labels=agent.vm.labels,
-                capacity=agent.vm.capacity,
-                free=self._machines.ramp.usable(agent.vm, used),
-                tasks_of_step=steps,
-                is_avoided=agent.health.is_avoided(now),
-                is_ejected=vm_id in ejected,
-                has_long_running=self._has_long_running(steps),
-                is_awaiting_maintenance=agent.vm.machine in machines_to_maintain,
-                suspect_jobs={run.key.job_id for run in suspects},
-                isolated_job=self._isolated_job(suspects),
-            )
-            pools.setdefault(agent.vm.pool, []).append(candidate)
-        return pools
-
-    def _isolated_job(self, suspects: list[ActiveRun]) -> str:
-        """Return the job of the first isolated task among runs; empty for none."""
-        for run in suspects:
-            if is_isolated(self._state.step(run.key), self._state.task(run.key)):
-                return run.key.job_id
-        return ""
-
     def candidates(self, pool: str) -> tuple[str, ...]:
         """Return the VMs of a pool that accept runs, those with most free CPU first."""
-        now = self._term.clock.monotonic()
-        free_cpu = {
-            vm_id: agent.vm.capacity.cpu - self._state.usage.of_vm(vm_id)[0].cpu
-            for vm_id, agent in self._machines.agents.items()
-            if agent.vm.pool == pool and agent.is_ready(now)
-        }
-        return tuple(sorted(free_cpu, key=lambda vm_id: (-free_cpu[vm_id], vm_id)))
-
-    def _has_long_running(self, steps: Iterable[tuple[str, int, int]]) -> bool:
-        """Return whether any of the given steps is long-running."""
-        return any(
-            self._state.jobs[job_id].spec.steps[number].is_long_running
-            for job_id, _, number in steps
-        )
+        return self._candidates.most_free(pool)
--- a/tests/test_scheduling_wave_tickets.py
+++ b/tests/test_scheduling_wave_tickets.py
@@ -51,7 +51,7 @@
         self.blocked = set()
 
     async def submit_long_running(self, job_id):
-        """Submit a job that fits on one VM; two tasks or more, of which one may stop."""
+        """Submit a job that fits on one VM, and of which one task may be away."""
         self.world.start_up_s = self.rng.choice((0.1, 0.4, 1.1))
         self.world.failure_rate = 0
         self.world.on_stop = self.note_stop
