Reserve the ticket of a task's next place before the task is stopped

Cause: the evacuation of machines and of data centres did not know that tasks of queues with advice need a ticket at their next VM. A task was stopped for a place that it could not take, waited, and got its old machine back by a recall, from which the wave then stopped it again.

Change: such a task leaves only for a VM with room and a ticket; the place is reserved for it, and its machine is claimed by nobody meanwhile. A machine whose tasks have no such place is passed over, so that the rest of the wave goes on, and reported early (maintenance.blocked). The adviser is asked again about VMs that it has refused if all others are claimed.

Ruled out: passing over all blocked machines of a round at once.

--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -55,6 +55,7 @@
     VM_ANSWERED = "vm.answered"
     VM_LOST = "vm.lost"
     VM_AVOIDED = "vm.avoided"
+    MAINTENANCE_BLOCKED = "maintenance.blocked"
     MAINTENANCE_ORDERED = "maintenance.ordered"
     ADVICE_TAKEN = "advice.taken"
     MACHINE_RECALLED = "machine.recalled"
--- a/src/redwingslip/scheduling/_advice.py
+++ b/src/redwingslip/scheduling/_advice.py
@@ -75,6 +75,15 @@
 class _Ticket(msgspec.Struct, frozen=True):
     text: str
     expires_at: timedelta
+    # Whether the last answer about the VM did not contain it.
+    is_refused: bool = False
+
+
+class _Request(msgspec.Struct, frozen=True):
+    """A queued request; `besides` are VMs whose tickets are of no use to it."""
+
+    pool: str
+    besides: frozenset[str]
 
 
 class _Refusals(msgspec.Struct):
@@ -143,25 +152,54 @@
         self._queried: dict[StepKey, set[str]] = {}
         self._refusals: dict[StepKey, _Refusals] = {}
         self._asked_again_at: timedelta | None = None
-        self._requests: dict[StepKey, str] = {}
-        self._urgent_requests: dict[StepKey, str] = {}
+        self._requests: dict[StepKey, _Request] = {}
+        self._urgent_requests: dict[StepKey, _Request] = {}
         # VMs that were replaced since the call in flight was sent.
         self._replaced_vms: set[str] = set()
         self._wake = asyncio.Event()
 
-    def tickets(self, step: StepKey) -> Mapping[str, str]:
-        """Return the usable tickets of a step, by VM."""
-        usable_until = self._clock.monotonic() + self._cfg.margin
+    def tickets(
+        self, step: StepKey, *, valid_for: timedelta = timedelta(0)
+    ) -> Mapping[str, str]:
+        """Return the tickets of a step that stay usable for a time, by VM."""
+        usable_until = self._clock.monotonic() + self._cfg.margin + valid_for
         return {
             vm_id: ticket.text
             for vm_id, ticket in self._tickets.get(step, {}).items()
             if ticket.expires_at > usable_until
         }
 
-    def request(self, step: StepKey, pool: str, *, is_urgent: bool = False) -> None:
-        """Queue a request for more tickets of a step; requests are served in order."""
+    def has_answers(
+        self, step: StepKey, pool: str, *, valid_for: timedelta = timedelta(0)
+    ) -> bool:
+        """Return whether the service has answered about all VMs of a pool.
+
+        A VM whose ticket expires within `valid_for` is to be asked about again.
+        """
+        usable = self.tickets(step, valid_for=valid_for)
+        granted = self._tickets.get(step, {})
+        queried = self._queried.get(step, set())
+        return all(
+            vm_id in queried
+            and (vm_id not in granted or vm_id in usable or granted[vm_id].is_refused)
+            for vm_id in self._candidates(pool)
+        )
+
+    def request(
+        self,
+        step: StepKey,
+        pool: str,
+        *,
+        is_urgent: bool = False,
+        besides: frozenset[str] = frozenset(),
+    ) -> None:
+        """Queue a request for more tickets of a step; requests are served in order.
+
+        VMs that were refused are asked about again, rarely, if all VMs with a ticket
+        are among `besides`.
+        """
         requests = self._urgent_requests if is_urgent else self._requests
-        requests.setdefault(step, pool)
+        requests.setdefault(step, _Request(pool, besides))
         self._wake.set()
 
     def forget_job(self, job_id: str) -> None:
@@ -200,9 +238,10 @@
             step = next(iter(requests))
             await self._request_advice(step, requests.pop(step))
 
-    async def _request_advice(self, step: StepKey, pool: str) -> None:
+    async def _request_advice(self, step: StepKey, request: _Request) -> None:
+        pool = request.pool
         vm_ids = self._choose_vms(step, pool)
-        if not vm_ids and self._drop_refusals(step, pool):
+        if request.besides.issuperset(vm_ids) and self._drop_refusals(step, pool):
             vm_ids = self._choose_vms(step, pool)
         if not vm_ids:
             return
@@ -215,9 +254,13 @@
             await asyncio.sleep(self._cfg.retry_delay.total_seconds())
             return
         queried = self._queried.setdefault(step, set())
-        queried.update(set(vm_ids) - self._replaced_vms)
-        self._hold_refusals(step)
         tickets = self._tickets.setdefault(step, {})
+        if not tickets.keys() >= set(vm_ids):
+            # A renewal is no news about the VMs without a ticket.
+            self._hold_refusals(step)
+        queried.update(set(vm_ids) - self._replaced_vms)
+        for vm_id in tickets.keys() & (set(vm_ids) - advice.tickets.keys()):
+            tickets[vm_id] = msgspec.structs.replace(tickets[vm_id], is_refused=True)
         for vm_id, text in advice.tickets.items():
             if vm_id not in self._replaced_vms:
                 tickets[vm_id] = _Ticket(text, requested_at + advice.validity)
--- a/src/redwingslip/scheduling/_data_centres.py
+++ b/src/redwingslip/scheduling/_data_centres.py
@@ -7,7 +7,6 @@
 from ._agent import VmAgent
 from ._evacuation import Evacuation
 from ._machines import MachineRegistry
-from ._places import Places
 from ._settings import EvacuationSettings
 from ._term import Term
 
@@ -31,7 +30,7 @@
         place is counted there.
     evacuation : Evacuation
         Stops tasks within their budgets, also for waves, so that both together keep
-        them.
+        them, and finds their next places.
     cfg : EvacuationSettings
         The settings.
     """
@@ -87,7 +86,7 @@
         self._late_reported &= started.keys()
         agents = [a for a in self._machines.agents.values() if a.is_evacuated]
         if agents:
-            places = Places(self._term, self._machines)
+            places = self._evacuation.places
             short_pools = {
                 agent.vm.pool
                 for agent in sorted(agents, key=lambda agent: agent.vm.vm_id)
--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -12,6 +12,7 @@
 from ._order_sender import RunId
 from ._places import Places
 from ._term import Term
+from ._ticket_places import TicketPlaces
 from ._work_checks import WorkChecks
 
 __all__ = ["Evacuation"]
@@ -26,6 +27,9 @@
     unavailable than the disruption budget allows, and another VM can run it. The VMs of
     the others are asked right before, since one may have ended since its last answer.
 
+    A task that needs a ticket at its next VM leaves only once the ticket is at hand.
+    The place is kept for it, see `TicketPlaces`.
+
     Parameters
     ----------
     term : Term
@@ -38,6 +42,13 @@
         Monotonic times at which the platform confirmed the maintenance of machines.
     checks : WorkChecks
         Asks VMs whether tasks are at work.
+    tickets : TicketPlaces, optional
+        Places for tasks that need tickets; None if no task does.
+
+    Attributes
+    ----------
+    places : Places
+        Places to which tasks can move in this round.
     """
 
     __slots__ = (
@@ -47,6 +58,8 @@
         "_ordered",
         "_state",
         "_term",
+        "_tickets",
+        "places",
     )
 
     def __init__(
@@ -57,6 +70,7 @@
         ordered: Container[str],
         maintained_at: Mapping[str, timedelta],
         checks: WorkChecks,
+        tickets: TicketPlaces | None = None,
     ) -> None:
         self._term = term
         self._state = term.state
@@ -64,6 +78,13 @@
         self._ordered = ordered
         self._maintained_at = maintained_at
         self._checks = checks
+        self._tickets = tickets
+        self.begin_round()
+
+    def begin_round(self) -> None:
+        """Look for places anew."""
+        reserved = self._tickets.reserved() if self._tickets is not None else None
+        self.places = Places(self._term, self._machines, reserved)
 
     def keeps_budgets(self, runs: Iterable[ActiveRun]) -> bool:
         """Return whether all steps stay within budget if runs of one VM end."""
@@ -93,16 +114,39 @@
             for step_runs, budget in self._runs_with_budget(self._runs_on(agent))
         )
 
-    def advance(self, machine: str) -> None:
+    def is_blocked(self, machine: str) -> bool:
+        """Return whether tasks would have to leave a machine that no VM may run.
+
+        The adviser has then refused all other VMs. Missing tickets are requested.
+        """
+        agent = self._machines.agent_on(machine)
+        if agent is None:
+            return False
+        by_step = [
+            self._needs_ticket(step_runs[0])
+            and self._tickets.is_refused(step_runs[0], agent)
+            for step_runs, budget in self._runs_with_budget(self._runs_on(agent))
+            if len(step_runs) > budget
+        ]
+        return any(by_step)
+
+    def advance(self, machine: str) -> bool:
         """Stop the next task of each step whose tasks here exceed its budget.
 
         One that is not at work yet is stopped first, since it is unavailable anyway.
+        Return False if a task has no place with a ticket, and no answer is missing that
+        could name one.
         """
         agent = self._machines.agent_on(machine)
         if agent is None:
-            return
+            return True
+        # Also while the budget is used up, as the machine would be held for nothing.
+        has_places = not self.is_blocked(machine)
         for step_runs, budget in self._runs_with_budget(self._runs_on(agent)):
             if self._n_unavailable(step_runs) + len(step_runs) <= budget:
+                if self._needs_ticket(step_runs[0]):
+                    # These runs end with the VM, and their tasks restart elsewhere.
+                    self._tickets.prepare(step_runs[0], agent)
                 continue
             not_stopping = [
                 r for r in step_runs if not agent.is_stopping(r.key, r.number)
@@ -112,19 +156,33 @@
             run = min(not_stopping, key=self._is_run_at_work)
             n_unavailable = self._n_unavailable([run])
             if n_unavailable < budget:
-                self._stop_one(agent, run, n_unavailable, budget)
+                has_places &= self._stop_one(agent, run, n_unavailable, budget)
+        return has_places
+
+    def _needs_ticket(self, run: ActiveRun) -> bool:
+        return self._tickets is not None and self._tickets.needs_ticket(run)
 
     def _stop_one(
         self, agent: VmAgent, run: ActiveRun, n_unavailable: int, budget: int
-    ) -> None:
-        """Stop a run if another VM can run its task; otherwise count a needed VM."""
-        if not self._has_place(agent, run):
+    ) -> bool:
+        """Stop a run if another VM can run its task; otherwise count a needed VM.
+
+        Return False if the adviser's answers leave no place for the task.
+        """
+        vm_id = ""
+        if self._needs_ticket(run):
+            vm_id = self._tickets.find(run, agent, self.places)
+            if vm_id is None:
+                return not self._tickets.has_answers(run, agent)
+        elif not self._has_place(agent, run):
             self._machines.n_vms_needed[agent.vm.pool] += 1
-            return
+            return True
         # This also asks the VM itself, which has more tasks of the step than may be
         # away. One that does not answer would get the order late, beside another stop.
         if not self._is_confirmed([run], budget):
-            return
+            return True
+        if vm_id:
+            self._tickets.reserve(run, vm_id)
         self._term.emit(
             EventName.RUN_PREEMPTED,
             request_id=run.key.job_id,
@@ -133,12 +191,13 @@
             f"{n_unavailable} of its step unavailable",
         )
         agent.stop(run.key, run.number)
+        return True
 
     def move_off(self, agent: VmAgent, places: Places) -> bool:
         """Stop the next long-running task of each step on a VM, if it has a place.
 
-        A step without a budget has one task moved at a time. Gangs stay, since they
-        work only as a whole. Return False if a task has no other place.
+        A step without a budget has one task moved at a time. Gangs stay, as they work
+        only as a whole. Return False if a task has no other place.
 
         A VM that does not answer keeps its tasks until its lease ends: it would get the
         order late, beside the stop of another task.
@@ -159,9 +218,10 @@
                 continue
             budget = self._state.step(run.key).disruption_budget
             n_unavailable = self._n_unavailable([run])
+            vm_id = None
             if n_unavailable >= max(1, budget):
                 may_leave = False
-            elif not places.take(run.key, agent.vm.pool):
+            elif (vm_id := self._take_place(agent, run, places)) is None:
                 may_leave = has_places = False
             else:
                 has_answered = not is_at_work or self._has_answered(agent, run)
@@ -171,6 +231,8 @@
                 # Counting the tasks of a step for each of its VMs takes long.
                 places.closed_steps.add(step_key)
                 continue
+            if self._needs_ticket(run):
+                self._tickets.reserve(run, vm_id)
             self._term.emit(
                 EventName.EVACUATION_MOVE,
                 request_id=run.key.job_id,
@@ -181,6 +243,11 @@
             agent.stop(run.key, run.number)
         return has_places
 
+    def _take_place(self, agent: VmAgent, run: ActiveRun, places: Places) -> str | None:
+        if self._needs_ticket(run):
+            return self._tickets.find(run, agent, places)
+        return places.take(run.key, agent.vm.pool)
+
     def _has_answered(self, agent: VmAgent, run: ActiveRun) -> bool:
         """Return whether a VM has just listed its run at work; else ask it."""
         if self._checks.is_confirmed(agent, (run.key, run.number)):
@@ -291,6 +358,8 @@
             if not is_allowed(step, run.key[:3], vm.labels, steps):
                 continue
             kept = non_preemptible_need(self._state, steps)
+            if self._tickets is not None:
+                kept = kept + self._tickets.held_on(vm_id)
             if step.reserved.fits(self._machines.ramp.usable(vm, kept)):
                 return True
         return False
--- a/src/redwingslip/scheduling/_machines.py
+++ b/src/redwingslip/scheduling/_machines.py
@@ -143,6 +143,10 @@
             del self._claims[machine]
             self._recalls.pop(machine, None)
 
+    def keep(self, machine: str, until: timedelta) -> None:
+        """Let nothing claim a machine before a monotonic time."""
+        self._kept_until[machine] = max(until, self._kept_until.get(machine, until))
+
     def recall(self, machine: str) -> bool:
         """Have the claim on a machine released; return whether it was.
 
@@ -151,7 +155,7 @@
         on_recall = self._recalls.get(machine)
         if on_recall is None or not on_recall(machine):
             return False
-        self._kept_until[machine] = self._term.clock.monotonic() + RECALL_TIME
+        self.keep(machine, self._term.clock.monotonic() + RECALL_TIME)
         return True
 
     def is_claimed(self, machine: str) -> bool:
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -1,11 +1,11 @@
 """Rounds of placement: which waiting tasks start on which VMs."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
 from ..jobs import RunRecord, RunStart, TaskKey
 from ..observe import EventName
-from ..placement import Placer, Urgency, WaitingTask
+from ..placement import CandidateVm, Placer, Urgency, WaitingTask
 from ._advice import AdviceCache
 from ._candidates import CandidateVms
 from ._job_index import LONG_RUNNING_BAND, JobIndex, PoolBacklog
@@ -14,6 +14,7 @@
 from ._preemption import Preemption
 from ._recall import recall_machine
 from ._term import Term
+from ._ticket_places import TicketPlaces
 from ._wait_reasons import describe_pool
 
 __all__ = [
@@ -56,6 +57,8 @@
 
     Attributes
     ----------
+    ticket_places : TicketPlaces
+        Places that are kept for tasks which leave their machines.
     backlog : dict of str to PoolBacklog
         Tasks that found no VM in the last round, by pool.
     """
@@ -69,11 +72,13 @@
         "_machines",
         "_preemption",
         "_recalled_pools",
+        "_reserved",
         "_state",
         "_term",
         "_wait_reported_at",
         "_waiting_since",
         "backlog",
+        "ticket_places",
     )
 
     def __init__(
@@ -99,6 +104,10 @@
         self._wait_reported_at: dict[TaskKey, timedelta] = {}
         self._recalled_pools: set[str] = set()
         self._preemption: Preemption | None = None
+        self._reserved: Mapping[TaskKey, str] = {}
+        self.ticket_places = TicketPlaces(
+            term=term, machines=machines, job_index=job_index, advice=advice
+        )
         self.backlog: dict[str, PoolBacklog] = {}
 
     def decide(self) -> tuple[RunStart, ...]:
@@ -113,6 +122,7 @@
         customers = (*removed, *self._state.plan.customers)
         pools = {tasks[0].pool for _, tasks in jobs}
         vms = self._candidates.by_pool(pools)
+        self._reserved = self.ticket_places.hold(vms)
         waits = (
             None if self._locality is None else self._locality.begin_round(jobs, vms)
         )
@@ -131,7 +141,7 @@
         starts: list[RunStart] = []
         for urgency, tasks in jobs:
             try:
-                starts.extend(self._place_job(placer, urgency, tasks))
+                starts.extend(self._place_job(placer, urgency, tasks, vms))
             except Exception as exc:
                 self._report_failure(tasks[0].key.job_id, exc)
         if waits is not None:
@@ -224,7 +234,11 @@
         return not agent.lease.is_in_contact(self._term.clock.monotonic())
 
     def _place_job(
-        self, placer: Placer, urgency: Urgency, tasks: list[WaitingTask]
+        self,
+        placer: Placer,
+        urgency: Urgency,
+        tasks: list[WaitingTask],
+        vms: Mapping[str, list[CandidateVm]],
     ) -> list[RunStart]:
         starts: list[RunStart] = []
         steps: dict[tuple, list[WaitingTask]] = {}
@@ -235,13 +249,20 @@
             # tasks that take more VMs go before the others.
             tasks = sorted(tasks, key=lambda task: not task.has_waited)
         for task in tasks:
-            steps.setdefault((task.key[:3], task.has_waited), []).append(task)
+            reserved = self._reserved.get(task.key, "")
+            group = (task.key[:3], task.has_waited, reserved)
+            steps.setdefault(group, []).append(task)
         needs_advice = self._job_index.needs_advice(tasks[0].key.job_id)
-        for (step_key, _), step_tasks in steps.items():
+        for (step_key, _, reserved), step_tasks in steps.items():
             if needs_advice:
                 tickets = self._advice.tickets(step_key)
+                if reserved in tickets:
+                    tickets = {reserved: tickets[reserved]}
                 for task in step_tasks:
                     task.allowed = tickets
+                    if reserved:
+                        pool = vms.get(task.pool, [])
+                        self.ticket_places.release(task.key, reserved, pool)
             placed = placer.place_step(step_tasks)
             starts.extend(placed)
             n_deferred = sum(placer.is_deferred(task) for task in step_tasks)
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -103,11 +103,10 @@
         self._wake = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self.agents: dict[str, VmAgent] = {}
-        delay = cfg.scheduling.takeover_delay
         self._machines = machines = MachineRegistry(
             term,
             self.agents,
-            takeover_delay=delay,
+            takeover_delay=cfg.scheduling.takeover_delay,
             max_ejected_share=cfg.vms.health.max_ejected_share,
             evacuation=cfg.evacuation,
         )
@@ -158,6 +157,7 @@
                 cfg=cfg.admission,
             )
         self._waves = WaveManager(
+            tickets=self._rounds.ticket_places,
             term=term,
             machines=machines,
             operations=operations,
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -7,11 +7,13 @@
 
 from ..jobs import ActiveRun, RecordMaintenance, WaveRecord
 from ..observe import EventName
+from ._blocked_machines import BlockedMachines
 from ._data_centres import DataCentreEvacuation
 from ._evacuation import Evacuation
 from ._job_index import PoolBacklog
 from ._machines import MachineManager
 from ._ports import MachineOutcome
+from ._ticket_places import TicketPlaces
 from ._wave_chains import StepChain, critical_machines
 from ._work_checks import WorkChecks
 from .exceptions import CommandOutcomeUnknownError, NotLeadingError
@@ -26,9 +28,21 @@
 
     A cordoned machine is claimed, so that it gets no new runs. It is maintained when
     it is drained or `max_drain` has passed, within the disruption budgets of the steps
-    and the limit of the wave.
+    and the limit of the wave. A machine whose tasks can't leave for lack of tickets is
+    reported, given back and tried again later.
+
+    Parameters
+    ----------
+    tickets : TicketPlaces, optional
+        Places for tasks that need tickets; None if no task does.
+    **options
+        See `MachineManager`.
     """
 
+    def __init__(self, *, tickets: TicketPlaces | None = None, **options) -> None:
+        self._tickets = tickets
+        super().__init__(**options)
+
     def _init_state(self) -> None:
         self._cordoned_at: dict[str, timedelta] = {}
         self._maintained_at: dict[str, timedelta] = {}
@@ -40,7 +54,9 @@
             ordered=self._order_tasks,
             maintained_at=self._maintained_at,
             checks=self._checks,
+            tickets=self._tickets,
         )
+        self._blocked = BlockedMachines(self._term, self._evacuation)
         self._data_centres = DataCentreEvacuation(
             term=self._term,
             machines=self._machines,
@@ -68,6 +84,9 @@
         now = self._term.clock.monotonic()
         self._machines.n_vms_needed.clear()
         self._checks.begin_round()
+        self._evacuation.begin_round()
+        if self._tickets is not None:
+            self._blocked.find(now, self._cordoned_at.keys())
         for wave in tuple(self._state.waves.values()):
             if not wave.is_complete:
                 self._advance(wave, now)
@@ -79,8 +98,13 @@
         n_down = sum(self._is_down(wave, machine, now) for machine in wave.machines)
         self._cordon_machines(wave, remaining, now)
         for machine in remaining:
-            if machine in self._cordoned_at:
-                self._evacuation.advance(machine)
+            if machine not in self._cordoned_at or self._evacuation.advance(machine):
+                continue
+            # Its place in the wave is free for others, and its VM for other tasks, also
+            # for those of further machines that have found no place in this round.
+            if self._recall(machine):
+                self._blocked.note(machine, wave=wave.number, now=now)
+                break
         for machine in remaining:
             # A machine whose order had no answer may be down for it already.
             is_counted = self._is_down(wave, machine, now)
@@ -110,10 +134,13 @@
         candidates = [
             machine
             for machine in remaining
-            if machine not in self._cordoned_at and self._machines.may_order(machine)
+            if machine not in self._cordoned_at
+            and self._machines.may_order(machine)
+            and self._blocked.may_try(machine, now)
         ]
         candidates.sort(
             key=lambda machine: (
+                machine in self._blocked,
                 machine not in critical,
                 *self._absence_cost(machine),
                 machine,
