Move tasks without a budget although one of their step can't start

Cause: an evacuation of a data centre moves one task at a time of a step without a disruption budget, and counted each task that is away. One that can't be started, for instance since its customer is at its limit, kept the others for good.

Steps with a budget are as before, since their budget counts all tasks.

--- a/src/redwingslip/scheduling/_evacuation.py
+++ b/src/redwingslip/scheduling/_evacuation.py
@@ -11,6 +11,7 @@
 from ._machines import MachineRegistry
 from ._order_sender import RunId
 from ._places import Places
+from ._single_moves import SingleMoves
 from ._term import Term
 from ._ticket_places import TicketPlaces
 from ._work_checks import WorkChecks
@@ -56,6 +57,7 @@
         "_machines",
         "_maintained_at",
         "_ordered",
+        "_single_moves",
         "_state",
         "_term",
         "_tickets",
@@ -79,12 +81,14 @@
         self._maintained_at = maintained_at
         self._checks = checks
         self._tickets = tickets
+        self._single_moves = SingleMoves(term.state, self._is_at_work)
         self.begin_round()
 
     def begin_round(self) -> None:
         """Look for places anew."""
         reserved = self._tickets.reserved() if self._tickets is not None else None
         self.places = Places(self._term, self._machines, reserved)
+        self._single_moves.forget_jobs()
 
     def keeps_budgets(self, runs: Iterable[ActiveRun]) -> bool:
         """Return whether all steps stay within budget if runs of one VM end."""
@@ -196,8 +200,8 @@
     def move_off(self, agent: VmAgent, places: Places) -> bool:
         """Stop the next long-running task of each step on a VM, if it has a place.
 
-        A step without a budget has one task moved at a time. Gangs stay, as they work
-        only as a whole. Return False if a task has no other place.
+        A step without a budget has one task moved at a time, see `SingleMoves`. Gangs
+        stay, as they work only as a whole. Return False if a task has no other place.
 
         A VM that does not answer keeps its tasks until its lease ends: it would get the
         order late, beside the stop of another task.
@@ -219,7 +223,7 @@
             budget = self._state.step(run.key).disruption_budget
             n_unavailable = self._n_unavailable([run])
             vm_id = None
-            if n_unavailable >= max(1, budget):
+            if not self._may_move(step_key, n_unavailable, budget):
                 may_leave = False
             elif (vm_id := self._take_place(agent, run, places)) is None:
                 may_leave = has_places = False
@@ -233,6 +237,9 @@
                 continue
             if self._needs_ticket(run):
                 self._tickets.reserve(run, vm_id)
+            if not budget:
+                places.closed_steps.add(step_key)
+                self._single_moves.note_move(run, n_unavailable)
             self._term.emit(
                 EventName.EVACUATION_MOVE,
                 request_id=run.key.job_id,
@@ -248,6 +255,12 @@
             return self._tickets.find(run, agent, places)
         return places.take(run.key, agent.vm.pool)
 
+    def _may_move(self, step_key: StepKey, n_unavailable: int, budget: int) -> bool:
+        if budget:
+            return n_unavailable < budget
+        now = self._term.clock.monotonic()
+        return self._single_moves.may_move(step_key, n_unavailable, now)
+
     def _has_answered(self, agent: VmAgent, run: ActiveRun) -> bool:
         """Return whether a VM has just listed its run at work; else ask it."""
         if self._checks.is_confirmed(agent, (run.key, run.number)):
--- a/tests/test_scheduling_evacuation_tickets.py
+++ b/tests/test_scheduling_evacuation_tickets.py
@@ -1,11 +1,11 @@
-"""Histories of evacuations whose tasks need tickets.
+"""Histories of evacuations whose tasks need tickets, or have no budget.
 
 They are played as in `test_scheduling_evacuation_budgets`, in virtual time.
 """
 
 import unittest
 
-from redwingslip.jobs import Amounts, JobSpec, StepSpec
+from redwingslip.jobs import Amounts, Customer, JobSpec, Plan, ReplacePlan, StepSpec
 from tests.support_virtual_time import run_virtually
 from tests.test_scheduling_evacuation_budgets import N_VMS, EvacuatedPool
 from tests.test_scheduling_wave_tickets import FewVmsAdviser
@@ -24,6 +24,9 @@
         Number of orders that stopped a long-running task.
     """
 
+    disruption_budget = 1
+    customer = ""
+
     def __init__(self, seed, *, n_allowed):
         super().__init__(seed, has_wave=False, has_leader_change=False)
         self.plan_options = {"needs_advice": True}
@@ -39,10 +42,16 @@
             n_tasks=N_TASKS,
             need=NEED,
             is_long_running=True,
-            disruption_budget=1,
+            disruption_budget=self.disruption_budget,
         )
         await self.world.submit(
-            JobSpec(job_id=job_id, queue="q", pool="p", steps=(step,))
+            JobSpec(
+                job_id=job_id,
+                queue="q",
+                pool="p",
+                customer=self.customer,
+                steps=(step,),
+            )
         )
 
     def note_stop(self, endpoint, key):
@@ -51,6 +60,39 @@
         self.world.check_budgets(endpoint, {key})
 
 
+class LimitedEvacuation(TicketEvacuation):
+    """An evacuation of a step without a budget, of which one task can't be started.
+
+    Its customer's limit has no room for all tasks.
+    """
+
+    disruption_budget = 0
+    customer = "c"
+
+    def __init__(self, seed):
+        super().__init__(seed, n_allowed=0)
+        self.plan_options = {}
+        self.adviser = None
+
+    async def submit_long_running(self, job_id):
+        """Submit the first job only, as others would share the customer's limit."""
+        if job_id != "long0":
+            return
+        limit = Amounts((N_TASKS - 1) * NEED.cpu)
+        plan = self.world.state.plan
+        plan = Plan(
+            version=2,
+            customers=(Customer(name="c", limit=limit),),
+            queues=plan.queues,
+            pools=plan.pools,
+        )
+        await self.world.term.propose_or_log(ReplacePlan(plan=plan))
+        await super().submit_long_running(job_id)
+
+    async def submit_short(self):
+        """Submit no short jobs."""
+
+
 class TestEvacuationTickets(unittest.TestCase):
     """Tasks leave for a place that they can take, and stay otherwise."""
 
@@ -75,6 +117,13 @@
                 history = self.play(TicketEvacuation(seed, n_allowed=4))
                 self.assertEqual(history.n_there, 0)
 
+    def test_a_task_that_can_not_start_does_not_keep_the_others(self):
+        """Guards against a step without a budget that stays for good."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                history = self.play(LimitedEvacuation(seed))
+                self.assertEqual(history.n_there, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
