Keep a run in an evacuated data centre whose start had no answer

Cause: a start order without an answer is sent again until it has one. An evacuation withdrew it meanwhile, with a stop, although the VM had listed the run since.

Change: a start whose run the VM has listed is settled.

--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -5,13 +5,12 @@
 from collections.abc import Awaitable
 from datetime import timedelta
 
-import msgspec
-
 from ..jobs import ActiveRun, EndKind, RunEnd, TaskKey, VmRecord
 from ..observe import EventName
 from ..workers import VmHealth, VmLease
 from ._agent_settings import VmPolicy
 from ._ports import StartOutcome, StartResult, VmOrders
+from ._queued_order import QueuedOrder
 from ._supervise import run_forever
 from ._term import Term
 from .exceptions import OrderNotSentError, OrderOutcomeUnknownError, VmReplacedError
@@ -21,27 +20,6 @@
 RunId = tuple[TaskKey, int]
 
 
-class _Order(msgspec.Struct):
-    """An order to start or stop a run that is queued or in flight.
-
-    Attributes
-    ----------
-    n_lost : int
-        Calls whose outcome is unknown, so that a copy may still be in flight. A call
-        that an earlier leader may have sent counts as one.
-    withdraws_start : bool
-        Whether this stop withdraws a start that the VM may still receive.
-    """
-
-    key: TaskKey
-    number: int
-    is_stop: bool
-    run: ActiveRun | None = None
-    ticket: str = ""
-    n_lost: int = 0
-    withdraws_start: bool = False
-
-
 class OrderSender:
     """Sends orders to one incarnation of a VM, and retries each until it is answered.
 
@@ -118,9 +96,9 @@
         self.confirmed_at: dict[RunId, timedelta] = {}
         self.started_at: dict[RunId, timedelta] = {}
         self.stop_answered_at: dict[RunId, timedelta] = {}
-        self._queue: deque[_Order] = deque()
-        self._pending: dict[RunId, _Order] = {}
-        self._in_flight: _Order | None = None
+        self._queue: deque[QueuedOrder] = deque()
+        self._pending: dict[RunId, QueuedOrder] = {}
+        self._in_flight: QueuedOrder | None = None
         # Runs whose end is being committed; they must not be started meanwhile.
         self._ending: set[RunId] = set()
         self._wake = asyncio.Event()
@@ -164,18 +142,20 @@
 
     def start(self, run: ActiveRun, ticket: str = "") -> None:
         """Queue the order to start a run that this leader has placed."""
-        order = _Order(run.key, run.number, is_stop=False, run=run, ticket=ticket)
+        order = QueuedOrder(run.key, run.number, is_stop=False, run=run, ticket=ticket)
         self._enqueue(order)
 
     def resume_start(self, run: ActiveRun) -> None:
         """Queue the order to start a run that an earlier leader has placed."""
-        self._enqueue(_Order(run.key, run.number, is_stop=False, run=run, n_lost=1))
+        self._enqueue(
+            QueuedOrder(run.key, run.number, is_stop=False, run=run, n_lost=1)
+        )
 
     def stop(self, key: TaskKey, number: int) -> None:
         """Queue the order to stop a run, ahead of queued starts."""
         pending = self._pending.get((key, number))
         if pending is None or not pending.is_stop:
-            self._enqueue(_Order(key, number, is_stop=True))
+            self._enqueue(QueuedOrder(key, number, is_stop=True))
 
     def withdraw_starts(self) -> None:
         """Withdraw the queued start orders; one in flight, if it has to be resent."""
@@ -197,7 +177,7 @@
         is_stop_pending = pending is not None and pending.is_stop
         return is_stop_pending or (key, number) in self.stop_answered_at
 
-    def _enqueue(self, order: _Order) -> None:
+    def _enqueue(self, order: QueuedOrder) -> None:
         self._pending[(order.key, order.number)] = order
         if order.is_stop:
             self._queue.appendleft(order)
@@ -227,7 +207,7 @@
             finally:
                 self._in_flight = None
 
-    async def _send(self, order: _Order) -> None:
+    async def _send(self, order: QueuedOrder) -> None:
         run_id = (order.key, order.number)
         if not self._term.is_leading():
             await asyncio.sleep(self._cfg.retry_delay.total_seconds())
@@ -272,8 +252,15 @@
             order.n_lost += 1
             await self._retry(order)
 
-    def _withdraw_evacuated(self, order: _Order) -> None:
-        """Withdraw a start order in an evacuated data centre, and log it."""
+    def _withdraw_evacuated(self, order: QueuedOrder) -> None:
+        """Withdraw a start order in an evacuated data centre, and log it.
+
+        A run that the VM has listed has started and goes on, although the answer to its
+        order was lost: the stop of a task at work could break its budget.
+        """
+        if (order.key, order.number) in self.confirmed_at:
+            del self._pending[(order.key, order.number)]
+            return
         self._term.emit(
             EventName.START_WITHDRAWN,
             request_id=order.key.job_id,
@@ -283,7 +270,7 @@
         )
         self._withdraw(order)
 
-    def _is_run_active(self, order: _Order) -> bool:
+    def _is_run_active(self, order: QueuedOrder) -> bool:
         """Return whether the run of a start order is still active in the state."""
         runs = self._term.state.runs.get(self.vm.vm_id, {})
         return (order.key, order.number) in runs
@@ -293,11 +280,11 @@
         used, _ = self._term.state.usage.of_vm(self.vm.vm_id)
         return not used.fits(self.vm.capacity)
 
-    async def _retry(self, order: _Order) -> None:
+    async def _retry(self, order: QueuedOrder) -> None:
         await asyncio.sleep(self._cfg.retry_delay.total_seconds())
         self._requeue(order)
 
-    def _requeue(self, order: _Order) -> None:
+    def _requeue(self, order: QueuedOrder) -> None:
         """Queue an order again, unless it was replaced or is no longer needed."""
         if self._pending.get((order.key, order.number)) is order:
             if order.is_stop:
@@ -305,7 +292,7 @@
             else:
                 self._queue.append(order)
 
-    async def _send_stop(self, order: _Order) -> None:
+    async def _send_stop(self, order: QueuedOrder) -> None:
         run_id = (order.key, order.number)
         await self._orders.stop(
             self.vm, order.key, order.number, fence=self._term.fence
@@ -318,7 +305,7 @@
         self.confirmed_at[run_id] = now
         self.stop_answered_at[run_id] = now
 
-    async def _send_start(self, order: _Order) -> None:
+    async def _send_start(self, order: QueuedOrder) -> None:
         job = self._term.state.jobs.get(order.key.job_id)
         if job is None:
             return
@@ -363,19 +350,19 @@
             detail=f"{key.label(run.number)} {result.value}",
         )
 
-    def _withdraw(self, order: _Order) -> None:
+    def _withdraw(self, order: QueuedOrder) -> None:
         """End a run that the VM has not started."""
         run_id = (order.key, order.number)
         self._pending.pop(run_id, None)
         if order.n_lost:
             # An earlier copy of the order may still be in flight; the stop makes the VM
             # refuse it.
-            self._enqueue(_Order(*run_id, is_stop=True, withdraws_start=True))
+            self._enqueue(QueuedOrder(*run_id, is_stop=True, withdraws_start=True))
         else:
             self.record_end(run_id, EndKind.REJECTED)
 
     def _handle_start_result(
-        self, order: _Order, outcome: StartOutcome, now: timedelta
+        self, order: QueuedOrder, outcome: StartOutcome, now: timedelta
     ) -> None:
         run_id = (order.key, order.number)
         if outcome.result in (StartResult.ACCEPTED, StartResult.OLD):
