Place no tasks where an earlier leader's maintenance order may end them

Cause: after a change of leader, a machine whose maintenance was ordered and not answered was not cordoned until its turn. Tasks were placed on it. They count as unavailable while the order is open, so that with more of them than the budget none could leave, and the order was never repeated.

Change: the next leader cordons such machines at once.

--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -66,6 +66,7 @@
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
+        self._hold_ordered_machines()
         try:
             while True:
                 await asyncio.sleep(self._cfg.waves.interval.total_seconds())
@@ -85,6 +86,7 @@
         self._machines.n_vms_needed.clear()
         self._checks.begin_round()
         self._evacuation.begin_round()
+        self._hold_ordered_machines()
         if self._tickets is not None:
             self._blocked.find(now, self._cordoned_at.keys())
         for wave in tuple(self._state.waves.values()):
@@ -92,6 +94,22 @@
                 self._advance(wave, now)
         self._data_centres.advance()
 
+    def _hold_ordered_machines(self) -> None:
+        """Cordon the machines that an order of an earlier leader may still maintain.
+
+        More tasks of a step could start there than its budget allows. They count as
+        unavailable until the order is settled, so that none of them could leave, and
+        the order could not be repeated.
+        """
+        for wave in self._state.waves.values():
+            for machine in wave.remaining():
+                if machine in self._cordoned_at or machine not in wave.ordered:
+                    continue
+                if self._evacuation.has_pending_order(machine) and self._machines.claim(
+                    machine, self, self._recall
+                ):
+                    self._cordoned_at[machine] = self._term.clock.monotonic()
+
     def _advance(self, wave: WaveRecord, now: timedelta) -> None:
         """Cordon the next machines of a wave and order maintenance where possible."""
         remaining = wave.remaining()
