--- a/tests/scheduling_lifecycle.py
+++ b/tests/scheduling_lifecycle.py
@@ -149,8 +149,12 @@
         Share of the answers to deregistrations that are lost.
     slow_answer_rate : float
         Share of the answers to orders that take up to 0.7 s.
+    policy : LeaderPolicy
+        Settings of all leaders.
     """
 
+    policy = LeaderPolicy()
+
     def __init__(self, *args, **options):
         self._background = set()
         self.operations = None
@@ -172,10 +176,12 @@
             term=self.term,
             orders=LeaderNetwork(self, self.term),
             operations=self.operations,
-            adviser=None,
-            cfg=LeaderPolicy(),
+            adviser=self.adviser,
+            cfg=self.policy,
+        )
+        self.service = JobService(
+            term=self.term, scheduler=self.scheduler, gate=self.scheduler.gate
         )
-        self.service = JobService(term=self.term, scheduler=self.scheduler)
         self.scheduler.begin()
 
     def is_serving(self):
