Keep a machine cordoned that another wave has ordered as well

Cause: when the maintenance of a machine for one wave was answered, it was released, although an order for another wave was still open.

Change: the release cordons it again in this case. A machine that left its wave is released once that is recorded, since its order counts as open until then.

--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -95,9 +95,10 @@
         self._data_centres.advance()
 
     def _hold_ordered_machines(self) -> None:
-        """Cordon the machines that an order of an earlier leader may still maintain.
+        """Cordon the machines that an order without an answer may still maintain.
 
-        More tasks of a step could start there than its budget allows. They count as
+        An earlier leader gave it, or it belongs to another wave of the machine. More
+        tasks of a step could start there than its budget allows. They count as
         unavailable until the order is settled, so that none of them could leave, and
         the order could not be repeated.
         """
@@ -105,9 +106,7 @@
             for machine in wave.remaining():
                 if machine in self._cordoned_at or machine not in wave.ordered:
                     continue
-                if self._evacuation.has_pending_order(machine) and self._machines.claim(
-                    machine, self, self._recall
-                ):
+                if self._machines.claim(machine, self, self._recall):
                     self._cordoned_at[machine] = self._term.clock.monotonic()
 
     def _advance(self, wave: WaveRecord, now: timedelta) -> None:
@@ -342,11 +341,11 @@
                 MachineOutcome.UNKNOWN_MACHINE,
                 MachineOutcome.NOT_OF_WAVE,
             ):
-                self._uncordon(machine)
                 if is_repeated:
                     self._maintained_at[machine] = self._term.clock.monotonic()
                 given_up = () if is_repeated else (machine,)
                 await self._record_maintenance(wave, gone=(machine,), given_up=given_up)
+                self._uncordon(machine)
             else:
                 self._retry_at[machine] = (
                     self._term.clock.monotonic() + self._cfg.waves.retry_delay
@@ -361,6 +360,7 @@
         """Release a machine, so that it gets runs again."""
         self._cordoned_at.pop(machine, None)
         self._machines.release(machine, self)
+        self._hold_ordered_machines()
 
     def _recall(self, machine: str) -> bool:
         """Give up the cordon of a machine; return False if its order may be in force.
--- a/tests/test_scheduling_wave_takeover.py
+++ b/tests/test_scheduling_wave_takeover.py
@@ -56,6 +56,9 @@
         await asyncio.sleep(0)
         self.assertTrue(registry.is_claimed("m-v2"))
         self.assertFalse(registry.recall("m-v2"))
+        # As after the maintenance for another wave.
+        manager._uncordon("m-v2")
+        self.assertTrue(registry.is_claimed("m-v2"))
         self.assertEqual(platform.maintained, [])
 
 
