--- a/src/redwingslip/observe/_events.py
+++ b/src/redwingslip/observe/_events.py
@@ -57,6 +57,7 @@
     VM_AVOIDED = "vm.avoided"
     VM_SLOW = "vm.slow"
     VM_NORMAL = "vm.normal"
+    MAINTENANCE_BLOCKED = "maintenance.blocked"
     MAINTENANCE_ORDERED = "maintenance.ordered"
     ADVICE_TAKEN = "advice.taken"
     MACHINE_RECALLED = "machine.recalled"
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -1,12 +1,13 @@
 """Rounds of placement: which waiting tasks start on which VMs."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
-from ..jobs import ActiveRun, RunRecord, RunStart, TaskKey, is_isolated
+from ..jobs import RunRecord, RunStart, TaskKey
 from ..observe import EventName
 from ..placement import CandidateVm, Placer, Urgency, WaitingTask
 from ._advice import AdviceCache
+from ._candidates import CandidateVms
 from ._job_index import LONG_RUNNING_BAND, JobIndex, PoolBacklog
 from ._locality import RackLocality
 from ._machines import MachineRegistry
@@ -14,6 +15,7 @@
 from ._recall import recall_machine
 from ._speeds import VmSpeeds
 from ._term import Term
+from ._ticket_places import TicketPlaces
 from ._wait_reasons import describe_pool
 
 __all__ = [
@@ -58,24 +60,29 @@
 
     Attributes
     ----------
+    ticket_places : TicketPlaces
+        Places that are kept for tasks which leave their machines.
     backlog : dict of str to PoolBacklog
         Tasks that found no VM in the last round, by pool.
     """
 
     __slots__ = (
         "_advice",
+        "_candidates",
         "_failed_jobs",
         "_job_index",
         "_locality",
         "_machines",
         "_preemption",
         "_recalled_pools",
+        "_reserved",
         "_speeds",
         "_state",
         "_term",
         "_wait_reported_at",
         "_waiting_since",
         "backlog",
+        "ticket_places",
     )
 
     def __init__(
@@ -95,6 +102,7 @@
         self._advice = advice
         self._locality = locality
         self._speeds = speeds
+        self._candidates = CandidateVms(term, machines, speeds=speeds)
         # Jobs whose placement failed with an error that was logged.
         self._failed_jobs: set[str] = set()
         # Monotonic times since which isolated and long-running tasks wait.
@@ -102,6 +110,10 @@
         self._wait_reported_at: dict[TaskKey, timedelta] = {}
         self._recalled_pools: set[str] = set()
         self._preemption: Preemption | None = None
+        self._reserved: Mapping[TaskKey, str] = {}
+        self.ticket_places = TicketPlaces(
+            term=term, machines=machines, job_index=job_index, advice=advice
+        )
         self.backlog: dict[str, PoolBacklog] = {}
 
     def decide(self) -> tuple[RunStart, ...]:
@@ -117,7 +129,8 @@
         removed = self._state.removed.customers.values()
         customers = (*removed, *self._state.plan.customers)
         pools = {tasks[0].pool for _, tasks in jobs}
-        vms = self._candidate_vms(pools)
+        vms = self._candidates.by_pool(pools)
+        self._reserved = self.ticket_places.hold(vms)
         waits = (
             None if self._locality is None else self._locality.begin_round(jobs, vms)
         )
@@ -136,7 +149,7 @@
         starts: list[RunStart] = []
         for urgency, tasks in jobs:
             try:
-                starts.extend(self._place_job(placer, urgency, tasks))
+                starts.extend(self._place_job(placer, urgency, tasks, vms))
             except Exception as exc:
                 self._report_failure(tasks[0].key.job_id, exc)
         if waits is not None:
@@ -231,7 +244,11 @@
         return not agent.lease.is_in_contact(self._term.clock.monotonic())
 
     def _place_job(
-        self, placer: Placer, urgency: Urgency, tasks: list[WaitingTask]
+        self,
+        placer: Placer,
+        urgency: Urgency,
+        tasks: list[WaitingTask],
+        vms: Mapping[str, list[CandidateVm]],
     ) -> list[RunStart]:
         starts: list[RunStart] = []
         steps: dict[tuple, list[WaitingTask]] = {}
@@ -242,15 +259,22 @@
             # tasks that take more VMs go before the others.
             tasks = sorted(tasks, key=lambda task: not task.has_waited)
         for task in tasks:
-            steps.setdefault((task.key[:3], task.has_waited), []).append(task)
+            reserved = self._reserved.get(task.key, "")
+            group = (task.key[:3], task.has_waited, reserved)
+            steps.setdefault(group, []).append(task)
         if self._speeds is not None:
             self._speeds.set_min_speeds(urgency, tasks)
         needs_advice = self._job_index.needs_advice(tasks[0].key.job_id)
-        for (step_key, _), step_tasks in steps.items():
+        for (step_key, _, reserved), step_tasks in steps.items():
             if needs_advice:
                 tickets = self._advice.tickets(step_key)
+                if reserved in tickets:
+                    tickets = {reserved: tickets[reserved]}
                 for task in step_tasks:
                     task.allowed = tickets
+                    if reserved:
+                        pool = vms.get(task.pool, [])
+                        self.ticket_places.release(task.key, reserved, pool)
             placed = placer.place_step(step_tasks)
             starts.extend(placed)
             n_deferred = sum(placer.is_deferred(task) for task in step_tasks)
@@ -355,64 +379,6 @@
             agent.stop(run.key, run.number)
         return True
 
-    def _candidate_vms(self, names: set[str]) -> dict[str, list[CandidateVm]]:
-        """Return the VMs of the named pools that accept runs, by pool."""
-        now = self._term.clock.monotonic()
-        machines_to_maintain = {
-            m for wave in self._state.waves.values() for m in wave.remaining()
-        }
-        ejected = self._machines.ejected_vms(now)
-        pools: dict[str, list[CandidateVm]] = {}
-        for vm_id, agent in self._machines.agents.items():
-            if agent.vm.pool not in names:
-                continue
-            is_claimed = self._machines.is_claimed(agent.vm.machine)
-            if is_claimed:
-                continue
-            if not agent.is_ready(now) or not agent.is_responsive:
-                continue
-            used, steps = self._state.usage.of_vm(vm_id)
-            suspects = self._state.recent_suspects(vm_id, self._term.now_ms())
-            candidate = CandidateVm(
-                vm_id=vm_id,
-                born_ms=agent.vm.born_ms,
-                machine=agent.vm.machine,
-                labels=agent.vm.labels,
-                capacity=agent.vm.capacity,
-                free=self._machines.ramp.usable(agent.vm, used),
-                tasks_of_step=steps,
-                is_avoided=agent.health.is_avoided(now),
-                is_ejected=vm_id in ejected,
-                has_long_running=self._has_long_running(steps),
-                is_awaiting_maintenance=agent.vm.machine in machines_to_maintain,
-                suspect_jobs={run.key.job_id for run in suspects},
-                isolated_job=self._isolated_job(suspects),
-            )
-            if self._speeds is not None:
-                self._speeds.rate(candidate, now)
-            pools.setdefault(agent.vm.pool, []).append(candidate)
-        return pools
-
-    def _isolated_job(self, suspects: list[ActiveRun]) -> str:
-        """Return the job of the first isolated task among runs; empty for none."""
-        for run in suspects:
-            if is_isolated(self._state.step(run.key), self._state.task(run.key)):
-                return run.key.job_id
-        return ""
-
     def candidates(self, pool: str) -> tuple[str, ...]:
         """Return the VMs of a pool that accept runs, those with most free CPU first."""
-        now = self._term.clock.monotonic()
-        free_cpu = {
-            vm_id: agent.vm.capacity.cpu - self._state.usage.of_vm(vm_id)[0].cpu
-            for vm_id, agent in self._machines.agents.items()
-            if agent.vm.pool == pool and agent.is_ready(now)
-        }
-        return tuple(sorted(free_cpu, key=lambda vm_id: (-free_cpu[vm_id], vm_id)))
-
-    def _has_long_running(self, steps: Iterable[tuple[str, int, int]]) -> bool:
-        """Return whether any of the given steps is long-running."""
-        return any(
-            self._state.jobs[job_id].spec.steps[number].is_long_running
-            for job_id, _, number in steps
-        )
+        return self._candidates.most_free(pool)
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -112,11 +112,10 @@
                 run_times=self._run_times,
                 cfg=cfg.speeds,
             )
-        delay = cfg.scheduling.takeover_delay
         self._machines = machines = MachineRegistry(
             term,
             self.agents,
-            takeover_delay=delay,
+            takeover_delay=cfg.scheduling.takeover_delay,
             max_ejected_share=cfg.vms.health.max_ejected_share,
             evacuation=cfg.evacuation,
             speeds=self._speeds,
@@ -169,6 +168,7 @@
                 cfg=cfg.admission,
             )
         self._waves = WaveManager(
+            tickets=self._rounds.ticket_places,
             term=term,
             machines=machines,
             operations=operations,
--- a/src/redwingslip/scheduling/_waves.py
+++ b/src/redwingslip/scheduling/_waves.py
@@ -7,11 +7,13 @@
 
 from ..jobs import ActiveRun, RecordMaintenance, WaveRecord
 from ..observe import EventName
+from ._blocked_machines import BlockedMachines
 from ._data_centres import DataCentreEvacuation
 from ._evacuation import Evacuation
 from ._job_index import PoolBacklog
 from ._machines import MachineManager
 from ._ports import MachineOutcome
+from ._ticket_places import TicketPlaces
 from ._wave_chains import StepChain, critical_machines
 from ._work_checks import WorkChecks
 from .exceptions import CommandOutcomeUnknownError, NotLeadingError
@@ -26,9 +28,21 @@
 
     A cordoned machine is claimed, so that it gets no new runs. It is maintained when
     it is drained or `max_drain` has passed, within the disruption budgets of the steps
-    and the limit of the wave.
+    and the limit of the wave. A machine whose tasks can't leave for lack of tickets is
+    reported, given back and tried again later.
+
+    Parameters
+    ----------
+    tickets : TicketPlaces, optional
+        Places for tasks that need tickets; None if no task does.
+    **options
+        See `MachineManager`.
     """
 
+    def __init__(self, *, tickets: TicketPlaces | None = None, **options) -> None:
+        self._tickets = tickets
+        super().__init__(**options)
+
     def _init_state(self) -> None:
         self._cordoned_at: dict[str, timedelta] = {}
         self._maintained_at: dict[str, timedelta] = {}
@@ -40,7 +54,9 @@
             ordered=self._order_tasks,
             maintained_at=self._maintained_at,
             checks=self._checks,
+            tickets=self._tickets,
         )
+        self._blocked = BlockedMachines(self._term, self._evacuation)
         self._data_centres = DataCentreEvacuation(
             term=self._term,
             machines=self._machines,
@@ -50,6 +66,7 @@
 
     async def run(self) -> None:
         """Carry out waves until cancelled."""
+        self._hold_ordered_machines()
         try:
             while True:
                 await asyncio.sleep(self._cfg.waves.interval.total_seconds())
@@ -68,19 +85,43 @@
         now = self._term.clock.monotonic()
         self._machines.n_vms_needed.clear()
         self._checks.begin_round()
+        self._evacuation.begin_round()
+        self._hold_ordered_machines()
+        if self._tickets is not None:
+            self._blocked.find(now, self._cordoned_at.keys())
         for wave in tuple(self._state.waves.values()):
             if not wave.is_complete:
                 self._advance(wave, now)
         self._data_centres.advance()
 
+    def _hold_ordered_machines(self) -> None:
+        """Cordon the machines that an order without an answer may still maintain.
+
+        An earlier leader gave it, or it belongs to another wave of the machine. More
+        tasks of a step could start there than its budget allows. They count as
+        unavailable until the order is settled, so that none of them could leave, and
+        the order could not be repeated.
+        """
+        for wave in self._state.waves.values():
+            for machine in wave.remaining():
+                if machine in self._cordoned_at or machine not in wave.ordered:
+                    continue
+                if self._machines.claim(machine, self, self._recall):
+                    self._cordoned_at[machine] = self._term.clock.monotonic()
+
     def _advance(self, wave: WaveRecord, now: timedelta) -> None:
         """Cordon the next machines of a wave and order maintenance where possible."""
         remaining = wave.remaining()
         n_down = sum(self._is_down(wave, machine, now) for machine in wave.machines)
         self._cordon_machines(wave, remaining, now)
         for machine in remaining:
-            if machine in self._cordoned_at:
-                self._evacuation.advance(machine)
+            if machine not in self._cordoned_at or self._evacuation.advance(machine):
+                continue
+            # Its place in the wave is free for others, and its VM for other tasks, also
+            # for those of further machines that have found no place in this round.
+            if self._recall(machine):
+                self._blocked.note(machine, wave=wave.number, now=now)
+                break
         for machine in remaining:
             # A machine whose order had no answer may be down for it already.
             is_counted = self._is_down(wave, machine, now)
@@ -110,10 +151,13 @@
         candidates = [
             machine
             for machine in remaining
-            if machine not in self._cordoned_at and self._machines.may_order(machine)
+            if machine not in self._cordoned_at
+            and self._machines.may_order(machine)
+            and self._blocked.may_try(machine, now)
         ]
         candidates.sort(
             key=lambda machine: (
+                machine in self._blocked,
                 machine not in critical,
                 *self._absence_cost(machine),
                 machine,
@@ -297,11 +341,11 @@
                 MachineOutcome.UNKNOWN_MACHINE,
                 MachineOutcome.NOT_OF_WAVE,
             ):
-                self._uncordon(machine)
                 if is_repeated:
                     self._maintained_at[machine] = self._term.clock.monotonic()
                 given_up = () if is_repeated else (machine,)
                 await self._record_maintenance(wave, gone=(machine,), given_up=given_up)
+                self._uncordon(machine)
             else:
                 self._retry_at[machine] = (
                     self._term.clock.monotonic() + self._cfg.waves.retry_delay
@@ -316,6 +360,7 @@
         """Release a machine, so that it gets runs again."""
         self._cordoned_at.pop(machine, None)
         self._machines.release(machine, self)
+        self._hold_ordered_machines()
 
     def _recall(self, machine: str) -> bool:
         """Give up the cordon of a machine; return False if its order may be in force.
