Stop a reported leader in the tests of replicas, and transfer with default timeouts

Cause: test_leadership_is_reported stops a leader that may not have been reported yet, and expects the report of its end. test_stop_transfers fails if the process gets no turn for the 200 ms in which the transfer must succeed with the timeouts of FAST. Change: reports are recorded from the start of each replica, and the leader is stopped once it was reported; the transfer test uses the default timeouts. The new leader's last report must have the command, where any of its reports was enough.

--- a/tests/test_consensus_replica.py
+++ b/tests/test_consensus_replica.py
@@ -69,6 +69,7 @@
         self.machines = {}
         self.new_machine = Journal
         self.unknown = set()
+        self.reports = []
 
     def _send(self, sender_id):
         def send(receiver_id, message):
@@ -97,10 +98,26 @@
             events=NullSink(),
             files=files,
         )
+        replica.on_leadership = functools.partial(self.record_report, replica_id)
         await replica.start()
         self.replicas[replica_id] = replica
         return replica
 
+    def record_report(self, replica_id, is_leader):
+        """Store a report with the commands applied at that time."""
+        self.reports.append((replica_id, is_leader, self.commands(replica_id)))
+
+    async def reported_leader(self):
+        """Wait for a leader with a lease that was reported; return its last report."""
+
+        def find():
+            last = {report[0]: report for report in self.reports}
+            names = [n for n, r in self.replicas.items() if r.has_quorum_lease()]
+            return [last[n] for n in names if n in last and last[n][1]]
+
+        await self.wait_until(find)
+        return find()[0]
+
     async def bootstrap(self):
         """Bootstrap all data folders and start the replicas."""
         for replica_id in REPLICA_IDS:
@@ -245,33 +262,11 @@
     async def test_leadership_is_reported_with_a_current_state(self):
         """A new leader reports itself once it has applied all acknowledged commands."""
         await self.cluster.propose(b"a")
-        old_name = self.name(await self.cluster.leader())
-        reports = []
-        for name, replica in self.cluster.replicas.items():
-            replica.on_leadership = functools.partial(self.record_report, reports, name)
+        old_name, _, _ = await self.cluster.reported_leader()
         await self.cluster.stop(old_name)
-        await self.cluster.wait_until(lambda: self.is_leader_reported(reports))
-        self.assertIn((old_name, False, [b"a"]), reports)
-
-    def record_report(self, reports, name, is_leader):
-        """Store a report with the commands applied at that time."""
-        reports.append((name, is_leader, self.cluster.commands(name)))
-
-    def is_leader_reported(self, reports):
-        """Return whether a leader with a lease was reported with a current state."""
-        replicas = self.cluster.replicas.items()
-        leaders = [name for name, replica in replicas if replica.has_quorum_lease()]
-        return any((name, True, [b"a"]) in reports for name in leaders)
-
-    async def test_stop_transfers_the_leadership(self):
-        """A stopping leader is succeeded immediately, without an election timeout."""
-        leader = await self.cluster.leader()
-        term = leader.term
-        others = [r for r in self.cluster.replicas.values() if r is not leader]
-        await self.cluster.stop(self.name(leader))
-        self.assertTrue(any(r.term == term + 1 for r in others))
-        with self.assertRaises(NotLeaderError):
-            await leader.propose(b"x")
+        _, _, commands = await self.cluster.reported_leader()
+        self.assertEqual(commands, [b"a"])
+        self.assertIn((old_name, False, [b"a"]), self.cluster.reports)
 
     async def test_state_survives_a_restart_of_all_members(self):
         """Acknowledged commands survive a restart of all members."""
@@ -305,6 +300,26 @@
         self.assertEqual(self.machine(leader).commands, commands)
 
 
+class TestTransfer(ReplicaTestCase):
+    """The transfer of the leadership.
+
+    The default timeouts are used, since a transfer fails if a busy machine stops the
+    process for as long as the timeouts of `FAST`.
+    """
+
+    cfg = ConsensusSettings()
+
+    async def test_stop_transfers_the_leadership(self):
+        """A stopping leader is succeeded immediately, without an election timeout."""
+        leader = await self.cluster.leader()
+        term = leader.term
+        others = [r for r in self.cluster.replicas.values() if r is not leader]
+        await self.cluster.stop(self.name(leader))
+        self.assertTrue(any(r.term == term + 1 for r in others))
+        with self.assertRaises(NotLeaderError):
+            await leader.propose(b"x")
+
+
 class TestDisk(ReplicaTestCase):
     """Failed and lost disks."""
 
