Let earlier failures of a VM count no more after six successes

Failures stayed until 24 further runs had ended, so that a repaired VM, which gets few runs, was slow for long.

--- a/src/redwingslip/scheduling/_speeds.py
+++ b/src/redwingslip/scheduling/_speeds.py
@@ -222,7 +222,7 @@
         margin = math.exp(UNKNOWN_DEVIATION if deviation is None else deviation)
         for task in tasks:
             if slack_ms <= 0:
-                # It is late on a normal VM too.
+                # It is late on a normal VM too, and leaves that to tasks in time.
                 task.min_speed = 0.0
                 continue
             estimate = task.step.estimate_ms * MS
--- a/src/redwingslip/workers/_speeds.py
+++ b/src/redwingslip/workers/_speeds.py
@@ -34,8 +34,10 @@
 # Runs of a job's step on one machine share the error of their estimate. Each further
 # one counts this much of the one before.
 REPEATED_WEIGHT = 0.25
-# Ends of runs from which the failures of a machine are judged.
+# Ends of runs from which the failures of a machine are judged, and successes in a row
+# after which earlier failures don't count. Half-broken VMs rarely have as many.
 N_ENDS = 24
+N_SUCCESSES = 6
 # Fewer machines than this don't tell whether the work is slower.
 MIN_MACHINES = 3
 # A machine without a VM is forgotten after this many times the memory.
@@ -138,6 +140,7 @@
     step: Hashable
     queue: str
     has_failed: bool
+    at: timedelta
 
 
 class _Evidence:
@@ -150,7 +153,7 @@
     steps : deque
         The steps of its last results.
     has_kept_pace : bool
-        Whether its last result took no longer than on a normal machine.
+        Whether its last run did not fail, and took no longer than on a normal machine.
     """
 
     __slots__ = (
@@ -261,7 +264,11 @@
             Monotonic time.
         """
         entry = self._entry(machine, now)
-        entry.ends.append(_End(job, step, queue, has_failed))
+        entry.ends.append(_End(job, step, queue, has_failed, now))
+        if has_failed:
+            entry.has_kept_pace = False
+        elif not any(end.has_failed for end in list(entry.ends)[-N_SUCCESSES:]):
+            entry.ends = deque(list(entry.ends)[-N_SUCCESSES:], maxlen=N_ENDS)
         self._step_ends.setdefault(step, Counter())[machine, has_failed] += 1
         counts = self._queue_ends.setdefault(queue, [0.0, 0.0])
         for kind in (False, True):
@@ -388,6 +395,8 @@
         variance = sum(
             p * (step - mean) ** 2 for p, step in zip(belief, STEPS, strict=True)
         )
+        while entry.ends and now - entry.ends[0].at > self._cfg.memory:
+            entry.ends.popleft()
         success = self._success(machine, entry)
         was_slow = entry.is_slow
         is_failing = success < self._cfg.slow_below
--- a/tests/test_workers_speeds.py
+++ b/tests/test_workers_speeds.py
@@ -129,6 +129,7 @@
         slow = self.end_runs(20, fails=lambda m, number: m == "m1" and number % 2 == 0)
         self.assertEqual(slow, {"m1"})
         self.assertAlmostEqual(self.model.speed("m1"), 0.5, delta=0.1)
+        self.assertFalse(self.end_runs(6, fails=lambda m, number: False))
 
     def test_steps_that_fail_everywhere(self):
         """Guards against VMs that pay for jobs which can't succeed."""
