Split the types of the speeds from the model; test runs on VMs known to be slow

The test covers that a VM isn't avoided for a run that its known speed explains, and that the learned run time is that of a normal VM.

--- a/src/redwingslip/workers/__init__.py
+++ b/src/redwingslip/workers/__init__.py
@@ -4,7 +4,8 @@
 from ._lease import LeaseSettings, VmLease
 from ._progress import ProgressSettings, RunProgress
 from ._run_times import RunTimeExpectation, RunTimeModel, RunTimeSettings, StepKey
-from ._speeds import Excess, MachineSpeed, SpeedChange, SpeedModel, SpeedSettings
+from ._speed_types import Excess, MachineSpeed, SpeedChange, SpeedSettings
+from ._speeds import SpeedModel
 
 __all__ = [
     "Excess",
--- a/tests/test_scheduling_speeds.py
+++ b/tests/test_scheduling_speeds.py
@@ -32,7 +32,13 @@
 from redwingslip.scheduling._pool_capacity import FleetCapacity
 from redwingslip.scheduling._speeds import VmSpeeds
 from redwingslip.settings import find_problems
-from redwingslip.workers import RunTimeModel, RunTimeSettings, SpeedSettings
+from redwingslip.workers import (
+    RunProgress,
+    RunTimeModel,
+    RunTimeSettings,
+    SpeedSettings,
+    StepKey,
+)
 from tests.support_scheduling import (
     FakeEndpoint,
     FakePlatform,
@@ -166,6 +172,39 @@
         load = self.moves._serving_load("p", 0 * SECOND)
         self.assertEqual((load.room, load.used), (5000, 1000))
 
+    def test_runs_of_a_slow_vm_are_judged_and_learned_by_its_speed(self):
+        """Guards against avoided VMs, and run times that grow, for a known speed."""
+        run_times = RunTimeModel(RunTimeSettings())
+        key, number = TaskKey("j1", 0, 0, 0), 1
+        self.state.apply(StartRuns(starts=(RunStart(key, "slow", 1),), now_ms=1))
+        for vm_id in ("v2", "v3"):
+            run_times.record(
+                StepKey(*key[:3]),
+                queue="q",
+                vm_id=vm_id,
+                estimate=SECOND,
+                run_time=SECOND,
+            )
+        progress = RunProgress(0 * SECOND, 0)
+        progress.update(3 * SECOND, 75)
+        for speed, is_avoided in ((1.0, True), (0.25, False)):
+            agent = make_agent(self.agents["slow"].vm, None, self.term, run_times)
+            agent._speeds = mock.Mock()
+            agent._speeds.speed.return_value = speed
+            self.assertEqual(
+                agent._restart_reason((key, number), progress, 3 * SECOND), ""
+            )
+            self.assertEqual(agent.health.is_avoided(3 * SECOND), is_avoided)
+        agent._speeds.learn.return_value = 0.25
+        agent._sender.started_at[key, number] = 0 * SECOND
+        agent._learn_run_time((key, number), 4 * SECOND)
+        usual = run_times.longest_usual(
+            StepKey(*key[:3]), queue="q", vm_id="v2", estimate=SECOND
+        )
+        self.assertEqual(usual, SECOND)
+        agent._learn_run_time((key, number), 4 * SECOND)
+        agent._speeds.learn_inherited.assert_called_once()
+
     def test_nothing_changes_while_it_is_off(self):
         """Guards against decisions that depend on speeds without the setting."""
         term = FakeTerm(make_state(make_vm("v1")))
