--- a/src/redwingslip/consensus/_leadership.py
+++ b/src/redwingslip/consensus/_leadership.py
@@ -156,6 +156,8 @@
             return
         if msg.done:
             progress.end_snapshot()
+            if not any(p.snapshot_index for p in self._progress.values()):
+                self._snapshot_index, self._snapshot_bytes = 0, b""
             self._send_entries(sender_id, progress)
         elif msg.next_offset != progress.snapshot_offset:
             progress.snapshot_offset = msg.next_offset
--- a/tests/test_consensus_log_bytes.py
+++ b/tests/test_consensus_log_bytes.py
@@ -42,3 +42,9 @@
             await self.cluster.wait_until(lambda: replica.applied_index > 40)
         last = self.cluster.machines["r1"].commands[-20:]
         self.assertEqual(last, [b"y" * ENTRY_BYTES] * 20)
+        # The leader keeps no copy of the snapshot that it has sent.
+        leader = await self.cluster.leader()
+        async with asyncio.timeout(TIMEOUT_S):
+            await self.cluster.wait_until(
+                lambda: not leader._node._leadership._snapshot_bytes
+            )
