Report no blocked machine before VMs and the adviser have answered

Cause: at the beginning of a term no VM accepts runs, so that the adviser had answered about all of none. By reading; no history shows it.

--- a/src/redwingslip/scheduling/_advice.py
+++ b/src/redwingslip/scheduling/_advice.py
@@ -174,15 +174,17 @@
     ) -> bool:
         """Return whether the service has answered about all VMs of a pool.
 
-        A VM whose ticket expires within `valid_for` is to be asked about again.
+        A VM whose ticket expires within `valid_for` is to be asked about again. False
+        if no VM accepts runs, as at the beginning of a term.
         """
+        candidates = self._candidates(pool)
         usable = self.tickets(step, valid_for=valid_for)
         granted = self._tickets.get(step, {})
         queried = self._queried.get(step, set())
-        return all(
+        return bool(candidates) and all(
             vm_id in queried
             and (vm_id not in granted or vm_id in usable or granted[vm_id].is_refused)
-            for vm_id in self._candidates(pool)
+            for vm_id in candidates
         )
 
     def request(
--- a/src/redwingslip/scheduling/_blocked_machines.py
+++ b/src/redwingslip/scheduling/_blocked_machines.py
@@ -34,7 +34,8 @@
         self._evacuation = evacuation
         self._retry_at: dict[str, timedelta] = {}
         self._reported: set[str] = set()
-        self._check_due = timedelta(0)
+        # A new leader first hears from its VMs.
+        self._check_due = term.started_at + CHECK_INTERVAL
 
     def __contains__(self, machine: str) -> bool:
         """Return whether a machine could not be ready when it was last tried."""
