Count the bytes of a job in less time

A step took 3 to 5 microseconds, twice for each job on the leader and once more for each after a restore.

--- a/src/redwingslip/jobs/_size.py
+++ b/src/redwingslip/jobs/_size.py
@@ -33,19 +33,21 @@
     The result depends on the job alone, so that all replicas count the same.
     """
     n_occurrences = spec.repetition.count if spec.repetition else 1
-    n_tasks = sum(step.n_tasks for step in spec.steps)
-    n_lists = len(spec.steps) + 1
+    n_bytes = JOB_BYTES + _text_bytes(spec.payload) + len(spec.steps) * STEP_BYTES
+    n_tasks = n_after = 0
+    # A step takes about a microsecond here; a job may have 100,000 of them.
+    for step in spec.steps:
+        n_tasks += step.n_tasks
+        n_after += len(step.after)
+        if step.label or step.data_rack or step.image:
+            for text in (step.label, step.data_rack, step.image):
+                n_bytes += _text_bytes(text)
     per_occurrence = (
         n_tasks * TASK_BYTES
-        + n_lists * LIST_BYTES
+        + (len(spec.steps) + 1) * LIST_BYTES
         + _max_ready_tasks(spec) * READY_TASK_BYTES
     )
-    n_bytes = JOB_BYTES + _text_bytes(spec.payload) + n_occurrences * per_occurrence
-    for step in spec.steps:
-        n_bytes += STEP_BYTES + len(step.after) * AFTER_BYTES
-        for text in (step.label, step.data_rack, step.image):
-            n_bytes += _text_bytes(text)
-    return n_bytes
+    return n_bytes + n_after * AFTER_BYTES + n_occurrences * per_occurrence
 
 
 def _text_bytes(text: str) -> int:
@@ -61,22 +63,24 @@
     The steps are divided into chains in which each step waits for the one before it, so
     that only one step of each chain can be ready.
     """
-    largest_of_chain: list[int] = []
-    # The chains by their last step.
-    chain_of_end: dict[int, int] = {}
+    total = 0
+    # The largest number of tasks in each chain, by the last step of the chain.
+    largest_of_end: dict[int, int] = {}
     for number, step in enumerate(spec.steps):
-        if not step.n_tasks:
+        n_tasks = step.n_tasks
+        if not n_tasks:
             # It counts as done, so that steps on both of its sides may be ready.
             continue
-        end = next((i for i in step.after if i in chain_of_end), None)
-        if end is None:
-            chain = len(largest_of_chain)
-            largest_of_chain.append(step.n_tasks)
-        else:
-            chain = chain_of_end.pop(end)
-            largest_of_chain[chain] = max(largest_of_chain[chain], step.n_tasks)
-        chain_of_end[number] = chain
-    return sum(largest_of_chain)
+        largest = 0
+        for end in step.after:
+            if end in largest_of_end:
+                largest = largest_of_end.pop(end)
+                break
+        if n_tasks > largest:
+            total += n_tasks - largest
+            largest = n_tasks
+        largest_of_end[number] = largest
+    return total
 
 
 class JobSizes:
