Count a job once whose submission had no known outcome

Cause: a job whose outcome was unknown counted as proposed for the rest of the term, also after a repeat was answered: twice while it was known, and once after it was forgotten. Change: the answer of a repeat settles it. Measured: test_outcomes_decide_what_counts_later fails without the change.

--- a/src/redwingslip/scheduling/_job_memory.py
+++ b/src/redwingslip/scheduling/_job_memory.py
@@ -98,6 +98,8 @@
         job_id = spec.job_id
         if job_id in self._proposed:
             yield
+            # The outcome of an earlier submission is known now.
+            self._settle(job_id)
             return
         n_bytes = job_bytes(spec)
         # Another leader may have accepted the job if this one doesn't lead any more.
@@ -115,8 +117,9 @@
         self._settle(job_id)
 
     def _settle(self, job_id: str) -> None:
-        n_bytes = self._proposed.pop(job_id)
-        self._n_proposed[_is_large(n_bytes)] -= n_bytes
+        n_bytes = self._proposed.pop(job_id, None)
+        if n_bytes is not None:
+            self._n_proposed[_is_large(n_bytes)] -= n_bytes
 
     def _usage(self) -> tuple[int, int]:
         """Return the bytes of small jobs and those of large ones."""
--- a/tests/test_jobs_size.py
+++ b/tests/test_jobs_size.py
@@ -152,6 +152,9 @@
         self.submit("c")
         self.refused("d")
         self.submit("b")
+        self.state.apply(CancelJob(job_id="b", now_ms=self.term.now_ms()))
+        self.state.apply(ForgetJobs(job_ids=("b",)))
+        self.submit("d")
 
     def test_former_leader_refuses_nothing(self):
         """Guards against "not run" for a job that another leader has accepted."""
