Keep the defaults of a role in a section that a file gives in part

Cause: a section that a settings file leaves out had the defaults of its role, but one option in it reset all others to those of the struct: a controller with only election timeouts in [consensus] had max_voters = 0, a disk timeout of 2 s instead of 8 s, and its example page showed these values as defaults. Change: options that are left out are those of the section's default; example pages show them.

--- a/src/redwingslip/settings/_examples.py
+++ b/src/redwingslip/settings/_examples.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ._fields import option_fields, section_fields, section_type
+from ._fields import option_fields, section_default, section_fields, section_type
 from ._types import format_value
 
 __all__ = ["render_example"]
@@ -33,7 +33,10 @@
             lines += _render_mapping(field)
         else:
             comment_prefix = "#" if field.default is None else ""
-            lines += _render_section(name, own_type, examples, comment_prefix)
+            default = section_default(field)
+            lines += _render_section(
+                name, own_type, examples, comment_prefix, default=default
+            )
         lines.append("")
     return "\n".join(lines)
 
@@ -50,11 +53,13 @@
     type_: type[msgspec.Struct],
     examples: Mapping[tuple[str, str], str],
     comment_prefix: str,
+    *,
+    default: msgspec.Struct | None,
 ) -> Iterator[str]:
     """Yield the lines of a section.
 
     `comment_prefix` is "#" for an optional section, which is commented out, and empty
-    otherwise.
+    otherwise. `default` is the section of a file that leaves it out.
     """
     yield from _comment_lines(_summary(type_))
     yield f"{comment_prefix}[{name}]"
@@ -65,7 +70,8 @@
         if example is None and field.required:
             example = PLACEHOLDER
         if example is None:
-            yield f"#{option} = {format_value(_default(field), option=option)}"
+            value = _default(field) if default is None else getattr(default, option)
+            yield f"#{option} = {format_value(value, option=option)}"
         else:
             yield f"{comment_prefix}{option} = {format_value(example, option=option)}"
 
--- a/src/redwingslip/settings/_fields.py
+++ b/src/redwingslip/settings/_fields.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-__all__ = ["option_fields", "section_fields", "section_type"]
+__all__ = ["option_fields", "section_default", "section_fields", "section_type"]
 
 
 def section_fields(type_: type[msgspec.Struct]) -> dict[str, msgspec.structs.FieldInfo]:
@@ -23,6 +23,12 @@
     return type_
 
 
+def section_default(field: msgspec.structs.FieldInfo) -> msgspec.Struct | None:
+    """Return the section of a file that leaves it out; None if it has no options."""
+    is_struct = isinstance(field.default, msgspec.Struct)
+    return field.default if is_struct else None
+
+
 def option_fields(type_: type[msgspec.Struct]) -> dict[str, msgspec.structs.FieldInfo]:
     """Return the options of a section by name; nested structs are not options."""
     return {
--- a/src/redwingslip/settings/_loader.py
+++ b/src/redwingslip/settings/_loader.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ._checks import find_problems
-from ._fields import option_fields, section_fields, section_type
+from ._fields import option_fields, section_default, section_fields, section_type
 from ._ini import is_duplicate_section, read_ini
 from ._types import parse_value
 from .exceptions import InvalidSettingsError, SettingsError
@@ -108,7 +108,9 @@
         return
     type_ = section_type(field.type)
     if typing.get_origin(type_) is not dict:
-        yield from _read_struct(name, type_, texts or {}, values)
+        yield from _read_struct(
+            name, type_, texts or {}, values, section_default(field)
+        )
     elif texts is None:
         yield SettingsError(section=name, value=None, allowed="is missing")
     else:
@@ -146,9 +148,14 @@
     type_: type[msgspec.Struct],
     texts: dict[str, str],
     values: dict[str, Any],
+    default: msgspec.Struct | None,
 ) -> Iterator[SettingsError]:
+    """Yield the problems of a section; if there are none, store it in `values`.
+
+    Options that are left out are those of `default`, if the section has one.
+    """
     fields = option_fields(type_)
-    options = {}
+    options = {} if default is None else msgspec.structs.asdict(default)
     n_problems = 0
     for option in texts:
         if option not in fields:
@@ -161,7 +168,7 @@
             )
     for option, field in fields.items():
         if option not in texts:
-            if field.required:
+            if field.required and default is None:
                 n_problems += 1
                 yield SettingsError(
                     section=name, option=option, value=None, allowed="is missing"
--- a/tests/test_settings_loader.py
+++ b/tests/test_settings_loader.py
@@ -307,6 +307,16 @@
         (problem,) = problems_of("[own]\ninner = 1\n", ComposedSettings)
         self.assertEqual((problem.section, problem.option), ("own", "inner"))
 
+    def test_left_out_options_are_those_of_the_left_out_section(self):
+        """Guards against one option that resets the others of its section."""
+
+        class Settings(msgspec.Struct, frozen=True, kw_only=True):
+            own: OwnSection = OwnSection(low=5, high=9, names=("a",))
+
+        cfg = parse_settings("[own]\nhigh = 7\n", Settings)
+        self.assertEqual(cfg.own, OwnSection(low=5, high=7, names=("a",)))
+        self.assertIn("#low = 5", render_example(Settings))
+
     def test_description_can_be_read_back(self):
         """An optional section and an option without an example are commented out."""
         text = render_example(ComposedSettings)
