Allow one stream on each connection between processes

Callers got no answer for 30 s and the process grew without a bound while six connections without the cluster's secret opened streams on the port for peers and reset them at once.

Cause: each HEADERS frame started a task and a stream before the secret was read. A task that is cancelled before its first step never runs the `finally` that removes its stream, so streams stayed until the connection closed, and one read of 256 KiB held some 10,000 of them. The limit of h2 on concurrent streams does not count streams that were reset.

Ruled out: control frames (200,000 pings a connection whose answers are not read: 54.7 MB before), data before the secret is read (53 MB before), frames without an end (54 MB before).

Change: a second stream, or the reset of the only one, closes the connection.

--- a/src/redwingslip/peers/_hub.py
+++ b/src/redwingslip/peers/_hub.py
@@ -108,7 +108,7 @@
         """Start to listen for connections of other processes."""
         self._server = GuardedServer(
             [self],
-            max_unknown=self._cfg.max_unknown,
+            cfg=self._cfg,
             codec=FrameCodec(),
             config=self._configuration(),
         )
--- a/src/redwingslip/peers/_settings.py
+++ b/src/redwingslip/peers/_settings.py
@@ -40,6 +40,8 @@
     max_unknown : int
         Connections whose sender has not authenticated as a peer; beyond it, the oldest
         one is closed.
+    authentication_timeout : timedelta
+        A connection whose sender has not authenticated by then is closed.
     """
 
     heartbeat: timedelta = timedelta(seconds=1)
@@ -53,3 +55,4 @@
     max_frame_bytes: Annotated[int, msgspec.Meta(ge=1)] = 1 << 20
     window_bytes: Annotated[int, msgspec.Meta(ge=65_536, le=2**31 - 1)] = 1 << 20
     max_unknown: Annotated[int, msgspec.Meta(ge=1)] = 128
+    authentication_timeout: timedelta = timedelta(seconds=10)
--- a/tests/support_memory.py
+++ b/tests/support_memory.py
@@ -59,6 +59,7 @@
         self.gateway = f"127.0.0.22:{calls}"
         self.submitters = f"127.0.0.22:{submitters}"
         self.controller = f"127.0.0.21:{seed}"
+        self._peers = peers
         (folder / "secret").write_text("tests")
         self._roles = {
             "gateway": (
@@ -88,6 +89,10 @@
                 env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
             )
 
+    def links(self, role):
+        """Return host and port at which a daemon takes links of other processes."""
+        return self._roles[role][0].rpartition(":")[0], self._peers
+
     def close(self):
         """Kill the processes that were started."""
         for process in self.processes.values():
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,6 +6,8 @@
 from datetime import timedelta
 
 import msgspec
+from hpack import Encoder
+from hyperframe.frame import HeadersFrame, SettingsFrame
 
 from redwingslip.clock import SystemClock
 from redwingslip.observe import NullSink
@@ -130,6 +132,32 @@
         self.assertFalse(any(reader.at_eof() for reader in readers[2:]))
         await self.send_until_received(self.a, "c", c, last + 1)
 
+    async def open_connection(self, process):
+        """Return reader and writer of a connection of an unknown sender."""
+        host, port = process.hub.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.transport.abort)
+        return reader, writer
+
+    async def test_connection_without_request_is_closed(self):
+        """Guards against clients that connect and send nothing."""
+        timeout = timedelta(milliseconds=50)
+        cfg = msgspec.structs.replace(FAST, authentication_timeout=timeout)
+        reader, _ = await self.open_connection(await self.start("c", cfg=cfg))
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+
+    async def test_second_stream_closes_connection(self):
+        """Guards against clients that open many streams."""
+        reader, writer = await self.open_connection(self.b)
+        block = Encoder().encode([(":method", "GET"), (":path", "/")])
+        writer.write(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + SettingsFrame(0).serialize())
+        for number in (1, 3):
+            frame = HeadersFrame(number, block, flags=["END_HEADERS"])
+            writer.write(frame.serialize())
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+
     async def test_process_without_the_secret_is_refused(self):
         """Messages of a process without the cluster's secret are not received."""
         outsider = await self.start("c", secret="other")
