Limit the size of a message between processes

A sender with the cluster's secret could announce a message of up to 4 GiB, which was collected until the link counted as silent: 160 MiB took a controller to 129 MB (bound 120 MB).

Cause: the length that precedes a message had no limit.

Change: a longer message than `[links] max_message_bytes` (32 MiB, new) ends the link before its data is read, on both sides. A frame also ends once its log entries reach `max_frame_bytes`, so that it has at most 1 MiB and one message; the largest is one job or plan.

--- a/src/redwingslip/peers/_guard.py
+++ b/src/redwingslip/peers/_guard.py
@@ -8,14 +8,17 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from functools import partial
 
-from grpclib.protocol import EventsProcessor, H2Protocol, Stream
+from grpclib.client import Channel
+from grpclib.protocol import Buffer, EventsProcessor, H2Protocol, Stream
 from grpclib.server import Server
 from h2.events import RequestReceived, StreamReset
 
 from ._settings import PeerSettings
+from .exceptions import LinkError
 
-__all__ = ["GuardedServer"]
+__all__ = ["GuardedChannel", "GuardedServer"]
 
 log = logging.getLogger("grpclib.server")
 
@@ -73,6 +76,65 @@
         return _ServerProtocol(self, inner.handler, inner.config, inner.h2_config)
 
 
+class GuardedChannel(Channel):
+    """A channel that limits the messages which it receives.
+
+    Parameters
+    ----------
+    args, options
+        Those of `grpclib.client.Channel`.
+    cfg : PeerSettings
+        The limits.
+    """
+
+    def __init__(self, *args, cfg: PeerSettings, **options) -> None:
+        super().__init__(*args, **options)
+        self._limits = cfg
+
+    def _protocol_factory(self) -> H2Protocol:
+        inner = super()._protocol_factory()
+        return _LimitedProtocol(
+            self._limits, inner.handler, inner.config, inner.h2_config
+        )
+
+
+class _LimitedBuffer(Buffer):
+    """The received data of a stream; it accepts no message above a size."""
+
+    def __init__(self, ack: Callable[[int], None], max_bytes: int) -> None:
+        super().__init__(ack)
+        self._max_bytes = max_bytes
+
+    async def read(self, size: int) -> bytes:
+        """Read a part of a message.
+
+        Raises
+        ------
+        LinkError
+            The message is too long.
+        """
+        if size > self._max_bytes:
+            raise LinkError(
+                f"message of {size} bytes; [links] max_message_bytes is "
+                f"{self._max_bytes}"
+            )
+        return await super().read(size)
+
+
+class _LimitedProcessor(EventsProcessor):
+    """Limits the size of the messages of each stream."""
+
+    def __init__(self, cfg: PeerSettings, *args) -> None:
+        super().__init__(*args)
+        self._cfg = cfg
+
+    def register(self, stream: Stream) -> Callable[[], None]:
+        """Add a stream."""
+        ack = partial(self.connection.ack, stream.id)
+        stream.buffer = _LimitedBuffer(ack, self._cfg.max_message_bytes)
+        return super().register(stream)
+
+
 class _LimitedProtocol(H2Protocol):
     """A connection that is closed if answers to control frames are not read."""
 
@@ -84,6 +146,10 @@
         """Prepare the connection."""
         super().connection_made(transport)
         self.transport = transport
+        self.processor = self._new_processor()
+
+    def _new_processor(self) -> EventsProcessor:
+        return _LimitedProcessor(self._cfg, self.handler, self.connection)
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes."""
@@ -93,7 +159,7 @@
             self.transport.abort()
 
 
-class _ServerProcessor(EventsProcessor):
+class _ServerProcessor(_LimitedProcessor):
     """Accepts one stream, and ends the connection with it."""
 
     def __init__(self, protocol: "_ServerProtocol", *args) -> None:
@@ -143,11 +209,13 @@
             self._max_size = transport.max_size
             transport.max_size = READ_BYTES
         super().connection_made(transport)
-        self.processor = _ServerProcessor(self, self.handler, self.connection)
         self.address = transport.get_extra_info("peername")
         self._abort_after(self._cfg.authentication_timeout.total_seconds())
         self._server.add_unknown(self)
 
+    def _new_processor(self) -> EventsProcessor:
+        return _ServerProcessor(self, self._cfg, self.handler, self.connection)
+
     def data_received(self, data: bytes) -> None:
         """Process received bytes; hold those that follow an undecided request."""
         if self._is_confirmed:
--- a/src/redwingslip/peers/_hub.py
+++ b/src/redwingslip/peers/_hub.py
@@ -5,7 +5,7 @@
 import ssl
 from collections.abc import Callable
 
-from grpclib.client import Channel, StreamStreamMethod
+from grpclib.client import StreamStreamMethod
 from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError
@@ -14,7 +14,7 @@
 from ..clock import Clock
 from ..observe import Event, EventName, EventSink
 from ._codec import Frame, FrameCodec
-from ._guard import GuardedServer
+from ._guard import GuardedChannel, GuardedServer
 from ._link import Link
 from ._messages import Message
 from ._settings import PeerSettings
@@ -188,9 +188,10 @@
 
     async def _dial(self, link: Link) -> None:
         host, _, port = link.address.rpartition(":")
-        channel = Channel(
+        channel = GuardedChannel(
             host,
             int(port),
+            cfg=self._cfg,
             codec=FrameCodec(),
             ssl=self._tls_client,
             config=self._configuration(),
--- a/src/redwingslip/peers/_link.py
+++ b/src/redwingslip/peers/_link.py
@@ -9,6 +9,7 @@
 from grpclib.server import Stream as ServerStream
 
 from ..clock import Clock
+from ..consensus._messages import Append, InstallSnapshot
 from ._codec import Frame
 from ._messages import Message
 from ._relay_messages import RelayedAnswer, RelayedCall
@@ -180,7 +181,7 @@
         while self._outbox and len(batch) < self._cfg.max_batch:
             message = self._pop()
             batch.append(message)
-            n_bytes += body_bytes(message)
+            n_bytes += _payload_bytes(message)
             if n_bytes >= self._cfg.max_frame_bytes:
                 break
         return tuple(batch)
@@ -213,6 +214,16 @@
     return 0
 
 
+def _payload_bytes(message: Message) -> int:
+    """Return the size of the variable part of a message."""
+    match message:
+        case Append():
+            return sum(len(entry.data) for entry in message.entries)
+        case InstallSnapshot():
+            return len(message.data)
+    return body_bytes(message)
+
+
 def _link_error(cause: BaseException) -> LinkError:
     """Return the `LinkError` for the exception that ended a session."""
     if isinstance(cause, asyncio.CancelledError):
--- a/src/redwingslip/peers/_settings.py
+++ b/src/redwingslip/peers/_settings.py
@@ -33,10 +33,13 @@
     max_batch : int
         Maximum number of messages in one frame.
     max_frame_bytes : int
-        A frame ends with the message with which the total size of its bodies reaches
-        this.
+        A frame ends with the message with which the total size of its bodies and log
+        entries reaches this.
     window_bytes : int
         Bytes that a peer may send on one connection before they are read.
+    max_message_bytes : int
+        A longer frame of messages ends the link. A frame has at most `max_frame_bytes`
+        and its last message.
     max_unknown : int
         Connections whose sender has not authenticated as a peer; beyond it, the oldest
         one is closed.
@@ -54,5 +57,6 @@
     max_batch: int = 512
     max_frame_bytes: Annotated[int, msgspec.Meta(ge=1)] = 1 << 20
     window_bytes: Annotated[int, msgspec.Meta(ge=65_536, le=2**31 - 1)] = 1 << 20
+    max_message_bytes: Annotated[int, msgspec.Meta(ge=1)] = 32 << 20
     max_unknown: Annotated[int, msgspec.Meta(ge=1)] = 128
     authentication_timeout: timedelta = timedelta(seconds=10)
--- a/tests/test_memory_links.py
+++ b/tests/test_memory_links.py
@@ -9,6 +9,9 @@
 import contextlib
 import json
 
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+from h2.exceptions import ProtocolError
 from hpack import Encoder
 from hyperframe.frame import (
     DataFrame,
@@ -30,7 +33,10 @@
 # The server keeps 128 connections of unknown senders.
 N_WAITING_CONNECTIONS = 160
 WINDOW_BYTES = 1 << 20
+MESSAGE_BYTES = 160 << 20
 FRAME_BYTES = 16 << 10
+WINDOW_WAIT_S = 0.01
+N_WINDOW_WAITS = 200
 
 
 class HeaderBlocks:
@@ -116,6 +122,40 @@
             *(self.send_frames(role, new_frames()) for _ in range(n_connections))
         )
 
+    async def send_long_message(self, role, secret):
+        """Send a message of a great declared length, as fast as the window allows."""
+        host, port = self.daemons.links(role)
+        conn = H2Connection(H2Configuration(client_side=True))
+        conn.initiate_connection()
+        conn.send_headers(1, HeaderBlocks(secret).headers)
+        n_left = MESSAGE_BYTES
+        conn.send_data(1, b"\0" + n_left.to_bytes(4, "big"))
+        with contextlib.suppress(OSError, TimeoutError, ProtocolError):
+            async with asyncio.timeout(SEND_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    host, port, local_addr=(CROWD_HOST, 0)
+                )
+                self.addCleanup(writer.transport.abort)
+                receiver = asyncio.create_task(self._receive(reader, conn))
+                n_waits = 0
+                while n_left and n_waits < N_WINDOW_WAITS and not receiver.done():
+                    n_bytes = min(n_left, FRAME_BYTES)
+                    if conn.local_flow_control_window(1) < n_bytes:
+                        n_waits += 1
+                        await asyncio.sleep(WINDOW_WAIT_S)
+                    else:
+                        n_waits = 0
+                        conn.send_data(1, bytes(n_bytes))
+                        n_left -= n_bytes
+                    writer.write(conn.data_to_send())
+                    await writer.drain()
+                receiver.cancel()
+                await asyncio.gather(receiver, return_exceptions=True)
+
+    async def _receive(self, reader, conn):
+        while data := await reader.read(1 << 16):
+            conn.receive_data(data)
+
     async def check_role(self):
         """Check both processes, and that a job is accepted."""
         status = await self.wait_status("gateway", "POST", JOB_PATH, JOB)
@@ -164,3 +204,8 @@
         """Guards against a member whose streams accumulate."""
         await self.send_crowd("controller", lambda: reset_streams("tests"), 1)
         await self.check_role()
+
+    async def test_message_of_great_length(self):
+        """Guards against a message that is longer than any of a member."""
+        await self.send_long_message("controller", "tests")
+        await self.check_role()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -158,6 +158,15 @@
         with contextlib.suppress(ConnectionError):
             await reader.read()
 
+    async def test_message_above_the_limit_ends_the_link(self):
+        """Guards against a frame that is longer than any of a peer."""
+        cfg = msgspec.structs.replace(FAST, max_message_bytes=1_000)
+        c = await self.start("c", cfg=cfg)
+        self.a.hub.set_address("c", c.hub.address)
+        self.a.hub.send("c", PermitCancel(request_id="x" * 2_000, pool="p"))
+        last = await self.send_until_received(self.a, "c", c)
+        self.assertGreater(last, 0)
+
     async def test_process_without_the_secret_is_refused(self):
         """Messages of a process without the cluster's secret are not received."""
         outsider = await self.start("c", secret="other")
--- a/tests/test_relay_in_flight.py
+++ b/tests/test_relay_in_flight.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from redwingslip.clock import ManualClock
+from redwingslip.consensus._messages import InstallSnapshot
 from redwingslip.peers import CallSource, LeaderQuery, PeerSettings, RelayedCall
 from redwingslip.peers._link import Link
 from redwingslip.relay._in_flight import InFlight
@@ -71,3 +72,21 @@
         self.assertEqual((sizes, link.n_body_bytes), ([1, 1, 2, 0], 0))
         link.send(self.call(900))
         self.assertEqual(link.n_body_bytes, 900)
+
+    async def test_frame_ends_with_a_large_log_entry(self):
+        """Guards against frames above the limit of their receiver."""
+        cfg = PeerSettings(max_frame_bytes=100)
+        link = Link("p", cfg=cfg, clock=ManualClock(), on_message=lambda *_: None)
+        chunk = InstallSnapshot(
+            term=1,
+            incarnation="i",
+            index=1,
+            snapshot_term=1,
+            offset=0,
+            data=bytes(100),
+            is_last=False,
+            round=1,
+        )
+        for _ in range(2):
+            link.send(chunk)
+        self.assertEqual([len(link._take_batch()) for _ in range(2)], [1, 1])
