Take no more than a number of VMs that have not answered

Reports with invented ids took a controller to 171 and 199 MB and its loop to a whole core for more than half a minute; 7 in 100 reports got 504.

Cause: each report of an unknown VM was stored by every replica and polled by the leader at 2.5 polls a second until it counted as gone after 20 s, however many there were. The history of reports kept each incarnation for the term.

Ruled out: the body budget (a report has 3 kB), and the connections (20 are enough). A first draft of the test sent all reports with one address; each then replaced the one before (78.5 MB), so that the number of addresses is what counts.

Change: `[scheduling] max_unconfirmed_vms` (1,000) and `max_unconfirmed_bytes` (8 MiB) limit the VMs that are stored though they have not answered this leader. Above them a report is stored if the VM answers a call (32 at once, 0.7 s), and gets 503 otherwise, so that true VMs are still taken. Polls of VMs that have never answered and have no runs become rarer above 100 of them. The history forgets incarnations that are not known any more.

--- a/src/redwingslip/daemons/_controller.py
+++ b/src/redwingslip/daemons/_controller.py
@@ -37,7 +37,7 @@
     error_answer,
 )
 from ..relay import RelayBusyError
-from ..scheduling import JobMemory, JobService, Scheduler, Term
+from ..scheduling import JobMemory, JobService, Scheduler, Term, VmAdmission
 from ._call_memory import CallClaim, claim_call
 from ._fleet_app import FIRST_ERROR_STATUS, FleetApp, new_relay_error_answer
 from ._fleet_settings import ControllerSettings
@@ -214,6 +214,9 @@
                 cfg=self.cfg.scheduling,
                 machine_bytes=machine_memory_bytes(),
             ),
+            vm_admission=VmAdmission(
+                term=term, scheduler=self._scheduler, cfg=self.cfg.scheduling
+            ),
         )
         self._scheduler.begin()
 
--- a/src/redwingslip/platform/_answers.py
+++ b/src/redwingslip/platform/_answers.py
@@ -14,6 +14,7 @@
     NoQueueError,
     NotLeadingError,
     UnknownDataCentreError,
+    VmUnansweredError,
     VmUnconfirmedError,
 )
 from .exceptions import DocumentError
@@ -31,6 +32,7 @@
     JobRefusedError: 503,
     NoPlanError: 503,
     NotLeadingError: 503,
+    VmUnansweredError: 503,
     VmUnconfirmedError: 503,
     CommandOutcomeUnknownError: 504,
 }
--- a/src/redwingslip/scheduling/__init__.py
+++ b/src/redwingslip/scheduling/__init__.py
@@ -30,6 +30,7 @@
     WaveSettings,
 )
 from ._term import Term
+from ._vm_admission import VmAdmission
 from ._vm_statuses import VmStatus
 from ._waves import WaveManager
 from .exceptions import (
@@ -47,6 +48,7 @@
     UnknownPoolError,
     VmAtWorkError,
     VmReplacedError,
+    VmUnansweredError,
     VmUnconfirmedError,
 )
 
@@ -91,12 +93,14 @@
     "Term",
     "UnknownDataCentreError",
     "UnknownPoolError",
+    "VmAdmission",
     "VmAgent",
     "VmAtWorkError",
     "VmOrders",
     "VmPolicy",
     "VmReplacedError",
     "VmStatus",
+    "VmUnansweredError",
     "VmUnconfirmedError",
     "WaveManager",
     "WaveSettings",
--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -25,9 +25,10 @@
 from ._speeds import VmSpeeds
 from ._supervise import run_forever
 from ._term import Term
+from ._unconfirmed_vms import UnconfirmedVms
 from .exceptions import OrderNotSentError, OrderOutcomeUnknownError, VmReplacedError
 
-__all__ = ["AgentListener", "VmAgent"]
+__all__ = ["AgentListener", "VmAgent", "probe_vm"]
 
 MS = timedelta(milliseconds=1)
 # A run that is listed at work this long after its start does not crash its VM. A poll
@@ -68,6 +69,8 @@
         Run times on all VMs, which the runs of this one are compared with.
     speeds : VmSpeeds or None
         Learned speeds of VMs; None if all count as equally fast.
+    unconfirmed : UnconfirmedVms
+        The VMs that have not answered this leader yet.
     cfg : VmPolicy
         The settings.
 
@@ -89,6 +92,7 @@
         "_speeds",
         "_task",
         "_term",
+        "_unconfirmed",
         "health",
         "lease",
         "listed_runs",
@@ -103,6 +107,7 @@
         orders: VmOrders,
         listener: AgentListener,
         run_times: RunTimeModel,
+        unconfirmed: UnconfirmedVms,
         cfg: VmPolicy,
         speeds: VmSpeeds | None = None,
     ) -> None:
@@ -111,6 +116,7 @@
         self._orders = orders
         self._listener = listener
         self._run_times = run_times
+        self._unconfirmed = unconfirmed
         self._speeds = speeds
         self._cfg = cfg
         self.lease = VmLease(cfg.leases, term.clock.monotonic())
@@ -131,6 +137,7 @@
 
     def begin(self) -> None:
         """Start polling and sending orders."""
+        self._unconfirmed.add(self.vm)
         name = f"poll of {self.vm.vm_id}"
         work = run_forever(name, self._poll_forever, self._term.events)
         self._task = asyncio.create_task(work, name=name)
@@ -138,6 +145,7 @@
 
     def close(self) -> None:
         """Stop polling and sending orders."""
+        self._unconfirmed.discard(self.vm)
         self._sender.close()
         if self._task is not None:
             self._task.cancel()
@@ -173,6 +181,8 @@
     def update(self, vm: VmRecord) -> None:
         """Replace the record of this incarnation by a newer one."""
         self.vm = vm
+        if vm in self._unconfirmed:
+            self._unconfirmed.add(vm)
         self._sender.vm = vm
 
     def start(self, run: ActiveRun, ticket: str = "") -> None:
@@ -212,16 +222,9 @@
         patience : timedelta
             Longest wait for the answer.
         """
-        try:
-            async with asyncio.timeout(patience.total_seconds()):
-                report = await self._orders.hold(
-                    vm, fence=self._term.fence, cursor=0, until_ms=None, wait_ms=0
-                )
-        except VmReplacedError:
-            return False
-        except (TimeoutError, OrderNotSentError, OrderOutcomeUnknownError):
-            return None
-        return report.born_ms == vm.born_ms if report.born_ms else None
+        return await probe_vm(
+            vm, orders=self._orders, fence=self._term.fence, patience=patience
+        )
 
     async def look(self) -> tuple[ListedRun, ...] | None:
         """Return the runs that the VM lists at present; None if it does not answer.
@@ -255,12 +258,20 @@
             except (OrderNotSentError, OrderOutcomeUnknownError):
                 await self._handle_no_response()
                 await self._wait_for_retry(delay)
-                delay = min(2 * delay, self._cfg.agents.max_retry_delay)
+                delay = min(2 * delay, self._max_retry_delay())
             except Exception:
                 # The polling is restarted; its VM must be given up if this goes on.
                 await self._handle_no_response()
                 raise
 
+    def _max_retry_delay(self) -> timedelta:
+        """Return the longest wait after a poll without an answer."""
+        usual = self._cfg.agents.max_retry_delay
+        has_runs = self._term.state.runs_of(self.vm.vm_id, self.vm.born_ms)
+        if has_runs or self.vm not in self._unconfirmed:
+            return usual
+        return self._unconfirmed.max_retry_delay(usual)
+
     async def _poll(self) -> None:
         """Renew the lease and process the runs and ends that the VM lists."""
         sent_at = self._term.clock.monotonic()
@@ -281,6 +292,7 @@
             report = await hold
         if report.born_ms and report.born_ms != self.vm.born_ms:
             raise VmReplacedError(f"incarnation {report.born_ms} answers")
+        self._unconfirmed.discard(self.vm)
         now = self._term.clock.monotonic()
         # Withdrawn before the VM counts as in contact and gets new runs.
         await self._silence.note_answer(now, was_recorded=was_recorded)
@@ -539,3 +551,31 @@
             await self._term.forget_vm(
                 self.vm, "unresponsive for too long", is_silent=True
             )
+
+
+async def probe_vm(
+    vm: VmRecord, *, orders: VmOrders, fence: int, patience: timedelta
+) -> bool | None:
+    """Return whether an incarnation answers at its address; None if unknown.
+
+    Parameters
+    ----------
+    vm : VmRecord
+        The incarnation to call.
+    orders : VmOrders
+        Client of the endpoints.
+    fence : int
+        Fencing token of the leader.
+    patience : timedelta
+        Longest wait for the answer.
+    """
+    try:
+        async with asyncio.timeout(patience.total_seconds()):
+            report = await orders.hold(
+                vm, fence=fence, cursor=0, until_ms=None, wait_ms=0
+            )
+    except VmReplacedError:
+        return False
+    except (TimeoutError, OrderNotSentError, OrderOutcomeUnknownError):
+        return None
+    return report.born_ms == vm.born_ms if report.born_ms else None
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -34,7 +34,7 @@
 from ..workers import RunTimeModel
 from ._admission import AdmissionControl
 from ._advice import AdviceCache, Adviser
-from ._agent import VmAgent
+from ._agent import VmAgent, probe_vm
 from ._evacuation_calls import EvacuationCalls
 from ._job_index import JobIndex
 from ._locality import RackLocality
@@ -49,6 +49,7 @@
 from ._speeds import VmSpeeds
 from ._supervise import run_forever
 from ._term import Term
+from ._unconfirmed_vms import UnconfirmedVms
 from ._vm_statuses import VmStatus, vm_statuses
 from ._waves import WaveManager
 
@@ -79,6 +80,10 @@
 
     Attributes
     ----------
+    agents : dict of str to VmAgent
+        The agents of the known VMs, by name.
+    unconfirmed : UnconfirmedVms
+        The VMs that have not answered this leader yet.
     evacuations : EvacuationCalls
         Operators' calls on evacuations of data centres.
     """
@@ -104,6 +109,7 @@
         self._wake = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self.agents: dict[str, VmAgent] = {}
+        self.unconfirmed = UnconfirmedVms()
         self._speeds: VmSpeeds | None = None
         if cfg.speeds.enabled:
             self._speeds = VmSpeeds(
@@ -246,6 +252,12 @@
         for agent in self.agents.values():
             agent.close()
 
+    async def probe(self, vm: VmRecord, patience: timedelta) -> bool | None:
+        """Return whether an incarnation answers at its address; None if unknown."""
+        return await probe_vm(
+            vm, orders=self._orders, fence=self._term.fence, patience=patience
+        )
+
     def note_cold(self, vm: VmRecord, remaining_ms: int) -> None:
         """Record how long a VM reports to be cold."""
         self._machines.ramp.note_cold(vm, remaining_ms)
@@ -457,6 +469,7 @@
             orders=self._orders,
             listener=self,
             run_times=self._run_times,
+            unconfirmed=self.unconfirmed,
             cfg=self._cfg.vms,
             speeds=self._speeds,
         )
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Iterator, Mapping
-from contextlib import nullcontext
+from contextlib import AbstractContextManager, nullcontext
 from datetime import timedelta
 
 import msgspec
@@ -30,6 +30,7 @@
 from ._report_history import ReportHistory
 from ._scheduler import Scheduler
 from ._term import Term
+from ._vm_admission import VmAdmission
 from ._vm_statuses import VmStatus
 from .exceptions import (
     FutureStartError,
@@ -64,6 +65,8 @@
         Refuses jobs for which there is no room in time.
     memory : JobMemory, optional
         Refuses jobs for which there is no memory.
+    vm_admission : VmAdmission, optional
+        Refuses reports of unknown VMs for which there is no room.
     """
 
     __slots__ = (
@@ -76,6 +79,7 @@
         "_scheduler",
         "_state",
         "_term",
+        "_vm_admission",
     )
 
     def __init__(
@@ -85,14 +89,16 @@
         scheduler: Scheduler,
         gate: JobGate | None = None,
         memory: JobMemory | None = None,
+        vm_admission: VmAdmission | None = None,
     ) -> None:
         self._term = term
         self._gate = gate
         self._memory = memory
+        self._vm_admission = vm_admission
         self._state = term.state
         self._scheduler = scheduler
         self._checks = ReplacementChecks(term, scheduler)
-        self._history = ReportHistory(term.clock, term.started_at)
+        self._history = ReportHistory(term.clock, term.started_at, self._is_known)
         self._indexed_plan: Plan | None = None
         self._customer_of_key: Mapping[str, str] = {}
 
@@ -290,13 +296,20 @@
             It would replace an incarnation that answers, see `ReplacementChecks`.
         VmUnconfirmedError
             It would replace an incarnation of which it is not known whether it ended.
+        VmUnansweredError
+            Too many VMs have not answered yet, and nor has this one.
         """
         reported, replaced, verified = vm, [], set()
+        is_admitted = self._vm_admission is None
         while (vm := self._applicable(reported, sequence)) is not None:
             replaced = list(self._replaced_by(vm))
             unverified = [old for old in replaced if _identity(old) not in verified]
             if not unverified:
-                break
+                if is_admitted or vm == self._state.vms.get(vm.vm_id):
+                    break
+                await self._vm_admission.verify(vm)
+                is_admitted = True
+                continue
             known = self._state.vms.get(vm.vm_id)
             is_new = known is None or known.born_ms != vm.born_ms
             await self._checks.verify(vm, unverified, is_new=is_new)
@@ -316,7 +329,8 @@
                 )
         known = self._state.vms.get(vm.vm_id)
         command = NoteVm(vm=vm, now_ms=self._term.now_ms())
-        await self._term.propose(command)
+        with self._reservation(vm):
+            await self._term.propose(command)
         detail = f"incarnation {vm.born_ms} of machine {vm.machine} in {vm.pool} "
         detail += f"at {vm.address}"
         if vm.is_draining:
@@ -325,6 +339,12 @@
             detail += ", its drain is refuted"
         self._term.emit(EventName.VM_NOTED, vm=vm.vm_id, detail=detail)
 
+    def _reservation(self, vm: VmRecord) -> AbstractContextManager[None]:
+        """Count a VM as unconfirmed while its report is being committed."""
+        if self._vm_admission is None:
+            return nullcontext()
+        return self._vm_admission.reservation(vm)
+
     async def remove_vm(self, vm_id: str, born_ms: int) -> None:
         """Remove a VM that reports its end, once all its runs have ended.
 
@@ -434,6 +454,11 @@
             return None
         return vm
 
+    def _is_known(self, vm_id: str, born_ms: int) -> bool:
+        """Return whether the state has an incarnation."""
+        vm = self._state.vms.get(vm_id)
+        return vm is not None and vm.born_ms == born_ms
+
     def _check_start(self, vm: VmRecord) -> None:
         """Raise `FutureStartError` if a VM starts later than clocks may differ."""
         if vm.born_ms > self._term.now_ms() + MAX_CLOCK_LEAD // MS:
--- a/src/redwingslip/scheduling/_settings.py
+++ b/src/redwingslip/scheduling/_settings.py
@@ -1,6 +1,7 @@
 """Settings of the leader's scheduling."""
 
 from datetime import timedelta
+from typing import Annotated
 
 import msgspec
 
@@ -41,6 +42,11 @@
         counted as decoded. A new job that does not fit is refused. Half of it is
         reserved for jobs of up to 128 KiB. A single larger job is accepted whatever its
         size. None stands for 45 % of the machine's memory.
+    max_unconfirmed_vms : int
+        Number of VMs that may be in the state though they have not answered the leader
+        yet. A further one is taken only if it answers at the address that it reports.
+    max_unconfirmed_bytes : int
+        The same limit for the total size of the texts that they report.
     takeover_delay : timedelta
         A new leader gives no order for a machine until this long after the last order
         of an earlier leader for it, so that orders of two leaders for one machine
@@ -50,6 +56,8 @@
     round_interval: timedelta = timedelta(milliseconds=100)
     keep_ended: timedelta = timedelta(seconds=150)
     max_job_bytes: int | None = None
+    max_unconfirmed_vms: Annotated[int, msgspec.Meta(ge=1)] = 1_000
+    max_unconfirmed_bytes: Annotated[int, msgspec.Meta(ge=1)] = 8 << 20
     takeover_delay: timedelta = timedelta(seconds=3)
 
     @property
--- a/src/redwingslip/scheduling/exceptions.py
+++ b/src/redwingslip/scheduling/exceptions.py
@@ -19,6 +19,7 @@
     "UnknownPoolError",
     "VmAtWorkError",
     "VmReplacedError",
+    "VmUnansweredError",
     "VmUnconfirmedError",
 ]
 
@@ -83,6 +84,10 @@
     """A report would replace an incarnation that may not have ended."""
 
 
+class VmUnansweredError(SchedulingError):
+    """Too many VMs have not answered yet, and nor has the one of a report."""
+
+
 class OrderNotSentError(SchedulingError):
     """The order never reached the VM."""
 
--- a/tests/support_scheduling.py
+++ b/tests/support_scheduling.py
@@ -30,6 +30,7 @@
     VmAgent,
     VmPolicy,
 )
+from redwingslip.scheduling._unconfirmed_vms import UnconfirmedVms
 from redwingslip.settings import MetricsSettings
 from redwingslip.workers import RunTimeModel
 
@@ -292,6 +293,7 @@
         orders=endpoint,
         listener=term,
         run_times=run_times or RunTimeModel(cfg.run_times),
+        unconfirmed=UnconfirmedVms(),
         cfg=cfg,
     )
 
