Process the input of connections in fair turns

An ordinary request got its answer after 5.6 to 7.6 s, or 504, while 30 connections sent chunks of one byte: the controller that led did not keep its lease.

Cause: the event loop hands over the input of all ready connections before timers and messages of the log have their turn. 16 KiB of such chunks are 2,700 events of h11, some 0.1 s, so that one iteration took seconds.

Ruled out: pipelined requests.

Change: `InputTurns`, one for all servers of a process. Reading of a connection is paused while its input waits. Ordinary input is processed as it arrives.

--- a/src/redwingslip/http/_limited_protocol.py
+++ b/src/redwingslip/http/_limited_protocol.py
@@ -3,10 +3,12 @@
 import asyncio
 import enum
 from collections import Counter
+from collections.abc import Callable
 from datetime import timedelta
 
 import h11
 import msgspec
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from ._bodies import CLAIM_KEY
@@ -22,6 +24,12 @@
 # Bytes that one read takes, that a request may hold before its handler reads them, and
 # that an answer may hold before its memory is counted.
 READ_BYTES = 16 << 10
+# Bounds of the input that is processed in one turn, and of the time that it should
+# take; the size is adapted to it.
+MIN_SLICE_BYTES = 256
+FIRST_SLICE_BYTES = 1 << 10
+MIN_SLICE_TIME = timedelta(microseconds=500)
+MAX_SLICE_TIME = timedelta(milliseconds=2)
 
 _BAD_REQUEST_BODY = msgspec.json.encode(
     Problem(
@@ -49,9 +57,42 @@
     NOTHING = "nothing"
 
 
+class _InputFlow(FlowControl):
+    """Flow control whose reading is paused while received input waits for a turn."""
+
+    def __init__(self, transport: asyncio.Transport, on_resume: Callable) -> None:
+        super().__init__(transport)
+        self._on_resume = on_resume
+        self._is_held = False
+
+    def hold(self) -> None:
+        """Pause reading until `release`, whatever the handler asks for."""
+        self._is_held = True
+        self._transport.pause_reading()
+
+    def release(self) -> None:
+        """Resume reading, unless it is paused for another reason."""
+        if self._is_held:
+            self._is_held = False
+            if not self.read_paused:
+                self._transport.resume_reading()
+
+    def resume_reading(self) -> None:
+        """Resume the processing of input, and reading once none waits."""
+        if not self.read_paused:
+            return
+        self.read_paused = False
+        if self._is_held:
+            self._on_resume()
+        else:
+            self._transport.resume_reading()
+
+
 class _LimitedProtocol(H11Protocol):
     """Closes connections above the limits, and those whose requests are too slow.
 
+    Received input is processed in turns with other connections, a part at a time.
+
     Each server has its own subclass, whose class attributes hold the limits of the
     server and its number of connections per peer.
     """
@@ -74,19 +115,85 @@
         self.write_timer: asyncio.TimerHandle | None = None
         self.unread_answer: BodyClaim | None = None
         self.is_retiring = False
+        self.waiting_input = b""
+        self.slice_bytes = FIRST_SLICE_BYTES
+        self.is_in_turn = False
+        self.is_completing = False
+        self.has_events = False
         self.n_of_peer[self.peer] += 1
         super().connection_made(transport)
+        self.flow = _InputFlow(transport, self.submit)
         self.set_timer()
         too_many = self.n_of_peer[self.peer] > self.limits.max_connections_per_peer
         if too_many or not self.memory.connections.admit(self):
             transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Process received bytes, and update the timer of the phase."""
-        super().data_received(data)
+        """Process received bytes in turns, and update the timer of the phase."""
+        self.waiting_input += data
+        self.submit()
+        if self.waiting_input:
+            self.set_timer()
+
+    def submit(self) -> None:
+        """Have input processed when the connection has its turn."""
+        if self.is_completing:
+            return
+        self.memory.turns.submit(self)
+        if self.waiting_input:
+            self.flow.hold()
+
+    def take_turn(self) -> bool:
+        """Process a part of the input; return whether more can be processed now.
+
+        Input waits while the handler does not read the body, or a request is answered.
+        """
+        if self.transport.is_closing():
+            self.waiting_input = b""
+            return False
+        clock = self.memory.turns.clock
+        began_at = clock.monotonic()
+        self.is_in_turn = True
+        try:
+            self._process_slice()
+        finally:
+            self.is_in_turn = False
+        self._adapt_slice(clock.monotonic() - began_at)
+        if self.waiting_input:
+            # The library may have resumed reading.
+            self.flow.hold()
+        else:
+            self.flow.release()
+        self.set_timer()
+        return bool(self.waiting_input) and not self.flow.read_paused
+
+    def _process_slice(self) -> None:
+        if self.has_events:
+            self.has_events = False
+            super().handle_events()
+        elif self.waiting_input and not self.flow.read_paused:
+            size = self.slice_bytes
+            piece = self.waiting_input[:size]
+            self.waiting_input = self.waiting_input[size:]
+            super().data_received(piece)
         if self.cycle is not None and len(self.cycle.body) > READ_BYTES:
             self.flow.pause_reading()
-        self.set_timer()
+
+    def _adapt_slice(self, duration: timedelta) -> None:
+        if duration > MAX_SLICE_TIME:
+            self.slice_bytes = max(MIN_SLICE_BYTES, self.slice_bytes // 2)
+        elif duration < MIN_SLICE_TIME:
+            self.slice_bytes = min(READ_BYTES, self.slice_bytes * 2)
+
+    def handle_events(self) -> None:
+        """Process input that the library has received, in a turn of the connection.
+
+        It also calls this after each answer, for requests that were sent meanwhile.
+        """
+        if self.is_in_turn:
+            super().handle_events()
+        else:
+            self.has_events = bool(self.conn.trailing_data[0])
 
     def on_response_complete(self) -> None:
         """Start the next request, and update the timer of the phase."""
@@ -94,7 +201,12 @@
         self.cycle.body = bytearray()
         if self.is_retiring:
             self.transport.close()
+        # The library resumes reading before the state of the next request is prepared.
+        self.is_completing = True
         super().on_response_complete()
+        self.is_completing = False
+        if self.has_events or self.waiting_input:
+            self.submit()
         self.set_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -103,6 +215,8 @@
             if timer is not None:
                 timer.cancel()
         self.release_answer()
+        self.waiting_input = b""
+        self.memory.turns.remove(self)
         self.memory.connections.remove(self)
         self.n_of_peer[self.peer] -= 1
         if not self.n_of_peer[self.peer]:
@@ -203,7 +317,7 @@
             return _Phase.ANSWER
         if self.conn.their_state is h11.SEND_BODY:
             return _Phase.REST_OF_BODY
-        if self.cycle is None or self.conn.trailing_data[0]:
+        if self.cycle is None or self.conn.trailing_data[0] or self.waiting_input:
             return _Phase.HEAD
         return _Phase.NOTHING
 
--- a/src/redwingslip/http/_server_memory.py
+++ b/src/redwingslip/http/_server_memory.py
@@ -1,4 +1,4 @@
-"""The memory that the HTTP servers of one process share."""
+"""What the HTTP servers of one process share: memory, and turns of the processor."""
 
 import resource
 from collections.abc import Callable
@@ -6,6 +6,7 @@
 from ..clock import Clock, SystemClock
 from ._body_budget import BodyBudget, RefusalCause
 from ._connection_table import ConnectionTable
+from ._input_turns import InputTurns
 from ._limits import HttpLimits
 from ._machine_memory import machine_memory_bytes
 
@@ -32,6 +33,8 @@
 class ServerMemory:
     """One budget for bodies and one for connections, for all servers of a process.
 
+    The connections also share the turns in which their input is processed.
+
     Parameters
     ----------
     cfg : HttpLimits
@@ -49,9 +52,11 @@
         The bytes of bodies.
     connections : ConnectionTable
         The open connections.
+    turns : InputTurns
+        The order in which input is processed.
     """
 
-    __slots__ = ("bodies", "connections")
+    __slots__ = ("bodies", "connections", "turns")
 
     def __init__(
         self,
@@ -73,6 +78,7 @@
         self.connections = ConnectionTable(
             _max_connections(cfg, machine_bytes, is_encrypted=is_encrypted), clock
         )
+        self.turns = InputTurns(clock)
 
     def observe(
         self,
--- a/tests/support_memory.py
+++ b/tests/support_memory.py
@@ -18,6 +18,7 @@
 SEND_TIMEOUT_S = 15.0
 ANSWER_TIMEOUT_S = 15.0
 START_TIMEOUT_S = 20.0
+CONTROLLERS = ("controller", "controller_2", "controller_3")
 
 SETTINGS = """\
 [process]
@@ -40,7 +41,7 @@
 
 
 class Daemons:
-    """A controller and a gateway on loopback addresses, each a process of its own.
+    """Up to three controllers and a gateway on loopback addresses, each a process.
 
     Parameters
     ----------
@@ -59,6 +60,8 @@
         self.gateway = f"127.0.0.22:{calls}"
         self.submitters = f"127.0.0.22:{submitters}"
         self.controller = f"127.0.0.21:{seed}"
+        self.controller_2 = f"127.0.0.23:{seed}"
+        self.controller_3 = f"127.0.0.24:{seed}"
         self._peers = peers
         (folder / "secret").write_text("tests")
         self._roles = {
@@ -66,10 +69,13 @@
                 self.gateway,
                 f"readiness = 127.0.0.22:{ready}\nsubmitters = {self.submitters}\n",
             ),
-            "controller": (
-                self.controller,
-                f"[replica]\ndata_folder = {folder}/replica\n",
-            ),
+            **{
+                name: (
+                    getattr(self, name),
+                    f"[replica]\ndata_folder = {folder}/{name}.data\n",
+                )
+                for name in CONTROLLERS
+            },
         }
 
     def start(self, role):
@@ -83,7 +89,7 @@
         path.write_text(text + rest + self._extra.get(role, ""))
         with open(self.folder / f"{role}.out", "ab") as out:
             self.processes[role] = subprocess.Popen(
-                [sys.executable, "-m", "redwingslip", role, str(path)],
+                [sys.executable, "-m", "redwingslip", role.split("_")[0], str(path)],
                 stdout=out,
                 stderr=subprocess.STDOUT,
                 env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
@@ -103,6 +109,12 @@
         """Return what a daemon has written to its standard streams."""
         return (self.folder / f"{role}.out").read_text()
 
+    def events(self, role, name):
+        """Return the events with a name that a daemon has logged."""
+        path = self.folder / f"{role}.jsonl"
+        lines = path.read_text().splitlines() if path.exists() else []
+        return [line for line in lines if f'"{name}"' in line]
+
     def peak_bytes(self, role):
         """Return the largest resident size that a process has had."""
         pid = self.processes[role].pid
