Place the tasks of a large job in parts

One valid job of 100,000 steps kept the leader busy for seconds; ordinary jobs after it got 503 and 504.

Cause: each round of placement listed all waiting tasks of the job, 2.2 s a round, with a pause of 50 ms between rounds. The lease of the leader ran out, and leaders followed one another for as long as the job waited.

Ruled out: decoding, the commit and the answer.

Change: a round considers at most 2,000 waiting tasks of a job without long-running steps, each part in turn; a gang is never divided. What a round leaves out counts towards the backlog of its pool. Critical paths and what the waiting tasks need are kept until the job changes.

--- a/src/redwingslip/scheduling/_job_index.py
+++ b/src/redwingslip/scheduling/_job_index.py
@@ -1,6 +1,7 @@
 """The leader's index of waiting tasks, in the order in which they are placed."""
 
-from collections.abc import Callable, Iterator, Mapping
+from bisect import bisect_right
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 import msgspec
 
@@ -12,6 +13,7 @@
     JobSpec,
     JobsState,
     RunRecord,
+    StepSpec,
     TaskKey,
     TaskRecord,
     is_isolated,
@@ -36,6 +38,8 @@
 # Estimates are rough (platform contract): a job counts as late only when this share of
 # the estimated critical path of its open steps does not fit before its deadline.
 ON_TIME_ESTIMATE_SHARE = 0.7
+# Tasks of a job in one round of placement; more would delay the heartbeats of the log.
+MAX_TASKS_IN_ROUND = 2_000
 
 
 class PoolBacklog(msgspec.Struct):
@@ -77,15 +81,23 @@
         By pool and customer, the turn of jobs that are missing in `turns`, if not 0.
     changed : set of str or None
         Receives the ids of the jobs that change; None if nobody takes them.
+    left_out : dict of str to int
+        By job of which the last round had only a part, the CPU in thousandths of a core
+        that its other waiting tasks need.
     """
 
     __slots__ = (
         "_active",
         "_failed_on",
+        "_last_keys",
+        "_long_running",
+        "_paths_ms",
         "_queues",
         "_state",
         "_waiting",
+        "_waiting_cpu",
         "changed",
+        "left_out",
         "new_turns",
         "turns",
     )
@@ -103,6 +115,15 @@
             if job.status in ACTIVE_STATUSES
         }
         self._waiting: dict[str, list[TaskKey]] = {}
+        self.left_out: dict[str, int] = {}
+        # The last task of the last round, by job of which a round has only a part.
+        self._last_keys: dict[str, TaskKey] = {}
+        # Whether any step is long-running, by job.
+        self._long_running: dict[str, bool] = {}
+        # Estimated critical paths, of all steps and of the open ones, by job.
+        self._paths_ms: dict[str, tuple[int, int]] = {}
+        # CPU that all waiting tasks need, by job of which a round has only a part.
+        self._waiting_cpu: dict[str, int] = {}
         self._failed_on: dict[TaskKey, set[str]] = {}
 
     def update_plan(self) -> None:
@@ -113,6 +134,8 @@
     def refresh_job(self, job_id: str) -> None:
         """Update the entries of a job after a change of its state."""
         self._waiting.pop(job_id, None)
+        self._waiting_cpu.pop(job_id, None)
+        self._paths_ms.pop(job_id, None)
         if self.changed is not None:
             self.changed.add(job_id)
         job = self._state.jobs.get(job_id)
@@ -120,6 +143,8 @@
             self._active[job_id] = _is_speculative(job)
         else:
             self._active.pop(job_id, None)
+            self._last_keys.pop(job_id, None)
+            self._long_running.pop(job_id, None)
 
     def forget_job(self, job_id: str) -> None:
         """Drop all entries of a job that was removed from the state."""
@@ -166,10 +191,15 @@
         accepted_ms : int
             Unix time of its acceptance.
         """
+        return self._deadlines(spec, accepted_ms, critical_path_ms(spec))
+
+    def _deadlines(
+        self, spec: JobSpec, accepted_ms: int, path_ms: int
+    ) -> tuple[float, float]:
         queue = self._queues.get(spec.queue)
         stretch = queue.stretch if queue else 1.0
         target_ms = queue.target_latency_ms if queue else 0
-        objective_ms = stretch * critical_path_ms(spec) + target_ms
+        objective_ms = stretch * path_ms + target_ms
         return (
             accepted_ms + objective_ms,
             accepted_ms + USELESS_AFTER_OBJECTIVES * objective_ms,
@@ -205,8 +235,12 @@
         A task of a speculative step also waits for a second run when the VM of its
         only run is silent. Isolated tasks go before all others, since they need VMs
         without runs. Quarantined tasks are left out.
+
+        A job with more than `MAX_TASKS_IN_ROUND` waiting tasks is given in parts, one
+        in each call.
         """
         waiting = []
+        self.left_out = {}
         for job_id, is_speculative in self._active.items():
             job = self._state.jobs[job_id]
             keys = self._waiting.get(job_id)
@@ -217,6 +251,9 @@
                 keys = [*keys, *_speculative_keys(job, is_silent)]
             if not keys:
                 continue
+            is_large = len(keys) > MAX_TASKS_IN_ROUND
+            if is_large and not self._is_long_running(job):
+                keys = self._part_of(job, keys)
             if self._state.silent_vms:
                 keys = [key for key in keys if not _is_held(job, key)]
             tasks = [
@@ -236,6 +273,29 @@
         waiting.sort(key=lambda entry: entry[:3])
         return [(urgency, tasks) for _, urgency, _, tasks in waiting]
 
+    def _part_of(self, job: JobRecord, keys: list[TaskKey]) -> list[TaskKey]:
+        """Return the next part of a job's waiting tasks, in turn.
+
+        Parts begin and end between steps where tasks of a step go together.
+        """
+        job_id, steps = job.spec.job_id, job.spec.steps
+        last = self._last_keys.get(job_id)
+        begin = 0 if last is None else bisect_right(keys, last)
+        if begin == len(keys):
+            begin = 0
+        end = min(begin + MAX_TASKS_IN_ROUND, len(keys))
+        while end < len(keys) and _is_same_gang(steps, keys[end - 1], keys[end]):
+            end += 1
+        part = keys[begin:end]
+        self._last_keys[job_id] = part[-1]
+        cpu = self._waiting_cpu.get(job_id)
+        if cpu is None:
+            cpu = sum(steps[key.step].need.cpu for key in keys)
+            self._waiting_cpu[job_id] = cpu
+        cpu_of_part = sum(steps[key.step].need.cpu for key in part)
+        self.left_out[job_id] = max(0, cpu - cpu_of_part)
+        return part
+
     def _waiting_task(self, job: JobRecord, key: TaskKey) -> WaitingTask:
         task = self._state.task(key)
         return WaitingTask(
@@ -249,11 +309,24 @@
             is_isolated=is_isolated(job.spec.steps[key.step], task),
         )
 
+    def _is_long_running(self, job: JobRecord) -> bool:
+        """Return whether any step of a job is long-running."""
+        is_long_running = self._long_running.get(job.spec.job_id)
+        if is_long_running is None:
+            is_long_running = any(step.is_long_running for step in job.spec.steps)
+            self._long_running[job.spec.job_id] = is_long_running
+        return is_long_running
+
     def _urgency(self, job: JobRecord, now_ms: int) -> Urgency:
-        if any(step.is_long_running for step in job.spec.steps):
+        if self._is_long_running(job):
             return Urgency(LONG_RUNNING_BAND, 0, 0, job.accepted_ms)
-        due_ms, useless_ms = self.deadlines(job.spec, job.accepted_ms)
-        end_ms = now_ms + ON_TIME_ESTIMATE_SHARE * critical_path_ms(job.spec, job)
+        paths_ms = self._paths_ms.get(job.spec.job_id)
+        if paths_ms is None:
+            paths_ms = critical_path_ms(job.spec), critical_path_ms(job.spec, job)
+            self._paths_ms[job.spec.job_id] = paths_ms
+        whole_ms, open_ms = paths_ms
+        due_ms, useless_ms = self._deadlines(job.spec, job.accepted_ms, whole_ms)
+        end_ms = now_ms + ON_TIME_ESTIMATE_SHARE * open_ms
         band, turn = ON_TIME_BAND, 0
         if end_ms > due_ms:
             band = LATE_BAND if end_ms <= useless_ms else USELESS_BAND
@@ -343,6 +416,11 @@
                     yield TaskKey(job.spec.job_id, occurrence, number, index)
 
 
+def _is_same_gang(steps: Sequence[StepSpec], key: TaskKey, other: TaskKey) -> bool:
+    """Return whether two tasks of a job are members of one gang."""
+    return key[:3] == other[:3] and steps[key.step].is_gang
+
+
 def _is_speculative(job: JobRecord) -> bool:
     return any(step.is_speculative and not step.is_gang for step in job.spec.steps)
 
--- a/src/redwingslip/scheduling/_rounds.py
+++ b/src/redwingslip/scheduling/_rounds.py
@@ -124,6 +124,7 @@
         self.backlog.clear()
         self._recalled_pools.clear()
         self._note_waiting(task for _, tasks in jobs for task in tasks)
+        self._note_left_out()
         if not jobs and self._locality is None:
             return ()
         removed = self._state.removed.customers.values()
@@ -174,7 +175,7 @@
         waiting_since = {
             key: since
             for key, since in self._waiting_since.items()
-            if self._is_starting(key)
+            if self._is_starting(key) or self._is_left_out(key)
         }
         for task in tasks:
             is_long_running = task.step.is_long_running and not task.step.is_gang
@@ -184,6 +185,12 @@
         for key in self._wait_reported_at.keys() - self._waiting_since.keys():
             del self._wait_reported_at[key]
 
+    def _note_left_out(self) -> None:
+        """Add tasks that this round leaves out to the backlog of their pools."""
+        for job_id, cpu in self._job_index.left_out.items():
+            pool = self._job_index.pool_of(self._state.jobs[job_id])
+            self.backlog.setdefault(pool, PoolBacklog()).cpu += cpu
+
     def _is_starting(self, key: TaskKey) -> bool:
         """Return whether a long-running task has a run that is not at work yet.
 
@@ -197,6 +204,13 @@
             return False
         return not any(run.is_at_work for run in task.runs)
 
+    def _is_left_out(self, key: TaskKey) -> bool:
+        """Return whether a task waits, and this round may leave it out."""
+        if key.job_id not in self._job_index.left_out:
+            return False
+        task = self._state.task(key)
+        return task is not None and not task.is_done and not task.runs
+
     def _report_wait(self, task: WaitingTask, *, is_within_limit: bool) -> None:
         """Log, once in each `WAIT_REPORT_INTERVAL`, why a long-running task waits."""
         since = self._waiting_since.get(task.key)
--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -11,12 +11,23 @@
 
 from tests.support_fleet import plan
 from tests.support_memory import CONTROLLERS, head
-from tests.test_memory_limits import CHUNKED, JOB, JOB_PATH, MemoryCase
+from tests.test_memory_limits import (
+    CHUNKED,
+    JOB,
+    JOB_PATH,
+    MAX_RESIDENT_BYTES,
+    MemoryCase,
+)
 
 N_CLIENTS = 60
 N_CHUNKS = 6_000
 N_PIPELINED = 400
 CHUNK = b"1\r\nx\r\n"
+# The largest job within the limits.
+N_STEPS = 100_000
+# The memory of the smallest machine of a controller.
+MAX_LARGE_JOB_BYTES = 296_000_000
+N_ORDINARY_JOBS = 10
 N_LOOKS = 200
 LOOK_INTERVAL_S = 0.1
 # The leader keeps its lease if it has a turn at least each 1.4 s.
@@ -52,10 +63,12 @@
         """Return the number of members, the first of which founded the log."""
         return 1 + len(self.daemons.events("controller", "member.changed"))
 
-    async def check_leader(self):
+    async def check_leader(self, *, max_resident_bytes=MAX_RESIDENT_BYTES):
         """Check that the leader was not replaced, and that a job is accepted."""
         status = await self.wait_status("gateway", "POST", JOB_PATH, JOB)
-        await self.check_bounds(asyncio.sleep(0, status))
+        await self.check_bounds(
+            asyncio.sleep(0, status), max_resident_bytes=max_resident_bytes
+        )
         self.assertEqual(status, 200)
         elected = [len(self.daemons.events(r, "leader.elected")) for r in CONTROLLERS]
         self.assertEqual((self.leaders(), sum(elected)), ([self.leader], 1))
@@ -71,3 +84,14 @@
         start = head("GET", "/config/read") * N_PIPELINED
         await self.crowd_of(self.leader).send(N_CLIENTS, start)
         await self.check_leader()
+
+    async def test_job_of_many_steps(self):
+        """Guards against rounds of placement that take the leader for seconds."""
+        job = {"steps": [{"count": 1, "cpu": 500}] * N_STEPS}
+        body = json.dumps(job, separators=(",", ":")).encode()
+        path = JOB_PATH[:-1] + "b"
+        self.assertEqual(await self.wait_status("gateway", "POST", path, body), 200)
+        for number in range(N_ORDINARY_JOBS):
+            path = f"{JOB_PATH[:-4]}{number:04}"
+            await self.wait_status("gateway", "POST", path, JOB)
+        await self.check_leader(max_resident_bytes=MAX_LARGE_JOB_BYTES)
