Limit incomplete and failed TLS handshakes

Clients that connect to a port with TLS and send nothing, or no handshake, took descriptors and memory that nothing limited: 160 of them 172 descriptors, 1,000 failed handshakes one after the other 367 MB. Seen by our own tests only; the links between processes use TLS where `[tls]` is enabled, entries also for HTTP.

Cause: asyncio gives a connection to its protocol after the handshake, for which it allows 60 s, and allocates 256 KiB for each. A failed handshake stays in two reference cycles (its exception and the frames of asyncio that hold it), and our processes collect young garbage rarely.

Ruled out: a listening socket that closes the oldest handshake (a draft: 31 descriptors, but 99.4 MB and 367.1 MB as before); smaller buffers alone (137.5 MB); collecting more often, as handshakes in progress would be promoted.

Change: `TlsHandshakes` performs the handshakes with `start_tls` after accepting a plain connection, closes the oldest beyond a limit, limits their time, and clears the frames of a failure. Limits: `[links] max_unknown` and `authentication_timeout`; for HTTP half of the connections and `header_timeout`.

--- a/src/redwingslip/http/_limited_protocol.py
+++ b/src/redwingslip/http/_limited_protocol.py
@@ -11,6 +11,7 @@
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from ..handshakes import TlsHandshakes
 from ._bodies import CLAIM_KEY
 from ._body_budget import BodyClaim, RefusalCause
 from ._connection_table import Idleness
@@ -100,9 +101,17 @@
     limits: HttpLimits
     n_of_peer: Counter[str]
     memory: ServerMemory
+    handshakes: TlsHandshakes | None
 
     def connection_made(self, transport) -> None:
-        """Count the connection; close it if there are too many."""
+        """Count the connection; close it if there are too many.
+
+        With TLS, it is counted here once its handshake is complete.
+        """
+        is_encrypted = transport.get_extra_info("sslcontext") is not None
+        if self.handshakes is not None and not is_encrypted:
+            self.handshakes.begin(transport, self)
+            return
         # The library reads up to 256 KiB at once, which h11 then holds; TLS has buffers
         # of its own.
         if hasattr(transport, "max_size"):
@@ -326,8 +335,25 @@
         return self.loop.call_later(timeout.total_seconds(), self.transport.abort)
 
 
-def limited_protocol(cfg: HttpLimits, memory: ServerMemory) -> type[H11Protocol]:
-    """Return a protocol class with the limits and counts of one server."""
+def limited_protocol(
+    cfg: HttpLimits, memory: ServerMemory, handshakes: TlsHandshakes | None = None
+) -> type[H11Protocol]:
+    """Return a protocol class with the limits and counts of one server.
+
+    Parameters
+    ----------
+    cfg : HttpLimits
+        The limits.
+    memory : ServerMemory
+        What the servers of the process share.
+    handshakes : TlsHandshakes or None
+        Performs the TLS handshakes; None for plain HTTP.
+    """
     counts: Counter[str] = Counter()
-    namespace = {"limits": cfg, "n_of_peer": counts, "memory": memory}
+    namespace = {
+        "limits": cfg,
+        "n_of_peer": counts,
+        "memory": memory,
+        "handshakes": handshakes,
+    }
     return type("LimitedProtocol", (_LimitedProtocol,), namespace)
--- a/src/redwingslip/http/_server.py
+++ b/src/redwingslip/http/_server.py
@@ -9,6 +9,7 @@
 import uvicorn
 from starlette.applications import Starlette
 
+from ..handshakes import TlsHandshakes
 from ._limited_protocol import limited_protocol
 from ._limits import HttpLimits, TlsFiles
 from ._server_memory import ServerMemory
@@ -18,6 +19,8 @@
 BACKLOG = 1_024
 # Size of the kernel's buffer of received bytes of a connection; Linux doubles it.
 RECEIVE_BUFFER_BYTES = 64 << 10
+# With TLS, half as many handshakes as connections may be incomplete, and no fewer.
+MIN_HANDSHAKES = 16
 
 
 class _Server(uvicorn.Server):
@@ -64,6 +67,7 @@
     __slots__ = (
         "_app",
         "_cfg",
+        "_handshakes",
         "_memory",
         "_server",
         "_sock",
@@ -88,6 +92,7 @@
         self._app = app
         self._cfg = cfg
         self._tls = tls
+        self._handshakes: TlsHandshakes | None = None
         self._server: _Server | None = None
         self._sock: socket.socket | None = None
         self._task: asyncio.Task | None = None
@@ -150,19 +155,35 @@
         server.should_exit = True
         await self._task
         self._sock.close()
+        if self._handshakes is not None:
+            self._handshakes.close()
         _abort_connections(server)
         if server.server_state.tasks:
             await asyncio.wait(set(server.server_state.tasks))
 
     def reload_tls(self) -> None:
         """Read the TLS files again, for use by new connections."""
-        _load_tls(self._server.config.ssl, self._tls)
+        _load_tls(self._handshakes.context, self._tls)
+
+    def _new_handshakes(self) -> TlsHandshakes | None:
+        """Return what performs the TLS handshakes; None for plain HTTP."""
+        if self._tls is None:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        _load_tls(context, self._tls)
+        max_connections = self._memory.connections.max_connections
+        return TlsHandshakes(
+            context,
+            max_incomplete=max(MIN_HANDSHAKES, max_connections // 2),
+            timeout=self._cfg.header_timeout,
+        )
 
     def _config(self) -> uvicorn.Config:
+        self._handshakes = self._new_handshakes()
         config = uvicorn.Config(
             self._app,
             loop="asyncio",
-            http=limited_protocol(self._cfg, self._memory),
+            http=limited_protocol(self._cfg, self._memory, self._handshakes),
             ws="none",
             lifespan="off",
             log_config=None,
@@ -174,9 +195,6 @@
             timeout_keep_alive=self._cfg.idle_timeout.total_seconds(),
         )
         config.load()
-        if self._tls is not None:
-            config.ssl = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-            _load_tls(config.ssl, self._tls)
         return config
 
 
--- a/src/redwingslip/peers/_guard.py
+++ b/src/redwingslip/peers/_guard.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import ssl
 from collections.abc import Callable
 from functools import partial
 
@@ -15,6 +16,7 @@
 from grpclib.server import Server
 from h2.events import RequestReceived, StreamReset
 
+from ..handshakes import TlsHandshakes
 from ._settings import PeerSettings
 from .exceptions import LinkError
 
@@ -45,14 +47,31 @@
         Those of `grpclib.server.Server`.
     cfg : PeerSettings
         The limits.
+    tls : ssl.SSLContext or None
+        TLS context; None for plain connections.
     """
 
-    def __init__(self, handlers, *, cfg: PeerSettings, **options) -> None:
+    def __init__(
+        self, handlers, *, cfg: PeerSettings, tls: ssl.SSLContext | None, **options
+    ) -> None:
         super().__init__(handlers, **options)
         self.cfg = cfg
+        self.handshakes: TlsHandshakes | None = None
+        if tls is not None:
+            self.handshakes = TlsHandshakes(
+                tls,
+                max_incomplete=cfg.max_unknown,
+                timeout=cfg.authentication_timeout,
+            )
         # By the address of the other side, oldest first.
         self.unknown: dict[tuple, _ServerProtocol] = {}
 
+    def close(self) -> None:
+        """Stop accepting connections, and cancel the requests in progress."""
+        if self.handshakes is not None:
+            self.handshakes.close()
+        super().close()
+
     def confirm(self, address: tuple) -> None:
         """Keep the connection from an address: its sender is a peer."""
         protocol = self.unknown.pop(address, None)
@@ -203,7 +222,12 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Add the connection to those of unknown senders."""
+        """Add the connection to those of unknown senders, after its handshake."""
+        handshakes = self._server.handshakes
+        is_encrypted = transport.get_extra_info("sslcontext") is not None
+        if handshakes is not None and not is_encrypted:
+            handshakes.begin(transport, self)
+            return
         # TLS has buffers of its own.
         if hasattr(transport, "max_size"):
             self._max_size = transport.max_size
--- a/src/redwingslip/peers/_hub.py
+++ b/src/redwingslip/peers/_hub.py
@@ -109,10 +109,11 @@
         self._server = GuardedServer(
             [self],
             cfg=self._cfg,
+            tls=self._tls_server,
             codec=FrameCodec(),
             config=self._configuration(),
         )
-        await self._server.start(self._host, self._port, ssl=self._tls_server)
+        await self._server.start(self._host, self._port)
         sockets = self._server._server.sockets
         self._port = sockets[0].getsockname()[1]
 
--- a/tests/support_tls.py
+++ b/tests/support_tls.py
@@ -14,6 +14,7 @@
 N_HOSTS = 8
 
 ADDRESSES = [ipaddress.ip_address("127.0.0.1")]
+ADDRESSES += [ipaddress.ip_address(f"127.0.0.{i + 21}") for i in range(N_HOSTS)]
 ADDRESSES += [ipaddress.ip_address(f"127.0.1.{i + 1}") for i in range(N_HOSTS)]
 ADDRESSES += [ipaddress.ip_address(f"127.0.2.{i + 1}") for i in range(N_HOSTS)]
 
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -53,7 +53,11 @@
 
     def crowd_of(self, role):
         """Return a crowd that is closed at the end of the test."""
-        crowd = Crowd(getattr(self.daemons, role))
+        return self.crowd_at(getattr(self.daemons, role))
+
+    def crowd_at(self, address):
+        """Return a crowd at an address that is closed at the end of the test."""
+        crowd = Crowd(address)
         self.addAsyncCleanup(crowd.close)
         return crowd
 
--- a/tests/test_memory_links.py
+++ b/tests/test_memory_links.py
@@ -8,6 +8,10 @@
 import asyncio
 import contextlib
 import json
+import shutil
+import tempfile
+from pathlib import Path
+from typing import ClassVar
 
 from h2.config import H2Configuration
 from h2.connection import H2Connection
@@ -23,6 +27,7 @@
 
 from tests.support_fleet import plan
 from tests.support_memory import CROWD_HOST, SEND_TIMEOUT_S
+from tests.support_tls import Authority
 from tests.test_memory_limits import JOB, JOB_PATH, MemoryCase
 
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + SettingsFrame(0).serialize()
@@ -32,6 +37,7 @@
 N_FRAMES_PER_WRITE = 500
 # The server keeps 128 connections of unknown senders.
 N_WAITING_CONNECTIONS = 160
+N_FAILED_HANDSHAKES = 1_000
 WINDOW_BYTES = 1 << 20
 MESSAGE_BYTES = 160 << 20
 FRAME_BYTES = 16 << 10
@@ -197,6 +203,41 @@
         await self.check_role()
 
 
+class TestHandshakes(LinksCase):
+    """Clients of a port for peers with TLS that send no handshake."""
+
+    extra_settings: ClassVar[dict[str, str]] = {}
+
+    async def asyncSetUp(self):
+        folder = Path(tempfile.mkdtemp(prefix="redwingslip-tls-"))
+        self.addCleanup(shutil.rmtree, folder, ignore_errors=True)
+        tls = Authority(folder / "authority").settings()
+        settings = (
+            f"[tls]\nenabled = yes\ncertificate = {tls.certificate}\n"
+            f"key = {tls.key}\nauthority = {tls.authority}\n"
+            "[links]\nmax_unknown = 20\n"
+        )
+        self.extra_settings = dict.fromkeys(self.roles, settings)
+        await super().asyncSetUp()
+
+    async def test_handshakes_that_are_not_sent(self):
+        """Guards against connections that no limit counts before their handshake."""
+        for role in self.roles:
+            host, port = self.daemons.links(role)
+            await self.crowd_at(f"{host}:{port}").send(N_WAITING_CONNECTIONS, b"")
+        await self.check_role()
+
+    async def test_handshakes_that_fail(self):
+        """Guards against the memory of failed handshakes that is freed late."""
+        for role in self.roles:
+            host, port = self.daemons.links(role)
+            crowd = self.crowd_at(f"{host}:{port}")
+            for _ in range(N_FAILED_HANDSHAKES):
+                await crowd.send(1, b"no handshake")
+                await crowd.close()
+        await self.check_role()
+
+
 class TestMembers(LinksCase):
     """Senders that have the secret of the cluster, and break the protocol."""
 
