--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -12,6 +13,7 @@
 
 from typer.testing import CliRunner
 
+from redwingslip import cli
 from redwingslip.cli._app import app
 from redwingslip.cli._roles import main
 from redwingslip.cli.exceptions import ExitCode
@@ -321,6 +323,21 @@
                     main(args)
                 self.assertEqual(caught.exception.code, expected)
 
+    def test_role_that_starts_is_not_ended_by_sighup(self):
+        """Guards against a change of settings that ends a daemon during its start."""
+        self.addCleanup(signal.signal, signal.SIGHUP, signal.getsignal(signal.SIGHUP))
+        handlers = []
+        runners = {
+            "replica": lambda path: handlers.append(signal.getsignal(signal.SIGHUP))
+        }
+        with (
+            mock.patch.dict("redwingslip.cli._roles._RUNNERS", runners),
+            mock.patch("sys.argv", ["redwingslip", "replica", "x.ini"]),
+            self.assertRaises(SystemExit),
+        ):
+            cli.main()
+        self.assertEqual(handlers, [signal.SIG_IGN])
+
     def run_role(self, *args: str) -> tuple[int, str]:
         """Run a role and return its exit code and what it prints to stderr."""
         stderr = io.StringIO()
