--- a/src/redwingslip/observe/_process_metrics.py
+++ b/src/redwingslip/observe/_process_metrics.py
@@ -90,7 +90,7 @@
         self._instruments["memory.job.usage"].set(n_bytes)
 
     def add_memory_refusals(self, count: int, *, cause: str) -> None:
-        """Count bodies, connections and jobs that were refused for lack of memory."""
+        """Count what was refused for lack of memory: bodies, connections, jobs, VMs."""
         self._instruments["memory.refusals"].add(count, {"redwingslip.cause": cause})
 
     def add_dropped_events(self, count: int) -> None:
--- a/src/redwingslip/scheduling/_vm_admission.py
+++ b/src/redwingslip/scheduling/_vm_admission.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from ..jobs import VmRecord
+from ..observe import EventName
 from ._scheduler import Scheduler
 from ._settings import SchedulingSettings
 from ._term import Term
@@ -17,6 +18,7 @@
 # A report must be answered within a second.
 PATIENCE = timedelta(milliseconds=700)
 MAX_PROBES = 32
+LOG_INTERVAL = timedelta(seconds=10)
 
 
 class VmAdmission:
@@ -36,7 +38,14 @@
         The limits.
     """
 
-    __slots__ = ("_cfg", "_probes", "_scheduler", "_term")
+    __slots__ = (
+        "_cfg",
+        "_logged_at",
+        "_n_refusals",
+        "_probes",
+        "_scheduler",
+        "_term",
+    )
 
     def __init__(
         self, *, term: Term, scheduler: Scheduler, cfg: SchedulingSettings
@@ -45,6 +54,8 @@
         self._scheduler = scheduler
         self._cfg = cfg
         self._probes = asyncio.Semaphore(MAX_PROBES)
+        self._logged_at: timedelta | None = None
+        self._n_refusals = 0
 
     async def verify(self, vm: VmRecord) -> None:
         """Return if the report of a VM may be stored.
@@ -63,7 +74,7 @@
         except TimeoutError:
             pass
         if not is_answering:
-            self._term.metrics.add_memory_refusals(1, cause=REFUSAL_CAUSE)
+            self._report_refusal(vm)
             raise VmUnansweredError(
                 f"{len(self._scheduler.unconfirmed)} VMs have not answered yet, and "
                 f"{vm.vm_id} does not answer at {vm.address}"
@@ -81,6 +92,23 @@
             if self._agent_born_ms(vm) != vm.born_ms:
                 unconfirmed.discard(vm)
 
+    def _report_refusal(self, vm: VmRecord) -> None:
+        """Count a refusal, and log it at most once in each `LOG_INTERVAL`."""
+        self._term.metrics.add_memory_refusals(1, cause=REFUSAL_CAUSE)
+        self._n_refusals += 1
+        now = self._term.clock.monotonic()
+        if self._logged_at is not None and now - self._logged_at < LOG_INTERVAL:
+            return
+        unconfirmed = self._scheduler.unconfirmed
+        detail = (
+            f"{REFUSAL_CAUSE}: {self._n_refusals}; {len(unconfirmed)} VMs with "
+            f"{unconfirmed.n_bytes} bytes of texts have not answered yet, the last "
+            f"report was of {vm.vm_id} at {vm.address}"
+        )
+        self._term.emit(EventName.MEMORY_REFUSED, vm=vm.vm_id, detail=detail)
+        self._logged_at = now
+        self._n_refusals = 0
+
     def _has_room(self, vm: VmRecord) -> bool:
         return self._is_confirmed(vm) or self._scheduler.unconfirmed.has_room(
             vm,
