Limit the answers of VMs while they are received

An address that a report names may answer the leader's calls without an end: 20 of them took a controller to 795 MB (one chunk of 1 GiB each), 413 MB (declared bodies of 1 GiB) and 133 MB (headers without an end).

Cause: the limit of 16 MiB on an answer was checked after each part, and a chunk is one part however long it is. Headers had no limit, and the answers of different VMs none together. What was received of an answer that was given up stayed in the frames of its exception and in objects of the library that refer to each other.

Ruled out: a limit for all answers alone; with 32 MiB declared bodies still took 304.9 MB, until what is given up is dropped at once.

Change: `AnswerBudget` counts a chunk before it is read, and all answers of a client pool together; answers of up to 64 KiB are always received. Calls of VMs may take 8 MiB, each and together, which is a list of the tasks of the largest job. Heads are limited to 64 KiB. Frames of failed exchanges are cleared.

--- a/src/redwingslip/http/_client.py
+++ b/src/redwingslip/http/_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+import traceback
 from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
@@ -16,6 +17,7 @@
 import msgspec
 from aiosonic.pools import PoolConfig
 
+from ._answer_budget import AnswerBudget
 from ._connections import NO_LIBRARY_TIMEOUTS, WatchedConnection
 from ._limits import ClientLimits
 from .exceptions import AnswerLostError, HttpError, NotConnectedError
@@ -88,9 +90,10 @@
     `timer` closes the connection when it has been idle for too long.
     """
 
-    __slots__ = ("_connect_timeout", "conn", "http", "timer")
+    __slots__ = ("_budget", "_connect_timeout", "conn", "http", "timer")
 
-    def __init__(self, cfg: ClientLimits) -> None:
+    def __init__(self, cfg: ClientLimits, budget: AnswerBudget) -> None:
+        self._budget = budget
         self.conn: WatchedConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self._connect_timeout = cfg.connect_timeout
@@ -110,7 +113,11 @@
         )
 
     def _connect(self, pool) -> WatchedConnection:
-        self.conn = WatchedConnection(pool, connect_timeout=self._connect_timeout)
+        self.conn = WatchedConnection(
+            pool,
+            connect_timeout=self._connect_timeout,
+            claim=self._budget.claim(),
+        )
         return self.conn
 
     @property
@@ -125,6 +132,8 @@
             self.timer = None
         if self.conn is not None:
             self.conn.close()
+            # The library's objects refer to each other, and would keep the input.
+            self.conn.reader = None
 
 
 class ClientPool:
@@ -136,10 +145,11 @@
         Limits on waits, idle connections and the size of answers.
     """
 
-    __slots__ = ("_busy", "_cfg", "_idle", "_is_closed")
+    __slots__ = ("_budget", "_busy", "_cfg", "_idle", "_is_closed")
 
     def __init__(self, cfg: ClientLimits) -> None:
         self._cfg = cfg
+        self._budget = AnswerBudget(cfg)
         self._idle: dict[_IdleKey, deque[_Client]] = {}
         self._busy: set[_Client] = set()
         self._is_closed = False
@@ -184,9 +194,11 @@
                 answer, is_reusable = await self._send(client, req)
             client.conn.has_sent = False
             is_complete = True
-        except HttpError:
+        except HttpError as exc:
+            _clear_frames(exc)
             raise
         except Exception as exc:
+            _clear_frames(exc)
             raise _exchange_error(client, req, exc) from exc
         finally:
             self._busy.discard(client)
@@ -237,7 +249,7 @@
             if not (is_identified and is_kept):
                 client.close()
         if not is_kept:
-            return _Client(self._cfg)
+            return _Client(self._cfg, self._budget)
         client.conn.has_sent = False
         return client
 
@@ -257,12 +269,21 @@
             client.close()
         if clients is not None and self._idle.get(key) is clients:
             del self._idle[key]
-        return _Client(self._cfg)
+        return _Client(self._cfg, self._budget)
 
     async def _send(
         self, client: _Client, req: ClientRequest
     ) -> tuple[ClientAnswer, bool]:
         """Return the answer, and whether the connection can be reused."""
+        try:
+            return await self._receive(client, req)
+        finally:
+            if client.conn is not None:
+                client.conn.claim.release()
+
+    async def _receive(
+        self, client: _Client, req: ClientRequest
+    ) -> tuple[ClientAnswer, bool]:
         headers = dict(req.headers)
         if not req.body:
             headers["Content-Length"] = "0"
@@ -275,6 +296,9 @@
         )
         if not _has_known_length(res):
             raise AnswerLostError("the answer does not declare its length")
+        declared = res.headers.get("content-length", "")
+        if declared.isdecimal() and int(declared) > self._cfg.max_answer_bytes:
+            raise AnswerLostError("the answer is longer than the limit")
         parts = []
         n_bytes = 0
         async for part in res.iter_bytes():
@@ -329,6 +353,16 @@
     return len(lengths) == 1 and next(iter(lengths)).isdecimal()
 
 
+def _clear_frames(exc: BaseException | None) -> None:
+    """Drop the variables of the frames that an exception and its causes refer to.
+
+    They hold what was received of an answer, for as long as the exception is kept.
+    """
+    while exc is not None:
+        traceback.clear_frames(exc.__traceback__)
+        exc = exc.__cause__ or exc.__context__
+
+
 def _exchange_error(client: _Client, req: ClientRequest, exc: Exception) -> Exception:
     """Return the error that tells whether anything of the request was sent."""
     reason = str(exc) or type(exc).__name__
--- a/src/redwingslip/http/_connections.py
+++ b/src/redwingslip/http/_connections.py
@@ -16,6 +16,8 @@
 )
 from aiosonic.timeout import Timeouts
 
+from ._answer_budget import AnswerClaim
+
 __all__ = ["NO_LIBRARY_TIMEOUTS", "BoundedConnection", "WatchedConnection"]
 
 # The library applies its timeouts with `asyncio.wait_for`, which in Python 3.11 drops a
@@ -24,6 +26,9 @@
     sock_connect=None, sock_read=None, pool_acquire=None, request_timeout=None
 )
 
+# Headers of an answer; those of a VM have less than 1 KiB.
+MAX_HEAD_BYTES = 64 << 10
+
 # Lingering for 0 seconds, `struct linger` of the socket interface: a close resets the
 # connection, and the kernel sends nothing more of what it has buffered.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -68,12 +73,21 @@
     While the connection is idle, a task reads the first byte of the next answer, so
     that a connection that receives input without a request, or is closed by the server,
     is never used again.
+
+    Parameters
+    ----------
+    pool, connect_timeout
+        Those of `BoundedConnection`.
+    claim : AnswerClaim
+        Limits the answers; its user releases it after each of them.
     """
 
-    def __init__(self, pool, *, connect_timeout: timedelta) -> None:
+    def __init__(self, pool, *, connect_timeout: timedelta, claim: AnswerClaim) -> None:
         super().__init__(pool, connect_timeout=connect_timeout)
+        self.claim = claim
         self.has_sent = False
         self._is_in_head = False
+        self._n_head_bytes = 0
         self._first_byte: asyncio.Task | None = None
         self._is_watching = False
         self._on_input: Callable[[], None] | None = None
@@ -113,6 +127,10 @@
         line = await super().readline()
         if not line.endswith(b"\n"):
             raise ConnectionDisconnected("the connection was closed within a line")
+        if self._is_in_head:
+            self._n_head_bytes += len(line)
+            if self._n_head_bytes > MAX_HEAD_BYTES:
+                raise HttpParsingError("the head is longer than the limit")
         is_end = line in (b"\r\n", b"\n")
         if self._is_in_head and not is_end and b":" not in line:
             raise HttpParsingError("a line of the head is not a header")
@@ -122,14 +140,22 @@
 
     async def readexactly(self, size: int) -> bytes:
         """Read a chunk and the end of line that must follow it."""
+        self.claim.add(size)
         chunk = await super().readexactly(size)
         if size and not chunk.endswith(b"\r\n"):
             raise HttpParsingError("a chunk is longer than its declared size")
         return chunk
 
+    async def read(self, size: int = -1) -> bytes:
+        """Read a part of a body of declared length."""
+        data = await super().read(size)
+        self.claim.add(len(data))
+        return data
+
     async def readuntil(self, separator: bytes = b"\n") -> bytes:
         """Read the status line, whose first byte the idle watch may have read."""
         self._is_in_head = True
+        self._n_head_bytes = 0
         if self._first_byte is None:
             return await super().readuntil(separator)
         first = await self._first_byte
--- a/src/redwingslip/http/_limits.py
+++ b/src/redwingslip/http/_limits.py
@@ -75,12 +75,16 @@
         Idle connections that are kept per address.
     max_answer_bytes : int
         Largest answer body.
+    max_total_answer_bytes : int
+        Limit of the bytes of all answers that are being received; answers of up to
+        64 KiB are received beyond it.
     """
 
     connect_timeout: timedelta = timedelta(seconds=1)
     idle_timeout: timedelta = timedelta(seconds=15)
     max_idle_per_peer: int = 64
     max_answer_bytes: int = 16_777_216
+    max_total_answer_bytes: int = 268_435_456
 
 
 class TlsFiles(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/redwingslip/platform/_orders.py
+++ b/src/redwingslip/platform/_orders.py
@@ -36,6 +36,9 @@
 # Twice the round trip that the platform's links may take under load, plus the time
 # that a worker may need to answer.
 ORDER_TIMEOUT = timedelta(milliseconds=800)
+# A list of the 100,000 tasks of the largest job; usual ones have a few kB. One of that
+# size is received at a time.
+MAX_ANSWER_BYTES = 8 << 20
 # A worker lists at most as many ends in one answer (platform contract).
 MAX_LISTED_ENDS = 500
 # Answers of a worker that has done nothing, or of another worker.
@@ -127,6 +130,8 @@
                 connect_timeout=ORDER_TIMEOUT,
                 idle_timeout=timedelta(seconds=60),
                 max_idle_per_peer=2,
+                max_answer_bytes=MAX_ANSWER_BYTES,
+                max_total_answer_bytes=MAX_ANSWER_BYTES,
             )
         )
 
--- a/tests/test_memory_reports.py
+++ b/tests/test_memory_reports.py
@@ -30,7 +30,7 @@
 RETRY_S = 0.5
 
 
-class TestReports(MemoryCase):
+class ReportsCase(MemoryCase):
     """A controller that leads, and a gateway."""
 
     roles = ("controller", "gateway")
@@ -88,6 +88,10 @@
         await self.check_bounds(asyncio.sleep(0, status))
         self.assertEqual((status, len(worker.n_done)), (200, 1))
 
+
+class TestReports(ReportsCase):
+    """Reports of VMs that were never there."""
+
     async def test_vms_whose_address_refuses_connections(self):
         """Guards against records and polls of VMs that were never there."""
         addresses = [
