Close only the connection whose input raises an unexpected error

Found by reading: an error in the turn of one connection ended the turns of all, and the others waited until further input arrived. Before the turns, asyncio closed the connection with the error. Now it is logged and closed again, and the others go on. test_error_with_one_connection_does_not_hold_up_others was written with the fix and not run without it.

--- a/src/redwingslip/http/_input_turns.py
+++ b/src/redwingslip/http/_input_turns.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 from collections import deque
 from datetime import timedelta
 from typing import Protocol
@@ -14,6 +15,8 @@
 
 __all__ = ["InputTurns", "TurnTaker"]
 
+log = logging.getLogger("uvicorn.error")
+
 # Part of an iteration of the event loop that input may take; a heartbeat of the log
 # waits for no longer.
 MAX_TURN = timedelta(milliseconds=10)
@@ -33,6 +36,9 @@
     def take_turn(self) -> bool:
         """Process a small part of the input; return whether more can be processed."""
 
+    def abort(self) -> None:
+        """Close the connection at once."""
+
 
 class InputTurns:
     """Gives the addresses with input a turn each, and their connections within them.
@@ -81,7 +87,13 @@
 
     def _process(self, conn: TurnTaker) -> None:
         began_at = self.clock.monotonic()
-        has_more = conn.take_turn()
+        has_more = False
+        try:
+            has_more = conn.take_turn()
+        except Exception:
+            # An error with the input of one connection must not hold up the others.
+            log.exception("closed a connection from %s", conn.peer)
+            conn.abort()
         self._spent += self.clock.monotonic() - began_at
         if has_more and conn not in self._queued:
             self._enqueue(conn)
--- a/tests/test_http_input_turns.py
+++ b/tests/test_http_input_turns.py
@@ -27,16 +27,24 @@
         self.name = name
         self.peer = peer
         self.n_left = n_left
+        self.error = None
+        self.is_aborted = False
         self._turns = turns
         self._log = log
 
     def take_turn(self):
         """Record the turn, and advance the clock."""
+        if self.error is not None:
+            raise self.error
         self._log.append(self.name)
         self._turns.clock.advance(TURN)
         self.n_left -= 1
         return self.n_left > 0
 
+    def abort(self):
+        """Record that the connection was closed."""
+        self.is_aborted = True
+
 
 class TestInputTurns(VirtualTimeTestCase):
     """Connections of a crowd and of an ordinary caller."""
@@ -84,6 +92,17 @@
         counts = [self.log.count(name) for name in "abc"]
         self.assertLessEqual(max(counts) - min(counts), 2)
 
+    async def test_error_with_one_connection_does_not_hold_up_others(self):
+        """Guards against an unexpected error that leaves input waiting for good."""
+        self.connect("a", "crowd")
+        broken = self.connect("broken", "other", n_left=1)
+        self.connect("b", "third")
+        broken.error = ValueError("unexpected")
+        with self.assertLogs("uvicorn.error"):
+            await self.wait_turns(2 * N_TURNS)
+        self.assertTrue(broken.is_aborted)
+        self.assertEqual(self.log.count("b"), N_TURNS)
+
     async def test_closed_connection_has_no_further_turn(self):
         """Guards against turns of connections that have been closed."""
         conns = [self.connect(f"c{number}", "crowd") for number in range(10)]
