Allow a link with TLS its whole write buffer

Found by reading: with TLS asyncio pauses writing above 512 KiB, so that a peer that reads slowly would have lost its link at that size. The limit is 1 MiB now. Also, a connection that was closed before its handshake began stayed counted until 128 others came. No test: neither was seen.

--- a/src/redwingslip/handshakes.py
+++ b/src/redwingslip/handshakes.py
@@ -96,9 +96,9 @@
         protocol: asyncio.Protocol,
         early: _EarlyData,
     ) -> None:
-        if transport.is_closing():
-            return
         try:
+            if transport.is_closing():
+                return
             encrypted = await asyncio.get_running_loop().start_tls(
                 transport,
                 early,
--- a/src/redwingslip/peers/_guard.py
+++ b/src/redwingslip/peers/_guard.py
@@ -29,9 +29,9 @@
 # Bytes that one read of an unknown sender takes, and that are processed at once.
 READ_BYTES = 16 << 10
 SLICE_BYTES = 1 << 10
-# Writing pauses above 64 KiB. Answers to control frames are written all the same; a
-# peer reads them.
-MAX_UNSENT_BYTES = 512 << 10
+# Writing pauses above 64 KiB, with TLS above 512 KiB. Answers to control frames are
+# written all the same; a peer reads them.
+MAX_UNSENT_BYTES = 1 << 20
 
 
 class GuardedServer(Server):
