--- a/review/7/case.py
+++ b/review/7/case.py
@@ -126,4 +126,4 @@
     log.append((job_id, status, time.monotonic()))
 
 
-sys.exit(asyncio.run(run_case(main, Path(__file__).resolve().parent)))
+run_case(main, Path(__file__).resolve().parent)
--- a/review/lib2/system.py
+++ b/review/lib2/system.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -273,9 +274,9 @@
         finally:
             writer.close()
 
-    async def send_config(self, version, **changes):
+    async def send_config(self, version, config=None):
         """Send a configuration until it is acknowledged."""
-        config = configuration(version) | changes
+        config = config or configuration(version)
         for _ in range(60):
             for process in self.controllers:
                 status, _ = await call(process.calls, "POST", "/config/replace", config,
@@ -521,17 +522,27 @@
     return ports
 
 
-async def run_case(main, folder):
-    """Run a case within its time; return its exit code."""
-    record = Record(Path(folder) / "record.txt")
-    system = None
+def run_case(main, folder):
+    """Run a case within its time, and exit.
+
+    The status is 10 if the rule held, 11 if it was broken and 12 if the case could not
+    run. `run.sh` takes any other one, such as that of a failed import, for the last.
+    """
+    result = asyncio.run(_run(main, Record(Path(folder) / "record.txt")))
+    sys.exit(10 + result)
+
+
+async def _run(main, record):
+    holder = []
     try:
         async with asyncio.timeout(112):
-            holder = []
             return await main(record, holder)
     except TimeoutError:
         record("the case did not end in time")
         return 2
+    except Exception:
+        record(traceback.format_exc())
+        return 2
     finally:
         for item in reversed(holder):
             await item.stop()
