--- a/review/lib2/system.py
+++ b/review/lib2/system.py
@@ -307,7 +307,9 @@
                 await process.popen.wait()
         if self._server is not None:
             self._server.close()
-        if not os.environ.get("KEEP"):
+        if os.environ.get("KEEP"):
+            self.record(f"logs in {self.folder}")
+        else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
