--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "lib2"))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "6"))
 from system import PREFIX, Record, System, Worker, call, new_id, run_case, submission
 
 N_CALLS = 24
--- a/review/lib2/system.py
+++ b/review/6/system.py
@@ -30,7 +30,7 @@
 }
 KEY = "key-of-tenant-one-0001"
 HOST = "queue.example"
-PREFIX = "/work/"
+PREFIX = "/jobs/"
 SERVICE = "pool-a"
 
 
