Accept answers to a process's own calls only, from the replica that was asked

Submissions that a gateway answered 200 were stored nowhere; their GETs were answered 410. The gateway had been killed and started again while two leaders froze.

Cause: LeaderRelay numbered its calls from 1 in each process and accepted an answer from any replica. Links deliver by address, so the answers to a killed process reach the one that has replaced it.

Evidence: with the sender of each answer logged (trial copy), the new process accepted answers 15 to 19 from the first leader to calls that it had sent to the second, and exactly these five submissions were lost. Ruled out: submissions stored and lost by the first leader (it never received these calls), and GETs answered by a process that was behind (asked again in calm, same result).

Change: numbers of requests begin at a random 62-bit value in each process (RequestNumbers), and only the replica that was asked may answer. The same numbers for an entry's proposals, a leader's orders and a delegate's requests for a lease, which began at 1 or at the time of day.

--- a/src/redwingslip/daemons/_leader.py
+++ b/src/redwingslip/daemons/_leader.py
@@ -15,6 +15,7 @@
     RedirectToLeader,
     ReplicasReply,
     ReplicasRequest,
+    RequestNumbers,
 )
 
 __all__ = ["LeaderClient"]
@@ -42,8 +43,8 @@
     __slots__ = (
         "_clock",
         "_last_contact_at",
-        "_last_number",
         "_leader_id",
+        "_numbers",
         "_pending",
         "_replicas",
         "_reset",
@@ -65,7 +66,7 @@
         self._clock = clock
         self._leader_id = replicas[0]
         self._last_contact_at = clock.monotonic()
-        self._last_number = 0
+        self._numbers = RequestNumbers()
         self._tasks: set[asyncio.Task] = set()
         self._pending: dict[int, asyncio.Future[Outcome | ReplicasReply | None]] = {}
 
@@ -174,8 +175,7 @@
         self, new_message: Callable[[int], Message], timeout: timedelta
     ) -> Outcome | ReplicasReply | None:
         """Send a request once; return None when it timed out or was rejected."""
-        self._last_number += 1
-        number = self._last_number
+        number = self._numbers.next()
         fut = asyncio.get_running_loop().create_future()
         self._pending[number] = fut
         self.send(new_message(number))
--- a/src/redwingslip/delegation/_delegate.py
+++ b/src/redwingslip/delegation/_delegate.py
@@ -17,6 +17,7 @@
     OrderReplies,
     OrderReply,
     OrderResult,
+    RequestNumbers,
     StartOrder,
     StopOrder,
     VmOrder,
@@ -31,7 +32,6 @@
 
 __all__ = ["OrderDelegate"]
 
-MS_PER_SECOND = 1000
 # A controller's word that it takes requests counts for this long; the process at its
 # address may since have been replaced by an earlier version.
 VERSION_LIFETIME = timedelta(seconds=10)
@@ -74,9 +74,9 @@
         "_fence",
         "_granted_by",
         "_is_resigned",
-        "_last_number",
         "_leader_id",
         "_lease_end",
+        "_numbers",
         "_orders",
         "_outboxes",
         "_own_id",
@@ -109,8 +109,7 @@
         self._recalled_fence = 0
         self._granted_by = ""
         self._lease_end = clock.monotonic()
-        # A lease that an earlier process requested must match no request of this one.
-        self._last_number = int(clock.utcnow().timestamp() * MS_PER_SECOND)
+        self._numbers = RequestNumbers()
         self._requested_at: dict[int, timedelta] = {}
         self._outboxes: dict[tuple[str, int], Outbox] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -141,11 +140,9 @@
         willing_at = self._willing.get(leader_id)
         if willing_at is None or now - willing_at > VERSION_LIFETIME:
             return
-        self._last_number += 1
-        self._requested_at[self._last_number] = now
-        request = DelegateLeaseRequest(
-            number=self._last_number, fence=self._held_fence(), lag=lag
-        )
+        number = self._numbers.next()
+        self._requested_at[number] = now
+        request = DelegateLeaseRequest(number=number, fence=self._held_fence(), lag=lag)
         self._send(leader_id, request)
 
     def note_version(self, peer_id: str, *, takes_delegates: bool) -> None:
--- a/src/redwingslip/delegation/_orders.py
+++ b/src/redwingslip/delegation/_orders.py
@@ -18,6 +18,7 @@
     OrderReplies,
     OrderReply,
     OrderResult,
+    RequestNumbers,
     StartOrder,
     StopOrder,
     VmOrder,
@@ -88,13 +89,13 @@
         "_fence",
         "_grants",
         "_is_withdrawn",
-        "_last_number",
         "_lease_remaining",
         "_metrics",
         "_n_delegated",
         "_n_delegates",
         "_n_own",
         "_n_vms",
+        "_numbers",
         "_own",
         "_own_id",
         "_refuses_orders",
@@ -136,7 +137,7 @@
         self._grants = Grants(fence, send, clock)
         self._is_withdrawn = False
         self._refuses_orders = False
-        self._last_number = 0
+        self._numbers = RequestNumbers()
         self._n_own = 0
         self._n_delegated = 0
         self._settled = asyncio.Event()
@@ -376,9 +377,8 @@
         self._routes.avoid(vm.vm_id, caller, until)
 
     def _next_number(self) -> int:
-        self._last_number += 1
         self._n_delegated += 1
-        return self._last_number
+        return self._numbers.next()
 
     async def _exchange(
         self,
--- a/src/redwingslip/peers/__init__.py
+++ b/src/redwingslip/peers/__init__.py
@@ -3,6 +3,7 @@
 from . import _messages
 from ._hub import PeerHub
 from ._messages import *  # noqa: F403
+from ._numbers import RequestNumbers
 from ._settings import PeerSettings
 from .exceptions import LinkError
 
@@ -11,4 +12,5 @@
     "LinkError",
     "PeerHub",
     "PeerSettings",
+    "RequestNumbers",
 ]
--- a/src/redwingslip/relay/_relay.py
+++ b/src/redwingslip/relay/_relay.py
@@ -8,7 +8,14 @@
 
 from ..clock import Clock
 from ..observe import Event, EventName, EventSink
-from ..peers import LeaderQuery, LeaderReport, Message, RelayedAnswer, RelayedCall
+from ..peers import (
+    LeaderQuery,
+    LeaderReport,
+    Message,
+    RelayedAnswer,
+    RelayedCall,
+    RequestNumbers,
+)
 from ._in_flight import InFlight
 from ._settings import RelaySettings
 from .exceptions import (
@@ -23,6 +30,23 @@
 OUTCOME_UNKNOWN_STATUS = 504
 
 
+class _Attempt:
+    """A call that was sent to a replica and is not answered yet."""
+
+    __slots__ = ("fut", "replica_id")
+
+    def __init__(self, replica_id: str) -> None:
+        self.replica_id = replica_id
+        self.fut: asyncio.Future[RelayedAnswer | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def resolve(self, answer: RelayedAnswer | None) -> None:
+        """Set the answer, None for none, unless there is one already."""
+        if not self.fut.done():
+            self.fut.set_result(answer)
+
+
 class LeaderRelay:
     """Finds the leader and forwards calls to it until each is answered or times out.
 
@@ -49,9 +73,9 @@
         "_events",
         "_in_flight",
         "_last_contact",
-        "_last_number",
         "_leader_found",
         "_leader_id",
+        "_numbers",
         "_pending",
         "_replicas",
         "_send",
@@ -74,8 +98,8 @@
         self._leader_id = ""
         self._last_contact = clock.monotonic()
         self._leader_found = asyncio.Event()
-        self._last_number = 0
-        self._pending: dict[int, asyncio.Future[RelayedAnswer | None]] = {}
+        self._numbers = RequestNumbers()
+        self._pending: dict[int, _Attempt] = {}
         self._in_flight = InFlight(cfg.max_in_flight_bytes)
 
     @property
@@ -120,10 +144,10 @@
                 self._replicas.add(msg.leader_id)
 
     def receive_answer(self, sender_id: str, msg: RelayedAnswer) -> None:
-        """Handle the answer to a call."""
-        fut = self._pending.get(msg.number)
-        if fut is not None and not fut.done():
-            fut.set_result(msg)
+        """Handle the answer to a call; only the replica that was asked may answer."""
+        attempt = self._pending.get(msg.number)
+        if attempt is not None and attempt.replica_id == sender_id:
+            attempt.resolve(msg)
         if sender_id == self._leader_id and msg.is_taken:
             self._last_contact = self._clock.monotonic()
 
@@ -191,14 +215,13 @@
 
         None stands for no answer: the attempt timed out, or the leader was dropped.
         """
-        self._last_number += 1
-        number = self._last_number
-        fut = asyncio.get_running_loop().create_future()
-        self._pending[number] = fut
+        number = self._numbers.next()
+        attempt = _Attempt(self._leader_id)
+        self._pending[number] = attempt
         self._send(self._leader_id, msgspec.structs.replace(call, number=number))
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                return await fut
+                return await attempt.fut
         except TimeoutError:
             return None
         finally:
@@ -218,9 +241,8 @@
             return
         self._emit(EventName.LEADER_SILENT, f"{self._leader_id}: {reason}")
         self._leader_id = ""
-        for fut in self._pending.values():
-            if not fut.done():
-                fut.set_result(None)
+        for attempt in self._pending.values():
+            attempt.resolve(None)
 
     def _emit(self, name: EventName, detail: str) -> None:
         self._events.emit(Event(name=name, detail=detail))
--- a/tests/test_delegation_delegate.py
+++ b/tests/test_delegation_delegate.py
@@ -154,6 +154,18 @@
         self.delegate.receive_lease("lead", lease)
         self.assertEqual(await self.order(), [OrderResult.NO_LEASE])
 
+    # Guards against ONE: the same, with a time of day that has been set back.
+    async def test_requests_differ_from_earlier_ones_after_the_clock_was_set_back(self):
+        self.delegate.renew()
+        earlier = self.sent[-1][1]
+        delegate = self.new_delegate()
+        delegate.renew()
+        self.assertNotEqual(self.sent[-1][1].number, earlier.number)
+        lease = DelegateLease(number=earlier.number, fence=FENCE, duration=LEASE)
+        delegate.receive_lease("lead", lease)
+        delegate.renew()
+        self.assertEqual(self.sent[-1][1].fence, 0)
+
     async def test_a_leader_requests_no_lease(self):
         for leader_id in ("", "d1"):
             self.leader_id = leader_id
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -38,6 +38,17 @@
         self.n_handled = 0
         self.n_answers_to_lose = 0
         self.status = 200
+        self.calls = []
+        self.task = None
+        self.restart()
+
+    async def asyncTearDown(self):
+        self.task.cancel()
+
+    def restart(self):
+        """Replace the relay, as when its process is killed and started again."""
+        if self.task is not None:
+            self.task.cancel()
         self.relay = LeaderRelay(
             cfg=CFG,
             seeds=("a", "b"),
@@ -47,9 +58,6 @@
         )
         self.task = asyncio.create_task(self.relay.run())
 
-    async def asyncTearDown(self):
-        self.task.cancel()
-
     def send(self, replica_id, msg):
         """Answer in place of the replica that the message is sent to."""
         loop = asyncio.get_running_loop()
@@ -61,6 +69,7 @@
             if self.leader:
                 loop.call_soon(self.relay.receive_report, replica_id, report)
             return
+        self.calls.append(msg)
         answer = RelayedAnswer(
             number=msg.number, is_taken=is_leader, status=self.status
         )
@@ -114,6 +123,31 @@
             while self.relay.has_leader:  # noqa: ASYNC110
                 await asyncio.sleep(0.005)
 
+    # LOST: a restarted gateway took the answers to its predecessor's calls for its own.
+    async def test_an_answer_to_a_call_of_an_earlier_process_is_ignored(self):
+        self.n_answers_to_lose = 2
+        with self.assertRaises(CallOutcomeUnknownError):
+            await self.relay.exchange(CALL, timedelta(milliseconds=60))
+        earlier = [RelayedAnswer(number=msg.number) for msg in self.calls]
+        self.restart()
+        self.n_answers_to_lose = 2
+        exchange = asyncio.create_task(self.relay.exchange(CALL, MAX_WAIT))
+        await asyncio.sleep(0.01)
+        for answer in earlier:
+            self.relay.receive_answer("a", answer)
+        await asyncio.sleep(0.01)
+        self.assertFalse(exchange.done())
+        self.assertEqual((await exchange).status, 200)
+
+    # LOST: the leader that a call was sent to was frozen while another one answered.
+    async def test_only_the_replica_that_was_asked_may_answer(self):
+        self.n_answers_to_lose = 1
+        exchange = asyncio.create_task(self.relay.exchange(CALL, MAX_WAIT))
+        await asyncio.sleep(0.01)
+        foreign = RelayedAnswer(number=self.calls[-1].number, status=418)
+        self.relay.receive_answer("b", foreign)
+        self.assertEqual((await exchange).status, 200)
+
     def test_only_a_call_that_no_leader_accepted_gets_a_retry_time(self):
         refused = relay_error_answer(CALL, NoLeaderKnownError("none"))
         self.assertEqual((refused.status, refused.retry_after_s), (503, 1))
