--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -191,6 +191,8 @@
             self.relay.exchange(call, RelaySettings().caller_patience)
         )
         self._tasks.add(task)
+        # Its caller may have ended.
+        task.add_done_callback(lambda done: done.cancelled() or done.exception())
         await asyncio.wait([task])
         while self.name in self.world.links.frozen:  # noqa: ASYNC110
             await asyncio.sleep(0.05)
--- a/tests/test_daemons_fleet.py
+++ b/tests/test_daemons_fleet.py
@@ -167,7 +167,7 @@
 
     async def test_an_internal_error_of_the_leader_is_answered(self):
         broken = mock.AsyncMock(side_effect=RuntimeError("broken"))
-        with mock.patch("redwingslip.daemons._controller.answer_call", broken):
+        with mock.patch("redwingslip.platform.answer_call", broken):
             status, doc = await self.fleet.call("GET", "/keyed/")
         self.assertEqual((status, doc["error"]), (500, "broken"))
 
