Give up a gang at once when its run lacks a member

Cause: members of a gang were handled one by one. The start of a member is ignored if its VM has been replaced since it was placed, and the others start; when a member ends before the gang works, the others wait, and orders not sent yet are sent; and a new leader sends the rest of a gang that lacks a member.

Late knowledge of the crashed VM delays the next run, and none waits meanwhile.

Change: when a member ends, and when a term begins, the leader withdraws unsent orders of the gang's run and stops the rest; a start order is not sent for such a run. The replicated state decides as before, so that controllers of two versions agree.

--- a/src/redwingslip/scheduling/_agent.py
+++ b/src/redwingslip/scheduling/_agent.py
@@ -196,6 +196,10 @@
         """Queue the order to stop a run, ahead of queued starts."""
         self._sender.stop(key, number)
 
+    def give_up(self, key: TaskKey, number: int) -> None:
+        """Withdraw the order to start a run if it was not sent, else stop the run."""
+        self._sender.give_up(key, number)
+
     def withdraw_starts(self) -> None:
         """Withdraw the queued orders to start runs."""
         self._sender.withdraw_starts()
--- a/src/redwingslip/scheduling/_order_sender.py
+++ b/src/redwingslip/scheduling/_order_sender.py
@@ -9,6 +9,7 @@
 from ..observe import EventName
 from ..workers import VmHealth, VmLease
 from ._agent_settings import VmPolicy
+from ._gangs import is_gang_incomplete
 from ._ports import StartOutcome, StartResult, VmOrders
 from ._queued_order import QueuedOrder
 from ._supervise import run_forever
@@ -157,6 +158,17 @@
         if pending is None or not pending.is_stop:
             self._enqueue(QueuedOrder(key, number, is_stop=True))
 
+    def give_up(self, key: TaskKey, number: int) -> None:
+        """Withdraw the order to start a run if it was not sent, else stop the run."""
+        run_id = (key, number)
+        if run_id in self._ending or self.is_stopping(key, number):
+            return
+        order = self._pending.get(run_id)
+        if order is None or order is self._in_flight or order.n_lost:
+            self.stop(key, number)
+        else:
+            self._withdraw(order)
+
     def withdraw_starts(self) -> None:
         """Withdraw the queued start orders; one in flight, if it has to be resent."""
         for order in tuple(self._pending.values()):
@@ -220,6 +232,10 @@
             # Another run of the task was done while this order waited.
             self._withdraw(order)
             return
+        if not order.is_stop and is_gang_incomplete(self._term.state, *run_id):
+            # It was started in part, or a member has ended since.
+            self._withdraw(order)
+            return
         evacuations = self._term.state.evacuations
         if not order.is_stop and evacuations.includes(self.vm.data_centre):
             # The run was placed before the evacuation of the data centre began, or by
--- a/src/redwingslip/scheduling/_scheduler.py
+++ b/src/redwingslip/scheduling/_scheduler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -36,6 +36,7 @@
 from ._advice import AdviceCache, Adviser
 from ._agent import VmAgent, probe_vm
 from ._evacuation_calls import EvacuationCalls
+from ._gangs import is_gang_incomplete
 from ._job_index import JobIndex
 from ._locality import RackLocality
 from ._loop_lag import LoopLag
@@ -191,6 +192,8 @@
             for key, task in iter_tasks(job):
                 if has_ended or task.is_done:
                     self._stop_runs_of_task(key, task)
+                else:
+                    self._give_up_incomplete(key, task)
         self._restore_arrivals()
         self._tasks = [
             asyncio.create_task(run_forever(name, work, self._term.events), name=name)
@@ -387,6 +390,9 @@
         task = self._state.task(end.key)
         if task is not None and task.is_done:
             self._stop_runs_of_done(end.key, task)
+        elif task is not None and end.kind is not EndKind.BROKEN:
+            # A member that was broken had worked, and the others were broken with it.
+            self._give_up_gang(end.key)
         if end.kind is EndKind.FAILED:
             self._job_index.note_failure(end.key, vm_id)
         self._update_health(vm_id, end)
@@ -444,9 +450,29 @@
         if not self._state.step(key).is_gang:
             self._stop_runs_of_task(key, task)
             return
+        for member_key, member in self._gang_members(key):
+            self._stop_runs_of_task(member_key, member)
+
+    def _give_up_gang(self, key: TaskKey) -> None:
+        """Give up the runs of a gang that wait for a member that has ended.
+
+        They would wait until they end by themselves, and the gang until then.
+        """
+        if self._state.step(key).is_gang:
+            for member_key, member in self._gang_members(key):
+                self._give_up_incomplete(member_key, member)
+
+    def _give_up_incomplete(self, key: TaskKey, task: TaskRecord) -> None:
+        """Give up the runs of a member of which another member has ended."""
+        for run in task.runs:
+            agent = self.agents.get(run.vm_id)
+            if agent is not None and is_gang_incomplete(self._state, key, run.number):
+                agent.give_up(key, run.number)
+
+    def _gang_members(self, key: TaskKey) -> Iterator[tuple[TaskKey, TaskRecord]]:
         members = self._state.jobs[key.job_id].tasks[key.occurrence][key.step]
         for index, member in enumerate(members):
-            self._stop_runs_of_task(key._replace(index=index), member)
+            yield key._replace(index=index), member
 
     def _stop_runs_of_task(self, key: TaskKey, task: TaskRecord) -> None:
         """Queue stop orders for the remaining runs of a task."""
