Try a passing refusal of a repeated call again, as before

A new leader refuses reports of endpoints for a moment, until it has heard of their VMs, and a leader whose term ends refuses what the next one would carry out.

Change: a refusal of a report or of an operator's call is tried again until the patience ends, and then passed on if it holds, in place of "unknown". A 503 of a leader whose term has ended counts as not taken, so that the next leader gets the call. A job that is refused is still refused at once.

--- a/src/redwingslip/daemons/_call_answers.py
+++ b/src/redwingslip/daemons/_call_answers.py
@@ -23,6 +23,9 @@
 }
 
 
+REFUSED_STATUS = 503
+
+
 class _Handling:
     """An attempt that is being handled on behalf of a term's service."""
 
@@ -91,6 +94,9 @@
             self._on_fault(call, exc)
             answer_error = _ERROR_ANSWERS.get(call.source, platform.error_answer)
             answer = answer_error(call, exc)
+        if answer.status == REFUSED_STATUS and not service.is_leading():
+            # The next leader may accept it.
+            return RelayedAnswer(number=call.number, is_taken=False)
         is_success = answer.status < FIRST_ERROR_STATUS
         return final_answer(answer) if is_final or is_success else answer
 
--- a/src/redwingslip/relay/_relay.py
+++ b/src/redwingslip/relay/_relay.py
@@ -9,6 +9,7 @@
 from ..clock import Clock
 from ..observe import Event, EventName, EventSink
 from ..peers import (
+    CallSource,
     LeaderQuery,
     LeaderReport,
     Message,
@@ -29,6 +30,9 @@
 OUTCOME_UNKNOWN_STATUS = 504
 # Refusals that may end by themselves while the caller waits.
 PASSING_STATUSES = frozenset({429, 503})
+# A new leader refuses reports of endpoints only until it has heard of their VMs; a job
+# is refused for longer.
+PASSING_SOURCES = frozenset({CallSource.CONTROL, CallSource.OPERATORS})
 SAFE_METHODS = frozenset({"GET", "HEAD"})
 
 
@@ -181,6 +185,7 @@
         """
         deadline = self._clock.monotonic() + max_wait
         may_have_run = False
+        refusal: RelayedAnswer | None = None
         number = self._numbers.next()
         call = msgspec.structs.replace(call, call_id=number)
         while (remaining := deadline - self._clock.monotonic()) > timedelta(0):
@@ -203,6 +208,7 @@
             finally:
                 self._in_flight.leave(len(call.body))
             number = self._numbers.next()
+            refusal = None
             if answer is None:
                 may_have_run = True
             elif not answer.is_taken:
@@ -210,15 +216,22 @@
             elif answer.status == OUTCOME_UNKNOWN_STATUS:
                 may_have_run = True
                 await asyncio.sleep(self._cfg.query_interval.total_seconds())
-            elif not may_have_run or _holds_for_call(call, answer):
+            elif not may_have_run:
                 return answer
-            elif answer.status in PASSING_STATUSES:
+            elif answer.status in PASSING_STATUSES and (
+                call.source in PASSING_SOURCES or not answer.is_final
+            ):
+                refusal = answer if answer.is_final else None
                 await asyncio.sleep(self._cfg.query_interval.total_seconds())
+            elif _holds_for_call(call, answer):
+                return answer
             else:
                 raise CallOutcomeUnknownError(
                     "the leader refused a repeated attempt, and can't tell whether an "
                     "earlier one had an effect"
                 )
+        if refusal is not None:
+            return refusal
         if may_have_run:
             raise CallOutcomeUnknownError("the leader did not answer in time")
         raise NoLeaderKnownError("no leader is known")
--- a/src/redwingslip/scheduling/_service.py
+++ b/src/redwingslip/scheduling/_service.py
@@ -104,6 +104,10 @@
         self._indexed_plan: Plan | None = None
         self._customer_of_key: Mapping[str, str] = {}
 
+    def is_leading(self) -> bool:
+        """Return whether this replica leads in the service's term."""
+        return self._term.is_leading()
+
     @property
     def plan(self) -> Plan:
         """Return the plan in force.
--- a/tests/test_daemons_call_answers.py
+++ b/tests/test_daemons_call_answers.py
@@ -16,7 +16,12 @@
     ReplacePlan,
 )
 from redwingslip.peers import CallSource, RelayedCall
-from redwingslip.scheduling import EvacuationCalls, EvacuationSettings, JobService
+from redwingslip.scheduling import (
+    EvacuationCalls,
+    EvacuationSettings,
+    JobService,
+    NotLeadingError,
+)
 from tests.support_scheduling import FakeTerm
 from tests.support_virtual_time import VirtualTimeTestCase
 
@@ -183,6 +188,15 @@
         self.assertEqual(statuses, [200, 200])
         self.assertEqual(self.term.n_commands, 1)
 
+    # Guards against "not run" for a call that the next leader would carry out.
+    async def test_a_call_refused_since_the_term_has_ended_is_not_taken(self):
+        async def lose_leadership(command):
+            self.term.is_leader = False
+            raise NotLeadingError("a later term has begun")
+
+        self.term.propose = lose_leadership
+        self.assertFalse((await self.answer("POST")).is_taken)
+
     async def test_an_attempt_of_an_earlier_term_is_awaited_but_not_joined(self):
         commit = asyncio.Event()
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -150,6 +150,20 @@
             self.assertEqual(answer.status, status)
             self.assertEqual(self.n_handled, n_handled + 2)
 
+    # Guards against endpoints that report late after a change of leader, since the new
+    # one refuses them until it has heard of their VMs.
+    async def test_a_passing_refusal_of_a_report_is_tried_again(self):
+        self.is_final = True
+        report = msgspec.structs.replace(CALL, source=CallSource.CONTROL)
+        for recovers, status in ((True, 200), (False, 503)):
+            self.status = 503
+            self.n_answers_to_lose = 1
+            if recovers:
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.1, setattr, self, "status", 200)
+            answer = await self.relay.exchange(report, MAX_WAIT)
+            self.assertEqual(answer.status, status)
+
     async def test_a_read_is_refused_after_a_lost_answer(self):
         self.status = 410
         self.n_answers_to_lose = 1
